--- /dev/null
+++ b/protocol/engine/errors.go
@@ -0,0 +1,17 @@
+package engine
+
+import "errors"
+
+// errNotSent marks errors of calls of which not one byte left this daemon.
+var errNotSent = errors.New("not sent")
+
+// MarkNotSent wraps err as proof that the call never left this daemon, such as
+// a refused connection.
+func MarkNotSent(err error) error {
+	return errors.Join(errNotSent, err)
+}
+
+// NotSent reports whether err proves that the call never left this daemon.
+func NotSent(err error) bool {
+	return errors.Is(err, errNotSent)
+}
