Fix the contract between the front and the daemon

Cause: front and daemon are written side by side. Conclusion: a paused owner of a stream cannot run a step after a takeover.

--- a/protocol/engine/engine.go
+++ b/protocol/engine/engine.go
@@ -34,6 +34,9 @@
 	// Last is the token before Token, for the first stage of later tokens.
 	Last int64 `json:"last"`
 
+	// Epoch is the stream owner's; see Engine.Resume.
+	Epoch uint64 `json:"epoch"`
+
 	Priority  int    `json:"priority"` // 0 goes first
 	Adapter   string `json:"adapter,omitempty"`
 	MaxTokens int    `json:"max_tokens"`
@@ -68,6 +71,15 @@
 	Known     bool `json:"known"`
 	NextToken int  `json:"next_token"` // the first token that it did not run
 	Canceled  bool `json:"canceled"`
+
+	// LastOutput is the activation of token NextToken-1, so that the next
+	// stage can be given it without running this one again.
+	LastOutput []byte `json:"last_output,omitempty"`
+
+	// Tokens are the tokens made so far; only the last stage has them. Final
+	// reports that the answer is whole.
+	Tokens []int64 `json:"tokens,omitempty"`
+	Final  bool    `json:"final"`
 }
 
 // Load is an engine's own report; it is older than it looks by the engine's
@@ -148,8 +160,13 @@
 	// never stand twice in a batch.
 	Step(ctx context.Context, steps []StepRequest) ([]StepResult, error)
 
-	// Held asks what the stage holds of an attempt.
-	Held(ctx context.Context, request state.RequestID, attempt state.Attempt) (Held, error)
+	// Resume asks what the stage holds of an attempt, and bars every step of
+	// the attempt that carries an epoch below epoch: such a step is answered
+	// StepNotRun, even one that was sent before and arrives after. So what
+	// Resume returns stays true until a step of this epoch is sent, and an
+	// owner that was paused while another took its stream over can't run a
+	// step. An epoch below one seen before is answered ErrEpoch.
+	Resume(ctx context.Context, request state.RequestID, attempt state.Attempt, epoch uint64) (Held, error)
 
 	// Cancel ends an attempt. When it succeeds, no step of the attempt runs
 	// after it, even one that is still under way to the engine.
--- a/protocol/engine/errors.go
+++ b/protocol/engine/errors.go
@@ -5,6 +5,10 @@
 // errNotSent marks errors of calls of which not one byte left this daemon.
 var errNotSent = errors.New("not sent")
 
+// ErrEpoch answers a Resume whose epoch is below one seen before: another owner
+// has taken the stream over.
+var ErrEpoch = errors.New("epoch was overtaken")
+
 // MarkNotSent wraps err as proof that the call never left this daemon, such as
 // a refused connection.
 func MarkNotSent(err error) error {
