Decide a request's life in a pure state machine

Cause: slot, claim, steps, recovery and outcome of a request have to hold under every order of events, so they are decided apart from sockets and clocks. Change: coordination/request; a lost step is asked about under a higher epoch before it is sent again, an attempt of another daemon is adopted the same way, and a class that is never repeated gets a second attempt only with proof that the first never began. Conclusion: refusals as not run come only from the record of dispatches.

--- /dev/null
+++ b/coordination/request/action.go
@@ -0,0 +1,103 @@
+package request
+
+import (
+	"github.com/hibiscuswick/hibiscuswick/state"
+)
+
+// Action is something that a request wants done.
+type Action interface{ action() }
+
+type (
+	// AskSlot asks the homes for a replica that is not in Exclude.
+	AskSlot struct{ Exclude []state.ReplicaID }
+
+	// StopAsking takes back AskSlot; a grant that crosses it is released.
+	StopAsking struct{}
+
+	// ReleaseSlot gives a slot back.
+	ReleaseSlot struct {
+		Grant   GrantID
+		Replica state.ReplicaID
+		Failed  bool // the replica failed the request
+	}
+
+	// PutClaim asks for the claim row, with the slot in hand. A later attempt
+	// puts it again: the row must name the replica before it is dispatched
+	// to, or a daemon that takes over would ask the wrong backend servers and
+	// take their ignorance for proof.
+	PutClaim struct {
+		Attempt state.Attempt
+		Replica state.Replica
+	}
+
+	// AbandonClaim takes PutClaim back; ClaimSettled answers it at once.
+	AbandonClaim struct{}
+
+	// VoidClaim gives a claim back whose request was not dispatched.
+	VoidClaim struct{}
+
+	// SettleClaim records how a claimed request ended.
+	SettleClaim struct{ Outcome state.Outcome }
+
+	// RunStep sends one step to one stage.
+	RunStep struct {
+		Step  StepRef
+		Stage state.Stage
+		// Prompt and Given are set for an attempt's first step.
+		Prompt string
+		Given  []int64
+		Input  []byte
+		Last   int64
+	}
+
+	// AskHeld asks one stage what it holds and bars lower epochs there.
+	AskHeld struct {
+		Step  StepRef
+		Stage state.Stage
+	}
+
+	// CancelAttempt ends an attempt at all its stages; nothing waits for it.
+	CancelAttempt struct {
+		Attempt state.Attempt
+		Replica state.Replica
+	}
+
+	// AskRetry asks the retry budget for one more attempt.
+	AskRetry struct {
+		Reason  state.RetryReason
+		Attempt state.Attempt // the one that failed
+		Replica state.ReplicaID
+	}
+
+	// AttemptStarted tells which replica now runs the request.
+	AttemptStarted struct {
+		Attempt state.Attempt
+		Epoch   uint64
+		Replica state.Replica
+	}
+
+	// Emit gives the caller the next token.
+	Emit struct {
+		Index int
+		Value int64
+		Text  string
+	}
+
+	// End gives the outcome; nothing follows.
+	End struct{ Outcome state.Outcome }
+)
+
+func (AskSlot) action()        {}
+func (StopAsking) action()     {}
+func (ReleaseSlot) action()    {}
+func (PutClaim) action()       {}
+func (AbandonClaim) action()   {}
+func (VoidClaim) action()      {}
+func (SettleClaim) action()    {}
+func (RunStep) action()        {}
+func (AskHeld) action()        {}
+func (CancelAttempt) action()  {}
+func (AskRetry) action()       {}
+func (AttemptStarted) action() {}
+func (Emit) action()           {}
+func (End) action()            {}
--- /dev/null
+++ b/coordination/request/adopt.go
@@ -0,0 +1,98 @@
+package request
+
+import (
+	"github.com/hibiscuswick/hibiscuswick/state"
+)
+
+// adopt takes over an attempt that another daemon drove. All stages are asked
+// under a higher epoch, which bars the old owner's steps everywhere before one
+// of ours is sent: a paused owner that wakes can't run a step.
+func (r *Request) adopt(t Takeover) {
+	r.replica = t.Replica
+	r.attempt = t.Attempt
+	r.epoch = t.Epoch + 1
+	r.sent.Sent(t.Attempt)
+	r.claimed = r.spec.NeverRepeat
+	if r.spec.Plain {
+		r.abandonAdoption()
+		return
+	}
+	r.phase = phaseAdopting
+	r.adopting = make([]*HeldAnswer, len(t.Replica.Stages))
+	for i, s := range t.Replica.Stages {
+		ref := StepRef{Attempt: r.attempt, Epoch: r.epoch, Stage: i}
+		r.do(AskHeld{Step: ref, Stage: s})
+	}
+}
+
+func (r *Request) adoptAnswer(ev HeldAnswer) {
+	if ev.Step.Attempt != r.attempt || ev.Step.Epoch != r.epoch {
+		return
+	}
+	r.adopting[ev.Step.Stage] = &ev
+	for _, h := range r.adopting {
+		if h == nil {
+			return
+		}
+	}
+	r.resumeAdopted()
+}
+
+// resumeAdopted goes on from where the stages stand, if they agree: those before
+// the next step hold one token more than it and those after.
+func (r *Request) resumeAdopted() {
+	last := r.adopting[len(r.adopting)-1]
+	next, stage, agree := r.frontier()
+	if !agree || len(last.Tokens) != last.NextToken {
+		r.abandonAdoption()
+		return
+	}
+	for _, value := range last.Tokens {
+		r.sent.Began(r.attempt)
+		r.emit(value, "")
+	}
+	if last.Final || len(r.tokens) >= r.spec.MaxTokens {
+		r.complete()
+		return
+	}
+	r.token = next
+	r.stage = stage
+	r.fresh = next == 0
+	r.input = nil
+	if stage > 0 {
+		r.sent.Began(r.attempt)
+		r.input = r.adopting[stage-1].LastOutput
+	}
+	r.adopting = nil
+	r.send()
+}
+
+// frontier finds the token and stage of the next step. ok is false where the
+// stages can't be continued: one forgot the attempt, or an output is lost.
+func (r *Request) frontier() (token, stage int, ok bool) {
+	token = r.adopting[len(r.adopting)-1].NextToken
+	for stage < len(r.adopting) && r.adopting[stage].NextToken == token+1 {
+		stage++
+	}
+	for i, h := range r.adopting {
+		want := token
+		if i < stage {
+			want = token + 1
+		}
+		if h.Canceled || h.NextToken != want || !h.Known && want > 0 {
+			return 0, 0, false
+		}
+	}
+	if stage > 0 && r.adopting[stage-1].LastOutput == nil {
+		return 0, 0, false
+	}
+	return token, stage, true
+}
+
+// abandonAdoption begins anew where a repeat is allowed. Sampling is seeded by
+// the request, so that a new attempt gives the same tokens from index 0 and the
+// caller's stream drops those that it already has.
+func (r *Request) abandonAdoption() {
+	r.adopting = nil
+	r.lost(state.RetryTakeover)
+}
--- /dev/null
+++ b/coordination/request/event.go
@@ -0,0 +1,125 @@
+package request
+
+import (
+	"time"
+
+	"github.com/hibiscuswick/hibiscuswick/state"
+)
+
+// Event is something that happened to a request.
+type Event interface{ event() }
+
+// GrantID names a slot that a home granted.
+type GrantID string
+
+// StepRef names one step: what is run, for which token, where.
+type StepRef struct {
+	Attempt state.Attempt
+	Epoch   uint64
+	Token   int
+	Stage   int
+}
+
+type (
+	// Start begins the request.
+	Start struct{}
+
+	// Tick says that time has passed.
+	Tick struct{}
+
+	// Cancel is the caller's wish to end the request.
+	Cancel struct{}
+
+	// SlotGranted answers AskSlot: Replica may be used.
+	SlotGranted struct {
+		Grant   GrantID
+		Replica state.Replica
+	}
+
+	// SlotRefused answers AskSlot: no replica will be had.
+	SlotRefused struct {
+		Reason     state.Reason
+		RetryAfter state.RetryAfter
+	}
+
+	// ClaimSettled answers PutClaim.
+	ClaimSettled struct {
+		Result ClaimResult
+		Reason state.Reason // why not, unless ClaimWon
+	}
+
+	// StepDone answers RunStep: the layers ran once.
+	StepDone struct {
+		Step   StepRef
+		Output []byte
+		Value  int64  // the token, from the last stage
+		Text   string // a plain service's answer
+		Final  bool   // the answer ends with this token
+	}
+
+	// StepNotRun answers RunStep with proof that it did not run and won't.
+	StepNotRun struct{ Step StepRef }
+
+	// StepFailed answers RunStep: the stage's KV cache is not to be used.
+	StepFailed struct{ Step StepRef }
+
+	// StepUnanswered answers RunStep: it may have run, unless NotSent.
+	StepUnanswered struct {
+		Step    StepRef
+		NotSent bool // not one byte left this daemon
+		Silent  bool // the connection went silent
+	}
+
+	// HeldAnswer answers AskHeld; steps of lower epochs are now barred there.
+	HeldAnswer struct {
+		Step       StepRef
+		Known      bool
+		Canceled   bool
+		NextToken  int
+		LastOutput []byte
+		Tokens     []int64 // from the last stage
+		Final      bool
+	}
+
+	// HeldUnanswered answers AskHeld: nothing is known of the stage.
+	HeldUnanswered struct {
+		Step      StepRef
+		Overtaken bool // another daemon owns the stream now
+	}
+
+	// RetryDecided answers AskRetry.
+	RetryDecided struct {
+		Allowed bool
+		At      time.Time // the earliest time of the next attempt
+		Reason  state.Reason
+	}
+)
+
+// ClaimResult is what became of a claim.
+type ClaimResult int
+
+// The values of ClaimResult.
+const (
+	// ClaimWon: the row carries this request's nonce; it alone may dispatch.
+	ClaimWon ClaimResult = iota
+	// ClaimRefused: the row proves that this request never was dispatched by
+	// anyone and this daemon's claim is not in force.
+	ClaimRefused
+	// ClaimElsewhere: another request of the same key holds the row and may
+	// have run.
+	ClaimElsewhere
+)
+
+func (Start) event()          {}
+func (Tick) event()           {}
+func (Cancel) event()         {}
+func (SlotGranted) event()    {}
+func (SlotRefused) event()    {}
+func (ClaimSettled) event()   {}
+func (StepDone) event()       {}
+func (StepNotRun) event()     {}
+func (StepFailed) event()     {}
+func (StepUnanswered) event() {}
+func (HeldAnswer) event()     {}
+func (HeldUnanswered) event() {}
+func (RetryDecided) event()   {}
--- /dev/null
+++ b/coordination/request/request.go
@@ -0,0 +1,255 @@
+package request
+
+import (
+	"slices"
+	"time"
+
+	"github.com/hibiscuswick/hibiscuswick/state"
+)
+
+// Request is the state machine of one request. It belongs to one goroutine.
+type Request struct {
+	spec  Spec
+	phase phase
+	sent  *state.Dispatches
+
+	attempt state.Attempt
+	epoch   uint64
+	replica state.Replica
+	grant   GrantID
+	exclude []state.ReplicaID
+
+	// The step under way: token at stage with input; last is the token before.
+	token int
+	stage int
+	input []byte
+	fresh bool // the attempt's first token: stages have no cache of it yet
+	asks  int  // how often the stage was asked about this step
+
+	tokens []int64 // given to the caller, by index
+
+	claimed  bool          // the claim row carries this request's nonce
+	ending   *ending       // set while an abandoned claim is settled
+	retryAt  time.Time     // in phaseBackoff
+	adopting []*HeldAnswer // by stage, in phaseAdopting
+
+	out []Action
+}
+
+// ending is the outcome that waits for an abandoned claim.
+type ending struct {
+	reason state.Reason
+	after  state.RetryAfter
+}
+
+// New returns the machine of one request; Start begins it.
+func New(spec Spec) *Request {
+	return &Request{spec: spec, sent: state.NewDispatches()}
+}
+
+// Step takes one event and returns what is to be done, in order. The slice is
+// valid until the next Step.
+func (r *Request) Step(now time.Time, ev Event) []Action {
+	r.out = r.out[:0]
+	if r.phase == phaseEnded {
+		r.late(ev)
+		return r.out
+	}
+	switch ev := ev.(type) {
+	case Start:
+		r.start()
+	case Tick:
+		r.tick(now)
+	case Cancel:
+		r.giveUp(state.ReasonCanceled, 0)
+	case SlotGranted:
+		r.granted(ev)
+	case SlotRefused:
+		r.refused(ev)
+	case ClaimSettled:
+		r.claimSettled(ev)
+	case RetryDecided:
+		r.retryDecided(now, ev)
+	default:
+		r.stepAnswer(ev)
+	}
+	return r.out
+}
+
+// stepAnswer takes the answer of a stage.
+func (r *Request) stepAnswer(ev Event) {
+	switch ev := ev.(type) {
+	case StepDone:
+		r.stepDone(ev)
+	case StepNotRun:
+		r.stepNotRun(ev)
+	case StepFailed:
+		r.stepFailed(ev)
+	case StepUnanswered:
+		r.stepUnanswered(ev)
+	case HeldAnswer:
+		r.heldAnswer(ev)
+	case HeldUnanswered:
+		r.heldUnanswered(ev)
+	}
+}
+
+// NextTick returns when the machine next wants a Tick, or the zero time.
+func (r *Request) NextTick() time.Time {
+	switch {
+	case r.phase == phaseEnded:
+		return time.Time{}
+	case r.phase == phaseBackoff && len(r.tokens) > 0:
+		return r.retryAt
+	case r.phase == phaseBackoff && r.retryAt.Before(r.spec.FirstTokenBy):
+		return r.retryAt
+	case len(r.tokens) == 0:
+		return r.spec.FirstTokenBy
+	}
+	return time.Time{}
+}
+
+// Tokens returns the tokens given so far; the caller must not change it.
+func (r *Request) Tokens() []int64 {
+	return r.tokens
+}
+
+// Ended reports whether End was returned.
+func (r *Request) Ended() bool {
+	return r.phase == phaseEnded
+}
+
+// Queued reports whether nothing was dispatched yet.
+func (r *Request) Queued() bool {
+	return r.phase == phaseNew || r.phase == phaseQueued || r.phase == phaseClaiming
+}
+
+func (r *Request) do(a Action) {
+	r.out = append(r.out, a)
+}
+
+func (r *Request) start() {
+	if r.phase != phaseNew {
+		panic("request: started twice")
+	}
+	if r.spec.Takeover != nil {
+		r.adopt(*r.spec.Takeover)
+		return
+	}
+	r.askSlot()
+}
+
+func (r *Request) askSlot() {
+	r.phase = phaseQueued
+	r.do(AskSlot{Exclude: slices.Clone(r.exclude)})
+}
+
+func (r *Request) tick(now time.Time) {
+	if len(r.tokens) == 0 && !now.Before(r.spec.FirstTokenBy) {
+		r.giveUp(state.ReasonDeadline, 0)
+		return
+	}
+	if r.phase == phaseBackoff && !now.Before(r.retryAt) {
+		r.askSlot()
+	}
+}
+
+func (r *Request) granted(ev SlotGranted) {
+	if r.phase != phaseQueued {
+		r.do(ReleaseSlot{Grant: ev.Grant, Replica: ev.Replica.ID})
+		return
+	}
+	r.grant = ev.Grant
+	r.replica = ev.Replica
+	if r.spec.NeverRepeat {
+		r.phase = phaseClaiming
+		r.do(PutClaim{Attempt: r.attempt + 1, Replica: r.replica})
+		return
+	}
+	r.begin()
+}
+
+func (r *Request) refused(ev SlotRefused) {
+	if r.phase == phaseQueued {
+		r.giveUp(ev.Reason, ev.RetryAfter)
+	}
+}
+
+func (r *Request) claimSettled(ev ClaimSettled) {
+	if r.phase != phaseClaiming {
+		return
+	}
+	if ev.Result == ClaimElsewhere {
+		// The same key may have run under another request, so that this
+		// record alone can prove nothing any more.
+		r.sent.MayRunElsewhere()
+	}
+	r.claimed = ev.Result == ClaimWon
+	switch {
+	case r.ending != nil:
+		r.end(r.ending.reason, r.ending.after)
+	case r.claimed:
+		r.begin()
+	default:
+		r.end(ev.Reason, 0)
+	}
+}
+
+// giveUp ends the request where it stands.
+func (r *Request) giveUp(reason state.Reason, after state.RetryAfter) {
+	switch r.phase {
+	case phaseQueued:
+		r.do(StopAsking{})
+	case phaseClaiming:
+		// Whether the claim was written is not known; until it is settled
+		// nothing can be said of the request.
+		if r.ending == nil {
+			r.ending = &ending{reason: reason, after: after}
+			r.do(AbandonClaim{})
+		}
+		return
+	case phaseRunning, phaseAsking, phaseAdopting:
+		r.do(CancelAttempt{Attempt: r.attempt, Replica: r.replica})
+	default:
+	}
+	r.end(reason, after)
+}
+
+// end gives the outcome that the record of dispatches allows.
+func (r *Request) end(reason state.Reason, after state.RetryAfter) {
+	r.finish(state.Conclude(r.sent, reason, len(r.tokens), after))
+}
+
+func (r *Request) finish(o state.Outcome) {
+	_, failed := o.(state.Failed)
+	r.releaseSlot(failed)
+	if r.claimed {
+		if _, notRun := o.(state.Refused); notRun {
+			r.do(VoidClaim{})
+		} else {
+			r.do(SettleClaim{Outcome: o})
+		}
+	}
+	r.phase = phaseEnded
+	r.do(End{Outcome: o})
+}
+
+func (r *Request) releaseSlot(failed bool) {
+	if r.grant == "" {
+		return
+	}
+	r.do(ReleaseSlot{Grant: r.grant, Replica: r.replica.ID, Failed: failed})
+	r.grant = ""
+}
+
+// late handles answers that come after the end.
+func (r *Request) late(ev Event) {
+	switch ev := ev.(type) {
+	case SlotGranted:
+		r.do(ReleaseSlot{Grant: ev.Grant, Replica: ev.Replica.ID})
+	case ClaimSettled:
+		// An End can't come before its claim is settled: giveUp waits for it.
+		panic("request: claim settled after the end")
+	default:
+	}
+}
--- /dev/null
+++ b/coordination/request/spec.go
@@ -0,0 +1,57 @@
+package request
+
+import (
+	"time"
+
+	"github.com/hibiscuswick/hibiscuswick/state"
+)
+
+// Spec is what a request asks for, checked against its service's document.
+type Spec struct {
+	ID          state.RequestID
+	Service     state.ServiceID
+	Customer    state.CustomerID
+	Class       state.ClassID
+	Key         state.IdempotencyKey
+	Priority    int
+	Plain       bool // served by a plain service: one stage, one token
+	NeverRepeat bool
+
+	Prompt    string
+	Adapter   string
+	MaxTokens int
+
+	// FirstTokenBy is the deadline of the first token.
+	FirstTokenBy time.Time
+
+	// Takeover is set where another daemon owned the stream before.
+	Takeover *Takeover
+}
+
+// Takeover is what is known of an attempt that another daemon drove.
+type Takeover struct {
+	Replica state.Replica
+	Attempt state.Attempt
+	Epoch   uint64
+}
+
+// phase is where a request stands.
+type phase int
+
+const (
+	phaseNew phase = iota
+	phaseQueued
+	phaseClaiming
+	phaseRunning   // one step is under way
+	phaseAsking    // a stage is asked about a lost step
+	phaseAdopting  // all stages are asked, after a takeover
+	phaseRetryWait // the retry budget is asked
+	phaseBackoff   // a retry is allowed at retryAt
+	phaseEnded
+)
+
+// String names the phase for logs and scripts.
+func (p phase) String() string {
+	names := [...]string{"new", "queued", "claiming", "running", "asking", "adopting", "retry-wait", "backoff", "ended"}
+	return names[p]
+}
