Name attempts and epochs by their owner

Cause: a paused daemon that was overtaken can wake and begin an attempt of the same number as the daemon that took over; at a stage of both the two would share a KV cache and a layer could run twice for a token. Two daemons taking over at once would share an epoch, and neither would be barred. Change: Attempt and Epoch are 64 bits, a counter and the owner's tag. Conclusion: names of two owners never collide; the smaller epoch is barred.

--- a/coordination/request/action.go
+++ b/coordination/request/action.go
@@ -72,7 +72,7 @@
 	// AttemptStarted tells which replica now runs the request.
 	AttemptStarted struct {
 		Attempt state.Attempt
-		Epoch   uint64
+		Epoch   state.Epoch
 		Replica state.Replica
 	}
 
--- a/coordination/request/adopt.go
+++ b/coordination/request/adopt.go
@@ -10,7 +10,7 @@
 func (r *Request) adopt(t Takeover) {
 	r.replica = t.Replica
 	r.attempt = t.Attempt
-	r.epoch = t.Epoch + 1
+	r.epoch = t.Epoch.Next(r.spec.Owner)
 	r.sent.Sent(t.Attempt)
 	r.claimed = r.spec.NeverRepeat
 	if r.spec.Plain {
--- a/coordination/request/event.go
+++ b/coordination/request/event.go
@@ -15,7 +15,7 @@
 // StepRef names one step: what is run, for which token, where.
 type StepRef struct {
 	Attempt state.Attempt
-	Epoch   uint64
+	Epoch   state.Epoch
 	Token   int
 	Stage   int
 }
--- a/coordination/request/recover.go
+++ b/coordination/request/recover.go
@@ -52,7 +52,7 @@
 		r.lost(state.RetrySilentConnection)
 	default:
 		r.asks++
-		r.epoch++
+		r.epoch = r.epoch.Next(r.spec.Owner)
 		r.phase = phaseAsking
 		r.do(AskHeld{Step: r.ref(), Stage: r.replica.Stages[r.stage]})
 	}
--- a/coordination/request/request.go
+++ b/coordination/request/request.go
@@ -14,7 +14,7 @@
 	sent  *state.Dispatches
 
 	attempt state.Attempt
-	epoch   uint64
+	epoch   state.Epoch
 	replica state.Replica
 	grant   GrantID
 	exclude []state.ReplicaID
@@ -163,7 +163,7 @@
 	r.replica = ev.Replica
 	if r.spec.NeverRepeat {
 		r.phase = phaseClaiming
-		r.do(PutClaim{Attempt: r.attempt + 1, Replica: r.replica})
+		r.do(PutClaim{Attempt: r.attempt.Next(r.spec.Owner), Replica: r.replica})
 		return
 	}
 	r.begin()
--- a/coordination/request/run.go
+++ b/coordination/request/run.go
@@ -7,8 +7,8 @@
 // begin starts a new attempt on the replica in hand, from the first token that
 // the caller does not have.
 func (r *Request) begin() {
-	r.attempt++
-	r.epoch++
+	r.attempt = r.attempt.Next(r.spec.Owner)
+	r.epoch = r.epoch.Next(r.spec.Owner)
 	r.token = len(r.tokens)
 	r.stage = 0
 	r.input = nil
--- a/coordination/request/spec.go
+++ b/coordination/request/spec.go
@@ -21,6 +21,10 @@
 	Adapter   string
 	MaxTokens int
 
+	// Owner tells this daemon's life from every other that may drive the
+	// request; see state.NewAttempt.
+	Owner uint32
+
 	// FirstTokenBy is the deadline of the first token.
 	FirstTokenBy time.Time
 
@@ -32,7 +36,7 @@
 type Takeover struct {
 	Replica state.Replica
 	Attempt state.Attempt
-	Epoch   uint64
+	Epoch   state.Epoch
 }
 
 // phase is where a request stands.
--- a/protocol/engine/engine.go
+++ b/protocol/engine/engine.go
@@ -35,7 +35,7 @@
 	Last int64 `json:"last"`
 
 	// Epoch is the stream owner's; see Engine.Resume.
-	Epoch uint64 `json:"epoch"`
+	Epoch state.Epoch `json:"epoch"`
 
 	Priority  int    `json:"priority"` // 0 goes first
 	Adapter   string `json:"adapter,omitempty"`
@@ -166,7 +166,7 @@
 	// Resume returns stays true until a step of this epoch is sent, and an
 	// owner that was paused while another took its stream over can't run a
 	// step. An epoch below one seen before is answered ErrEpoch.
-	Resume(ctx context.Context, request state.RequestID, attempt state.Attempt, epoch uint64) (Held, error)
+	Resume(ctx context.Context, request state.RequestID, attempt state.Attempt, epoch state.Epoch) (Held, error)
 
 	// Cancel ends an attempt. When it succeeds, no step of the attempt runs
 	// after it, even one that is still under way to the engine.
--- a/state/ids.go
+++ b/state/ids.go
@@ -50,10 +50,6 @@
 // DaemonID has a strictly higher one.
 type Incarnation uint64
 
-// Attempt counts the executions of one request, from 1. Tokens and pipeline
-// steps of an abandoned attempt are told from current ones by it.
-type Attempt uint32
-
 // FencingNumber orders the holders of one lease: a later holder has a strictly
 // higher one.
 type FencingNumber uint64
