Serve callers and operators over HTTP

Cause: nothing stood between callers and a daemon.

Change: transport/front maps caller.Daemon onto net/http and huma: addresses, requests as server-sent events whose id is the token index, re-attach with Last-Event-ID, status, cancel, service documents, drain, health. Refusals are RFC 9457 problems. huma's sse package is not used: it writes no id for index 0, has no keep-alive comment and drops write errors; its StreamResponse is.

--- /dev/null
+++ b/transport/front/problem.go
@@ -0,0 +1,192 @@
+package front
+
+import (
+	"errors"
+	"net/http"
+	"strconv"
+
+	"github.com/danielgtaylor/huma/v2"
+
+	"github.com/hibiscuswick/hibiscuswick/protocol/caller"
+	"github.com/hibiscuswick/hibiscuswick/state"
+	"github.com/hibiscuswick/hibiscuswick/state/service"
+)
+
+// problemType is the prefix of a problem's type; the reason follows it.
+const problemType = "urn:hibiscuswick:problem:"
+
+// Problem is an RFC 9457 problem document, the body of every answer that is no
+// success.
+type Problem struct {
+	Type   string `json:"type"`
+	Title  string `json:"title"`
+	Status int    `json:"status"`
+	Detail string `json:"detail,omitempty"`
+
+	// Reason is one of state.Reasons.
+	Reason state.Reason `json:"reason,omitempty"`
+	// Execution is what is known of the request's execution; absent where the
+	// problem is not about a request to a service.
+	Execution state.Execution `json:"execution,omitempty"`
+	// Request is the request's id where it got one.
+	Request state.RequestID `json:"request,omitempty"`
+
+	// Faults lists what is wrong with the input, each by its path.
+	Faults []string `json:"faults,omitempty"`
+	// Current is the document that an edit lost against.
+	Current *service.Versioned `json:"current,omitempty"`
+
+	retryAfter state.RetryAfter
+}
+
+// Error makes a Problem an error for huma.
+func (p *Problem) Error() string { return p.Detail }
+
+// GetStatus is the HTTP status.
+func (p *Problem) GetStatus() int { return p.Status }
+
+// ContentType is that of RFC 9457.
+func (p *Problem) ContentType(string) string { return "application/problem+json" }
+
+// GetHeaders gives Retry-After where it is known.
+func (p *Problem) GetHeaders() http.Header {
+	h := http.Header{}
+	if p.retryAfter > 0 {
+		h.Set("Retry-After", strconv.FormatUint(uint64(p.retryAfter), 10))
+	}
+	if p.Request != "" {
+		h.Set(RequestHeader, string(p.Request))
+	}
+	return h
+}
+
+// huma builds its own errors, such as those of validation, through a package
+// variable; it has no other place for them. All of them become Problems.
+func init() {
+	huma.NewError = func(status int, msg string, errs ...error) huma.StatusError {
+		return inputProblem(status, msg, errs)
+	}
+	huma.NewErrorWithContext = func(hc huma.Context, status int, msg string, errs ...error) huma.StatusError {
+		p := inputProblem(status, msg, errs)
+		if hc.Operation().OperationID == submitOperation {
+			p.Execution = unsentExecution(hc.Header("Idempotency-Key"), hc.Header("Last-Event-ID"))
+		}
+		return p
+	}
+}
+
+// unsentExecution is what the front can say of a submission that it refuses
+// itself. A submission that has a key or a last event may repeat one that ran
+// at another daemon, of which nothing is known here.
+func unsentExecution(key, lastEventID string) state.Execution {
+	if key != "" || lastEventID != "" {
+		return state.ExecutionUnknown
+	}
+	return state.NewDispatches().Execution()
+}
+
+// inputProblem describes input that huma refused before a handler ran. Values
+// of the input are not echoed: they may be as long as the body.
+func inputProblem(status int, msg string, errs []error) *Problem {
+	reason := state.ReasonBadRequest
+	if status >= http.StatusInternalServerError {
+		reason = state.ReasonInternal
+	}
+	p := newProblem(status, reason, msg)
+	for _, err := range errs {
+		p.Faults = append(p.Faults, faultText(err))
+	}
+	return p
+}
+
+// faultText gives "path: message" without the value.
+func faultText(err error) string {
+	var d huma.ErrorDetailer
+	if !errors.As(err, &d) {
+		return err.Error()
+	}
+	detail := d.ErrorDetail()
+	if detail.Location == "" {
+		return detail.Message
+	}
+	return detail.Location + ": " + detail.Message
+}
+
+// newProblem fills in the fields that each problem has.
+func newProblem(status int, reason state.Reason, detail string) *Problem {
+	return &Problem{
+		Type:   problemType + string(reason),
+		Title:  http.StatusText(status),
+		Status: status,
+		Detail: detail,
+		Reason: reason,
+	}
+}
+
+// outcomeProblem describes a request that ended before its answer began.
+func outcomeProblem(id state.RequestID, o state.Outcome) *Problem {
+	end := endOf(o)
+	p := newProblem(statusOf(end.Reason), end.Reason, detailOf(end))
+	p.Execution = end.Execution
+	p.Request = id
+	p.retryAfter = end.RetryAfter
+	return p
+}
+
+// detailOf says in a sentence what a caller may conclude.
+func detailOf(e End) string {
+	switch e.Execution {
+	case state.ExecutionNotRun:
+		return "The request was not run: " + string(e.Reason) + ". It may be sent again."
+	case state.ExecutionStarted:
+		return "The request began and did not complete: " + string(e.Reason) + "."
+	default:
+		return "Whether the request ran is not known: " + string(e.Reason) + "."
+	}
+}
+
+// editProblem describes an edit that was not accepted.
+func editProblem(r caller.EditResult) *Problem {
+	switch r.Status {
+	case caller.EditConflict:
+		p := newProblem(http.StatusConflict, "", "Another edit came first. Base the edit on the current version.")
+		p.Type = problemType + "edit_conflict"
+		p.Current = r.Current
+		return p
+	case caller.EditInvalid:
+		p := newProblem(http.StatusUnprocessableEntity, state.ReasonBadRequest, "The document is not valid.")
+		p.Faults = r.Faults
+		return p
+	default:
+		p := newProblem(http.StatusServiceUnavailable, state.ReasonStoreUnavailable,
+			"Whether the edit was accepted is not known. Repeat it with the same edit_id.")
+		p.Execution = state.ExecutionUnknown
+		p.retryAfter = 1
+		return p
+	}
+}
+
+// statusOf maps a reason to an HTTP status.
+func statusOf(r state.Reason) int {
+	switch r {
+	case state.ReasonBadRequest, state.ReasonQuarantined:
+		return http.StatusUnprocessableEntity
+	case state.ReasonUnknownService, state.ReasonUnknownRequest:
+		return http.StatusNotFound
+	case state.ReasonUnknownCustomer:
+		return http.StatusForbidden
+	case state.ReasonCustomerLimit, state.ReasonQueueFull:
+		return http.StatusTooManyRequests
+	case state.ReasonDeadline:
+		return http.StatusGatewayTimeout
+	case state.ReasonNoReplica, state.ReasonStoreUnavailable, state.ReasonDraining,
+		state.ReasonIsolated, state.ReasonRetriesExhausted:
+		return http.StatusServiceUnavailable
+	case state.ReasonDuplicate, state.ReasonKeyReused, state.ReasonCanceled:
+		return http.StatusConflict
+	case state.ReasonBackendFailed:
+		return http.StatusBadGateway
+	default:
+		return http.StatusInternalServerError
+	}
+}
--- /dev/null
+++ b/transport/front/requests.go
@@ -0,0 +1,284 @@
+package front
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/danielgtaylor/huma/v2"
+
+	"github.com/hibiscuswick/hibiscuswick/protocol/caller"
+	"github.com/hibiscuswick/hibiscuswick/state"
+	"github.com/hibiscuswick/hibiscuswick/state/service"
+)
+
+// Paths of the caller interface.
+const (
+	PathAddresses = "/v1/addresses"
+	PathRequests  = "/v1/requests"
+)
+
+// submitOperation is the id of POST /v1/requests.
+const submitOperation = "submit"
+
+// noToken is the index before the first.
+const noToken = -1
+
+// registerRequests adds what callers use.
+func (f *front) registerRequests(api huma.API) {
+	huma.Register(api, huma.Operation{
+		OperationID: "addresses", Method: http.MethodGet, Path: PathAddresses,
+		Summary: "Ask which daemons to use, and for how long the answer holds",
+	}, f.addresses)
+	huma.Register(api, huma.Operation{
+		OperationID: submitOperation, Method: http.MethodPost, Path: PathRequests,
+		Summary:      "Send a request; the answer is a stream of server-sent events",
+		MaxBodyBytes: f.opts.MaxBody, BodyReadTimeout: f.opts.BodyTimeout,
+		Responses: streamResponses(), Errors: streamErrors(),
+	}, f.submit)
+	huma.Register(api, huma.Operation{
+		OperationID: "attach", Method: http.MethodGet, Path: PathRequests + "/{id}/events",
+		Summary:   "Take an answer up again after the token of Last-Event-ID, at any daemon",
+		Responses: streamResponses(), Errors: []int{http.StatusNotFound},
+	}, f.attach)
+	huma.Register(api, huma.Operation{
+		OperationID: "status", Method: http.MethodGet, Path: PathRequests + "/{id}",
+		Summary: "Ask where a request stands", Errors: []int{http.StatusNotFound},
+	}, f.status)
+	huma.Register(api, huma.Operation{
+		OperationID: "cancel", Method: http.MethodDelete, Path: PathRequests + "/{id}",
+		Summary: "End a request", Errors: []int{http.StatusNotFound},
+	}, f.cancel)
+}
+
+// streamResponses documents a success whose body is a stream.
+func streamResponses() map[string]*huma.Response {
+	text := &huma.Schema{Type: huma.TypeString}
+	return map[string]*huma.Response{"200": {
+		Description: "Events accepted, token (its id is the token's index) and end, in this order",
+		Headers:     map[string]*huma.Param{RequestHeader: {Schema: text, Description: "The request's id"}},
+		Content:     map[string]*huma.MediaType{"text/event-stream": {Schema: text}},
+	}}
+}
+
+// streamErrors lists the statuses of statusOf.
+func streamErrors() []int {
+	return []int{
+		http.StatusForbidden, http.StatusNotFound, http.StatusRequestTimeout, http.StatusConflict,
+		http.StatusRequestEntityTooLarge, http.StatusTooManyRequests, http.StatusBadGateway,
+		http.StatusServiceUnavailable, http.StatusGatewayTimeout,
+	}
+}
+
+type addressesInput struct {
+	Service  string `query:"service" doc:"The service that the caller uses"`
+	Customer string `query:"customer" doc:"The caller's customer"`
+	Domain   string `query:"domain" doc:"The caller's own failure domain, if it knows it"`
+}
+
+// Addresses is the answer of GET /v1/addresses.
+type Addresses struct {
+	Addresses []string         `json:"addresses" doc:"Base URLs, best first"`
+	ValidFor  service.Duration `json:"valid_for" doc:"How long the answer holds, such as 5s"`
+}
+
+type addressesOutput struct {
+	Body Addresses
+}
+
+func (f *front) addresses(ctx context.Context, in *addressesInput) (*addressesOutput, error) {
+	a := f.daemon.Addresses(ctx, caller.AddressQuery{
+		Service:  state.ServiceID(in.Service),
+		Customer: state.CustomerID(in.Customer),
+		Domain:   state.FailureDomain(in.Domain),
+	})
+	return &addressesOutput{Body: Addresses{
+		Addresses: append([]string{}, a.Addresses...),
+		ValidFor:  service.Duration(a.Valid),
+	}}, nil
+}
+
+// Submit is the body of POST /v1/requests.
+type Submit struct {
+	Service   string           `json:"service" minLength:"1" maxLength:"256"`
+	Customer  string           `json:"customer" minLength:"1" maxLength:"256"`
+	Class     string           `json:"class" minLength:"1" maxLength:"256"`
+	Prompt    string           `json:"prompt" doc:"The model's input, or the body for a plain service"`
+	Adapter   string           `json:"adapter,omitempty" maxLength:"256"`
+	MaxTokens int              `json:"max_tokens,omitempty" minimum:"0" doc:"0 takes the class's"`
+	Deadline  service.Duration `json:"deadline,omitempty" doc:"To the first token, such as 500ms; absent takes the class's"`
+}
+
+type submitInput struct {
+	Key         string `header:"Idempotency-Key" maxLength:"256" doc:"The caller's own name for this piece of work"`
+	LastEventID string `header:"Last-Event-ID" doc:"Index of the last token that the caller has"`
+	Body        Submit
+}
+
+func (f *front) submit(ctx context.Context, in *submitInput) (*huma.StreamResponse, error) {
+	rc := controller(ctx)
+	// The body's read deadline would otherwise end the wait for the answer.
+	_ = rc.SetReadDeadline(time.Time{})
+	after, p := parseLastEventID(in.LastEventID)
+	if p == nil {
+		p = checkSubmit(&in.Body)
+	}
+	if p == nil {
+		p = f.acquire()
+	}
+	if p != nil {
+		p.Execution = unsentExecution(in.Key, in.LastEventID)
+		return nil, p
+	}
+	stream, o := f.daemon.Submit(ctx, in.submission(after))
+	if stream == nil {
+		f.free()
+		f.extend(rc)
+		return nil, outcomeProblem("", o)
+	}
+	item, err := stream.Next(ctx)
+	f.extend(rc)
+	if err != nil {
+		f.release(stream)
+		f.count(err)
+		return nil, err // nobody reads it: only the caller's leaving ends ctx
+	}
+	if _, ok := item.Outcome.(state.Completed); item.Token == nil && !ok {
+		defer f.release(stream)
+		return nil, outcomeProblem(stream.ID(), item.Outcome)
+	}
+	return f.respond(stream, &item), nil
+}
+
+// submission translates the input.
+func (in *submitInput) submission(after int) caller.Submission {
+	b := &in.Body
+	return caller.Submission{
+		Service:   state.ServiceID(b.Service),
+		Customer:  state.CustomerID(b.Customer),
+		Class:     state.ClassID(b.Class),
+		Key:       state.IdempotencyKey(in.Key),
+		Deadline:  b.Deadline.Std(),
+		Prompt:    b.Prompt,
+		Adapter:   b.Adapter,
+		MaxTokens: b.MaxTokens,
+		After:     after,
+	}
+}
+
+// checkSubmit finds what the schema can't say.
+func checkSubmit(b *Submit) *Problem {
+	if b.Deadline < 0 {
+		return newProblem(http.StatusUnprocessableEntity, state.ReasonBadRequest, "body.deadline is negative")
+	}
+	return nil
+}
+
+// parseLastEventID reads a token index; none is noToken.
+func parseLastEventID(text string) (int, *Problem) {
+	if text == "" {
+		return noToken, nil
+	}
+	n, err := strconv.ParseInt(text, 10, 32)
+	if err != nil || n < 0 {
+		return 0, newProblem(http.StatusUnprocessableEntity, state.ReasonBadRequest,
+			"Last-Event-ID is no token index")
+	}
+	return int(n), nil
+}
+
+type attachInput struct {
+	ID          string `path:"id"`
+	LastEventID string `header:"Last-Event-ID" doc:"Index of the last token that the caller has"`
+}
+
+// attach answers at once: the request is known, so that what becomes of it is
+// the stream's matter.
+func (f *front) attach(ctx context.Context, in *attachInput) (*huma.StreamResponse, error) {
+	after, p := parseLastEventID(in.LastEventID)
+	if p == nil {
+		p = f.acquire()
+	}
+	if p != nil {
+		p.Execution = state.ExecutionUnknown
+		return nil, p
+	}
+	id := state.RequestID(in.ID)
+	stream, o := f.daemon.Attach(ctx, id, after)
+	if stream == nil {
+		f.free()
+		f.extend(controller(ctx))
+		return nil, outcomeProblem(id, o)
+	}
+	return f.respond(stream, nil), nil
+}
+
+type requestInput struct {
+	ID string `path:"id"`
+}
+
+// Status is the answer about one request.
+type Status struct {
+	Request state.RequestID `json:"request"`
+	Phase   caller.Phase    `json:"phase"`
+	Tokens  int             `json:"tokens"`
+	End     *End            `json:"end,omitempty" doc:"Present once the request ended"`
+}
+
+type statusOutput struct {
+	Body Status
+}
+
+func (f *front) status(ctx context.Context, in *requestInput) (*statusOutput, error) {
+	s, ok := f.daemon.Status(ctx, state.RequestID(in.ID))
+	return statusAnswer(in.ID, s, ok)
+}
+
+func (f *front) cancel(ctx context.Context, in *requestInput) (*statusOutput, error) {
+	s, ok := f.daemon.Cancel(ctx, state.RequestID(in.ID))
+	return statusAnswer(in.ID, s, ok)
+}
+
+// statusAnswer describes s, or that no such request is known.
+func statusAnswer(id string, s caller.Status, ok bool) (*statusOutput, error) {
+	if !ok {
+		p := newProblem(http.StatusNotFound, state.ReasonUnknownRequest, "No request of this id is known here.")
+		p.Execution = state.ExecutionUnknown
+		p.Request = state.RequestID(id)
+		return nil, p
+	}
+	out := &statusOutput{Body: Status{Request: s.Request, Phase: s.Phase, Tokens: s.Tokens}}
+	if s.Phase == caller.PhaseEnded {
+		end := endOf(s.Outcome)
+		out.Body.End = &end
+	}
+	return out, nil
+}
+
+// acquire takes a stream's slot, or says that there is none. The bound keeps a
+// rush of connections from taking the daemon's memory.
+func (f *front) acquire() *Problem {
+	select {
+	case f.slots <- struct{}{}:
+		f.metrics.viewsOpen.Update(float64(len(f.slots)))
+		return nil
+	default:
+		f.metrics.refused.Inc(1)
+		p := newProblem(http.StatusTooManyRequests, state.ReasonQueueFull, "This daemon has no room for another stream.")
+		p.retryAfter = 1
+		return p
+	}
+}
+
+// free gives a slot back.
+func (f *front) free() {
+	<-f.slots
+	f.metrics.viewsOpen.Update(float64(len(f.slots)))
+}
+
+// release ends a view and gives its slot back.
+func (f *front) release(s caller.Stream) {
+	s.Close()
+	f.free()
+}
