Decide on retries by proof, budget and jitter

Cause: without a budget, a total outage of one kind of stage multiplies the load by the attempt limit, and nothing yet said when a failed attempt may be repeated. Change: coordination/retry: Decide(now, Failure) gives Again (reason, delay, excluded replicas) or Stop (typed denial); budgets a service and a customer as a share of recent successes in a sliding window.

--- /dev/null
+++ b/coordination/retry/retry.go
@@ -0,0 +1,241 @@
+package retry
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/hibiscuswick/hibiscuswick/state"
+	"github.com/hibiscuswick/hibiscuswick/state/service"
+)
+
+// Config holds the bounds that no document sets. Zero fields take the default.
+type Config struct {
+	// Window is how far back successes and retries count. Default 10 s.
+	Window time.Duration
+
+	// ServiceFloor and CustomerFloor are retries within one window that need
+	// no success, so that a service with little traffic is retried at all.
+	// Defaults 10 and 3, in this daemon.
+	ServiceFloor  int
+	CustomerFloor int
+
+	// BaseDelay bounds the delay before the second attempt; it doubles with
+	// each attempt up to MaxDelay. Defaults 20 ms and 1 s.
+	BaseDelay time.Duration
+	MaxDelay  time.Duration
+
+	// FailingFor is how long a replica that failed is excluded from the
+	// retries of all requests. Default 2 s.
+	FailingFor time.Duration
+
+	// MaxFailing bounds the failed replicas remembered a service. Default 64.
+	MaxFailing int
+
+	// MaxCustomers bounds the customer budgets held. A customer beyond it has
+	// no retries until another falls idle. Default 8192.
+	MaxCustomers int
+}
+
+// Defaults of a service document's retry part.
+const (
+	defaultMaxAttempts = 3
+	defaultBudgetRatio = 0.2
+)
+
+// customerKey names one customer of one service.
+type customerKey struct {
+	service  state.ServiceID
+	customer state.CustomerID
+}
+
+// Budgets holds the retry budgets of one daemon. It is not safe for use by
+// several goroutines.
+type Budgets struct {
+	cfg       Config
+	start     time.Time
+	rng       *rand.Rand
+	services  map[state.ServiceID]*window
+	customers map[customerKey]*window
+	failing   map[state.ServiceID]*failing
+}
+
+// New returns empty budgets. start is any time not after the first call's now.
+func New(cfg Config, start time.Time, rng *rand.Rand) *Budgets {
+	return &Budgets{
+		cfg:       cfg.withDefaults(),
+		start:     start,
+		rng:       rng,
+		services:  make(map[state.ServiceID]*window),
+		customers: make(map[customerKey]*window),
+		failing:   make(map[state.ServiceID]*failing),
+	}
+}
+
+// Succeeded counts a request that ended with a whole answer.
+func (b *Budgets) Succeeded(now time.Time, svc state.ServiceID, customer state.CustomerID) {
+	bucket := b.bucket(now)
+	b.service(svc).succeed(bucket)
+	if w := b.customer(bucket, svc, customer); w != nil {
+		w.succeed(bucket)
+	}
+}
+
+// Decide answers a failed attempt. The checks run from those that protect
+// correctness to those that protect capacity, and a refused retry uses no
+// budget.
+func (b *Budgets) Decide(now time.Time, f Failure) Decision {
+	if f.Replica != "" && !f.Blameless {
+		b.failingOf(f.Service).add(f.Replica, now.Add(b.cfg.FailingFor), b.cfg.MaxFailing)
+	}
+	if f.Execution != state.ExecutionNotRun && !f.Repeatable {
+		return Stop{Denial: DenialNotRepeatable}
+	}
+	policy := withPolicyDefaults(f.Policy)
+	if f.Attempts >= policy.MaxAttempts {
+		return Stop{Denial: DenialAttempts}
+	}
+	if !f.Deadline.IsZero() && !now.Before(f.Deadline) {
+		return Stop{Denial: DenialDeadline}
+	}
+	if d, ok := b.spend(now, f, policy.BudgetRatio); !ok {
+		return Stop{Denial: d}
+	}
+	return Again{
+		Reason:  f.Cause,
+		After:   b.delay(now, f),
+		Exclude: b.exclude(now, f),
+	}
+}
+
+// Failing returns the replicas of a service that failed just before now.
+func (b *Budgets) Failing(now time.Time, svc state.ServiceID) []state.ReplicaID {
+	return b.exclude(now, Failure{Service: svc})
+}
+
+// spend takes one retry from both budgets, or from neither.
+func (b *Budgets) spend(now time.Time, f Failure, ratio float64) (Denial, bool) {
+	bucket := b.bucket(now)
+	svc := b.service(f.Service)
+	if !svc.permits(bucket, b.cfg.ServiceFloor, ratio) {
+		return DenialServiceBudget, false
+	}
+	customer := b.customer(bucket, f.Service, f.Customer)
+	if customer == nil || !customer.permits(bucket, b.cfg.CustomerFloor, ratio) {
+		return DenialCustomerBudget, false
+	}
+	svc.retry()
+	customer.retry()
+	return "", true
+}
+
+// delay draws the wait before the next attempt: full jitter below a bound that
+// doubles with each attempt and never reaches past the deadline.
+func (b *Budgets) delay(now time.Time, f Failure) time.Duration {
+	bound := b.cfg.BaseDelay
+	for i := 1; i < f.Attempts && bound < b.cfg.MaxDelay; i++ {
+		bound *= 2
+	}
+	bound = min(bound, b.cfg.MaxDelay)
+	if !f.Deadline.IsZero() {
+		bound = min(bound, f.Deadline.Sub(now))
+	}
+	return time.Duration(b.rng.Int64N(int64(bound)))
+}
+
+// exclude lists the request's own replicas and the service's failing ones,
+// each once.
+func (b *Budgets) exclude(now time.Time, f Failure) []state.ReplicaID {
+	failed := b.failingOf(f.Service)
+	failed.expire(now)
+	out := make([]state.ReplicaID, 0, len(f.Tried)+1+len(failed.replicas))
+	out = append(out, f.Tried...)
+	if f.Replica != "" {
+		out = appendNew(out, f.Replica)
+	}
+	for _, r := range failed.replicas {
+		out = appendNew(out, r.id)
+	}
+	return out
+}
+
+func appendNew(ids []state.ReplicaID, id state.ReplicaID) []state.ReplicaID {
+	for _, have := range ids {
+		if have == id {
+			return ids
+		}
+	}
+	return append(ids, id)
+}
+
+func (b *Budgets) bucket(now time.Time) int64 {
+	return bucketOf(b.start, now, b.cfg.Window/buckets)
+}
+
+func (b *Budgets) service(id state.ServiceID) *window {
+	w := b.services[id]
+	if w == nil {
+		w = &window{}
+		b.services[id] = w
+	}
+	return w
+}
+
+// customer returns the customer's window, or nil when all places are taken by
+// customers that are not idle.
+func (b *Budgets) customer(bucket int64, svc state.ServiceID, id state.CustomerID) *window {
+	key := customerKey{service: svc, customer: id}
+	if w := b.customers[key]; w != nil {
+		return w
+	}
+	if len(b.customers) >= b.cfg.MaxCustomers {
+		b.dropIdle(bucket)
+	}
+	if len(b.customers) >= b.cfg.MaxCustomers {
+		return nil
+	}
+	w := &window{}
+	b.customers[key] = w
+	return w
+}
+
+func (b *Budgets) dropIdle(bucket int64) {
+	for key, w := range b.customers {
+		if w.idle(bucket) {
+			delete(b.customers, key)
+		}
+	}
+}
+
+func (b *Budgets) failingOf(svc state.ServiceID) *failing {
+	f := b.failing[svc]
+	if f == nil {
+		f = &failing{}
+		b.failing[svc] = f
+	}
+	return f
+}
+
+func (c Config) withDefaults() Config {
+	setDefault(&c.Window, 10*time.Second)
+	setDefault(&c.ServiceFloor, 10)
+	setDefault(&c.CustomerFloor, 3)
+	setDefault(&c.BaseDelay, 20*time.Millisecond)
+	setDefault(&c.MaxDelay, time.Second)
+	setDefault(&c.FailingFor, 2*time.Second)
+	setDefault(&c.MaxFailing, 64)
+	setDefault(&c.MaxCustomers, 8192)
+	return c
+}
+
+func withPolicyDefaults(p service.Retry) service.Retry {
+	setDefault(&p.MaxAttempts, defaultMaxAttempts)
+	setDefault(&p.BudgetRatio, defaultBudgetRatio)
+	return p
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
