Decode service documents and settings strictly; number events and name counters

Cause: an operator's mistake must come back as all of its faults at once, each by its path, before it reaches the site; encoding/json passes unknown fields, doubled keys, null and names in another case, and stops at its first error.

A document's durations read and write text, so that a bare number is refused. telemetry has the catalogue of numbered events on logrus and the counters on tally, one for each refusal and retry reason.

--- /dev/null
+++ b/state/service/check.go
@@ -0,0 +1,167 @@
+package service
+
+import (
+	"github.com/hibiscuswick/hibiscuswick/internal/strictjson"
+	"github.com/hibiscuswick/hibiscuswick/state"
+)
+
+// checker collects the faults that concern more than one field. Fields that
+// are zero were reported while decoding and are passed over.
+type checker struct {
+	faults []Fault
+}
+
+func (c *checker) addf(path, format string, args ...any) {
+	c.faults = append(c.faults, strictjson.Faultf(path, format, args...))
+}
+
+// contradictions returns the faults between the parts of d.
+func (d *Document) contradictions() []Fault {
+	c := &checker{}
+	d.checkModel(c)
+	d.checkPlacement(c)
+	d.checkClasses(c)
+	d.checkCustomers(c)
+	d.checkBackendKinds(c)
+	return c.faults
+}
+
+func (d *Document) checkModel(c *checker) {
+	if d.Kind == KindModel && d.Model == nil {
+		c.addf("model", `is missing; kind "model" needs it`)
+	}
+	if d.Kind == KindPlain && d.Model != nil {
+		c.addf("model", `must be left out for kind "plain"`)
+	}
+	if d.Model == nil {
+		return
+	}
+	seen := firsts[string]{}
+	for i, a := range d.Model.Adapters {
+		path := strictjson.Item("model.adapters", i)
+		if a == "" {
+			c.addf(path, "is empty")
+			continue
+		}
+		seen.note(c, path, a)
+	}
+}
+
+func (d *Document) checkPlacement(c *checker) {
+	const path = "placement.chains"
+	chains := d.Placement.Chains
+	switch {
+	case d.Placement.Mode == PlacementAuto && len(chains) > 0:
+		c.addf(path, `must be left out with mode "auto"`)
+	case d.Placement.Mode == PlacementFixed && len(chains) == 0:
+		c.addf(path, `is missing; mode "fixed" needs it`)
+	case d.Placement.Mode == PlacementFixed && d.Capacity.Replicas > len(chains):
+		c.addf("capacity.replicas", "is %d, but placement.chains has only %d", d.Capacity.Replicas, len(chains))
+	}
+	ids := firsts[state.ReplicaID]{}
+	backends := firsts[state.BackendID]{}
+	for i, chain := range chains {
+		at := strictjson.Item(path, i)
+		ids.note(c, strictjson.Member(at, "id"), chain.ID)
+		for j, s := range chain.Stages {
+			stage := strictjson.Item(strictjson.Member(at, "stages"), j)
+			backends.note(c, strictjson.Member(stage, "backend"), s.Backend)
+		}
+		d.checkChain(c, strictjson.Member(at, "stages"), chain.Stages)
+	}
+}
+
+// checkChain reports where the stages do not hold each layer once, in order.
+// Otherwise a token would pass a layer twice or not at all.
+func (d *Document) checkChain(c *checker, path string, stages []ChainStage) {
+	if d.Kind == KindPlain {
+		checkPlainChain(c, path, stages)
+		return
+	}
+	if d.Model == nil || d.Model.Layers < 1 || len(stages) == 0 {
+		return
+	}
+	next := 0
+	for i, s := range stages {
+		at := strictjson.Item(path, i)
+		if s.First != next {
+			c.addf(strictjson.Member(at, "first"), "is %d, must be %d, so that each layer stands in the chain once", s.First, next)
+		}
+		if s.End <= s.First {
+			c.addf(strictjson.Member(at, "end"), "is %d, must be above first, which is %d", s.End, s.First)
+		}
+		next = max(s.End, s.First)
+	}
+	if next != d.Model.Layers {
+		last := strictjson.Item(path, len(stages)-1)
+		c.addf(strictjson.Member(last, "end"), "is %d, must be %d, the number of the model's layers", next, d.Model.Layers)
+	}
+}
+
+func checkPlainChain(c *checker, path string, stages []ChainStage) {
+	if len(stages) > 1 {
+		c.addf(path, `has %d elements; a chain of kind "plain" has one`, len(stages))
+	}
+	for i, s := range stages {
+		if s.First != 0 || s.End != 0 {
+			c.addf(strictjson.Item(path, i), `holds layers; for kind "plain" first and end are 0`)
+		}
+	}
+}
+
+func (d *Document) checkClasses(c *checker) {
+	names := firsts[state.ClassID]{}
+	reserved := 0
+	for i, class := range d.Classes {
+		at := strictjson.Item("classes", i)
+		names.note(c, strictjson.Member(at, "name"), class.Name)
+		reserved += min(class.ReservedSlots, 1<<32) // keeps the sum from overflowing
+		if d.Kind == KindModel && class.MaxTokens == 0 {
+			c.addf(strictjson.Member(at, "max_tokens"), `must be at least 1 for kind "model"`)
+		}
+		if d.Kind == KindPlain && class.MaxTokens > 0 {
+			c.addf(strictjson.Member(at, "max_tokens"), `is %d, must be 0 or left out for kind "plain"`, class.MaxTokens)
+		}
+	}
+	if slots := d.Capacity.SlotsPerReplica; slots > 0 && reserved >= slots {
+		c.addf("classes", "reserve %d slots together, must be fewer than capacity.slots_per_replica, which is %d", reserved, slots)
+	}
+}
+
+func (d *Document) checkCustomers(c *checker) {
+	ids := firsts[state.CustomerID]{}
+	for i, customer := range d.Customers {
+		ids.note(c, strictjson.Member(strictjson.Item("customers", i), "id"), customer.ID)
+	}
+}
+
+func (d *Document) checkBackendKinds(c *checker) {
+	auto := d.Kind == KindModel && d.Placement.Mode == PlacementAuto
+	if auto && len(d.BackendKinds) == 0 {
+		c.addf("backend_kinds", `is missing; placement.mode "auto" needs the kinds that layers may be placed on`)
+	}
+	kinds := firsts[string]{}
+	for i, k := range d.BackendKinds {
+		at := strictjson.Item("backend_kinds", i)
+		kinds.note(c, strictjson.Member(at, "kind"), k.Kind)
+		if auto && k.MemoryLayers == 0 {
+			c.addf(strictjson.Member(at, "memory_layers"), `must be at least 1 with placement.mode "auto"`)
+		}
+	}
+}
+
+// firsts remembers where each name of a list stands first.
+type firsts[K ~string] map[K]string
+
+// note reports name at path if it stood before. An empty name was reported
+// while decoding.
+func (f firsts[K]) note(c *checker, path string, name K) {
+	if name == "" {
+		return
+	}
+	if first, seen := f[name]; seen {
+		c.addf(path, "is %q, which already stands at %s", name, first)
+		return
+	}
+	f[name] = path
+}
--- a/state/service/duration.go
+++ b/state/service/duration.go
@@ -1,7 +1,6 @@
 package service
 
 import (
-	"encoding/json"
 	"fmt"
 	"time"
 )
@@ -11,21 +10,22 @@
 	return time.Duration(d)
 }
 
-// MarshalJSON writes d as text, such as "250ms".
-func (d Duration) MarshalJSON() ([]byte, error) {
-	return json.Marshal(time.Duration(d).String())
+// String gives text such as "250ms".
+func (d Duration) String() string {
+	return time.Duration(d).String()
 }
 
-// UnmarshalJSON reads text such as "250ms"; a bare number has no unit and is
-// refused.
-func (d *Duration) UnmarshalJSON(b []byte) error {
-	var text string
-	if err := json.Unmarshal(b, &text); err != nil {
-		return fmt.Errorf("a duration is text with a unit, such as \"250ms\", not %s", b)
-	}
-	v, err := time.ParseDuration(text)
+// MarshalText writes d as text, such as "250ms".
+func (d Duration) MarshalText() ([]byte, error) {
+	return []byte(d.String()), nil
+}
+
+// UnmarshalText reads text such as "250ms". A number without a unit is refused,
+// except 0.
+func (d *Duration) UnmarshalText(b []byte) error {
+	v, err := time.ParseDuration(string(b))
 	if err != nil {
-		return fmt.Errorf("%q is no duration; write a number with a unit, such as \"250ms\"", text)
+		return fmt.Errorf("is %.64q, must be a number with a unit, such as \"250ms\"", b)
 	}
 	*d = Duration(v)
 	return nil
--- /dev/null
+++ b/telemetry/counter.go
@@ -0,0 +1,138 @@
+package telemetry
+
+// Kind says how a metric's value moves.
+type Kind string
+
+// The values of Kind.
+const (
+	KindCounter   Kind = "counter"   // only grows
+	KindGauge     Kind = "gauge"     // goes up and down
+	KindHistogram Kind = "histogram" // counts values in buckets, in seconds
+)
+
+// Name is the name of one metric, as /metrics gives it.
+type Name string
+
+// Counters.
+const (
+	AcceptedTotal            Name = "accepted_total"
+	CompletedTotal           Name = "completed_total"
+	RefusedTotal             Name = "refused_total"
+	FailedTotal              Name = "failed_total"
+	UnknownTotal             Name = "unknown_total"
+	RetriedTotal             Name = "retried_total"
+	TokensTotal              Name = "tokens_total"
+	LateTokensTotal          Name = "late_tokens_total"
+	ReattachedTotal          Name = "reattached_total"
+	JoinedRepeatsTotal       Name = "joined_repeats_total"
+	ClaimsTotal              Name = "claims_total"
+	StoreWritesTotal         Name = "store_writes_total"
+	StoreReadsTotal          Name = "store_reads_total"
+	StoreConflictsTotal      Name = "store_conflicts_total"
+	StoreUnansweredTotal     Name = "store_unanswered_total"
+	DocumentsAppliedTotal    Name = "documents_applied_total"
+	OrdersTotal              Name = "orders_total"
+	StaleOrdersTotal         Name = "stale_orders_total"
+	SilentConnectionsTotal   Name = "silent_connections_total"
+	BrokenFramesTotal        Name = "broken_frames_total"
+	PeerSentBytesTotal       Name = "peer_sent_bytes_total"
+	PeerReceivedBytesTotal   Name = "peer_received_bytes_total"
+	ControlMicrosecondsTotal Name = "control_microseconds_total"
+)
+
+// Gauges.
+const (
+	ActiveRequests  Name = "active_requests"
+	QueuedRequests  Name = "queued_requests"
+	OpenStreams     Name = "open_streams"
+	LiveMembers     Name = "live_members"
+	ServingReplicas Name = "serving_replicas"
+	HomedReplicas   Name = "homed_replicas"
+	DocumentVersion Name = "document_version"
+	LeasesHeld      Name = "leases_held"
+	StoreQueued     Name = "store_queued"
+	Draining        Name = "draining"
+	Isolated        Name = "isolated"
+)
+
+// Histograms, in seconds.
+const (
+	FirstTokenSeconds Name = "first_token_seconds"
+	TokenGapSeconds   Name = "token_gap_seconds"
+	QueueSeconds      Name = "queue_seconds"
+	StoreCallSeconds  Name = "store_call_seconds"
+	StepSeconds       Name = "step_seconds"
+)
+
+// Label is the name of a metric's label.
+type Label string
+
+// The values of Label.
+const (
+	LabelReason  Label = "reason"
+	LabelService Label = "service"
+	LabelClass   Label = "class"
+)
+
+// Metric describes one metric.
+type Metric struct {
+	Name   Name
+	Kind   Kind
+	Labels []Label
+	Doc    string // what it counts, and its unit
+}
+
+// Catalogue lists every metric in the order of docs/COUNTERS.md.
+func Catalogue() []Metric {
+	return append([]Metric(nil), metrics...)
+}
+
+var (
+	byReason  = []Label{LabelReason}
+	byService = []Label{LabelService}
+	byClass   = []Label{LabelService, LabelClass}
+)
+
+var metrics = []Metric{
+	{AcceptedTotal, KindCounter, byClass, "Requests taken in."},
+	{CompletedTotal, KindCounter, byClass, "Requests whose whole answer was given."},
+	{RefusedTotal, KindCounter, byReason, "Requests refused as not run, by reason."},
+	{FailedTotal, KindCounter, byReason, "Requests that began and whose answer is not whole, by reason."},
+	{UnknownTotal, KindCounter, byReason, "Requests of which it can't be told whether they ran, by reason."},
+	{RetriedTotal, KindCounter, byReason, "Attempts after the first, by the reason of the retry."},
+	{TokensTotal, KindCounter, nil, "Tokens given to callers."},
+	{LateTokensTotal, KindCounter, nil, "Tokens of abandoned attempts that came late and were dropped."},
+	{ReattachedTotal, KindCounter, nil, "Streams that a caller attached to again."},
+	{JoinedRepeatsTotal, KindCounter, nil, "Repeats that were joined to a request under way with the same idempotency key."},
+	{ClaimsTotal, KindCounter, nil, "Claims of idempotency keys that were committed."},
+	{StoreWritesTotal, KindCounter, nil, "Transactions sent to the table service."},
+	{StoreReadsTotal, KindCounter, nil, "Reads and scans sent to the table service."},
+	{StoreConflictsTotal, KindCounter, nil, "Transactions whose condition did not hold."},
+	{StoreUnansweredTotal, KindCounter, nil, "Calls to the table service without an answer."},
+	{DocumentsAppliedTotal, KindCounter, nil, "Document versions that came into force here."},
+	{OrdersTotal, KindCounter, nil, "Orders sent to backend servers."},
+	{StaleOrdersTotal, KindCounter, nil, "Orders that a backend server refused for an old fencing number."},
+	{SilentConnectionsTotal, KindCounter, nil, "Open connections that went silent and were replaced."},
+	{BrokenFramesTotal, KindCounter, nil, "Frames that were broken, oversized or of an unknown kind."},
+	{PeerSentBytesTotal, KindCounter, nil, "Bytes sent to other daemons."},
+	{PeerReceivedBytesTotal, KindCounter, nil, "Bytes received from other daemons."},
+	{ControlMicrosecondsTotal, KindCounter, nil, "Processor time of the control goroutine, in microseconds."},
+
+	{ActiveRequests, KindGauge, nil, "Requests under way at this daemon."},
+	{QueuedRequests, KindGauge, byClass, "Requests waiting for a slot in queues homed here."},
+	{OpenStreams, KindGauge, nil, "Streams open to callers."},
+	{LiveMembers, KindGauge, nil, "Daemons that count as alive here, this one included."},
+	{ServingReplicas, KindGauge, byService, "Replicas that can serve."},
+	{HomedReplicas, KindGauge, byService, "Replicas whose home this daemon is."},
+	{DocumentVersion, KindGauge, byService, "The version of the document in force here."},
+	{LeasesHeld, KindGauge, nil, "Services that this daemon controls."},
+	{StoreQueued, KindGauge, nil, "Writes waiting for the store budget."},
+	{Draining, KindGauge, nil, "1 while a planned stop is under way."},
+	{Isolated, KindGauge, nil, "1 while the daemon can't know that its documents are current."},
+
+	{FirstTokenSeconds, KindHistogram, byClass, "From a request's arrival to its first token, in seconds."},
+	{TokenGapSeconds, KindHistogram, byService, "Between two tokens of one answer, in seconds."},
+	{QueueSeconds, KindHistogram, byClass, "From a request's arrival to its slot, in seconds."},
+	{StoreCallSeconds, KindHistogram, nil, "One call to the table service, in seconds."},
+	{StepSeconds, KindHistogram, byService, "One pipeline step in one stage, in seconds."},
+}
--- /dev/null
+++ b/telemetry/events.go
@@ -0,0 +1,111 @@
+package telemetry
+
+// Events of daemon.
+const (
+	EventDaemonStarted       Event = 1001
+	EventDaemonNotReady      Event = 1002
+	EventSettingsRefused     Event = 1003
+	EventDrainStarted        Event = 1004
+	EventDrainAnswersExpired Event = 1005
+	EventDrainCompleted      Event = 1006
+	EventDrainLimitReached   Event = 1007
+	EventIsolationBegan      Event = 1008
+	EventIsolationEnded      Event = 1009
+	EventDaemonStopped       Event = 1010
+	EventInternalDefect      Event = 1011
+	EventRecordingFailed     Event = 1012
+)
+
+// Events of membership.
+const (
+	EventMemberJoined          Event = 1101
+	EventMemberSuspected       Event = 1102
+	EventMemberRefuted         Event = 1103
+	EventMemberDied            Event = 1104
+	EventMemberLeft            Event = 1105
+	EventMemberReplaced        Event = 1106
+	EventSelfSuspected         Event = 1107
+	EventIncarnationSuperseded Event = 1108
+)
+
+// Events of documents.
+const (
+	EventDocumentApplied        Event = 1201
+	EventDocumentAccepted       Event = 1202
+	EventDocumentConflict       Event = 1203
+	EventDocumentRefused        Event = 1204
+	EventDocumentOutcomeUnknown Event = 1205
+	EventDocumentUnreadable     Event = 1206
+	EventDocumentLagging        Event = 1207
+	EventSnapshotWritten        Event = 1208
+	EventSnapshotUsed           Event = 1209
+)
+
+// Events of requests.
+const (
+	EventRequestRefused     Event = 1301
+	EventRequestFailed      Event = 1302
+	EventRequestUnknown     Event = 1303
+	EventRequestRetried     Event = 1304
+	EventRequestTakenOver   Event = 1305
+	EventOwnershipLost      Event = 1306
+	EventRequestImplicated  Event = 1307
+	EventRequestQuarantined Event = 1308
+	EventRequestCleared     Event = 1309
+	EventLateTokensDropped  Event = 1310
+	EventOrderBroken        Event = 1311
+	EventRetryBudgetEmpty   Event = 1312
+	EventCustomerLimited    Event = 1313
+	EventQueueFull          Event = 1314
+)
+
+// Events of store.
+const (
+	EventStoreUnavailable        Event = 1401
+	EventStoreRecovered          Event = 1402
+	EventStoreSlow               Event = 1403
+	EventStoreBudgetSpent        Event = 1404
+	EventStoreAnswerLost         Event = 1405
+	EventClaimVoided             Event = 1406
+	EventObjectStoreUnavailable  Event = 1407
+	EventInstanceListUnavailable Event = 1408
+)
+
+// Events of leases and orders.
+const (
+	EventLeaseAcquired     Event = 1501
+	EventLeaseLost         Event = 1502
+	EventLeaseReleased     Event = 1503
+	EventOrderSent         Event = 1504
+	EventOrderApplied      Event = 1505
+	EventOrderStale        Event = 1506
+	EventOrderUndone       Event = 1507
+	EventOrdersFrozen      Event = 1508
+	EventPlacementChanged  Event = 1509
+	EventPlacementShort    Event = 1510
+	EventPlacementRepaired Event = 1511
+)
+
+// Events of backend servers.
+const (
+	EventBackendJoined     Event = 1601
+	EventBackendLeaving    Event = 1602
+	EventBackendDied       Event = 1603
+	EventBackendRecovered  Event = 1604
+	EventBackendSlow       Event = 1605
+	EventReplicaUp         Event = 1606
+	EventReplicaDown       Event = 1607
+	EventCacheEventsMissed Event = 1608
+	EventLoadReportStale   Event = 1609
+)
+
+// Events of transport.
+const (
+	EventPeerConnected      Event = 1701
+	EventPeerDisconnected   Event = 1702
+	EventConnectionSilent   Event = 1703
+	EventFrameRefused       Event = 1704
+	EventHandshakeRefused   Event = 1705
+	EventRequestBodyRefused Event = 1706
+	EventListenFailed       Event = 1707
+)
