Share replicas' slots through one home daemon a pool

Cause: daemons that each pick by lagging load reports send drafts and checks to replicas that are full while others idle, and no daemon can keep a fair queue over them all.

A home counts the slots of its pool's replicas exactly and holds one queue for them: classes by priority with reserved slots, customers by weighted start-time fair queueing, refusals at once where a deadline or a bound can't be met. Grants are learned anew from their holders after a home died.

--- /dev/null
+++ b/coordination/home/estimate.go
@@ -0,0 +1,84 @@
+package home
+
+import "time"
+
+// The estimate of holding times.
+const (
+	holdSmoothing  = 0.05
+	minHoldSamples = 8
+)
+
+// holding is the mean time for which a class holds a slot.
+type holding struct {
+	mean    float64 // seconds
+	unit    float64 // seconds on a replica of speed 1
+	samples int
+}
+
+// add takes the sample of one released grant.
+func (h *holding) add(d time.Duration, speed float64) {
+	h.samples++
+	weight := max(holdSmoothing, 1/float64(h.samples))
+	h.mean += weight * (d.Seconds() - h.mean)
+	h.unit += weight * (d.Seconds()*speed - h.unit)
+}
+
+// rate estimates how many slots come free in a second: by Little's law, the
+// slots in use over the mean time for which they are held, summed over the
+// classes. It is 0 while a class in use has too few samples. Unlike a count of
+// releases it is right at the first moment of a burst as well.
+func (p *pool) rate() float64 {
+	sum := 0.0
+	for rank, used := range p.used {
+		if used == 0 {
+			continue
+		}
+		h := p.holds[rank]
+		if h.samples < minHoldSamples || h.mean <= 0 {
+			return 0
+		}
+		sum += float64(used) / h.mean
+	}
+	return sum
+}
+
+// estimate returns how long a new wait of f would wait behind those before it,
+// false where that is not known.
+func (p *pool) estimate(rank int, f *flow) (time.Duration, bool) {
+	rate := p.rate()
+	if rate == 0 {
+		return 0, false
+	}
+	ahead := p.queues[rank].ahead(f)
+	for i := range rank {
+		ahead += float64(p.queues[i].count)
+	}
+	return time.Duration((ahead + 1) / rate * float64(time.Second)), true
+}
+
+// drain returns how long the whole queue takes to pass, for RetryAfter.
+func (p *pool) drain() time.Duration {
+	rate := p.rate()
+	if rate == 0 {
+		return time.Second
+	}
+	return time.Duration(float64(len(p.waits)) / rate * float64(time.Second))
+}
+
+// summary is the pool's word to entry daemons.
+func (p *pool) summary(now time.Time) Summary {
+	s := Summary{Waiting: clamp16(len(p.waits)), Rate: float32(p.rate())}
+	slots, used := 0, 0
+	for _, r := range p.order {
+		if r.offers(now) && !r.alone {
+			slots += r.slots
+			used += r.used
+		}
+	}
+	s.Slots, s.Used = clamp16(slots), clamp16(used)
+	return s
+}
+
+func clamp16(n int) uint16 {
+	return uint16(min(max(n, 0), 1<<16-1))
+}
--- /dev/null
+++ b/coordination/home/event.go
@@ -0,0 +1,189 @@
+package home
+
+import (
+	"time"
+
+	"github.com/hibiscuswick/hibiscuswick/state"
+	"github.com/hibiscuswick/hibiscuswick/state/service"
+)
+
+// Event is what a Home is told.
+type Event interface {
+	event()
+}
+
+// Tick says that time passed; see Home.NextTick.
+type Tick struct{}
+
+// Received is a message from a daemon.
+type Received struct {
+	From state.Member
+	Msg  Message
+}
+
+// DocumentChanged gives a service's document now in force.
+type DocumentChanged struct {
+	Document *service.Document
+}
+
+// PoolsAssigned lists all pools that this daemon is home of, each with all its
+// replicas. A pool that is not listed any more is handed on.
+type PoolsAssigned struct {
+	Pools []PoolSpec
+}
+
+// PoolSpec is one pool and its replicas.
+type PoolSpec struct {
+	ID       PoolID
+	Service  state.ServiceID
+	Replicas []state.Replica
+}
+
+// ViewChanged lists the members that are live, this daemon included.
+type ViewChanged struct {
+	Live []state.Member
+}
+
+// ReplicaLeaving says that a replica gets no new work from now on, whatever
+// the source of the word is. It holds until the replica leaves its pool.
+type ReplicaLeaving struct {
+	Replica state.ReplicaID
+}
+
+// CacheReported passes on cache events of a replica's first stage. Gap says
+// that events before these are missing.
+type CacheReported struct {
+	Replica state.ReplicaID
+	Changes []CacheChange
+	Gap     bool
+}
+
+// CacheChange is one prefix that entered or left a cache.
+type CacheChange struct {
+	Prefix  uint64
+	Evicted bool
+}
+
+func (Tick) event()            {}
+func (Received) event()        {}
+func (DocumentChanged) event() {}
+func (PoolsAssigned) event()   {}
+func (ViewChanged) event()     {}
+func (ReplicaLeaving) event()  {}
+func (CacheReported) event()   {}
+
+// Action is what a Home wants done.
+type Action interface {
+	action()
+}
+
+// Send is a message to a daemon, possibly to this one.
+type Send struct {
+	To  state.DaemonID
+	Msg Message
+}
+
+// Learned notes that a new home of a pool began to grant. Silent counts the
+// members that had not reported by then.
+type Learned struct {
+	Pool   PoolID
+	Took   time.Duration
+	Grants int
+	Silent int
+}
+
+// Suspected notes that a replica gets no work until Until.
+type Suspected struct {
+	Pool    PoolID
+	Replica state.ReplicaID
+	Until   time.Time
+}
+
+// Recovered notes that a suspected replica served a probe.
+type Recovered struct {
+	Pool    PoolID
+	Replica state.ReplicaID
+}
+
+func (Send) action()      {}
+func (Learned) action()   {}
+func (Suspected) action() {}
+func (Recovered) action() {}
+
+// Config holds the times and bounds of a Home. Zero fields take the defaults
+// of DefaultConfig.
+type Config struct {
+	// LearnWindow is the longest time a new home waits for reports of grants
+	// held elsewhere before it grants anything.
+	LearnWindow time.Duration
+
+	// CautiousFor follows LearnWindow while members have not reported: at
+	// most half of each replica's slots are granted.
+	CautiousFor time.Duration
+
+	// SettleAfter is the age past which a grant that its holder does not
+	// report is taken to be lost.
+	SettleAfter time.Duration
+
+	// SuspectMin and SuspectMax bound the back-off of a replica that fails
+	// calls; it doubles with each failure.
+	SuspectMin time.Duration
+	SuspectMax time.Duration
+
+	// SpeedMemory is how long a replica that was seen slow counts as slow
+	// without a new sample.
+	SpeedMemory time.Duration
+
+	// CacheEntries bounds the prefixes remembered per pool.
+	CacheEntries int
+
+	// CacheMemory is how long a prefix is believed to be cached without a
+	// new sign of it.
+	CacheMemory time.Duration
+
+	// QueuePerClass is used where the document names no bound.
+	QueuePerClass int
+
+	// SlowerThreshold uses a slower kind of replica only past a queue length,
+	// see slower.go. Off by default; the design note says why.
+	SlowerThreshold bool
+}
+
+// DefaultConfig returns the settings used where Config has zero fields.
+func DefaultConfig() Config {
+	return Config{
+		LearnWindow:   300 * time.Millisecond,
+		CautiousFor:   3 * time.Second,
+		SettleAfter:   2 * time.Second,
+		SuspectMin:    500 * time.Millisecond,
+		SuspectMax:    30 * time.Second,
+		SpeedMemory:   30 * time.Second,
+		CacheEntries:  4096,
+		CacheMemory:   2 * time.Minute,
+		QueuePerClass: 256,
+	}
+}
+
+// withDefaults fills the zero fields of c.
+func (c Config) withDefaults() Config {
+	d := DefaultConfig()
+	c.LearnWindow = orDefault(c.LearnWindow, d.LearnWindow)
+	c.CautiousFor = orDefault(c.CautiousFor, d.CautiousFor)
+	c.SettleAfter = orDefault(c.SettleAfter, d.SettleAfter)
+	c.SuspectMin = orDefault(c.SuspectMin, d.SuspectMin)
+	c.SuspectMax = orDefault(c.SuspectMax, d.SuspectMax)
+	c.SpeedMemory = orDefault(c.SpeedMemory, d.SpeedMemory)
+	c.CacheEntries = orDefault(c.CacheEntries, d.CacheEntries)
+	c.CacheMemory = orDefault(c.CacheMemory, d.CacheMemory)
+	c.QueuePerClass = orDefault(c.QueuePerClass, d.QueuePerClass)
+	return c
+}
+
+// orDefault returns v, or d where v is zero.
+func orDefault[T comparable](v, d T) T {
+	var zero T
+	if v == zero {
+		return d
+	}
+	return v
+}
--- /dev/null
+++ b/coordination/home/pool.go
@@ -0,0 +1,355 @@
+package home
+
+import (
+	"cmp"
+	"container/heap"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/hibiscuswick/hibiscuswick/state"
+)
+
+// grant is one slot in use.
+type grant struct {
+	ask    Ask
+	holder state.Member
+	r      *replica
+	class  state.ClassID
+	rank   int
+	at     time.Time
+	alone  bool
+}
+
+// pool is everything that a home knows of one pool.
+type pool struct {
+	id      PoolID
+	service state.ServiceID
+	cfg     Config
+	terms   *terms
+
+	replicas map[state.ReplicaID]*replica
+	order    []*replica // the fastest kind first
+	holding  *replica   // held back for one request that runs alone
+	base     float64    // tokens a second at speed 1 as observed; 0 not known
+
+	grants  map[Ask]*grant
+	waits   map[Ask]*wait
+	queues  []*classQueue // by class rank
+	used    []int         // slots in use by class rank
+	holds   []*holding    // by class rank
+	expiry  expiryHeap
+	holders map[state.Member]*holder
+	cache   *prefixCache
+	learn   learning
+	work    arrivals
+	arrived uint64 // number of the last wait
+
+	out *[]Action
+}
+
+func newPool(now time.Time, spec PoolSpec, cfg Config, t *terms, out *[]Action) *pool {
+	p := &pool{
+		id:       spec.ID,
+		service:  spec.Service,
+		cfg:      cfg,
+		replicas: make(map[state.ReplicaID]*replica),
+		grants:   make(map[Ask]*grant),
+		waits:    make(map[Ask]*wait),
+		holders:  make(map[state.Member]*holder),
+		cache:    newPrefixCache(cfg.CacheEntries, cfg.CacheMemory),
+		out:      out,
+	}
+	p.applyTerms(now, t)
+	p.setReplicas(spec.Replicas)
+	return p
+}
+
+func (p *pool) send(to state.DaemonID, msg Message) {
+	*p.out = append(*p.out, Send{To: to, Msg: msg})
+}
+
+// setReplicas takes the pool's replicas as they are now. Grants of a replica
+// that is gone end with it.
+func (p *pool) setReplicas(specs []state.Replica) {
+	seen := make(map[state.ReplicaID]bool, len(specs))
+	p.order = p.order[:0]
+	for _, spec := range specs {
+		seen[spec.ID] = true
+		r, ok := p.replicas[spec.ID]
+		if !ok {
+			r = &replica{id: spec.ID, rank: make([]int, len(p.terms.classes))}
+			p.replicas[spec.ID] = r
+		}
+		r.slots = max(spec.Slots, 1)
+		r.speed = orDefault(spec.Speed, 1)
+		p.order = append(p.order, r)
+		if spec.Leaving {
+			p.leave(r)
+		}
+	}
+	for id, r := range p.replicas {
+		if !seen[id] {
+			p.dropReplica(r)
+		}
+	}
+	slices.SortFunc(p.order, func(a, b *replica) int {
+		switch {
+		case a.speed > b.speed, a.speed == b.speed && a.id < b.id:
+			return -1
+		default:
+			return 1
+		}
+	})
+}
+
+func (p *pool) dropReplica(r *replica) {
+	for _, g := range p.grants {
+		if g.r == r {
+			p.free(g)
+		}
+	}
+	p.unhold(r)
+	p.cache.forget(r.id)
+	delete(p.replicas, r.id)
+}
+
+// leave stops new work for a replica.
+func (p *pool) leave(r *replica) {
+	r.leaving = true
+	p.unhold(r)
+}
+
+func (p *pool) unhold(r *replica) {
+	if p.holding == r {
+		r.held = nil
+		p.holding = nil
+	}
+}
+
+// applyTerms takes another document: ranks, reservations and weights change,
+// and everything queued or in use is counted anew by class name.
+func (p *pool) applyTerms(now time.Time, t *terms) {
+	waits := p.waitsInOrder()
+	names := p.classNames()
+	p.terms = t
+	p.queues = make([]*classQueue, len(t.classes))
+	p.holds = make([]*holding, len(t.classes))
+	p.used = make([]int, len(t.classes))
+	for i := range t.classes {
+		p.queues[i] = newClassQueue()
+		p.holds[i] = &holding{}
+	}
+	for _, r := range p.replicas {
+		r.rank = make([]int, len(t.classes))
+	}
+	for _, g := range p.grants {
+		g.rank = t.rankOf(g.class)
+		p.count(g, +1)
+	}
+	for _, w := range waits {
+		p.requeue(now, w, names[w.class])
+	}
+}
+
+// waitsInOrder returns the waits by arrival, so that the order of actions does
+// not depend on a map's.
+func (p *pool) waitsInOrder() []*wait {
+	waits := slices.Collect(maps.Values(p.waits))
+	slices.SortFunc(waits, func(a, b *wait) int { return cmp.Compare(a.seq, b.seq) })
+	return waits
+}
+
+func (p *pool) classNames() []state.ClassID {
+	if p.terms == nil {
+		return nil
+	}
+	names := make([]state.ClassID, len(p.terms.classes))
+	for i, c := range p.terms.classes {
+		names[i] = c.name
+	}
+	return names
+}
+
+// requeue moves a wait to its class in the new terms, or refuses it.
+func (p *pool) requeue(now time.Time, w *wait, class state.ClassID) {
+	rank, ok := p.terms.rank[class]
+	weight, known := p.terms.weights[w.customer]
+	if !ok || !known {
+		w.flow = nil
+		reason := state.ReasonBadRequest
+		if ok {
+			reason = state.ReasonUnknownCustomer
+		}
+		p.refuseWait(w, reason, 0, now)
+		return
+	}
+	w.class = rank
+	q := p.queues[rank]
+	q.add(q.flow(w.customer, weight), w)
+}
+
+// count adds n uses of g's slot to the counts by rank.
+func (p *pool) count(g *grant, n int) {
+	if g.rank < len(p.used) {
+		p.used[g.rank] += n
+		g.r.rank[g.rank] += n
+	}
+}
+
+// take enters a grant of holder.
+func (p *pool) take(g *grant) {
+	p.grants[g.ask] = g
+	g.r.used++
+	g.r.alone = g.r.alone || g.alone
+	p.count(g, +1)
+	p.holder(g.holder).held ^= g.ask.Digest()
+}
+
+// free ends a grant.
+func (p *pool) free(g *grant) {
+	delete(p.grants, g.ask)
+	g.r.used--
+	if g.alone {
+		g.r.alone = false
+	}
+	if g.r.probing && g.r.probe == g.ask {
+		g.r.probing = false
+	}
+	p.count(g, -1)
+	p.holder(g.holder).held ^= g.ask.Digest()
+}
+
+// enqueue enters a wait.
+func (p *pool) enqueue(f *flow, w *wait) {
+	p.arrived++
+	w.seq = p.arrived
+	p.waits[w.ask] = w
+	p.queues[w.class].add(f, w)
+	heap.Push(&p.expiry, w)
+	p.holder(w.from).waiting ^= w.ask.Digest()
+}
+
+// dequeue takes a wait out of everything but its flow.
+func (p *pool) dequeue(w *wait) {
+	delete(p.waits, w.ask)
+	heap.Remove(&p.expiry, w.heapIndex)
+	p.holder(w.from).waiting ^= w.ask.Digest()
+	if p.holding != nil && p.holding.held == w {
+		p.unhold(p.holding)
+	}
+}
+
+// dropWait ends a wait without an answer.
+func (p *pool) dropWait(w *wait) {
+	if w.flow != nil {
+		p.queues[w.class].remove(w)
+	}
+	p.dequeue(w)
+}
+
+// refuseWait ends a wait with a refusal.
+func (p *pool) refuseWait(w *wait, reason state.Reason, after state.RetryAfter, now time.Time) {
+	p.dropWait(w)
+	p.refuse(w.from.ID, w.ask, reason, after, now)
+}
+
+func (p *pool) refuse(to state.DaemonID, ask Ask, reason state.Reason, after state.RetryAfter, now time.Time) {
+	p.send(to, SlotRefusal{Ask: ask, Pool: p.id, Reason: reason, RetryAfter: after, Summary: p.summary(now)})
+}
+
+// dispatch grants free slots until no wait can use one.
+func (p *pool) dispatch(now time.Time) {
+	if p.learn.waiting || len(p.waits) == 0 {
+		return
+	}
+	if r := p.holding; r != nil && r.used == 0 {
+		p.give(r.held, r, now)
+	}
+	for _, q := range p.queues {
+		for q.count > 0 && q.search(func(w *wait) bool { return p.place(w, now) }) {
+		}
+	}
+}
+
+// place grants w a slot if one is free for it.
+func (p *pool) place(w *wait, now time.Time) bool {
+	r := p.choose(w, now)
+	if r == nil {
+		return false
+	}
+	p.give(w, r, now)
+	return true
+}
+
+// give grants w a slot of r.
+func (p *pool) give(w *wait, r *replica, now time.Time) {
+	p.queues[w.class].granted(w)
+	p.dequeue(w)
+	p.take(&grant{
+		ask: w.ask, holder: w.from, r: r, class: p.terms.classes[w.class].name,
+		rank: w.class, at: now, alone: w.alone,
+	})
+	if r.failures > 0 {
+		r.probing, r.probe, r.probeAt = true, w.ask, now
+	}
+	for _, prefix := range w.prefixes {
+		p.cache.insert(now, prefix, r.id)
+	}
+	p.send(w.from.ID, SlotGrant{Ask: w.ask, Pool: p.id, Replica: r.id, Summary: p.summary(now)})
+}
+
+// expire refuses the waits whose time is up.
+func (p *pool) expire(now time.Time) {
+	for len(p.expiry) > 0 && !p.expiry[0].expires.After(now) {
+		p.refuseWait(p.expiry[0], state.ReasonDeadline, seconds(p.drain()), now)
+	}
+}
+
+// refuseImpossible refuses waits that no replica of the pool can ever serve.
+func (p *pool) refuseImpossible(now time.Time) {
+	for _, w := range p.waitsInOrder() {
+		if !p.possible(w.exclude) {
+			p.refuseWait(w, state.ReasonNoReplica, 1, now)
+		}
+	}
+}
+
+// clearProbes ends the suspicion of replicas whose probe runs well.
+func (p *pool) clearProbes(now time.Time) {
+	for _, r := range p.order {
+		if r.probeOK(now) {
+			p.recovered(r)
+		}
+	}
+}
+
+func (p *pool) recovered(r *replica) {
+	r.clear()
+	*p.out = append(*p.out, Recovered{Pool: p.id, Replica: r.id})
+}
+
+// nextTick returns when the pool next needs a Tick, or the zero time.
+func (p *pool) nextTick(now time.Time) time.Time {
+	next := p.learn.nextTick(p.cfg)
+	if len(p.expiry) > 0 {
+		next = earliest(next, p.expiry[0].expires)
+	}
+	for _, r := range p.order {
+		if r.suspected(now) {
+			next = earliest(next, r.until)
+		}
+		if r.probing {
+			next = earliest(next, r.probeAt.Add(probeFor))
+		}
+	}
+	return next
+}
+
+// earliest returns the earlier of two times, the zero time meaning never.
+func earliest(a, b time.Time) time.Time {
+	if a.IsZero() || !b.IsZero() && b.Before(a) {
+		return b
+	}
+	return a
+}
