--- a/coordination/request/action.go
+++ b/coordination/request/action.go
@@ -62,6 +62,13 @@
 		Replica state.Replica
 	}
 
+	// ReleaseAttempt says that the answer is whole: the stages may free the
+	// attempt's KV cache once the tokens are kept elsewhere.
+	ReleaseAttempt struct {
+		Attempt state.Attempt
+		Replica state.Replica
+	}
+
 	// AskRetry asks the retry budget for one more attempt.
 	AskRetry struct {
 		Reason  state.RetryReason
@@ -97,6 +104,7 @@
 func (RunStep) action()        {}
 func (AskHeld) action()        {}
 func (CancelAttempt) action()  {}
+func (ReleaseAttempt) action() {}
 func (AskRetry) action()       {}
 func (AttemptStarted) action() {}
 func (Emit) action()           {}
--- a/coordination/request/run.go
+++ b/coordination/request/run.go
@@ -82,8 +82,7 @@
 
 func (r *Request) complete() {
 	if !r.spec.Plain {
-		// The stages may free the attempt's KV cache.
-		r.do(CancelAttempt{Attempt: r.attempt, Replica: r.replica})
+		r.do(ReleaseAttempt{Attempt: r.attempt, Replica: r.replica})
 	}
 	r.finish(state.Completed{Tokens: len(r.tokens)})
 }
--- /dev/null
+++ b/daemon/stream.go
@@ -0,0 +1,116 @@
+package daemon
+
+import (
+	"context"
+	"sync"
+
+	"github.com/hibiscuswick/hibiscuswick/protocol/caller"
+	"github.com/hibiscuswick/hibiscuswick/state"
+)
+
+// answer is the growing answer of one request: its tokens by index, then its
+// outcome. The request's goroutine appends; any number of views read.
+type answer struct {
+	id state.RequestID
+
+	mu      sync.Mutex
+	tokens  []caller.Token
+	outcome state.Outcome
+	running bool
+	changed chan struct{} // closed and replaced at every change
+}
+
+func newAnswer(id state.RequestID) *answer {
+	return &answer{id: id, changed: make(chan struct{})}
+}
+
+// append adds the next token. An index out of order can't occur: the request's
+// machine emits each once, in order.
+func (a *answer) append(t caller.Token) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if t.Index != len(a.tokens) {
+		panic("daemon: token out of order")
+	}
+	a.tokens = append(a.tokens, t)
+	a.notify()
+}
+
+func (a *answer) setRunning() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.running = true
+}
+
+func (a *answer) end(o state.Outcome) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.outcome = o
+	a.notify()
+}
+
+func (a *answer) notify() {
+	close(a.changed)
+	a.changed = make(chan struct{})
+}
+
+// after returns the tokens from index from on, the outcome once there is one, and
+// a channel that is closed at the next change. The tokens must not be changed.
+func (a *answer) after(from int) ([]caller.Token, state.Outcome, <-chan struct{}) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	from = min(max(from, 0), len(a.tokens))
+	return a.tokens[from:len(a.tokens):len(a.tokens)], a.outcome, a.changed
+}
+
+func (a *answer) status() caller.Status {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	s := caller.Status{Request: a.id, Phase: caller.PhaseQueued, Tokens: len(a.tokens), Outcome: a.outcome}
+	switch {
+	case a.outcome != nil:
+		s.Phase = caller.PhaseEnded
+	case a.running:
+		s.Phase = caller.PhaseRunning
+	}
+	return s
+}
+
+// view is one caller's place in an answer.
+type view struct {
+	answer *answer
+	next   int
+}
+
+// newView returns a view that begins after index after, -1 for the start.
+func newView(a *answer, after int) *view {
+	return &view{answer: a, next: after + 1}
+}
+
+// ID implements caller.Stream.
+func (v *view) ID() state.RequestID {
+	return v.answer.id
+}
+
+// Next implements caller.Stream.
+func (v *view) Next(ctx context.Context) (caller.Item, error) {
+	for {
+		tokens, outcome, changed := v.answer.after(v.next)
+		if len(tokens) > 0 {
+			t := tokens[0]
+			v.next++
+			return caller.Item{Token: &t}, nil
+		}
+		if outcome != nil {
+			return caller.Item{Outcome: outcome}, nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return caller.Item{}, ctx.Err()
+		}
+	}
+}
+
+// Close implements caller.Stream.
+func (v *view) Close() {}
--- /dev/null
+++ b/internal/site/site.go
@@ -0,0 +1,216 @@
+// Package site puts daemons and stand-ins of everything around them together on
+// loopback ports, in one process, for the demo, the measurements and the tests
+// of whole daemons.
+package site
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"github.com/hibiscuswick/hibiscuswick/daemon"
+	"github.com/hibiscuswick/hibiscuswick/internal/standin"
+	"github.com/hibiscuswick/hibiscuswick/protocol/platform"
+	"github.com/hibiscuswick/hibiscuswick/settings"
+	"github.com/hibiscuswick/hibiscuswick/state"
+	"github.com/hibiscuswick/hibiscuswick/state/service"
+	"github.com/hibiscuswick/hibiscuswick/telemetry"
+)
+
+// Region is the region of every instance of a site.
+const Region state.Region = "kerala-south"
+
+// Domains are the failure domains of a site, in turn.
+var Domains = []state.FailureDomain{"ernakulam", "kottayam", "alappuzha"}
+
+// Site is a running set of daemons and stand-ins. It belongs to one goroutine.
+type Site struct {
+	Platform *standin.Platform
+	Ledger   *standin.Ledger
+	Engines  map[state.BackendID]*standin.Engine
+	Plains   map[state.BackendID]*standin.PlainServer
+	Daemons  []*daemon.Daemon
+
+	log *telemetry.Log
+}
+
+// New starts the platform's stand-in; the rest is added.
+func New(log *telemetry.Log) (*Site, error) {
+	p, err := standin.StartPlatform()
+	if err != nil {
+		return nil, err
+	}
+	return &Site{
+		Platform: p,
+		Ledger:   standin.NewLedger(),
+		Engines:  make(map[state.BackendID]*standin.Engine),
+		Plains:   make(map[state.BackendID]*standin.PlainServer),
+		log:      log,
+	}, nil
+}
+
+// Close ends everything that still runs.
+func (s *Site) Close() {
+	for _, d := range s.Daemons {
+		d.Kill()
+		<-d.Done()
+	}
+	for _, e := range s.Engines {
+		e.Close()
+	}
+	for _, p := range s.Plains {
+		p.Close()
+	}
+	s.Platform.Close()
+}
+
+// domain returns the failure domain of the n-th of a kind of instances.
+func domain(n int) state.FailureDomain {
+	return Domains[n%len(Domains)]
+}
+
+// AddEngine starts an engine and lists it.
+func (s *Site) AddEngine(cfg standin.EngineConfig, in state.FailureDomain) error {
+	cfg.Ledger = s.Ledger
+	e, err := standin.StartEngine(cfg)
+	if err != nil {
+		return err
+	}
+	s.Engines[cfg.ID] = e
+	s.Platform.PutInstance(platform.Instance{
+		ID:      state.InstanceID(cfg.ID),
+		Role:    platform.RoleEngine,
+		Address: e.Address(),
+		Kind:    cfg.Kind,
+		Domain:  in,
+		Region:  Region,
+	})
+	return nil
+}
+
+// AddPlain starts a plain service's server and lists it.
+func (s *Site) AddPlain(cfg standin.PlainConfig, in state.FailureDomain) error {
+	cfg.Ledger = s.Ledger
+	p, err := standin.StartPlain(cfg)
+	if err != nil {
+		return err
+	}
+	s.Plains[cfg.ID] = p
+	s.Platform.PutInstance(platform.Instance{
+		ID:      state.InstanceID(cfg.ID),
+		Role:    platform.RolePlain,
+		Address: p.Address(),
+		Domain:  in,
+		Region:  Region,
+	})
+	return nil
+}
+
+// AddDaemon starts one daemon with the site's usual settings, changed by change
+// where that is not nil, and lists its instance.
+func (s *Site) AddDaemon(ctx context.Context, change func(*settings.Settings)) (*daemon.Daemon, error) {
+	set, err := s.settings(len(s.Daemons))
+	if err != nil {
+		return nil, err
+	}
+	if change != nil {
+		change(&set)
+	}
+	d := daemon.New(set, s.log)
+	if err := d.Start(ctx); err != nil {
+		return nil, err
+	}
+	s.Daemons = append(s.Daemons, d)
+	s.Platform.PutInstance(platform.Instance{
+		ID:      set.Instance,
+		Role:    platform.RoleEntry,
+		Address: d.CallerAddress(),
+		Domain:  set.FailureDomain,
+		Region:  Region,
+	})
+	return d, nil
+}
+
+// settings are those of the n-th daemon, as its file would have them.
+func (s *Site) settings(n int) (settings.Settings, error) {
+	text, err := json.Marshal(map[string]any{
+		"id":             fmt.Sprintf("entry-%d", n+1),
+		"instance":       fmt.Sprintf("entry-%d", n+1),
+		"failure_domain": domain(n),
+		"region":         Region,
+		"peer_address":   "127.0.0.1:0",
+		"caller_address": "127.0.0.1:0",
+		"platform": map[string]any{
+			"table_url":     s.Platform.URL(),
+			"objects_url":   s.Platform.URL(),
+			"instances_url": s.Platform.URL(),
+		},
+		"address_answer_valid": "500ms",
+		"drain":                map[string]any{"limit": "1m", "grace": "100ms"},
+		"store":                map[string]any{"digest_interval": "200ms", "instances_interval": "200ms"},
+		"backends":             map[string]any{"progress_timeout": "500ms"},
+	})
+	if err != nil {
+		return settings.Settings{}, err
+	}
+	set, faults := settings.Decode(text)
+	if len(faults) > 0 {
+		return settings.Settings{}, errors.New("settings: " + faults[0].String())
+	}
+	return set, nil
+}
+
+// Chains describes replicas of equal stages over engines named
+// "<prefix>-<replica>-<stage>".
+type Chains struct {
+	Prefix   string
+	Replicas int
+	Stages   int
+	Layers   int
+}
+
+// Engine names the engine of one stage, both counted from 1.
+func (c Chains) Engine(replica, stage int) state.BackendID {
+	return state.BackendID(fmt.Sprintf("%s-%d-%d", c.Prefix, replica, stage))
+}
+
+// Replica names one replica, counted from 1.
+func (c Chains) Replica(replica int) state.ReplicaID {
+	return state.ReplicaID(fmt.Sprintf("%s-%d", c.Prefix, replica))
+}
+
+// Range returns the layers of one stage, counted from 1.
+func (c Chains) Range(stage int) state.LayerRange {
+	return state.LayerRange{First: (stage - 1) * c.Layers / c.Stages, End: stage * c.Layers / c.Stages}
+}
+
+// Placement writes the chains out as a document does.
+func (c Chains) Placement() service.Placement {
+	p := service.Placement{Mode: service.PlacementFixed}
+	for r := 1; r <= c.Replicas; r++ {
+		chain := service.Chain{ID: c.Replica(r)}
+		for st := 1; st <= c.Stages; st++ {
+			l := c.Range(st)
+			chain.Stages = append(chain.Stages, service.ChainStage{Backend: c.Engine(r, st), First: l.First, End: l.End})
+		}
+		p.Chains = append(p.Chains, chain)
+	}
+	return p
+}
+
+// AddChains starts the engines of chains with cfg for each.
+func (s *Site) AddChains(c Chains, cfg standin.EngineConfig) error {
+	for r := 1; r <= c.Replicas; r++ {
+		for st := 1; st <= c.Stages; st++ {
+			e := cfg
+			e.ID = c.Engine(r, st)
+			e.Layers = c.Range(st)
+			e.ModelLayers = c.Layers
+			if err := s.AddEngine(e, domain(r-1)); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
--- a/state/service/document.go
+++ b/state/service/document.go
@@ -28,10 +28,12 @@
 	// servers.
 	Kind Kind `json:"kind" enum:"model,plain"`
 
-	// Model is set exactly when Kind is KindModel.
+	// Model is what the engines load; set exactly when Kind is "model".
 	Model *Model `json:"model,omitempty"`
 
-	Capacity  Capacity  `json:"capacity"`
+	// Capacity is how much the service is to hold ready.
+	Capacity Capacity `json:"capacity"`
+	// Placement is where the layers are.
 	Placement Placement `json:"placement"`
 
 	// Classes are the kinds of request, each named once.
@@ -47,7 +49,9 @@
 
 // Model is what the engines load.
 type Model struct {
-	Name    string `json:"name" format:"name"`
+	// Name is the model's name.
+	Name string `json:"name" format:"name"`
+	// Version is the version that is to run.
 	Version string `json:"version" format:"name"`
 	// Layers counts the model's layers; ranges of them go from 0 to Layers.
 	Layers int `json:"layers" minimum:"1" maximum:"10000"`
@@ -81,12 +85,13 @@
 	// Mode says who assigns layers: "fixed" takes Chains as written, "auto"
 	// leaves it to the service's controller.
 	Mode PlacementMode `json:"mode" enum:"fixed,auto"`
-	// Chains are the replicas; set exactly when Mode is PlacementFixed.
+	// Chains are the replicas; set exactly when Mode is "fixed".
 	Chains []Chain `json:"chains,omitempty" maxItems:"20000"`
 }
 
 // Chain is one replica written out by hand.
 type Chain struct {
+	// ID names the replica.
 	ID state.ReplicaID `json:"id" format:"name"`
 	// Stages hold layers [0, n) in order, each layer once; a plain service's
 	// chain has one stage with first and end 0.
@@ -105,6 +110,7 @@
 
 // Class is one kind of request.
 type Class struct {
+	// Name is what requests give as their class.
 	Name state.ClassID `json:"name" format:"name"`
 
 	// Priority orders classes: 0 goes first.
@@ -128,6 +134,7 @@
 
 // Customer is one customer and its limits over the whole site.
 type Customer struct {
+	// ID is what requests give as their customer.
 	ID state.CustomerID `json:"id" format:"name"`
 	// RequestsPerSecond is the rate over the whole site.
 	RequestsPerSecond float64 `json:"requests_per_second" exclusiveMinimum:"0" maximum:"1000000"`
@@ -189,3 +196,14 @@
 	}
 	return Customer{}, false
 }
+
+// KindSpeed returns the relative speed of a kind of backend server, 1 where the
+// document says nothing of it.
+func (d *Document) KindSpeed(kind string) float64 {
+	for _, k := range d.BackendKinds {
+		if k.Kind == kind && k.Speed > 0 {
+			return k.Speed
+		}
+	}
+	return 1
+}
