--- /dev/null
+++ b/internal/catalogue/catalogue_test.go
@@ -0,0 +1,114 @@
+package catalogue_test
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"os"
+	"path/filepath"
+	"strconv"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/samber/lo"
+	"github.com/santhosh-tekuri/jsonschema/v6"
+
+	"github.com/hibiscuswick/hibiscuswick/internal/catalogue"
+	"github.com/hibiscuswick/hibiscuswick/state"
+	"github.com/hibiscuswick/hibiscuswick/telemetry"
+)
+
+var root = filepath.Join("..", "..")
+
+// constants returns the literals of the constants of one type in a file.
+func constants(file, typeName string) []string {
+	f, err := parser.ParseFile(token.NewFileSet(), filepath.Join(root, file), nil, 0)
+	Expect(err).NotTo(HaveOccurred())
+	var values []string
+	ast.Inspect(f, func(n ast.Node) bool {
+		spec, ok := n.(*ast.ValueSpec)
+		if !ok {
+			return true
+		}
+		if t, ok := spec.Type.(*ast.Ident); ok && t.Name == typeName {
+			values = append(values, spec.Values[0].(*ast.BasicLit).Value)
+		}
+		return true
+	})
+	return values
+}
+
+func quoted[T ~string](values []T) []string {
+	return lo.Map(values, func(v T, _ int) string { return strconv.Quote(string(v)) })
+}
+
+var _ = Describe("the generated pages", func() {
+	It("are those that the code gives", func() {
+		pages, err := catalogue.Pages(root)
+		Expect(err).NotTo(HaveOccurred())
+		for _, p := range pages {
+			committed, err := os.ReadFile(filepath.Join(root, filepath.FromSlash(p.Path)))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(string(committed)).To(Equal(string(p.Text)), "%s: run go generate ./internal/catalogue", p.Path)
+		}
+	})
+
+	It("list every constant of the code, and nothing else", func() {
+		events := lo.Map(telemetry.Events(), func(e telemetry.EventInfo, _ int) string { return strconv.Itoa(int(e.Event)) })
+		Expect(events).To(ConsistOf(constants("telemetry/events.go", "Event")))
+		names := lo.Map(telemetry.Catalogue(), func(m telemetry.Metric, _ int) telemetry.Name { return m.Name })
+		Expect(quoted(names)).To(ConsistOf(constants("telemetry/counter.go", "Name")))
+		Expect(quoted(telemetry.Keys())).To(ConsistOf(constants("telemetry/field.go", "Key")))
+		Expect(quoted(state.Reasons())).To(ConsistOf(constants("state/outcome.go", "Reason")))
+		Expect(quoted(state.RetryReasons())).To(ConsistOf(constants("state/retry_reason.go", "RetryReason")))
+	})
+
+	It("place every event in its area, in order", func() {
+		last := telemetry.Event(1000)
+		for _, e := range telemetry.Events() {
+			Expect(e.Event).To(BeNumerically(">", last))
+			Expect(e.Event).To(BeNumerically("<", 1800))
+			Expect(e.Doc).NotTo(BeEmpty())
+			last = e.Event
+		}
+	})
+})
+
+var _ = Describe("the published schemas", func() {
+	compile := func(name string) *jsonschema.Schema {
+		s, err := jsonschema.NewCompiler().Compile(filepath.Join(root, "docs", "schema", name))
+		Expect(err).NotTo(HaveOccurred())
+		return s
+	}
+	validate := func(schema, file string, change func(map[string]any)) error {
+		f, err := os.Open(filepath.Join(root, "examples", file))
+		Expect(err).NotTo(HaveOccurred())
+		defer f.Close()
+		v, err := jsonschema.UnmarshalJSON(f)
+		Expect(err).NotTo(HaveOccurred())
+		change(v.(map[string]any))
+		return compile(schema).Validate(v)
+	}
+	same := func(map[string]any) {}
+
+	It("pass the examples", func() {
+		Expect(validate("service.schema.json", "drafts.json", same)).To(Succeed())
+		Expect(validate("service.schema.json", "alerts.json", same)).To(Succeed())
+		Expect(validate("settings.schema.json", "settings.json", same)).To(Succeed())
+	})
+
+	DescribeTable("refuse what decoding refuses", func(change func(map[string]any)) {
+		Expect(validate("service.schema.json", "drafts.json", change)).NotTo(Succeed())
+	},
+		Entry("an unknown field", func(d map[string]any) { d["colour"] = "red" }),
+		Entry("a missing field", func(d map[string]any) { delete(d, "classes") }),
+		Entry("null", func(d map[string]any) { d["classes"] = nil }),
+		Entry("a duration without a unit", func(d map[string]any) {
+			d["classes"].([]any)[0].(map[string]any)["deadline"] = "5"
+		}),
+		Entry("a name with a space", func(d map[string]any) { d["service"] = "a b" }),
+		Entry("a value out of range", func(d map[string]any) {
+			d["capacity"].(map[string]any)["replicas"] = 0
+		}),
+	)
+})
--- a/internal/strictjson/decode.go
+++ b/internal/strictjson/decode.go
@@ -18,9 +18,8 @@
 	if f := checkSyntax(text, limit); f != nil {
 		return []Fault{*f}
 	}
-	d := decoder{tokens: json.NewDecoder(bytes.NewReader(text))}
-	d.tokens.UseNumber()
-	d.value("", reflect.ValueOf(out).Elem(), rules{})
+	d := decoder{tokens: scanner{text: text}}
+	d.value(reflect.ValueOf(out).Elem(), &rules{})
 	return d.report.all()
 }
 
@@ -35,11 +34,11 @@
 		f := Faultf(Root, "is not UTF-8 text")
 		return &f
 	}
-	var raw json.RawMessage
-	err := json.Unmarshal(text, &raw)
-	if err == nil {
+	if json.Valid(text) {
 		return nil
 	}
+	var raw json.RawMessage
+	err := json.Unmarshal(text, &raw) // says what is wrong, and where
 	f := Faultf(Root, "is not JSON: %v%s", err, position(text, err))
 	return &f
 }
@@ -56,168 +55,172 @@
 	return fmt.Sprintf(" (line %d, column %d)", line, column)
 }
 
-// decoder walks the tokens of a text whose syntax was checked before, so that
-// reading a token can't fail.
+// decoder walks the tokens of a text whose syntax was checked before.
 type decoder struct {
-	tokens *json.Decoder
+	tokens scanner
+	path   path // of the value that is being read
 	report report
 }
 
-func (d *decoder) next() json.Token {
-	t, err := d.tokens.Token()
-	if err != nil {
-		panic(fmt.Sprintf("strictjson: token of checked text: %v", err))
-	}
-	return t
+func (d *decoder) faultf(format string, args ...any) {
+	d.report.add(d.path.String(), format, args...)
 }
 
 // value reads the next value into v.
-func (d *decoder) value(path string, v reflect.Value, r rules) {
-	t := d.next()
+func (d *decoder) value(v reflect.Value, r *rules) {
+	t := d.tokens.next()
 	switch {
 	case v.Kind() == reflect.Pointer:
-		if t == json.Delim('{') {
+		if t.kind == objectToken {
 			v.Set(reflect.New(v.Type().Elem()))
-			d.object(path, v.Elem())
+			d.object(v.Elem())
 			return
 		}
-		d.wrongType(path, t, "an object")
-	case v.Addr().Type().Implements(textType):
-		d.text(path, t, v, r)
+		d.wrongType(t, "an object")
+	case r.readsText:
+		d.text(t, v, r)
 	case v.Kind() == reflect.Struct:
-		if t == json.Delim('{') {
-			d.object(path, v)
+		if t.kind == objectToken {
+			d.object(v)
 			return
 		}
-		d.wrongType(path, t, "an object")
+		d.wrongType(t, "an object")
 	case v.Kind() == reflect.Slice:
-		if t == json.Delim('[') {
-			d.array(path, v, r)
+		if t.kind == arrayToken {
+			d.array(v, r)
 			return
 		}
-		d.wrongType(path, t, "an array")
+		d.wrongType(t, "an array")
 	default:
-		d.scalar(path, t, v, r)
+		d.scalar(t, v, r)
 	}
 }
 
 // object reads the fields of an object whose '{' was read.
-func (d *decoder) object(path string, v reflect.Value) {
+func (d *decoder) object(v reflect.Value) {
 	p := planOf(v.Type())
-	seen := make([]bool, len(p.fields))
-	unknown := map[string]bool{}
-	for d.tokens.More() {
-		name := d.next().(string)
-		i, known := p.byName[name]
-		at := Member(path, name)
+	var seen uint64 // bit i stands for p.fields[i]
+	var unknown map[string]bool
+	for d.tokens.more() {
+		name := d.tokens.next().text
+		i, known := p.byName[string(name)]
 		if !known {
-			at = foreignMember(path, name)
-			if unknown[name] {
-				d.report.add(at, "stands twice")
-			} else {
-				d.report.add(at, "is not a known field")
+			if unknown == nil {
+				unknown = map[string]bool{}
 			}
-			unknown[name] = true
-			d.skip(d.next())
+			d.unknownField(string(name), unknown[string(name)])
+			unknown[string(name)] = true
 			continue
 		}
-		if seen[i] {
-			d.report.add(at, "stands twice")
-			d.skip(d.next())
-			continue
+		d.path.push(step{name: p.fields[i].name})
+		if seen&(1<<i) != 0 {
+			d.faultf("stands twice")
+			d.skip(d.tokens.next())
+		} else {
+			d.value(v.Field(p.fields[i].index), &p.fields[i].rules)
 		}
-		seen[i] = true
-		d.value(at, v.Field(p.fields[i].index), p.fields[i].rules)
+		seen |= 1 << i
+		d.path.pop()
 	}
-	d.next() // '}'
+	d.tokens.next() // '}'
 	for i, f := range p.fields {
-		if !seen[i] {
-			d.absent(Member(path, f.name), v.Field(f.index), f)
+		if seen&(1<<i) == 0 {
+			d.absent(v.Field(f.index), f)
 		}
 	}
 }
 
+func (d *decoder) unknownField(name string, again bool) {
+	d.path.push(step{name: name, foreign: true})
+	if again {
+		d.faultf("stands twice")
+	} else {
+		d.faultf("is not a known field")
+	}
+	d.path.pop()
+	d.skip(d.tokens.next())
+}
+
 // absent gives a field that the text leaves out its default, or reports it.
-func (d *decoder) absent(path string, v reflect.Value, f field) {
+func (d *decoder) absent(v reflect.Value, f field) {
+	d.path.push(step{name: f.name})
+	defer d.path.pop()
 	switch {
 	case f.def != nil:
 		setDefault(v, *f.def)
 	case !f.optional:
-		d.report.add(path, "is missing")
-	case v.Kind() == reflect.Struct && !v.Addr().Type().Implements(textType):
+		d.faultf("is missing")
+	case v.Kind() == reflect.Struct && !f.rules.readsText:
 		// An optional object that is left out has its fields' defaults.
 		for _, inner := range planOf(v.Type()).fields {
-			d.absent(Member(path, inner.name), v.Field(inner.index), inner)
+			d.absent(v.Field(inner.index), inner)
 		}
 	}
 }
 
 // array reads the elements of an array whose '[' was read. An empty array
 // reads as nil. Elements past maxItems are counted, not kept.
-func (d *decoder) array(path string, v reflect.Value, r rules) {
-	element := rules{}
-	if r.elementRules != nil {
-		element = *r.elementRules
-	}
+func (d *decoder) array(v reflect.Value, r *rules) {
 	n := 0
-	for ; d.tokens.More(); n++ {
+	for ; d.tokens.more(); n++ {
 		if r.maxItems > 0 && n >= r.maxItems {
-			d.skip(d.next())
+			d.skip(d.tokens.next())
 			continue
 		}
-		e := reflect.New(v.Type().Elem()).Elem()
-		d.value(Item(path, n), e, element)
-		v.Set(reflect.Append(v, e))
+		if n == v.Cap() {
+			v.Grow(max(n, 1))
+		}
+		v.SetLen(n + 1)
+		d.path.push(step{index: n})
+		d.value(v.Index(n), r.element)
+		d.path.pop()
 	}
-	d.next() // ']'
+	d.tokens.next() // ']'
 	if r.maxItems > 0 && n > r.maxItems {
-		d.report.add(path, "has %d elements, at most %d are allowed", n, r.maxItems)
+		d.faultf("has %d elements, at most %d are allowed", n, r.maxItems)
 	}
 	if n < r.minItems {
-		d.report.add(path, "has %d elements, at least %d are needed", n, r.minItems)
+		d.faultf("has %d elements, at least %d are needed", n, r.minItems)
 	}
 }
 
 // skip reads on to the end of the value that begins with t.
-func (d *decoder) skip(t json.Token) {
+func (d *decoder) skip(t token) {
 	depth := 0
 	for {
-		switch t {
-		case json.Delim('{'), json.Delim('['):
+		switch t.kind {
+		case '{', '[':
 			depth++
-		case json.Delim('}'), json.Delim(']'):
+		case '}', ']':
 			depth--
+		default:
 		}
 		if depth == 0 {
 			return
 		}
-		t = d.next()
+		t = d.tokens.next()
 	}
 }
 
 // wrongType reports a value of another JSON type than wanted and skips it.
-func (d *decoder) wrongType(path string, t json.Token, want string) {
-	if path == "" {
-		path = Root
-	}
-	d.report.add(path, "is %s, must be %s", typeName(t), want)
+func (d *decoder) wrongType(t token, want string) {
+	d.faultf("is %s, must be %s", typeName(t), want)
 	d.skip(t)
 }
 
-func typeName(t json.Token) string {
-	switch t := t.(type) {
-	case nil:
+func typeName(t token) string {
+	switch t.kind {
+	case nullToken:
 		return "null"
-	case bool:
+	case trueToken, falseToken:
 		return "a boolean"
-	case json.Number:
+	case numberToken:
 		return "a number"
-	case string:
+	case textToken:
 		return "a text"
-	case json.Delim:
-		if t == '[' {
-			return "an array"
-		}
+	case arrayToken:
+		return "an array"
+	default:
+		return "an object"
 	}
-	return "an object"
 }
--- a/internal/strictjson/doc.go
+++ b/internal/strictjson/doc.go
@@ -7,7 +7,7 @@
 //
 //	json              the field's name; "omitempty" makes it optional
 //	required:"false"  optional; the field keeps its zero value where absent
-//	default           optional; the value, as text, where absent
+//	default, defaultDuration             optional; the value where absent
 //	enum              the allowed texts, separated by commas
 //	format            one of Formats
 //	maxLength         of a text, in bytes
--- a/internal/strictjson/fault.go
+++ b/internal/strictjson/fault.go
@@ -1,9 +1,6 @@
 package strictjson
 
-import (
-	"fmt"
-	"unicode"
-)
+import "fmt"
 
 // Root is the path of a fault that concerns the whole text.
 const Root = "$"
@@ -39,20 +36,6 @@
 	return path + "." + name
 }
 
-// foreignMember gives the path of a field that the text named. A name with
-// anything but letters, digits and '_' is quoted, so that a report stays one
-// line a fault.
-func foreignMember(path, name string) string {
-	plain := name != ""
-	for _, r := range name {
-		plain = plain && (r == '_' || unicode.IsLetter(r) || unicode.IsDigit(r))
-	}
-	if !plain || len(name) > maxQuoted {
-		return fmt.Sprintf("%s[%q]", path, shorten(name))
-	}
-	return Member(path, name)
-}
-
 // Item gives the path of the element at index i within the array at path.
 func Item(path string, i int) string {
 	return fmt.Sprintf("%s[%d]", path, i)
--- a/internal/strictjson/formats.go
+++ b/internal/strictjson/formats.go
@@ -3,7 +3,7 @@
 import (
 	"net/netip"
 	"net/url"
-	"regexp"
+	"strings"
 )
 
 // Format is a named shape of a text, for the tag "format".
@@ -31,10 +31,16 @@
 }
 
 var formats = map[string]Format{
-	FormatName: matching(`^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$`,
-		"must be 1 to 63 letters, digits, '.', '_' or '-', beginning with a letter or digit"),
-	FormatBackend: matching(`^[A-Za-z0-9\[][A-Za-z0-9._:\[\]-]{0,126}$`,
-		"must be 1 to 127 letters, digits, '.', '_', ':' or '-', beginning with a letter or digit"),
+	FormatName: {
+		Pattern: `^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$`,
+		Want:    "must be 1 to 63 letters, digits, '.', '_' or '-', beginning with a letter or digit",
+		Check:   func(text string) bool { return isName(text, 63, "._-") },
+	},
+	FormatBackend: {
+		Pattern: `^[A-Za-z0-9][A-Za-z0-9._:-]{0,126}$`,
+		Want:    "must be 1 to 127 letters, digits, '.', '_', ':' or '-', beginning with a letter or digit",
+		Check:   func(text string) bool { return isName(text, 127, "._:-") },
+	},
 	FormatIPPort: {
 		Pattern: `^[0-9a-fA-F.:\[\]]+:[0-9]+$`,
 		Want:    `must be an IP number and a port, such as "10.0.0.7:7100"; host names are not resolved`,
@@ -47,8 +53,21 @@
 	},
 }
 
-func matching(pattern, want string) Format {
-	return Format{Pattern: pattern, Want: want, Check: regexp.MustCompile(pattern).MatchString}
+// isName reports whether text has 1 to most letters and digits and, but for the
+// first, bytes of marks.
+func isName(text string, most int, marks string) bool {
+	if text == "" || len(text) > most || strings.IndexByte(marks, text[0]) >= 0 {
+		return false
+	}
+	for i := range len(text) {
+		c := text[i]
+		letter := 'a' <= c|0x20 && c|0x20 <= 'z'
+		digit := '0' <= c && c <= '9'
+		if !letter && !digit && strings.IndexByte(marks, c) < 0 {
+			return false
+		}
+	}
+	return true
 }
 
 func isIPPort(text string) bool {
--- a/internal/strictjson/plan.go
+++ b/internal/strictjson/plan.go
@@ -16,6 +16,9 @@
 	byName map[string]int // index into fields
 }
 
+// maxFields is how many fields of one object decoder.object can mark as seen.
+const maxFields = 64
+
 type field struct {
 	index    int // within the struct
 	name     string
@@ -26,17 +29,18 @@
 
 // rules bound one value; a nil pointer or zero leaves it unbounded.
 type rules struct {
-	enum         []string
-	format       string
-	maxLength    int
-	minimum      *float64
-	above        *float64
-	maximum      *float64
-	minDuration  *time.Duration
-	maxDuration  *time.Duration
-	minItems     int
-	maxItems     int
-	elementRules *rules // for arrays of texts: enum, format, maxLength
+	enum        []string
+	format      string
+	maxLength   int
+	minimum     *float64
+	above       *float64
+	maximum     *float64
+	minDuration *time.Duration
+	maxDuration *time.Duration
+	minItems    int
+	maxItems    int
+	readsText   bool   // the type has UnmarshalText
+	element     *rules // of an array's elements: enum, format, maxLength
 }
 
 var plans sync.Map // reflect.Type to *plan
@@ -44,6 +48,10 @@
 // textType is what types that read their own text implement.
 var textType = reflect.TypeFor[encoding.TextUnmarshaler]()
 
+func readsText(t reflect.Type) bool {
+	return reflect.PointerTo(t).Implements(textType)
+}
+
 func planOf(t reflect.Type) *plan {
 	if p, ok := plans.Load(t); ok {
 		return p.(*plan)
@@ -63,16 +71,27 @@
 		}
 		f := field{index: i, name: name, rules: newRules(sf)}
 		f.optional = strings.Contains(options, "omitempty") || sf.Tag.Get("required") == "false"
-		if def, ok := sf.Tag.Lookup("default"); ok {
+		if def, ok := Default(sf.Tag); ok {
 			f.def = &def
 			f.optional = true
 		}
+		if len(p.fields) == maxFields {
+			panic(fmt.Sprintf("strictjson: %s has more than %d fields", t, maxFields))
+		}
 		p.byName[name] = len(p.fields)
 		p.fields = append(p.fields, f)
 	}
 	return p
 }
 
+// Default returns the value, as text, of a field that is left out.
+func Default(tag reflect.StructTag) (string, bool) {
+	if def, ok := tag.Lookup("default"); ok {
+		return def, true
+	}
+	return tag.Lookup("defaultDuration")
+}
+
 func newRules(sf reflect.StructField) rules {
 	r := rules{
 		format:      sf.Tag.Get("format"),
@@ -84,6 +103,7 @@
 		maxDuration: durationTag(sf, "maxDuration"),
 		minItems:    intTag(sf, "minItems"),
 		maxItems:    intTag(sf, "maxItems"),
+		readsText:   readsText(sf.Type),
 	}
 	if enum := sf.Tag.Get("enum"); enum != "" {
 		r.enum = strings.Split(enum, ",")
@@ -92,7 +112,12 @@
 		badTag(sf, "format", fmt.Errorf("unknown format %q", r.format))
 	}
 	if sf.Type.Kind() == reflect.Slice {
-		r.elementRules = &rules{enum: r.enum, format: r.format, maxLength: r.maxLength}
+		r.element = &rules{
+			enum:      r.enum,
+			format:    r.format,
+			maxLength: r.maxLength,
+			readsText: readsText(sf.Type.Elem()),
+		}
 	}
 	return r
 }
--- a/internal/strictjson/scalar.go
+++ b/internal/strictjson/scalar.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding"
-	"encoding/json"
 	"fmt"
 	"reflect"
 	"slices"
@@ -12,14 +11,13 @@
 )
 
 // text reads a value whose type reads its own text, such as a duration.
-func (d *decoder) text(path string, t json.Token, v reflect.Value, r rules) {
-	s, ok := t.(string)
-	if !ok {
-		d.wrongType(path, t, textWanted(v))
+func (d *decoder) text(t token, v reflect.Value, r *rules) {
+	if t.kind != textToken {
+		d.wrongType(t, textWanted(v))
 		return
 	}
-	if err := v.Addr().Interface().(encoding.TextUnmarshaler).UnmarshalText([]byte(s)); err != nil {
-		d.report.add(path, "%v", err)
+	if err := v.Addr().Interface().(encoding.TextUnmarshaler).UnmarshalText(t.text); err != nil {
+		d.faultf("%v", err)
 		return
 	}
 	if v.Kind() != reflect.Int64 {
@@ -27,10 +25,10 @@
 	}
 	got := time.Duration(v.Int())
 	if r.minDuration != nil && got < *r.minDuration {
-		d.report.add(path, "is %v, must be at least %v", got, *r.minDuration)
+		d.faultf("is %v, must be at least %v", got, *r.minDuration)
 	}
 	if r.maxDuration != nil && got > *r.maxDuration {
-		d.report.add(path, "is %v, must be at most %v", got, *r.maxDuration)
+		d.faultf("is %v, must be at most %v", got, *r.maxDuration)
 	}
 }
 
@@ -41,34 +39,43 @@
 	return "a text"
 }
 
-func (d *decoder) scalar(path string, t json.Token, v reflect.Value, r rules) {
-	switch v.Kind() {
-	case reflect.String:
-		s, ok := t.(string)
-		if !ok {
-			d.wrongType(path, t, "a text")
-			return
-		}
+func (d *decoder) scalar(t token, v reflect.Value, r *rules) {
+	switch {
+	case v.Kind() == reflect.String && t.kind == textToken:
+		s := string(t.text)
 		v.SetString(s)
-		d.checkText(path, s, r)
-	case reflect.Bool:
-		b, ok := t.(bool)
-		if !ok {
-			d.wrongType(path, t, "true or false")
-			return
-		}
-		v.SetBool(b)
+		d.checkText(s, r)
+	case v.Kind() == reflect.String:
+		d.wrongType(t, "a text")
+	case v.Kind() == reflect.Bool && (t.kind == trueToken || t.kind == falseToken):
+		v.SetBool(t.kind == trueToken)
+	case v.Kind() == reflect.Bool:
+		d.wrongType(t, "true or false")
+	case t.kind == numberToken:
+		d.number(string(t.text), v, r)
 	default:
-		n, ok := t.(json.Number)
-		if !ok {
-			d.wrongType(path, t, numberWanted(v))
-			return
-		}
-		if err := setNumber(v, n.String()); err != nil {
-			d.report.add(path, "is %s, must be %s", shorten(n.String()), numberWanted(v))
-			return
-		}
-		d.checkNumber(path, n, r)
+		d.wrongType(t, numberWanted(v))
+	}
+}
+
+func (d *decoder) number(text string, v reflect.Value, r *rules) {
+	if err := setNumber(v, text); err != nil {
+		d.faultf("is %s, must be %s", shorten(text), numberWanted(v))
+		return
+	}
+	d.checkNumber(text, asFloat(v), r)
+}
+
+// asFloat gives a number for the comparison with its bounds, which are far
+// below where a float64 leaves out whole numbers.
+func asFloat(v reflect.Value) float64 {
+	switch {
+	case v.CanInt():
+		return float64(v.Int())
+	case v.CanUint():
+		return float64(v.Uint())
+	default:
+		return v.Float()
 	}
 }
 
@@ -105,28 +112,25 @@
 	return nil
 }
 
-func (d *decoder) checkText(path, s string, r rules) {
+func (d *decoder) checkText(s string, r *rules) {
 	switch {
 	case r.enum != nil && !slices.Contains(r.enum, s):
-		d.report.add(path, "is %q, must be one of %s", shorten(s), strings.Join(r.enum, ", "))
+		d.faultf("is %q, must be one of %s", shorten(s), strings.Join(r.enum, ", "))
 	case r.format != "" && !formats[r.format].Check(s):
-		d.report.add(path, "is %q, %s", shorten(s), formats[r.format].Want)
+		d.faultf("is %q, %s", shorten(s), formats[r.format].Want)
 	case r.maxLength > 0 && len(s) > r.maxLength:
-		d.report.add(path, "has %d bytes, at most %d are allowed", len(s), r.maxLength)
+		d.faultf("has %d bytes, at most %d are allowed", len(s), r.maxLength)
 	}
 }
 
-func (d *decoder) checkNumber(path string, n json.Number, r rules) {
-	f, err := n.Float64()
+func (d *decoder) checkNumber(text string, f float64, r *rules) {
 	switch {
-	case err != nil:
-		d.report.add(path, "is %s, which is out of range", shorten(n.String()))
 	case r.minimum != nil && f < *r.minimum:
-		d.report.add(path, "is %s, must be at least %v", shorten(n.String()), *r.minimum)
+		d.faultf("is %s, must be at least %v", shorten(text), *r.minimum)
 	case r.above != nil && f <= *r.above:
-		d.report.add(path, "is %s, must be above %v", shorten(n.String()), *r.above)
+		d.faultf("is %s, must be above %v", shorten(text), *r.above)
 	case r.maximum != nil && f > *r.maximum:
-		d.report.add(path, "is %s, must be at most %v", shorten(n.String()), *r.maximum)
+		d.faultf("is %s, must be at most %v", shorten(text), *r.maximum)
 	}
 }
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -38,10 +38,10 @@
 
 	// AddressAnswerValid is how long callers may keep the answer to which
 	// address to use; default "5s". A planned stop lasts at least as long.
-	AddressAnswerValid Duration `json:"address_answer_valid" default:"5s" minDuration:"100ms" maxDuration:"10m"`
+	AddressAnswerValid Duration `json:"address_answer_valid" defaultDuration:"5s" minDuration:"100ms" maxDuration:"10m"`
 	// IsolationBound is how long a daemon that reaches neither the table
 	// service nor enough peers goes on taking new requests; default "8s".
-	IsolationBound Duration `json:"isolation_bound" default:"8s" minDuration:"1s" maxDuration:"10m"`
+	IsolationBound Duration `json:"isolation_bound" defaultDuration:"8s" minDuration:"1s" maxDuration:"10m"`
 
 	// Drain bounds a planned stop.
 	Drain Drain `json:"drain" required:"false"`
@@ -74,28 +74,28 @@
 // and exits at Limit at the latest.
 type Drain struct {
 	// Limit is the longest that a planned stop may take; default "10m".
-	Limit Duration `json:"limit" default:"10m" minDuration:"1s" maxDuration:"24h"`
+	Limit Duration `json:"limit" defaultDuration:"10m" minDuration:"1s" maxDuration:"24h"`
 	// Grace is how long the daemon serves on after the last address answer
 	// ran out; default "1s".
-	Grace Duration `json:"grace" default:"1s" minDuration:"0s" maxDuration:"10m"`
+	Grace Duration `json:"grace" defaultDuration:"1s" minDuration:"0s" maxDuration:"10m"`
 }
 
 // Peers bounds the traffic between daemons.
 type Peers struct {
 	// HeartbeatInterval is how often an idle connection carries a heartbeat;
 	// default "1s".
-	HeartbeatInterval Duration `json:"heartbeat_interval" default:"1s" minDuration:"10ms" maxDuration:"1m"`
+	HeartbeatInterval Duration `json:"heartbeat_interval" defaultDuration:"1s" minDuration:"10ms" maxDuration:"1m"`
 	// SilentAfter is how long a connection may be silent while an answer is
 	// due before it is replaced; default "3s".
-	SilentAfter Duration `json:"silent_after" default:"3s" minDuration:"20ms" maxDuration:"10m"`
+	SilentAfter Duration `json:"silent_after" defaultDuration:"3s" minDuration:"20ms" maxDuration:"10m"`
 	// ProbeInterval is how often the daemon probes one other; default "1s".
-	ProbeInterval Duration `json:"probe_interval" default:"1s" minDuration:"10ms" maxDuration:"1m"`
+	ProbeInterval Duration `json:"probe_interval" defaultDuration:"1s" minDuration:"10ms" maxDuration:"1m"`
 	// ProbeTimeout is how long a probe waits for its answer before others
 	// are asked to probe; default "300ms".
-	ProbeTimeout Duration `json:"probe_timeout" default:"300ms" minDuration:"1ms" maxDuration:"1m"`
+	ProbeTimeout Duration `json:"probe_timeout" defaultDuration:"300ms" minDuration:"1ms" maxDuration:"1m"`
 	// SuspicionTimeout is how long a suspect daemon has to refute before it
 	// counts as dead; default "3s".
-	SuspicionTimeout Duration `json:"suspicion_timeout" default:"3s" minDuration:"20ms" maxDuration:"10m"`
+	SuspicionTimeout Duration `json:"suspicion_timeout" defaultDuration:"3s" minDuration:"20ms" maxDuration:"10m"`
 }
 
 // Backends bounds the connections towards backend servers.
@@ -103,11 +103,11 @@
 	// ProgressTimeout is how long a call may be without progress before its
 	// connection is suspect and the request asked about on a new one;
 	// default "2s".
-	ProgressTimeout Duration `json:"progress_timeout" default:"2s" minDuration:"10ms" maxDuration:"10m"`
+	ProgressTimeout Duration `json:"progress_timeout" defaultDuration:"2s" minDuration:"10ms" maxDuration:"10m"`
 	// ConnectTimeout bounds the making of a connection; default "1s".
-	ConnectTimeout Duration `json:"connect_timeout" default:"1s" minDuration:"1ms" maxDuration:"1m"`
+	ConnectTimeout Duration `json:"connect_timeout" defaultDuration:"1s" minDuration:"1ms" maxDuration:"1m"`
 	// LoadInterval is how often load reports are read; default "1s".
-	LoadInterval Duration `json:"load_interval" default:"1s" minDuration:"10ms" maxDuration:"1m"`
+	LoadInterval Duration `json:"load_interval" defaultDuration:"1s" minDuration:"10ms" maxDuration:"1m"`
 }
 
 // Store is this daemon's share of the table service.
@@ -118,12 +118,12 @@
 	ReadsPerSecond float64 `json:"reads_per_second" default:"200" exclusiveMinimum:"0" maximum:"1000000"`
 	// Timeout is how long one call may take before it counts as unanswered;
 	// default "1s".
-	Timeout Duration `json:"timeout" default:"1s" minDuration:"1ms" maxDuration:"1m"`
+	Timeout Duration `json:"timeout" defaultDuration:"1s" minDuration:"1ms" maxDuration:"1m"`
 	// DigestInterval is how often the digest of the documents' versions is
 	// read; default "2s".
-	DigestInterval Duration `json:"digest_interval" default:"2s" minDuration:"10ms" maxDuration:"1m"`
+	DigestInterval Duration `json:"digest_interval" defaultDuration:"2s" minDuration:"10ms" maxDuration:"1m"`
 	// InstancesInterval is how often the instance list is read; default "2s".
-	InstancesInterval Duration `json:"instances_interval" default:"2s" minDuration:"10ms" maxDuration:"1m"`
+	InstancesInterval Duration `json:"instances_interval" defaultDuration:"2s" minDuration:"10ms" maxDuration:"1m"`
 }
 
 // Log says what is logged.
--- a/state/service/check.go
+++ b/state/service/check.go
@@ -38,12 +38,12 @@
 	}
 	seen := firsts[string]{}
 	for i, a := range d.Model.Adapters {
-		path := strictjson.Item("model.adapters", i)
+		path := func() string { return strictjson.Item("model.adapters", i) }
 		if a == "" {
-			c.addf(path, "is empty")
+			c.addf(path(), "is empty")
 			continue
 		}
-		seen.note(c, path, a)
+		seen.note(c, a, path)
 	}
 }
 
@@ -61,21 +61,24 @@
 	ids := firsts[state.ReplicaID]{}
 	backends := firsts[state.BackendID]{}
 	for i, chain := range chains {
-		at := strictjson.Item(path, i)
-		ids.note(c, strictjson.Member(at, "id"), chain.ID)
+		at := func(rest string) string { return strictjson.Member(strictjson.Item(path, i), rest) }
+		ids.note(c, chain.ID, func() string { return at("id") })
 		for j, s := range chain.Stages {
-			stage := strictjson.Item(strictjson.Member(at, "stages"), j)
-			backends.note(c, strictjson.Member(stage, "backend"), s.Backend)
+			backends.note(c, s.Backend, func() string { return at(stagePath(j, "backend")) })
 		}
-		d.checkChain(c, strictjson.Member(at, "stages"), chain.Stages)
+		d.checkChain(c, at, chain.Stages)
 	}
 }
 
+func stagePath(j int, field string) string {
+	return strictjson.Member(strictjson.Item("stages", j), field)
+}
+
 // checkChain reports where the stages do not hold each layer once, in order.
 // Otherwise a token would pass a layer twice or not at all.
-func (d *Document) checkChain(c *checker, path string, stages []ChainStage) {
+func (d *Document) checkChain(c *checker, at func(string) string, stages []ChainStage) {
 	if d.Kind == KindPlain {
-		checkPlainChain(c, path, stages)
+		checkPlainChain(c, at, stages)
 		return
 	}
 	if d.Model == nil || d.Model.Layers < 1 || len(stages) == 0 {
@@ -83,28 +86,27 @@
 	}
 	next := 0
 	for i, s := range stages {
-		at := strictjson.Item(path, i)
 		if s.First != next {
-			c.addf(strictjson.Member(at, "first"), "is %d, must be %d, so that each layer stands in the chain once", s.First, next)
+			c.addf(at(stagePath(i, "first")), "is %d, must be %d, so that each layer stands in the chain once", s.First, next)
 		}
 		if s.End <= s.First {
-			c.addf(strictjson.Member(at, "end"), "is %d, must be above first, which is %d", s.End, s.First)
+			c.addf(at(stagePath(i, "end")), "is %d, must be above first, which is %d", s.End, s.First)
 		}
 		next = max(s.End, s.First)
 	}
 	if next != d.Model.Layers {
-		last := strictjson.Item(path, len(stages)-1)
-		c.addf(strictjson.Member(last, "end"), "is %d, must be %d, the number of the model's layers", next, d.Model.Layers)
+		last := stagePath(len(stages)-1, "end")
+		c.addf(at(last), "is %d, must be %d, the number of the model's layers", next, d.Model.Layers)
 	}
 }
 
-func checkPlainChain(c *checker, path string, stages []ChainStage) {
+func checkPlainChain(c *checker, at func(string) string, stages []ChainStage) {
 	if len(stages) > 1 {
-		c.addf(path, `has %d elements; a chain of kind "plain" has one`, len(stages))
+		c.addf(at("stages"), `has %d elements; a chain of kind "plain" has one`, len(stages))
 	}
 	for i, s := range stages {
 		if s.First != 0 || s.End != 0 {
-			c.addf(strictjson.Item(path, i), `holds layers; for kind "plain" first and end are 0`)
+			c.addf(at(strictjson.Item("stages", i)), `holds layers; for kind "plain" first and end are 0`)
 		}
 	}
 }
@@ -114,7 +116,7 @@
 	reserved := 0
 	for i, class := range d.Classes {
 		at := strictjson.Item("classes", i)
-		names.note(c, strictjson.Member(at, "name"), class.Name)
+		names.note(c, class.Name, func() string { return strictjson.Member(at, "name") })
 		reserved += min(class.ReservedSlots, 1<<32) // keeps the sum from overflowing
 		if d.Kind == KindModel && class.MaxTokens == 0 {
 			c.addf(strictjson.Member(at, "max_tokens"), `must be at least 1 for kind "model"`)
@@ -131,7 +133,9 @@
 func (d *Document) checkCustomers(c *checker) {
 	ids := firsts[state.CustomerID]{}
 	for i, customer := range d.Customers {
-		ids.note(c, strictjson.Member(strictjson.Item("customers", i), "id"), customer.ID)
+		ids.note(c, customer.ID, func() string {
+			return strictjson.Member(strictjson.Item("customers", i), "id")
+		})
 	}
 }
 
@@ -143,24 +147,25 @@
 	kinds := firsts[string]{}
 	for i, k := range d.BackendKinds {
 		at := strictjson.Item("backend_kinds", i)
-		kinds.note(c, strictjson.Member(at, "kind"), k.Kind)
+		kinds.note(c, k.Kind, func() string { return strictjson.Member(at, "kind") })
 		if auto && k.MemoryLayers == 0 {
 			c.addf(strictjson.Member(at, "memory_layers"), `must be at least 1 with placement.mode "auto"`)
 		}
 	}
 }
 
-// firsts remembers where each name of a list stands first.
-type firsts[K ~string] map[K]string
+// firsts remembers where each name of a list stands first. Paths are made only
+// for a fault, since a document may hold thousands of names.
+type firsts[K ~string] map[K]func() string
 
 // note reports name at path if it stood before. An empty name was reported
 // while decoding.
-func (f firsts[K]) note(c *checker, path string, name K) {
+func (f firsts[K]) note(c *checker, name K, path func() string) {
 	if name == "" {
 		return
 	}
 	if first, seen := f[name]; seen {
-		c.addf(path, "is %q, which already stands at %s", name, first)
+		c.addf(path(), "is %q, which already stands at %s", name, first())
 		return
 	}
 	f[name] = path
--- /dev/null
+++ b/state/service/property_test.go
@@ -0,0 +1,166 @@
+package service_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/hibiscuswick/hibiscuswick/state"
+	"github.com/hibiscuswick/hibiscuswick/state/service"
+)
+
+// place is one value of a JSON tree that can be replaced.
+type place struct {
+	path string
+	set  func(any)
+}
+
+// places lists the values below v with the paths that faults give them.
+func places(path string, v any) []place {
+	var all []place
+	switch v := v.(type) {
+	case map[string]any:
+		for _, k := range slices.Sorted(maps.Keys(v)) {
+			at := k
+			if path != "" {
+				at = path + "." + k
+			}
+			all = append(all, place{at, func(n any) { v[k] = n }})
+			all = append(all, places(at, v[k])...)
+		}
+	case []any:
+		for i := range v {
+			at := fmt.Sprintf("%s[%d]", path, i)
+			all = append(all, place{at, func(n any) { v[i] = n }})
+			all = append(all, places(at, v[i])...)
+		}
+	}
+	return all
+}
+
+// document draws a document without faults.
+func document(t *rapid.T) service.Document {
+	text := rapid.SampledFrom([]string{"drafts.json", "alerts.json"}).Draw(t, "example")
+	d, faults := service.Decode(example(text))
+	if len(faults) > 0 {
+		t.Fatal(faults)
+	}
+	for i := range d.Classes {
+		d.Classes[i].Deadline = service.Duration(rapid.Int64Range(1e6, 24*3600e9).Draw(t, "deadline"))
+		d.Classes[i].NeverRepeat = rapid.Bool().Draw(t, "never_repeat")
+	}
+	for i := range rapid.IntRange(0, 20).Draw(t, "customers") {
+		d.Customers = append(d.Customers, service.Customer{
+			ID:                state.CustomerID(fmt.Sprintf("c-%d", i)),
+			RequestsPerSecond: rapid.Float64Range(1e-9, 1e6).Draw(t, "rate"),
+			Burst:             rapid.IntRange(1, 1e6).Draw(t, "burst"),
+			Weight:            rapid.Float64Range(1e-9, 1e3).Draw(t, "weight"),
+		})
+	}
+	return d
+}
+
+var _ = Describe("properties of Decode", func() {
+	It("gives back what Encode wrote", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			d := document(t)
+			again, faults := service.Decode(d.Encode())
+			if len(faults) > 0 {
+				t.Fatalf("%v", faults)
+			}
+			NewWithT(t).Expect(again).To(Equal(d))
+		})
+	})
+
+	It("names each of several values of a wrong type by its path", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			var tree any
+			d := document(t)
+			NewWithT(t).Expect(json.Unmarshal(d.Encode(), &tree)).To(Succeed())
+			var wrong []string
+			for range rapid.IntRange(1, 5).Draw(t, "mistakes") {
+				p := rapid.SampledFrom(places("", tree)).Draw(t, "place")
+				p.set(nil)
+				wrong = append(wrong, p.path)
+			}
+			text, err := json.Marshal(tree)
+			NewWithT(t).Expect(err).NotTo(HaveOccurred())
+			_, faults := service.Decode(text)
+			for _, path := range stillThere(wrong, tree) {
+				NewWithT(t).Expect(service.Texts(faults)).To(ContainElement(HavePrefix(path + ": is null")))
+			}
+		})
+	})
+})
+
+// stillThere keeps the paths that a later mistake did not take away.
+func stillThere(paths []string, tree any) []string {
+	var kept []string
+	for _, p := range places("", tree) {
+		if slices.Contains(paths, p.path) {
+			kept = append(kept, p.path)
+		}
+	}
+	return kept
+}
+
+func FuzzDecode(f *testing.F) {
+	RegisterTestingT(f)
+	f.Add(example("drafts.json"))
+	f.Add(example("alerts.json"))
+	f.Add(broken("alerts.json", `"kind": "plain"`, `"kind": "plain", "kind": "model"`))
+	f.Add([]byte(`{"service":"a","model":{"layers":1e3,"adapters":[null,"",{}]},"classes":[[]]}`))
+	f.Add([]byte(`[[[[{"\ud800":1}]]]]`))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		d, faults := service.Decode(text)
+		if len(faults) > 0 {
+			return
+		}
+		again, faults := service.Decode(d.Encode())
+		if len(faults) > 0 {
+			t.Fatalf("the canonical text of an accepted document has faults: %v", faults)
+		}
+		if string(again.Encode()) != string(d.Encode()) {
+			t.Fatal("the canonical text is not stable")
+		}
+	})
+}
+
+// BenchmarkDecode reads a document of the size planned for: 480 customers and
+// 800 chains of 4 stages.
+func BenchmarkDecode(b *testing.B) {
+	RegisterTestingT(b)
+	d, _ := service.Decode(example("drafts.json"))
+	d.Placement.Mode = service.PlacementFixed
+	for i := range 800 {
+		chain := service.Chain{ID: state.ReplicaID(fmt.Sprintf("chain-%d", i))}
+		for j := range 4 {
+			backend := state.BackendID(fmt.Sprintf("engine-%d-%d", i, j))
+			chain.Stages = append(chain.Stages, service.ChainStage{Backend: backend, First: 12 * j, End: 12 * (j + 1)})
+		}
+		d.Placement.Chains = append(d.Placement.Chains, chain)
+	}
+	for i := range 480 {
+		d.Customers = append(d.Customers, service.Customer{
+			ID: state.CustomerID(fmt.Sprintf("customer-%d", i)), RequestsPerSecond: 10, Burst: 10, Weight: 1,
+		})
+	}
+	texts := map[string][]byte{"example": example("drafts.json"), "planned": d.Encode()}
+	for _, name := range slices.Sorted(maps.Keys(texts)) {
+		b.Run(name, func(b *testing.B) {
+			b.SetBytes(int64(len(texts[name])))
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, faults := service.Decode(texts[name]); len(faults) > 0 {
+					b.Fatal(faults)
+				}
+			}
+		})
+	}
+}
