Route requests to pools' homes and compare the policies

Cause: entry daemons need one home a pool, and the choice between homes, homes per replica and lagging load reports needs figures.

Change: package route groups replicas into pools of about 64 within a region, finds each pool's home, picks a pool by the power of two choices over summaries that ride on answers, and gets one slot for each attempt. A home now counts the prefill on a replica's kind against the deadline, and asks holders that went silent what they hold. Package compare runs both machines and simpler policies over stand-ins of engines in virtual time.

--- a/coordination/home/choose.go
+++ b/coordination/home/choose.go
@@ -32,6 +32,9 @@
 			continue
 		}
 		s := r.effective(now, p.base, p.cfg.SpeedMemory)
+		if w.late(now, s) {
+			continue
+		}
 		l := float64(r.used) / float64(r.slots)
 		if best == nil || s > speed || s == speed && l < load {
 			best, speed, load = r, s, l
@@ -71,7 +74,7 @@
 			}
 			s := r.effective(now, p.base, p.cfg.SpeedMemory)
 			l := float64(r.used) / float64(r.slots)
-			if s >= affinitySpeed*speed && l <= load+affinityLoad {
+			if s >= affinitySpeed*speed && l <= load+affinityLoad && !w.late(now, s) {
 				return r
 			}
 		}
--- /dev/null
+++ b/coordination/home/choose_test.go
@@ -0,0 +1,82 @@
+package home_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hibiscuswick/hibiscuswick/coordination/home"
+	"github.com/hibiscuswick/hibiscuswick/state"
+)
+
+const prefix = 42
+
+// tells makes a request name the prefix.
+func tells(m *home.SlotRequest) { m.Prefixes = []uint64{prefix} }
+
+var _ = Describe("the choice of a replica", func() {
+	place := func(w *world, ask home.Ask) state.ReplicaID { return w.granted[ask].Replica }
+
+	// What a user sees: an answer that starts late, on a slow or busy replica,
+	// while a fast one is idle. Order: a replica is believed to hold a prefix;
+	// it dropped it, and the event comes late or never. Cause: cache events.
+	It("pays no more than its bound for a belief that is wrong", Label("failure:late-cache-events"), func() {
+		w := newWorld(home.Config{}, document(10, 1), replicas(3, 8, 1, 1, 0.5))
+		hold := func(i int) {
+			w.step(home.CacheReported{Replica: replicaID(i), Changes: []home.CacheChange{{Prefix: prefix}}})
+		}
+		hold(2)
+		Expect(place(w, w.ask(other, "draft", 0, tells))).To(Equal(replicaID(0)), "a slow kind")
+		w.step(home.CacheReported{Replica: replicaID(0), Gap: true})
+		hold(1)
+		for range 3 {
+			Expect(place(w, w.ask(other, "draft", 0, tells))).To(Equal(replicaID(1)), "believed to hold it")
+		}
+		Expect(place(w, w.ask(other, "draft", 0, tells))).To(Equal(replicaID(1)))
+		Expect(place(w, w.ask(other, "draft", 0, tells))).To(Equal(replicaID(0)), "too much more loaded")
+		w.advance(10 * time.Minute)
+		Expect(place(w, w.ask(other, "draft", 0, tells))).To(Equal(replicaID(0)), "too old a belief")
+	})
+
+	It("runs a request alone, and gets a replica idle for it under full load", Label("failure:request-crashes-servers"), func() {
+		w := newWorld(home.Config{}, document(100, 1), replicas(2, 2))
+		var first []home.Ask
+		for range 2 {
+			first = append(first, w.ask(other, "draft", 0))
+		}
+		for range 10 {
+			w.ask(other, "draft", 0)
+		}
+		alone := w.ask(other, "check", 0, func(m *home.SlotRequest) { m.Alone = true })
+		Expect(w.granted).NotTo(HaveKey(alone))
+		w.release(other, first[0], home.UseDone)
+		Expect(w.granted).To(HaveKey(alone))
+		Expect(w.usedBy(place(w, alone))).To(Equal(1))
+		Expect(w.ask(other, "check", 0)).To(Satisfy(func(a home.Ask) bool { return place(w, a) != place(w, alone) }))
+		w.release(other, alone, home.UseDone)
+		Expect(len(w.granted)).To(BeNumerically(">=", 3))
+	})
+
+	It("refuses at once what can't have its first token in time", func() {
+		w := newWorld(home.Config{}, document(100, 2), replicas(1, 2, 0.5))
+		for range 20 {
+			ask := w.ask(other, "check", 0)
+			w.advance(time.Second)
+			w.release(other, ask, home.UseDone)
+		}
+		w.ask(other, "check", 0)
+		w.ask(other, "check", 0)
+		soon := func(budget, lead time.Duration) func(*home.SlotRequest) {
+			return func(m *home.SlotRequest) { m.Budget, m.Lead = budget, lead }
+		}
+		for _, late := range []home.Ask{
+			w.ask(other, "check", 0, soon(400*time.Millisecond, 0)),           // 1 before it, 2 a second
+			w.ask(other, "check", 0, soon(time.Second, 400*time.Millisecond)), // and a prefill of 0.8 s
+		} {
+			Expect(w.refused[late].Reason).To(Equal(state.ReasonDeadline))
+			Expect(w.refused[late].RetryAfter).To(BeNumerically(">=", 1))
+		}
+		Expect(w.waiting).To(HaveKey(w.ask(other, "check", 0, soon(time.Second, 100*time.Millisecond))))
+	})
+})
--- a/coordination/home/estimate.go
+++ b/coordination/home/estimate.go
@@ -1,6 +1,9 @@
 package home
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // The estimate of holding times.
 const (
@@ -42,18 +45,35 @@
 	return sum
 }
 
-// estimate returns how long a new wait of f would wait behind those before it,
-// false where that is not known.
-func (p *pool) estimate(rank int, f *flow) (time.Duration, bool) {
+// estimate returns how long a new wait of f would take to its first token,
+// behind those that go before it; false where that is not known. A request
+// may wait for a slot of any kind or, where the slower kinds take too long to
+// the first token, for one of the faster kinds only, which come free less
+// often; the estimate is the smallest over these choices.
+func (p *pool) estimate(w *wait, f *flow) (time.Duration, bool) {
 	rate := p.rate()
 	if rate == 0 {
 		return 0, false
 	}
-	ahead := p.queues[rank].ahead(f)
-	for i := range rank {
+	ahead := p.queues[w.class].ahead(f) + 1
+	for i := range w.class {
 		ahead += float64(p.queues[i].count)
 	}
-	return time.Duration((ahead + 1) / rate * float64(time.Second)), true
+	total := 0.0
+	for _, r := range p.order {
+		total += float64(r.used) * r.speed
+	}
+	best, sum := math.Inf(1), 0.0
+	for _, r := range p.order {
+		sum += float64(r.used) * r.speed
+		if sum > 0 {
+			best = min(best, ahead/(rate*sum/total)+w.leadAt(r.speed).Seconds())
+		}
+	}
+	if math.IsInf(best, 1) {
+		return 0, false
+	}
+	return time.Duration(best * float64(time.Second)), true
 }
 
 // drain returns how long the whole queue takes to pass, for RetryAfter.
--- a/coordination/home/home.go
+++ b/coordination/home/home.go
@@ -80,22 +80,12 @@
 	for _, p := range h.order {
 		p.advanceLearning(now)
 		p.clearProbes(now)
-		h.dropSilentHolders(now, p)
+		p.audit(now, h.live)
 		p.expire(now)
 		p.dispatch(now)
 	}
 }
 
-// dropSilentHolders forgets daemons that asked for slots before the view knew
-// them, and then never came into it.
-func (h *Home) dropSilentHolders(now time.Time, p *pool) {
-	for m, holder := range p.holders {
-		if h.live[m.ID] != m && now.Sub(holder.heard) > holderTimeout {
-			p.forgetHolder(now, m)
-		}
-	}
-}
-
 func (h *Home) document(now time.Time, d *service.Document) {
 	h.documents[d.Service] = d
 	for _, p := range h.order {
--- a/coordination/home/learn.go
+++ b/coordination/home/learn.go
@@ -1,6 +1,8 @@
 package home
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/hibiscuswick/hibiscuswick/state"
@@ -80,9 +82,9 @@
 
 // holder is what the home believes one daemon to hold and wait for.
 type holder struct {
-	held, waiting uint64 // as in PoolDigest
-	differs       int    // renewals in a row that did not agree
-	heard         time.Time
+	held, waiting uint64    // as in PoolDigest
+	differs       int       // renewals in a row that did not agree
+	heard         time.Time // its last renewal or report
 }
 
 func (p *pool) holder(m state.Member) *holder {
@@ -94,6 +96,45 @@
 	return h
 }
 
+// silentAfter is how long a holder may renew nothing before it is asked what it
+// holds: a holder that has nothing left sends no renewals, and its last release
+// may be lost, or may have gone to another home.
+const silentAfter = 3 * time.Second
+
+// auditEvery is the time between looks at what holders renewed.
+const auditEvery = time.Second
+
+// audit asks the holders for a report that should have renewed, and forgets
+// daemons that asked for slots before the view knew them and then never came
+// into it.
+func (p *pool) audit(now time.Time, live map[state.DaemonID]state.Member) {
+	if now.Before(p.auditAt) {
+		return
+	}
+	p.auditAt = now.Add(auditEvery)
+	for _, m := range p.silentHolders(now) {
+		h := p.holders[m]
+		switch {
+		case live[m.ID] != m && now.Sub(h.heard) > holderTimeout:
+			p.forgetHolder(now, m)
+		case h.held != 0 || h.waiting != 0:
+			p.send(m.ID, ReportQuery{Pool: p.id})
+		}
+	}
+}
+
+// silentHolders lists the holders that have not renewed for a while, by name.
+func (p *pool) silentHolders(now time.Time) []state.Member {
+	var silent []state.Member
+	for m, h := range p.holders {
+		if now.Sub(h.heard) > silentAfter {
+			silent = append(silent, m)
+		}
+	}
+	slices.SortFunc(silent, func(a, b state.Member) int { return cmp.Compare(a.ID, b.ID) })
+	return silent
+}
+
 // maxDiffers is how many renewals in a row may differ before the home asks for
 // a full report. One may differ because a grant is under way.
 const maxDiffers = 2
--- a/coordination/home/message.go
+++ b/coordination/home/message.go
@@ -39,8 +39,11 @@
 	Class    state.ClassID    `msgpack:"c"`
 	Customer state.CustomerID `msgpack:"u"`
 
-	// Budget is the time left for waiting, from the sending of the message.
+	// Budget is the time left until the first token, from the sending of the
+	// message. Lead is the part of it that passes between slot and first
+	// token on a replica of speed 1; 0 where not known.
 	Budget time.Duration `msgpack:"b"`
+	Lead   time.Duration `msgpack:"d,omitempty"`
 
 	// Cost is the expected size of the work in tokens, for fairness; 0 counts
 	// as 1.
--- a/coordination/home/pool.go
+++ b/coordination/home/pool.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"container/heap"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -44,6 +45,7 @@
 	learn   learning
 	work    arrivals
 	arrived uint64 // number of the last wait
+	auditAt time.Time
 
 	out *[]Action
 }
@@ -59,6 +61,7 @@
 		holders:  make(map[state.Member]*holder),
 		cache:    newPrefixCache(cfg.CacheEntries, cfg.CacheMemory),
 		out:      out,
+		auditAt:  now.Add(auditEvery),
 	}
 	p.applyTerms(now, t)
 	p.setReplicas(spec.Replicas)
@@ -266,12 +269,24 @@
 	if r := p.holding; r != nil && r.used == 0 {
 		p.give(r.held, r, now)
 	}
+	slowest := p.slowest(now)
+	place := func(w *wait) bool { return p.place(w, now) }
+	constrained := func(w *wait) bool { return w.constrained(now, slowest) }
 	for _, q := range p.queues {
-		for q.count > 0 && q.search(func(w *wait) bool { return p.place(w, now) }) {
+		for q.count > 0 && q.search(place, constrained) {
 		}
 	}
 }
 
+// slowest returns the lowest speed of the pool's replicas.
+func (p *pool) slowest(now time.Time) float64 {
+	low := math.Inf(1)
+	for _, r := range p.order {
+		low = min(low, r.effective(now, p.base, p.cfg.SpeedMemory))
+	}
+	return low
+}
+
 // place grants w a slot if one is free for it.
 func (p *pool) place(w *wait, now time.Time) bool {
 	r := p.choose(w, now)
@@ -331,7 +346,7 @@
 
 // nextTick returns when the pool next needs a Tick, or the zero time.
 func (p *pool) nextTick(now time.Time) time.Time {
-	next := p.learn.nextTick(p.cfg)
+	next := earliest(p.learn.nextTick(p.cfg), p.auditAt)
 	if len(p.expiry) > 0 {
 		next = earliest(next, p.expiry[0].expires)
 	}
--- a/coordination/home/queue.go
+++ b/coordination/home/queue.go
@@ -18,16 +18,30 @@
 	exclude  []state.ReplicaID
 	alone    bool
 	arrived  time.Time
-	expires  time.Time
+	lead     time.Duration // from slot to first token at speed 1
+	deadline time.Time     // for the first token
+	expires  time.Time     // no replica is fast enough from then on
 
 	flow       *flow
 	prev, next *wait
 	heapIndex  int
 }
 
-// constrained reports whether w can't use every free slot of its class.
-func (w *wait) constrained() bool {
-	return w.alone || len(w.exclude) > 0
+// constrained reports whether w can't use every free slot of its class, the
+// slowest replica having the given speed.
+func (w *wait) constrained(now time.Time, slowest float64) bool {
+	return w.alone || len(w.exclude) > 0 || w.late(now, slowest)
+}
+
+// late reports whether a replica of the speed would give the first token too
+// late.
+func (w *wait) late(now time.Time, speed float64) bool {
+	return w.lead > 0 && now.Add(w.leadAt(speed)).After(w.deadline)
+}
+
+// leadAt is the time from slot to first token at the speed.
+func (w *wait) leadAt(speed float64) time.Duration {
+	return time.Duration(float64(w.lead) / speed)
 }
 
 // flow is one customer's part of a queue, first come first served. Start and
@@ -150,8 +164,8 @@
 
 // search offers waits in fair order to place until it takes one. A wait that
 // can use every free slot of the class and is not placed ends the search; one
-// that can't is passed over, so that it holds up nobody.
-func (q *classQueue) search(place func(*wait) bool) bool {
+// that is constrained is passed over, so that it holds up nobody.
+func (q *classQueue) search(place, constrained func(*wait) bool) bool {
 	q.passes++
 	for {
 		f := q.nextFlow()
@@ -163,7 +177,7 @@
 			if place(w) {
 				return true
 			}
-			if !w.constrained() {
+			if !constrained(w) {
 				return false
 			}
 		}
--- a/coordination/home/receive.go
+++ b/coordination/home/receive.go
@@ -70,8 +70,9 @@
 	w := &wait{
 		ask: m.Ask, from: from, class: rank, customer: m.Customer,
 		cost: float64(max(m.Cost, 1)), prefixes: m.Prefixes, exclude: m.Exclude,
-		alone: m.Alone, arrived: now, expires: now.Add(m.Budget),
+		alone: m.Alone, arrived: now, lead: m.Lead, deadline: now.Add(m.Budget),
 	}
+	w.expires = w.deadline.Add(-w.leadAt(p.order[0].speed))
 	f := p.queues[rank].flow(m.Customer, weight)
 	if !p.learn.waiting && p.placeAtOnce(f, w, now) {
 		return
@@ -125,8 +126,8 @@
 // last wait of the longest flow if not. So a customer that fills a queue
 // can't shut the others out of it.
 func (p *pool) fits(f *flow, w *wait, now time.Time) bool {
-	if estimate, ok := p.estimate(w.class, f); ok && now.Add(estimate).After(w.expires) {
-		p.refuse(w.from.ID, w.ask, state.ReasonDeadline, seconds(estimate-w.expires.Sub(now)), now)
+	if estimate, ok := p.estimate(w, f); ok && now.Add(estimate).After(w.deadline) {
+		p.refuse(w.from.ID, w.ask, state.ReasonDeadline, seconds(estimate-w.deadline.Sub(now)), now)
 		return false
 	}
 	q := p.queues[w.class]
--- a/coordination/home/slower.go
+++ b/coordination/home/slower.go
@@ -45,7 +45,7 @@
 }
 
 // arrivalMemory is the time constant of arrivals.
-const arrivalMemory = 10 * time.Second
+const arrivalMemory = 5 * time.Minute
 
 // add counts one arrival of the given work.
 func (a *arrivals) add(now time.Time, work float64) {
--- /dev/null
+++ b/coordination/route/compare/fleet.go
@@ -0,0 +1,296 @@
+package compare
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/hibiscuswick/hibiscuswick/coordination/home"
+	"github.com/hibiscuswick/hibiscuswick/coordination/route"
+	"github.com/hibiscuswick/hibiscuswick/state"
+	"github.com/hibiscuswick/hibiscuswick/state/service"
+)
+
+// latency is one way between two daemons.
+const latency = 300 * time.Microsecond
+
+// Fleet is a number of daemons, each a Router and a Home, over shared engines.
+type Fleet struct {
+	Daemons []*Daemon
+	Engines map[state.ReplicaID]*Engine
+
+	// Drop, if set, loses messages.
+	Drop func(from, to state.DaemonID, msg home.Message) bool
+
+	// Affinity makes requests tell their prefix.
+	Affinity bool
+
+	// Messages and Bytes count what was sent between daemons, as msgpack;
+	// Bytes only with CountBytes.
+	Messages   int
+	Bytes      int
+	CountBytes bool
+	ByKind     map[string]int
+
+	loop *Loop
+}
+
+// Daemon is one process.
+type Daemon struct {
+	Member  state.Member
+	Router  *route.Router
+	Home    *home.Home
+	Dead    bool
+	Drains  bool
+	Learned []home.Learned
+
+	// Retry asks again for a job whose engine failed.
+	Retry bool
+
+	fleet *Fleet
+	jobs  map[home.Ask]*Job // not ended yet
+	wake  time.Time
+}
+
+// NewFleet returns n daemons that all know each other, the document and the
+// replicas.
+func NewFleet(loop *Loop, n int, hc home.Config, rc route.Config, doc *service.Document, specs []state.Replica, seed uint64) *Fleet {
+	f := &Fleet{loop: loop, Engines: make(map[state.ReplicaID]*Engine), ByKind: make(map[string]int)}
+	for _, s := range specs {
+		f.Engines[s.ID] = NewEngine(loop, s)
+	}
+	for i := range n {
+		rc.Self = state.Member{ID: state.DaemonID(fmt.Sprintf("entry-%d", i)), Incarnation: 1}
+		f.Daemons = append(f.Daemons, &Daemon{
+			Member: rc.Self,
+			Router: route.New(rc, rand.New(rand.NewPCG(seed, uint64(i)))),
+			Home:   home.New(hc),
+			fleet:  f,
+			jobs:   make(map[home.Ask]*Job),
+		})
+	}
+	for _, d := range f.Daemons {
+		d.view(f.Peers())
+		d.home(home.DocumentChanged{Document: doc})
+	}
+	f.SetReplicas(doc, specs)
+	return f
+}
+
+// SetReplicas tells every daemon the service's replicas.
+func (f *Fleet) SetReplicas(doc *service.Document, specs []state.Replica) {
+	for _, d := range f.Daemons {
+		d.route(route.ReplicasChanged{Service: doc.Service, Capacity: doc.Capacity.Replicas, Replicas: specs})
+	}
+}
+
+// Peers lists the daemons that are alive.
+func (f *Fleet) Peers() []route.Peer {
+	var live []route.Peer
+	for _, d := range f.Daemons {
+		if !d.Dead {
+			live = append(live, route.Peer{Member: d.Member, Draining: d.Drains})
+		}
+	}
+	return live
+}
+
+// Kill ends a daemon; its engines' work for it goes on for a moment, as the
+// rest of the fleet learns of the death after detect.
+func (f *Fleet) Kill(d *Daemon, detect time.Duration) {
+	d.Dead = true
+	f.loop.After(detect, f.Spread)
+}
+
+// Spread gives all daemons the true view.
+func (f *Fleet) Spread() {
+	for _, o := range f.Daemons {
+		o.View(f.Peers())
+	}
+}
+
+// View gives the daemon its view of the members.
+func (d *Daemon) View(live []route.Peer) {
+	if !d.Dead {
+		d.view(live)
+	}
+}
+
+func (d *Daemon) view(live []route.Peer) {
+	members := make([]state.Member, len(live))
+	for i, p := range live {
+		members[i] = p.Member
+	}
+	d.home(home.ViewChanged{Live: members})
+	d.route(route.ViewChanged{Live: live})
+}
+
+// Leaving tells the daemon that a replica is leaving.
+func (d *Daemon) Leaving(id state.ReplicaID) {
+	d.home(home.ReplicaLeaving{Replica: id})
+	d.route(route.ReplicaLeaving{Replica: id})
+}
+
+// CacheEvents passes an engine's events to the daemon's home.
+func (d *Daemon) CacheEvents(e home.CacheReported) {
+	d.home(e)
+}
+
+// Submit starts a job at this daemon.
+func (d *Daemon) Submit(j *Job) {
+	d.jobs[j.Ask] = j
+	d.want(j, nil)
+}
+
+func (d *Daemon) want(j *Job, exclude []state.ReplicaID) {
+	w := route.Want{
+		Ask: j.Ask, Service: "drafting", Class: classNames[j.Class], Customer: j.Customer,
+		Deadline: j.Deadline, Lead: j.Prefill, Cost: uint32(j.Tokens), Exclude: exclude,
+	}
+	if j.Prefix != 0 && d.fleet.Affinity {
+		w.Prefixes = []uint64{j.Prefix}
+	}
+	d.route(w)
+}
+
+func (d *Daemon) home(ev home.Event) {
+	if d.Dead {
+		return
+	}
+	actions := append([]home.Action(nil), d.Home.Step(d.fleet.loop.Now(), ev)...)
+	for _, a := range actions {
+		switch a := a.(type) {
+		case home.Send:
+			d.fleet.send(d, a.To, a.Msg)
+		case home.Learned:
+			d.Learned = append(d.Learned, a)
+		}
+	}
+	d.schedule()
+}
+
+func (d *Daemon) route(ev route.Event) {
+	if d.Dead {
+		return
+	}
+	actions := append([]route.Action(nil), d.Router.Step(d.fleet.loop.Now(), ev)...)
+	for _, a := range actions {
+		switch a := a.(type) {
+		case route.Send:
+			d.fleet.send(d, a.To, a.Msg)
+		case route.Assigned:
+			d.home(home.PoolsAssigned{Pools: a.Pools})
+		case route.Granted:
+			d.start(a)
+		case route.Refused:
+			d.refused(a)
+		}
+	}
+	d.schedule()
+}
+
+func (d *Daemon) start(a route.Granted) {
+	j := d.jobs[a.Ask]
+	engine := d.fleet.Engines[a.Replica]
+	report := j.Ended
+	j.Ended = func(j *Job) {
+		j.Ended = report
+		d.ended(j, engine)
+	}
+	engine.Start(j)
+}
+
+// ended releases the slot and ends the job, or tries it elsewhere.
+func (d *Daemon) ended(j *Job, e *Engine) {
+	if d.Dead {
+		return
+	}
+	if !j.Done.IsZero() {
+		d.route(route.Done{Ask: j.Ask, Use: home.UseDone, Tokens: uint32(j.Tokens), Busy: j.Done.Sub(j.First)})
+		delete(d.jobs, j.Ask)
+		j.Ended(j)
+		return
+	}
+	d.route(route.Done{Ask: j.Ask, Use: home.UseFailed})
+	delete(d.jobs, j.Ask)
+	if !d.Retry {
+		j.Refused = state.ReasonBackendFailed
+		j.Ended(j)
+		return
+	}
+	j.Ask.Attempt++
+	d.jobs[j.Ask] = j
+	d.want(j, []state.ReplicaID{e.Spec.ID})
+}
+
+func (d *Daemon) refused(a route.Refused) {
+	j := d.jobs[a.Ask]
+	delete(d.jobs, a.Ask)
+	j.Refused = a.Reason
+	j.Ended(j)
+}
+
+// schedule ticks both machines when they next want it.
+func (d *Daemon) schedule() {
+	now := d.fleet.loop.Now()
+	next := d.Router.NextTick()
+	if h := d.Home.NextTick(now); !h.IsZero() && (next.IsZero() || h.Before(next)) {
+		next = h
+	}
+	if next.IsZero() || !d.wake.IsZero() && d.wake.After(now) && !next.Before(d.wake) {
+		return
+	}
+	d.wake = next
+	d.fleet.loop.After(max(next.Sub(now), time.Microsecond), func() {
+		if d.Dead || d.wake != next {
+			return
+		}
+		d.wake = time.Time{}
+		d.home(home.Tick{})
+		d.route(route.Tick{})
+	})
+}
+
+// send delivers msg after the latency, unless it is lost.
+func (f *Fleet) send(from *Daemon, to state.DaemonID, msg home.Message) {
+	delay := latency
+	if from.Member.ID == to {
+		delay = 0
+	} else {
+		f.count(msg)
+	}
+	if f.Drop != nil && f.Drop(from.Member.ID, to, msg) {
+		return
+	}
+	f.loop.After(delay, func() {
+		for _, d := range f.Daemons {
+			if d.Member.ID == to {
+				d.receive(from.Member, msg)
+			}
+		}
+	})
+}
+
+func (f *Fleet) count(msg home.Message) {
+	f.Messages++
+	if !f.CountBytes {
+		return
+	}
+	b, err := msgpack.Marshal(msg)
+	if err != nil {
+		panic(err)
+	}
+	f.Bytes += len(b)
+	f.ByKind[fmt.Sprintf("%T", msg)] += len(b)
+}
+
+func (d *Daemon) receive(from state.Member, msg home.Message) {
+	switch msg.(type) {
+	case home.SlotGrant, home.SlotRefusal, home.NotHome, home.ReportQuery:
+		d.route(route.Received{From: from, Msg: msg})
+	default:
+		d.home(home.Received{From: from, Msg: msg})
+	}
+}
--- /dev/null
+++ b/coordination/route/event.go
@@ -0,0 +1,189 @@
+package route
+
+import (
+	"time"
+
+	"github.com/hibiscuswick/hibiscuswick/coordination/home"
+	"github.com/hibiscuswick/hibiscuswick/state"
+)
+
+// Event is what a Router is told.
+type Event interface {
+	event()
+}
+
+// Tick says that time passed; see Router.NextTick.
+type Tick struct{}
+
+// Received is a message from a home, which may be this daemon's own.
+type Received struct {
+	From state.Member
+	Msg  home.Message
+}
+
+// ViewChanged lists the live members, this daemon included.
+type ViewChanged struct {
+	Live []Peer
+}
+
+// Peer is one live member. A draining one holds grants but is home of nothing.
+type Peer struct {
+	Member   state.Member
+	Region   state.Region
+	Draining bool
+}
+
+// Reconnected says that a connection to a peer was lost and messages with it.
+type Reconnected struct {
+	Peer state.DaemonID
+}
+
+// ReplicasChanged gives all replicas of a service, and how many its document
+// asks for: the number of pools follows the document, which all daemons share,
+// and not the replicas that happen to be up.
+type ReplicasChanged struct {
+	Service  state.ServiceID
+	Capacity int
+	Replicas []state.Replica
+}
+
+// ReplicaLeaving says that a replica gets no new work.
+type ReplicaLeaving struct {
+	Replica state.ReplicaID
+}
+
+// Want asks for a slot.
+type Want struct {
+	Ask      home.Ask
+	Service  state.ServiceID
+	Class    state.ClassID
+	Customer state.CustomerID
+	Deadline time.Time     // for the first token
+	Lead     time.Duration // from slot to first token at speed 1; 0 not known
+	Cost     uint32        // expected tokens; 0 not known
+	Prefixes []uint64      // hashes of the prompt's prefix blocks, longest first
+	Exclude  []state.ReplicaID
+	Alone    bool
+}
+
+// Done ends a grant.
+type Done struct {
+	Ask    home.Ask
+	Use    home.Use
+	Tokens uint32        // made in Busy
+	Busy   time.Duration // from the first token to the last
+}
+
+// Cancel ends a Want that was not granted yet.
+type Cancel struct {
+	Ask home.Ask
+}
+
+func (Tick) event()            {}
+func (Received) event()        {}
+func (ViewChanged) event()     {}
+func (Reconnected) event()     {}
+func (ReplicasChanged) event() {}
+func (ReplicaLeaving) event()  {}
+func (Want) event()            {}
+func (Done) event()            {}
+func (Cancel) event()          {}
+
+// Action is what a Router wants done.
+type Action interface {
+	action()
+}
+
+// Send is a message to a daemon, possibly to this one.
+type Send struct {
+	To  state.DaemonID
+	Msg home.Message
+}
+
+// Granted gives the slot that was wanted.
+type Granted struct {
+	Ask     home.Ask
+	Replica state.ReplicaID
+}
+
+// Refused ends a Want without a slot.
+type Refused struct {
+	Ask        home.Ask
+	Reason     state.Reason
+	RetryAfter state.RetryAfter
+}
+
+// Assigned lists all pools that this daemon is home of from now on.
+type Assigned struct {
+	Pools []home.PoolSpec
+}
+
+func (Send) action()     {}
+func (Granted) action()  {}
+func (Refused) action()  {}
+func (Assigned) action() {}
+
+// Config holds the settings of a Router. Zero durations and counts take the
+// defaults of DefaultConfig.
+type Config struct {
+	Self   state.Member
+	Region state.Region
+
+	// Regions tells the region of each failure domain. Replicas of domains
+	// that it lacks share one region without a name.
+	Regions map[state.FailureDomain]state.Region
+
+	// PoolSize is about how many replicas a pool holds, at most.
+	PoolSize int
+
+	// RenewEvery is the time between renewals.
+	RenewEvery time.Duration
+
+	// RetryMiss is the wait before a daemon that was not home is asked again.
+	RetryMiss time.Duration
+
+	// Margin is taken off each budget for the way to the home and the replica.
+	Margin time.Duration
+
+	// Grace is how long past a deadline a home may take to refuse.
+	Grace time.Duration
+
+	// SummaryAge is how long a pool's summary is believed.
+	SummaryAge time.Duration
+
+	// MaxPools bounds the pools that one ask tries.
+	MaxPools int
+}
+
+// DefaultConfig returns the settings used where Config has zero fields.
+func DefaultConfig() Config {
+	return Config{
+		PoolSize:   64,
+		RenewEvery: time.Second,
+		RetryMiss:  100 * time.Millisecond,
+		Margin:     10 * time.Millisecond,
+		Grace:      50 * time.Millisecond,
+		SummaryAge: 5 * time.Second,
+		MaxPools:   2,
+	}
+}
+
+func (c Config) withDefaults() Config {
+	d := DefaultConfig()
+	c.PoolSize = orDefault(c.PoolSize, d.PoolSize)
+	c.RenewEvery = orDefault(c.RenewEvery, d.RenewEvery)
+	c.RetryMiss = orDefault(c.RetryMiss, d.RetryMiss)
+	c.Margin = orDefault(c.Margin, d.Margin)
+	c.Grace = orDefault(c.Grace, d.Grace)
+	c.SummaryAge = orDefault(c.SummaryAge, d.SummaryAge)
+	c.MaxPools = orDefault(c.MaxPools, d.MaxPools)
+	return c
+}
+
+func orDefault[T comparable](v, d T) T {
+	var zero T
+	if v == zero {
+		return d
+	}
+	return v
+}
