--- a/coordination/request/action.go
+++ b/coordination/request/action.go
@@ -27,13 +27,19 @@
 	// take their ignorance for proof.
 	PutClaim struct {
 		Attempt state.Attempt
+		Epoch   state.Epoch
 		Replica state.Replica
+		// Takeover: the row names another owner of the same attempt, and is
+		// to be written only if it is still as it was read.
+		Takeover bool
 	}
 
 	// AbandonClaim takes PutClaim back; ClaimSettled answers it at once.
 	AbandonClaim struct{}
 
-	// VoidClaim gives a claim back whose request was not dispatched.
+	// VoidClaim gives a claim back whose request was not dispatched, by a
+	// write that is conditional on the row as this owner wrote it. VoidSettled
+	// answers it within a short bound.
 	VoidClaim struct{}
 
 	// SettleClaim records how a claimed request ended.
@@ -76,8 +82,9 @@
 		Replica state.ReplicaID
 	}
 
-	// AttemptStarted tells which replica now runs the request.
-	AttemptStarted struct {
+	// AttemptBegan tells that a replica surely runs the request. From here on
+	// another daemon may take the attempt over.
+	AttemptBegan struct {
 		Attempt state.Attempt
 		Epoch   state.Epoch
 		Replica state.Replica
@@ -106,6 +113,6 @@
 func (CancelAttempt) action()  {}
 func (ReleaseAttempt) action() {}
 func (AskRetry) action()       {}
-func (AttemptStarted) action() {}
+func (AttemptBegan) action()   {}
 func (Emit) action()           {}
 func (End) action()            {}
--- a/coordination/request/adopt.go
+++ b/coordination/request/adopt.go
@@ -4,22 +4,36 @@
 	"github.com/hibiscuswick/hibiscuswick/state"
 )
 
-// adopt takes over an attempt that another daemon drove. All stages are asked
-// under a higher epoch, which bars the old owner's steps everywhere before one
-// of ours is sent: a paused owner that wakes can't run a step.
+// adopt takes over an attempt that another daemon drove. What is never to be
+// repeated first needs the claim row, by a write that is conditional on the row
+// as it was when the attempt was read from it: the old owner, paused, may have
+// proof that this attempt never began and be about to begin another, and only
+// one of the two writes can succeed.
 func (r *Request) adopt(t Takeover) {
 	r.replica = t.Replica
 	r.attempt = t.Attempt
-	r.epoch = t.Epoch.Next(r.spec.Owner)
-	r.sent.Sent(t.Attempt)
-	r.claimed = r.spec.NeverRepeat
+	r.epoch = t.Epoch.TakeOver(r.spec.Owner)
+	if r.spec.NeverRepeat {
+		r.sent.Sent(t.Attempt)
+		r.phase = phaseClaiming
+		r.do(PutClaim{Attempt: t.Attempt, Epoch: r.epoch, Replica: t.Replica, Takeover: true})
+		return
+	}
+	r.sent.Began(t.Attempt)
+	r.askStages()
+}
+
+// askStages asks all stages under the new epoch, which bars the old owner's steps
+// everywhere before one of ours is sent: a paused owner that wakes can't run a
+// step.
+func (r *Request) askStages() {
 	if r.spec.Plain {
 		r.abandonAdoption()
 		return
 	}
 	r.phase = phaseAdopting
-	r.adopting = make([]*HeldAnswer, len(t.Replica.Stages))
-	for i, s := range t.Replica.Stages {
+	r.adopting = make([]*HeldAnswer, len(r.replica.Stages))
+	for i, s := range r.replica.Stages {
 		ref := StepRef{Attempt: r.attempt, Epoch: r.epoch, Stage: i}
 		r.do(AskHeld{Step: ref, Stage: s})
 	}
@@ -47,8 +61,10 @@
 		r.abandonAdoption()
 		return
 	}
+	if next > 0 || stage > 0 {
+		r.noteBegan()
+	}
 	for _, value := range last.Tokens {
-		r.sent.Began(r.attempt)
 		r.emit(value, "")
 	}
 	if last.Final || len(r.tokens) >= r.spec.MaxTokens {
@@ -60,7 +76,6 @@
 	r.fresh = next == 0
 	r.input = nil
 	if stage > 0 {
-		r.sent.Began(r.attempt)
 		r.input = r.adopting[stage-1].LastOutput
 	}
 	r.adopting = nil
@@ -79,7 +94,7 @@
 		if i < stage {
 			want = token + 1
 		}
-		if h.Canceled || h.NextToken != want || !h.Known && want > 0 {
+		if h.Canceled || h.Life != r.replica.Stages[i].Life || h.NextToken != want || !h.Known && want > 0 {
 			return 0, 0, false
 		}
 	}
--- a/coordination/request/event.go
+++ b/coordination/request/event.go
@@ -48,6 +48,10 @@
 		Reason state.Reason // why not, unless ClaimWon
 	}
 
+	// VoidSettled answers VoidClaim. Unless Voided, another owner may have
+	// taken the claim over.
+	VoidSettled struct{ Voided bool }
+
 	// StepDone answers RunStep: the layers ran once.
 	StepDone struct {
 		Step   StepRef
@@ -58,7 +62,11 @@
 	}
 
 	// StepNotRun answers RunStep with proof that it did not run and won't.
-	StepNotRun struct{ Step StepRef }
+	StepNotRun struct {
+		Step StepRef
+		// Overtaken: another owner barred the step, and may have run it.
+		Overtaken bool
+	}
 
 	// StepFailed answers RunStep: the stage's KV cache is not to be used.
 	StepFailed struct{ Step StepRef }
@@ -73,6 +81,7 @@
 	// HeldAnswer answers AskHeld; steps of lower epochs are now barred there.
 	HeldAnswer struct {
 		Step       StepRef
+		Life       string // of the stage's process
 		Known      bool
 		Canceled   bool
 		NextToken  int
@@ -116,6 +125,7 @@
 func (SlotGranted) event()    {}
 func (SlotRefused) event()    {}
 func (ClaimSettled) event()   {}
+func (VoidSettled) event()    {}
 func (StepDone) event()       {}
 func (StepNotRun) event()     {}
 func (StepFailed) event()     {}
--- a/coordination/request/recover.go
+++ b/coordination/request/recover.go
@@ -16,6 +16,10 @@
 	if !r.current(ev.Step, phaseRunning) {
 		return
 	}
+	if ev.Overtaken {
+		r.overtaken()
+		return
+	}
 	r.lost(r.unstartedOr(state.RetryStageUnknown))
 }
 
@@ -73,7 +77,9 @@
 func (r *Request) resolve(h HeldAnswer) {
 	last := r.stage == len(r.replica.Stages)-1
 	switch {
-	case h.Canceled:
+	case h.Canceled, h.Life != r.replica.Stages[r.stage].Life:
+		// A process that restarted knows nothing of what it ran before: that
+		// it does not know the step proves nothing.
 		r.lost(state.RetryStageUnknown)
 	case !h.Known && r.fresh:
 		// The stage never saw the attempt, and the lost step is barred.
--- a/coordination/request/request.go
+++ b/coordination/request/request.go
@@ -24,11 +24,13 @@
 	stage int
 	input []byte
 	fresh bool // the attempt's first token: stages have no cache of it yet
+	begun bool // a stage surely ran a step of the attempt
 	asks  int  // how often the stage was asked about this step
 
 	tokens []int64 // given to the caller, by index
 
-	claimed  bool          // the claim row carries this request's nonce
+	claimed  bool          // the claim row names this owner
+	taking   bool          // the claim under way is a takeover's
 	ending   *ending       // set while an abandoned claim is settled
 	retryAt  time.Time     // in phaseBackoff
 	adopting []*HeldAnswer // by stage, in phaseAdopting
@@ -68,6 +70,8 @@
 		r.refused(ev)
 	case ClaimSettled:
 		r.claimSettled(ev)
+	case VoidSettled:
+		r.voidSettled(ev)
 	case RetryDecided:
 		r.retryDecided(now, ev)
 	default:
@@ -133,6 +137,7 @@
 		panic("request: started twice")
 	}
 	if r.spec.Takeover != nil {
+		r.taking = r.spec.NeverRepeat
 		r.adopt(*r.spec.Takeover)
 		return
 	}
@@ -163,7 +168,7 @@
 	r.replica = ev.Replica
 	if r.spec.NeverRepeat {
 		r.phase = phaseClaiming
-		r.do(PutClaim{Attempt: r.attempt.Next(r.spec.Owner), Replica: r.replica})
+		r.do(PutClaim{Attempt: r.attempt.Next(r.spec.Owner), Epoch: r.epoch.Next(r.spec.Owner), Replica: r.replica})
 		return
 	}
 	r.begin()
@@ -179,16 +184,25 @@
 	if r.phase != phaseClaiming {
 		return
 	}
-	if ev.Result == ClaimElsewhere {
+	switch ev.Result {
+	case ClaimWon:
+		r.claimed = true
+	case ClaimElsewhere:
 		// The same key may have run under another request, so that this
 		// record alone can prove nothing any more.
 		r.sent.MayRunElsewhere()
+		r.claimed = false
+	case ClaimRefused:
+		// The row may still name this owner, from an attempt before.
 	}
-	r.claimed = ev.Result == ClaimWon
+	won := ev.Result == ClaimWon
 	switch {
 	case r.ending != nil:
 		r.end(r.ending.reason, r.ending.after)
-	case r.claimed:
+	case won && r.taking:
+		r.taking = false
+		r.askStages()
+	case won:
 		r.begin()
 	default:
 		r.end(ev.Reason, 0)
@@ -208,6 +222,8 @@
 			r.do(AbandonClaim{})
 		}
 		return
+	case phaseVoiding:
+		return
 	case phaseRunning, phaseAsking, phaseAdopting:
 		r.do(CancelAttempt{Attempt: r.attempt, Replica: r.replica})
 	default:
@@ -215,8 +231,17 @@
 	r.end(reason, after)
 }
 
-// end gives the outcome that the record of dispatches allows.
+// end gives the outcome that the record of dispatches allows. A claim is voided
+// before its request is refused as not run: another daemon may have taken it
+// over meanwhile and run it, and then the voiding write fails.
 func (r *Request) end(reason state.Reason, after state.RetryAfter) {
+	if _, notRun := r.sent.NotRun(); r.claimed && notRun {
+		r.phase = phaseVoiding
+		r.ending = &ending{reason: reason, after: after}
+		r.releaseSlot(false)
+		r.do(VoidClaim{})
+		return
+	}
 	r.finish(state.Conclude(r.sent, reason, len(r.tokens), after))
 }
 
@@ -224,16 +249,23 @@
 	_, failed := o.(state.Failed)
 	r.releaseSlot(failed)
 	if r.claimed {
-		if _, notRun := o.(state.Refused); notRun {
-			r.do(VoidClaim{})
-		} else {
-			r.do(SettleClaim{Outcome: o})
-		}
+		r.do(SettleClaim{Outcome: o})
 	}
 	r.phase = phaseEnded
 	r.do(End{Outcome: o})
 }
 
+func (r *Request) voidSettled(ev VoidSettled) {
+	if r.phase != phaseVoiding {
+		return
+	}
+	r.claimed = false
+	if !ev.Voided {
+		r.sent.MayRunElsewhere()
+	}
+	r.end(r.ending.reason, r.ending.after)
+}
+
 func (r *Request) releaseSlot(failed bool) {
 	if r.grant == "" {
 		return
--- a/coordination/request/run.go
+++ b/coordination/request/run.go
@@ -13,7 +13,7 @@
 	r.stage = 0
 	r.input = nil
 	r.fresh = true
-	r.do(AttemptStarted{Attempt: r.attempt, Epoch: r.epoch, Replica: r.replica})
+	r.begun = false
 	r.send()
 }
 
@@ -55,7 +55,7 @@
 
 // advance takes the output of the step under way and goes on to the next.
 func (r *Request) advance(output []byte, value int64, text string, final bool) {
-	r.sent.Began(r.attempt)
+	r.noteBegan()
 	r.asks = 0
 	if r.stage+1 < len(r.replica.Stages) {
 		r.stage++
@@ -75,6 +75,15 @@
 	r.send()
 }
 
+func (r *Request) noteBegan() {
+	if r.begun {
+		return
+	}
+	r.begun = true
+	r.sent.Began(r.attempt)
+	r.do(AttemptBegan{Attempt: r.attempt, Epoch: r.epoch, Replica: r.replica})
+}
+
 func (r *Request) emit(value int64, text string) {
 	r.do(Emit{Index: len(r.tokens), Value: value, Text: text})
 	r.tokens = append(r.tokens, value)
--- a/coordination/request/spec.go
+++ b/coordination/request/spec.go
@@ -32,7 +32,9 @@
 	Takeover *Takeover
 }
 
-// Takeover is what is known of an attempt that another daemon drove.
+// Takeover is what is known of an attempt that another daemon drove. Of a
+// request that may be repeated it is one that surely began; of one that may not,
+// it is what the claim row says.
 type Takeover struct {
 	Replica state.Replica
 	Attempt state.Attempt
@@ -51,11 +53,12 @@
 	phaseAdopting  // all stages are asked, after a takeover
 	phaseRetryWait // the retry budget is asked
 	phaseBackoff   // a retry is allowed at retryAt
+	phaseVoiding   // a claim is given back before the refusal
 	phaseEnded
 )
 
 // String names the phase for logs and scripts.
 func (p phase) String() string {
-	names := [...]string{"new", "queued", "claiming", "running", "asking", "adopting", "retry-wait", "backoff", "ended"}
+	names := [...]string{"new", "queued", "claiming", "running", "asking", "adopting", "retry-wait", "backoff", "voiding", "ended"}
 	return names[p]
 }
--- a/daemon/claims.go
+++ b/daemon/claims.go
@@ -51,5 +51,5 @@
 }
 
 func (c *claimTable) abandon(*runner)               {}
-func (c *claimTable) void(*runner)                  {}
+func (c *claimTable) void(r *runner)                { go r.post(request.VoidSettled{}) }
 func (c *claimTable) settle(*runner, state.Outcome) {}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -174,8 +174,8 @@
 	go r.post(request.RetryDecided{Allowed: allowed, Reason: state.ReasonRetriesExhausted})
 }
 
-func (d *Daemon) registerAttempt(*runner, request.AttemptStarted) {}
-func (d *Daemon) registerEnd(*runner, state.Outcome)              {}
+func (d *Daemon) registerAttempt(*runner, request.AttemptBegan) {}
+func (d *Daemon) registerEnd(*runner, state.Outcome)            {}
 
 func (d *Daemon) releaseAttempt(r *runner, a request.ReleaseAttempt) {
 	go d.cancelAttempt(r.spec, a.Attempt, a.Replica)
--- a/daemon/runner.go
+++ b/daemon/runner.go
@@ -142,8 +142,8 @@
 		r.d.releaseAttempt(r, a)
 	case request.AskRetry:
 		r.d.askRetry(r, a)
-	case request.AttemptStarted:
-		r.started(a)
+	case request.AttemptBegan:
+		r.began(a)
 	case request.Emit:
 		r.emit(a)
 	case request.End:
@@ -151,7 +151,7 @@
 	}
 }
 
-func (r *runner) started(a request.AttemptStarted) {
+func (r *runner) began(a request.AttemptBegan) {
 	r.answer.setRunning()
 	r.d.registerAttempt(r, a)
 }
--- a/daemon/steps.go
+++ b/daemon/steps.go
@@ -29,6 +29,8 @@
 		r.post(request.StepDone{Step: a.Step, Output: res.Output, Value: res.Token, Final: res.Final})
 	case res.Status == engine.StepNotRun:
 		r.post(request.StepNotRun{Step: a.Step})
+	case res.Status == engine.StepOvertaken:
+		r.post(request.StepNotRun{Step: a.Step, Overtaken: true})
 	default:
 		r.post(request.StepFailed{Step: a.Step})
 	}
@@ -38,6 +40,7 @@
 	return engine.StepRequest{
 		Request:   spec.ID,
 		Attempt:   a.Step.Attempt,
+		Life:      a.Stage.Life,
 		Epoch:     a.Step.Epoch,
 		Token:     a.Step.Token,
 		Layers:    a.Stage.Layers,
@@ -87,6 +90,7 @@
 	}
 	r.post(request.HeldAnswer{
 		Step:       a.Step,
+		Life:       held.Life,
 		Known:      held.Known,
 		Canceled:   held.Canceled,
 		NextToken:  held.NextToken,
--- a/protocol/engine/engine.go
+++ b/protocol/engine/engine.go
@@ -34,6 +34,11 @@
 	// Last is the token before Token, for the first stage of later tokens.
 	Last int64 `json:"last"`
 
+	// Life is the life of the engine's process that the step is meant for;
+	// empty for any. An engine of another life answers StepNotRun: the bars
+	// that a Resume set are gone with the process that held them.
+	Life string `json:"life,omitempty"`
+
 	// Epoch is the stream owner's; see Engine.Resume.
 	Epoch state.Epoch `json:"epoch"`
 
@@ -52,6 +57,9 @@
 	// StepNotRun: the stage says that it did not run the step and will not.
 	// It is proof.
 	StepNotRun StepStatus = "not_run"
+	// StepOvertaken: like StepNotRun, because another owner of the attempt
+	// has barred the step's epoch. That owner may have run it.
+	StepOvertaken StepStatus = "overtaken"
 	// StepFailed: the stage may have run part of the step. Its KV cache for
 	// the attempt is not to be used again.
 	StepFailed StepStatus = "failed"
@@ -68,6 +76,9 @@
 
 // Held is what one stage holds of one attempt.
 type Held struct {
+	// Life names the life of the engine's process, unlike any other life's.
+	Life string `json:"life"`
+
 	Known     bool `json:"known"`
 	NextToken int  `json:"next_token"` // the first token that it did not run
 	Canceled  bool `json:"canceled"`
@@ -85,9 +96,10 @@
 // Load is an engine's own report; it is older than it looks by the engine's
 // reporting lag.
 type Load struct {
-	Running int  `json:"running"`
-	Queued  int  `json:"queued"`
-	Leaving bool `json:"leaving"`
+	Life    string `json:"life"` // of the process; see Held
+	Running int    `json:"running"`
+	Queued  int    `json:"queued"`
+	Leaving bool   `json:"leaving"`
 }
 
 // CacheEvent tells that a prompt prefix entered or left an engine's cache.
@@ -162,7 +174,7 @@
 
 	// Resume asks what the stage holds of an attempt, and bars every step of
 	// the attempt that carries an epoch below epoch: such a step is answered
-	// StepNotRun, even one that was sent before and arrives after. So what
+	// StepOvertaken, even one that was sent before and arrives after. So what
 	// Resume returns stays true until a step of this epoch is sent, and an
 	// owner that was paused while another took its stream over can't run a
 	// step. An epoch below one seen before is answered ErrEpoch.
--- a/state/attempt.go
+++ b/state/attempt.go
@@ -29,6 +29,17 @@
 	return Epoch(next(uint64(e), owner))
 }
 
+// takeoverStride is how far a takeover raises the counter of an epoch. The new
+// owner knows the old one's epoch from a record that may be a few questions
+// behind; it has to come out above all the same.
+const takeoverStride = 1 << 16
+
+// TakeOver returns an epoch of owner above every one that the owner of e may have
+// reached since e was recorded.
+func (e Epoch) TakeOver(owner uint32) Epoch {
+	return Epoch(next(uint64(e)+takeoverStride<<ownerBits, owner))
+}
+
 func next(v uint64, owner uint32) uint64 {
 	return (v>>ownerBits+1)<<ownerBits | uint64(owner)
 }
--- a/state/replica.go
+++ b/state/replica.go
@@ -23,6 +23,12 @@
 	Backend BackendID  `msgpack:"backend" json:"backend"`
 	Address string     `msgpack:"address" json:"address"` // host:port
 	Layers  LayerRange `msgpack:"layers" json:"layers"`
+
+	// Life names the life of the backend server's process that this stage was
+	// seen in; empty where it is not known. A server that restarted knows
+	// nothing of what it ran before, so that its "never heard of it" proves
+	// something only within one life.
+	Life string `msgpack:"life" json:"life,omitempty"`
 }
 
 // Replica is a chain of stages that together hold layers [0, n) of one model
