Let the engine stand-in name its life and answer overtaken steps

Cause: proof from a stage counts only within one life of its process, and a barred step proves nothing. Change: Held and Load carry the life, steps for another life are answered not_run, barred ones overtaken. Conclusion: the stand-in obeys the contract that the property test assumes.

--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"fmt"
 	"net/http"
 	"strconv"
 	"strings"
@@ -90,6 +91,7 @@
 
 // life is what an engine holds in memory: all of it is gone after Kill.
 type life struct {
+	name     string // unlike any other life's
 	dead     bool
 	wake     chan struct{}
 	queue    []*pendingStep
@@ -123,6 +125,7 @@
 		return err
 	}
 	l := &life{
+		name:     fmt.Sprintf("%s@%d", e.cfg.ID, time.Now().UnixNano()),
 		wake:     make(chan struct{}, 1),
 		attempts: make(map[attemptID]*attempt),
 		cache:    newPrefixCache(e.cfg.CacheBlocks, e.cfg.CacheLag, e.cfg.CacheGap),
@@ -231,7 +234,9 @@
 func (e *Engine) loadCall(struct{}) (engine.Load, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.life.load.at(time.Now()), nil
+	load := e.life.load.at(time.Now())
+	load.Life = e.life.name
+	return load, nil
 }
 
 // report notes the load of this moment.
--- a/internal/standin/engine_kv.go
+++ b/internal/standin/engine_kv.go
@@ -91,8 +91,8 @@
 }
 
 // held is the answer about a.
-func (a *attempt) held() engine.Held {
-	h := engine.Held{Known: a.started && !a.broken, Canceled: a.canceled}
+func (a *attempt) held(l *life) engine.Held {
+	h := engine.Held{Life: l.name, Known: a.started && !a.broken, Canceled: a.canceled}
 	if !h.Known {
 		return h
 	}
@@ -130,7 +130,7 @@
 	if c.Epoch < a.epoch {
 		return engine.Held{}, &statusError{http.StatusConflict, "epoch was overtaken"}
 	}
-	return a.held(), nil
+	return a.held(l), nil
 }
 
 func (e *Engine) cancel(c engine.AttemptCall) (engine.Held, error) {
@@ -145,7 +145,7 @@
 	}
 	l.release(id, a)
 	l.report(!e.left.IsZero())
-	return a.held(), nil
+	return a.held(l), nil
 }
 
 // exported is an attempt's cache on its way.
@@ -163,12 +163,12 @@
 	defer e.mu.Unlock()
 	l := e.life
 	a := l.attempts[attemptID{c.Request, c.Attempt}]
+	if a != nil && !e.settled(l, a) {
+		return engine.KV{}, errAborted
+	}
 	if a == nil || !a.holdsKV || a.broken || a.canceled {
 		return engine.KV{}, &statusError{http.StatusConflict, "no cache for the attempt"}
 	}
-	if !e.settled(l, a) {
-		return engine.KV{}, errAborted
-	}
 	kv, err := json.Marshal(exported{
 		Layers: l.held.Layers, Epoch: a.epoch, Next: a.next,
 		Prompt: a.prompt, Act: a.act.encode(), Tokens: a.tokens,
--- a/internal/standin/engine_steps.go
+++ b/internal/standin/engine_steps.go
@@ -162,6 +162,8 @@
 		return engine.StepResult{Status: engine.StepNotRun, Detail: why}, true
 	}
 	switch {
+	case s.Life != "" && s.Life != l.name:
+		return notRun("meant for another life")
 	case l.loading(time.Now()):
 		return notRun("loading")
 	case s.Layers != l.held.Layers || s.Layers.Len() == 0:
@@ -175,9 +177,11 @@
 		case a.canceled:
 			return notRun("canceled")
 		case s.Epoch < a.epoch:
-			return notRun("epoch was overtaken")
+			return engine.StepResult{Status: engine.StepOvertaken, Detail: "epoch was overtaken"}, true
 		case a.running:
 			return notRun("another step of the attempt is running")
+		case a.final:
+			return notRun("answer is whole")
 		case a.broken:
 			return engine.StepResult{Status: engine.StepFailed, Detail: "cache is broken"}, true
 		}
@@ -236,7 +240,7 @@
 		a.broken = true
 		return engine.StepResult{Status: engine.StepFailed, Detail: why}, true
 	}
-	if s.Token != a.next || a.final {
+	if s.Token != a.next {
 		return failed("token is out of order")
 	}
 	if s.Layers.First == 0 {
