Add hibiscusctl: validate, apply, get, watch, status and drain

Cause: operators drive the site by editing service documents only, and need to know whether an edit was accepted, lost against another, or lags somewhere.

Conclusion: the commands hold against lost answers, silent connections and concurrent edits, shown with fake daemons, not yet with real ones.

--- /dev/null
+++ b/cmd/hibiscusctl/script_test.go
@@ -0,0 +1,122 @@
+package main
+
+import (
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/hibiscuswick/hibiscuswick/ctl/ctltest"
+	"github.com/hibiscuswick/hibiscuswick/state"
+	"github.com/hibiscuswick/hibiscuswick/state/service"
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){"hibiscusctl": main})
+}
+
+type fleetKey struct{}
+
+// TestScripts runs the scripts below testdata/script, each against its own fleet
+// of fake daemons a, b and c at $A, $B and $C. Commands besides testscript's:
+//
+//	exit CODE COMMAND...   run a command that must end with CODE
+//	commit VERSION EDIT FILE   put a document in force
+//	fleet NAME CHANGE      change a daemon: lag, follow, lose (answers), stop
+//	polled NAME            wait until a daemon's documents were listed twice more
+//	draining NAME          check that a planned stop has begun
+func TestScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir: filepath.Join("testdata", "script"),
+		Setup: func(env *testscript.Env) error {
+			fleet := ctltest.New("a", "b", "c")
+			env.Defer(fleet.Close)
+			env.Values[fleetKey{}] = fleet
+			for _, id := range []state.DaemonID{"a", "b", "c"} {
+				env.Setenv(strings.ToUpper(string(id)), fleet.URL(id))
+			}
+			return copyExamples(env.WorkDir)
+		},
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"exit": exit, "commit": commit, "fleet": change, "draining": draining, "polled": polled,
+		},
+	})
+}
+
+func copyExamples(dir string) error {
+	for _, name := range []string{"drafts.json", "alerts.json"} {
+		text, err := os.ReadFile(filepath.Join("..", "..", "examples", name))
+		if err != nil {
+			return err
+		}
+		if err := os.WriteFile(filepath.Join(dir, name), text, 0o644); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func fleetOf(ts *testscript.TestScript) *ctltest.Fleet {
+	return ts.Value(fleetKey{}).(*ctltest.Fleet)
+}
+
+func exit(ts *testscript.TestScript, _ bool, args []string) {
+	err := ts.Exec(args[1], args[2:]...)
+	code := "0"
+	if err != nil {
+		code = strings.TrimPrefix(err.Error(), "exit status ")
+	}
+	if code != args[0] {
+		ts.Fatalf("ended with %s, want %s", code, args[0])
+	}
+}
+
+func commit(ts *testscript.TestScript, _ bool, args []string) {
+	version, err := strconv.ParseUint(args[0], 10, 64)
+	ts.Check(err)
+	d, faults := service.Decode([]byte(ts.ReadFile(args[2])))
+	if len(faults) > 0 {
+		ts.Fatalf("%v", faults)
+	}
+	fleetOf(ts).Commit(service.Versioned{Version: state.DocumentVersion(version), EditID: args[1], Document: d})
+}
+
+func change(ts *testscript.TestScript, _ bool, args []string) {
+	id := state.DaemonID(args[0])
+	switch args[1] {
+	case "lag":
+		fleetOf(ts).Change(id, func(d *ctltest.Daemon) { d.Lagging = true })
+	case "follow":
+		fleetOf(ts).Change(id, func(d *ctltest.Daemon) { d.Lagging = false })
+	case "lose":
+		fleetOf(ts).Change(id, func(d *ctltest.Daemon) { d.LoseAnswers = 1 << 30 })
+	case "stop":
+		fleetOf(ts).Stop(id)
+	default:
+		ts.Fatalf("unknown change %s", args[1])
+	}
+}
+
+func draining(ts *testscript.TestScript, neg bool, args []string) {
+	if fleetOf(ts).Draining(state.DaemonID(args[0])) == neg {
+		ts.Fatalf("draining is %v", neg)
+	}
+}
+
+// polled waits until a command that lists documents again and again has printed
+// what it saw before: it prints one list before it asks for the next.
+func polled(ts *testscript.TestScript, _ bool, args []string) {
+	id := state.DaemonID(args[0])
+	before := fleetOf(ts).Lists(id)
+	for range 1000 {
+		if fleetOf(ts).Lists(id) >= before+2 {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	ts.Fatalf("daemon %s was not asked", id)
+}
--- /dev/null
+++ b/cmd/hibiscusctl/status.go
@@ -0,0 +1,83 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/hibiscuswick/hibiscuswick/protocol/caller"
+	"github.com/hibiscuswick/hibiscuswick/state"
+)
+
+func statusCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "status",
+		Usage: "show a daemon and the others as it sees them",
+		Flags: serverFlags(
+			&cli.BoolFlag{Name: flagJSON, Usage: "print the answer as JSON"},
+		),
+		Action: status,
+	}
+}
+
+func status(ctx context.Context, cmd *cli.Command) error {
+	if err := noMore(cmd); err != nil {
+		return err
+	}
+	c, err := client(cmd)
+	if err != nil {
+		return err
+	}
+	s, err := c.Status(ctx)
+	if err != nil {
+		return fail(exitFailed, "%v", err)
+	}
+	if cmd.Bool(flagJSON) {
+		e := json.NewEncoder(cmd.Writer)
+		e.SetIndent("", "  ")
+		return e.Encode(s)
+	}
+	printStatus(cmd.Writer, s)
+	return nil
+}
+
+func printStatus(out io.Writer, s caller.DaemonStatus) {
+	printf(out, "daemon %s, %s, %d active requests\n", s.ID, condition(s), s.Active)
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	printf(w, "DAEMON\tSTATE\tADDRESS\tDOCUMENTS\n")
+	printf(w, "%s\t%s\t%s\t%s\n", s.ID, "self", "", versions(s.Documents))
+	slices.SortFunc(s.Members, func(a, b caller.MemberStatus) int {
+		return strings.Compare(string(a.Member.ID), string(b.Member.ID))
+	})
+	for _, m := range s.Members {
+		printf(w, "%s\t%s\t%s\t%s\n", m.Member, m.State, m.Address, versions(m.Documents))
+	}
+	_ = w.Flush()
+}
+
+func condition(s caller.DaemonStatus) string {
+	switch {
+	case s.Draining:
+		return "draining"
+	case s.Isolated:
+		return "isolated"
+	default:
+		return "serving"
+	}
+}
+
+// versions gives "alerts=3 drafts=7".
+func versions(documents map[state.ServiceID]state.DocumentVersion) string {
+	var parts []string
+	for _, id := range slices.Sorted(maps.Keys(documents)) {
+		parts = append(parts, fmt.Sprintf("%s=%d", id, documents[id]))
+	}
+	return strings.Join(parts, " ")
+}
--- /dev/null
+++ b/ctl/suite_test.go
@@ -0,0 +1,13 @@
+package ctl_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestCtl(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "operators' commands")
+}
--- a/internal/catalogue/catalogue_test.go
+++ b/internal/catalogue/catalogue_test.go
@@ -4,9 +4,12 @@
 	"go/ast"
 	"go/parser"
 	"go/token"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"regexp"
 	"strconv"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -16,6 +19,7 @@
 	"github.com/hibiscuswick/hibiscuswick/internal/catalogue"
 	"github.com/hibiscuswick/hibiscuswick/state"
 	"github.com/hibiscuswick/hibiscuswick/telemetry"
+	"github.com/hibiscuswick/hibiscuswick/transport/front"
 )
 
 var root = filepath.Join("..", "..")
@@ -74,6 +78,27 @@
 	})
 })
 
+var _ = Describe("the counters of a daemon", func() {
+	It("are all in the catalogue, each of its kind", func() {
+		m := telemetry.NewMetrics()
+		defer m.Close()
+		front.New(nil, front.Options{Scope: m.Scope()})
+		m.Accepted("s", "c")
+		m.SetService(telemetry.DocumentVersion, "s", 1)
+		m.ObserveClass(telemetry.FirstTokenSeconds, "s", "c", time.Second)
+		w := httptest.NewRecorder()
+		m.Handler().ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
+		shown := regexp.MustCompile(`(?m)^# TYPE (\S+) (\S+)$`).FindAllStringSubmatch(w.Body.String(), -1)
+		Expect(len(shown)).To(BeNumerically(">", 30))
+		for _, s := range shown {
+			Expect(telemetry.Catalogue()).To(ContainElement(And(
+				HaveField("Name", telemetry.Name(s[1])),
+				HaveField("Kind", telemetry.Kind(s[2])),
+			)), s[0])
+		}
+	})
+})
+
 var _ = Describe("the published schemas", func() {
 	compile := func(name string) *jsonschema.Schema {
 		s, err := jsonschema.NewCompiler().Compile(filepath.Join(root, "docs", "schema", name))
--- a/internal/strictjson/scalar.go
+++ b/internal/strictjson/scalar.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding"
+	"errors"
 	"fmt"
 	"reflect"
 	"slices"
@@ -60,7 +61,11 @@
 
 func (d *decoder) number(text string, v reflect.Value, r *rules) {
 	if err := setNumber(v, text); err != nil {
-		d.faultf("is %s, must be %s", shorten(text), numberWanted(v))
+		want := numberWanted(v)
+		if errors.Is(err, strconv.ErrRange) {
+			want += rangeOf(v)
+		}
+		d.faultf("is %s, must be %s", shorten(text), want)
 		return
 	}
 	d.checkNumber(text, asFloat(v), r)
@@ -80,10 +85,28 @@
 }
 
 func numberWanted(v reflect.Value) string {
-	if v.CanFloat() {
+	switch {
+	case v.CanFloat():
 		return "a number"
+	case v.CanUint():
+		return "a whole number, 0 or more"
+	default:
+		return "a whole number"
+	}
+}
+
+// rangeOf says what a number's type can hold.
+func rangeOf(v reflect.Value) string {
+	bits := v.Type().Bits()
+	switch {
+	case v.CanInt():
+		most := int64(1)<<(bits-1) - 1
+		return fmt.Sprintf(" from %d to %d", -most-1, most)
+	case v.CanUint():
+		return fmt.Sprintf(", at most %d", ^uint64(0)>>(64-bits))
+	default:
+		return fmt.Sprintf(" that %d bits can hold", bits)
 	}
-	return "a whole number"
 }
 
 func setNumber(v reflect.Value, text string) error {
--- a/protocol/caller/caller.go
+++ b/protocol/caller/caller.go
@@ -120,7 +120,8 @@
 // MemberStatus is one daemon as another sees it.
 type MemberStatus struct {
 	Member    state.Member                              `json:"member"`
-	Address   string                                    `json:"address"`
+	Address   string                                    `json:"address"`            // host:port for peers
+	BaseURL   string                                    `json:"base_url,omitempty"` // for callers and operators
 	State     string                                    `json:"state"` // alive, suspect, dead, leaving
 	Documents map[state.ServiceID]state.DocumentVersion `json:"documents,omitempty"`
 }
--- a/state/service/decode_test.go
+++ b/state/service/decode_test.go
@@ -72,7 +72,7 @@
 			`backend_kinds[0].speed: is 1.5, must be at most 1`,
 			`backend_kinds[0].speed: stands twice`,
 			`backend_kinds[0].checks_fencing: is missing`,
-			`retry.budget_ratio: is 1e999, must be a number`,
+			`retry.budget_ratio: is 1e999, must be a number that 64 bits can hold`,
 			`capacity.slots: is not a known field`,
 			`customers[4].id: is "post men", must be 1 to 63 letters, digits, '.', '_' or '-', beginning with a letter or digit`,
 		))
--- a/telemetry/counter.go
+++ b/telemetry/counter.go
@@ -40,6 +40,16 @@
 	ControlMicrosecondsTotal Name = "control_microseconds_total"
 )
 
+// Metrics of the HTTP front, which counts in the scope that Metrics.Scope gives.
+const (
+	FrontRefused    Name = "front_refused"
+	FrontViewsOpen  Name = "front_views_open"
+	FrontViewsSlow  Name = "front_views_slow"
+	FrontViewsGone  Name = "front_views_gone"
+	FrontTokens     Name = "front_tokens"
+	FrontKeepAlives Name = "front_keep_alives"
+)
+
 // Gauges.
 const (
 	ActiveRequests  Name = "active_requests"
@@ -130,6 +140,13 @@
 	{Draining, KindGauge, nil, "1 while a planned stop is under way."},
 	{Isolated, KindGauge, nil, "1 while the daemon can't know that its documents are current."},
 
+	{FrontRefused, KindCounter, nil, "Requests that the HTTP front refused itself: malformed, or over one of its bounds."},
+	{FrontViewsOpen, KindGauge, nil, "Answers that are being streamed to a connection."},
+	{FrontViewsSlow, KindCounter, nil, "Streams ended since the caller did not take an event in time."},
+	{FrontViewsGone, KindCounter, nil, "Streams ended since the caller closed its connection."},
+	{FrontTokens, KindCounter, nil, "Tokens written to callers' connections, those of re-attached streams again."},
+	{FrontKeepAlives, KindCounter, nil, "Comments sent on streams that had no token for a while."},
+
 	{FirstTokenSeconds, KindHistogram, byClass, "From a request's arrival to its first token, in seconds."},
 	{TokenGapSeconds, KindHistogram, byService, "Between two tokens of one answer, in seconds."},
 	{QueueSeconds, KindHistogram, byClass, "From a request's arrival to its slot, in seconds."},
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -95,6 +95,12 @@
 	}
 }
 
+// Scope is where a part of the daemon counts that names its own counters; they
+// stand in Catalogue all the same.
+func (m *Metrics) Scope() tally.Scope {
+	return m.scope
+}
+
 // Handler serves the counters in the format of Prometheus, for /metrics. What
 // it gives is at most half a second old.
 func (m *Metrics) Handler() http.Handler {
