Continue a claimed attempt instead of taking it over blindly

Cause: the claim machine settles takeovers of never-repeat requests by the recorded backend servers' word; the request's machine had a second way. Change: ClaimContinue makes the request go on with the attempt that the claim row names; takeover by record remains for requests that may be repeated. Conclusion: one way for each kind of request.

--- a/coordination/request/action.go
+++ b/coordination/request/action.go
@@ -29,9 +29,6 @@
 		Attempt state.Attempt
 		Epoch   state.Epoch
 		Replica state.Replica
-		// Takeover: the row names another owner of the same attempt, and is
-		// to be written only if it is still as it was read.
-		Takeover bool
 	}
 
 	// AbandonClaim takes PutClaim back; ClaimSettled answers it at once.
--- a/coordination/request/adopt.go
+++ b/coordination/request/adopt.go
@@ -4,25 +4,30 @@
 	"github.com/hibiscuswick/hibiscuswick/state"
 )
 
-// adopt takes over an attempt that another daemon drove. What is never to be
-// repeated first needs the claim row, by a write that is conditional on the row
-// as it was when the attempt was read from it: the old owner, paused, may have
-// proof that this attempt never began and be about to begin another, and only
-// one of the two writes can succeed.
+// adopt takes over an attempt that another daemon began.
 func (r *Request) adopt(t Takeover) {
+	if r.spec.NeverRepeat {
+		panic("request: never-repeat request is taken over without its claim row")
+	}
 	r.replica = t.Replica
 	r.attempt = t.Attempt
 	r.epoch = t.Epoch.TakeOver(r.spec.Owner)
-	if r.spec.NeverRepeat {
-		r.sent.Sent(t.Attempt)
-		r.phase = phaseClaiming
-		r.do(PutClaim{Attempt: t.Attempt, Epoch: r.epoch, Replica: t.Replica, Takeover: true})
-		return
-	}
 	r.sent.Began(t.Attempt)
 	r.askStages()
 }
 
+// continueClaimed takes over the attempt that the claim row names. The old owner,
+// paused, may have proof that it never began and be about to begin another; it
+// needs the row for that, and its write fails now.
+func (r *Request) continueClaimed(t Takeover) {
+	r.releaseSlot(false)
+	r.replica = t.Replica
+	r.attempt = t.Attempt
+	r.epoch = t.Epoch
+	r.sent.Sent(t.Attempt)
+	r.askStages()
+}
+
 // askStages asks all stages under the new epoch, which bars the old owner's steps
 // everywhere before one of ours is sent: a paused owner that wakes can't run a
 // step.
--- a/coordination/request/event.go
+++ b/coordination/request/event.go
@@ -44,8 +44,9 @@
 
 	// ClaimSettled answers PutClaim.
 	ClaimSettled struct {
-		Result ClaimResult
-		Reason state.Reason // why not, unless ClaimWon
+		Result   ClaimResult
+		Reason   state.Reason // why not, unless ClaimWon
+		Continue Takeover     // with ClaimContinue
 	}
 
 	// VoidSettled answers VoidClaim. Unless Voided, another owner may have
@@ -111,6 +112,10 @@
 const (
 	// ClaimWon: the row carries this request's nonce; it alone may dispatch.
 	ClaimWon ClaimResult = iota
+	// ClaimContinue: the row named an owner that is gone, and now names this
+	// one, written on the condition that it was still as it was read. The
+	// attempt that it names is to be continued, never begun anew.
+	ClaimContinue
 	// ClaimRefused: the row proves that this request never was dispatched by
 	// anyone and this daemon's claim is not in force.
 	ClaimRefused
--- a/coordination/request/request.go
+++ b/coordination/request/request.go
@@ -30,7 +30,6 @@
 	tokens []int64 // given to the caller, by index
 
 	claimed  bool          // the claim row names this owner
-	taking   bool          // the claim under way is a takeover's
 	ending   *ending       // set while an abandoned claim is settled
 	retryAt  time.Time     // in phaseBackoff
 	adopting []*HeldAnswer // by stage, in phaseAdopting
@@ -137,7 +136,6 @@
 		panic("request: started twice")
 	}
 	if r.spec.Takeover != nil {
-		r.taking = r.spec.NeverRepeat
 		r.adopt(*r.spec.Takeover)
 		return
 	}
@@ -185,7 +183,7 @@
 		return
 	}
 	switch ev.Result {
-	case ClaimWon:
+	case ClaimWon, ClaimContinue:
 		r.claimed = true
 	case ClaimElsewhere:
 		// The same key may have run under another request, so that this
@@ -195,14 +193,15 @@
 	case ClaimRefused:
 		// The row may still name this owner, from an attempt before.
 	}
-	won := ev.Result == ClaimWon
 	switch {
 	case r.ending != nil:
+		if ev.Result == ClaimContinue {
+			r.sent.MayRunElsewhere()
+		}
 		r.end(r.ending.reason, r.ending.after)
-	case won && r.taking:
-		r.taking = false
-		r.askStages()
-	case won:
+	case ev.Result == ClaimContinue:
+		r.continueClaimed(ev.Continue)
+	case ev.Result == ClaimWon:
 		r.begin()
 	default:
 		r.end(ev.Reason, 0)
--- a/coordination/request/spec.go
+++ b/coordination/request/spec.go
@@ -28,7 +28,9 @@
 	// FirstTokenBy is the deadline of the first token.
 	FirstTokenBy time.Time
 
-	// Takeover is set where another daemon owned the stream before.
+	// Takeover is set where another daemon owned the stream before. Requests
+	// that are never to be repeated are taken over by their claim row instead;
+	// see ClaimContinue.
 	Takeover *Takeover
 }
 
@@ -38,7 +40,7 @@
 type Takeover struct {
 	Replica state.Replica
 	Attempt state.Attempt
-	Epoch   state.Epoch
+	Epoch   state.Epoch // of the owner before, or, with ClaimContinue, of this one
 }
 
 // phase is where a request stands.
