Bound documents with their defaults written out; know one's own edit in a conflict

Cause: a document just under 1 MiB could grow past it when its defaults are written out, and then be accepted but unreadable. A daemon that compares versions before edit ids calls an operator's own committed edit the one that came first.

Change: Decode refuses such a document. Encode writes one line, Pretty is for people; names of adapters have the format of names. ctl takes a conflict with its own edit id as accepted.

Without the check of the edit id, "knows its own edit in a conflict" is red.

Conclusion: what is accepted can be read again; a lost answer costs the operator nothing.

--- a/cmd/hibiscusctl/get.go
+++ b/cmd/hibiscusctl/get.go
@@ -39,7 +39,7 @@
 	if err != nil {
 		return fail(exitFailed, "%v", err)
 	}
-	printf(cmd.Writer, "%s", v.Document.Encode())
+	printf(cmd.Writer, "%s", v.Document.Pretty())
 	printf(cmd.ErrWriter, "%s version %d, edit id %s\n", id, v.Version, v.EditID)
 	return nil
 }
--- a/ctl/apply.go
+++ b/ctl/apply.go
@@ -80,6 +80,10 @@
 			return unknown, eris.Errorf("%s: the answer has no version", server)
 		}
 		return caller.EditResult{Status: caller.EditAccepted, Version: applied.Version}, nil
+	case a.status == http.StatusConflict && p.Current != nil && p.Current.EditID == e.EditID:
+		// The edit lost against itself: it was committed, its answer was lost,
+		// and the daemon compared versions before edit ids.
+		return caller.EditResult{Status: caller.EditAccepted, Version: p.Current.Version}, nil
 	case a.status == http.StatusConflict:
 		return caller.EditResult{Status: caller.EditConflict, Current: p.Current}, nil
 	case a.status >= http.StatusBadRequest && a.status < http.StatusInternalServerError:
--- a/ctl/ctl_test.go
+++ b/ctl/ctl_test.go
@@ -70,6 +70,17 @@
 		Expect(fleet.Committed("alerts").Version).To(Equal(state.DocumentVersion(1)))
 	})
 
+	// The store commits an edit and its answer is lost. The repeat reaches a
+	// daemon that only compares versions and calls the operator's own edit the
+	// one that came first.
+	It("knows its own edit in a conflict", Label("failure:store-answer-lost"), func() {
+		fleet.Change("a", func(d *ctltest.Daemon) { d.LoseAnswers = 1 })
+		fleet.Change("b", func(d *ctltest.Daemon) { d.Forgetful = true })
+		r := client(fleet.URL("a"), fleet.URL("b")).Apply(ctx, "alerts", edit(0, "e1"))
+		Expect(r.Status).To(Equal(caller.EditAccepted))
+		Expect(r.Version).To(Equal(state.DocumentVersion(1)))
+	})
+
 	// An operator applies an edit through a daemon whose connection takes the
 	// bytes and never answers. The call times out, and the next server settles it.
 	It("goes on at the next server when a connection is silent", Label("failure:silent-connection"), func() {
--- a/ctl/ctltest/fleet.go
+++ b/ctl/ctltest/fleet.go
@@ -28,6 +28,7 @@
 	URL string
 
 	LoseAnswers int  // so many edits take effect and are answered 503
+	Forgetful   bool // does not know an edit by its id
 	Lagging     bool // keeps the documents it has
 	CutOff      bool // sees all others as dead, and keeps its documents
 	Dead        bool // is seen as dead by the others
@@ -131,7 +132,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.committed[document.Service]
-	if now.EditID != e.EditID {
+	if d.Forgetful || now.EditID != e.EditID {
 		if now.Version != e.Base {
 			return caller.EditResult{Status: caller.EditConflict, Current: &now}
 		}
--- a/internal/catalogue/schema.go
+++ b/internal/catalogue/schema.go
@@ -60,8 +60,12 @@
 		}
 		property.Description = c[t.Name()+"."+f.Name]
 		if format := f.Tag.Get("format"); format != "" {
-			property.Pattern = strictjson.Formats()[format].Pattern
 			property.Format = ""
+			shaped := property
+			if property.Items != nil {
+				shaped = property.Items
+			}
+			shaped.Pattern = strictjson.Formats()[format].Pattern
 		}
 		if f.Type == durationType {
 			property.Pattern = durationPattern
--- a/state/service/check.go
+++ b/state/service/check.go
@@ -38,12 +38,7 @@
 	}
 	seen := firsts[string]{}
 	for i, a := range d.Model.Adapters {
-		path := func() string { return strictjson.Item("model.adapters", i) }
-		if a == "" {
-			c.addf(path(), "is empty")
-			continue
-		}
-		seen.note(c, a, path)
+		seen.note(c, a, func() string { return strictjson.Item("model.adapters", i) })
 	}
 }
 
--- a/state/service/decode.go
+++ b/state/service/decode.go
@@ -26,7 +26,16 @@
 	if len(faults) > 0 && faults[0].Path == strictjson.Root {
 		return d, faults // nothing was read
 	}
-	return d, append(faults, d.contradictions()...)
+	faults = append(faults, d.contradictions()...)
+	if len(faults) == 0 && len(text) > MaxBytes/2 {
+		// Defaults written out at most double a text; what is stored has to
+		// be read again by every daemon.
+		if n := len(d.Encode()); n > MaxBytes {
+			faults = append(faults, strictjson.Faultf(strictjson.Root,
+				"has %d bytes with its defaults written out, at most %d are allowed", n, MaxBytes))
+		}
+	}
+	return d, faults
 }
 
 // Validate returns every fault of a document that was built in a program.
@@ -35,14 +44,22 @@
 	return faults
 }
 
-// Encode writes the canonical text of d: every field in the order of Document,
-// defaults written out, indented by two spaces. Equal documents have equal
-// texts.
+// Encode writes the canonical text of d: one line, every field in the order of
+// Document, defaults written out. Equal documents have equal texts.
 func (d *Document) Encode() []byte {
+	return d.encode("")
+}
+
+// Pretty writes the canonical text of d for people, indented by two spaces.
+func (d *Document) Pretty() []byte {
+	return d.encode("  ")
+}
+
+func (d *Document) encode(indent string) []byte {
 	var b bytes.Buffer
 	e := json.NewEncoder(&b)
 	e.SetEscapeHTML(false)
-	e.SetIndent("", "  ")
+	e.SetIndent("", indent)
 	if err := e.Encode(d); err != nil {
 		// Only a NaN or an infinite number can't be written, and Decode
 		// makes none.
--- a/state/service/decode_test.go
+++ b/state/service/decode_test.go
@@ -1,6 +1,7 @@
 package service_test
 
 import (
+	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
@@ -116,6 +117,21 @@
 		Entry("too much", strings.Repeat(" ", service.MaxBytes+1), "$: has 1048577 bytes"),
 	)
 
+	It("refuses a document that is too long only with its defaults written out", func() {
+		var customers, chains strings.Builder
+		for i := range 9_990 {
+			fmt.Fprintf(&customers, `{"id":"c%d","requests_per_second":1,"burst":1},`, i)
+		}
+		text := broken("alerts.json", `"customers": [`, `"customers": [`+customers.String())
+		Expect(faults(text)).To(BeEmpty())
+		for i := range 8_500 {
+			fmt.Fprintf(&chains, `{"id":"x%d","stages":[{"backend":"b%d","first":0,"end":0}]},`, i, i)
+		}
+		text = []byte(strings.Replace(string(text), `"chains": [`, `"chains": [`+chains.String(), 1))
+		Expect(len(text)).To(BeNumerically("<", service.MaxBytes))
+		Expect(faults(text)).To(ConsistOf(MatchRegexp(`^\$: has \d+ bytes with its defaults written out`)))
+	})
+
 	It("bounds the report of a hostile text", func() {
 		text := `{"classes":[` + strings.Repeat(`{},`, 300_000) + `{}]}`
 		Expect(len(faults([]byte(text)))).To(BeNumerically("<", 600))
--- a/state/service/document.go
+++ b/state/service/document.go
@@ -56,7 +56,7 @@
 	// Layers counts the model's layers; ranges of them go from 0 to Layers.
 	Layers int `json:"layers" minimum:"1" maximum:"10000"`
 	// Adapters are the names of the adapters to load with the model.
-	Adapters []string `json:"adapters,omitempty" maxItems:"256"`
+	Adapters []string `json:"adapters,omitempty" format:"name" maxItems:"256"`
 }
 
 // Capacity is how much the service is to hold ready.
