--- a/transport/httpcall/conn.go
+++ b/transport/httpcall/conn.go
@@ -32,9 +32,10 @@
 }
 
 // seal reports whether not one byte of the current call was written, and if so
-// bars every later write. Without the bar the transport's write loop could
-// still send the call after its caller was told that it never left: the call
-// would run although it was reported as not run.
+// bars every later write. A write loop that comes too late could otherwise send
+// the call after its caller was told that it never left: the call would run
+// although it was reported as not run. net/http of Go 1.26 waits for its write
+// loop before it reports a failure, but does not promise to.
 func (c *conn) seal() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
