--- a/cmd/hibiscusd/main.go
+++ b/cmd/hibiscusd/main.go
@@ -70,10 +70,11 @@
 		return err
 	}
 	log := telemetry.NewLog(telemetry.LogConfig{Level: set.Log.Level, Format: set.Log.Format})
-	d := daemon.New(set, log)
-	if err := d.Start(ctx); err != nil {
+	d, err := daemon.New(set, log)
+	if err != nil {
 		return err
 	}
+	d.Run()
 	stop := make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
 	select {
--- a/coordination/request/action.go
+++ b/coordination/request/action.go
@@ -9,15 +9,19 @@
 
 type (
 	// AskSlot asks the homes for a replica that is not in Exclude.
-	AskSlot struct{ Exclude []state.ReplicaID }
+	AskSlot struct {
+		Attempt state.Attempt // the one that the slot is for; names the slot
+		Exclude []state.ReplicaID
+	}
 
 	// StopAsking takes back AskSlot; a grant that crosses it is released.
-	StopAsking struct{}
+	StopAsking struct{ Attempt state.Attempt }
 
 	// ReleaseSlot gives a slot back.
 	ReleaseSlot struct {
-		Grant   GrantID
+		Grant   state.Attempt
 		Replica state.ReplicaID
+		Unused  bool // nothing was sent to the replica
 		Failed  bool // the replica failed the request
 	}
 
@@ -29,6 +33,8 @@
 		Attempt state.Attempt
 		Epoch   state.Epoch
 		Replica state.Replica
+		// Proof shows that no attempt before ran; it is always valid.
+		Proof state.NotRunProof
 	}
 
 	// AbandonClaim takes PutClaim back; ClaimSettled answers it at once.
@@ -37,7 +43,7 @@
 	// VoidClaim gives a claim back whose request was not dispatched, by a
 	// write that is conditional on the row as this owner wrote it. VoidSettled
 	// answers it within a short bound.
-	VoidClaim struct{}
+	VoidClaim struct{ Proof state.NotRunProof }
 
 	// SettleClaim records how a claimed request ended.
 	SettleClaim struct{ Outcome state.Outcome }
@@ -74,9 +80,11 @@
 
 	// AskRetry asks the retry budget for one more attempt.
 	AskRetry struct {
-		Reason  state.RetryReason
-		Attempt state.Attempt // the one that failed
-		Replica state.ReplicaID
+		Reason    state.RetryReason
+		Attempt   state.Attempt // the one that failed
+		Replica   state.ReplicaID
+		Tried     []state.ReplicaID // by the attempts before
+		Execution state.Execution   // of all attempts so far
 	}
 
 	// AttemptBegan tells that a replica surely runs the request. From here on
--- a/coordination/request/event.go
+++ b/coordination/request/event.go
@@ -9,9 +9,6 @@
 // Event is something that happened to a request.
 type Event interface{ event() }
 
-// GrantID names a slot that a home granted.
-type GrantID string
-
 // StepRef names one step: what is run, for which token, where.
 type StepRef struct {
 	Attempt state.Attempt
@@ -32,7 +29,7 @@
 
 	// SlotGranted answers AskSlot: Replica may be used.
 	SlotGranted struct {
-		Grant   GrantID
+		Grant   state.Attempt // as in AskSlot
 		Replica state.Replica
 	}
 
@@ -101,6 +98,7 @@
 	RetryDecided struct {
 		Allowed bool
 		At      time.Time // the earliest time of the next attempt
+		Exclude []state.ReplicaID
 		Reason  state.Reason
 	}
 )
--- a/coordination/request/property_test.go
+++ b/coordination/request/property_test.go
@@ -165,7 +165,7 @@
 	}
 	granted := free[rapid.IntRange(0, len(free)-1).Draw(d.t, "granted")]
 	o.slots++
-	d.feed(o, request.SlotGranted{Grant: "g", Replica: d.seen(granted)})
+	d.feed(o, request.SlotGranted{Grant: a.Attempt, Replica: d.seen(granted)})
 }
 
 // put writes the claim row if it still is as the owner knows it.
--- a/coordination/request/recover.go
+++ b/coordination/request/recover.go
@@ -1,6 +1,7 @@
 package request
 
 import (
+	"slices"
 	"time"
 
 	"github.com/hibiscuswick/hibiscuswick/state"
@@ -140,9 +141,15 @@
 		r.end(state.ReasonBackendFailed, 0)
 		return
 	}
-	r.exclude = append(r.exclude, failed)
 	r.phase = phaseRetryWait
-	r.do(AskRetry{Reason: reason, Attempt: r.attempt, Replica: failed})
+	r.do(AskRetry{
+		Reason:    reason,
+		Attempt:   r.attempt,
+		Replica:   failed,
+		Tried:     slices.Clone(r.tried),
+		Execution: r.sent.Execution(),
+	})
+	r.tried = append(r.tried, failed)
 }
 
 func (r *Request) retryDecided(now time.Time, ev RetryDecided) {
@@ -154,6 +161,7 @@
 		return
 	}
 	r.retryAt = ev.At
+	r.exclude = ev.Exclude
 	r.phase = phaseBackoff
 	if !now.Before(r.retryAt) {
 		r.askSlot()
--- a/coordination/request/request.go
+++ b/coordination/request/request.go
@@ -16,8 +16,9 @@
 	attempt state.Attempt
 	epoch   state.Epoch
 	replica state.Replica
-	grant   GrantID
+	grant   state.Attempt // slot in hand, 0 for none
 	exclude []state.ReplicaID
+	tried   []state.ReplicaID
 
 	// The step under way: token at stage with input; last is the token before.
 	token int
@@ -144,7 +145,7 @@
 
 func (r *Request) askSlot() {
 	r.phase = phaseQueued
-	r.do(AskSlot{Exclude: slices.Clone(r.exclude)})
+	r.do(AskSlot{Attempt: r.attempt.Next(r.spec.Owner), Exclude: slices.Clone(r.exclude)})
 }
 
 func (r *Request) tick(now time.Time) {
@@ -159,19 +160,34 @@
 
 func (r *Request) granted(ev SlotGranted) {
 	if r.phase != phaseQueued {
-		r.do(ReleaseSlot{Grant: ev.Grant, Replica: ev.Replica.ID})
+		r.do(ReleaseSlot{Grant: ev.Grant, Replica: ev.Replica.ID, Unused: true})
 		return
 	}
 	r.grant = ev.Grant
 	r.replica = ev.Replica
 	if r.spec.NeverRepeat {
-		r.phase = phaseClaiming
-		r.do(PutClaim{Attempt: r.attempt.Next(r.spec.Owner), Epoch: r.epoch.Next(r.spec.Owner), Replica: r.replica})
+		r.putClaim()
 		return
 	}
 	r.begin()
 }
 
+// putClaim asks for the claim row. Nothing can have run here: a request that is
+// never repeated gets a slot only while there is proof of that.
+func (r *Request) putClaim() {
+	proof, ok := r.sent.NotRun()
+	if !ok {
+		panic("request: claim of a request that may have run")
+	}
+	r.phase = phaseClaiming
+	r.do(PutClaim{
+		Attempt: r.attempt.Next(r.spec.Owner),
+		Epoch:   r.epoch.Next(r.spec.Owner),
+		Replica: r.replica,
+		Proof:   proof,
+	})
+}
+
 func (r *Request) refused(ev SlotRefused) {
 	if r.phase == phaseQueued {
 		r.giveUp(ev.Reason, ev.RetryAfter)
@@ -212,7 +228,7 @@
 func (r *Request) giveUp(reason state.Reason, after state.RetryAfter) {
 	switch r.phase {
 	case phaseQueued:
-		r.do(StopAsking{})
+		r.do(StopAsking{Attempt: r.attempt.Next(r.spec.Owner)})
 	case phaseClaiming:
 		// Whether the claim was written is not known; until it is settled
 		// nothing can be said of the request.
@@ -234,11 +250,11 @@
 // before its request is refused as not run: another daemon may have taken it
 // over meanwhile and run it, and then the voiding write fails.
 func (r *Request) end(reason state.Reason, after state.RetryAfter) {
-	if _, notRun := r.sent.NotRun(); r.claimed && notRun {
+	if proof, notRun := r.sent.NotRun(); r.claimed && notRun {
 		r.phase = phaseVoiding
 		r.ending = &ending{reason: reason, after: after}
 		r.releaseSlot(false)
-		r.do(VoidClaim{})
+		r.do(VoidClaim{Proof: proof})
 		return
 	}
 	r.finish(state.Conclude(r.sent, reason, len(r.tokens), after))
@@ -266,18 +282,19 @@
 }
 
 func (r *Request) releaseSlot(failed bool) {
-	if r.grant == "" {
+	if r.grant == 0 {
 		return
 	}
-	r.do(ReleaseSlot{Grant: r.grant, Replica: r.replica.ID, Failed: failed})
-	r.grant = ""
+	unused := !failed && r.grant != r.attempt
+	r.do(ReleaseSlot{Grant: r.grant, Replica: r.replica.ID, Unused: unused, Failed: failed})
+	r.grant = 0
 }
 
 // late handles answers that come after the end.
 func (r *Request) late(ev Event) {
 	switch ev := ev.(type) {
 	case SlotGranted:
-		r.do(ReleaseSlot{Grant: ev.Grant, Replica: ev.Replica.ID})
+		r.do(ReleaseSlot{Grant: ev.Grant, Replica: ev.Replica.ID, Unused: true})
 	case ClaimSettled:
 		// An End can't come before its claim is settled: giveUp waits for it.
 		panic("request: claim settled after the end")
--- a/daemon/backends.go
+++ b/daemon/backends.go
@@ -1,55 +1,151 @@
 package daemon
 
 import (
-	"sync"
+	"context"
+	"time"
 
+	"github.com/hibiscuswick/hibiscuswick/coordination/home"
+	"github.com/hibiscuswick/hibiscuswick/coordination/membership"
 	"github.com/hibiscuswick/hibiscuswick/protocol/engine"
-	"github.com/hibiscuswick/hibiscuswick/transport/enginehttp"
+	"github.com/hibiscuswick/hibiscuswick/state"
+	"github.com/hibiscuswick/hibiscuswick/state/service"
+	"github.com/hibiscuswick/hibiscuswick/telemetry"
 )
 
-// backends keeps one client for each backend server address. It may be used by
-// many goroutines.
-type backends struct {
-	opts enginehttp.Options
+// backendsPart reads what the backend servers of this daemon's pools say of
+// themselves: that they are leaving, and what their prompt caches hold. Only a
+// pool's home asks, so that the calls to one backend server do not grow with the
+// fleet; what it learns spreads as a fact.
+type backendsPart struct {
+	c     *control
+	next  time.Time
+	known map[state.BackendID]*backendState
+}
+
+// backendState is what was last heard of one backend server.
+type backendState struct {
+	asking   bool
+	reported membership.FactKind // 0 for nothing
+	cacheSeq uint64
+}
 
-	mu      sync.Mutex
-	engines map[string]*engineClient
-	plains  map[string]engine.Plain
+// report is one backend server's own word.
+type report struct {
+	backend state.BackendID
+	replica state.ReplicaID // whose first stage it is, or ""
+	load    engine.Load
+	events  []engine.CacheEvent
+	err     error
 }
 
-// engineClient is one engine's client with the batcher of its steps.
-type engineClient struct {
-	engine.Engine
-	steps *enginehttp.Batcher
+func newBackendsPart(c *control) *backendsPart {
+	return &backendsPart{c: c, known: make(map[state.BackendID]*backendState)}
 }
 
-func newBackends(opts enginehttp.Options) *backends {
-	return &backends{
-		opts:    opts,
-		engines: make(map[string]*engineClient),
-		plains:  make(map[string]engine.Plain),
+func (p *backendsPart) nextTick(now time.Time) time.Time {
+	if p.next.IsZero() {
+		return now
 	}
+	return p.next
 }
 
-func (b *backends) engine(address string) *engineClient {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	c, ok := b.engines[address]
-	if !ok {
-		e := enginehttp.New(address, b.opts)
-		c = &engineClient{Engine: e, steps: enginehttp.NewBatcher(e, enginehttp.BatcherOptions{})}
-		b.engines[address] = c
+func (p *backendsPart) tick(now time.Time) {
+	p.next = now.Add(p.c.d.set.Backends.LoadInterval.Std())
+	for _, pool := range p.c.slots.pools {
+		for _, r := range pool.Replicas {
+			for i, s := range r.Stages {
+				p.ask(r, i, s)
+			}
+		}
 	}
-	return c
 }
 
-func (b *backends) plain(address string) engine.Plain {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	c, ok := b.plains[address]
+func (p *backendsPart) ask(r state.Replica, stage int, s state.Stage) {
+	b, ok := p.known[s.Backend]
 	if !ok {
-		c = enginehttp.NewPlain(address, b.opts)
-		b.plains[address] = c
+		b = &backendState{}
+		p.known[s.Backend] = b
+	}
+	if b.asking {
+		return
+	}
+	b.asking = true
+	rep := report{backend: s.Backend}
+	if stage == 0 {
+		rep.replica = r.ID
+	}
+	plain := p.c.slots.isPlain(r.Service)
+	seq := b.cacheSeq
+	go func() {
+		p.c.d.readReport(&rep, s.Address, plain, seq)
+		p.c.post(func() { p.heard(b, rep) })
+	}()
+}
+
+// readReport asks one backend server.
+func (d *Daemon) readReport(rep *report, address string, plain bool, seq uint64) {
+	ctx, cancel := context.WithTimeout(context.Background(), d.askTimeout)
+	defer cancel()
+	if plain {
+		rep.load, rep.err = d.clients.plain(address).Load(ctx)
+		return
+	}
+	e := d.clients.engine(address)
+	rep.load, rep.err = e.Load(ctx)
+	e.seen(rep.load.Life)
+	if rep.err == nil && rep.replica != "" {
+		// Cache events only steer; without them requests go where they may.
+		rep.events, _ = e.CacheEvents(ctx, seq)
+	}
+}
+
+func (p *backendsPart) heard(b *backendState, rep report) {
+	b.asking = false
+	if rep.err != nil {
+		return // the calls of requests show what that means
+	}
+	p.cacheEvents(b, rep)
+	kind := membership.BackendAvailable
+	if rep.load.Leaving {
+		kind = membership.BackendLeaving
 	}
-	return c
+	if kind == b.reported || kind == membership.BackendAvailable && b.reported == 0 {
+		return
+	}
+	b.reported = kind
+	p.c.members.step(membership.ReportBackend{Backend: rep.backend, Kind: kind})
+	if kind == membership.BackendLeaving {
+		p.leaving(rep.backend)
+	}
+}
+
+func (p *backendsPart) cacheEvents(b *backendState, rep report) {
+	if len(rep.events) == 0 {
+		return
+	}
+	ev := home.CacheReported{Replica: rep.replica, Gap: rep.events[0].Seq != b.cacheSeq+1}
+	for _, e := range rep.events {
+		ev.Gap = ev.Gap || e.Seq > b.cacheSeq+1 && b.cacheSeq > 0
+		b.cacheSeq = e.Seq
+		ev.Changes = append(ev.Changes, home.CacheChange{Prefix: e.Prefix, Evicted: e.Evicted})
+	}
+	p.c.slots.home(ev)
+}
+
+// learned takes a fact that another daemon found out.
+func (p *backendsPart) learned(f membership.Fact) {
+	if f.Kind == membership.BackendLeaving {
+		p.leaving(state.BackendID(f.Subject))
+	}
+}
+
+func (p *backendsPart) leaving(id state.BackendID) {
+	p.c.d.log.Emit(telemetry.EventBackendLeaving, telemetry.Backend(id))
+	p.c.slots.backendLeaving(id)
+}
+
+// isPlain reports whether a service's replicas are single plain servers.
+func (p *slotsPart) isPlain(id state.ServiceID) bool {
+	v, ok := p.docs[id]
+	return ok && v.Document.Kind == service.KindPlain
 }
--- /dev/null
+++ b/daemon/batcher.go
@@ -0,0 +1,110 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/hibiscuswick/hibiscuswick/coordination/claims"
+	"github.com/hibiscuswick/hibiscuswick/coordination/store"
+	tpeer "github.com/hibiscuswick/hibiscuswick/transport/peer"
+)
+
+// viaHomeTimeout bounds how long a claim's write may take by way of the key's
+// home before the claimant goes to the table service itself.
+const viaHomeTimeout = 500 * time.Millisecond
+
+// batcherPart gathers the claim writes of the keys that this daemon is home of.
+type batcherPart struct {
+	c       *control
+	m       *claims.Batcher
+	waiting map[uint64]batchWait
+	last    uint64
+}
+
+// batchWait is one write that waits for its batch: the caller's own number and
+// where its answer goes.
+type batchWait struct {
+	call   uint64
+	answer func(claims.WriteReply)
+}
+
+func newBatcherPart(c *control) *batcherPart {
+	return &batcherPart{c: c, m: claims.NewBatcher(claims.DefaultBatchConfig()), waiting: make(map[uint64]batchWait)}
+}
+
+func (p *batcherPart) nextTick(time.Time) time.Time { return p.m.NextTick() }
+func (p *batcherPart) tick(time.Time)               { p.step(claims.Tick{}) }
+
+// write has one claim row written by the key's home; answer runs on the control
+// goroutine, exactly once.
+func (p *batcherPart) write(req claims.WriteRequest, answer func(claims.WriteReply)) {
+	home := claims.KeyHome(req.Key, p.c.members.liveIDs(), keyHomes)
+	if home == p.c.d.self.ID || home == "" {
+		p.want(req, answer)
+		return
+	}
+	address := p.c.members.address(home)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), viaHomeTimeout)
+		defer cancel()
+		res, err := p.c.d.node.Call(ctx, address, req)
+		reply, ok := res.Msg.(claims.WriteReply)
+		if err != nil || !ok {
+			reply = claims.WriteReply{Status: unansweredBy(err)}
+		}
+		reply.Call = req.Call
+		p.c.post(func() { answer(reply) })
+	}()
+}
+
+// want adds a write to the batch, under a number of this daemon's own: two
+// claimants may use the same one.
+func (p *batcherPart) want(req claims.WriteRequest, answer func(claims.WriteReply)) {
+	p.last++
+	p.waiting[p.last] = batchWait{call: req.Call, answer: answer}
+	req.Call = p.last
+	p.step(claims.Wanted{From: p.c.d.self, Request: req})
+}
+
+// serve answers a claimant at another daemon.
+func (p *batcherPart) serve(ctx context.Context, req claims.WriteRequest) (claims.WriteReply, error) {
+	answered := make(chan claims.WriteReply, 1)
+	p.c.post(func() { p.want(req, func(reply claims.WriteReply) { answered <- reply }) })
+	select {
+	case reply := <-answered:
+		return reply, nil
+	case <-ctx.Done():
+		return claims.WriteReply{}, ctx.Err()
+	}
+}
+
+func (p *batcherPart) step(ev claims.BatchEvent) {
+	for _, a := range p.m.Step(p.c.now, ev) {
+		switch a := a.(type) {
+		case claims.CallStore:
+			p.c.store.do(a.Call, func(res store.Result) { p.step(claims.Answered{Result: res}) })
+		case claims.Reply:
+			p.reply(a.Reply)
+		}
+	}
+}
+
+func (p *batcherPart) reply(reply claims.WriteReply) {
+	w, ok := p.waiting[reply.Call]
+	if !ok {
+		return
+	}
+	delete(p.waiting, reply.Call)
+	reply.Call = w.call
+	p.c.later(func() { w.answer(reply) })
+}
+
+// unansweredBy says what a failed call to a key's home proves.
+func unansweredBy(err error) store.Status {
+	if err != nil && tpeer.Unhandled(err) {
+		return store.NotSent
+	}
+	return store.Unanswered
+}
+
+var _ claims.View = (*claimsPart)(nil)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -1,9 +1,9 @@
 package daemon
 
 import (
-	"context"
 	"crypto/rand"
 	"encoding/hex"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -12,70 +12,88 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/samber/do/v2"
 
+	"github.com/hibiscuswick/hibiscuswick/coordination/membership"
 	"github.com/hibiscuswick/hibiscuswick/coordination/request"
+	"github.com/hibiscuswick/hibiscuswick/coordination/route"
 	"github.com/hibiscuswick/hibiscuswick/protocol/platform"
 	"github.com/hibiscuswick/hibiscuswick/settings"
 	"github.com/hibiscuswick/hibiscuswick/state"
 	"github.com/hibiscuswick/hibiscuswick/telemetry"
-	"github.com/hibiscuswick/hibiscuswick/transport/enginehttp"
 	"github.com/hibiscuswick/hibiscuswick/transport/front"
-	"github.com/hibiscuswick/hibiscuswick/transport/platformhttp"
+	"github.com/hibiscuswick/hibiscuswick/transport/peer"
 )
 
 // Daemon is one router process.
 type Daemon struct {
 	set     settings.Settings
+	self    state.Member
+	owner   uint32 // tells this life of this daemon from all others
 	log     *telemetry.Log
 	metrics *telemetry.Metrics
 
 	table     platform.Table
 	instances platform.Instances
+	clients   *clients
 
-	owner      uint32 // tells this life of this daemon from all others
-	askTimeout time.Duration
+	askTimeout time.Duration // of one question to a backend server
 
-	backends *backends
 	requests *requests
-	slots    *slotTable
-	claims   *claimTable
-	current  atomic.Pointer[viewOf]
+	control  *control
+	current  atomic.Pointer[view]
 
-	listener net.Listener
-	server   *http.Server
+	peers  net.Listener
+	caller net.Listener
+	node   *peer.Node
+	server *http.Server
 
 	drainOnce sync.Once
-	drain     chan struct{} // closed when a planned stop begins
-	kill      chan struct{} // closed when the daemon ends
 	killOnce  sync.Once
+	kill      chan struct{} // closed when the daemon ends
 	done      chan struct{} // closed when everything has ended
 }
 
-// New provisions a daemon from checked settings. It opens no port yet.
-func New(set settings.Settings, log *telemetry.Log) *Daemon {
-	opts := platformhttp.Options{ProgressTimeout: set.Store.Timeout.Std()}
+// New provisions a daemon from checked settings and opens its ports. It serves
+// nothing before Run.
+func New(set settings.Settings, log *telemetry.Log) (*Daemon, error) {
+	return newFrom(provide(set, log))
+}
+
+// newFrom builds a daemon from what the injector provides.
+func newFrom(i do.Injector) (*Daemon, error) {
+	set := do.MustInvoke[settings.Settings](i)
 	life := newLife()
 	d := &Daemon{
 		set:        set,
-		log:        log.With(telemetry.Daemon(set.ID)),
-		metrics:    telemetry.NewMetrics(),
-		table:      platformhttp.NewTable(set.Platform.TableURL, opts),
-		instances:  platformhttp.NewInstances(set.Platform.InstancesURL, opts),
+		self:       state.Member{ID: set.ID, Incarnation: state.Incarnation(time.Now().UnixNano())},
 		owner:      uint32(xxhash.Sum64String(string(set.ID) + "/" + life)),
+		log:        do.MustInvoke[*telemetry.Log](i).With(telemetry.Daemon(set.ID)),
+		metrics:    do.MustInvoke[*telemetry.Metrics](i),
+		table:      do.MustInvoke[platform.Table](i),
+		instances:  do.MustInvoke[platform.Instances](i),
+		clients:    do.MustInvoke[*clients](i),
 		askTimeout: set.Backends.ProgressTimeout.Std(),
-		backends: newBackends(enginehttp.Options{
-			DialTimeout:     set.Backends.ConnectTimeout.Std(),
-			ProgressTimeout: set.Backends.ProgressTimeout.Std(),
-		}),
-		requests: newRequests(),
-		drain:    make(chan struct{}),
-		kill:     make(chan struct{}),
-		done:     make(chan struct{}),
+		requests:   newRequests(),
+		kill:       make(chan struct{}),
+		done:       make(chan struct{}),
+	}
+	d.current.Store(&view{})
+	if err := d.listen(); err != nil {
+		return nil, err
 	}
-	d.slots = newSlotTable(d)
-	d.claims = &claimTable{table: d.table}
-	d.current.Store(&viewOf{})
-	return d
+	d.node = peer.New(peer.Config{
+		Self:     d.self,
+		Registry: newRegistry(),
+		Handler:  peer.Handler{Received: d.received, Called: d.called},
+		Lost:     d.connectionLost,
+	})
+	d.control = newControl(d)
+	d.server = &http.Server{
+		Handler:           front.New(d, front.Options{Metrics: d.metrics.Handler()}),
+		ReadHeaderTimeout: front.DefaultBodyTimeout,
+	}
+	return d, nil
 }
 
 // newLife names this life of a daemon, unlike any other's.
@@ -85,31 +103,55 @@
 	return hex.EncodeToString(b)
 }
 
-func (d *Daemon) view() *viewOf {
-	return d.current.Load()
-}
-
-// Start opens the daemon's addresses and begins to serve.
-func (d *Daemon) Start(ctx context.Context) error {
-	l, err := net.Listen("tcp", d.set.CallerAddress)
+// listen opens the ports for callers and peers.
+func (d *Daemon) listen() error {
+	caller, err := net.Listen("tcp", d.set.CallerAddress)
 	if err != nil {
 		return fmt.Errorf("caller_address %s: %w", d.set.CallerAddress, err)
 	}
-	d.listener = l
-	d.refresh(ctx)
-	d.server = &http.Server{
-		Handler:           front.New(d, front.Options{Metrics: d.metrics.Handler()}),
-		ReadHeaderTimeout: front.DefaultBodyTimeout,
+	peers, err := net.Listen("tcp", d.set.PeerAddress)
+	if err != nil {
+		_ = caller.Close()
+		return fmt.Errorf("peer_address %s: %w", d.set.PeerAddress, err)
 	}
-	go func() { _ = d.server.Serve(l) }()
-	go d.control()
-	d.log.Emit(telemetry.EventDaemonStarted, telemetry.Address(d.CallerAddress()))
+	d.caller, d.peers = caller, peers
 	return nil
 }
 
+// Run begins to serve and returns at once; Done tells the end.
+func (d *Daemon) Run() {
+	d.node.Serve(d.peers)
+	go func() { _ = d.server.Serve(d.caller) }()
+	go func() {
+		d.control.run()
+		d.node.Close()
+		_ = d.metrics.Close()
+		close(d.done)
+	}()
+	d.log.Emit(telemetry.EventDaemonStarted, telemetry.Address(d.callerAdvertise()))
+}
+
 // CallerAddress is where callers connect, host:port.
-func (d *Daemon) CallerAddress() string {
-	return d.listener.Addr().String()
+func (d *Daemon) CallerAddress() string { return d.caller.Addr().String() }
+
+// PeerAddress is where other daemons connect, host:port.
+func (d *Daemon) PeerAddress() string { return d.peers.Addr().String() }
+
+// advertised returns what is told to others: the setting, unless the system chose
+// the port.
+func advertised(setting, listen string, l net.Listener) string {
+	if setting == listen {
+		return l.Addr().String()
+	}
+	return setting
+}
+
+func (d *Daemon) callerAdvertise() string {
+	return advertised(d.set.CallerAdvertise, d.set.CallerAddress, d.caller)
+}
+
+func (d *Daemon) peerAdvertise() string {
+	return advertised(d.set.PeerAdvertise, d.set.PeerAddress, d.peers)
 }
 
 // Kill ends the daemon at once, as the loss of its instance would: connections
@@ -118,6 +160,7 @@
 	d.killOnce.Do(func() {
 		close(d.kill)
 		_ = d.server.Close()
+		d.requests.abandon()
 	})
 }
 
@@ -126,63 +169,31 @@
 	return d.done
 }
 
-// control is the control goroutine.
-func (d *Daemon) control() {
-	defer close(d.done)
-	ticker := time.NewTicker(d.set.Store.DigestInterval.Std())
-	defer ticker.Stop()
-	drain := d.drain
-	for {
-		select {
-		case <-ticker.C:
-			d.refresh(context.Background())
-		case <-drain:
-			drain = nil
-			go d.awaitIdle()
-		case <-d.kill:
-			return
-		}
+// connectionLost has a daemon probed whose connection ended. One silent
+// connection says nothing of the daemon behind it.
+func (d *Daemon) connectionLost(address string, err error) {
+	silent := errors.Is(err, peer.ErrSilent)
+	if silent {
+		d.metrics.Add(telemetry.SilentConnectionsTotal, 1)
+		d.log.Emit(telemetry.EventConnectionSilent, telemetry.Address(address))
 	}
+	d.control.post(func() { d.control.connectionLost(address, silent) })
 }
 
-// awaitIdle ends the daemon once its address answers have run out and no
-// request is left.
-func (d *Daemon) awaitIdle() {
-	time.Sleep(d.set.AddressAnswerValid.Std() + d.set.Drain.Grace.Std())
-	for {
-		n, idle := d.requests.active()
-		if n == 0 {
-			break
+// connectionLost tells the parts that messages to a daemon may be lost.
+func (c *control) connectionLost(address string, silent bool) {
+	for _, i := range c.members.view.Members {
+		if i.Meta.PeerAddress != address || i.Member.ID == c.d.self.ID {
+			continue
+		}
+		c.slots.route(route.Reconnected{Peer: i.Member.ID})
+		if !silent {
+			c.members.step(membership.ConnectionLost{ID: i.Member.ID})
 		}
-		<-idle
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), d.set.Drain.Limit.Std())
-	defer cancel()
-	_ = d.server.Shutdown(ctx)
-	d.killOnce.Do(func() { close(d.kill) })
-}
-
-// askRetry answers at once: the attempt limit of the document.
-func (d *Daemon) askRetry(r *runner, a request.AskRetry) {
-	d.metrics.Retried(a.Reason)
-	v := d.view().documents[r.spec.Service]
-	limit := uint32(3)
-	if v != nil && v.Document.Retry.MaxAttempts > 0 {
-		limit = uint32(v.Document.Retry.MaxAttempts)
 	}
-	allowed := a.Attempt.Number() < limit
-	go r.post(request.RetryDecided{Allowed: allowed, Reason: state.ReasonRetriesExhausted})
 }
 
-func (d *Daemon) registerAttempt(*runner, request.AttemptBegan) {}
-func (d *Daemon) registerEnd(*runner, state.Outcome)            {}
-
-func (d *Daemon) releaseAttempt(r *runner, a request.ReleaseAttempt) {
-	go d.cancelAttempt(r.spec, a.Attempt, a.Replica)
-}
-
-func (d *Daemon) backendFailed(request.Spec, state.Stage, bool) {}
-
+// logEnd writes a line for each request without a whole answer.
 func (d *Daemon) logEnd(spec request.Spec, o state.Outcome) {
 	fields := []telemetry.Field{telemetry.Request(spec.ID), telemetry.Service(spec.Service)}
 	switch o := o.(type) {
--- /dev/null
+++ b/daemon/messages.go
@@ -0,0 +1,116 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/hibiscuswick/hibiscuswick/coordination/claims"
+	"github.com/hibiscuswick/hibiscuswick/coordination/documents"
+	"github.com/hibiscuswick/hibiscuswick/coordination/home"
+	"github.com/hibiscuswick/hibiscuswick/coordination/membership"
+	"github.com/hibiscuswick/hibiscuswick/coordination/request"
+	"github.com/hibiscuswick/hibiscuswick/protocol/peer"
+	"github.com/hibiscuswick/hibiscuswick/protocol/streams"
+	"github.com/hibiscuswick/hibiscuswick/state"
+)
+
+// First kinds of each family of messages. A message's kind never changes.
+const (
+	kindMembership peer.Kind = 100
+	kindDocuments  peer.Kind = 200
+	kindHome       peer.Kind = 300
+	kindClaims     peer.Kind = 400
+	kindStreams    peer.Kind = 500
+)
+
+// newRegistry lists every message between daemons. New ones are added at the end
+// of their family.
+func newRegistry() *peer.Registry {
+	r := peer.NewRegistry()
+	peer.Register[membership.Ping](r, kindMembership)
+	peer.Register[membership.Ack](r, kindMembership+1)
+	peer.Register[membership.PingRequest](r, kindMembership+2)
+	peer.Register[membership.PingResult](r, kindMembership+3)
+	peer.Register[membership.Gossip](r, kindMembership+4)
+	peer.Register[membership.Compare](r, kindMembership+5)
+	peer.Register[membership.Records](r, kindMembership+6)
+
+	peer.Register[documents.Digest](r, kindDocuments)
+	peer.Register[documents.Announce](r, kindDocuments+1)
+	peer.Register[documents.Docs](r, kindDocuments+2)
+	peer.Register[documents.Pull](r, kindDocuments+3)
+	peer.Register[documents.Versions](r, kindDocuments+4)
+	peer.Register[documents.InForceAsk](r, kindDocuments+5)
+	peer.Register[documents.InForce](r, kindDocuments+6)
+
+	peer.Register[home.SlotRequest](r, kindHome)
+	peer.Register[home.SlotGrant](r, kindHome+1)
+	peer.Register[home.SlotRefusal](r, kindHome+2)
+	peer.Register[home.SlotRelease](r, kindHome+3)
+	peer.Register[home.CancelWait](r, kindHome+4)
+	peer.Register[home.NotHome](r, kindHome+5)
+	peer.Register[home.Renewal](r, kindHome+6)
+	peer.Register[home.ReportQuery](r, kindHome+7)
+	peer.Register[home.GrantReport](r, kindHome+8)
+
+	peer.Register[claims.WriteRequest](r, kindClaims)
+	peer.Register[claims.WriteReply](r, kindClaims+1)
+
+	peer.Register[streams.Register](r, kindStreams)
+	peer.Register[streams.LookUp](r, kindStreams+1)
+	peer.Register[streams.LookedUp](r, kindStreams+2)
+	peer.Register[streams.Pull](r, kindStreams+3)
+	peer.Register[streams.Pulled](r, kindStreams+4)
+	peer.Register[streams.CancelRequest](r, kindStreams+5)
+	peer.Register[streams.Canceled](r, kindStreams+6)
+	return r
+}
+
+// send queues a message for the daemon at address. One that can't be sent is
+// lost, as any message may be.
+func (d *Daemon) send(address string, msg any) {
+	if address == "" {
+		return
+	}
+	_ = d.node.Send(address, msg)
+}
+
+// received takes a message of another daemon to its part.
+func (d *Daemon) received(from state.Member, msg any) {
+	c := d.control
+	c.post(func() {
+		switch msg := msg.(type) {
+		case membership.Message:
+			c.members.step(membership.Received{From: from, Msg: msg})
+		case documents.Message:
+			c.documents.step(documents.Received{From: from, Msg: msg})
+		case home.Message:
+			c.slots.received(from, msg)
+		case streams.Register:
+			c.streams.put(msg.Record)
+		}
+	})
+}
+
+// called answers another daemon's call.
+func (d *Daemon) called(ctx context.Context, _ state.Member, msg any) (any, error) {
+	switch msg := msg.(type) {
+	case claims.WriteRequest:
+		return d.control.batcher.serve(ctx, msg)
+	case streams.LookUp:
+		found, _ := ask(ctx, d.control, func() streams.LookedUp {
+			rec, known := d.control.streams.records.Get(d.control.now, msg.Request)
+			return streams.LookedUp{Known: known, Record: rec}
+		})
+		return found, nil
+	case streams.Pull:
+		return d.servePull(ctx, msg), nil
+	case streams.CancelRequest:
+		r := d.requests.runner(msg.Request)
+		if r != nil {
+			r.post(request.Cancel{})
+		}
+		return streams.Canceled{Known: r != nil}, nil
+	}
+	return nil, fmt.Errorf("%T is no call", msg)
+}
--- a/daemon/operate.go
+++ b/daemon/operate.go
@@ -2,43 +2,57 @@
 
 import (
 	"context"
-	"encoding/json"
-	"errors"
+	"time"
 
 	"github.com/samber/lo"
 
+	"github.com/hibiscuswick/hibiscuswick/coordination/membership"
 	"github.com/hibiscuswick/hibiscuswick/protocol/caller"
-	"github.com/hibiscuswick/hibiscuswick/protocol/platform"
 	"github.com/hibiscuswick/hibiscuswick/state"
 	"github.com/hibiscuswick/hibiscuswick/state/service"
+	"github.com/hibiscuswick/hibiscuswick/telemetry"
 )
 
+// applyTimeout bounds one edit; the operator repeats it with its edit id.
+const applyTimeout = 5 * time.Second
+
 // Apply implements caller.Daemon.
 func (d *Daemon) Apply(ctx context.Context, e caller.Edit) caller.EditResult {
 	doc, faults := service.Decode(e.Text)
 	if len(faults) > 0 {
-		return caller.EditResult{Status: caller.EditInvalid, Faults: lo.Map(faults, func(f service.Fault, _ int) string { return f.String() })}
-	}
-	v := service.Versioned{Version: e.Base + 1, EditID: e.EditID, Document: doc}
-	value, err := json.Marshal(v)
-	if err != nil {
-		return caller.EditResult{Status: caller.EditInvalid, Faults: []string{err.Error()}}
+		d.log.Emit(telemetry.EventDocumentRefused, telemetry.Count(len(faults)))
+		return caller.EditResult{Status: caller.EditInvalid, Faults: service.Texts(faults)}
 	}
-	key := string(doc.Service)
-	_, err = d.table.Commit(ctx, platform.Txn{
-		Conditions: []platform.Condition{{Table: documentsTable, Key: key, Revision: uint64(e.Base)}},
-		Writes:     []platform.Write{{Table: documentsTable, Key: key, Value: value}},
-	})
-	switch {
-	case err == nil:
-		return caller.EditResult{Status: caller.EditAccepted, Version: v.Version}
-	case errors.Is(err, platform.ErrConflict):
-		current, _ := d.Document(ctx, doc.Service)
-		return caller.EditResult{Status: caller.EditConflict, Version: current.Version, Current: &current}
+	// What is committed is the canonical text, so that all daemons compare and
+	// patch the same bytes.
+	e.Text = doc.Encode()
+	answer := make(chan caller.EditResult, 1)
+	deadline := time.Now().Add(applyTimeout)
+	d.control.post(func() { d.control.documents.apply(e, doc.Service, deadline, answer) })
+	select {
+	case res := <-answer:
+		d.logEdit(doc.Service, e, res)
+		return res
+	case <-ctx.Done():
+	case <-d.kill:
 	}
 	return caller.EditResult{Status: caller.EditUnknown}
 }
 
+func (d *Daemon) logEdit(id state.ServiceID, e caller.Edit, res caller.EditResult) {
+	event := telemetry.EventDocumentOutcomeUnknown
+	switch res.Status {
+	case caller.EditAccepted:
+		event = telemetry.EventDocumentAccepted
+	case caller.EditConflict:
+		event = telemetry.EventDocumentConflict
+	case caller.EditInvalid, caller.EditUnavailable:
+		event = telemetry.EventDocumentRefused
+	case caller.EditUnknown:
+	}
+	d.log.Emit(event, telemetry.Service(id), telemetry.EditID(e.EditID), telemetry.Version(res.Version))
+}
+
 // Document implements caller.Daemon.
 func (d *Daemon) Document(_ context.Context, id state.ServiceID) (service.Versioned, bool) {
 	v, ok := d.view().documents[id]
@@ -56,22 +70,42 @@
 // DaemonStatus implements caller.Daemon.
 func (d *Daemon) DaemonStatus(context.Context) caller.DaemonStatus {
 	v := d.view()
-	active, _ := d.requests.active()
-	return caller.DaemonStatus{
-		ID:       d.set.ID,
-		Draining: v.draining,
-		Isolated: v.isolated,
-		Active:   active,
-		Documents: lo.MapValues(v.documents, func(v *service.Versioned, _ state.ServiceID) state.DocumentVersion {
-			return v.Version
-		}),
+	s := caller.DaemonStatus{
+		ID:        d.set.ID,
+		Draining:  v.draining || v.members != nil && v.members.Self.Draining,
+		Isolated:  v.servesNow(time.Now()) == state.ReasonIsolated,
+		Active:    d.requests.count(),
+		Documents: versions(v),
+	}
+	if v.members == nil {
+		return s
 	}
+	for _, i := range v.members.Members {
+		s.Members = append(s.Members, d.memberStatus(i, v))
+	}
+	return s
 }
 
-// Drain implements caller.Daemon.
-func (d *Daemon) Drain(ctx context.Context) {
-	d.drainOnce.Do(func() {
-		close(d.drain)
-		d.refresh(ctx)
+func versions(v *view) map[state.ServiceID]state.DocumentVersion {
+	return lo.MapValues(v.documents, func(d *service.Versioned, _ state.ServiceID) state.DocumentVersion {
+		return d.Version
 	})
 }
+
+// memberStatus describes a member. Its document versions are known here only of
+// this daemon itself; others tell their own at BaseURL.
+func (d *Daemon) memberStatus(i membership.Info, v *view) caller.MemberStatus {
+	m := caller.MemberStatus{
+		Member:  i.Member,
+		Address: i.Meta.PeerAddress,
+		BaseURL: i.Meta.CallerAddress,
+		State:   i.State.String(),
+	}
+	if i.State == membership.Alive && i.Draining {
+		m.State = "leaving"
+	}
+	if i.Member == d.self {
+		m.Documents = versions(v)
+	}
+	return m
+}
--- a/daemon/requests.go
+++ b/daemon/requests.go
@@ -4,6 +4,8 @@
 	"sync"
 	"time"
 
+	"github.com/hibiscuswick/hibiscuswick/coordination/claims"
+	"github.com/hibiscuswick/hibiscuswick/coordination/request"
 	"github.com/hibiscuswick/hibiscuswick/state"
 )
 
@@ -17,13 +19,24 @@
 	live map[state.RequestID]*runner
 	past map[state.RequestID]*answer
 	idle chan struct{} // closed and replaced whenever live becomes empty
+
+	// byKey are the answers of never-repeat requests by idempotency key, for
+	// repeats that come to the same daemon.
+	byKey map[claims.Key]keyed
+}
+
+// keyed is the answer under one idempotency key.
+type keyed struct {
+	content string
+	answer  *answer
 }
 
 func newRequests() *requests {
 	return &requests{
-		live: make(map[state.RequestID]*runner),
-		past: make(map[state.RequestID]*answer),
-		idle: make(chan struct{}),
+		live:  make(map[state.RequestID]*runner),
+		past:  make(map[state.RequestID]*answer),
+		idle:  make(chan struct{}),
+		byKey: make(map[claims.Key]keyed),
 	}
 }
 
@@ -31,6 +44,50 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.live[r.spec.ID] = r
+	if r.spec.NeverRepeat {
+		t.byKey[keyOf(r.spec)] = keyed{content: r.content, answer: r.answer}
+	}
+}
+
+// repeated returns the answer under a never-repeat request's key that is still
+// growing or that the caller can be given again. One that ended without a whole
+// answer is left to the claim row, which knows best what a repeat may do.
+func (t *requests) repeated(spec request.Spec) (keyed, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	k, ok := t.byKey[keyOf(spec)]
+	if !ok {
+		return k, false
+	}
+	_, outcome, _ := k.answer.after(0)
+	_, completed := outcome.(state.Completed)
+	return k, outcome == nil || completed
+}
+
+// attach adds an answer that this daemon gives without owning its request. It
+// returns the one that is there already, if any.
+func (t *requests) attach(a *answer) *answer {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r, ok := t.live[a.id]; ok {
+		return r.answer
+	}
+	if old, ok := t.past[a.id]; ok {
+		return old
+	}
+	t.past[a.id] = a
+	time.AfterFunc(endedFor, func() { t.forget(a) })
+	return a
+}
+
+// abandon stops every request without an outcome, as the loss of the instance
+// would.
+func (t *requests) abandon() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, r := range t.live {
+		r.cancel()
+	}
 }
 
 // ended moves a request from live to the answers kept.
@@ -51,9 +108,18 @@
 func (t *requests) forget(a *answer) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if _, outcome, _ := a.after(0); outcome == nil {
+		time.AfterFunc(endedFor, func() { t.forget(a) })
+		return // still growing
+	}
 	if t.past[a.id] == a {
 		delete(t.past, a.id)
 	}
+	for key, k := range t.byKey {
+		if k.answer == a {
+			delete(t.byKey, key)
+		}
+	}
 }
 
 // runner returns the live request of that id, or nil.
@@ -80,3 +146,8 @@
 	defer t.mu.Unlock()
 	return len(t.live), t.idle
 }
+
+func (t *requests) count() int {
+	n, _ := t.active()
+	return n
+}
--- a/daemon/runner.go
+++ b/daemon/runner.go
@@ -2,25 +2,43 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/hibiscuswick/hibiscuswick/coordination/request"
 	"github.com/hibiscuswick/hibiscuswick/protocol/caller"
+	"github.com/hibiscuswick/hibiscuswick/protocol/streams"
 	"github.com/hibiscuswick/hibiscuswick/state"
 	"github.com/hibiscuswick/hibiscuswick/telemetry"
 )
 
-// eventBacklog is how many events may wait for a request's goroutine before
-// their senders wait too. One step is under way at a time, so that few do.
-const eventBacklog = 16
+const (
+	// eventBacklog is how many events may wait for a request's goroutine
+	// before their senders wait too. One step is under way at a time, so that
+	// few do.
+	eventBacklog = 16
+
+	// releaseDelay is how long the stages keep the KV cache of a whole answer,
+	// so that it can be read there should this daemon die before the answer is
+	// at its registrars.
+	releaseDelay = time.Second
+)
 
 // runner drives one request: it owns its state machine, carries out what the
 // machine asks for, and feeds the results back.
 type runner struct {
-	d      *Daemon
-	spec   request.Spec
-	m      *request.Request
-	answer *answer
+	d       *Daemon
+	spec    request.Spec
+	content string // digest of what makes the work what it is
+	m       *request.Request
+	answer  *answer
+
+	// execution is the request id that backend servers know the work by. It is
+	// another's where a claimed attempt of a daemon that is gone is continued.
+	execution atomic.Pointer[state.RequestID]
+	// followed is set before the end where another request of the same key has
+	// the answer.
+	followed atomic.Pointer[followed]
 
 	events chan request.Event
 	done   chan struct{} // closed when run returns
@@ -29,23 +47,33 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 
-	arrived   time.Time
-	lastToken time.Time
+	began      request.AttemptBegan // the attempt that surely runs
+	arrived    time.Time
+	firstToken time.Time // of the attempt in hand, for the replica's speed
+	lastToken  time.Time
+	made       int // tokens of the attempt in hand
 }
 
-func newRunner(d *Daemon, spec request.Spec) *runner {
+func newRunner(d *Daemon, spec request.Spec, a *answer) *runner {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &runner{
+	r := &runner{
 		d:       d,
 		spec:    spec,
+		content: contentOf(spec),
 		m:       request.New(spec),
-		answer:  newAnswer(spec.ID),
+		answer:  a,
 		events:  make(chan request.Event, eventBacklog),
 		done:    make(chan struct{}),
 		ctx:     ctx,
 		cancel:  cancel,
 		arrived: time.Now(),
 	}
+	r.setExecution(spec.ID)
+	return r
+}
+
+func (r *runner) setExecution(id state.RequestID) {
+	r.execution.Store(&id)
 }
 
 // post gives the machine an event. It is dropped once the request has ended,
@@ -62,7 +90,7 @@
 // needs an answer then.
 func (r *runner) afterEnd(ev request.Event) {
 	if g, ok := ev.(request.SlotGranted); ok {
-		r.d.slots.release(r, request.ReleaseSlot{Grant: g.Grant, Replica: g.Replica.ID})
+		r.release(request.ReleaseSlot{Grant: g.Grant, Replica: g.Replica.ID, Unused: true})
 	}
 }
 
@@ -79,6 +107,8 @@
 			r.step(ev)
 		case <-timer.C:
 			r.step(request.Tick{})
+		case <-r.d.kill:
+			return
 		}
 	}
 }
@@ -118,59 +148,126 @@
 // post their result.
 func (r *runner) carryOut(a request.Action) {
 	switch a := a.(type) {
-	case request.AskSlot:
-		r.d.slots.ask(r, a)
-	case request.StopAsking:
-		r.d.slots.stop(r)
-	case request.ReleaseSlot:
-		r.d.slots.release(r, a)
-	case request.PutClaim:
-		r.d.claims.put(r, a)
-	case request.AbandonClaim:
-		r.d.claims.abandon(r)
-	case request.VoidClaim:
-		r.d.claims.void(r)
-	case request.SettleClaim:
-		r.d.claims.settle(r, a.Outcome)
 	case request.RunStep:
 		go r.runStep(a)
 	case request.AskHeld:
 		go r.askHeld(a)
 	case request.CancelAttempt:
-		go r.d.cancelAttempt(r.spec, a.Attempt, a.Replica)
+		go r.d.cancelAttempt(*r.execution.Load(), r.spec.Plain, a.Attempt, a.Replica)
+	case request.ReleaseSlot:
+		r.release(a)
 	case request.ReleaseAttempt:
-		r.d.releaseAttempt(r, a)
-	case request.AskRetry:
-		r.d.askRetry(r, a)
+		r.releaseAttempt(a)
 	case request.AttemptBegan:
-		r.began(a)
+		r.attemptBegan(a)
 	case request.Emit:
 		r.emit(a)
 	case request.End:
 		r.end(a.Outcome)
+	default:
+		c := r.d.control
+		c.post(func() { c.carryOut(r, a) })
 	}
 }
 
-func (r *runner) began(a request.AttemptBegan) {
+// carryOut does the actions of a request that concern control state.
+func (c *control) carryOut(r *runner, a request.Action) {
+	switch a := a.(type) {
+	case request.AskSlot:
+		c.slots.ask(r, a)
+	case request.StopAsking:
+		c.slots.stop(r, a.Attempt)
+	case request.PutClaim:
+		c.claims.put(r, a)
+	case request.AbandonClaim:
+		c.claims.abandon(r)
+	case request.VoidClaim:
+		c.claims.void(r, a.Proof)
+	case request.SettleClaim:
+		c.claims.settle(r, a.Outcome)
+	case request.AskRetry:
+		c.retries.decide(r, a)
+	}
+}
+
+func (r *runner) release(a request.ReleaseSlot) {
+	tokens, busy := r.made, r.lastToken.Sub(r.firstToken)
+	r.made = 0
+	c := r.d.control
+	c.post(func() { c.slots.release(r.spec.ID, a, tokens, busy) })
+}
+
+// releaseAttempt lets the stages free the KV cache of a whole answer, once it is
+// kept elsewhere.
+func (r *runner) releaseAttempt(a request.ReleaseAttempt) {
+	id := *r.execution.Load()
+	free := func() { r.d.cancelAttempt(id, r.spec.Plain, a.Attempt, a.Replica) }
+	c := r.d.control
+	c.post(func() {
+		c.claims.whenReleased(r, func() { time.AfterFunc(releaseDelay, free) })
+	})
+}
+
+func (r *runner) attemptBegan(a request.AttemptBegan) {
+	r.began = a
 	r.answer.setRunning()
-	r.d.registerAttempt(r, a)
+	if r.spec.Plain {
+		return // its one token comes with it
+	}
+	rec := recordOf(r, a)
+	c := r.d.control
+	c.post(func() { c.streams.register(rec) })
 }
 
 func (r *runner) emit(a request.Emit) {
 	now := time.Now()
+	m := r.d.metrics
 	if a.Index == 0 {
-		r.d.metrics.ObserveClass(telemetry.FirstTokenSeconds, r.spec.Service, r.spec.Class, now.Sub(r.arrived))
-	} else {
-		r.d.metrics.ObserveClass(telemetry.TokenGapSeconds, r.spec.Service, r.spec.Class, now.Sub(r.lastToken))
+		m.ObserveClass(telemetry.FirstTokenSeconds, r.spec.Service, r.spec.Class, now.Sub(r.arrived))
+	} else if !r.lastToken.IsZero() {
+		m.ObserveClass(telemetry.TokenGapSeconds, r.spec.Service, r.spec.Class, now.Sub(r.lastToken))
 	}
+	if r.made == 0 {
+		r.firstToken = now
+	}
+	r.made++
 	r.lastToken = now
-	r.d.metrics.Tokens(1)
-	r.answer.append(caller.Token{Index: a.Index, Value: a.Value, Text: a.Text})
+	m.Tokens(1)
+	if !r.answer.append(caller.Token{Index: a.Index, Value: a.Value, Text: a.Text}) {
+		// A new attempt made another token than the caller already has. The
+		// answer can't be whole any more; it is ended rather than mixed.
+		r.d.log.Emit(telemetry.EventOrderBroken, telemetry.Request(r.spec.ID), telemetry.Count(a.Index))
+		r.answer.end(state.Failed{Reason: state.ReasonBackendFailed, Tokens: a.Index})
+		go r.post(request.Cancel{})
+	}
 }
 
 func (r *runner) end(o state.Outcome) {
+	c := r.d.control
+	c.post(func() {
+		c.retries.ended(r, o)
+		c.claims.ended(r)
+	})
+	if f := r.followed.Load(); f != nil {
+		go r.d.followOn(r.answer, *f, o)
+		return
+	}
 	r.d.metrics.Ended(r.spec.Service, r.spec.Class, o)
 	r.d.logEnd(r.spec, o)
-	r.d.registerEnd(r, o)
+	r.registerEnd(o)
 	r.answer.end(o)
 }
+
+// registerEnd keeps a whole answer with the request's registrars, for a caller
+// whose connection ends with this daemon before it has read everything.
+func (r *runner) registerEnd(o state.Outcome) {
+	if r.began.Attempt == 0 {
+		return
+	}
+	rec := recordOf(r, r.began)
+	rec.Prompt = ""
+	tokens, _, _ := r.answer.after(0)
+	rec.Answer = &streams.Answer{Tokens: tokens, Outcome: streams.OutcomeOf(o)}
+	c := r.d.control
+	c.post(func() { c.streams.register(rec) })
+}
--- a/daemon/slots.go
+++ b/daemon/slots.go
@@ -2,76 +2,241 @@
 
 import (
 	"slices"
-	"sync"
+	"time"
 
+	"github.com/samber/lo"
+
+	"github.com/hibiscuswick/hibiscuswick/coordination/claims"
+	"github.com/hibiscuswick/hibiscuswick/coordination/home"
+	"github.com/hibiscuswick/hibiscuswick/coordination/membership"
 	"github.com/hibiscuswick/hibiscuswick/coordination/request"
+	"github.com/hibiscuswick/hibiscuswick/coordination/route"
 	"github.com/hibiscuswick/hibiscuswick/state"
+	"github.com/hibiscuswick/hibiscuswick/state/service"
+	"github.com/hibiscuswick/hibiscuswick/telemetry"
 )
 
-// slotTable gives out this daemon's own view of free slots: the replica with
-// the smallest share in use.
-type slotTable struct {
-	d *Daemon
+// slotsPart gets slots for this daemon's requests, and gives out those of the
+// pools that it is home of.
+type slotsPart struct {
+	c      *control
+	router *route.Router
+	homes  *home.Home
+
+	docs     map[state.ServiceID]*service.Versioned
+	replicas map[state.ReplicaID]state.Replica
+	leaving  map[state.ReplicaID]bool
+	pools    []home.PoolSpec // that this daemon is home of
+	wants    map[home.Ask]*runner
+}
+
+func newSlotsPart(c *control) *slotsPart {
+	return &slotsPart{
+		c:        c,
+		router:   route.New(route.Config{Self: c.d.self, Region: c.d.set.Region}, c.rng),
+		homes:    home.New(home.Config{}),
+		docs:     make(map[state.ServiceID]*service.Versioned),
+		replicas: make(map[state.ReplicaID]state.Replica),
+		leaving:  make(map[state.ReplicaID]bool),
+		wants:    make(map[home.Ask]*runner),
+	}
+}
+
+func (p *slotsPart) nextTick(now time.Time) time.Time {
+	a, b := p.router.NextTick(), p.homes.NextTick(now)
+	if a.IsZero() || !b.IsZero() && b.Before(a) {
+		return b
+	}
+	return a
+}
+
+func (p *slotsPart) tick(time.Time) {
+	p.route(route.Tick{})
+	p.home(home.Tick{})
+}
+
+// route gives the router an event and carries out its actions.
+func (p *slotsPart) route(ev route.Event) {
+	if v, ok := ev.(route.ViewChanged); ok {
+		live := lo.Map(v.Live, func(peer route.Peer, _ int) state.Member { return peer.Member })
+		p.home(home.ViewChanged{Live: live})
+	}
+	for _, a := range slices.Clone(p.router.Step(p.c.now, ev)) {
+		switch a := a.(type) {
+		case route.Send:
+			p.send(a.To, a.Msg)
+		case route.Granted:
+			p.granted(a)
+		case route.Refused:
+			p.refused(a)
+		case route.Assigned:
+			p.pools = a.Pools
+			p.home(home.PoolsAssigned{Pools: a.Pools})
+		}
+	}
+}
+
+// home gives this daemon's own homes an event and carries out their actions.
+func (p *slotsPart) home(ev home.Event) {
+	for _, a := range slices.Clone(p.homes.Step(p.c.now, ev)) {
+		switch a := a.(type) {
+		case home.Send:
+			p.send(a.To, a.Msg)
+		case home.Suspected:
+			p.c.d.log.Emit(telemetry.EventReplicaDown, telemetry.Replica(a.Replica))
+		case home.Recovered:
+			p.c.d.log.Emit(telemetry.EventReplicaUp, telemetry.Replica(a.Replica))
+		case home.Learned:
+			// A new home began to grant; nothing is to be done.
+		}
+	}
+}
+
+// send delivers a message to a daemon, this one included.
+func (p *slotsPart) send(to state.DaemonID, msg home.Message) {
+	if to == p.c.d.self.ID {
+		p.c.later(func() { p.received(p.c.d.self, msg) })
+		return
+	}
+	p.c.d.send(p.c.members.address(to), msg)
+}
 
-	mu      sync.Mutex
-	inUse   map[state.ReplicaID]int
-	waiting []slotWait
+// received hands a message to the side that it is for: what homes say goes to
+// the router, what entry daemons say to the homes.
+func (p *slotsPart) received(from state.Member, msg home.Message) {
+	switch msg.(type) {
+	case home.SlotGrant, home.SlotRefusal, home.NotHome, home.ReportQuery:
+		p.route(route.Received{From: from, Msg: msg})
+	default:
+		p.home(home.Received{From: from, Msg: msg})
+	}
 }
 
-type slotWait struct {
-	r       *runner
-	exclude []state.ReplicaID
+// ask begins to get a slot for a request's next attempt.
+func (p *slotsPart) ask(r *runner, a request.AskSlot) {
+	ask := home.Ask{Request: r.spec.ID, Attempt: a.Attempt}
+	p.wants[ask] = r
+	p.route(route.Want{
+		Ask:      ask,
+		Service:  r.spec.Service,
+		Class:    r.spec.Class,
+		Customer: r.spec.Customer,
+		Deadline: r.spec.FirstTokenBy,
+		Cost:     uint32(max(r.spec.MaxTokens, 1)),
+		Prefixes: lo.Reverse(state.Prefixes(r.spec.Prompt)),
+		Exclude:  a.Exclude,
+	})
 }
 
-func newSlotTable(d *Daemon) *slotTable {
-	return &slotTable{d: d, inUse: make(map[state.ReplicaID]int)}
+func (p *slotsPart) stop(r *runner, attempt state.Attempt) {
+	ask := home.Ask{Request: r.spec.ID, Attempt: attempt}
+	if _, waits := p.wants[ask]; !waits {
+		return
+	}
+	delete(p.wants, ask)
+	p.route(route.Cancel{Ask: ask})
 }
 
-func (t *slotTable) ask(r *runner, a request.AskSlot) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.waiting = append(t.waiting, slotWait{r: r, exclude: a.Exclude})
-	t.serve()
+func (p *slotsPart) release(id state.RequestID, a request.ReleaseSlot, tokens int, busy time.Duration) {
+	use := home.UseDone
+	switch {
+	case a.Unused:
+		use = home.UseUnused
+	case a.Failed:
+		use = home.UseFailed
+	}
+	p.route(route.Done{
+		Ask:    home.Ask{Request: id, Attempt: a.Grant},
+		Use:    use,
+		Tokens: uint32(tokens),
+		Busy:   busy,
+	})
 }
 
-func (t *slotTable) stop(r *runner) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.waiting = slices.DeleteFunc(t.waiting, func(w slotWait) bool { return w.r == r })
+func (p *slotsPart) granted(a route.Granted) {
+	r, ok := p.wants[a.Ask]
+	replica, known := p.replicas[a.Replica]
+	delete(p.wants, a.Ask)
+	if !ok || !known {
+		p.c.later(func() { p.route(route.Done{Ask: a.Ask, Use: home.UseUnused}) })
+		return
+	}
+	go r.grant(a.Ask.Attempt, replica)
 }
 
-func (t *slotTable) release(_ *runner, a request.ReleaseSlot) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.inUse[a.Replica]--
-	t.serve()
+func (p *slotsPart) refused(a route.Refused) {
+	r, ok := p.wants[a.Ask]
+	delete(p.wants, a.Ask)
+	if ok {
+		go r.post(request.SlotRefused{Reason: a.Reason, RetryAfter: a.RetryAfter})
+	}
+}
+
+// documentChanged takes a document's chains up.
+func (p *slotsPart) documentChanged(v *service.Versioned) {
+	p.docs[v.Document.Service] = v
+	p.rebuild(v)
 }
 
-// serve grants what can be granted, in order of arrival.
-func (t *slotTable) serve() {
-	rest := t.waiting[:0]
-	for _, w := range t.waiting {
-		replica, ok := t.pick(w)
-		if !ok {
-			rest = append(rest, w)
-			continue
+// instancesChanged looks all chains up anew in the instance list.
+func (p *slotsPart) instancesChanged() {
+	for _, v := range p.docs {
+		p.rebuild(v)
+	}
+}
+
+// rebuild tells the router which replicas a service has.
+func (p *slotsPart) rebuild(v *service.Versioned) {
+	replicas := p.c.instances.replicas(&v.Document)
+	for _, r := range replicas {
+		p.replicas[r.ID] = r
+	}
+	p.route(route.ReplicasChanged{
+		Service:  v.Document.Service,
+		Capacity: v.Document.Capacity.Replicas,
+		Replicas: replicas,
+	})
+	for _, r := range replicas {
+		if r.Leaving || p.anyLeaving(r) {
+			p.replicaLeaving(r.ID)
 		}
-		t.inUse[replica.ID]++
-		go w.r.post(request.SlotGranted{Grant: request.GrantID(w.r.spec.ID), Replica: replica})
 	}
-	t.waiting = rest
 }
 
-func (t *slotTable) pick(w slotWait) (state.Replica, bool) {
-	var best state.Replica
-	found := false
-	for _, r := range t.d.view().replicas[w.r.spec.Service] {
-		if r.Leaving || t.inUse[r.ID] >= r.Slots || slices.Contains(w.exclude, r.ID) {
-			continue
+func (p *slotsPart) anyLeaving(r state.Replica) bool {
+	return slices.ContainsFunc(r.Stages, func(s state.Stage) bool {
+		fact, ok := p.c.members.view.Backends[s.Backend]
+		return ok && fact.Kind == membership.BackendLeaving
+	})
+}
+
+// backendLeaving stops new work on every replica with the backend server.
+func (p *slotsPart) backendLeaving(id state.BackendID) {
+	for _, r := range p.replicas {
+		if slices.ContainsFunc(r.Stages, func(s state.Stage) bool { return s.Backend == id }) {
+			p.replicaLeaving(r.ID)
 		}
-		if !found || t.inUse[r.ID]*best.Slots < t.inUse[best.ID]*r.Slots {
-			best, found = r, true
+	}
+}
+
+// recorded returns the replica that a claim row names, with the lives that its
+// processes were seen in then.
+func (p *slotsPart) recorded(slot claims.Slot) (state.Replica, bool) {
+	r, ok := p.replicas[slot.Replica]
+	if !ok || len(r.Stages) != len(slot.Backends) {
+		return state.Replica{}, false
+	}
+	r.Stages = slices.Clone(r.Stages)
+	for i, b := range slot.Backends {
+		if r.Stages[i].Backend != b.ID {
+			return state.Replica{}, false
 		}
+		r.Stages[i].Life = b.Boot
 	}
-	return best, found
+	return r, true
+}
+
+func (p *slotsPart) replicaLeaving(id state.ReplicaID) {
+	p.route(route.ReplicaLeaving{Replica: id})
+	p.home(home.ReplicaLeaving{Replica: id})
 }
--- a/daemon/steps.go
+++ b/daemon/steps.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"errors"
+	"slices"
+	"sync"
 	"time"
 
+	"github.com/hibiscuswick/hibiscuswick/coordination/claims"
 	"github.com/hibiscuswick/hibiscuswick/coordination/request"
 	"github.com/hibiscuswick/hibiscuswick/protocol/engine"
 	"github.com/hibiscuswick/hibiscuswick/state"
@@ -15,13 +18,21 @@
 // they free it by themselves in the end.
 const cancelTimeout = 2 * time.Second
 
+// lifeTimeout bounds the question which life a backend server's process is in,
+// before the first step.
+const lifeTimeout = 300 * time.Millisecond
+
 // runStep sends one step to its stage, once, and posts what became of it.
 func (r *runner) runStep(a request.RunStep) {
 	if r.spec.Plain {
 		r.callPlain(a)
 		return
 	}
-	res, err := r.d.backends.engine(a.Stage.Address).steps.Step(r.ctx, stepRequest(r.spec, a))
+	e := r.d.clients.engine(a.Stage.Address)
+	res, err := e.steps.Step(r.ctx, r.stepRequest(a))
+	if err != nil || res.Status != engine.StepDone {
+		e.seen("") // perhaps another life of the process by now
+	}
 	switch {
 	case err != nil:
 		r.stepError(a, err)
@@ -36,9 +47,10 @@
 	}
 }
 
-func stepRequest(spec request.Spec, a request.RunStep) engine.StepRequest {
+func (r *runner) stepRequest(a request.RunStep) engine.StepRequest {
+	spec := r.spec
 	return engine.StepRequest{
-		Request:   spec.ID,
+		Request:   *r.execution.Load(),
 		Attempt:   a.Step.Attempt,
 		Life:      a.Stage.Life,
 		Epoch:     a.Step.Epoch,
@@ -54,19 +66,15 @@
 	}
 }
 
-// stepError posts a call that was not answered and tells the daemon which
-// backend server it was.
+// stepError posts a call that was not answered.
 func (r *runner) stepError(a request.RunStep, err error) {
 	silent := errors.Is(err, enginehttp.ErrSilent)
-	if r.ctx.Err() == nil {
-		r.d.backendFailed(r.spec, a.Stage, silent)
-	}
 	r.post(request.StepUnanswered{Step: a.Step, NotSent: engine.NotSent(err), Silent: silent})
 }
 
 func (r *runner) callPlain(a request.RunStep) {
 	call := engine.PlainCall{Request: r.spec.ID, Attempt: a.Step.Attempt, Body: r.spec.Prompt}
-	res, err := r.d.backends.plain(a.Stage.Address).Call(r.ctx, call)
+	res, err := r.d.clients.plain(a.Stage.Address).Call(r.ctx, call)
 	switch {
 	case err != nil:
 		r.stepError(a, err)
@@ -82,8 +90,8 @@
 func (r *runner) askHeld(a request.AskHeld) {
 	ctx, cancel := context.WithTimeout(r.ctx, r.d.askTimeout)
 	defer cancel()
-	e := r.d.backends.engine(a.Stage.Address)
-	held, err := e.Resume(ctx, r.spec.ID, a.Step.Attempt, a.Step.Epoch)
+	e := r.d.clients.engine(a.Stage.Address)
+	held, err := e.Resume(ctx, *r.execution.Load(), a.Step.Attempt, a.Step.Epoch)
 	if err != nil {
 		r.post(request.HeldUnanswered{Step: a.Step, Overtaken: errors.Is(err, engine.ErrEpoch)})
 		return
@@ -101,8 +109,8 @@
 }
 
 // cancelAttempt tells every stage of a replica that an attempt is over.
-func (d *Daemon) cancelAttempt(spec request.Spec, attempt state.Attempt, replica state.Replica) {
-	if spec.Plain {
+func (d *Daemon) cancelAttempt(id state.RequestID, plain bool, attempt state.Attempt, replica state.Replica) {
+	if plain {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
@@ -110,6 +118,86 @@
 	for _, s := range replica.Stages {
 		// An unanswered cancel costs the stage memory until it forgets the
 		// attempt by itself; nothing rests on it.
-		_, _ = d.backends.engine(s.Address).Cancel(ctx, spec.ID, attempt)
+		_, _ = d.clients.engine(s.Address).Cancel(ctx, id, attempt)
+	}
+}
+
+// grant gives the machine a slot, with the lives that the replica's processes are
+// seen in: without them a stage's word that it never ran a step is no proof.
+func (r *runner) grant(attempt state.Attempt, replica state.Replica) {
+	if !r.spec.Plain {
+		replica.Stages = r.d.withLives(r.ctx, replica.Stages)
+	}
+	r.post(request.SlotGranted{Grant: attempt, Replica: replica})
+}
+
+// withLives returns stages with the life of each process, asked for where it is
+// not known. One that doesn't answer stays without.
+func (d *Daemon) withLives(ctx context.Context, stages []state.Stage) []state.Stage {
+	out := slices.Clone(stages)
+	var wg sync.WaitGroup
+	for i := range out {
+		e := d.clients.engine(out[i].Address)
+		if out[i].Life = e.lastLife(); out[i].Life != "" {
+			continue
+		}
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			out[i].Life = d.askLife(ctx, e)
+		}()
+	}
+	wg.Wait()
+	return out
+}
+
+func (d *Daemon) askLife(ctx context.Context, e *engineClient) string {
+	ctx, cancel := context.WithTimeout(ctx, lifeTimeout)
+	defer cancel()
+	load, err := e.Load(ctx)
+	if err != nil {
+		return ""
+	}
+	e.seen(load.Life)
+	return load.Life
+}
+
+// askRecorded asks the backend servers of a claimed attempt, whose owner is gone,
+// what became of it, and bars the old owner's steps there.
+func (d *Daemon) askRecorded(rec claims.Record, answer func(claims.Evidence)) {
+	ev := claims.Evidence{Epoch: rec.Epoch, Kind: claims.EvidenceNone}
+	replica, ok := ask(context.Background(), d.control, func() state.Replica {
+		r, _ := d.control.slots.recorded(rec.Slot)
+		return r
+	})
+	if !ok || len(replica.Stages) == 0 || replica.Stages[0].Layers.Len() == 0 {
+		answer(ev) // a plain service can't be asked
+		return
+	}
+	held := 0
+	for _, s := range replica.Stages {
+		ctx, cancel := context.WithTimeout(context.Background(), d.askTimeout)
+		h, err := d.clients.engine(s.Address).Resume(ctx, rec.Request, rec.Slot.Attempt, rec.Epoch)
+		cancel()
+		if err != nil {
+			// A process that is gone has lost what it held; one that only
+			// doesn't answer may be asked again.
+			if !engine.NotSent(err) && !errors.Is(err, engine.ErrEpoch) {
+				ev.Kind = claims.EvidenceLater
+			}
+			answer(ev)
+			return
+		}
+		ev.Boots = append(ev.Boots, h.Life)
+		if h.Known && !h.Canceled {
+			held++
+		}
+	}
+	ev.Kind = claims.EvidenceNeverBegan
+	if held > 0 {
+		// Stages may stand one token apart; the request's machine finds the
+		// next step.
+		ev.Kind = claims.EvidenceHeld
 	}
+	answer(ev)
 }
--- a/daemon/stream.go
+++ b/daemon/stream.go
@@ -24,16 +24,22 @@
 	return &answer{id: id, changed: make(chan struct{})}
 }
 
-// append adds the next token. An index out of order can't occur: the request's
-// machine emits each once, in order.
-func (a *answer) append(t caller.Token) {
+// append adds the token if it is the next. One that the answer has already comes
+// from an attempt that was taken over and began anew; it is dropped if it is the
+// same. It reports false, and the answer is not to be gone on with, if the token
+// differs: two executions would be mixed in one answer.
+func (a *answer) append(t caller.Token) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if t.Index != len(a.tokens) {
-		panic("daemon: token out of order")
+	switch {
+	case t.Index < len(a.tokens):
+		return a.tokens[t.Index].Value == t.Value && (t.Text == "" || a.tokens[t.Index].Text == t.Text)
+	case t.Index > len(a.tokens):
+		return false
 	}
 	a.tokens = append(a.tokens, t)
 	a.notify()
+	return true
 }
 
 func (a *answer) setRunning() {
@@ -42,9 +48,13 @@
 	a.running = true
 }
 
+// end gives the outcome. The first one stays.
 func (a *answer) end(o state.Outcome) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if a.outcome != nil {
+		return
+	}
 	a.outcome = o
 	a.notify()
 }
@@ -76,24 +86,24 @@
 	return s
 }
 
-// view is one caller's place in an answer.
-type view struct {
+// streamView is one caller's place in an answer.
+type streamView struct {
 	answer *answer
 	next   int
 }
 
 // newView returns a view that begins after index after, -1 for the start.
-func newView(a *answer, after int) *view {
-	return &view{answer: a, next: after + 1}
+func newView(a *answer, after int) *streamView {
+	return &streamView{answer: a, next: after + 1}
 }
 
 // ID implements caller.Stream.
-func (v *view) ID() state.RequestID {
+func (v *streamView) ID() state.RequestID {
 	return v.answer.id
 }
 
 // Next implements caller.Stream.
-func (v *view) Next(ctx context.Context) (caller.Item, error) {
+func (v *streamView) Next(ctx context.Context) (caller.Item, error) {
 	for {
 		tokens, outcome, changed := v.answer.after(v.next)
 		if len(tokens) > 0 {
@@ -113,4 +123,4 @@
 }
 
 // Close implements caller.Stream.
-func (v *view) Close() {}
+func (v *streamView) Close() {}
--- a/daemon/submit.go
+++ b/daemon/submit.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/hibiscuswick/hibiscuswick/coordination/request"
 	"github.com/hibiscuswick/hibiscuswick/protocol/caller"
-	"github.com/hibiscuswick/hibiscuswick/protocol/platform"
+	"github.com/hibiscuswick/hibiscuswick/protocol/streams"
 	"github.com/hibiscuswick/hibiscuswick/state"
 	"github.com/hibiscuswick/hibiscuswick/state/service"
 	"github.com/hibiscuswick/hibiscuswick/telemetry"
@@ -14,28 +17,37 @@
 
 var _ caller.Daemon = (*Daemon)(nil)
 
-// Addresses implements caller.Daemon.
-func (d *Daemon) Addresses(context.Context, caller.AddressQuery) caller.AddressAnswer {
-	var urls []string
-	for _, i := range d.view().instances {
-		if i.Role == platform.RoleEntry && !i.Leaving {
-			urls = append(urls, "http://"+i.Address)
-		}
-	}
-	return caller.AddressAnswer{Addresses: urls, Valid: d.set.AddressAnswerValid.Std()}
-}
-
 // Submit implements caller.Daemon.
 func (d *Daemon) Submit(_ context.Context, s caller.Submission) (caller.Stream, state.Outcome) {
 	spec, reason := d.specify(s)
 	if reason != "" {
 		return nil, d.refuse(reason)
 	}
+	if spec.NeverRepeat {
+		if k, ok := d.requests.repeated(spec); ok {
+			return d.joined(k, spec, s.After)
+		}
+	}
 	d.metrics.Accepted(spec.Service, spec.Class)
-	r := newRunner(d, spec)
+	r := newRunner(d, spec, newAnswer(spec.ID))
+	d.start(r)
+	return newView(r.answer, s.After), nil
+}
+
+// start makes a runner live and runs it.
+func (d *Daemon) start(r *runner) {
 	d.requests.add(r)
+	d.metrics.Set(telemetry.ActiveRequests, float64(d.requests.count()))
 	go r.run()
-	return newView(r.answer, s.After), nil
+}
+
+// joined answers a repeat of a key with the answer that is there.
+func (d *Daemon) joined(k keyed, spec request.Spec, after int) (caller.Stream, state.Outcome) {
+	if k.content != contentOf(spec) {
+		return nil, d.refuse(state.ReasonKeyReused)
+	}
+	d.metrics.Add(telemetry.JoinedRepeatsTotal, 1)
+	return newView(k.answer, after), nil
 }
 
 // refuse builds the refusal of a request that never came as far as a runner.
@@ -47,8 +59,8 @@
 // specify checks a submission against its service's document.
 func (d *Daemon) specify(s caller.Submission) (request.Spec, state.Reason) {
 	v := d.view()
-	if v.draining {
-		return request.Spec{}, state.ReasonDraining
+	if reason := v.servesNow(time.Now()); reason != "" {
+		return request.Spec{}, reason
 	}
 	doc, ok := v.documents[s.Service]
 	if !ok {
@@ -94,29 +106,90 @@
 	}
 }
 
+// contentOf digests what makes a request the work that it is, so that a key that
+// comes again with other work is found out.
+func contentOf(spec request.Spec) string {
+	h := xxhash.New()
+	for _, part := range []string{string(spec.Class), spec.Adapter, strconv.Itoa(spec.MaxTokens), spec.Prompt} {
+		_, _ = h.WriteString(strconv.Itoa(len(part)))
+		_, _ = h.WriteString(part)
+	}
+	return strconv.FormatUint(h.Sum64(), 16)
+}
+
 // Attach implements caller.Daemon.
-func (d *Daemon) Attach(_ context.Context, id state.RequestID, after int) (caller.Stream, state.Outcome) {
-	a := d.requests.answer(id)
-	if a == nil {
+func (d *Daemon) Attach(ctx context.Context, id state.RequestID, after int) (caller.Stream, state.Outcome) {
+	d.metrics.Add(telemetry.ReattachedTotal, 1)
+	if a := d.requests.answer(id); a != nil {
+		return newView(a, after), nil
+	}
+	rec, ok := d.lookUp(ctx, id)
+	if !ok {
 		return nil, state.Unknown{Reason: state.ReasonUnknownRequest}
 	}
-	d.metrics.Add(telemetry.ReattachedTotal, 1)
+	a := newAnswer(id)
+	if there := d.requests.attach(a); there != a {
+		return newView(there, after), nil // another caller came first
+	}
+	go d.resume(a, rec)
 	return newView(a, after), nil
 }
 
+// takeOver drives on a request whose owner is gone. What is never to be repeated
+// comes as a repeat of its key, so that its claim row decides.
+func (d *Daemon) takeOver(a *answer, rec streams.Record) {
+	spec, reason := d.specify(caller.Submission{
+		Service: rec.Service, Customer: rec.Customer, Class: rec.Class, Key: rec.Key,
+		Prompt: rec.Prompt, Adapter: rec.Adapter, MaxTokens: rec.MaxTokens, Deadline: rec.Deadline,
+	})
+	if reason != "" {
+		a.end(state.Unknown{Reason: reason})
+		return
+	}
+	spec.ID = rec.Request
+	if !spec.NeverRepeat {
+		spec.Takeover = &request.Takeover{Replica: rec.Replica, Attempt: rec.Attempt, Epoch: rec.Epoch}
+	}
+	d.start(newRunner(d, spec, a))
+}
+
 // Status implements caller.Daemon.
-func (d *Daemon) Status(_ context.Context, id state.RequestID) (caller.Status, bool) {
-	a := d.requests.answer(id)
-	if a == nil {
+func (d *Daemon) Status(ctx context.Context, id state.RequestID) (caller.Status, bool) {
+	if a := d.requests.answer(id); a != nil {
+		return a.status(), true
+	}
+	rec, ok := d.lookUp(ctx, id)
+	if !ok {
 		return caller.Status{}, false
 	}
-	return a.status(), true
+	s := caller.Status{Request: id, Phase: caller.PhaseRunning}
+	if rec.Answer != nil {
+		s.Phase = caller.PhaseEnded
+		s.Tokens = len(rec.Answer.Tokens)
+		s.Outcome = rec.Answer.Outcome.State()
+	}
+	return s, true
 }
 
 // Cancel implements caller.Daemon.
 func (d *Daemon) Cancel(ctx context.Context, id state.RequestID) (caller.Status, bool) {
 	if r := d.requests.runner(id); r != nil {
 		r.post(request.Cancel{})
+		return d.Status(ctx, id)
+	}
+	if rec, ok := d.lookUp(ctx, id); ok && rec.Answer == nil {
+		d.cancelAtOwner(ctx, rec)
 	}
 	return d.Status(ctx, id)
 }
+
+func (d *Daemon) cancelAtOwner(ctx context.Context, rec streams.Record) {
+	v := d.view()
+	if v.members == nil {
+		return
+	}
+	if info, ok := v.members.Lookup(rec.Owner.ID); ok {
+		// Unanswered: the status that follows says where the request stands.
+		_, _ = d.node.Call(ctx, info.Meta.PeerAddress, streams.CancelRequest{Request: rec.Request})
+	}
+}
--- a/daemon/view.go
+++ b/daemon/view.go
@@ -1,58 +1,56 @@
 package daemon
 
 import (
-	"github.com/hibiscuswick/hibiscuswick/protocol/platform"
+	"maps"
+	"time"
+
+	"github.com/hibiscuswick/hibiscuswick/coordination/membership"
 	"github.com/hibiscuswick/hibiscuswick/state"
 	"github.com/hibiscuswick/hibiscuswick/state/service"
 )
 
-// viewOf is what the control goroutine knows, published whole. It is immutable.
-type viewOf struct {
-	documents map[state.ServiceID]*service.Versioned
-	replicas  map[state.ServiceID][]state.Replica
-	instances []platform.Instance
-	draining  bool
-	isolated  bool
+// view is what traffic goroutines see of the control state. It is immutable; the
+// control goroutine publishes a new one at each change.
+type view struct {
+	documents  map[state.ServiceID]*service.Versioned
+	members    *membership.View
+	ready      bool // the documents were current once
+	isolated   bool
+	draining   bool
+	freshUntil time.Time
 }
 
-// replicasOf builds the replicas of a document with fixed chains from the
-// addresses of the instance list. Chains with a backend server that is not
-// listed, or is leaving, are left out.
-func replicasOf(doc *service.Document, byID map[state.InstanceID]platform.Instance) []state.Replica {
-	var replicas []state.Replica
-	for _, chain := range doc.Placement.Chains {
-		r, ok := replicaOf(doc, chain, byID)
-		if ok {
-			replicas = append(replicas, r)
-		}
-	}
-	return replicas
+// publish changes the view. Only the control goroutine calls it, and Drain
+// before it.
+func (d *Daemon) publish(change func(*view)) {
+	next := *d.view()
+	change(&next)
+	d.current.Store(&next)
 }
 
-func replicaOf(doc *service.Document, chain service.Chain, byID map[state.InstanceID]platform.Instance) (state.Replica, bool) {
-	r := state.Replica{
-		ID:      chain.ID,
-		Service: doc.Service,
-		Slots:   doc.Capacity.SlotsPerReplica,
-		Speed:   1,
-	}
-	if doc.Model != nil {
-		r.Model = doc.Model.Name
-		r.Version = doc.Model.Version
+func (d *Daemon) view() *view {
+	return d.current.Load()
+}
+
+// copyWith returns a copy of m with one entry set.
+func copyWith[K comparable, V any](m map[K]V, k K, v V) map[K]V {
+	next := maps.Clone(m)
+	if next == nil {
+		next = make(map[K]V)
 	}
-	for _, s := range chain.Stages {
-		inst, ok := byID[state.InstanceID(s.Backend)]
-		if !ok {
-			return r, false
-		}
-		r.Leaving = r.Leaving || inst.Leaving
-		r.FailureDomain = inst.Domain
-		r.Speed = min(r.Speed, doc.KindSpeed(inst.Kind))
-		r.Stages = append(r.Stages, state.Stage{
-			Backend: s.Backend,
-			Address: inst.Address,
-			Layers:  state.LayerRange{First: s.First, End: s.End},
-		})
+	next[k] = v
+	return next
+}
+
+// servesNow says why this daemon takes no new request now, or "". The freshness
+// of the documents is checked against the clock here, so that a daemon that was
+// paused refuses before its control goroutine has noticed.
+func (v *view) servesNow(now time.Time) state.Reason {
+	switch {
+	case v.draining:
+		return state.ReasonDraining
+	case v.isolated || !v.ready || now.After(v.freshUntil):
+		return state.ReasonIsolated
 	}
-	return r, true
+	return ""
 }
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -35,8 +35,9 @@
 }
 
 const (
-	daemons  = 3
-	requests = 120
+	daemons   = 3
+	documents = 2
+	requests  = 120
 )
 
 // Run runs the demo and tells each step through say.
@@ -59,7 +60,7 @@
 		return err
 	}
 	for range daemons {
-		if _, err := s.AddDaemon(ctx, nil); err != nil {
+		if _, err := s.AddDaemon(nil); err != nil {
 			return err
 		}
 	}
@@ -83,7 +84,7 @@
 	ctx, cancel := context.WithTimeout(ctx, 10*time.Second)
 	defer cancel()
 	for _, d := range s.Daemons {
-		for len(d.Documents(ctx)) < 2 {
+		for len(d.Documents(ctx)) < documents || d.DaemonStatus(ctx).Isolated {
 			select {
 			case <-ctx.Done():
 				return fmt.Errorf("documents are not in force: %w", ctx.Err())
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -4,7 +4,6 @@
 package site
 
 import (
-	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -109,7 +108,7 @@
 
 // AddDaemon starts one daemon with the site's usual settings, changed by change
 // where that is not nil, and lists its instance.
-func (s *Site) AddDaemon(ctx context.Context, change func(*settings.Settings)) (*daemon.Daemon, error) {
+func (s *Site) AddDaemon(change func(*settings.Settings)) (*daemon.Daemon, error) {
 	set, err := s.settings(len(s.Daemons))
 	if err != nil {
 		return nil, err
@@ -117,18 +116,19 @@
 	if change != nil {
 		change(&set)
 	}
-	d := daemon.New(set, s.log)
-	if err := d.Start(ctx); err != nil {
+	d, err := daemon.New(set, s.log)
+	if err != nil {
 		return nil, err
 	}
 	s.Daemons = append(s.Daemons, d)
 	s.Platform.PutInstance(platform.Instance{
 		ID:      set.Instance,
 		Role:    platform.RoleEntry,
-		Address: d.CallerAddress(),
+		Address: d.PeerAddress(),
 		Domain:  set.FailureDomain,
 		Region:  Region,
 	})
+	d.Run()
 	return d, nil
 }
 
--- a/protocol/caller/caller.go
+++ b/protocol/caller/caller.go
@@ -15,6 +15,7 @@
 	Service  state.ServiceID
 	Customer state.CustomerID
 	Domain   state.FailureDomain // the caller's own, if it knows it
+	Caller   string              // tells callers of one customer apart, such as their IP
 }
 
 // AddressAnswer orders daemons for one caller.
@@ -97,6 +98,8 @@
 	EditConflict EditStatus = "conflict" // another edit came first; Current has it
 	EditInvalid  EditStatus = "invalid"  // Faults say why
 	EditUnknown  EditStatus = "unknown"  // the store's answer was lost; repeat with the same EditID
+	// EditUnavailable: the store could not be reached; not committed, and never will be.
+	EditUnavailable EditStatus = "unavailable"
 )
 
 // EditResult answers an Edit.
@@ -122,7 +125,7 @@
 	Member    state.Member                              `json:"member"`
 	Address   string                                    `json:"address"`            // host:port for peers
 	BaseURL   string                                    `json:"base_url,omitempty"` // for callers and operators
-	State     string                                    `json:"state"` // alive, suspect, dead, leaving
+	State     string                                    `json:"state"`              // alive, suspect, dead, leaving
 	Documents map[state.ServiceID]state.DocumentVersion `json:"documents,omitempty"`
 }
 
