Leap above the old owner's epoch when a claim is taken over

Cause: an owner raises its epoch with each question to a stage; the row holds the one that it began with, so that the next owner could come out below. Change: takeovers use Epoch.TakeOver, as the request's machine does. Conclusion: one rule in both places.

--- a/coordination/claims/judge.go
+++ b/coordination/claims/judge.go
@@ -64,7 +64,7 @@
 // late steps at backend servers that are asked with it.
 func (c *Claim) takeOver(rec Record, revision uint64) {
 	c.clean = false
-	rec.Epoch = rec.Epoch.Next(c.req.OwnerNumber)
+	rec.Epoch = rec.Epoch.TakeOver(c.req.OwnerNumber)
 	c.aim(intentTakeover, rec, revision)
 }
 
--- a/daemon/slots.go
+++ b/daemon/slots.go
@@ -116,6 +116,8 @@
 func (p *slotsPart) ask(r *runner, a request.AskSlot) {
 	ask := home.Ask{Request: r.spec.ID, Attempt: a.Attempt}
 	p.wants[ask] = r
+	prefixes := state.Prefixes(r.spec.Prompt)
+	slices.Reverse(prefixes)
 	p.route(route.Want{
 		Ask:      ask,
 		Service:  r.spec.Service,
@@ -123,7 +125,7 @@
 		Customer: r.spec.Customer,
 		Deadline: r.spec.FirstTokenBy,
 		Cost:     uint32(max(r.spec.MaxTokens, 1)),
-		Prefixes: lo.Reverse(state.Prefixes(r.spec.Prompt)),
+		Prefixes: prefixes,
 		Exclude:  a.Exclude,
 	})
 }
