Take documents at the front; tell callers of one address apart

Cause: huma validated the raw body of a document edit as a string and refused every edit sent as JSON (found by hibiscusctl's tests); address answers had no way to spread callers of one customer. Change: the body of an edit goes to the document's decoder unvalidated; the caller's IP goes into the address query.

--- a/transport/front/operators.go
+++ b/transport/front/operators.go
@@ -34,7 +34,10 @@
 		OperationID: "apply", Method: http.MethodPut, Path: PathDocuments + "/{service}",
 		Summary:      "Edit a service document; a repeat with the same edit_id is the same edit",
 		MaxBodyBytes: f.opts.MaxBody, BodyReadTimeout: f.opts.BodyTimeout,
-		Errors: []int{http.StatusConflict, http.StatusRequestEntityTooLarge, http.StatusServiceUnavailable},
+		// The document's own decoder checks the text and names every fault;
+		// huma would take the raw body for a string and refuse it.
+		SkipValidateBody: true,
+		Errors:           []int{http.StatusConflict, http.StatusRequestEntityTooLarge, http.StatusServiceUnavailable},
 	}, f.apply)
 }
 
--- a/transport/front/requests.go
+++ b/transport/front/requests.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -75,6 +76,16 @@
 	Service  string `query:"service" doc:"The service that the caller uses"`
 	Customer string `query:"customer" doc:"The caller's customer"`
 	Domain   string `query:"domain" doc:"The caller's own failure domain, if it knows it"`
+
+	remote string // the caller's IP
+}
+
+// Resolve implements huma.Resolver.
+func (in *addressesInput) Resolve(ctx huma.Context) []error {
+	if host, _, err := net.SplitHostPort(ctx.RemoteAddr()); err == nil {
+		in.remote = host
+	}
+	return nil
 }
 
 // Addresses is the answer of GET /v1/addresses.
@@ -92,6 +103,7 @@
 		Service:  state.ServiceID(in.Service),
 		Customer: state.CustomerID(in.Customer),
 		Domain:   state.FailureDomain(in.Domain),
+		Caller:   in.remote,
 	})
 	return &addressesOutput{Body: Addresses{
 		Addresses: append([]string{}, a.Addresses...),
