Carry messages between daemons over TCP

Cause: daemons need one-way messages and calls over connections that can fall silent for good while new ones work, and peers that send what can't be read.

Change: transport/peer keeps one connection per address, a bounded queue that drops its oldest, and heartbeats. watch decides, without a clock, whether a connection is silent; outstanding calls then end with ErrSilent and are never sent again. Errors say what they prove: NotSent, Unhandled, or nothing. Bad frames, slow senders, half-open sockets, peers that do not read and too many connections each end with a typed error and a counter.

--- /dev/null
+++ b/transport/peer/errors.go
@@ -0,0 +1,52 @@
+package peer
+
+import "errors"
+
+// Errors of Send and Call, to be told apart with errors.Is.
+var (
+	// ErrSilent: the connection stopped carrying bytes.
+	ErrSilent = errors.New("connection is silent")
+	// ErrClosed: the connection ended before the answer.
+	ErrClosed = errors.New("connection ended")
+	// ErrDropped: the queue was full and this was the oldest message in it.
+	ErrDropped = errors.New("dropped from a full queue")
+	// ErrUnreachable: no connection could be made, or the one that was made
+	// ended before the peer sent a frame on it.
+	ErrUnreachable = errors.New("no connection")
+	// ErrNodeClosed: this Node is closed.
+	ErrNodeClosed = errors.New("node is closed")
+	// ErrUnregistered: the message's type has no kind; a defect of the program.
+	ErrUnregistered = errors.New("message type is not registered")
+)
+
+// errNotSent marks errors of messages of which not one byte left this daemon.
+var errNotSent = errors.New("not sent")
+
+func markNotSent(err error) error {
+	return errors.Join(errNotSent, err)
+}
+
+// NotSent reports whether err proves that the message never left this daemon.
+func NotSent(err error) bool {
+	return errors.Is(err, errNotSent)
+}
+
+// RefusedError is a peer's word that it did not handle a call and will not.
+type RefusedError struct {
+	Detail string
+}
+
+func (e *RefusedError) Error() string { return "peer refused the call: " + e.Detail }
+
+// FailedError is a peer's word that it handled a call, without success.
+type FailedError struct {
+	Detail string
+}
+
+func (e *FailedError) Error() string { return "peer failed the call: " + e.Detail }
+
+// Unhandled reports whether err proves that the peer did not handle the call.
+func Unhandled(err error) bool {
+	var refused *RefusedError
+	return NotSent(err) || errors.As(err, &refused)
+}
--- /dev/null
+++ b/transport/peer/inbound.go
@@ -0,0 +1,248 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/hibiscuswick/hibiscuswick/protocol/peer"
+	"github.com/hibiscuswick/hibiscuswick/state"
+)
+
+// Errors that end a peer's connection.
+var (
+	errSlowSender = errors.New("peer sends too slowly")
+	errSlowReader = errors.New("peer reads too slowly")
+	errTooMany    = errors.New("too many connections")
+)
+
+// acceptRetry is the wait after a failed accept, such as for want of file
+// descriptors.
+const acceptRetry = 50 * time.Millisecond
+
+// accept takes connections until the listener closes.
+func (n *Node) accept(l net.Listener) {
+	defer n.wg.Done()
+	for {
+		conn, err := l.Accept()
+		if n.ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+			if err == nil {
+				_ = conn.Close()
+			}
+			return
+		}
+		if err != nil {
+			time.Sleep(acceptRetry)
+			continue
+		}
+		n.admit(conn)
+	}
+}
+
+// admit starts a connection unless there are too many.
+func (n *Node) admit(conn net.Conn) {
+	in := newInbound(n, conn)
+	n.mu.Lock()
+	full := len(n.inbound) >= n.cfg.MaxInbound
+	if full || n.closed {
+		n.mu.Unlock()
+		in.close()
+		if full {
+			n.counters.inboundRefused.Inc(1)
+			n.rejected(conn, errTooMany)
+		}
+		return
+	}
+	n.inbound[in] = struct{}{}
+	n.wg.Add(2)
+	n.mu.Unlock()
+	go in.serve()
+	go in.writeOut()
+}
+
+// rejected tells the daemon how a peer's connection ended.
+func (n *Node) rejected(conn net.Conn, err error) {
+	n.counters.fault(err)
+	if n.cfg.Rejected != nil {
+		n.cfg.Rejected(conn.RemoteAddr(), err)
+	}
+}
+
+// inbound is one connection that a peer made. One goroutine reads, one writes,
+// and one runs each call.
+type inbound struct {
+	node   *Node
+	conn   net.Conn
+	ctx    context.Context // ends with the connection
+	cancel context.CancelFunc
+	calls  chan struct{} // one token for each call in work
+
+	mu      sync.Mutex
+	out     []byte // frames to write
+	ackDue  bool   // one ack answers any number of heartbeats
+	closing bool   // write what is there, then close
+	wake    chan struct{}
+}
+
+func newInbound(n *Node, conn net.Conn) *inbound {
+	ctx, cancel := context.WithCancel(n.ctx)
+	return &inbound{
+		node:   n,
+		conn:   countedConn{Conn: conn, counters: n.counters},
+		ctx:    ctx,
+		cancel: cancel,
+		calls:  make(chan struct{}, n.cfg.MaxCalls),
+		wake:   make(chan struct{}, 1),
+	}
+}
+
+// close ends the connection at once.
+func (in *inbound) close() {
+	in.cancel()
+	_ = in.conn.Close()
+}
+
+// serve reads until the connection ends. A frame that can't be read ends it: what
+// comes after has no known beginning. The peer is told why.
+func (in *inbound) serve() {
+	defer in.node.wg.Done()
+	err := in.readAll()
+	switch {
+	case errors.Is(err, io.EOF), in.ctx.Err() != nil:
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		in.node.counters.inboundSlow.Inc(1)
+		in.node.rejected(in.conn, errSlowSender)
+	default:
+		in.node.rejected(in.conn, err)
+		in.refuse(peer.RoleBye, 0, err.Error())
+	}
+	in.mu.Lock()
+	in.closing = true
+	in.mu.Unlock()
+	in.signal()
+	in.node.mu.Lock()
+	delete(in.node.inbound, in)
+	in.node.mu.Unlock()
+}
+
+// readAll takes the peer's hello and then its frames. Each wait has a bound, so
+// that a peer that vanished without a word, or that sends a frame a byte at a
+// time, holds its connection for a while only.
+func (in *inbound) readAll() error {
+	r := peer.NewReader(in.conn, in.node.cfg.MaxFrame)
+	e, err := in.next(r, in.node.cfg.HelloTimeout)
+	if err != nil {
+		return err
+	}
+	if e.Role != peer.RoleHello {
+		return peer.NewFrameError(peer.FaultRole, "the first frame is no hello")
+	}
+	from, err := decodeHello(e)
+	if err != nil {
+		return err
+	}
+	in.send(peer.Envelope{Role: peer.RoleHello}, peer.Hello{From: in.node.cfg.Self})
+	for {
+		e, err := in.next(r, in.node.cfg.InboundIdle)
+		if err != nil {
+			return err
+		}
+		if err := in.frame(from, e); err != nil {
+			return err
+		}
+	}
+}
+
+// next reads a frame that begins within idle.
+func (in *inbound) next(r *peer.Reader, idle time.Duration) (peer.Envelope, error) {
+	if !r.Ready() {
+		if err := in.conn.SetReadDeadline(time.Now().Add(idle)); err != nil {
+			return peer.Envelope{}, err
+		}
+		if err := r.Wait(); err != nil {
+			return peer.Envelope{}, err
+		}
+		if err := in.conn.SetReadDeadline(time.Now().Add(in.node.cfg.FrameTimeout)); err != nil {
+			return peer.Envelope{}, err
+		}
+	}
+	return r.Next()
+}
+
+// frame takes one frame of the peer.
+func (in *inbound) frame(from state.Member, e peer.Envelope) error {
+	switch e.Role {
+	case peer.RoleHeartbeat:
+		in.mu.Lock()
+		in.ackDue = true
+		in.mu.Unlock()
+		in.signal()
+		return nil
+	case peer.RoleSend, peer.RoleCall:
+		in.node.counters.received.Inc(1)
+		msg, err := in.node.cfg.Registry.Decode(e)
+		if err != nil {
+			return err
+		}
+		if e.Role == peer.RoleCall {
+			in.call(from, e.Call, e.Timeout, msg)
+			return nil
+		}
+		if in.node.cfg.Handler.Received != nil {
+			in.node.cfg.Handler.Received(from, msg)
+		}
+		return nil
+	default:
+		return peer.NewFrameError(peer.FaultRole, fmt.Sprintf("role %d from the connecting side", e.Role))
+	}
+}
+
+// call runs a call, or refuses it where too many run.
+func (in *inbound) call(from state.Member, number uint64, timeout uint32, msg any) {
+	handle := in.node.cfg.Handler.Called
+	if handle == nil {
+		in.refuse(peer.RoleRefusal, number, "calls are not taken here")
+		return
+	}
+	select {
+	case in.calls <- struct{}{}:
+	default:
+		in.node.counters.refusedCalls.Inc(1)
+		in.refuse(peer.RoleRefusal, number, "too many calls in work")
+		return
+	}
+	go func() {
+		defer func() { <-in.calls }()
+		ctx, cancel := in.ctx, context.CancelFunc(func() {})
+		if timeout > 0 {
+			ctx, cancel = context.WithTimeout(in.ctx, time.Duration(timeout)*time.Millisecond)
+		}
+		defer cancel()
+		answer, err := handle(ctx, from, msg)
+		if err != nil {
+			in.refuse(peer.RoleFailure, number, err.Error())
+			return
+		}
+		in.answer(number, answer)
+	}()
+}
+
+// answer sends the answer to a call.
+func (in *inbound) answer(number uint64, msg any) {
+	k, ok := in.node.cfg.Registry.KindOf(msg)
+	if !ok {
+		in.refuse(peer.RoleFailure, number, fmt.Sprintf("%v: %T", ErrUnregistered, msg))
+		return
+	}
+	in.send(peer.Envelope{Role: peer.RoleAnswer, Kind: k, Call: number}, msg)
+}
+
+// refuse sends a frame that says why something was not done.
+func (in *inbound) refuse(role peer.Role, number uint64, detail string) {
+	in.send(peer.Envelope{Role: role, Call: number}, peer.Refusal{Detail: detail})
+}
