Kill a stage and a daemon mid-stream in the demo; never begin on a broken replica

Cause: with a stage dead, a replica that was probed again by a never-repeat request began its first stage before the dead one was met; the request could then neither go on nor be repeated. Change: a slot whose replica has a stage that does not answer is given back before anything is sent; the demo has rounds with a stage's death, a daemon's death and a drain, and callers that re-attach.

--- a/coordination/request/event.go
+++ b/coordination/request/event.go
@@ -33,6 +33,13 @@
 		Replica state.Replica
 	}
 
+	// SlotUnusable answers AskSlot: a slot was granted, but a backend server of
+	// its replica does not answer, so that nothing was sent there.
+	SlotUnusable struct {
+		Grant   state.Attempt
+		Replica state.ReplicaID
+	}
+
 	// SlotRefused answers AskSlot: no replica will be had.
 	SlotRefused struct {
 		Reason     state.Reason
@@ -126,6 +133,7 @@
 func (Tick) event()           {}
 func (Cancel) event()         {}
 func (SlotGranted) event()    {}
+func (SlotUnusable) event()   {}
 func (SlotRefused) event()    {}
 func (ClaimSettled) event()   {}
 func (VoidSettled) event()    {}
--- a/coordination/request/property_test.go
+++ b/coordination/request/property_test.go
@@ -163,6 +163,11 @@
 		d.feed(o, request.SlotRefused{Reason: state.ReasonQueueFull})
 		return
 	}
+	if fate == 8 {
+		o.slots++
+		d.feed(o, request.SlotUnusable{Grant: a.Attempt, Replica: free[0].ID})
+		return
+	}
 	granted := free[rapid.IntRange(0, len(free)-1).Draw(d.t, "granted")]
 	o.slots++
 	d.feed(o, request.SlotGranted{Grant: a.Attempt, Replica: d.seen(granted)})
--- a/coordination/request/request.go
+++ b/coordination/request/request.go
@@ -28,7 +28,8 @@
 	begun bool // a stage surely ran a step of the attempt
 	asks  int  // how often the stage was asked about this step
 
-	tokens []int64 // given to the caller, by index
+	tokens  []int64 // given to the caller, by index
+	useless int     // slots that could not be used
 
 	claimed  bool          // the claim row names this owner
 	ending   *ending       // set while an abandoned claim is settled
@@ -44,6 +45,9 @@
 	after  state.RetryAfter
 }
 
+// maxUseless bounds the slots that a request tries whose replica does not answer.
+const maxUseless = 8
+
 // New returns the machine of one request; Start begins it.
 func New(spec Spec) *Request {
 	return &Request{spec: spec, sent: state.NewDispatches()}
@@ -66,6 +70,8 @@
 		r.giveUp(state.ReasonCanceled, 0)
 	case SlotGranted:
 		r.granted(ev)
+	case SlotUnusable:
+		r.unusable(ev)
 	case SlotRefused:
 		r.refused(ev)
 	case ClaimSettled:
@@ -188,6 +194,23 @@
 	})
 }
 
+// unusable looks for another slot. It costs no attempt and no retry: nothing was
+// sent. A request that is never repeated must not be lost to a replica that was
+// known to be broken, and any other would lose time there.
+func (r *Request) unusable(ev SlotUnusable) {
+	r.do(ReleaseSlot{Grant: ev.Grant, Replica: ev.Replica, Failed: true})
+	if r.phase != phaseQueued {
+		return
+	}
+	r.useless++
+	if r.useless > maxUseless {
+		r.end(state.ReasonNoReplica, 0)
+		return
+	}
+	r.exclude = append(r.exclude, ev.Replica)
+	r.askSlot()
+}
+
 func (r *Request) refused(ev SlotRefused) {
 	if r.phase == phaseQueued {
 		r.giveUp(ev.Reason, ev.RetryAfter)
@@ -295,6 +318,8 @@
 	switch ev := ev.(type) {
 	case SlotGranted:
 		r.do(ReleaseSlot{Grant: ev.Grant, Replica: ev.Replica.ID, Unused: true})
+	case SlotUnusable:
+		r.do(ReleaseSlot{Grant: ev.Grant, Replica: ev.Replica, Failed: true})
 	case ClaimSettled:
 		// An End can't come before its claim is settled: giveUp waits for it.
 		panic("request: claim settled after the end")
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -21,6 +21,7 @@
 	"github.com/hibiscuswick/hibiscuswick/settings"
 	"github.com/hibiscuswick/hibiscuswick/state"
 	"github.com/hibiscuswick/hibiscuswick/telemetry"
+	"github.com/hibiscuswick/hibiscuswick/trace"
 	"github.com/hibiscuswick/hibiscuswick/transport/front"
 	"github.com/hibiscuswick/hibiscuswick/transport/peer"
 )
@@ -33,6 +34,8 @@
 	log     *telemetry.Log
 	metrics *telemetry.Metrics
 
+	recorder *trace.Recorder // nil where nothing is recorded
+
 	table     platform.Table
 	instances platform.Instances
 	clients   *clients
@@ -82,6 +85,9 @@
 	if err := d.listen(); err != nil {
 		return nil, err
 	}
+	if err := d.record(life); err != nil {
+		return nil, err
+	}
 	d.node = peer.New(peer.Config{
 		Self:     d.self,
 		Registry: newRegistry(),
@@ -125,6 +131,7 @@
 	go func() {
 		d.control.run()
 		d.node.Close()
+		d.recorder.Close()
 		_ = d.metrics.Close()
 		close(d.done)
 	}()
--- a/daemon/documents.go
+++ b/daemon/documents.go
@@ -73,6 +73,7 @@
 	}
 	v := &service.Versioned{Version: doc.Version, EditID: doc.EditID, Document: decoded}
 	p.inForce[doc.Service] = v
+	p.c.d.recorder.Document(doc.Service, doc.Version)
 	p.c.d.metrics.Add(telemetry.DocumentsAppliedTotal, 1)
 	p.c.d.metrics.SetService(telemetry.DocumentVersion, doc.Service, float64(doc.Version))
 	p.c.d.log.Emit(telemetry.EventDocumentApplied, telemetry.Service(doc.Service), telemetry.Version(doc.Version))
--- a/daemon/runner.go
+++ b/daemon/runner.go
@@ -10,6 +10,7 @@
 	"github.com/hibiscuswick/hibiscuswick/protocol/streams"
 	"github.com/hibiscuswick/hibiscuswick/state"
 	"github.com/hibiscuswick/hibiscuswick/telemetry"
+	"github.com/hibiscuswick/hibiscuswick/trace"
 )
 
 const (
@@ -31,6 +32,7 @@
 	spec    request.Spec
 	content string // digest of what makes the work what it is
 	m       *request.Request
+	trace   *trace.Run
 	answer  *answer
 
 	// execution is the request id that backend servers know the work by. It is
@@ -89,14 +91,18 @@
 // afterEnd returns a slot that was granted to an ended request; nothing else
 // needs an answer then.
 func (r *runner) afterEnd(ev request.Event) {
-	if g, ok := ev.(request.SlotGranted); ok {
+	switch g := ev.(type) {
+	case request.SlotGranted:
 		r.release(request.ReleaseSlot{Grant: g.Grant, Replica: g.Replica.ID, Unused: true})
+	case request.SlotUnusable:
+		r.release(request.ReleaseSlot{Grant: g.Grant, Replica: g.Replica, Failed: true})
 	}
 }
 
 // run is the request's goroutine.
 func (r *runner) run() {
 	defer r.finish()
+	r.trace = r.d.recorder.Begin(r.spec)
 	r.step(request.Start{})
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
@@ -139,7 +145,10 @@
 }
 
 func (r *runner) step(ev request.Event) {
-	for _, a := range r.m.Step(time.Now(), ev) {
+	now := time.Now()
+	actions := r.m.Step(now, ev)
+	r.trace.Step(now, ev, actions)
+	for _, a := range actions {
 		r.carryOut(a)
 	}
 }
--- a/daemon/steps.go
+++ b/daemon/steps.go
@@ -5,6 +5,7 @@
 	"errors"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hibiscuswick/hibiscuswick/coordination/claims"
@@ -123,18 +124,27 @@
 }
 
 // grant gives the machine a slot, with the lives that the replica's processes are
-// seen in: without them a stage's word that it never ran a step is no proof.
+// seen in: without them a stage's word that it never ran a step is no proof. A
+// stage that failed a call is asked first. Where it does not answer, nothing is
+// sent to the replica: a request that is never repeated would be lost to it, once
+// the stages before had begun.
 func (r *runner) grant(attempt state.Attempt, replica state.Replica) {
 	if !r.spec.Plain {
-		replica.Stages = r.d.withLives(r.ctx, replica.Stages)
+		stages, answered := r.d.withLives(r.ctx, replica.Stages)
+		if !answered {
+			r.post(request.SlotUnusable{Grant: attempt, Replica: replica.ID})
+			return
+		}
+		replica.Stages = stages
 	}
 	r.post(request.SlotGranted{Grant: attempt, Replica: replica})
 }
 
 // withLives returns stages with the life of each process, asked for where it is
-// not known. One that doesn't answer stays without.
-func (d *Daemon) withLives(ctx context.Context, stages []state.Stage) []state.Stage {
+// not known. It reports false if one does not answer.
+func (d *Daemon) withLives(ctx context.Context, stages []state.Stage) ([]state.Stage, bool) {
 	out := slices.Clone(stages)
+	var silent atomic.Bool
 	var wg sync.WaitGroup
 	for i := range out {
 		e := d.clients.engine(out[i].Address)
@@ -144,22 +154,26 @@
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			out[i].Life = d.askLife(ctx, e)
+			life, err := d.askLife(ctx, e)
+			out[i].Life = life
+			if err != nil {
+				silent.Store(true)
+			}
 		}()
 	}
 	wg.Wait()
-	return out
+	return out, !silent.Load()
 }
 
-func (d *Daemon) askLife(ctx context.Context, e *engineClient) string {
+func (d *Daemon) askLife(ctx context.Context, e *engineClient) (string, error) {
 	ctx, cancel := context.WithTimeout(ctx, lifeTimeout)
 	defer cancel()
 	load, err := e.Load(ctx)
 	if err != nil {
-		return ""
+		return "", err
 	}
 	e.seen(load.Life)
-	return load.Life
+	return load.Life, nil
 }
 
 // askRecorded asks the backend servers of a claimed attempt, whose owner is gone,
--- a/internal/demo/caller.go
+++ b/internal/demo/caller.go
@@ -5,8 +5,10 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -14,7 +16,7 @@
 	"github.com/hibiscuswick/hibiscuswick/transport/front"
 )
 
-// work is one request of the demo, and what its caller has to see.
+// work is one request of the demo.
 type work struct {
 	Service  state.ServiceID  `json:"service"`
 	Customer state.CustomerID `json:"customer"`
@@ -27,40 +29,118 @@
 // result is what a caller got: tokens by index, and how it ended.
 type result struct {
 	tokens []front.Token
-	end    front.End
-	status int // of a refusal before the stream
+	end    *front.End // nil until the answer has ended
 }
 
-const callTimeout = 15 * time.Second
+const (
+	callTimeout  = 15 * time.Second
+	retryPause   = 50 * time.Millisecond
+	refusedPause = 200 * time.Millisecond
+)
+
+// session is one caller's way to one answer: it takes the answer up again, at
+// another daemon, until it has ended.
+type session struct {
+	work      work
+	addresses func() []string
+	at        int // index of the address in use
+	request   string
+	result    result
+}
 
-// call sends one request to the daemon at base and reads its answer to the end.
-func call(ctx context.Context, base string, w work) (result, error) {
+// run sends the request and reads its answer to the end.
+func (s *session) run(ctx context.Context) (result, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	body, err := json.Marshal(w)
-	if err != nil {
-		return result{}, err
+	for {
+		err := s.try(ctx)
+		switch {
+		case s.result.end != nil:
+			return s.result, nil
+		case ctx.Err() != nil:
+			return s.result, errors.Join(ctx.Err(), err)
+		}
+		s.at++
+		time.Sleep(retryPause)
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, base+"/v1/requests", bytes.NewReader(body))
+}
+
+// try makes one connection and reads what comes on it.
+func (s *session) try(ctx context.Context) error {
+	req, err := s.next(ctx)
 	if err != nil {
-		return result{}, err
+		return err
+	}
+	if n := len(s.result.tokens); n > 0 {
+		req.Header.Set("Last-Event-ID", strconv.Itoa(n-1))
 	}
-	req.Header.Set("Content-Type", "application/json")
-	req.Header.Set("Idempotency-Key", w.key)
 	res, err := http.DefaultClient.Do(req)
 	if err != nil {
-		return result{}, err
+		return err
 	}
 	defer func() { _ = res.Body.Close() }()
 	if res.StatusCode != http.StatusOK {
-		return result{status: res.StatusCode}, nil
+		return s.refused(res)
+	}
+	s.request = res.Header.Get(front.RequestHeader)
+	return s.read(res)
+}
+
+// next is the request for the rest of the answer: a new submission under the same
+// key, or, once the request's id is known, a re-attachment.
+func (s *session) next(ctx context.Context) (*http.Request, error) {
+	addresses := s.addresses()
+	base := addresses[s.at%len(addresses)]
+	if s.request != "" {
+		return http.NewRequestWithContext(ctx, http.MethodGet, base+front.PathRequests+"/"+s.request+"/events", nil)
+	}
+	body, err := json.Marshal(s.work)
+	if err != nil {
+		return nil, err
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, base+front.PathRequests, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set("Idempotency-Key", s.work.key)
+	return req, nil
+}
+
+// refused takes a problem document. A request that is not known any more is sent
+// again under its key; what is refused as not run for a reason that passes is
+// tried elsewhere; the rest ends the session.
+func (s *session) refused(res *http.Response) error {
+	var p struct {
+		Reason    state.Reason    `json:"reason"`
+		Execution state.Execution `json:"execution"`
+	}
+	if err := json.NewDecoder(res.Body).Decode(&p); err != nil {
+		return err
+	}
+	if p.Reason == state.ReasonUnknownRequest {
+		s.request = ""
+		return nil
+	}
+	passing := p.Reason == state.ReasonDraining || p.Reason == state.ReasonIsolated || p.Reason == state.ReasonNoReplica
+	if p.Execution == state.ExecutionNotRun && passing {
+		time.Sleep(refusedPause)
+		return nil
+	}
+	kind := front.EndRefused
+	switch p.Execution {
+	case state.ExecutionStarted:
+		kind = front.EndFailed
+	case state.ExecutionUnknown:
+		kind = front.EndUnknown
+	case state.ExecutionNotRun:
 	}
-	return readAnswer(res)
+	s.result.end = &front.End{Outcome: kind, Reason: p.Reason, Execution: p.Execution}
+	return nil
 }
 
-// readAnswer reads the events of one stream.
-func readAnswer(res *http.Response) (result, error) {
-	var r result
+// read takes the events of one connection in.
+func (s *session) read(res *http.Response) error {
 	event := ""
 	lines := bufio.NewScanner(res.Body)
 	for lines.Scan() {
@@ -71,12 +151,13 @@
 		case name == "data" && event == front.EventToken:
 			var t front.Token
 			if err := json.Unmarshal([]byte(value), &t); err != nil {
-				return r, err
+				return err
 			}
-			r.tokens = append(r.tokens, t)
+			s.result.tokens = append(s.result.tokens, t)
 		case name == "data" && event == front.EventEnd:
-			return r, json.Unmarshal([]byte(value), &r.end)
+			s.result.end = &front.End{}
+			return json.Unmarshal([]byte(value), s.result.end)
 		}
 	}
-	return r, fmt.Errorf("stream ended early: %w", lines.Err())
+	return fmt.Errorf("stream ended early: %w", lines.Err())
 }
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -1,45 +1,41 @@
 // Package demo runs the main job on embedded stand-ins: three daemons, a model
 // over chains of engines, a plain service, and callers that check their answers
-// against what the stand-ins truly ran.
+// against what the stand-ins truly ran. After a calm round it kills a stage and a
+// daemon mid-stream and drains another daemon under load.
 package demo
 
 import (
 	"context"
 	"fmt"
-	"net/http"
 	"sync"
 	"time"
 
 	"github.com/hibiscuswick/hibiscuswick/internal/site"
-	"github.com/hibiscuswick/hibiscuswick/internal/standin"
 	"github.com/hibiscuswick/hibiscuswick/protocol/caller"
 	"github.com/hibiscuswick/hibiscuswick/state/service"
 	"github.com/hibiscuswick/hibiscuswick/telemetry"
-	"github.com/hibiscuswick/hibiscuswick/transport/front"
 )
 
-// Report is the last line of the demo, counted by the callers and the stand-ins.
-type Report struct {
-	Requests             int `json:"requests"`
-	Complete             int `json:"complete"`
-	RefusedNotRun        int `json:"refused_not_run"`
-	Unknown              int `json:"unknown"`
-	Lost                 int `json:"lost"`
-	Duplicated           int `json:"duplicated"`
-	LayerOrderViolations int `json:"layer_order_violations"`
-}
-
-// OK reports whether nothing was lost, duplicated or run out of order.
-func (r Report) OK() bool {
-	return r.Lost == 0 && r.Duplicated == 0 && r.LayerOrderViolations == 0
-}
-
 const (
 	daemons   = 3
 	documents = 2
-	requests  = 120
+	perRound  = 90
+
+	startTimeout = 10 * time.Second
+	drainTimeout = 10 * time.Second
+	midStream    = 150 * time.Millisecond // from the first request to the failure
 )
 
+// demo is one run.
+type demo struct {
+	site *site.Site
+	say  func(string)
+
+	mu     sync.Mutex
+	report Report
+	sent   int
+}
+
 // Run runs the demo and tells each step through say.
 func Run(ctx context.Context, log *telemetry.Log, say func(string)) (Report, error) {
 	s, err := site.New(log)
@@ -47,133 +43,139 @@
 		return Report{}, err
 	}
 	defer s.Close()
-	if err := start(ctx, s); err != nil {
+	d := &demo{site: s, say: say}
+	if err := d.start(ctx); err != nil {
+		return Report{}, err
+	}
+	d.round(ctx, "calm", func() {})
+	d.round(ctx, "a stage dies mid-stream", func() { s.Engines[chains.Engine(1, 2)].Kill() })
+	d.round(ctx, "a daemon dies mid-stream", func() { s.Daemons[1].Kill() })
+	if err := d.replace(ctx); err != nil {
+		return Report{}, err
+	}
+	d.round(ctx, "a daemon is drained", func() { s.Daemons[2].Drain(ctx) })
+	if err := d.awaitDrained(ctx); err != nil {
 		return Report{}, err
 	}
-	say(fmt.Sprintf("%d daemons before %d engines and %d plain servers", len(s.Daemons), len(s.Engines), len(s.Plains)))
-	return round(ctx, s, say)
+	return d.finish(), nil
+}
+
+// finish adds what the stand-ins saw.
+func (d *demo) finish() Report {
+	violations := d.site.Ledger.Violations()
+	for _, v := range violations {
+		d.say("violation: " + v)
+	}
+	d.report.LayerOrderViolations = len(violations)
+	return d.report
 }
 
 // start brings the site up and waits until every daemon has both documents.
-func start(ctx context.Context, s *site.Site) error {
-	if err := startBackends(s); err != nil {
+func (d *demo) start(ctx context.Context) error {
+	if err := startBackends(d.site); err != nil {
 		return err
 	}
 	for range daemons {
-		if _, err := s.AddDaemon(nil); err != nil {
+		if _, err := d.site.AddDaemon(nil); err != nil {
 			return err
 		}
 	}
 	for _, doc := range []service.Document{draftsDocument(), alertsDocument()} {
-		if err := apply(ctx, s, doc); err != nil {
+		if err := d.apply(ctx, doc); err != nil {
 			return err
 		}
 	}
-	return awaitDocuments(ctx, s)
+	d.say(fmt.Sprintf("%d daemons before %d engines and %d plain servers",
+		len(d.site.Daemons), len(d.site.Engines), len(d.site.Plains)))
+	return d.awaitServing(ctx)
 }
 
-func apply(ctx context.Context, s *site.Site, doc service.Document) error {
-	res := s.Daemons[0].Apply(ctx, caller.Edit{EditID: "demo-" + string(doc.Service), Text: doc.Encode()})
+// replace starts a daemon in place of the one that died, and the stage anew.
+func (d *demo) replace(ctx context.Context) error {
+	if _, err := d.site.AddDaemon(nil); err != nil {
+		return err
+	}
+	if err := d.site.Engines[chains.Engine(1, 2)].Restart(); err != nil {
+		return err
+	}
+	return d.awaitServing(ctx)
+}
+
+func (d *demo) apply(ctx context.Context, doc service.Document) error {
+	edit := caller.Edit{EditID: "demo-" + string(doc.Service), Text: doc.Encode()}
+	res := d.site.Daemons[0].Apply(ctx, edit)
 	if res.Status != caller.EditAccepted {
 		return fmt.Errorf("document %s: %s %v", doc.Service, res.Status, res.Faults)
 	}
 	return nil
 }
 
-func awaitDocuments(ctx context.Context, s *site.Site) error {
-	ctx, cancel := context.WithTimeout(ctx, 10*time.Second)
+// awaitServing waits until every live daemon has both documents and knows every
+// other daemon.
+func (d *demo) awaitServing(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
-	for _, d := range s.Daemons {
-		for len(d.Documents(ctx)) < documents || d.DaemonStatus(ctx).Isolated {
-			select {
-			case <-ctx.Done():
-				return fmt.Errorf("documents are not in force: %w", ctx.Err())
-			case <-time.After(10 * time.Millisecond):
+	for _, one := range d.site.Live() {
+		for {
+			s := one.DaemonStatus(ctx)
+			if len(s.Documents) == documents && !s.Isolated && len(s.Members) >= len(d.site.Live()) {
+				break
+			}
+			if !sleep(ctx, 10*time.Millisecond) {
+				return fmt.Errorf("a daemon does not serve: %w", ctx.Err())
 			}
 		}
 	}
 	return nil
 }
 
-// round sends all requests at once and judges what came back.
-func round(ctx context.Context, s *site.Site, say func(string)) (Report, error) {
-	addresses := s.Daemons[0].Addresses(ctx, caller.AddressQuery{}).Addresses
-	report := Report{Requests: requests}
-	var mu sync.Mutex
-	var wg sync.WaitGroup
-	for i := range requests {
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			w := workOf(i)
-			res, err := call(ctx, addresses[i%len(addresses)], w)
-			mu.Lock()
-			defer mu.Unlock()
-			report.judge(s, w, res, err)
-		}()
-	}
-	wg.Wait()
-	report.LayerOrderViolations = len(s.Ledger.Violations())
-	for _, v := range s.Ledger.Violations() {
-		say("violation: " + v)
+// awaitDrained waits for the planned stop of the drained daemon.
+func (d *demo) awaitDrained(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, drainTimeout)
+	defer cancel()
+	select {
+	case <-d.site.Daemons[2].Done():
+		return nil
+	case <-ctx.Done():
+		return fmt.Errorf("the drained daemon does not stop: %w", ctx.Err())
 	}
-	return report, nil
 }
 
-// workOf returns the i-th request: notes and alerts are never repeated, checks
-// are.
-func workOf(i int) work {
-	prompt := fmt.Sprintf("consignment %d", i)
-	switch i % 3 {
-	case 0:
-		return work{Service: drafts, Customer: advocates, Class: classNote, Prompt: prompt, key: fmt.Sprintf("note-%d", i)}
-	case 1:
-		return work{Service: drafts, Customer: bank, Class: classCheck, Prompt: prompt, key: fmt.Sprintf("check-%d", i)}
-	default:
-		return work{Service: alerts, Customer: dairy, Class: classAlert, Prompt: prompt, key: fmt.Sprintf("alert-%d", i)}
+// sleep reports false if ctx ends first.
+func sleep(ctx context.Context, t time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(t):
+		return true
 	}
 }
 
-// judge counts one answer against what the stand-ins ran.
-func (r *Report) judge(s *site.Site, w work, res result, err error) {
-	runs := s.Ledger.Runs(w.Prompt)
-	if runs > 1 && w.Class != classCheck {
-		r.Duplicated++
-	}
-	switch {
-	case err != nil:
-		r.Lost++
-	case res.status == http.StatusConflict, res.end.Outcome == front.EndUnknown, res.end.Outcome == front.EndFailed:
-		r.Unknown++
-	case res.status != 0 || res.end.Outcome == front.EndRefused:
-		r.RefusedNotRun++
-		if runs > 0 {
-			r.Duplicated++ // a refusal that was not true
-		}
-	case whole(w, res):
-		r.Complete++
-	default:
-		r.Lost++
+// round sends requests, brings the failure about mid-stream, and judges what came
+// back.
+func (d *demo) round(ctx context.Context, name string, fail func()) {
+	before := d.report
+	addresses := d.addresses(ctx)
+	var wg sync.WaitGroup
+	for range perRound {
+		w := workOf(d.sent)
+		s := &session{work: w, at: d.sent, addresses: func() []string { return addresses }}
+		d.sent++
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			res, err := s.run(ctx)
+			d.judge(w, res, err)
+		}()
 	}
+	sleep(ctx, midStream)
+	fail()
+	wg.Wait()
+	d.say(fmt.Sprintf("%-26s %d of %d complete", name+":", d.report.Complete-before.Complete, perRound))
 }
 
-// whole reports whether the answer has every token, once, in order.
-func whole(w work, res result) bool {
-	if w.Service == alerts {
-		return len(res.tokens) == 1 && res.tokens[0].Text == standin.PlainAnswer(w.Prompt)
-	}
-	limit := noteTokens
-	if w.Class == classCheck {
-		limit = checkTokens
-	}
-	want := standin.ExpectedTokens(w.Prompt, limit)
-	if len(want) != len(res.tokens) {
-		return false
-	}
-	for i, t := range res.tokens {
-		if t.Index != i || t.Value != want[i] {
-			return false
-		}
-	}
-	return true
+// addresses asks the first daemon which to use, as a caller would, and adds those
+// that it leaves out: a caller may have kept an older answer.
+func (d *demo) addresses(ctx context.Context) []string {
+	return d.site.Daemons[0].Addresses(ctx, caller.AddressQuery{Service: drafts}).Addresses
 }
--- a/internal/demo/documents.go
+++ b/internal/demo/documents.go
@@ -14,9 +14,10 @@
 	drafts state.ServiceID = "drafts" // the registered-letter tracker's model
 	alerts state.ServiceID = "alerts" // the battery lessor's plain service
 
-	classCheck state.ClassID = "check"
-	classNote  state.ClassID = "note"
-	classAlert state.ClassID = "alert"
+	classCheck   state.ClassID = "check"
+	classNote    state.ClassID = "note"
+	classSummary state.ClassID = "summary"
+	classAlert   state.ClassID = "alert"
 
 	bank      state.CustomerID = "bank"
 	advocates state.CustomerID = "advocates"
@@ -40,7 +41,7 @@
 		Classes: []service.Class{
 			{Name: classCheck, Priority: 0, Deadline: service.Duration(10 * time.Second), ReservedSlots: 2, MaxTokens: checkTokens},
 			{Name: classNote, Priority: 1, Deadline: service.Duration(10 * time.Second), NeverRepeat: true, MaxTokens: noteTokens},
-			{Name: "summary", Priority: 2, Deadline: service.Duration(10 * time.Second), MaxTokens: noteTokens},
+			{Name: classSummary, Priority: 2, Deadline: service.Duration(10 * time.Second), MaxTokens: noteTokens},
 		},
 		Customers: []service.Customer{
 			{ID: bank, RequestsPerSecond: 500, Burst: 500, Weight: 1},
@@ -60,7 +61,7 @@
 			{ID: "alert-2", Stages: []service.ChainStage{{Backend: "alert-2"}}},
 		}},
 		Classes: []service.Class{
-			{Name: classAlert, Deadline: service.Duration(10 * time.Second), NeverRepeat: true},
+			{Name: classAlert, MaxTokens: 0, Deadline: service.Duration(10 * time.Second), NeverRepeat: true},
 		},
 		Customers: []service.Customer{{ID: dairy, RequestsPerSecond: 500, Burst: 500, Weight: 1}},
 		Retry:     service.Retry{MaxAttempts: 3, BudgetRatio: 0.5},
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -64,6 +64,19 @@
 	s.Platform.Close()
 }
 
+// Live lists the daemons that have not stopped.
+func (s *Site) Live() []*daemon.Daemon {
+	var live []*daemon.Daemon
+	for _, d := range s.Daemons {
+		select {
+		case <-d.Done():
+		default:
+			live = append(live, d)
+		}
+	}
+	return live
+}
+
 // domain returns the failure domain of the n-th of a kind of instances.
 func domain(n int) state.FailureDomain {
 	return Domains[n%len(Domains)]
