Record what requests met, and replay it through a fresh core

Cause: a decision that went wrong on a site could not be looked at again: the events of a request were gone with its daemon.

Change: trace writes, as JSON lines with a version, each event that a request's machine was fed and the actions it returned, with documents put into force and faults. trace.Replay feeds the events to new machines and names the first line that differs; stated outcomes in the trace are checked in the end. hibiscusctl replay prints the difference and exits 1, or 2 on a broken trace. Contents are digests under a salt that is not kept. A file that fails or is too slow ends the recording, never a request.

Conclusion: taking the mask away, dropping the comparison of the last action, or the rise of document versions each turn a test red.

--- a/cmd/hibiscusctl/main.go
+++ b/cmd/hibiscusctl/main.go
@@ -44,6 +44,7 @@
 			watchCommand(),
 			statusCommand(),
 			drainCommand(),
+			replayCommand(),
 		},
 		// The code comes from the error, below.
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
--- /dev/null
+++ b/trace/action.go
@@ -0,0 +1,92 @@
+package trace
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/samber/lo"
+
+	"github.com/hibiscuswick/hibiscuswick/coordination/request"
+	"github.com/hibiscuswick/hibiscuswick/state"
+)
+
+// actions writes out what a machine returned, one text an action.
+func (m mask) actions(as []request.Action) []string {
+	return lo.Map(as, func(a request.Action, _ int) string { return m.action(a) })
+}
+
+// action writes an action as its name and what decides its effect.
+func (m mask) action(a request.Action) string {
+	switch a := a.(type) {
+	case request.AskSlot:
+		return fmt.Sprintf("ask_slot %s exclude=%s", owned(uint64(a.Attempt)), list(a.Exclude))
+	case request.StopAsking:
+		return "stop_asking " + owned(uint64(a.Attempt))
+	case request.ReleaseSlot:
+		return fmt.Sprintf("release_slot %s replica=%s unused=%t failed=%t", owned(uint64(a.Grant)), a.Replica, a.Unused, a.Failed)
+	case request.RunStep:
+		return fmt.Sprintf("run_step %s at=%s prompt=%s given=%v input=%s last=%d", stepRef(a.Step), a.Stage.Backend,
+			m.text(a.Prompt), m.values(a.Given), m.bytes(a.Input), m.value(a.Last))
+	case request.AskHeld:
+		return fmt.Sprintf("ask_held %s at=%s", stepRef(a.Step), a.Stage.Backend)
+	case request.CancelAttempt:
+		return fmt.Sprintf("cancel_attempt %s replica=%s", owned(uint64(a.Attempt)), a.Replica.ID)
+	case request.ReleaseAttempt:
+		return fmt.Sprintf("release_attempt %s replica=%s", owned(uint64(a.Attempt)), a.Replica.ID)
+	case request.AttemptBegan:
+		return fmt.Sprintf("attempt_began %s epoch=%s replica=%s", owned(uint64(a.Attempt)), owned(uint64(a.Epoch)), a.Replica.ID)
+	case request.Emit:
+		return fmt.Sprintf("emit %d value=%d text=%s", a.Index, m.value(a.Value), m.text(a.Text))
+	case request.End:
+		return "end " + outcome(a.Outcome)
+	default:
+		return claimAction(a)
+	}
+}
+
+// claimAction writes the actions that concern claims and retries.
+func claimAction(a request.Action) string {
+	switch a := a.(type) {
+	case request.PutClaim:
+		return fmt.Sprintf("put_claim %s epoch=%s replica=%s proof=%t", owned(uint64(a.Attempt)), owned(uint64(a.Epoch)), a.Replica.ID, a.Proof.Valid())
+	case request.AbandonClaim:
+		return "abandon_claim"
+	case request.VoidClaim:
+		return fmt.Sprintf("void_claim proof=%t", a.Proof.Valid())
+	case request.SettleClaim:
+		return "settle_claim " + outcome(a.Outcome)
+	case request.AskRetry:
+		return fmt.Sprintf("ask_retry %s reason=%s replica=%s tried=%s execution=%s",
+			owned(uint64(a.Attempt)), a.Reason, a.Replica, list(a.Tried), a.Execution)
+	default:
+		panic(fmt.Sprintf("trace: action %T has no text", a))
+	}
+}
+
+func list(ids []state.ReplicaID) string {
+	return strings.Join(lo.Map(ids, func(id state.ReplicaID, _ int) string { return string(id) }), ",")
+}
+
+// The names of outcomes in traces.
+const (
+	outcomeCompleted = "completed"
+	outcomeRefused   = "refused"
+	outcomeFailed    = "failed"
+	outcomeUnknown   = "unknown"
+)
+
+// outcome writes an outcome as its name and its parts.
+func outcome(o state.Outcome) string {
+	switch o := o.(type) {
+	case state.Completed:
+		return fmt.Sprintf("%s tokens=%d", outcomeCompleted, o.Tokens)
+	case state.Refused:
+		return fmt.Sprintf("%s reason=%s retry_after=%d", outcomeRefused, o.Reason, o.RetryAfter)
+	case state.Failed:
+		return fmt.Sprintf("%s reason=%s tokens=%d", outcomeFailed, o.Reason, o.Tokens)
+	case state.Unknown:
+		return fmt.Sprintf("%s reason=%s", outcomeUnknown, o.Reason)
+	default:
+		panic(fmt.Sprintf("trace: outcome %T has no text", o))
+	}
+}
--- /dev/null
+++ b/trace/reader.go
@@ -0,0 +1,124 @@
+package trace
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/samber/lo"
+)
+
+// InputError is a line that is not of a trace.
+type InputError struct {
+	Line int // from 1
+	Text string
+}
+
+// Error implements error.
+func (e *InputError) Error() string {
+	return fmt.Sprintf("line %d: %s", e.Line, e.Text)
+}
+
+// Reader reads a trace line by line.
+type Reader struct {
+	in     *bufio.Scanner
+	number int
+	known  map[string]bool // By with a header
+}
+
+// NewReader returns a reader of in.
+func NewReader(in io.Reader) *Reader {
+	s := bufio.NewScanner(in)
+	s.Buffer(nil, MaxLine+1)
+	return &Reader{in: s, known: make(map[string]bool)}
+}
+
+// Number is the number of the line that Next returned last, from 1.
+func (r *Reader) Number() int {
+	return r.number
+}
+
+// Next returns the next line; io.EOF ends the trace. Another error is an
+// *InputError or comes from reading.
+func (r *Reader) Next() (Line, error) {
+	if !r.in.Scan() {
+		return Line{}, r.ended()
+	}
+	r.number++
+	l, err := decodeLine(r.in.Bytes())
+	if err == nil {
+		err = r.check(l)
+	}
+	if err != nil {
+		return l, &InputError{Line: r.number, Text: err.Error()}
+	}
+	return l, nil
+}
+
+func (r *Reader) ended() error {
+	err := r.in.Err()
+	switch {
+	case errors.Is(err, bufio.ErrTooLong):
+		return &InputError{Line: r.number + 1, Text: fmt.Sprintf("longer than %d bytes", MaxLine)}
+	case err != nil:
+		return err
+	case r.number == 0:
+		return &InputError{Line: 1, Text: "no header: the trace is empty"}
+	}
+	return io.EOF
+}
+
+// decodeLine reads one JSON value, strictly: an unknown field is most likely a
+// mistake in a line that was written by hand.
+func decodeLine(text []byte) (Line, error) {
+	var l Line
+	d := json.NewDecoder(bytes.NewReader(text))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&l); err != nil {
+		return l, err
+	}
+	if _, err := d.Token(); !errors.Is(err, io.EOF) {
+		return l, errors.New("more than one value")
+	}
+	return l, nil
+}
+
+// check holds what each line must be, whatever came before it.
+func (r *Reader) check(l Line) error {
+	parts := lo.CountBy([]bool{
+		l.Header != nil, l.Request != nil, l.Event != nil, l.Document != nil, l.Fault != nil, l.Expect != nil,
+	}, func(set bool) bool { return set })
+	switch {
+	case parts != 1:
+		return errors.New("want exactly one of header, request, event, document, fault, expect")
+	case l.Expect != nil:
+		return l.Expect.check()
+	case l.By == "":
+		return errors.New(`"by" is missing`)
+	case l.Header != nil:
+		return r.header(l)
+	case !r.known[l.By]:
+		return fmt.Errorf("no header of %q before this line", l.By)
+	case l.Do != nil && l.Event == nil:
+		return errors.New(`"do" without "event"`)
+	case (l.Run == 0) != (l.Request == nil && l.Event == nil):
+		return errors.New(`"run" goes with "request" and "event", from 1`)
+	}
+	return nil
+}
+
+func (r *Reader) header(l Line) error {
+	switch {
+	case l.Header.Format != Format:
+		return fmt.Errorf("format %q, want %q", l.Header.Format, Format)
+	case l.Header.Version != Version:
+		return fmt.Errorf("version %d, this reader knows %d", l.Header.Version, Version)
+	case r.known[l.By]:
+		return fmt.Errorf("second header of %q", l.By)
+	}
+	r.known[l.By] = true
+	return nil
+}
