--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -95,6 +95,7 @@
 	dead     bool
 	wake     chan struct{}
 	queue    []*pendingStep
+	batch    int // steps of the batch under way
 	attempts map[attemptID]*attempt
 	done     []attemptID // finished or barred attempts, oldest first
 	live     int         // attempts that hold KV cache
@@ -164,6 +165,18 @@
 	}
 }
 
+// Runs reports whether the engine holds an attempt of a request that began.
+func (e *Engine) Runs(id state.RequestID) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for key, a := range e.life.attempts {
+		if key.request == id && a.started {
+			return true
+		}
+	}
+	return false
+}
+
 // Slow makes every batch take factor times as long.
 func (e *Engine) Slow(factor float64) {
 	e.mu.Lock()
@@ -202,6 +215,13 @@
 	return n
 }
 
+// Running counts the steps of the batch under way.
+func (e *Engine) Running() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.life.batch
+}
+
 // ID is the configured name.
 func (e *Engine) ID() state.BackendID { return e.cfg.ID }
 
--- a/internal/standin/engine_steps.go
+++ b/internal/standin/engine_steps.go
@@ -122,6 +122,7 @@
 	}
 	clear(l.queue[len(rest):])
 	l.queue = rest
+	l.batch = len(batch)
 	l.report(!e.left.IsZero())
 	took = time.Duration(float64(took) * e.slow)
 	dead := l.dead
@@ -280,6 +281,7 @@
 	for _, p := range batch {
 		p.answer(e.finishStep(l, p))
 	}
+	l.batch = 0
 	l.report(!e.left.IsZero())
 	e.changed.Broadcast()
 }
--- a/internal/standin/plain.go
+++ b/internal/standin/plain.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"fmt"
 	"strings"
 	"sync"
 	"time"
@@ -32,6 +33,7 @@
 	queued  int
 	left    time.Time
 	late    []time.Time
+	lives   int // restarts so far
 }
 
 // StartPlain starts a plain service on a loopback port.
@@ -52,7 +54,13 @@
 }
 
 // Restart starts a killed service again on its address.
-func (s *PlainServer) Restart() error { return s.listen() }
+func (s *PlainServer) Restart() error {
+	s.mu.Lock()
+	s.lives++
+	s.left = time.Time{}
+	s.mu.Unlock()
+	return s.listen()
+}
 
 // PlainAnswer is the right answer to a call with this body.
 func PlainAnswer(body string) string {
@@ -102,7 +110,12 @@
 func (s *PlainServer) load(struct{}) (engine.Load, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return engine.Load{Running: s.running, Queued: s.queued, Leaving: !s.left.IsZero()}, nil
+	return engine.Load{Life: s.life(), Running: s.running, Queued: s.queued, Leaving: !s.left.IsZero()}, nil
+}
+
+// life names the present life of the process. The caller holds mu.
+func (s *PlainServer) life() string {
+	return fmt.Sprintf("%s#%d", s.cfg.ID, s.lives)
 }
 
 // Slow makes every call take factor times as long.
--- a/internal/standin/proxy.go
+++ b/internal/standin/proxy.go
@@ -29,7 +29,10 @@
 	pairs   map[*proxyPair]struct{}
 	refuse  bool
 	delay   time.Duration
-	swallow [2]bool // of new connections too
+	swallow [2]bool          // of new connections too
+	hold    [2]chan struct{} // closed when the direction is let go; nil when free
+	held    int
+	closed  chan struct{}
 
 	bytes [2]atomic.Int64
 }
@@ -46,7 +49,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Proxy{target: target, listener: ln, pairs: make(map[*proxyPair]struct{})}
+	p := &Proxy{target: target, listener: ln, pairs: make(map[*proxyPair]struct{}), closed: make(chan struct{})}
 	go p.accept()
 	return p, nil
 }
@@ -56,7 +59,10 @@
 
 // Close ends the proxy and its connections.
 func (p *Proxy) Close() {
-	_ = p.listener.Close()
+	if p.listener.Close() != nil {
+		return // closed before
+	}
+	close(p.closed)
 	p.Cut()
 }
 
@@ -92,6 +98,27 @@
 	p.swallow[dir] = on
 }
 
+// Hold keeps what goes in one direction back until it is called with false; it
+// is delivered then.
+func (p *Proxy) Hold(dir Direction, on bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch {
+	case on && p.hold[dir] == nil:
+		p.hold[dir] = make(chan struct{})
+	case !on && p.hold[dir] != nil:
+		close(p.hold[dir])
+		p.hold[dir] = nil
+	}
+}
+
+// Held counts the connections with bytes that are kept back.
+func (p *Proxy) Held() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.held
+}
+
 // SilenceConnections makes the connections of this moment carry nothing any
 // more in either direction, without closing them; new ones work.
 func (p *Proxy) SilenceConnections() {
@@ -164,10 +191,9 @@
 		if err != nil {
 			return
 		}
-		p.mu.Lock()
-		delay, swallow := p.delay, p.swallow[dir]
-		p.mu.Unlock()
+		delay, swallow := p.spoil(dir)
 		time.Sleep(delay)
+		p.awaitRelease(dir)
 		if swallow || pair.silent[dir].Load() {
 			continue
 		}
@@ -177,3 +203,29 @@
 		}
 	}
 }
+
+// spoil says what happens to a chunk that goes in one direction.
+func (p *Proxy) spoil(dir Direction) (delay time.Duration, swallow bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.delay, p.swallow[dir]
+}
+
+// awaitRelease waits while a direction is held.
+func (p *Proxy) awaitRelease(dir Direction) {
+	p.mu.Lock()
+	hold := p.hold[dir]
+	if hold == nil {
+		p.mu.Unlock()
+		return
+	}
+	p.held++
+	p.mu.Unlock()
+	select {
+	case <-hold:
+	case <-p.closed:
+	}
+	p.mu.Lock()
+	p.held--
+	p.mu.Unlock()
+}
