--- a/transport/front/problem.go
+++ b/transport/front/problem.go
@@ -3,63 +3,16 @@
 import (
 	"errors"
 	"net/http"
-	"strconv"
 
 	"github.com/danielgtaylor/huma/v2"
 
 	"github.com/hibiscuswick/hibiscuswick/protocol/caller"
 	"github.com/hibiscuswick/hibiscuswick/state"
-	"github.com/hibiscuswick/hibiscuswick/state/service"
 )
 
 // problemType is the prefix of a problem's type; the reason follows it.
 const problemType = "urn:hibiscuswick:problem:"
 
-// Problem is an RFC 9457 problem document, the body of every answer that is no
-// success.
-type Problem struct {
-	Type   string `json:"type"`
-	Title  string `json:"title"`
-	Status int    `json:"status"`
-	Detail string `json:"detail,omitempty"`
-
-	// Reason is one of state.Reasons.
-	Reason state.Reason `json:"reason,omitempty"`
-	// Execution is what is known of the request's execution; absent where the
-	// problem is not about a request to a service.
-	Execution state.Execution `json:"execution,omitempty"`
-	// Request is the request's id where it got one.
-	Request state.RequestID `json:"request,omitempty"`
-
-	// Faults lists what is wrong with the input, each by its path.
-	Faults []string `json:"faults,omitempty"`
-	// Current is the document that an edit lost against.
-	Current *service.Versioned `json:"current,omitempty"`
-
-	retryAfter state.RetryAfter
-}
-
-// Error makes a Problem an error for huma.
-func (p *Problem) Error() string { return p.Detail }
-
-// GetStatus is the HTTP status.
-func (p *Problem) GetStatus() int { return p.Status }
-
-// ContentType is that of RFC 9457.
-func (p *Problem) ContentType(string) string { return "application/problem+json" }
-
-// GetHeaders gives Retry-After where it is known.
-func (p *Problem) GetHeaders() http.Header {
-	h := http.Header{}
-	if p.retryAfter > 0 {
-		h.Set("Retry-After", strconv.FormatUint(uint64(p.retryAfter), 10))
-	}
-	if p.Request != "" {
-		h.Set(RequestHeader, string(p.Request))
-	}
-	return h
-}
-
 // huma builds its own errors, such as those of validation, through a package
 // variable; it has no other place for them. All of them become Problems.
 func init() {
@@ -69,7 +22,7 @@
 	huma.NewErrorWithContext = func(hc huma.Context, status int, msg string, errs ...error) huma.StatusError {
 		p := inputProblem(status, msg, errs)
 		if hc.Operation().OperationID == submitOperation {
-			p.Execution = unsentExecution(hc.Header("Idempotency-Key"), hc.Header("Last-Event-ID"))
+			p.Execution = unsentExecution(hc.Header(caller.KeyHeader), hc.Header(caller.LastEventHeader))
 		}
 		return p
 	}
@@ -125,11 +78,11 @@
 
 // outcomeProblem describes a request that ended before its answer began.
 func outcomeProblem(id state.RequestID, o state.Outcome) *Problem {
-	end := endOf(o)
+	end := caller.EndOf(o)
 	p := newProblem(statusOf(end.Reason), end.Reason, detailOf(end))
 	p.Execution = end.Execution
 	p.Request = id
-	p.retryAfter = end.RetryAfter
+	p.RetryAfter = end.RetryAfter
 	return p
 }
 
@@ -161,7 +114,7 @@
 		p := newProblem(http.StatusServiceUnavailable, state.ReasonStoreUnavailable,
 			"Whether the edit was accepted is not known. Repeat it with the same edit_id.")
 		p.Execution = state.ExecutionUnknown
-		p.retryAfter = 1
+		p.RetryAfter = 1
 		return p
 	}
 }
--- a/transport/front/requests.go
+++ b/transport/front/requests.go
@@ -5,7 +5,6 @@
 	"net"
 	"net/http"
 	"strconv"
-	"time"
 
 	"github.com/danielgtaylor/huma/v2"
 
@@ -14,12 +13,6 @@
 	"github.com/hibiscuswick/hibiscuswick/state/service"
 )
 
-// Paths of the caller interface.
-const (
-	PathAddresses = "/v1/addresses"
-	PathRequests  = "/v1/requests"
-)
-
 // submitOperation is the id of POST /v1/requests.
 const submitOperation = "submit"
 
@@ -39,7 +32,7 @@
 		Responses: streamResponses(), Errors: streamErrors(),
 	}, f.submit)
 	huma.Register(api, huma.Operation{
-		OperationID: "attach", Method: http.MethodGet, Path: PathRequests + "/{id}/events",
+		OperationID: "attach", Method: http.MethodGet, Path: PathRequests + "/{id}" + caller.PathEvents,
 		Summary:   "Take an answer up again after the token of Last-Event-ID, at any daemon",
 		Responses: streamResponses(), Errors: []int{http.StatusNotFound},
 	}, f.attach)
@@ -88,12 +81,6 @@
 	return nil
 }
 
-// Addresses is the answer of GET /v1/addresses.
-type Addresses struct {
-	Addresses []string         `json:"addresses" doc:"Base URLs, best first"`
-	ValidFor  service.Duration `json:"valid_for" doc:"How long the answer holds, such as 5s"`
-}
-
 type addressesOutput struct {
 	Body Addresses
 }
@@ -111,17 +98,6 @@
 	}}, nil
 }
 
-// Submit is the body of POST /v1/requests.
-type Submit struct {
-	Service   string           `json:"service" minLength:"1" maxLength:"256"`
-	Customer  string           `json:"customer" minLength:"1" maxLength:"256"`
-	Class     string           `json:"class" minLength:"1" maxLength:"256"`
-	Prompt    string           `json:"prompt" doc:"The model's input, or the body for a plain service"`
-	Adapter   string           `json:"adapter,omitempty" maxLength:"256"`
-	MaxTokens int              `json:"max_tokens,omitempty" minimum:"0" doc:"0 takes the class's"`
-	Deadline  service.Duration `json:"deadline,omitempty" doc:"To the first token, such as 500ms; absent takes the class's"`
-}
-
 type submitInput struct {
 	Key         string `header:"Idempotency-Key" maxLength:"256" doc:"The caller's own name for this piece of work"`
 	LastEventID string `header:"Last-Event-ID" doc:"Index of the last token that the caller has"`
@@ -130,8 +106,6 @@
 
 func (f *front) submit(ctx context.Context, in *submitInput) (*huma.StreamResponse, error) {
 	rc := controller(ctx)
-	// The body's read deadline would otherwise end the wait for the answer.
-	_ = rc.SetReadDeadline(time.Time{})
 	after, p := parseLastEventID(in.LastEventID)
 	if p == nil {
 		p = checkSubmit(&in.Body)
@@ -230,14 +204,6 @@
 	ID string `path:"id"`
 }
 
-// Status is the answer about one request.
-type Status struct {
-	Request state.RequestID `json:"request"`
-	Phase   caller.Phase    `json:"phase"`
-	Tokens  int             `json:"tokens"`
-	End     *End            `json:"end,omitempty" doc:"Present once the request ended"`
-}
-
 type statusOutput struct {
 	Body Status
 }
@@ -262,7 +228,7 @@
 	}
 	out := &statusOutput{Body: Status{Request: s.Request, Phase: s.Phase, Tokens: s.Tokens}}
 	if s.Phase == caller.PhaseEnded {
-		end := endOf(s.Outcome)
+		end := caller.EndOf(s.Outcome)
 		out.Body.End = &end
 	}
 	return out, nil
@@ -278,7 +244,7 @@
 	default:
 		f.metrics.refused.Inc(1)
 		p := newProblem(http.StatusTooManyRequests, state.ReasonQueueFull, "This daemon has no room for another stream.")
-		p.retryAfter = 1
+		p.RetryAfter = 1
 		return p
 	}
 }
--- a/transport/front/stream.go
+++ b/transport/front/stream.go
@@ -14,77 +14,12 @@
 	"github.com/danielgtaylor/huma/v2"
 
 	"github.com/hibiscuswick/hibiscuswick/protocol/caller"
-	"github.com/hibiscuswick/hibiscuswick/state"
 )
 
-// Names of the stream's events. A token's event id is its index, so that a
-// standard client that reconnects sends it back as Last-Event-ID. The other
-// events have no id and leave the client's as it is.
-const (
-	EventAccepted = "accepted"
-	EventToken    = "token"
-	EventEnd      = "end"
-)
-
-// RequestHeader carries the request's id on every answer about a request.
-const RequestHeader = "Hibiscuswick-Request"
-
 // keepAlive is a comment: clients skip it, and a connection that carries it is
 // known to be open.
 const keepAlive = ": keep-alive\n\n"
 
-// Accepted is the data of the first event.
-type Accepted struct {
-	Request state.RequestID `json:"request"`
-}
-
-// Token is the data of a token's event.
-type Token struct {
-	Index int    `json:"index"`
-	Value int64  `json:"value"`
-	Text  string `json:"text"`
-}
-
-// Ending names the kinds of state.Outcome.
-type Ending string
-
-// The values of Ending.
-const (
-	EndCompleted Ending = "completed"
-	EndRefused   Ending = "refused"
-	EndFailed    Ending = "failed"
-	EndUnknown   Ending = "unknown"
-)
-
-// End is the data of the last event.
-type End struct {
-	Outcome    Ending           `json:"outcome"`
-	Tokens     int              `json:"tokens"`
-	Reason     state.Reason     `json:"reason,omitempty"`
-	Execution  state.Execution  `json:"execution,omitempty"`
-	RetryAfter state.RetryAfter `json:"retry_after,omitempty"` // seconds
-}
-
-// endOf describes o.
-func endOf(o state.Outcome) End {
-	switch o := o.(type) {
-	case state.Completed:
-		return End{Outcome: EndCompleted, Tokens: o.Tokens}
-	case state.Refused:
-		return End{
-			Outcome: EndRefused, Reason: o.Reason, RetryAfter: o.RetryAfter,
-			Execution: state.ExecutionNotRun,
-		}
-	case state.Failed:
-		return End{Outcome: EndFailed, Tokens: o.Tokens, Reason: o.Reason, Execution: state.ExecutionStarted}
-	case state.Unknown:
-		return End{Outcome: EndUnknown, Reason: o.Reason, Execution: state.ExecutionUnknown}
-	default:
-		// A stream that ends with nothing said: nothing may be concluded.
-		return End{Outcome: EndUnknown, Reason: state.ReasonInternal, Execution: state.ExecutionUnknown}
-	}
-}
-
 // view writes one stream to one connection. huma's own sse package is not used:
 // it writes no id for index 0, has no comments for keep-alive, and ignores
 // failed writes.
@@ -169,7 +104,7 @@
 // item writes a token or the end.
 func (v *view) item(i caller.Item) (done bool, err error) {
 	if i.Token == nil {
-		return true, v.event(EventEnd, nil, endOf(i.Outcome))
+		return true, v.event(EventEnd, nil, caller.EndOf(i.Outcome))
 	}
 	v.front.metrics.tokens.Inc(1)
 	t := Token(*i.Token)
