Drop the slower-kind threshold; prove the guards of homes

Cause: the related paper's threshold for a slower server delays first tokens at today's sizes; several guards had no test that fails without them.

Change: the threshold is gone, its figures stay in the design note. A replica that was seen slow is tried again by one request while idle; before, its slots filled up again whenever the memory ran out. Tests for dead holders, lasting differences, silent members, full queues; the bound on one customer's wait is checked under bursts. Benchmarks of both machines.

--- /dev/null
+++ b/coordination/home/bench_test.go
@@ -0,0 +1,112 @@
+package home_test
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/hibiscuswick/hibiscuswick/coordination/home"
+	"github.com/hibiscuswick/hibiscuswick/state"
+)
+
+// bench is a home without books, so that only the home is measured.
+func bench(replicaCount, slots int) (*home.Home, func(home.Event)) {
+	h := home.New(home.Config{})
+	now := start
+	step := func(ev home.Event) {
+		now = now.Add(time.Microsecond)
+		h.Step(now, ev)
+	}
+	step(home.DocumentChanged{Document: document(1<<20, 10)})
+	step(home.PoolsAssigned{Pools: []home.PoolSpec{{ID: poolID, Service: "drafting", Replicas: replicas(replicaCount, slots, 1, 0.7, 0.5, 0.3, 0.2)}}})
+	return h, step
+}
+
+func asks(n int) []home.SlotRequest {
+	out := make([]home.SlotRequest, n)
+	for i := range out {
+		out[i] = home.SlotRequest{
+			Ask:  home.Ask{Request: state.RequestID(fmt.Sprintf("entry-1-%012x", i)), Attempt: 1},
+			Pool: poolID, Class: "draft", Customer: customer(i % 10), Budget: time.Hour, Cost: 300,
+		}
+	}
+	return out
+}
+
+func received(msg home.Message) home.Received {
+	return home.Received{From: other, Msg: msg}
+}
+
+// BenchmarkGrantAndRelease is one ask that finds a free slot, and its release,
+// at a half full pool of 64 replicas.
+func BenchmarkGrantAndRelease(b *testing.B) {
+	_, step := bench(64, 8)
+	all := asks(256 + 1024)
+	for _, m := range all[:256] {
+		step(received(m))
+	}
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		m := all[256+i%1024]
+		step(received(m))
+		step(received(home.SlotRelease{Ask: m.Ask, Pool: poolID, Tokens: 300, Busy: time.Second}))
+	}
+}
+
+// BenchmarkQueueAndPass is one ask that queues, and a release that grants the
+// queue's next, at a full pool of 64 replicas with 200 asks of 10 customers
+// waiting.
+func BenchmarkQueueAndPass(b *testing.B) {
+	_, step := bench(64, 8)
+	const slots, waiting = 64 * 7, 200 // one slot of each replica is reserved
+	all := asks(slots + waiting + 100_000)
+	for _, m := range all[:slots+waiting] {
+		step(received(m))
+	}
+	next := slots + waiting
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		step(received(all[next%len(all)]))
+		step(received(home.SlotRelease{Ask: all[i%len(all)].Ask, Pool: poolID, Tokens: 300, Busy: time.Second}))
+		next++
+	}
+}
+
+// BenchmarkRenewal is one holder's digest.
+func BenchmarkRenewal(b *testing.B) {
+	_, step := bench(64, 8)
+	ev := received(home.Renewal{Pools: []home.PoolDigest{{Pool: poolID}}})
+	b.ReportAllocs()
+	for b.Loop() {
+		step(ev)
+	}
+}
+
+// BenchmarkMemory reports the bytes that the home keeps for each ask that
+// waits and for each grant, the strings of the messages not counted.
+func BenchmarkMemory(b *testing.B) {
+	const n = 100_000
+	for name, slots := range map[string]int{"wait": 1, "grant": 2 * n} {
+		b.Run(name, func(b *testing.B) {
+			for b.Loop() {
+				all := asks(n)
+				h, step := bench(1, slots)
+				before := heap()
+				for _, m := range all {
+					step(received(m))
+				}
+				b.ReportMetric(float64(heap()-before)/n, "B/"+name)
+				runtime.KeepAlive(h)
+				runtime.KeepAlive(all)
+			}
+		})
+	}
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
--- a/coordination/home/choose.go
+++ b/coordination/home/choose.go
@@ -40,7 +40,7 @@
 			best, speed, load = r, s, l
 		}
 	}
-	if best == nil || p.tooSlow(best, speed) {
+	if best == nil {
 		return nil
 	}
 	if r := p.affine(w, speed, load, now); r != nil {
--- a/coordination/home/choose_test.go
+++ b/coordination/home/choose_test.go
@@ -40,9 +40,9 @@
 	})
 
 	It("runs a request alone, and gets a replica idle for it under full load", Label("failure:request-crashes-servers"), func() {
-		w := newWorld(home.Config{}, document(100, 1), replicas(2, 2))
+		w := newWorld(home.Config{}, document(100, 1), replicas(2, 3))
 		var first []home.Ask
-		for range 2 {
+		for range 4 {
 			first = append(first, w.ask(other, "draft", 0))
 		}
 		for range 10 {
@@ -50,7 +50,9 @@
 		}
 		alone := w.ask(other, "check", 0, func(m *home.SlotRequest) { m.Alone = true })
 		Expect(w.granted).NotTo(HaveKey(alone))
-		w.release(other, first[0], home.UseDone)
+		for _, ask := range first {
+			w.release(other, ask, home.UseDone)
+		}
 		Expect(w.granted).To(HaveKey(alone))
 		Expect(w.usedBy(place(w, alone))).To(Equal(1))
 		Expect(w.ask(other, "check", 0)).To(Satisfy(func(a home.Ask) bool { return place(w, a) != place(w, alone) }))
@@ -58,6 +60,18 @@
 		Expect(len(w.granted)).To(BeNumerically(">=", 3))
 	})
 
+	It("refuses the longest backlog's last, not the newcomer, where a queue is full", func() {
+		w := newWorld(home.Config{}, document(6, 2), replicas(1, 2))
+		var heavy []home.Ask
+		for range 8 {
+			heavy = append(heavy, w.ask(other, "draft", 0))
+		}
+		Expect(w.refused[heavy[7]].Reason).To(Equal(state.ReasonQueueFull))
+		light := w.ask(other, "draft", 1)
+		Expect(w.waiting).To(HaveKey(light))
+		Expect(w.refused[heavy[6]].Reason).To(Equal(state.ReasonQueueFull))
+	})
+
 	It("refuses at once what can't have its first token in time", func() {
 		w := newWorld(home.Config{}, document(100, 2), replicas(1, 2, 0.5))
 		for range 20 {
--- a/coordination/home/estimate.go
+++ b/coordination/home/estimate.go
@@ -14,16 +14,14 @@
 // holding is the mean time for which a class holds a slot.
 type holding struct {
 	mean    float64 // seconds
-	unit    float64 // seconds on a replica of speed 1
 	samples int
 }
 
 // add takes the sample of one released grant.
-func (h *holding) add(d time.Duration, speed float64) {
+func (h *holding) add(d time.Duration) {
 	h.samples++
 	weight := max(holdSmoothing, 1/float64(h.samples))
 	h.mean += weight * (d.Seconds() - h.mean)
-	h.unit += weight * (d.Seconds()*speed - h.unit)
 }
 
 // rate estimates how many slots come free in a second: by Little's law, the
--- a/coordination/home/event.go
+++ b/coordination/home/event.go
@@ -143,10 +143,6 @@
 
 	// QueuePerClass is used where the document names no bound.
 	QueuePerClass int
-
-	// SlowerThreshold uses a slower kind of replica only past a queue length,
-	// see slower.go. Off by default; the design note says why.
-	SlowerThreshold bool
 }
 
 // DefaultConfig returns the settings used where Config has zero fields.
--- a/coordination/home/pool.go
+++ b/coordination/home/pool.go
@@ -43,7 +43,6 @@
 	holders map[state.Member]*holder
 	cache   *prefixCache
 	learn   learning
-	work    arrivals
 	arrived uint64 // number of the last wait
 	auditAt time.Time
 
--- a/coordination/home/property_test.go
+++ b/coordination/home/property_test.go
@@ -139,26 +139,49 @@
 		Expect(asked).To(BeNumerically(">", 100))
 	})
 
-	// A customer with a backlog of thousands must not delay another's single
-	// request by more than one grant of each customer that waits.
+	// However long the backlogs of others, and whenever they join, a customer
+	// that waits gets a slot before any other of its weight gets a third.
 	It("bounds how long one customer waits for the others", func() {
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
-			heavy := rapid.IntRange(1, 5).Draw(t, "heavy")
-			w := newWorld(home.Config{}, document(10000, heavy+1), replicas(1, 2), other)
-			w.step(home.Received{From: other, Msg: home.GrantReport{Pool: poolID}})
-			for i := range heavy * rapid.IntRange(5, 50).Draw(t, "backlog") {
-				w.ask(other, "draft", i%heavy)
-			}
-			light := w.ask(other, "draft", heavy)
-			for range heavy + 1 {
-				for ask := range w.granted {
-					w.release(other, ask, home.UseDone)
-					break
+			const customers = 4
+			w := newWorld(home.Config{}, document(10000, customers), replicas(1, 2)) // one slot for drafts
+			of := map[home.Ask]int{}
+			since := [customers][customers]int{} // grants of the second since the first one's last
+			for range rapid.IntRange(1, 60).Draw(t, "turns") {
+				c := rapid.IntRange(0, customers-1).Draw(t, "customer")
+				for range rapid.IntRange(0, 20).Draw(t, "burst") {
+					of[w.ask(other, "draft", c)] = c
+				}
+				for range rapid.IntRange(0, 10).Draw(t, "releases") {
+					waited := w.backlog(of)
+					for ask := range w.granted {
+						w.release(other, ask, home.UseDone)
+					}
+					for ask := range w.granted {
+						got := of[ask]
+						since[got] = [customers]int{}
+						for c := range customers {
+							if waited[c] == 0 {
+								since[c] = [customers]int{}
+							} else if c != got {
+								since[c][got]++
+							}
+							if since[c][got] > 2 {
+								t.Fatalf("customer %d waited for %d grants of customer %d", c, since[c][got], got)
+							}
+						}
+					}
 				}
-			}
-			if _, ok := w.granted[light]; !ok {
-				t.Fatalf("not granted after %d grants", heavy+1)
 			}
 		})
 	})
 })
+
+// backlog counts the waiting asks by customer.
+func (w *world) backlog(of map[home.Ask]int) map[int]int {
+	n := map[int]int{}
+	for ask := range w.waiting {
+		n[of[ask]]++
+	}
+	return n
+}
--- a/coordination/home/receive.go
+++ b/coordination/home/receive.go
@@ -64,9 +64,6 @@
 		return
 	}
 	p.holder(from).heard = now
-	if p.cfg.SlowerThreshold {
-		p.work.add(now, p.holds[rank].unit)
-	}
 	w := &wait{
 		ask: m.Ask, from: from, class: rank, customer: m.Customer,
 		cost: float64(max(m.Cost, 1)), prefixes: m.Prefixes, exclude: m.Exclude,
@@ -162,7 +159,7 @@
 		return
 	}
 	if g.rank < len(p.holds) {
-		p.holds[g.rank].add(now.Sub(g.at), g.r.speed)
+		p.holds[g.rank].add(now.Sub(g.at))
 	}
 	if g.r.probing && g.r.probe == m.Ask {
 		p.recovered(g.r)
--- a/coordination/home/replica.go
+++ b/coordination/home/replica.go
@@ -111,14 +111,16 @@
 
 // effective is the speed to choose r by: its document's, unless it was lately
 // seen to be far slower than that, base being the pool's tokens a second at
-// speed 1. A slow replica is tried again when the memory of it has run out.
+// speed 1. When the memory of that has run out, one request tries a replica
+// that is idle: the answer of a slow one takes long to show that it is slow,
+// and by then all its slots would be filled.
 func (r *replica) effective(now time.Time, base float64, memory time.Duration) float64 {
-	if r.rate == 0 || base == 0 || now.Sub(r.rateAt) > memory {
+	if r.rate == 0 || base == 0 {
 		return r.speed
 	}
 	seen := r.rate / base
-	if seen < slowShare*r.speed {
-		return seen
+	if seen >= slowShare*r.speed || now.Sub(r.rateAt) > memory && r.used == 0 {
+		return r.speed
 	}
-	return r.speed
+	return seen
 }
--- a/coordination/home/world_test.go
+++ b/coordination/home/world_test.go
@@ -13,6 +13,7 @@
 
 var (
 	start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	third = state.Member{ID: "entry-2", Incarnation: 1}
 	other = state.Member{ID: "entry-1", Incarnation: 1}
 )
 
--- /dev/null
+++ b/coordination/route/bench_test.go
@@ -0,0 +1,52 @@
+package route_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/hibiscuswick/hibiscuswick/coordination/home"
+	"github.com/hibiscuswick/hibiscuswick/coordination/route"
+	"github.com/hibiscuswick/hibiscuswick/state"
+)
+
+// planRouter is a router of one of 70 daemons in a region with 2,000 replicas
+// of one service.
+func planRouter() (*route.Router, []route.Peer, time.Time) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	var peers []route.Peer
+	for i := range 70 {
+		peers = append(peers, route.Peer{Member: state.Member{ID: state.DaemonID(fmt.Sprintf("entry-%d", i)), Incarnation: 1}})
+	}
+	r := route.New(route.Config{Self: peers[0].Member}, rand.New(rand.NewPCG(1, 1)))
+	r.Step(now, route.ViewChanged{Live: peers})
+	r.Step(now, route.ReplicasChanged{Service: "drafting", Capacity: 2000, Replicas: replicasOf(2000, "a")})
+	return r, peers, now
+}
+
+// BenchmarkRequest is a Want, its grant and its Done.
+func BenchmarkRequest(b *testing.B) {
+	r, _, now := planRouter()
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		k := home.Ask{Request: state.RequestID(fmt.Sprintf("entry-0-%08x", i)), Attempt: 1}
+		now = now.Add(time.Millisecond)
+		send := r.Step(now, route.Want{Ask: k, Service: "drafting", Class: "draft", Customer: "a", Deadline: now.Add(time.Second)})[0].(route.Send)
+		pool := send.Msg.(home.SlotRequest).Pool
+		r.Step(now, route.Received{From: state.Member{ID: send.To, Incarnation: 1}, Msg: home.SlotGrant{Ask: k, Pool: pool, Replica: "r00001"}})
+		r.Step(now, route.Done{Ask: k})
+		if i%1000 == 999 {
+			r.Step(now, route.Tick{})
+		}
+	}
+}
+
+// BenchmarkView is a change of the members: every pool's home anew.
+func BenchmarkView(b *testing.B) {
+	r, peers, now := planRouter()
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		r.Step(now, route.ViewChanged{Live: peers[:69+i%2]})
+	}
+}
--- a/coordination/route/compare/compare_test.go
+++ b/coordination/route/compare/compare_test.go
@@ -28,22 +28,6 @@
 	table(s)
 }
 
-// TestSlower prints the tables of docs/design/slower-server-threshold.md.
-func TestSlower(t *testing.T) {
-	if !*full {
-		t.Skip("only with -compare")
-	}
-	for _, load := range []float64{0.2, 0.3, 0.5, 0.7, 0.9, 0.98} {
-		fmt.Printf("\nload %.2f\n", load)
-		table(compare.Today(load), compare.HomePerPool, compare.Threshold)
-	}
-	s := compare.Today(0.4)
-	s.Speeds, s.Slots, s.Checks = []float64{1, 0.15}, 1, 0
-	s.For, s.DraftDeadline = 100*time.Hour, time.Hour
-	fmt.Printf("\ntwo servers of one slot, speeds 1 and 0.15, drafts only, load 0.4\n")
-	table(s, compare.Unreserved, compare.Threshold)
-}
-
 // TestAffinity prints the prefix table of docs/design/shared-load.md.
 func TestAffinity(t *testing.T) {
 	if !*full {
--- a/coordination/route/compare/run.go
+++ b/coordination/route/compare/run.go
@@ -27,13 +27,12 @@
 	HomePerPool  Policy = "home per pool of 64"
 	Unreserved   Policy = "home per pool of 64, no reserved slots"
 	OnePool      Policy = "one home for all"
-	Threshold    Policy = "home per pool of 64, slower-kind threshold"
 )
 
 // Policies lists those that are compared at today's size, where one home serves
 // a whole service.
 func Policies() []Policy {
-	return []Policy{Random, TwoChoices, TwoCounting, HomePerOne, HomePerEight, HomePerPool, Unreserved, Threshold}
+	return []Policy{Random, TwoChoices, TwoCounting, HomePerOne, HomePerEight, HomePerPool, Unreserved}
 }
 
 // Setup is what a run is made of. The workload is Poisson; a share Checks of
@@ -182,11 +181,10 @@
 		doc.Classes[Check].ReservedSlots = 0
 	}
 	rc := route.Config{PoolSize: size}
-	hc := home.Config{SlowerThreshold: policy == Threshold}
 	if size == 1 {
 		doc.Capacity.QueuePerClass = queueBound
 	}
-	r.fleet = NewFleet(r.loop, r.Daemons, hc, rc, doc, r.specs, r.Seed)
+	r.fleet = NewFleet(r.loop, r.Daemons, home.Config{}, rc, doc, r.specs, r.Seed)
 	r.fleet.CountBytes = true
 	r.fleet.Affinity = r.Affinity
 	r.submit = func(d int, j *Job) { r.fleet.Daemons[d].Submit(j) }
--- a/coordination/route/fleet_test.go
+++ b/coordination/route/fleet_test.go
@@ -28,6 +28,7 @@
 	entry func(i int) bool
 
 	jobs  []*compare.Job
+	late  time.Duration // the longest that a refusal came after its deadline
 	ended map[*compare.Job]int
 }
 
@@ -71,7 +72,12 @@
 	if s.rng.IntN(2) == 0 {
 		j.Class, j.Tokens, j.Deadline = compare.Check, 5, now.Add(2*time.Second)
 	}
-	j.Ended = func(j *compare.Job) { s.ended[j]++ }
+	j.Ended = func(j *compare.Job) {
+		s.ended[j]++
+		if j.Refused != "" {
+			s.late = max(s.late, s.loop.Now().Sub(j.Deadline))
+		}
+	}
 	s.jobs = append(s.jobs, j)
 	s.Daemons[i].Submit(j)
 }
@@ -153,7 +159,7 @@
 
 var _ = Describe("a fleet of routers and homes", func() {
 	// What a user sees: for a moment no new answer begins, then all go on.
-	// Order: the home daemon of a busy pool dies; 2 s later the others know;
+	// Order: the home daemon of a busy pool dies; 4 s later the others know;
 	// the next home in rank takes over while hundreds of answers still run.
 	// Cause: the grants were known to the dead home only.
 	It("learns grants again when a home dies, and never fills a slot twice", Label("failure:daemon-dies-mid-stream"), func() {
@@ -162,13 +168,19 @@
 		s.entry = func(i int) bool { return s.Daemons[i] != first }
 		s.loop.Run(30 * time.Second)
 		at := s.loop.Now()
-		s.Kill(first, 2*time.Second)
+		s.Kill(first, 4*time.Second)
 		s.loop.Run(time.Minute)
 		Expect(s.homeOf(s.other(first))).NotTo(Equal(first))
 		gap := s.longestGap(at, s.loop.Now())
-		AddReportEntry("longest time without a grant, of which 2 s until the death is known", gap.String())
-		Expect(gap).To(BeNumerically("<", 2100*time.Millisecond))
+		AddReportEntry("longest time without a grant, of which 4 s until the death is known", gap.String())
+		Expect(gap).To(BeNumerically("<", 4100*time.Millisecond))
 		s.settle()
+		for _, j := range s.jobs {
+			if j.Class == compare.Draft {
+				Expect(j.Refused).To(BeEmpty(), "a draft's deadline is 10 s")
+			}
+		}
+		Expect(s.late).To(BeNumerically("<", 100*time.Millisecond), "checks have 2 s")
 		Expect(s.peak()).To(Equal(8))
 		Expect(s.wrong()).To(BeEmpty())
 	})
@@ -298,6 +310,6 @@
 			all += e.Began - before[id]
 		}
 		AddReportEntry("share of requests on the slow one of 10 replicas", fmt.Sprintf("%.1f%%", 100*float64(got)/float64(all)))
-		Expect(float64(got) / float64(all)).To(BeNumerically("<", 0.02))
+		Expect(float64(got) / float64(all)).To(BeNumerically("<", 0.005))
 	})
 })
