Test whole daemons under failures; go on at once where an owner is gone

Cause: a caller who came back to another daemon within seconds of its daemon's death found the owner still believed alive: a never-repeat request ended as unknown (duplicate), since its claim joined an owner that could not answer. Change: an owner that can't be reached counts as gone for takeovers, ahead of the membership view; a repeat that joined such an owner is made again and takes the claim over.

--- a/daemon/batcher.go
+++ b/daemon/batcher.go
@@ -37,9 +37,9 @@
 
 // write has one claim row written by the key's home; answer runs on the control
 // goroutine, exactly once.
-func (p *batcherPart) write(req claims.WriteRequest, answer func(claims.WriteReply)) {
-	home := claims.KeyHome(req.Key, p.c.members.liveIDs(), keyHomes)
-	if home == p.c.d.self.ID || home == "" {
+func (p *batcherPart) write(key claims.Key, req claims.WriteRequest, answer func(claims.WriteReply)) {
+	home, ok := claims.KeyHome(key, p.c.members.keyHomes)
+	if !ok || home == p.c.d.self.ID {
 		p.want(req, answer)
 		return
 	}
--- a/daemon/claims.go
+++ b/daemon/claims.go
@@ -62,7 +62,7 @@
 	if rec.Owner == p.c.d.self {
 		return p.c.d.requests.runner(rec.Request) != nil
 	}
-	return p.c.members.isLive(rec.Owner)
+	return p.c.members.owns(rec.Owner)
 }
 
 // put begins or moves a request's claim, with the slot in hand.
@@ -207,7 +207,7 @@
 	c := run.p.c
 	answered := func(res store.Result) { run.step(claims.Answered{Result: res}) }
 	if req, ok := a.WriteRequest(uint64(a.Call.ID)); ok && a.ViaHome {
-		c.batcher.write(req, func(reply claims.WriteReply) {
+		c.batcher.write(run.m.Key(), req, func(reply claims.WriteReply) {
 			answered(reply.Result(a.Call.ID, req.Key))
 		})
 		return
--- a/daemon/follow.go
+++ b/daemon/follow.go
@@ -114,7 +114,11 @@
 	if !ok || !info.Live() || info.Member != rec.Owner {
 		return false
 	}
-	return d.pull(a, rec.Request, info.Meta.PeerAddress) == pulledEnd
+	if d.pull(a, rec.Request, info.Meta.PeerAddress) == pulledEnd {
+		return true
+	}
+	d.control.post(func() { d.control.members.unreachable(rec.Owner) })
+	return false
 }
 
 // follow makes r's callers see the answer of another request of the same key,
@@ -129,9 +133,11 @@
 	owner state.Member
 }
 
-// followOn gives a, the answer of a request that another of its key came before,
-// that other's answer. It ends with o where that can't be had.
-func (d *Daemon) followOn(a *answer, f followed, o state.Outcome) {
+// followOn gives r's callers the answer of the request of its key that came
+// first. If that one's owner is gone, r's request is made again: its claim then
+// takes the first one's over. It ends with o where nothing can be had.
+func (r *runner) followOn(f followed, o state.Outcome) {
+	d, a := r.d, r.answer
 	d.metrics.Add(telemetry.JoinedRepeatsTotal, 1)
 	if f.owner.ID == d.self.ID {
 		other := d.requests.answer(f.id)
@@ -149,11 +155,19 @@
 	case known && rec.Answer != nil:
 		fill(a, *rec.Answer)
 	case d.pullFromOwner(a, streams.Record{Request: f.id, Owner: f.owner}):
+	case r.follows < maxFollows:
+		again := newRunner(d, r.spec, a)
+		again.follows = r.follows + 1
+		d.start(again)
 	default:
 		a.end(o)
 	}
 }
 
+// maxFollows bounds how often a repeated request goes from one owner that is gone
+// to the next.
+const maxFollows = 3
+
 // copyAnswer copies an answer of this daemon to its end.
 func copyAnswer(to, from *answer) {
 	for next := 0; ; {
--- a/daemon/members.go
+++ b/daemon/members.go
@@ -1,10 +1,12 @@
 package daemon
 
 import (
+	"slices"
 	"time"
 
 	"github.com/samber/lo"
 
+	"github.com/hibiscuswick/hibiscuswick/coordination/claims"
 	"github.com/hibiscuswick/hibiscuswick/coordination/documents"
 	"github.com/hibiscuswick/hibiscuswick/coordination/membership"
 	"github.com/hibiscuswick/hibiscuswick/coordination/route"
@@ -25,8 +27,18 @@
 	self    membership.Self
 	view    *membership.View
 	reachAt time.Time
+
+	keyHomes []state.DaemonID // that batch claims
+
+	// gone are lives of daemons that could not be reached, until when that
+	// counts. The view learns of a death only after some seconds, and a caller
+	// who comes back for its answer should not wait for that.
+	gone map[state.Member]time.Time
 }
 
+// goneFor is how long a daemon that could not be reached counts as gone.
+const goneFor = 15 * time.Second
+
 func newMembersPart(c *control) *membersPart {
 	d := c.d
 	self := membership.Self{
@@ -44,7 +56,7 @@
 		SuspicionMin:  d.set.Peers.SuspicionTimeout.Std(),
 		SuspicionMax:  2 * d.set.Peers.SuspicionTimeout.Std(),
 	}, self, c.rng)
-	return &membersPart{c: c, m: m, self: self, view: m.View()}
+	return &membersPart{c: c, m: m, self: self, view: m.View(), gone: make(map[state.Member]time.Time)}
 }
 
 func (p *membersPart) nextTick(time.Time) time.Time {
@@ -123,6 +135,23 @@
 	return ok && info.Live() && info.Member == m
 }
 
+// unreachable notes that a life of a daemon could not be reached. It only
+// decides between joining its requests and taking them over, both of which are
+// safe.
+func (p *membersPart) unreachable(m state.Member) {
+	for old, until := range p.gone {
+		if p.c.now.After(until) {
+			delete(p.gone, old)
+		}
+	}
+	p.gone[m] = p.c.now.Add(goneFor)
+}
+
+// owns reports whether a life of a daemon is believed to drive its requests.
+func (p *membersPart) owns(m state.Member) bool {
+	return p.isLive(m) && !p.c.now.Before(p.gone[m])
+}
+
 // address returns where to reach a daemon, or "".
 func (p *membersPart) address(id state.DaemonID) string {
 	info, ok := p.view.Lookup(id)
@@ -136,13 +165,14 @@
 func (p *membersPart) viewChanged() {
 	live := p.live()
 	p.c.d.metrics.Set(telemetry.LiveMembers, float64(len(live)))
+	p.keyHomes = claims.KeyHomes(p.liveIDs(), keyHomes)
 	p.c.slots.route(route.ViewChanged{Live: lo.Map(live, func(i membership.Info, _ int) route.Peer {
 		return route.Peer{Member: i.Member, Region: i.Meta.Region, Draining: i.Draining}
 	})})
 	p.c.store.step(storebudget.RolesChanged{Roles: storebudget.Roles{
 		Members:  len(live),
-		KeyHomes: min(keyHomes, len(live)),
-		KeyHome:  true,
+		KeyHomes: len(p.keyHomes),
+		KeyHome:  slices.Contains(p.keyHomes, p.self.Member.ID),
 		Services: max(1, len(p.c.documents.inForce)),
 	}})
 	p.c.d.publish(func(v *view) { v.members = p.view })
--- /dev/null
+++ b/daemon/rig_test.go
@@ -0,0 +1,212 @@
+package daemon_test
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hibiscuswick/hibiscuswick/daemon"
+	"github.com/hibiscuswick/hibiscuswick/internal/site"
+	"github.com/hibiscuswick/hibiscuswick/internal/standin"
+	"github.com/hibiscuswick/hibiscuswick/protocol/caller"
+	"github.com/hibiscuswick/hibiscuswick/settings"
+	"github.com/hibiscuswick/hibiscuswick/state"
+	"github.com/hibiscuswick/hibiscuswick/state/service"
+	"github.com/hibiscuswick/hibiscuswick/telemetry"
+)
+
+const (
+	patience   = 20 * time.Second // bound of everything that is waited for
+	noteTokens = 30
+	drafts     = state.ServiceID("drafts")
+	alerts     = state.ServiceID("alerts")
+	advocates  = state.CustomerID("advocates")
+)
+
+var chains = site.Chains{Prefix: "drafter", Replicas: 2, Stages: 2, Layers: 8}
+
+// rig is a site with daemons in service.
+type rig struct {
+	*site.Site
+	ctx context.Context
+}
+
+// newRig starts daemons before two replicas of two stages and one plain server,
+// and waits until all serve.
+func newRig(daemons int, step time.Duration) *rig {
+	GinkgoHelper()
+	s, err := site.New(telemetry.Discard())
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(s.Close)
+	ctx, cancel := context.WithCancel(context.Background())
+	DeferCleanup(cancel)
+	r := &rig{Site: s, ctx: ctx}
+	cfg := standin.EngineConfig{Service: drafts, Model: "notes", Version: "1", Kind: "large", StepTime: step}
+	Expect(s.AddChains(chains, cfg)).To(Succeed())
+	Expect(s.AddPlain(standin.PlainConfig{ID: "alert-1"}, site.Domains[0])).To(Succeed())
+	for range daemons {
+		r.addDaemon(nil)
+	}
+	r.apply(0, draftsDocument())
+	r.apply(0, alertsDocument())
+	r.awaitServing(2)
+	return r
+}
+
+func (r *rig) addDaemon(change func(*settings.Settings)) *daemon.Daemon {
+	GinkgoHelper()
+	d, err := r.AddDaemon(change)
+	Expect(err).NotTo(HaveOccurred())
+	return d
+}
+
+func draftsDocument() service.Document {
+	return service.Document{
+		Service:   drafts,
+		Kind:      service.KindModel,
+		Model:     &service.Model{Name: "notes", Version: "1", Layers: chains.Layers},
+		Capacity:  service.Capacity{Replicas: chains.Replicas, SlotsPerReplica: 8, QueuePerClass: 64},
+		Placement: chains.Placement(),
+		Classes: []service.Class{
+			{Name: "note", Priority: 0, Deadline: service.Duration(patience), NeverRepeat: true, MaxTokens: noteTokens},
+			{Name: "summary", Priority: 1, Deadline: service.Duration(patience), MaxTokens: noteTokens},
+		},
+		Customers: []service.Customer{{ID: advocates, RequestsPerSecond: 1000, Burst: 1000, Weight: 1}},
+		Retry:     service.Retry{MaxAttempts: 4, BudgetRatio: 1},
+	}
+}
+
+func alertsDocument() service.Document {
+	return service.Document{
+		Service:  alerts,
+		Kind:     service.KindPlain,
+		Capacity: service.Capacity{Replicas: 1, SlotsPerReplica: 8, QueuePerClass: 64},
+		Placement: service.Placement{Mode: service.PlacementFixed, Chains: []service.Chain{
+			{ID: "alert-1", Stages: []service.ChainStage{{Backend: "alert-1"}}},
+		}},
+		Classes:   []service.Class{{Name: "alert", Deadline: service.Duration(patience), NeverRepeat: true}},
+		Customers: []service.Customer{{ID: advocates, RequestsPerSecond: 1000, Burst: 1000, Weight: 1}},
+		Retry:     service.Retry{MaxAttempts: 3, BudgetRatio: 1},
+	}
+}
+
+// apply edits a document at one daemon, based on the version in force there.
+func (r *rig) apply(n int, doc service.Document) state.DocumentVersion {
+	GinkgoHelper()
+	current, _ := r.Daemons[n].Document(r.ctx, doc.Service)
+	res := r.Daemons[n].Apply(r.ctx, caller.Edit{
+		Base: current.Version, EditID: fmt.Sprintf("%s-%d", doc.Service, time.Now().UnixNano()), Text: doc.Encode(),
+	})
+	Expect(res.Status).To(Equal(caller.EditAccepted), "%v", res.Faults)
+	return res.Version
+}
+
+// awaitServing waits until all live daemons know each other and have documents.
+func (r *rig) awaitServing(documents int) {
+	GinkgoHelper()
+	live := r.Live()
+	for _, d := range live {
+		Eventually(func(g Gomega) {
+			s := d.DaemonStatus(r.ctx)
+			g.Expect(s.Documents).To(HaveLen(documents))
+			g.Expect(s.Isolated).To(BeFalse())
+			alive := 0
+			for _, m := range s.Members {
+				if m.State == "alive" {
+					alive++
+				}
+			}
+			g.Expect(alive).To(Equal(len(live)))
+		}).WithTimeout(patience).Should(Succeed())
+	}
+}
+
+// promptOf returns a prompt for key whose answer is as long as the class allows.
+func promptOf(key string) string {
+	for i := 0; ; i++ {
+		prompt := fmt.Sprintf("prompt of %s, %d", key, i)
+		if len(standin.ExpectedTokens(prompt, noteTokens)) == noteTokens {
+			return prompt
+		}
+	}
+}
+
+// note is a request that is never to be repeated; summary one that may be.
+func note(key string) caller.Submission {
+	return caller.Submission{Service: drafts, Customer: advocates, Class: "note", Key: state.IdempotencyKey(key), Prompt: promptOf(key), After: -1}
+}
+
+func summary(key string) caller.Submission {
+	s := note(key)
+	s.Class = "summary"
+	return s
+}
+
+func alert(key string) caller.Submission {
+	s := note(key)
+	s.Service = alerts
+	s.Class = "alert"
+	return s
+}
+
+// submit sends a request that has to be taken.
+func (r *rig) submit(n int, s caller.Submission) caller.Stream {
+	GinkgoHelper()
+	stream, outcome := r.Daemons[n].Submit(r.ctx, s)
+	Expect(outcome).To(BeNil())
+	return stream
+}
+
+// read takes tokens until n are there or the answer ends; n < 0 reads to the end.
+func (r *rig) read(stream caller.Stream, n int) ([]caller.Token, state.Outcome) {
+	GinkgoHelper()
+	ctx, cancel := context.WithTimeout(r.ctx, patience)
+	defer cancel()
+	var tokens []caller.Token
+	for n < 0 || len(tokens) < n {
+		item, err := stream.Next(ctx)
+		Expect(err).NotTo(HaveOccurred(), "answer stalled after %d tokens", len(tokens))
+		if item.Token == nil {
+			return tokens, item.Outcome
+		}
+		tokens = append(tokens, *item.Token)
+	}
+	return tokens, nil
+}
+
+// expectWhole checks an answer against what the model makes of its prompt.
+func expectWhole(tokens []caller.Token, outcome state.Outcome, key string) {
+	GinkgoHelper()
+	Expect(outcome).To(Equal(state.Completed{Tokens: len(tokens)}))
+	want := standin.ExpectedTokens(promptOf(key), noteTokens)
+	Expect(tokens).To(HaveLen(len(want)))
+	for i, t := range tokens {
+		Expect(t.Index).To(Equal(i))
+		Expect(t.Value).To(Equal(want[i]))
+	}
+}
+
+// expectSound checks what the stand-ins saw: no layer twice or out of order.
+func (r *rig) expectSound() {
+	GinkgoHelper()
+	Expect(r.Ledger.Violations()).To(BeEmpty())
+}
+
+// runs counts the executions of a key's prompt that began.
+func (r *rig) runs(key string) int {
+	return r.Ledger.Runs(promptOf(key))
+}
+
+// stageOf returns the engine that holds a stage of the replica which runs key's
+// request, as far as one has begun.
+func (r *rig) replicaOf(id state.RequestID) int {
+	for n := 1; n <= chains.Replicas; n++ {
+		if r.Engines[chains.Engine(n, 1)].Runs(id) {
+			return n
+		}
+	}
+	return 0
+}
--- a/daemon/runner.go
+++ b/daemon/runner.go
@@ -42,6 +42,8 @@
 	// the answer.
 	followed atomic.Pointer[followed]
 
+	follows int // owners of the key that were gone before this try
+
 	events chan request.Event
 	done   chan struct{} // closed when run returns
 
@@ -258,7 +260,7 @@
 		c.claims.ended(r)
 	})
 	if f := r.followed.Load(); f != nil {
-		go r.d.followOn(r.answer, *f, o)
+		go r.followOn(*f, o)
 		return
 	}
 	r.d.metrics.Ended(r.spec.Service, r.spec.Class, o)
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -95,7 +95,8 @@
 	dead     bool
 	wake     chan struct{}
 	queue    []*pendingStep
-	batch    int // steps of the batch under way
+	batch    int           // steps of the batch under way
+	lateness time.Duration // of the last batch's end; the loop's own
 	attempts map[attemptID]*attempt
 	done     []attemptID // finished or barred attempts, oldest first
 	live     int         // attempts that hold KV cache
