--- a/coordination/home/bench_test.go
+++ b/coordination/home/bench_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"github.com/vmihailenco/msgpack/v5"
+
 	"github.com/hibiscuswick/hibiscuswick/coordination/home"
 	"github.com/hibiscuswick/hibiscuswick/state"
 )
@@ -110,3 +112,29 @@
 	runtime.ReadMemStats(&m)
 	return m.HeapAlloc
 }
+
+// BenchmarkMessages reports the encoded size of each message of a request.
+func BenchmarkMessages(b *testing.B) {
+	ask := home.Ask{Request: "entry-1-000000000abc", Attempt: 1}
+	summary := home.Summary{Slots: 320, Used: 300, Waiting: 20, Rate: 60}
+	request := home.SlotRequest{
+		Ask: ask, Pool: poolID, Class: "draft", Customer: "customer-1",
+		Budget: 10 * time.Second, Lead: 400 * time.Millisecond, Cost: 300,
+	}
+	for name, m := range map[string]home.Message{
+		"SlotRequest": request,
+		"SlotGrant":   home.SlotGrant{Ask: ask, Pool: poolID, Replica: "replica-017", Summary: summary},
+		"SlotRefusal": home.SlotRefusal{Ask: ask, Pool: poolID, Reason: state.ReasonDeadline, RetryAfter: 3, Summary: summary},
+		"SlotRelease": home.SlotRelease{Ask: ask, Pool: poolID, Replica: "replica-017", Tokens: 300, Busy: 8 * time.Second},
+		"PoolDigest":  home.Renewal{Pools: []home.PoolDigest{{Pool: poolID, Held: ask.Digest(), Waiting: ask.Digest()}}},
+		"HeldGrant":   home.GrantReport{Pool: poolID, Held: []home.HeldGrant{{Ask: ask, Replica: "replica-017", Class: "draft"}}},
+	} {
+		b.Run(name, func(b *testing.B) {
+			var out []byte
+			for b.Loop() {
+				out, _ = msgpack.Marshal(m)
+			}
+			b.ReportMetric(float64(len(out)), "B/msg")
+		})
+	}
+}
--- a/coordination/home/receive.go
+++ b/coordination/home/receive.go
@@ -70,6 +70,10 @@
 		alone: m.Alone, arrived: now, lead: m.Lead, deadline: now.Add(m.Budget),
 	}
 	w.expires = w.deadline.Add(-w.leadAt(p.order[0].speed))
+	if !now.Before(w.expires) {
+		p.refuse(from.ID, m.Ask, state.ReasonDeadline, 1, now)
+		return
+	}
 	f := p.queues[rank].flow(m.Customer, weight)
 	if !p.learn.waiting && p.placeAtOnce(f, w, now) {
 		return
--- a/coordination/route/compare/fleet.go
+++ b/coordination/route/compare/fleet.go
@@ -32,7 +32,6 @@
 	Messages   int
 	Bytes      int
 	CountBytes bool
-	ByKind     map[string]int
 
 	loop *Loop
 }
@@ -57,7 +56,7 @@
 // NewFleet returns n daemons that all know each other, the document and the
 // replicas.
 func NewFleet(loop *Loop, n int, hc home.Config, rc route.Config, doc *service.Document, specs []state.Replica, seed uint64) *Fleet {
-	f := &Fleet{loop: loop, Engines: make(map[state.ReplicaID]*Engine), ByKind: make(map[string]int)}
+	f := &Fleet{loop: loop, Engines: make(map[state.ReplicaID]*Engine)}
 	for _, s := range specs {
 		f.Engines[s.ID] = NewEngine(loop, s)
 	}
@@ -283,7 +282,6 @@
 		panic(err)
 	}
 	f.Bytes += len(b)
-	f.ByKind[fmt.Sprintf("%T", msg)] += len(b)
 }
 
 func (d *Daemon) receive(from state.Member, msg home.Message) {
--- a/coordination/route/compare/run.go
+++ b/coordination/route/compare/run.go
@@ -1,7 +1,6 @@
 package compare
 
 import (
-	"fmt"
 	"math"
 	"math/rand/v2"
 	"time"
@@ -11,7 +10,6 @@
 	"github.com/hibiscuswick/hibiscuswick/coordination/home"
 	"github.com/hibiscuswick/hibiscuswick/coordination/route"
 	"github.com/hibiscuswick/hibiscuswick/state"
-	"github.com/hibiscuswick/hibiscuswick/state/service"
 )
 
 // Policy names a way to spread requests.
@@ -227,76 +225,6 @@
 	r.loop.After(time.Second, func() { r.cacheEvents(engines) })
 }
 
-// specs names the replicas; apart makes names that hash to pools of their own.
-func specs(speeds []float64, slots int, apart bool) []state.Replica {
-	var out []state.Replica
-	taken := map[string]bool{}
-	for n := 0; len(out) < len(speeds); n++ {
-		s := state.Replica{
-			ID: state.ReplicaID(fmt.Sprintf("replica-%03d", n)), Service: "drafting",
-			Slots: slots, Speed: speeds[len(out)],
-		}
-		one := route.ReplicasChanged{Service: "drafting", Capacity: len(speeds), Replicas: []state.Replica{s}}
-		pool := string(route.Partition(one, nil, 1)[0].ID)
-		if apart && taken[pool] {
-			continue
-		}
-		taken[pool] = true
-		out = append(out, s)
-	}
-	return out
-}
-
-// customers is the number of customers; the first few send most requests.
-const customers = 10
-
-// Document describes the service of the runs.
-func Document(capacity int) *service.Document {
-	d := &service.Document{
-		Service:  "drafting",
-		Capacity: service.Capacity{Replicas: capacity, QueuePerClass: 256},
-		Classes: []service.Class{
-			{Name: "check", Priority: 0, ReservedSlots: 1},
-			{Name: "draft", Priority: 1},
-		},
-	}
-	for i := range customers {
-		d.Customers = append(d.Customers, service.Customer{ID: customerName(i), Weight: 1})
-	}
-	return d
-}
-
-func customerName(i int) state.CustomerID {
-	return state.CustomerID(fmt.Sprintf("customer-%d", i))
-}
-
-// arrive submits a request and schedules the next one.
-func (r *run) arrive() {
-	rate := r.Load * r.Bound()
-	r.loop.After(time.Duration(r.rng.ExpFloat64()/rate*float64(time.Second)), r.arrive)
-	r.submit(r.rng.IntN(r.Daemons), r.job())
-}
-
-func (r *run) job() *Job {
-	now := r.loop.Now()
-	r.serial++
-	j := &Job{
-		Ask:      home.Ask{Request: state.RequestID(fmt.Sprintf("entry-0-%012x", r.serial)), Attempt: 1},
-		Customer: customerName(min(int(r.rng.ExpFloat64()*2), customers-1)),
-		Class:    Draft, Prefill: r.DraftPrefill, Arrived: now, Deadline: now.Add(r.DraftDeadline),
-		Tokens: min(int(r.rng.ExpFloat64()*draftTokens)+1, maxTokens),
-		Ended:  r.ended,
-	}
-	if r.rng.Float64() < r.Checks {
-		j.Class, j.Prefill, j.Tokens = Check, checkPrefill, checkTokens
-		j.Deadline = now.Add(r.CheckDeadline)
-	}
-	if r.Prefixes > 0 && j.Class == Draft {
-		j.Prefix = uint64(r.rng.IntN(r.Prefixes)) + 1
-	}
-	return j
-}
-
 // ended books a job.
 func (r *run) ended(j *Job) {
 	if r.loop.Now().Before(r.warmed) {
