Tell the core's failures as stories in virtual time

Cause: what the core does under a failure stood only in Go tests; a newcomer could neither read the order of events nor add a case.

Change: scenario is a small language on datadriven: one file a story, commands and expected output side by side. A World drives the machines of requests, claims, retry budgets, the home and the documents with models of engines and table service, and checks by itself that layers run once and in order, that answers have no gap or repeat, that a never-repeat key begins once and that "not run" is true. docs/SCENARIOS.md lists the commands; a test compares.

Two faults were found on the way and are reported: a request whose deadline passes while its claim is being settled asks for ticks without end, and a request is refused at once when all replicas are excluded for the moment.

--- /dev/null
+++ b/scenario/args.go
@@ -0,0 +1,100 @@
+package scenario
+
+import (
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+)
+
+// args reads the arguments of a command: words, and name=value.
+type args struct {
+	d *datadriven.TestData
+}
+
+// word returns the i-th word.
+func (a args) word(i int) string {
+	n := 0
+	for _, arg := range a.d.CmdArgs {
+		if len(arg.Vals) > 0 {
+			continue
+		}
+		if n == i {
+			return arg.Key
+		}
+		n++
+	}
+	return ""
+}
+
+// text returns the value of name, or def.
+func (a args) text(name, def string) string {
+	for _, arg := range a.d.CmdArgs {
+		if arg.Key == name && len(arg.Vals) > 0 {
+			return arg.Vals[0]
+		}
+	}
+	return def
+}
+
+func (a args) number(name string, def int) (int, error) {
+	text := a.text(name, "")
+	if text == "" {
+		return def, nil
+	}
+	n, err := strconv.Atoi(text)
+	if err != nil || n < 0 {
+		return 0, fmt.Errorf("%s=%s is no count", name, text)
+	}
+	return n, nil
+}
+
+func (a args) duration(name string, def time.Duration) (time.Duration, error) {
+	text := a.text(name, "")
+	if text == "" {
+		return def, nil
+	}
+	d, err := time.ParseDuration(text)
+	if err != nil || d < 0 {
+		return 0, fmt.Errorf("%s=%s is no time, such as 300ms", name, text)
+	}
+	return d, nil
+}
+
+// node returns the daemon that the argument at names.
+func (a args) node(w *World) (*node, error) {
+	name := a.text("at", "")
+	if n := w.node(name); n != nil {
+		return n, nil
+	}
+	return nil, fmt.Errorf("at=%s names no daemon", name)
+}
+
+// Defaults of a site.
+const (
+	defaultDaemons  = 2
+	defaultReplicas = 2
+	defaultStages   = 2
+	defaultSlots    = 4
+	defaultStepTime = 10 * time.Millisecond
+	defaultStore    = 4 * time.Millisecond
+)
+
+func layout(a args) (Layout, error) {
+	var l Layout
+	var errs [6]error
+	l.Daemons, errs[0] = a.number("daemons", defaultDaemons)
+	l.Replicas, errs[1] = a.number("replicas", defaultReplicas)
+	l.Stages, errs[2] = a.number("stages", defaultStages)
+	l.Slots, errs[3] = a.number("slots", defaultSlots)
+	l.StepTime, errs[4] = a.duration("step", defaultStepTime)
+	l.StoreTime, errs[5] = a.duration("store", defaultStore)
+	l.Documents = a.word(0) == "documents"
+	for _, err := range errs {
+		if err != nil {
+			return l, err
+		}
+	}
+	return l, nil
+}
--- /dev/null
+++ b/scenario/claim.go
@@ -0,0 +1,259 @@
+package scenario
+
+import (
+	"fmt"
+	"slices"
+
+	"github.com/samber/lo"
+
+	"github.com/hibiscuswick/hibiscuswick/coordination/claims"
+	"github.com/hibiscuswick/hibiscuswick/coordination/request"
+	"github.com/hibiscuswick/hibiscuswick/coordination/store"
+	"github.com/hibiscuswick/hibiscuswick/state"
+)
+
+// claim is one claim at one daemon, and the run that it serves now. It is kept
+// until it is released, even past its run.
+type claim struct {
+	n       *node
+	m       *claims.Claim
+	r       *run // nil when the request has ended
+	voiding bool // r waits for VoidSettled
+	settled bool // r has had an answer to its PutClaim
+}
+
+func keyOf(r *run) claims.Key {
+	return claims.Key{Service: r.spec.Service, Customer: r.spec.Customer, Key: r.spec.Key}
+}
+
+func (n *node) claim(key claims.Key) *claim {
+	for _, c := range n.claims {
+		if c.m.Key() == key {
+			return c
+		}
+	}
+	return nil
+}
+
+// claimOf returns the claim that serves r, or nil.
+func (n *node) claimOf(r *run) *claim {
+	c := n.claim(keyOf(r))
+	if c == nil || c.r != r {
+		return nil
+	}
+	return c
+}
+
+// Owns implements claims.View.
+func (n *node) Owns(rec claims.Record) bool {
+	if rec.Owner == n.member {
+		r := n.run(rec.Request)
+		return r != nil && !r.m.Ended()
+	}
+	other := n.w.node(string(rec.Owner.ID))
+	return other != nil && other.works() && other.member == rec.Owner
+}
+
+func (n *node) putClaim(r *run, a request.PutClaim) {
+	slot := claims.Slot{Attempt: a.Attempt, Replica: a.Replica.ID}
+	for _, s := range a.Replica.Stages {
+		slot.Backends = append(slot.Backends, claims.Backend{ID: s.Backend, Boot: s.Life})
+	}
+	c := n.claim(keyOf(r))
+	switch {
+	case c == nil:
+		n.beginClaim(r, slot)
+	case c.r == r:
+		c.settled = false
+		c.step(claims.Move{Slot: slot, Proof: a.Proof})
+	case c.r == nil && c.m.Reusable():
+		c.r = r
+		c.settled = false
+		c.step(claims.Reuse{Request: r.spec.ID, Slot: slot, Deadline: r.spec.FirstTokenBy})
+	default:
+		r.follows = n.run(c.m.Request().ID)
+		r.later(0, request.ClaimSettled{Result: request.ClaimElsewhere, Reason: state.ReasonDuplicate})
+	}
+}
+
+func (n *node) beginClaim(r *run, slot claims.Slot) {
+	n.w.seq++
+	c := &claim{n: n, r: r}
+	c.m = claims.New(claims.DefaultConfig(), n.w.rng, n, claims.Request{
+		Key:         keyOf(r),
+		Content:     r.spec.Prompt,
+		ID:          r.spec.ID,
+		Owner:       n.member,
+		Nonce:       state.Nonce(fmt.Sprintf("%s/%d", n.name, n.w.seq)),
+		Deadline:    r.spec.FirstTokenBy,
+		OwnerNumber: n.owner,
+	})
+	n.claims = append(n.claims, c)
+	c.step(claims.Start{Slot: slot})
+}
+
+func (n *node) abandonClaim(r *run) {
+	if c := n.claimOf(r); c != nil {
+		c.step(claims.GiveUp{Reason: state.ReasonCanceled})
+	}
+}
+
+func (n *node) voidClaim(r *run, proof state.NotRunProof) {
+	c := n.claimOf(r)
+	if c == nil {
+		r.later(0, request.VoidSettled{})
+		return
+	}
+	c.voiding = true
+	c.step(claims.GiveUp{Reason: state.ReasonCanceled, Proof: proof})
+}
+
+func (n *node) settleClaim(r *run, o state.Outcome) {
+	phase := claims.PhaseFailed
+	switch o.(type) {
+	case state.Completed:
+		phase = claims.PhaseDone
+	case state.Unknown:
+		phase = claims.PhaseUnknown
+	}
+	if c := n.claimOf(r); c != nil {
+		c.step(claims.Ended{Phase: phase})
+	}
+}
+
+// claimEnded forgets the request, not the claim.
+func (n *node) claimEnded(r *run) {
+	if c := n.claimOf(r); c != nil {
+		c.r = nil
+	}
+}
+
+func (c *claim) step(ev claims.Event) {
+	if c.m.Released() {
+		return
+	}
+	for _, a := range c.m.Step(c.n.w.now, ev) {
+		c.carryOut(a)
+	}
+}
+
+func (c *claim) carryOut(a claims.Action) {
+	w := c.n.w
+	switch a := a.(type) {
+	case claims.CallStore:
+		w.call(a.Call, func(res store.Result) {
+			c.n.do(func() { c.step(claims.Answered{Result: res}) })
+		})
+	case claims.Dispatch:
+		c.answer(request.ClaimSettled{Result: request.ClaimWon})
+	case claims.Continue:
+		c.continued(a.Record)
+	case claims.Ask:
+		w.after(hop, func() {
+			ev := w.evidence(a.Record)
+			w.after(hop, func() { c.n.do(func() { c.step(ev) }) })
+		})
+	case claims.Verdict:
+		c.verdict(a)
+	case claims.Released:
+		c.n.claims = slices.DeleteFunc(slices.Clone(c.n.claims), func(other *claim) bool { return other == c })
+	}
+}
+
+// evidence asks the engines of a claimed attempt whose owner is gone.
+func (w *World) evidence(rec claims.Record) claims.Evidence {
+	ev := claims.Evidence{Epoch: rec.Epoch, Kind: claims.EvidenceNone}
+	held := 0
+	for i, b := range rec.Slot.Backends {
+		e := w.engine(string(b.ID))
+		if e.dead {
+			return ev
+		}
+		ref := request.StepRef{Attempt: rec.Slot.Attempt, Epoch: rec.Epoch, Stage: i}
+		h, ok := e.held(rec.Request, ref, 0).(request.HeldAnswer)
+		if !ok {
+			return ev
+		}
+		ev.Boots = append(ev.Boots, h.Life)
+		if h.Known && !h.Canceled {
+			held++
+		}
+	}
+	ev.Kind = claims.EvidenceNeverBegan
+	if held > 0 {
+		ev.Kind = claims.EvidenceHeld
+	}
+	return ev
+}
+
+// answer gives the run the answer to its PutClaim, once.
+func (c *claim) answer(ev request.ClaimSettled) {
+	if c.r == nil || c.settled {
+		return
+	}
+	c.settled = true
+	c.r.later(0, ev)
+}
+
+// continued has the run go on with an attempt that another daemon began.
+func (c *claim) continued(rec claims.Record) {
+	replica, ok := c.n.w.replica(rec.Slot.Replica)
+	if c.r == nil || !ok {
+		c.step(claims.Ended{Phase: claims.PhaseUnknown})
+		return
+	}
+	replica.Stages = slices.Clone(replica.Stages)
+	for i, b := range rec.Slot.Backends {
+		replica.Stages[i].Life = b.Boot
+	}
+	c.r.execution = rec.Request
+	c.answer(request.ClaimSettled{
+		Result:   request.ClaimContinue,
+		Continue: request.Takeover{Replica: replica, Attempt: rec.Slot.Attempt, Epoch: rec.Epoch},
+	})
+}
+
+func (c *claim) verdict(v claims.Verdict) {
+	r := c.r
+	switch {
+	case r == nil:
+		return
+	case c.voiding:
+		c.voiding = false
+		c.settled = true
+		c.r = nil
+		r.later(0, request.VoidSettled{Voided: v.Kind == claims.VerdictNotRun})
+		return
+	case v.Kind == claims.VerdictOvertaken:
+		r.say("claim: taken over by %s", v.Record.Owner.ID)
+		return
+	}
+	settled := request.ClaimSettled{Result: request.ClaimElsewhere, Reason: verdictReason(v)}
+	switch v.Kind {
+	case claims.VerdictNotRun:
+		settled.Result = request.ClaimRefused
+	case claims.VerdictJoin, claims.VerdictDuplicate:
+		if owner := c.n.w.node(string(v.Record.Owner.ID)); owner.works() {
+			r.follows = owner.run(v.Record.Request)
+		}
+	default:
+	}
+	if v.Kind == claims.VerdictJoin {
+		c.n.claims = slices.DeleteFunc(slices.Clone(c.n.claims), func(other *claim) bool { return other == c })
+	}
+	c.answer(settled)
+}
+
+var verdictReasons = map[claims.VerdictKind]state.Reason{
+	claims.VerdictKeyReused: state.ReasonKeyReused,
+	claims.VerdictUnsettled: state.ReasonStoreUnavailable,
+	claims.VerdictNotRun:    state.ReasonStoreUnavailable,
+}
+
+// verdictReason says why a request has no claim.
+func verdictReason(v claims.Verdict) state.Reason {
+	if v.Kind == claims.VerdictNotRun && v.Reason != "" {
+		return v.Reason
+	}
+	return lo.ValueOr(verdictReasons, v.Kind, state.ReasonDuplicate)
+}
