Add the controller of a service's backend servers

Cause: chains must be loaded, changed and drained by one daemon at a time, on servers of which some refuse old fencing numbers and some ignore them.

Change: coordination/controller turns placement and server states into orders and a published replica table. New reigns wait out former orders, read before and after each order where numbers are ignored, and make their number known to all servers that check. New chains load beside old ones; a chain is drained only on reports younger than the news of its leaving. lease: a holder whose number is below another service's raises it; a lapsed one gives up.

Conclusion: an order held up beyond LongestOrder can't be prevented where numbers are ignored; it is undone within one reconcile interval.

--- /dev/null
+++ b/coordination/controller/types.go
@@ -0,0 +1,196 @@
+package controller
+
+import (
+	"slices"
+	"time"
+
+	"github.com/hibiscuswick/hibiscuswick/coordination/lease"
+	"github.com/hibiscuswick/hibiscuswick/state"
+)
+
+// Config is a controller's settings.
+type Config struct {
+	Service state.ServiceID
+
+	// Reconcile is the longest time between two reads of a server's state.
+	Reconcile time.Duration
+	// ReadsPerSecond bounds the reads that Reconcile makes.
+	ReadsPerSecond int
+	// LongestOrder is how long after its sending an order may take effect,
+	// network and server working as they should.
+	LongestOrder time.Duration
+	// ReadFresh is how old a state may be when an order is based on it.
+	ReadFresh time.Duration
+	// CallTimeout is when a call without an answer counts as unanswered.
+	CallTimeout time.Duration
+	// LoadPoll is the time between reads of a server that is loading.
+	LoadPoll time.Duration
+	// Retry is the pause after an order that failed.
+	Retry time.Duration
+	// Spread is the longest time from Published until no daemon sends new work
+	// to a leaving replica.
+	Spread time.Duration
+	// ReportLag is how far a report of running requests is behind.
+	ReportLag time.Duration
+	// LoadsAlways is how many loads at one time need no weight grant.
+	LoadsAlways int
+}
+
+// DefaultConfig returns the settings that docs/design/leases-and-orders.md works
+// out.
+func DefaultConfig(service state.ServiceID) Config {
+	return Config{
+		Service:        service,
+		Reconcile:      10 * time.Second,
+		ReadsPerSecond: 20,
+		LongestOrder:   10 * time.Second,
+		ReadFresh:      time.Second,
+		CallTimeout:    5 * time.Second,
+		LoadPoll:       time.Second,
+		Retry:          2 * time.Second,
+		Spread:         3 * time.Second,
+		ReportLag:      2 * time.Second,
+		LoadsAlways:    1,
+	}
+}
+
+// stepEvery is how often the machine wants a Tick while it may act.
+const stepEvery = 250 * time.Millisecond
+
+// Holding is what a server is to hold, or holds.
+type Holding struct {
+	Model    string
+	Version  string
+	Adapters []string
+	Layers   state.LayerRange
+	Role     string
+}
+
+// Empty reports whether nothing is held.
+func (h Holding) Empty() bool {
+	return h.Model == ""
+}
+
+// sameWeights leaves the role out, which changes without a load.
+func (h Holding) sameWeights(o Holding) bool {
+	return h.Model == o.Model && h.Version == o.Version && h.Layers == o.Layers &&
+		slices.Equal(h.Adapters, o.Adapters)
+}
+
+func (h Holding) equal(o Holding) bool {
+	return h.Role == o.Role && h.sameWeights(o)
+}
+
+// ServerState is what a server says that it holds.
+type ServerState struct {
+	Service state.ServiceID
+	Holding Holding
+	Fencing state.FencingNumber // the highest seen; 0 where numbers are ignored
+	Loading bool
+}
+
+// Chain is one replica as it is to be.
+type Chain struct {
+	ID     state.ReplicaID
+	Stages []Stage
+}
+
+// Stage is one server's part of a chain.
+type Stage struct {
+	Backend state.BackendID
+	Holding Holding
+}
+
+// Backend is one live backend server that the service may use.
+type Backend struct {
+	ID            state.BackendID
+	ChecksFencing bool
+}
+
+// OrderKind says what an order changes.
+type OrderKind string
+
+// The values of OrderKind.
+const (
+	OrderLoad    OrderKind = "load"     // hold Holding
+	OrderUnload  OrderKind = "unload"   // hold nothing
+	OrderSetRole OrderKind = "set_role" // change the role alone
+)
+
+// OrderStatus is what a server says of an order.
+type OrderStatus string
+
+// The values of OrderStatus.
+const (
+	Applied OrderStatus = "applied"
+	Stale   OrderStatus = "stale" // a higher fencing number was seen
+	Refused OrderStatus = "refused"
+)
+
+// Replica is one published chain.
+type Replica struct {
+	Chain   Chain
+	Leaving bool // runs what it has and gets nothing new
+}
+
+// Table is what all daemons need to know of a service's replicas. Of two tables
+// the one with the higher (Fencing, Serial) holds.
+type Table struct {
+	Service  state.ServiceID
+	Document state.DocumentVersion
+	Fencing  state.FencingNumber
+	Serial   uint64
+	Replicas []Replica
+}
+
+// Newer reports whether t takes the place of o.
+func (t Table) Newer(o Table) bool {
+	if t.Fencing != o.Fencing {
+		return t.Fencing > o.Fencing
+	}
+	return t.Serial > o.Serial
+}
+
+// phase is how far a chain is.
+type phase int
+
+const (
+	preparing phase = iota
+	ready
+	leaving
+)
+
+type chain struct {
+	Chain
+	wanted bool // of the placement in force
+	phase  phase
+
+	toldLeaving time.Time // when a table that says so was published
+	idleAt      time.Time // when its home last reported no request; zero after any other report
+}
+
+type server struct {
+	id     state.BackendID
+	checks bool
+	target Holding
+
+	state    ServerState
+	readAt   time.Time // when state was taken in; zero: not in this reign
+	call     CallNumber
+	callAt   time.Time
+	ordering bool // the last call was an order
+	loads    bool // it was a load
+	doubt    bool // a load was not answered; the server may be loading
+	notUntil time.Time
+	idleAt   time.Time // when it last reported no request
+}
+
+// rights is what the lease allows.
+type rights struct {
+	standing lease.Standing
+	reign    state.Nonce
+	fencing  state.FencingNumber
+	base     state.FencingNumber // fencing at the start of the reign
+	until    time.Time
+	waitOut  time.Time // servers that ignore numbers are not ordered before
+}
--- a/coordination/lease/act.go
+++ b/coordination/lease/act.go
@@ -58,6 +58,9 @@
 	row := l.seen.Row
 	l.counter++
 	row.Renewals = l.counter
+	if row.Fencing <= l.above {
+		row.Fencing = l.above + 1
+	}
 	l.renewed = now
 	return m.write(l, row, now)
 }
--- a/coordination/lease/events.go
+++ b/coordination/lease/events.go
@@ -32,10 +32,14 @@
 	Clean   bool
 }
 
-// Overtaken says that a backend server refused a fencing number as old.
-type Overtaken struct {
+// Refused says that a backend server refused a fencing number as old. While this
+// daemon holds the lease the higher number is another service's, which had the
+// server before: the holder raises its own above it. Once the lease has lapsed it
+// may be a successor's: the daemon gives the lease up.
+type Refused struct {
 	Service state.ServiceID
 	Fencing state.FencingNumber // the number that was refused
+	Seen    state.FencingNumber // the higher one
 }
 
 // ReadDone answers a Read with the rows asked for, in any order.
@@ -67,7 +71,7 @@
 func (Members) event()    {}
 func (Drain) event()      {}
 func (Release) event()    {}
-func (Overtaken) event()  {}
+func (Refused) event()    {}
 func (ReadDone) event()   {}
 func (Committed) event()  {}
 func (Conflicted) event() {}
@@ -111,6 +115,7 @@
 type Status struct {
 	Service  state.ServiceID
 	Standing Standing
+	Reign    state.Nonce // changes with each takeover, not with a raised number
 	Fencing  state.FencingNumber
 	Until    time.Time // Holds is false from then on; only with Held and Lapsed
 	Clean    bool      // no order of an earlier holder can be under way
--- a/coordination/lease/machine.go
+++ b/coordination/lease/machine.go
@@ -115,6 +115,7 @@
 		return s
 	}
 	s.Standing = Lapsed
+	s.Reign = l.nonce
 	s.Fencing = l.seen.Row.Fencing
 	s.Until = l.proved.Add(m.cfg.span())
 	s.Clean = l.clean
@@ -137,8 +138,8 @@
 		m.draining = true
 	case Release:
 		m.release(ev)
-	case Overtaken:
-		m.overtaken(now, ev)
+	case Refused:
+		m.refused(now, ev)
 	case ReadDone:
 		m.readDone(now, ev)
 	case Committed:
@@ -181,14 +182,19 @@
 	}
 }
 
-// overtaken gives up a lease that a backend server has proved to be another's,
-// before the row itself could be read: a holder that was paused, or cut off from
-// the store, finds out this way.
-func (m *Machine) overtaken(now time.Time, ev Overtaken) {
+// refused raises the number of a lease that is held, and gives up one that has
+// lapsed before the row itself could be read: a holder that was paused, or cut
+// off from the store alone, finds out this way.
+func (m *Machine) refused(now time.Time, ev Refused) {
 	l, ok := m.leases[ev.Service]
 	if !ok || l.proved.IsZero() || l.seen.Row.Fencing != ev.Fencing {
 		return
 	}
+	if m.status(l, now).Standing == Held {
+		l.above = max(l.above, ev.Seen)
+		l.renewed = time.Time{}
+		return
+	}
 	l.overtaken = true
 	l.nextRead = now
 }
--- a/coordination/lease/row.go
+++ b/coordination/lease/row.go
@@ -79,7 +79,8 @@
 	renewed   time.Time   // when the last renewal was sent
 	clean     bool        // the holder before us released with no order under way
 	releasing bool
-	overtaken bool // a backend server saw a higher fencing number
+	overtaken bool                // a backend server saw a higher fencing number
+	above     state.FencingNumber // our number must become higher than it
 	relClean  bool
 
 	told Status // the last Status given out
