--- a/coordination/home/choose_test.go
+++ b/coordination/home/choose_test.go
@@ -60,6 +60,29 @@
 		Expect(len(w.granted)).To(BeNumerically(">=", 3))
 	})
 
+	// What a user sees: too few replicas, for good. Order: a server says that
+	// it is leaving, and restarts under its name before the platform's list
+	// shows either. Cause: the word outlives the process that it was of.
+	It("gives a replica work again when its processes are new", Label("failure:backend-leaving"), func() {
+		specs := replicas(1, 2)
+		specs[0].Stages = []state.Stage{{Backend: "b1", Life: "one"}}
+		for _, returns := range []func(*world){
+			func(w *world) { w.step(home.ReplicaReturned{Replica: replicaID(0)}) },
+			func(w *world) {
+				again := replicas(1, 2)
+				again[0].Stages = []state.Stage{{Backend: "b1", Life: "two"}}
+				w.assign(again)
+			},
+		} {
+			w := newWorld(home.Config{}, document(10, 1), specs)
+			w.step(home.ReplicaLeaving{Replica: replicaID(0)})
+			w.assign(specs)
+			Expect(w.refused[w.ask(other, "check", 0)].Reason).To(Equal(state.ReasonNoReplica))
+			returns(w)
+			Expect(w.granted).To(HaveKey(w.ask(other, "check", 0)))
+		}
+	})
+
 	It("refuses the longest backlog's last, not the newcomer, where a queue is full", func() {
 		w := newWorld(home.Config{}, document(6, 2), replicas(1, 2))
 		var heavy []home.Ask
--- a/coordination/home/event.go
+++ b/coordination/home/event.go
@@ -45,11 +45,19 @@
 }
 
 // ReplicaLeaving says that a replica gets no new work from now on, whatever
-// the source of the word is. It holds until the replica leaves its pool.
+// the source of the word is. It holds until ReplicaReturned, until the replica
+// leaves its pool, or until its spec shows other processes or stops to say
+// that it is leaving.
 type ReplicaLeaving struct {
 	Replica state.ReplicaID
 }
 
+// ReplicaReturned says that a replica which was leaving serves again, as after
+// the restart of its backend server.
+type ReplicaReturned struct {
+	Replica state.ReplicaID
+}
+
 // CacheReported passes on cache events of a replica's first stage. Gap says
 // that events before these are missing.
 type CacheReported struct {
@@ -70,6 +78,7 @@
 func (PoolsAssigned) event()   {}
 func (ViewChanged) event()     {}
 func (ReplicaLeaving) event()  {}
+func (ReplicaReturned) event() {}
 func (CacheReported) event()   {}
 
 // Action is what a Home wants done.
--- a/coordination/home/home.go
+++ b/coordination/home/home.go
@@ -52,6 +52,8 @@
 		h.view(now, e.Live)
 	case ReplicaLeaving:
 		h.leaving(now, e.Replica)
+	case ReplicaReturned:
+		h.returned(now, e.Replica)
 	case CacheReported:
 		h.cached(now, e)
 	}
@@ -163,6 +165,15 @@
 	}
 }
 
+func (h *Home) returned(now time.Time, id state.ReplicaID) {
+	for _, p := range h.order {
+		if r := p.replicas[id]; r != nil {
+			p.renewReplica(r)
+			p.dispatch(now)
+		}
+	}
+}
+
 func (h *Home) cached(now time.Time, e CacheReported) {
 	for _, p := range h.order {
 		if p.replicas[e.Replica] == nil {
--- a/coordination/home/pool.go
+++ b/coordination/home/pool.go
@@ -82,6 +82,10 @@
 			r = &replica{id: spec.ID, rank: make([]int, len(p.terms.classes))}
 			p.replicas[spec.ID] = r
 		}
+		if r.renewed(spec) {
+			p.renewReplica(r)
+		}
+		r.spec = spec
 		r.slots = max(spec.Slots, 1)
 		r.speed = orDefault(spec.Speed, 1)
 		p.order = append(p.order, r)
@@ -121,6 +125,15 @@
 	p.unhold(r)
 }
 
+// renewReplica forgets what is known of a replica's earlier processes. Its
+// grants stay: their holders release them.
+func (p *pool) renewReplica(r *replica) {
+	r.leaving = false
+	r.clear()
+	r.rate = 0
+	p.cache.forget(r.id)
+}
+
 func (p *pool) unhold(r *replica) {
 	if p.holding == r {
 		r.held = nil
--- a/coordination/home/replica.go
+++ b/coordination/home/replica.go
@@ -1,6 +1,7 @@
 package home
 
 import (
+	"slices"
 	"time"
 
 	"github.com/hibiscuswick/hibiscuswick/state"
@@ -24,6 +25,7 @@
 	speed   float64
 	slots   int
 	leaving bool
+	spec    state.Replica // as last told
 
 	used  int
 	rank  []int // slots in use by class rank
@@ -43,6 +45,12 @@
 	rateAt time.Time
 }
 
+// renewed reports whether spec shows that r's processes are others than those
+// that r was told to be leaving, or that failed.
+func (r *replica) renewed(spec state.Replica) bool {
+	return r.spec.Leaving && !spec.Leaving || len(r.spec.Stages) > 0 && !slices.Equal(r.spec.Stages, spec.Stages)
+}
+
 // suspected reports whether r is in its back-off.
 func (r *replica) suspected(now time.Time) bool {
 	return r.failures > 0 && now.Before(r.until)
--- a/coordination/route/event.go
+++ b/coordination/route/event.go
@@ -52,6 +52,11 @@
 	Replica state.ReplicaID
 }
 
+// ReplicaReturned says that a replica which was leaving serves again.
+type ReplicaReturned struct {
+	Replica state.ReplicaID
+}
+
 // Want asks for a slot.
 type Want struct {
 	Ask      home.Ask
@@ -85,6 +90,7 @@
 func (Reconnected) event()     {}
 func (ReplicasChanged) event() {}
 func (ReplicaLeaving) event()  {}
+func (ReplicaReturned) event() {}
 func (Want) event()            {}
 func (Done) event()            {}
 func (Cancel) event()          {}
--- a/coordination/route/router.go
+++ b/coordination/route/router.go
@@ -61,6 +61,8 @@
 		r.replicas(now, e)
 	case ReplicaLeaving:
 		r.leaving[e.Replica] = true
+	case ReplicaReturned:
+		delete(r.leaving, e.Replica)
 	case Want:
 		r.want(now, e)
 	case Done:
@@ -118,21 +120,34 @@
 // the pool that the replica is in now.
 func (r *Router) replicas(now time.Time, e ReplicasChanged) {
 	specs := Partition(e, r.cfg.Regions, r.cfg.PoolSize)
-	known := make(map[state.ReplicaID]bool, len(e.Replicas))
-	for _, rep := range e.Replicas {
-		known[rep.ID] = true
-	}
+	r.returned(e)
 	regionOf := func(s home.PoolSpec) state.Region { return r.cfg.Regions[s.Replicas[0].FailureDomain] }
 	r.layout.place(e.Service, specs, regionOf, r.cfg.Region)
-	for id := range r.leaving {
-		if _, placed := r.layout.ofRep[id]; !placed && !known[id] {
-			delete(r.leaving, id)
-		}
-	}
 	r.rebook()
 	r.resettle(now)
 }
 
+// returned forgets that replicas are leaving which are gone now, or whose
+// processes are others.
+func (r *Router) returned(e ReplicasChanged) {
+	service := r.layout.services[e.Service]
+	if service == nil {
+		return
+	}
+	now := make(map[state.ReplicaID]state.Replica, len(e.Replicas))
+	for _, rep := range e.Replicas {
+		now[rep.ID] = rep
+	}
+	for _, p := range service.pools {
+		for _, was := range p.spec.Replicas {
+			is, there := now[was.ID]
+			if !there || was.Leaving && !is.Leaving || !slices.Equal(was.Stages, is.Stages) {
+				delete(r.leaving, was.ID)
+			}
+		}
+	}
+}
+
 // rebook counts all asks anew by pool.
 func (r *Router) rebook() {
 	for _, p := range r.layout.pools {
@@ -179,7 +194,8 @@
 
 func sameSpec(a, b home.PoolSpec) bool {
 	return a.ID == b.ID && slices.EqualFunc(a.Replicas, b.Replicas, func(x, y state.Replica) bool {
-		return x.ID == y.ID && x.Slots == y.Slots && x.Speed == y.Speed && x.Leaving == y.Leaving
+		return x.ID == y.ID && x.Slots == y.Slots && x.Speed == y.Speed && x.Leaving == y.Leaving &&
+			slices.Equal(x.Stages, y.Stages)
 	})
 }
 
