Quarantine contents that crash backend servers

Cause: a caller that sends a crashing request again, under another key and through another daemon, takes down one replica after the other. Change: coordination/quarantine: a death implicates what ran there; the implicated runs alone under a turn in the table service; a crash alone convicts site-wide, a completed run clears. Implications spread as expiring, mergeable facts; a failure domain's failure is discounted.

--- /dev/null
+++ b/coordination/quarantine/quarantine_test.go
@@ -0,0 +1,268 @@
+package quarantine_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/hibiscuswick/hibiscuswick/coordination/quarantine"
+	"github.com/hibiscuswick/hibiscuswick/state"
+)
+
+// repeat sends content from now on, at any daemon, again as soon as the caller
+// is told that it failed; refused, it tries again two seconds later.
+func (w *world) repeat(content string, crashes bool, count map[string]int) {
+	w.request(w.rng.IntN(len(w.nodes)), content, crashes, func(how string) {
+		count[how]++
+		switch how {
+		case "completed":
+		case "refused":
+			w.at(w.now.Add(2*time.Second), func() { w.repeat(content, crashes, count) })
+		default:
+			w.repeat(content, crashes, count)
+		}
+	})
+}
+
+// background keeps n innocent requests running, each of its own content.
+func (w *world) background(n int) *int {
+	completed := new(int)
+	serial := 0
+	var next func()
+	next = func() {
+		serial++
+		content := fmt.Sprint("innocent ", serial)
+		var again func(string)
+		again = func(how string) {
+			switch how {
+			case "completed":
+				*completed++
+				next()
+				return
+			case "refused":
+				w.wronged++
+				next()
+				return
+			}
+			w.request(w.rng.IntN(len(w.nodes)), content, false, again)
+		}
+		w.request(w.rng.IntN(len(w.nodes)), content, false, again)
+	}
+	for range n {
+		w.at(w.now, next)
+	}
+	return completed
+}
+
+func TestNoContentCrashesTwiceAlone(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(rapid.Uint64().Draw(t, "seed"), 5, 8, 2, quarantine.Config{})
+		w.loss = rapid.SampledFrom([]float64{0, 0, 0.3}).Draw(t, "loss")
+		callers := rapid.IntRange(1, 3).Draw(t, "callers")
+		w.background(8)
+		count := make(map[string]int)
+		for range callers {
+			w.at(epoch.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "at ms"))*time.Millisecond), func() { w.repeat("bad", true, count) })
+		}
+		kills := rapid.IntRange(0, 2).Draw(t, "kills")
+		for range kills {
+			i := rapid.IntRange(0, 4).Draw(t, "daemon")
+			w.at(epoch.Add(time.Duration(rapid.IntRange(0, 9000).Draw(t, "kill ms"))*time.Millisecond), func() { w.kill(i) })
+		}
+		pauses := rapid.IntRange(0, 2).Draw(t, "pauses")
+		for range pauses {
+			i := rapid.IntRange(0, 4).Draw(t, "daemon")
+			d := time.Duration(rapid.IntRange(10, 4000).Draw(t, "pause for ms")) * time.Millisecond
+			w.at(epoch.Add(time.Duration(rapid.IntRange(0, 9000).Draw(t, "pause ms"))*time.Millisecond), func() { w.nodes[i].pausedTo = w.now.Add(d) })
+		}
+		if rapid.Bool().Draw(t, "outage") {
+			from := time.Duration(rapid.IntRange(0, 5000).Draw(t, "down ms")) * time.Millisecond
+			w.at(epoch.Add(from), func() { w.storeDown = true })
+			w.at(epoch.Add(from+4*time.Second), func() { w.storeDown = false })
+		}
+		w.run(40 * time.Second)
+		if w.alone["bad"] > 1 {
+			t.Fatalf("%d crashes alone", w.alone["bad"])
+		}
+		if w.aloneBeside > 0 {
+			t.Fatalf("%d runs alone were not", w.aloneBeside)
+		}
+		// Each caller can have one run begin before its daemon knows. A daemon
+		// that dies or is paused may keep one more from knowing.
+		if bound := callers + 1 + kills + pauses; w.loss == 0 && w.crashes["bad"] > bound {
+			t.Fatalf("%d crashes, at most %d expected", w.crashes["bad"], bound)
+		}
+	})
+}
+
+var _ = Describe("A request crashes each replica that runs it", Label("failure:request-crashes-servers"), func() {
+	// A caller's request kills the replica that runs it, and the callers beside
+	// it see their answers break off. The caller sends it again, under another
+	// idempotency key and through another daemon, for a minute.
+	It("is refused everywhere after its second crash, and its neighbours run on", func() {
+		worst, stillSuspected := 0, 0
+		for seed := range uint64(20) {
+			w := newWorld(seed, 9, 12, 3, quarantine.Config{})
+			completed := w.background(20)
+			count := make(map[string]int)
+			w.repeat("bad", true, count)
+			w.run(time.Minute)
+			worst = max(worst, w.crashes["bad"])
+			Expect(w.crashes["bad"]).To(BeNumerically("<=", 2))
+			Expect(count["refused"]).To(BeNumerically(">", 5))
+			Expect(*completed).To(BeNumerically(">", 2000))
+			for _, n := range w.nodes {
+				for i := range 3000 {
+					if n.m.Suspected(fp(fmt.Sprint("innocent ", i))) {
+						stillSuspected++
+					}
+				}
+			}
+		}
+		AddReportEntry(fmt.Sprintf("20 runs of a minute: at most %d crashes each; innocents still suspected at the end: %d",
+			worst, stillSuspected), ReportEntryVisibilityAlways)
+		Expect(stillSuspected).To(BeZero())
+	})
+
+	// Five callers send it at the same moment through five daemons. What runs
+	// before anyone knows crashes; after that only one run alone does.
+	It("crashes once more than there were first runs when sent at once by many", func() {
+		for seed := range uint64(20) {
+			w := newWorld(seed, 9, 12, 3, quarantine.Config{})
+			w.background(10)
+			count := make(map[string]int)
+			for range 5 {
+				w.repeat("bad", true, count)
+			}
+			w.run(30 * time.Second)
+			Expect(w.alone["bad"]).To(BeNumerically("<=", 1))
+			Expect(w.crashes["bad"]).To(BeNumerically("<=", 6))
+		}
+	})
+
+	// The daemon that runs the suspect alone dies with the outcome: nobody can
+	// tell whether the replica crashed.
+	It("is not run again when the daemon that held the turn died", Label("failure:daemon-dies-mid-stream"), func() {
+		for seed := range uint64(20) {
+			w := newWorld(seed, 5, 12, 3, quarantine.Config{})
+			count := make(map[string]int)
+			w.repeat("bad", true, count)
+			for w.crashes["bad"] < 1 || !w.anyAlone() {
+				w.run(10 * time.Millisecond)
+			}
+			for i, n := range w.nodes {
+				for _, r := range w.replicas {
+					for _, j := range r.runs {
+						if r.alone && j.n == n {
+							w.kill(i)
+						}
+					}
+				}
+			}
+			w.run(40 * time.Second)
+			Expect(w.alone["bad"]).To(BeNumerically("<=", 1))
+			Expect(w.crashes["bad"]).To(BeNumerically("<=", 2))
+			Expect(count["refused"]).To(BeNumerically(">", 0))
+		}
+	})
+
+	// The table service is down when the suspect comes again: no run alone can
+	// be agreed on, so it waits, and all other work goes on.
+	It("waits while the store is down", Label("failure:store-down"), func() {
+		w := newWorld(3, 9, 12, 3, quarantine.Config{})
+		completed := w.background(10)
+		count := make(map[string]int)
+		w.storeDown = true
+		w.repeat("bad", true, count)
+		w.run(20 * time.Second)
+		Expect(w.crashes["bad"]).To(Equal(1))
+		Expect(*completed).To(BeNumerically(">", 200))
+		w.storeDown = false
+		w.run(20 * time.Second)
+		Expect(w.crashes["bad"]).To(Equal(2))
+		Expect(count["refused"]).To(BeNumerically(">", 0))
+	})
+})
+
+var _ = Describe("A rack fails", Label("failure:request-crashes-servers"), func() {
+	// Twenty replicas of a failure domain die within a second, each running ten
+	// contents, among them one that runs everywhere. None of them is to blame.
+	DescribeTable("implicates few of what ran there", func(burst, most int) {
+		w := newWorld(8, 9, 40, 2, quarantine.Config{BurstReplicas: burst})
+		var contents []string
+		for i, r := range w.replicas {
+			for k := range 10 {
+				c := fmt.Sprintf("c%d-%d", i, k)
+				if k == 0 {
+					c = "popular"
+				}
+				contents = append(contents, c)
+				n := w.nodes[w.rng.IntN(9)]
+				w.seq++
+				j := &job{content: c, n: n, run: quarantine.RunID(w.seq), r: r}
+				r.runs[j.run] = j
+				w.step(n, quarantine.Began{Run: j.run, Fingerprint: fp(c), Replica: r.id})
+			}
+		}
+		for _, r := range w.replicas {
+			if r.domain == "d0" {
+				w.at(w.now.Add(w.millis(0, 1000)), func() { w.crash(r) })
+			}
+		}
+		w.run(3 * time.Second)
+		suspected := 0
+		for _, c := range contents {
+			if w.nodes[0].m.Suspected(fp(c)) {
+				suspected++
+			}
+		}
+		AddReportEntry(fmt.Sprintf("burst of %d: %d of %d requests suspected after 20 of 40 replicas died", burst, suspected, len(contents)),
+			ReportEntryVisibilityAlways)
+		Expect(suspected).To(BeNumerically("<=", most))
+	},
+		Entry("with the discount", 4, 40),
+		Entry("without it", 1000, 220),
+	)
+})
+
+func (w *world) anyAlone() bool {
+	for _, r := range w.replicas {
+		if r.alone {
+			return true
+		}
+	}
+	return false
+}
+
+func BenchmarkAskUnsuspected(b *testing.B) {
+	m := quarantine.New(quarantine.Config{Self: state.Member{ID: "a", Incarnation: 1}}, epoch, rand.New(rand.NewPCG(1, 2)))
+	m.Step(epoch.Add(2*time.Second), quarantine.Tick{})
+	b.ReportAllocs()
+	for i := range b.N {
+		m.Step(epoch, quarantine.Ask{Call: uint64(i), Fingerprint: quarantine.Fingerprint{1}})
+	}
+}
+
+func BenchmarkBeganEnded(b *testing.B) {
+	m := quarantine.New(quarantine.Config{Self: state.Member{ID: "a", Incarnation: 1}}, epoch, rand.New(rand.NewPCG(1, 2)))
+	b.ReportAllocs()
+	for i := range b.N {
+		id := quarantine.RunID(i + 1)
+		m.Step(epoch, quarantine.Began{Run: id, Fingerprint: quarantine.Fingerprint{1}, Replica: "r"})
+		m.Step(epoch, quarantine.Ended{Run: id, How: quarantine.RunCompleted})
+	}
+}
+
+func BenchmarkFingerprint(b *testing.B) {
+	content := string(make([]byte, 4096))
+	b.SetBytes(4096)
+	b.ReportAllocs()
+	for range b.N {
+		quarantine.FingerprintOf("s", "m", "v", content)
+	}
+}
