Let daemons watch each other over bounded neighbour rings

Cause: daemons must know who is alive, drains or was replaced, and which backend servers leave, with no coordination service and at a cost that does not grow with the fleet.

Change: coordination/membership, a state machine of the SWIM family: neighbours on log2(n) hash rings, direct and indirect probes, suspicion with refutation, rumours told once a neighbour within a byte rate, bucket-hash exchange, reconnection to the dead and to listed addresses, facts on backend servers and document versions.

--- /dev/null
+++ b/coordination/membership/config.go
@@ -0,0 +1,109 @@
+package membership
+
+import (
+	"math"
+	"time"
+)
+
+// Config tunes the protocol. A zero field takes the default that its comment
+// names; docs/design/membership.md has the figures measured with the defaults.
+type Config struct {
+	// ProbeInterval is the time between two probes by one daemon; 500 ms.
+	ProbeInterval time.Duration `json:"probe_interval"`
+	// ProbeTimeout is how long a probe waits before helpers are asked; 300 ms.
+	ProbeTimeout time.Duration `json:"probe_timeout"`
+	// ProbeDeadline is when an unanswered probe fails, counted from its start; 1 s.
+	ProbeDeadline time.Duration `json:"probe_deadline"`
+	// Helpers is how many neighbours probe on behalf of another; 3.
+	Helpers int `json:"helpers"`
+
+	// SuspicionMax is how long a suspect may refute if one daemon accuses it; 6 s.
+	SuspicionMax time.Duration `json:"suspicion_max"`
+	// SuspicionMin is the same once enough daemons accuse it; 3 s.
+	SuspicionMin time.Duration `json:"suspicion_min"`
+
+	// GossipInterval is the time between gossip messages while there are
+	// rumours to tell; 100 ms.
+	GossipInterval time.Duration `json:"gossip_interval"`
+	// Fanout is how many neighbours each gossip round goes to; 3.
+	Fanout int `json:"fanout"`
+	// GossipBytes bounds the rumours in one message; 1,000 bytes.
+	GossipBytes int `json:"gossip_bytes"`
+	// GossipRate bounds the rumours sent in bytes a second; 6,000.
+	GossipRate int `json:"gossip_rate"`
+	// GossipBurst is how many bytes of rumours may go ahead of GossipRate; 64,000.
+	GossipBurst int `json:"gossip_burst"`
+
+	// ExchangeInterval is the mean time between comparisons of the whole state
+	// with a random member; 15 s.
+	ExchangeInterval time.Duration `json:"exchange_interval"`
+	// ReconnectInterval is the mean time between attempts to reach a dead member
+	// or an address of the instance list; 2 s.
+	ReconnectInterval time.Duration `json:"reconnect_interval"`
+	// DeadKeep is how long a dead member is remembered and contacted; 10 min.
+	DeadKeep time.Duration `json:"dead_keep"`
+
+	// PauseLimit is the lateness of a tick from which the daemon holds itself
+	// for paused; 2 s.
+	PauseLimit time.Duration `json:"pause_limit"`
+
+	// BackendFactKeep is how long a fact on a backend server holds; 60 s, which
+	// has to exceed the lag of the instance list.
+	BackendFactKeep time.Duration `json:"backend_fact_keep"`
+	// DocumentFactKeep is how long a fact on a document version is kept; 30 s.
+	DocumentFactKeep time.Duration `json:"document_fact_keep"`
+
+	// Rings fixes the number of neighbour rings; 0 takes ceil(log2(n+1)).
+	Rings int `json:"rings"`
+}
+
+// The defaults of Config that are not durations.
+const (
+	defaultHelpers     = 3
+	defaultFanout      = 3
+	defaultGossipBytes = 1000
+	defaultGossipRate  = 6000
+	defaultGossipBurst = 64_000
+)
+
+// withDefaults gives c with each zero field at its default.
+func (c Config) withDefaults() Config {
+	orDuration(&c.ProbeInterval, 500*time.Millisecond)
+	orDuration(&c.ProbeTimeout, 300*time.Millisecond)
+	orDuration(&c.ProbeDeadline, time.Second)
+	orDuration(&c.SuspicionMax, 6*time.Second)
+	orDuration(&c.SuspicionMin, 3*time.Second)
+	orDuration(&c.GossipInterval, 100*time.Millisecond)
+	orDuration(&c.ExchangeInterval, 15*time.Second)
+	orDuration(&c.ReconnectInterval, 2*time.Second)
+	orDuration(&c.DeadKeep, 10*time.Minute)
+	orDuration(&c.PauseLimit, 2*time.Second)
+	orDuration(&c.BackendFactKeep, time.Minute)
+	orDuration(&c.DocumentFactKeep, 30*time.Second)
+	orInt(&c.Helpers, defaultHelpers)
+	orInt(&c.Fanout, defaultFanout)
+	orInt(&c.GossipBytes, defaultGossipBytes)
+	orInt(&c.GossipRate, defaultGossipRate)
+	orInt(&c.GossipBurst, defaultGossipBurst)
+	return c
+}
+
+// rings is how many rings n live members form.
+func (c Config) rings(n int) int {
+	if c.Rings > 0 {
+		return c.Rings
+	}
+	return int(math.Ceil(math.Log2(float64(n + 1))))
+}
+
+func orDuration(v *time.Duration, def time.Duration) {
+	if *v == 0 {
+		*v = def
+	}
+}
+
+func orInt(v *int, def int) {
+	if *v == 0 {
+		*v = def
+	}
+}
--- /dev/null
+++ b/coordination/membership/rings.go
@@ -0,0 +1,69 @@
+package membership
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/hibiscuswick/hibiscuswick/state"
+)
+
+// Constants of the 64-bit mix function of splitmix64.
+const (
+	mixStep = 0x9e3779b97f4a7c15
+	mixMul1 = 0xbf58476d1ce4e5b9
+	mixMul2 = 0x94d049bb133111eb
+)
+
+func mix(x uint64) uint64 {
+	x = (x ^ x>>30) * mixMul1
+	x = (x ^ x>>27) * mixMul2
+	return x ^ x>>31
+}
+
+func hashID(id state.DaemonID) uint64 {
+	return xxhash.Sum64String(string(id))
+}
+
+// position is where the daemon with hash h stands on a ring.
+func position(h uint64, ring int) uint64 {
+	return mix(h + uint64(ring+1)*mixStep)
+}
+
+// neighbours gives self's successor and predecessor among the live members on
+// each of the rings, each member once. It is symmetric between two daemons with
+// equal views, so that a connection serves both directions.
+func neighbours(t *table, self *entry, rings int) []*entry {
+	var out []*entry
+	seen := map[state.DaemonID]bool{self.id: true}
+	add := func(e *entry) {
+		if e != nil && !seen[e.id] {
+			seen[e.id] = true
+			out = append(out, e)
+		}
+	}
+	for r := range rings {
+		next, prev := adjacent(t, self, r)
+		add(next)
+		add(prev)
+	}
+	return out
+}
+
+// adjacent finds the live members right after and right before self on one ring;
+// nil if there are none. Distances wrap around in the arithmetic of uint64.
+func adjacent(t *table, self *entry, ring int) (next, prev *entry) {
+	at := position(self.hash, ring)
+	var ahead, behind uint64
+	for _, e := range t.sorted {
+		if e == self || !e.state.live() {
+			continue
+		}
+		d := position(e.hash, ring) - at
+		if next == nil || d < ahead {
+			next, ahead = e, d
+		}
+		if prev == nil || -d < behind {
+			prev, behind = e, -d
+		}
+	}
+	return next, prev
+}
--- /dev/null
+++ b/coordination/membership/table.go
@@ -0,0 +1,88 @@
+package membership
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/hibiscuswick/hibiscuswick/state"
+)
+
+// entry is what this daemon holds of one other daemon, or of itself.
+type entry struct {
+	id         state.DaemonID
+	inc        state.Incarnation
+	rev        uint32
+	state      State
+	draining   bool
+	meta       Meta
+	since      time.Time // when state was entered here
+	heard      time.Time // last message that the daemon itself sent us
+	suspicion  suspicion // of a Suspect
+	doubted    bool      // a peer holds it for dead: probe it soon
+	digest     Digest
+	digestSeen bool
+	hash       uint64 // of the ID, from which ring positions and buckets follow
+}
+
+// update gives e as an Update without Meta.
+func (e *entry) update() Update {
+	return Update{
+		ID: e.id, Incarnation: e.inc, Revision: e.rev, State: e.state, Draining: e.draining,
+	}
+}
+
+// full gives e as an Update with Meta.
+func (e *entry) full() Update {
+	u := e.update()
+	meta := e.meta
+	u.Meta = &meta
+	return u
+}
+
+func (e *entry) member() state.Member {
+	return state.Member{ID: e.id, Incarnation: e.inc}
+}
+
+// table holds the entries by ID, and in ID order so that every walk over them is
+// the same under replay.
+type table struct {
+	byID   map[state.DaemonID]*entry
+	sorted []*entry
+}
+
+func (t *table) get(id state.DaemonID) (*entry, bool) {
+	e, ok := t.byID[id]
+	return e, ok
+}
+
+func (t *table) add(e *entry) {
+	e.hash = hashID(e.id)
+	t.byID[e.id] = e
+	i, _ := t.find(e.id)
+	t.sorted = slices.Insert(t.sorted, i, e)
+}
+
+func (t *table) remove(id state.DaemonID) {
+	delete(t.byID, id)
+	if i, ok := t.find(id); ok {
+		t.sorted = slices.Delete(t.sorted, i, i+1)
+	}
+}
+
+func (t *table) find(id state.DaemonID) (int, bool) {
+	return slices.BinarySearchFunc(t.sorted, id, func(e *entry, id state.DaemonID) int {
+		return cmp.Compare(e.id, id)
+	})
+}
+
+// live counts members that take part, this daemon included.
+func (t *table) live() int {
+	n := 0
+	for _, e := range t.sorted {
+		if e.state.live() {
+			n++
+		}
+	}
+	return n
+}
