Ask members that come back what they hold

Cause: a daemon that was held for dead by mistake comes back with everything that was freed in its name; homes gave its replicas' slots out twice until its second renewal differed, 1 to 2 s later.

Change: a home asks each member that is new in its view for a report.

--- a/coordination/home/home.go
+++ b/coordination/home/home.go
@@ -135,7 +135,9 @@
 }
 
 // view takes the live members. A later incarnation of a daemon holds nothing
-// of what the one before it held.
+// of what the one before it held. A member that was held for dead by mistake
+// comes back with everything that was freed in its name, so those that are new
+// in the view are asked what they hold, rather than at their second renewal.
 func (h *Home) view(now time.Time, live []state.Member) {
 	before := h.members
 	h.members = slices.Clone(live)
@@ -153,6 +155,14 @@
 			p.dispatch(now)
 		}
 	}
+	for _, m := range h.members {
+		if slices.Contains(before, m) {
+			continue
+		}
+		for _, p := range h.order {
+			p.send(m.ID, ReportQuery{Pool: p.id})
+		}
+	}
 }
 
 func (h *Home) leaving(now time.Time, id state.ReplicaID) {
--- a/coordination/route/fleet_test.go
+++ b/coordination/route/fleet_test.go
@@ -254,6 +254,39 @@
 		Expect(s.wrong()).To(BeEmpty())
 	})
 
+	// What a user sees: nothing, or slower answers for a while. Order: a daemon
+	// is cut off from its peers but not from the replicas; it is held for dead
+	// and its slots are given to others; it comes back. Cause: what it runs was
+	// never ended.
+	It("counts what a daemon held as soon as it is back", Label("failure:isolated-daemon"), func() {
+		s := newSite(9, 10, 8, 55)
+		s.loop.Run(20 * time.Second)
+		cut := s.Daemons[s.other(s.homeOf(0))]
+		s.Drop = func(from, to state.DaemonID, _ home.Message) bool {
+			return from != to && (from == cut.Member.ID || to == cut.Member.ID)
+		}
+		var rest []route.Peer
+		for _, p := range s.Peers() {
+			if p.Member != cut.Member {
+				rest = append(rest, p)
+			}
+		}
+		for _, d := range s.Daemons {
+			if d != cut {
+				d.View(rest)
+			}
+		}
+		s.loop.Run(500 * time.Millisecond)
+		s.Drop = nil
+		s.Spread()
+		s.loop.Run(5 * time.Millisecond)
+		s.resetPeaks()
+		s.loop.Run(10 * time.Second)
+		Expect(s.peak()).To(BeNumerically("<=", 8))
+		s.settle()
+		Expect(s.wrong()).To(BeEmpty())
+	})
+
 	// What a user sees: some requests take 2 to 3 s longer. Order: a share of
 	// the messages between daemons gets lost for a while, each kind alike.
 	// Cause: connections go silent and are replaced, with what was in them.
