--- a/protocol/caller/wire.go
+++ b/protocol/caller/wire.go
@@ -23,6 +23,12 @@
 	KeyHeader = "Idempotency-Key"
 	// LastEventHeader carries the index of the last token that the caller has.
 	LastEventHeader = "Last-Event-ID"
+	// PreferHeader with PreferProcessing asks for a sign of life while a request
+	// waits for its first token: informational answers 102 with RequestHeader, at
+	// once and every few seconds. Clients that don't ask get none, since some
+	// take the first status line that comes for the answer's.
+	PreferHeader     = "Prefer"
+	PreferProcessing = "processing"
 )
 
 // Names of a stream's events. A token's event id is its index, so that a
--- a/transport/front/front.go
+++ b/transport/front/front.go
@@ -105,27 +105,34 @@
 	return c
 }
 
-// controllerKey is the context key of a request's http.ResponseController.
-type controllerKey struct{}
+// exchange is one request and its answer, for handlers that need more of it than
+// huma shows them.
+type exchange struct {
+	w  http.ResponseWriter
+	rc *http.ResponseController
+}
+
+// exchangeKey is the context key of an *exchange.
+type exchangeKey struct{}
 
-// bound gives each exchange a write deadline from its start, and hands its
-// controller to the handlers that need longer.
+// bound gives each exchange a write deadline from its start, and hands it to the
+// handlers that need longer.
 func (f *front) bound(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		rc := http.NewResponseController(w)
-		f.extend(rc)
-		ctx := context.WithValue(r.Context(), controllerKey{}, rc)
+		ex := &exchange{w: w, rc: http.NewResponseController(w)}
+		f.extend(ex)
+		ctx := context.WithValue(r.Context(), exchangeKey{}, ex)
 		next.ServeHTTP(w, r.WithContext(ctx))
 	})
 }
 
 // extend moves the write deadline of a connection. A writer without deadlines,
 // as in a test without sockets, is left as it is.
-func (f *front) extend(rc *http.ResponseController) {
-	_ = rc.SetWriteDeadline(time.Now().Add(f.opts.WriteTimeout))
+func (f *front) extend(ex *exchange) {
+	_ = ex.rc.SetWriteDeadline(time.Now().Add(f.opts.WriteTimeout))
 }
 
-// controller returns the controller that bound put into ctx.
-func controller(ctx context.Context) *http.ResponseController {
-	return ctx.Value(controllerKey{}).(*http.ResponseController)
+// exchangeOf returns the exchange that bound put into ctx.
+func exchangeOf(ctx context.Context) *exchange {
+	return ctx.Value(exchangeKey{}).(*exchange)
 }
--- a/transport/front/operators.go
+++ b/transport/front/operators.go
@@ -106,7 +106,7 @@
 		EditID: in.EditID,
 		Text:   bytes.Clone(in.RawBody), // huma takes its buffer back
 	})
-	f.extend(controller(ctx))
+	f.extend(exchangeOf(ctx))
 	if r.Status != caller.EditAccepted {
 		return nil, editProblem(r)
 	}
--- a/transport/front/requests.go
+++ b/transport/front/requests.go
@@ -101,11 +101,12 @@
 type submitInput struct {
 	Key         string `header:"Idempotency-Key" maxLength:"256" doc:"The caller's own name for this piece of work"`
 	LastEventID string `header:"Last-Event-ID" doc:"Index of the last token that the caller has"`
+	Prefer      string `header:"Prefer" doc:"processing asks for informational answers 102 while the first token is awaited"`
 	Body        Submit
 }
 
 func (f *front) submit(ctx context.Context, in *submitInput) (*huma.StreamResponse, error) {
-	rc := controller(ctx)
+	ex := exchangeOf(ctx)
 	after, p := parseLastEventID(in.LastEventID)
 	if p == nil {
 		p = checkSubmit(&in.Body)
@@ -120,11 +121,11 @@
 	stream, o := f.daemon.Submit(ctx, in.submission(after))
 	if stream == nil {
 		f.free()
-		f.extend(rc)
+		f.extend(ex)
 		return nil, outcomeProblem("", o)
 	}
-	item, err := stream.Next(ctx)
-	f.extend(rc)
+	item, err := f.first(ctx, stream, in.Prefer == caller.PreferProcessing)
+	f.extend(ex)
 	if err != nil {
 		f.release(stream)
 		f.count(err)
@@ -137,6 +138,30 @@
 	return f.respond(stream, &item), nil
 }
 
+// first waits for a stream's first item. The answer's status hangs on it, so that
+// nothing of the answer can be sent before. With signs, informational answers
+// tell the caller meanwhile that its connection works, and the request's id: a
+// silent connection is then noticed before the first token too.
+func (f *front) first(ctx context.Context, s caller.Stream, signs bool) (caller.Item, error) {
+	if !signs {
+		return s.Next(ctx)
+	}
+	ex := exchangeOf(ctx)
+	for {
+		f.extend(ex)
+		ex.w.Header().Set(RequestHeader, string(s.ID()))
+		ex.w.WriteHeader(http.StatusProcessing)
+		ex.w.Header().Del(RequestHeader)
+		wait, cancel := context.WithTimeout(ctx, f.opts.KeepAlive)
+		item, err := s.Next(wait)
+		cancel()
+		if err == nil || ctx.Err() != nil {
+			return item, ctx.Err()
+		}
+		f.metrics.keepAlives.Inc(1)
+	}
+}
+
 // submission translates the input.
 func (in *submitInput) submission(after int) caller.Submission {
 	b := &in.Body
@@ -194,7 +219,7 @@
 	stream, o := f.daemon.Attach(ctx, id, after)
 	if stream == nil {
 		f.free()
-		f.extend(controller(ctx))
+		f.extend(exchangeOf(ctx))
 		return nil, outcomeProblem(id, o)
 	}
 	return f.respond(stream, nil), nil
--- a/transport/front/stream.go
+++ b/transport/front/stream.go
@@ -42,7 +42,7 @@
 		hc.SetHeader("Cache-Control", "no-store")
 		hc.SetHeader(RequestHeader, string(s.ID()))
 		hc.SetStatus(http.StatusOK)
-		v := &view{front: f, stream: s, out: hc.BodyWriter(), rc: controller(hc.Context())}
+		v := &view{front: f, stream: s, out: hc.BodyWriter(), rc: exchangeOf(hc.Context()).rc}
 		v.enc = json.NewEncoder(&v.buf)
 		v.enc.SetEscapeHTML(false)
 		f.count(v.run(hc.Context(), first))
