--- a/coordination/claims/doc.go
+++ b/coordination/claims/doc.go
@@ -29,7 +29,8 @@
 // same request at two daemons at once.
 //
 // The caller's contract: answer each CallStore exactly once (store.Unanswered
-// after its own timeout), tick at NextTick, keep a Claim until Released even if
+// after its own timeout, which for one sent to a key's home is longer than
+// BatchConfig.Patience), tick at NextTick, keep a Claim until Released even if
 // its caller left, and feed a repeat of the key at the same daemon to the kept
 // Claim as Reuse. A Dispatch that is not sent must be followed by GiveUp with
 // proof, or by Ended.
--- a/coordination/claims/record.go
+++ b/coordination/claims/record.go
@@ -2,10 +2,12 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/hibiscuswick/hibiscuswick/coordination/rendezvous"
 	"github.com/hibiscuswick/hibiscuswick/coordination/store"
 	"github.com/hibiscuswick/hibiscuswick/state"
 )
@@ -22,11 +24,18 @@
 
 var escaper = strings.NewReplacer("%", "%25", "/", "%2F")
 
-// Row gives the row key: the three parts joined by "/", with "/" and "%" in
-// them escaped, so that no two keys share a row.
+// Row gives the row key: the shard, then the three parts joined by "/", with
+// "/" and "%" in them escaped, so that no two keys share a row. The shard lets
+// the sweep read the table in small pieces.
 func (k Key) Row() string {
-	return escaper.Replace(string(k.Service)) + "/" +
+	key := escaper.Replace(string(k.Service)) + "/" +
 		escaper.Replace(string(k.Customer)) + "/" + escaper.Replace(string(k.Key))
+	return shardPrefix(uint16(xxhash.Sum64String(key))) + key
+}
+
+// shardPrefix is what the row keys of a shard begin with.
+func shardPrefix(shard uint16) string {
+	return fmt.Sprintf("%04x/", shard)
 }
 
 // Phase is how far the work under a key has come.
@@ -92,62 +101,16 @@
 	return r, err
 }
 
-// KeyHome picks the daemon that batches the claims of a key. Only the count
-// members that rank highest for the role of key home take part, because a
-// batch pays off only where many claims meet: with 420 homes each would see a
-// claim or two a second. All daemons with one view choose alike; with
-// different views the conditional write still decides. It returns "" for no
-// members.
-func KeyHome(key string, members []state.DaemonID, count int) state.DaemonID {
-	homes := make([]ranked, 0, count+1)
-	for _, m := range members {
-		homes = insertRanked(homes, ranked{m, rank("key-home", m)}, count)
-	}
-	var best ranked
-	for _, h := range homes {
-		r := ranked{h.id, rank(key, h.id)}
-		if best.id == "" || r.above(best) {
-			best = r
-		}
-	}
-	return best.id
-}
-
-type ranked struct {
-	id   state.DaemonID
-	rank uint64
-}
-
-func (r ranked) above(o ranked) bool {
-	if r.rank != o.rank {
-		return r.rank > o.rank
-	}
-	return r.id < o.id
-}
-
-func rank(salt string, m state.DaemonID) uint64 {
-	var d xxhash.Digest
-	d.Reset()
-	_, _ = d.WriteString(salt)
-	_, _ = d.WriteString("\x00")
-	_, _ = d.WriteString(string(m))
-	return d.Sum64()
+// KeyHomes picks the daemons that batch claims: count of them, because a batch
+// pays off only where many claims meet. With each of 420 daemons a key home,
+// each would see a claim or two a second. It is to be called when the membership
+// view changes.
+func KeyHomes(members []state.DaemonID, count int) []state.DaemonID {
+	return rendezvous.Rank("key-home", members, count)
 }
 
-// insertRanked keeps the best count entries of list in order.
-func insertRanked(list []ranked, r ranked, count int) []ranked {
-	i := len(list)
-	for i > 0 && r.above(list[i-1]) {
-		i--
-	}
-	if i >= count {
-		return list
-	}
-	list = append(list, ranked{})
-	copy(list[i+1:], list[i:])
-	list[i] = r
-	if len(list) > count {
-		list = list[:count]
-	}
-	return list
+// KeyHome picks a key's home. Daemons with one view choose alike; with
+// different views the conditional write still decides.
+func KeyHome(k Key, homes []state.DaemonID) (state.DaemonID, bool) {
+	return rendezvous.Owner(k.Row(), homes)
 }
--- a/coordination/claims/world_test.go
+++ b/coordination/claims/world_test.go
@@ -28,6 +28,8 @@
 	rows map[string]store.Row
 	late []store.Txn
 	txns int
+
+	byPrefix map[string][]string // of the rows at the first scan
 }
 
 func (s *table) commit(txn store.Txn) store.Result {
@@ -39,6 +41,10 @@
 	}
 	res := store.Result{Status: store.Done}
 	for _, w := range txn.Writes {
+		if w.Delete {
+			delete(s.rows, w.Key)
+			continue
+		}
 		row := store.Row{Table: w.Table, Key: w.Key, Value: w.Value, Revision: s.rows[w.Key].Revision + 1}
 		s.rows[w.Key] = row
 		res.Rows = append(res.Rows, row)
@@ -61,6 +67,8 @@
 			s.late = append(s.late, req.Txn)
 		default:
 		}
+	case store.Scan:
+		return s.scan(req.Prefix)
 	case store.Get:
 		if f != fateOK {
 			break
@@ -74,6 +82,22 @@
 	return store.Result{}
 }
 
+func (s *table) scan(prefix string) store.Result {
+	if s.byPrefix == nil {
+		s.byPrefix = map[string][]string{}
+		for key := range s.rows {
+			s.byPrefix[key[:len(prefix)]] = append(s.byPrefix[key[:len(prefix)]], key)
+		}
+	}
+	res := store.Result{Status: store.Done}
+	for _, key := range s.byPrefix[prefix] {
+		if row, ok := s.rows[key]; ok {
+			res.Rows = append(res.Rows, row)
+		}
+	}
+	return res
+}
+
 // server is one backend server. One with a boot remembers attempts and bars
 // until it restarts; one without is a plain service that can't be asked.
 type server struct {
@@ -374,7 +398,13 @@
 	case !reachable:
 		ev.Kind = claims.EvidenceLater
 	case srv.boot == "":
+		// A server that remembers nothing, asked by a careful daemon or by
+		// one that takes its ignorance for an answer.
 		ev.Kind = claims.EvidenceNone
+		if w.choose(2, "careful") == 1 {
+			ev.Kind = claims.EvidenceNeverBegan
+			ev.Boots = []string{""}
+		}
 	default:
 		srv.bars[key] = max(srv.bars[key], s.rec.Epoch)
 		ev.Kind = claims.EvidenceNeverBegan
--- a/coordination/documents/currency.go
+++ b/coordination/documents/currency.go
@@ -76,8 +76,12 @@
 	}
 }
 
+// enoughTold reports whether enough peers that are ready have told their versions.
+// Daemons that are dead can't; they count against the majority only, or a daemon
+// that replaces a dead one during an outage of the store would wait for it.
 func (d *Documents) enoughTold() bool {
-	return len(d.told) > 0 && len(d.told) >= min(d.cfg.BootPeers, d.known-1)
+	needed := max(1, min(d.cfg.BootPeers, len(d.live)))
+	return d.inMajority() && len(d.told) >= needed
 }
 
 func (d *Documents) reach(ev Reach) {
--- a/coordination/documents/documents.go
+++ b/coordination/documents/documents.go
@@ -20,12 +20,17 @@
 	PollEvery     time.Duration
 	PollPerMember time.Duration
 
-	Fanout int // daemons told of a version when it is adopted
-
-	// CompareEvery bounds how often differing digests lead to a comparison;
-	// none starts within CompareEvery of an adoption, whose gossip may still
-	// be on its way.
+	// FirstFanout is how many daemons the one that accepted an edit tells of
+	// it, Fanout how many each other one that adopts it.
+	FirstFanout int
+	Fanout      int
+
+	// CompareEvery bounds how often differing digests lead to a comparison.
+	// None starts within Quiet of an adoption, whose gossip may still be on
+	// its way; a longer Quiet would put comparisons off for ever while edits
+	// come quickly.
 	CompareEvery time.Duration
+	Quiet        time.Duration
 
 	RetryMin time.Duration // back-off of store calls
 	RetryMax time.Duration
@@ -46,8 +51,10 @@
 	return Config{
 		PollEvery:     2 * time.Second,
 		PollPerMember: 15 * time.Millisecond,
-		Fanout:        3,
+		FirstFanout:   16,
+		Fanout:        5,
 		CompareEvery:  300 * time.Millisecond,
+		Quiet:         100 * time.Millisecond,
 		RetryMin:      50 * time.Millisecond,
 		RetryMax:      time.Second,
 		IsolateAfter:  6 * time.Second,
@@ -271,8 +278,9 @@
 
 // adopt puts a newer version into force and tells others of it. A version that
 // is not newer changes nothing: this is what keeps a daemon from ever going
-// back, whatever comes late and from wherever. from is the peer that told, and
-// is not told again.
+// back, whatever comes late and from wherever. from is the daemon that it came
+// from: a peer, which is not told again; this one, which accepted it; or none
+// where it was read from the store.
 func (d *Documents) adopt(id state.ServiceID, rec Record, revision uint64, from state.Member) {
 	h := d.services[id]
 	if h == nil {
--- a/coordination/documents/edit.go
+++ b/coordination/documents/edit.go
@@ -6,7 +6,6 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/hibiscuswick/hibiscuswick/coordination/store"
-	"github.com/hibiscuswick/hibiscuswick/state"
 )
 
 // edit is one Apply on its way.
@@ -89,7 +88,7 @@
 			revision = row.Revision
 		}
 		d.heardStore()
-		d.adopt(e.Service, rec, revision, state.Member{})
+		d.adopt(e.Service, rec, revision, d.self)
 		d.answer(e, EditAnswered{Status: EditAccepted, Version: rec.Version})
 	case store.Conflict:
 		d.heardStore()
--- a/coordination/documents/failure_test.go
+++ b/coordination/documents/failure_test.go
@@ -305,3 +305,24 @@
 	b.ReportMetric(float64(len(times)), "accepted")
 	b.ReportMetric(0, "ns/op")
 }
+
+// BenchmarkStep is one announced edit of a 6 KB document, adopted and told on.
+func BenchmarkStep(b *testing.B) {
+	f := newFleet(9, 1, func(format string, args ...any) { b.Fatalf(format, args...) })
+	f.run(3 * time.Second)
+	f.edit(f.daemons[0], "s")
+	f.run(3 * time.Second)
+	d, to := f.daemons[1], f.daemons[0].member
+	old, _ := d.Doc("s")
+	b.ReportAllocs()
+	for v := old.Version + 1; b.Loop(); v++ {
+		b.StopTimer()
+		msg := documents.Announce{Service: "s", Version: v, Patch: documents.MakePatch(v-1, string(old.Text), text(int(v)))}
+		old.Text = []byte(text(int(v)))
+		b.StartTimer()
+		d.Step(f.now, documents.Received{From: to, Msg: msg})
+	}
+	if d.InForce()["s"] != old.Version+state.DocumentVersion(b.N) {
+		b.Fatal("not adopted")
+	}
+}
--- a/coordination/documents/spread.go
+++ b/coordination/documents/spread.go
@@ -12,7 +12,11 @@
 // gossip missed learn by a differing digest.
 func (d *Documents) announce(id state.ServiceID, h *held, from state.Member) {
 	msg := Announce{Service: id, Version: h.record.Version, EditID: h.record.EditID, Patch: h.patch}
-	for _, m := range d.pick(d.cfg.Fanout, from) {
+	fanout := d.cfg.Fanout
+	if from == d.self {
+		fanout = d.cfg.FirstFanout
+	}
+	for _, m := range d.pick(fanout, from) {
 		d.send(m, msg)
 	}
 }
@@ -71,7 +75,7 @@
 // compare has two daemons with differing digests tell each other what they
 // have. It waits while gossip may still be on its way.
 func (d *Documents) compare(from state.Member, msg Digest) {
-	quiet := d.now.Sub(d.adoptedAt) >= d.cfg.CompareEvery
+	quiet := d.now.Sub(d.adoptedAt) >= d.cfg.Quiet
 	due := d.now.Sub(d.comparing) >= d.cfg.CompareEvery
 	if msg.Hash == d.hash || !quiet || !due {
 		return
@@ -103,6 +107,9 @@
 			return
 		}
 	}
+	if msg.Version <= d.wanted[msg.Service] && d.now.Sub(d.pulledAt) < d.cfg.CompareEvery {
+		return // asked for already; repull asks again if that was lost
+	}
 	d.want(msg.Service, msg.Version)
 	d.pull(from)
 }
--- a/coordination/documents/suite_test.go
+++ b/coordination/documents/suite_test.go
@@ -1,6 +1,7 @@
 package documents_test
 
 import (
+	"flag"
 	"testing"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -8,6 +9,11 @@
 )
 
 func TestDocuments(t *testing.T) {
+	// The histories are cheap and the faults many: more than rapid's usual
+	// hundred, unless the command line says otherwise.
+	if f := flag.Lookup("rapid.checks"); f.Value.String() == f.DefValue {
+		_ = flag.Set("rapid.checks", "400")
+	}
 	RegisterFailHandler(Fail)
 	RunSpecs(t, "Documents Suite")
 }
--- a/coordination/storebudget/budget_test.go
+++ b/coordination/storebudget/budget_test.go
@@ -208,7 +208,7 @@
 		f.run(9*time.Second, busy)
 		GinkgoWriter.Printf("probes %.0f/s, first second %d writes, ten seconds %d\n", probes, first, f.granted)
 		Expect(probes).To(BeNumerically("<", 200))
-		Expect(first).To(BeNumerically("<", 600))
+		Expect(first).To(BeNumerically("<=", 300))
 		// All the load is claims; what the other classes do not use is spare
 		// only once their buckets are full.
 		Expect(f.granted).To(BeNumerically(">", 10*300*0.55*0.95))
