Prove planned stops, leaving servers, edits and outages on whole daemons

Cause, found by the tests: the membership's timers never ran in a daemon (its part waited for a zero time), so that a death was noticed only by way of other messages; a daemon that replaced a dead one while the store was down waited for the dead one's word on the documents; it knew no backend server's address while the instance list was away. Ruled out: a blocked control goroutine (its turns took under 0.1 ms).

--- a/daemon/control.go
+++ b/daemon/control.go
@@ -91,6 +91,8 @@
 func (c *control) run() {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
+	c.call(c.members.viewChanged) // a daemon alone is home of everything
+	c.call(func() { c.instances.seed(nil) })
 	for {
 		select {
 		case <-c.d.kill:
--- a/daemon/failure_test.go
+++ b/daemon/failure_test.go
@@ -58,9 +58,7 @@
 			rest, outcome := r.read(again, -1)
 			expectWhole(append(first, rest...), outcome, string(submission.Key))
 			Expect(r.runs(string(submission.Key))).To(Equal(1), "the stages were resumed, nothing ran again")
-			r.addDaemon(nil)
-			r.Daemons[1] = r.Daemons[len(r.Daemons)-1]
-			r.awaitServing(2)
+			r.replaceDaemon(1, nil)
 		}
 		r.expectSound()
 	})
--- a/daemon/members.go
+++ b/daemon/members.go
@@ -59,7 +59,10 @@
 	return &membersPart{c: c, m: m, self: self, view: m.View(), gone: make(map[state.Member]time.Time)}
 }
 
-func (p *membersPart) nextTick(time.Time) time.Time {
+func (p *membersPart) nextTick(now time.Time) time.Time {
+	if p.reachAt.IsZero() {
+		return now
+	}
 	next := p.m.NextTick()
 	if next.IsZero() || p.reachAt.Before(next) {
 		return p.reachAt
--- a/daemon/messages.go
+++ b/daemon/messages.go
@@ -10,6 +10,7 @@
 	"github.com/hibiscuswick/hibiscuswick/coordination/membership"
 	"github.com/hibiscuswick/hibiscuswick/coordination/request"
 	"github.com/hibiscuswick/hibiscuswick/protocol/peer"
+	"github.com/hibiscuswick/hibiscuswick/protocol/platform"
 	"github.com/hibiscuswick/hibiscuswick/protocol/streams"
 	"github.com/hibiscuswick/hibiscuswick/state"
 )
@@ -21,6 +22,7 @@
 	kindHome       peer.Kind = 300
 	kindClaims     peer.Kind = 400
 	kindStreams    peer.Kind = 500
+	kindPlatform   peer.Kind = 600
 )
 
 // newRegistry lists every message between daemons. New ones are added at the end
@@ -63,6 +65,9 @@
 	peer.Register[streams.Pulled](r, kindStreams+4)
 	peer.Register[streams.CancelRequest](r, kindStreams+5)
 	peer.Register[streams.Canceled](r, kindStreams+6)
+
+	peer.Register[platform.ListAsk](r, kindPlatform)
+	peer.Register[platform.ListTold](r, kindPlatform+1)
 	return r
 }
 
@@ -103,6 +108,9 @@
 			return streams.LookedUp{Known: known, Record: rec}
 		})
 		return found, nil
+	case platform.ListAsk:
+		told, _ := ask(ctx, d.control, func() platform.ListTold { return d.control.instances.told(msg.From) })
+		return told, nil
 	case streams.Pull:
 		return d.servePull(ctx, msg), nil
 	case streams.CancelRequest:
--- a/daemon/rig_test.go
+++ b/daemon/rig_test.go
@@ -63,6 +63,17 @@
 	return d
 }
 
+// replaceDaemon starts a daemon in place of one that has stopped.
+func (r *rig) replaceDaemon(n int, change func(*settings.Settings)) *daemon.Daemon {
+	GinkgoHelper()
+	d := r.addDaemon(change)
+	last := len(r.Daemons) - 1
+	r.Daemons[n] = d
+	r.Daemons = r.Daemons[:last]
+	r.awaitServing(2)
+	return d
+}
+
 func draftsDocument() service.Document {
 	return service.Document{
 		Service:   drafts,
@@ -124,6 +135,23 @@
 	}
 }
 
+// addReplica starts one more replica and names it in the document.
+func (r *rig) addReplica(n int) {
+	GinkgoHelper()
+	more := chains
+	more.Replicas = n
+	for stage := 1; stage <= chains.Stages; stage++ {
+		Expect(r.AddEngine(standin.EngineConfig{
+			ID: more.Engine(n, stage), Service: drafts, Model: "notes", Version: "1", Kind: "large",
+			StepTime: time.Millisecond, Layers: more.Range(stage), ModelLayers: more.Layers,
+		}, site.Domains[0])).To(Succeed())
+	}
+	doc := draftsDocument()
+	doc.Placement = more.Placement()
+	doc.Capacity.Replicas = n
+	r.apply(0, doc)
+}
+
 // promptOf returns a prompt for key whose answer is as long as the class allows.
 func promptOf(key string) string {
 	for i := 0; ; i++ {
@@ -200,8 +228,7 @@
 	return r.Ledger.Runs(promptOf(key))
 }
 
-// stageOf returns the engine that holds a stage of the replica which runs key's
-// request, as far as one has begun.
+// replicaOf returns which replica runs a request, counted from 1.
 func (r *rig) replicaOf(id state.RequestID) int {
 	for n := 1; n <= chains.Replicas; n++ {
 		if r.Engines[chains.Engine(n, 1)].Runs(id) {
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -31,7 +31,8 @@
 	Plains   map[state.BackendID]*standin.PlainServer
 	Daemons  []*daemon.Daemon
 
-	log *telemetry.Log
+	log     *telemetry.Log
+	started int // daemons so far, which names the next
 }
 
 // New starts the platform's stand-in; the rest is added.
@@ -122,10 +123,11 @@
 // AddDaemon starts one daemon with the site's usual settings, changed by change
 // where that is not nil, and lists its instance.
 func (s *Site) AddDaemon(change func(*settings.Settings)) (*daemon.Daemon, error) {
-	set, err := s.settings(len(s.Daemons))
+	set, err := s.settings(s.started)
 	if err != nil {
 		return nil, err
 	}
+	s.started++
 	if change != nil {
 		change(&set)
 	}
@@ -162,7 +164,11 @@
 		"address_answer_valid": "500ms",
 		"drain":                map[string]any{"limit": "1m", "grace": "100ms"},
 		"store":                map[string]any{"digest_interval": "200ms", "instances_interval": "200ms"},
-		"backends":             map[string]any{"progress_timeout": "500ms"},
+		"isolation_bound":      "2s",
+		"peers": map[string]any{
+			"probe_interval": "200ms", "probe_timeout": "100ms", "suspicion_timeout": "500ms",
+		},
+		"backends": map[string]any{"progress_timeout": "500ms"},
 	})
 	if err != nil {
 		return settings.Settings{}, err
--- /dev/null
+++ b/protocol/platform/share.go
@@ -0,0 +1,17 @@
+package platform
+
+// ListAsk asks another daemon for the instance list that it read last, from a
+// row on: a list may be longer than a message.
+type ListAsk struct {
+	From int `msgpack:"f"`
+}
+
+// ListTold answers ListAsk with rows of the list in the order of their ids.
+// Total is 0 where the daemon has read none.
+type ListTold struct {
+	Rows  []Instance `msgpack:"r"`
+	Total int        `msgpack:"t"`
+}
+
+// MaxListRows is how many rows one ListTold holds at most.
+const MaxListRows = 2000
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -82,6 +82,10 @@
 
 // Peers bounds the traffic between daemons.
 type Peers struct {
+	// Seeds are peer addresses of daemons that may be there when this one
+	// starts, such as "10.0.0.7:7100". They are needed only where the instance
+	// list can't be read at that time; default none.
+	Seeds []string `json:"seeds,omitempty" format:"ip-port"`
 	// HeartbeatInterval is how often an idle connection carries a heartbeat;
 	// default "1s".
 	HeartbeatInterval Duration `json:"heartbeat_interval" defaultDuration:"1s" minDuration:"10ms" maxDuration:"1m"`
