Close half-open connections of callers, and name the transport's counters

Cause: a connection of a caller that sends nothing, or half a header, had no bound in the server that a daemon builds; the counter of refusals at the front missed malformed input; the peer transport's counters had names unlike the catalogue's.

Change: front.NewServer builds the http.Server with header and idle timeouts and a bound of the header's size. Malformed submissions are counted. Peer counters are peer_*_total, with broken_frames_total and the byte counters as in the catalogue. Benchmarks for one-way messages and for the recovery from silence.

Without the header timeout, and without the idle timeout, the spec of half-open connections is red; put back.

Conclusion: daemons are to build their server with front.NewServer.

--- a/transport/front/counters.go
+++ b/transport/front/counters.go
@@ -15,13 +15,12 @@
 
 // newCounters names the counters within s.
 func newCounters(s tally.Scope) counters {
-	s = s.SubScope("front")
 	return counters{
-		refused:    s.Counter("refused"),
-		viewsOpen:  s.Gauge("views_open"),
-		viewsSlow:  s.Counter("views_slow"),
-		viewsGone:  s.Counter("views_gone"),
-		tokens:     s.Counter("tokens"),
-		keepAlives: s.Counter("keep_alives"),
+		refused:    s.Counter("front_refused"),
+		viewsOpen:  s.Gauge("front_views_open"),
+		viewsSlow:  s.Counter("front_views_slow"),
+		viewsGone:  s.Counter("front_views_gone"),
+		tokens:     s.Counter("front_tokens"),
+		keepAlives: s.Counter("front_keep_alives"),
 	}
 }
--- a/transport/front/front.go
+++ b/transport/front/front.go
@@ -23,20 +23,26 @@
 
 // Defaults of Options.
 const (
-	DefaultMaxBody      = 1 << 20
-	DefaultMaxStreams   = 20_000
-	DefaultBodyTimeout  = 10 * time.Second
-	DefaultWriteTimeout = 10 * time.Second
-	DefaultKeepAlive    = 3 * time.Second
+	DefaultMaxBody       = 1 << 20
+	DefaultMaxStreams    = 20_000
+	DefaultHeaderTimeout = 5 * time.Second
+	DefaultBodyTimeout   = 10 * time.Second
+	DefaultIdleTimeout   = time.Minute
+	DefaultWriteTimeout  = 10 * time.Second
+	DefaultKeepAlive     = 3 * time.Second
+
+	maxHeader = 32 << 10 // bytes
 )
 
 // Options bounds what callers can cost. The zero value takes the defaults.
 type Options struct {
-	MaxBody      int64         // longest request body in bytes
-	MaxStreams   int           // requests and views at one time
-	BodyTimeout  time.Duration // a body has to arrive within it
-	WriteTimeout time.Duration // a caller has to take each event within it
-	KeepAlive    time.Duration // longest silence of an open stream
+	MaxBody       int64         // longest request body in bytes
+	MaxStreams    int           // requests and views at one time
+	HeaderTimeout time.Duration // a header has to arrive within it
+	BodyTimeout   time.Duration // a body has to arrive within it
+	IdleTimeout   time.Duration // a connection between two requests is closed after it
+	WriteTimeout  time.Duration // a caller has to take each event within it
+	KeepAlive     time.Duration // longest silence of an open stream
 
 	Metrics http.Handler // serves GET /metrics; nil leaves it out
 	Scope   tally.Scope  // the front's own counters; nil drops them
@@ -50,6 +56,12 @@
 	if o.MaxStreams == 0 {
 		o.MaxStreams = DefaultMaxStreams
 	}
+	if o.HeaderTimeout == 0 {
+		o.HeaderTimeout = DefaultHeaderTimeout
+	}
+	if o.IdleTimeout == 0 {
+		o.IdleTimeout = DefaultIdleTimeout
+	}
 	if o.BodyTimeout == 0 {
 		o.BodyTimeout = DefaultBodyTimeout
 	}
@@ -93,6 +105,18 @@
 	return f.bound(mux)
 }
 
+// NewServer returns a server of h with the bounds of opts on connections: one on
+// which nothing comes, or half a header, does not stay.
+func NewServer(h http.Handler, opts Options) *http.Server {
+	opts = opts.withDefaults()
+	return &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: opts.HeaderTimeout,
+		IdleTimeout:       opts.IdleTimeout,
+		MaxHeaderBytes:    maxHeader,
+	}
+}
+
 // apiConfig describes the interface without huma's schema links, which would
 // add a field to each answer, and without its documentation page, which loads
 // scripts of third parties.
@@ -108,8 +132,9 @@
 // exchange is one request and its answer, for handlers that need more of it than
 // huma shows them.
 type exchange struct {
-	w  http.ResponseWriter
-	rc *http.ResponseController
+	w       http.ResponseWriter
+	rc      *http.ResponseController
+	refused tally.Counter
 }
 
 // exchangeKey is the context key of an *exchange.
@@ -119,7 +144,7 @@
 // handlers that need longer.
 func (f *front) bound(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		ex := &exchange{w: w, rc: http.NewResponseController(w)}
+		ex := &exchange{w: w, rc: http.NewResponseController(w), refused: f.metrics.refused}
 		f.extend(ex)
 		ctx := context.WithValue(r.Context(), exchangeKey{}, ex)
 		next.ServeHTTP(w, r.WithContext(ctx))
--- a/transport/front/input_test.go
+++ b/transport/front/input_test.go
@@ -42,7 +42,7 @@
 func counter(scope tally.TestScope, name string) func() int64 {
 	return func() int64 {
 		for _, c := range scope.Snapshot().Counters() {
-			if c.Name() == "front."+name {
+			if c.Name() == "front_"+name {
 				return c.Value()
 			}
 		}
@@ -52,12 +52,14 @@
 
 var _ = Describe("bad input of a caller", Label("failure:bad-input"), func() {
 	var (
-		d *fakeDaemon
-		s *httptest.Server
+		d     *fakeDaemon
+		s     *httptest.Server
+		scope tally.TestScope
 	)
 	BeforeEach(func() {
 		d = newFakeDaemon()
-		s = httptest.NewServer(front.New(d, front.Options{BodyTimeout: 50 * time.Millisecond}))
+		scope = tally.NewTestScope("", nil)
+		s = httptest.NewServer(front.New(d, front.Options{BodyTimeout: 50 * time.Millisecond, Scope: scope}))
 		DeferCleanup(s.Close)
 	})
 
@@ -71,6 +73,7 @@
 			Expect(text).To(ContainSubstring(part))
 			Expect(len(text)).To(BeNumerically("<", 2000))
 			Expect(d.submissions()).To(BeEmpty())
+			Expect(counter(scope, "refused")()).To(BeEquivalentTo(1))
 		},
 		Entry("no JSON", 400, `{"service":`, "unexpected end"),
 		Entry("empty", 400, ``, "body"),
@@ -99,6 +102,26 @@
 		Expect(text).To(ContainSubstring(`"execution":"unknown"`))
 	})
 
+	// Connections on which nothing, or half a header, ever comes must not stay.
+	It("that is silent or halfway loses its connection", func() {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		short := 50 * time.Millisecond
+		server := front.NewServer(front.New(d, front.Options{}), front.Options{HeaderTimeout: short, IdleTimeout: short})
+		DeferCleanup(server.Close)
+		go func() { _ = server.Serve(l) }()
+		for _, text := range []string{"", "GET /heal", "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n"} {
+			conn, err := net.Dial("tcp", l.Addr().String())
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(conn.Close)
+			_, err = io.WriteString(conn, text)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(conn.SetReadDeadline(time.Now().Add(patience))).To(Succeed())
+			_, err = io.ReadAll(conn)
+			Expect(err).NotTo(HaveOccurred())
+		}
+	})
+
 	It("that stops halfway loses its connection with a 408", func() {
 		conn := connect(s, request(`{"service":`, 1000))
 		Expect(conn.SetReadDeadline(time.Now().Add(patience))).To(Succeed())
--- a/transport/front/problem.go
+++ b/transport/front/problem.go
@@ -22,6 +22,7 @@
 	huma.NewErrorWithContext = func(hc huma.Context, status int, msg string, errs ...error) huma.StatusError {
 		p := inputProblem(status, msg, errs)
 		if hc.Operation().OperationID == submitOperation {
+			exchangeOf(hc.Context()).refused.Inc(1)
 			p.Execution = unsentExecution(hc.Header(caller.KeyHeader), hc.Header(caller.LastEventHeader))
 		}
 		return p
--- a/transport/front/requests.go
+++ b/transport/front/requests.go
@@ -115,6 +115,7 @@
 		p = f.acquire()
 	}
 	if p != nil {
+		ex.refused.Inc(1)
 		p.Execution = unsentExecution(in.Key, in.LastEventID)
 		return nil, p
 	}
@@ -212,6 +213,7 @@
 		p = f.acquire()
 	}
 	if p != nil {
+		f.metrics.refused.Inc(1)
 		p.Execution = state.ExecutionUnknown
 		return nil, p
 	}
@@ -267,7 +269,6 @@
 		f.metrics.viewsOpen.Update(float64(len(f.slots)))
 		return nil
 	default:
-		f.metrics.refused.Inc(1)
 		p := newProblem(http.StatusTooManyRequests, state.ReasonQueueFull, "This daemon has no room for another stream.")
 		p.RetryAfter = 1
 		return p
--- /dev/null
+++ b/transport/peer/bench_test.go
@@ -0,0 +1,100 @@
+package peer_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/hibiscuswick/hibiscuswick/internal/standin"
+	"github.com/hibiscuswick/hibiscuswick/state"
+	"github.com/hibiscuswick/hibiscuswick/transport/peer"
+)
+
+func benchPair(b *testing.B) (from *peer.Node, to string) {
+	b.Helper()
+	cfg := peer.Config{
+		Self: state.Member{ID: "a", Incarnation: 1}, Registry: registry(),
+		Handler: peer.Handler{
+			Received: func(state.Member, any) {},
+			Called: func(_ context.Context, _ state.Member, msg any) (any, error) {
+				return told(msg.(ask)), nil
+			},
+		},
+	}
+	server, client := peer.New(cfg), peer.New(cfg)
+	addr, err := server.Listen("127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() { client.Close(); server.Close() })
+	return client, addr.String()
+}
+
+// BenchmarkCall is one call after the other over loopback.
+func BenchmarkCall(b *testing.B) {
+	n, to := benchPair(b)
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := n.Call(context.Background(), to, ask{N: 1}); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// BenchmarkCallParallel is many calls at one time on one connection.
+func BenchmarkCallParallel(b *testing.B) {
+	n, to := benchPair(b)
+	b.SetParallelism(8)
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			if _, err := n.Call(context.Background(), to, ask{N: 1}); err != nil {
+				b.Error(err)
+			}
+		}
+	})
+}
+
+// BenchmarkSend is messages without an answer, as fast as they are taken.
+func BenchmarkSend(b *testing.B) {
+	n, to := benchPair(b)
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		if err := n.Send(to, note{N: 1}); err != nil {
+			b.Fatal(err)
+		}
+		if i%1000 == 999 { // lets the queue drain
+			if _, err := n.Call(context.Background(), to, ask{N: 1}); err != nil {
+				b.Fatal(err)
+			}
+		}
+	}
+}
+
+// BenchmarkSilence is the time from a connection's last byte, with a call
+// outstanding, to the answer of a call on its replacement, at the default
+// settings.
+func BenchmarkSilence(b *testing.B) {
+	n, to := benchPair(b)
+	p, err := standin.StartProxy(to)
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer p.Close()
+	var worst time.Duration
+	for b.Loop() {
+		if _, err := n.Call(context.Background(), p.Address(), ask{N: 1}); err != nil {
+			b.Fatal(err)
+		}
+		p.SilenceConnections()
+		begin := time.Now()
+		if _, err := n.Call(context.Background(), p.Address(), ask{N: 2}); !errors.Is(err, peer.ErrSilent) {
+			b.Fatal(err)
+		}
+		if _, err := n.Call(context.Background(), p.Address(), ask{N: 3}); err != nil {
+			b.Fatal(err)
+		}
+		worst = max(worst, time.Since(begin))
+	}
+	b.ReportMetric(float64(worst.Milliseconds()), "worst-ms")
+}
--- a/transport/peer/counters.go
+++ b/transport/peer/counters.go
@@ -22,30 +22,31 @@
 	refusedCalls             tally.Counter // calls refused here, over MaxCalls
 	inboundRefused           tally.Counter // connections over MaxInbound
 	inboundSlow              tally.Counter // connections whose peer sent or read too slowly
+	broken                   tally.Counter // frames that could not be read, and by what was wrong:
 	faults                   map[peer.Fault]tally.Counter
 }
 
 func newCounters(s tally.Scope) *counters {
-	s = s.SubScope("peer")
 	c := &counters{
-		sent:           s.Counter("sent"),
-		received:       s.Counter("received"),
-		sentBytes:      s.Counter("sent_bytes"),
-		receivedBytes:  s.Counter("received_bytes"),
-		heartbeats:     s.Counter("heartbeats"),
-		dropped:        s.Counter("dropped"),
-		opened:         s.Counter("connections_opened"),
-		dialFailures:   s.Counter("dial_failures"),
-		silent:         s.Counter("silent_connections"),
-		lost:           s.Counter("lost_connections"),
-		unanswered:     s.Counter("unanswered_calls"),
-		refusedCalls:   s.Counter("refused_calls"),
-		inboundRefused: s.Counter("inbound_refused"),
-		inboundSlow:    s.Counter("inbound_slow"),
+		sent:           s.Counter("peer_sent_total"),
+		received:       s.Counter("peer_received_total"),
+		sentBytes:      s.Counter("peer_sent_bytes_total"),
+		receivedBytes:  s.Counter("peer_received_bytes_total"),
+		heartbeats:     s.Counter("peer_heartbeats_total"),
+		dropped:        s.Counter("peer_dropped_total"),
+		opened:         s.Counter("peer_connections_opened_total"),
+		dialFailures:   s.Counter("peer_dial_failures_total"),
+		silent:         s.Counter("peer_silent_connections_total"),
+		lost:           s.Counter("peer_lost_connections_total"),
+		unanswered:     s.Counter("peer_unanswered_calls_total"),
+		refusedCalls:   s.Counter("peer_refused_calls_total"),
+		inboundRefused: s.Counter("peer_inbound_refused_total"),
+		inboundSlow:    s.Counter("peer_inbound_slow_total"),
+		broken:         s.Counter("broken_frames_total"),
 		faults:         make(map[peer.Fault]tally.Counter),
 	}
 	for _, f := range peer.Faults() {
-		c.faults[f] = s.Tagged(map[string]string{"fault": string(f)}).Counter("bad_frames")
+		c.faults[f] = s.Tagged(map[string]string{"fault": string(f)}).Counter("peer_frame_faults_total")
 	}
 	return c
 }
@@ -53,6 +54,7 @@
 // fault counts err if it is a *peer.FrameError.
 func (c *counters) fault(err error) {
 	if f, ok := peer.FaultOf(err); ok {
+		c.broken.Inc(1)
 		c.faults[f].Inc(1)
 	}
 }
--- a/transport/peer/node_test.go
+++ b/transport/peer/node_test.go
@@ -7,7 +7,6 @@
 	"io"
 	"net"
 	"sync"
-	"testing"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -134,7 +133,7 @@
 func (d *daemon) count(name string) int64 {
 	var sum int64
 	for _, c := range d.scope.Snapshot().Counters() {
-		if c.Name() == "peer."+name {
+		if c.Name() == "peer_"+name+"_total" {
 			sum += c.Value()
 		}
 	}
@@ -384,7 +383,7 @@
 			f, ok := protocol.FaultOf(b.faults()[0])
 			Expect(ok).To(BeTrue())
 			Expect(f).To(Equal(want))
-			Expect(b.count("bad_frames")).To(BeEquivalentTo(1))
+			Expect(b.count("frame_faults")).To(BeEquivalentTo(1))
 			Expect(a.Send(b.address, note{N: 2})).To(Succeed())
 			Eventually(b.seen, patience).Should(Equal([]int{1, 2}))
 			Expect(a.count("connections_opened")).To(BeEquivalentTo(1))
@@ -442,47 +441,3 @@
 		Expect(b.count("inbound_slow")).To(BeEquivalentTo(1))
 	})
 })
-
-func benchPair(b *testing.B) (from *peer.Node, to string) {
-	b.Helper()
-	cfg := peer.Config{
-		Self: state.Member{ID: "a", Incarnation: 1}, Registry: registry(),
-		Handler: peer.Handler{
-			Received: func(state.Member, any) {},
-			Called: func(_ context.Context, _ state.Member, msg any) (any, error) {
-				return told(msg.(ask)), nil
-			},
-		},
-	}
-	server, client := peer.New(cfg), peer.New(cfg)
-	addr, err := server.Listen("127.0.0.1:0")
-	if err != nil {
-		b.Fatal(err)
-	}
-	b.Cleanup(func() { client.Close(); server.Close() })
-	return client, addr.String()
-}
-
-// BenchmarkCall is one call after the other over loopback.
-func BenchmarkCall(b *testing.B) {
-	n, to := benchPair(b)
-	b.ReportAllocs()
-	for b.Loop() {
-		if _, err := n.Call(context.Background(), to, ask{N: 1}); err != nil {
-			b.Fatal(err)
-		}
-	}
-}
-
-// BenchmarkCallParallel is many calls at one time on one connection.
-func BenchmarkCallParallel(b *testing.B) {
-	n, to := benchPair(b)
-	b.SetParallelism(8)
-	b.RunParallel(func(pb *testing.PB) {
-		for pb.Next() {
-			if _, err := n.Call(context.Background(), to, ask{N: 1}); err != nil {
-				b.Error(err)
-			}
-		}
-	})
-}
