--- a/coordination/controller/controller_test.go
+++ b/coordination/controller/controller_test.go
@@ -195,6 +195,28 @@
 		Expect(h.calls["b00"][len(before):]).To(HaveSuffix("or"), "the order is verified at once")
 	})
 
+	// The pause falls between the decision on an order and its sending: when the
+	// process runs on, the order would leave first of all, long after a successor
+	// has ordered the server. It carries the end of the lease and is dropped.
+	It("do not leave after the lease has run out", Label("failure:lease-lapses-while-paused"), func() {
+		w := newWorld(1, never, 2)
+		old := w.hold(1, true, controller.Desired{Document: 1, Chains: chains("v1", 0, 1)})
+		w.run(20 * time.Second)
+		old.lease(lease.Held, 1, true, 9*time.Second)
+		old.pause = 40 * time.Second
+		old.step(controller.Desired{Document: 2, Chains: chains("v2", 0, 1)})
+		for old.calls["b00"][len(old.calls["b00"])-1] != 'o' {
+			w.run(tickOf)
+		}
+		w.run(10 * time.Second)
+		old.lease(lease.None, 0, false, 0)
+		w.hold(2, false, controller.Desired{Document: 3, Chains: chains("v3", 0, 1)})
+		w.run(60 * time.Second)
+		Expect(old.dropped).To(BeNumerically(">", 0))
+		Expect(w.servers["b00"].numbers).To(HaveExactElements(BeEquivalentTo(1), BeEquivalentTo(2)))
+		Expect(w.serving("v3")).To(Equal(1))
+	})
+
 	It("set a role without a load and leave other services' servers alone", func() {
 		w := newWorld(1, always, 4)
 		w.servers["b02"].state = controller.ServerState{Service: "other", Holding: controller.Holding{Model: "x"}}
--- a/coordination/controller/world_test.go
+++ b/coordination/controller/world_test.go
@@ -58,6 +58,8 @@
 	orders  []controller.Order
 	holdUp  time.Duration // of the next order, once
 	heldUp  state.BackendID
+	pause   time.Duration              // between the decision on an order and its sending
+	dropped int                        // orders whose NotAfter had passed when they were to leave
 	calls   map[state.BackendID]string // "r" for each read, "o" for each order
 }
 
@@ -181,7 +183,13 @@
 			h.heldUp = a.Backend
 		}
 		h.holdUp = 0
-		h.call(a.Call, d, func() controller.Event { return w.servers[a.Backend].order(w, a) })
+		w.after(h.pause, func() {
+			if !a.NotAfter.IsZero() && w.now.After(a.NotAfter) {
+				h.dropped++
+				return
+			}
+			h.call(a.Call, d, func() controller.Event { return w.servers[a.Backend].order(w, a) })
+		})
 	case controller.ReadState:
 		w.reads++
 		h.calls[a.Backend] += "r"
--- a/coordination/lease/act.go
+++ b/coordination/lease/act.go
@@ -145,7 +145,7 @@
 	var ids []state.ServiceID
 	for _, id := range m.order {
 		l := m.leases[id]
-		if m.wantsRead(l) && !now.Add(m.cfg.Poll/4).Before(l.nextRead) {
+		if m.wantsRead(l) && !now.Add(m.nearly(l)).Before(l.nextRead) {
 			l.reading = true
 			ids = append(ids, id)
 		}
@@ -155,6 +155,14 @@
 	return append(out, Read{Call: m.nextCall, Services: ids})
 }
 
+// nearly is how long before its time a row may join a read that goes anyway.
+func (m *Machine) nearly(l *lease) time.Duration {
+	if m.watches(l) {
+		return m.cfg.Poll / 4
+	}
+	return m.cfg.SlowPoll / 4
+}
+
 // wantsRead leaves out rows that are ours and not in doubt: the next renewal's
 // answer tells more than a read.
 func (m *Machine) wantsRead(l *lease) bool {
--- a/coordination/lease/rank.go
+++ b/coordination/lease/rank.go
@@ -64,11 +64,16 @@
 	return "", false
 }
 
+// watches reports whether this daemon is one of those that watch a row closely.
+func (m *Machine) watches(l *lease) bool {
+	return l.rank >= 0 && l.rank < m.cfg.Watchers
+}
+
 // pollEvery is the time between reads of a row. All but the first members read
 // it rarely, with jitter: at 420 daemons a close watch by all would use up the
 // store's reads.
 func (m *Machine) pollEvery(l *lease) time.Duration {
-	if l.rank >= 0 && l.rank < m.cfg.Watchers {
+	if m.watches(l) {
 		return m.cfg.Poll
 	}
 	return m.cfg.SlowPoll + time.Duration(m.rng.Int64N(int64(m.cfg.SlowPoll)/4+1))
@@ -78,7 +83,7 @@
 // also reads it at the moment when it may take it.
 func (m *Machine) nextPoll(l *lease, now time.Time) time.Time {
 	next := now.Add(m.pollEvery(l))
-	if l.rank < 0 || l.rank >= m.cfg.Watchers {
+	if !m.watches(l) {
 		return next
 	}
 	if at, ok := m.takeAt(l); ok && now.Before(at) && at.Before(next) {
--- a/coordination/lease/world_test.go
+++ b/coordination/lease/world_test.go
@@ -22,6 +22,8 @@
 	faults   faults
 	writes   int // applied rows
 	txns     int // commits sent
+	reads    int // read calls sent
+	rowsRead int
 	takeover int
 	broken   string // the first broken invariant
 }
@@ -144,6 +146,8 @@
 				}
 			}
 		case lease.Read:
+			n.w.reads++
+			n.w.rowsRead += len(a.Services)
 			n.w.call(n, a.Call, func() lease.Event {
 				ev := lease.ReadDone{Call: a.Call}
 				for _, s := range a.Services {
