Make two specs of refused connections independent of timing

Cause: under load a spec saw a connection end before the counter of its refusal moved, and a body over the limit took longer than the 50 ms that another spec of the group needs, and got 408 in place of 413.

Change: a refused connection is counted before it is closed; only the spec of the half-sent body has the short timeout. No check is eased.

--- a/transport/front/input_test.go
+++ b/transport/front/input_test.go
@@ -59,7 +59,7 @@
 	BeforeEach(func() {
 		d = newFakeDaemon()
 		scope = tally.NewTestScope("", nil)
-		s = httptest.NewServer(front.New(d, front.Options{BodyTimeout: 50 * time.Millisecond, Scope: scope}))
+		s = httptest.NewServer(front.New(d, front.Options{Scope: scope}))
 		DeferCleanup(s.Close)
 	})
 
@@ -123,6 +123,8 @@
 	})
 
 	It("that stops halfway loses its connection with a 408", func() {
+		s := httptest.NewServer(front.New(d, front.Options{BodyTimeout: 50 * time.Millisecond}))
+		DeferCleanup(s.Close)
 		conn := connect(s, request(`{"service":`, 1000))
 		Expect(conn.SetReadDeadline(time.Now().Add(patience))).To(Succeed())
 		text, err := io.ReadAll(conn)
--- a/transport/peer/inbound.go
+++ b/transport/peer/inbound.go
@@ -51,11 +51,11 @@
 	full := len(n.inbound) >= n.cfg.MaxInbound
 	if full || n.closed {
 		n.mu.Unlock()
-		in.close()
 		if full {
 			n.counters.inboundRefused.Inc(1)
 			n.rejected(conn, errTooMany)
 		}
+		in.close()
 		return
 	}
 	n.inbound[in] = struct{}{}
