Say that a stream loses no item when a wait ends

Cause: the front ends its waits every few seconds for a sign of life and calls Next again; the contract did not say that it may. Change: the comment of caller.Stream.

--- a/protocol/caller/caller.go
+++ b/protocol/caller/caller.go
@@ -59,7 +59,8 @@
 type Stream interface {
 	ID() state.RequestID
 	// Next waits for the next item in order; after an Outcome it is not called
-	// again. The error is only ever that of ctx.
+	// again. The error is only ever that of ctx; no item is lost with it, and
+	// Next may be called again with another ctx.
 	Next(ctx context.Context) (Item, error)
 	Close()
 }
