Remember lease writes only until the row changes

Cause: the check of which writes can still take effect could never keep one, since every write is conditional on the row last seen; no test could turn red.

Change: all remembered writes are dropped when a new revision is seen; their number is bounded. A spec for a write that is given up and takes effect later.

Conclusion: less code for the same proof.

--- a/coordination/lease/act.go
+++ b/coordination/lease/act.go
@@ -8,6 +8,10 @@
 	"github.com/hibiscuswick/hibiscuswick/state"
 )
 
+// maxAttempts bounds the writes remembered while none of them is proved done. A
+// forgotten one that takes effect costs a term without a holder.
+const maxAttempts = 64
+
 // act returns everything that is due at now.
 func (m *Machine) act(now time.Time) []Action {
 	var out []Action
@@ -88,8 +92,10 @@
 // write notes the attempt before the call leaves, so that its row is recognized
 // whenever it shows up.
 func (m *Machine) write(l *lease, row Row, now time.Time) Write {
+	if len(l.attempts) == maxAttempts {
+		l.attempts = slices.Delete(l.attempts, 0, 1)
+	}
 	l.attempts = append(l.attempts, attempt{
-		revision: l.seen.Revision,
 		nonce:    row.Nonce,
 		renewals: row.Renewals,
 		sent:     now,
--- a/coordination/lease/lease_test.go
+++ b/coordination/lease/lease_test.go
@@ -180,6 +180,41 @@
 		Expect(holder.status[drafts].Fencing).To(Equal(number))
 	})
 
+	// The write that takes the lease is held up; it is given up and tried again.
+	// Then the first one takes effect after all. Were it not recognized, nobody
+	// would act for the service until its row had stood for a whole term.
+	It("is recognized when a write that was given up takes effect", Label("failure:store-answer-lost"), func() {
+		self := state.Member{ID: "entry-0", Incarnation: 1}
+		m := lease.New(lease.DefaultConfig(self), rand.New(rand.NewPCG(1, 2)))
+		now := time.Unix(0, 0)
+		m.Step(now, lease.Members{Live: []state.DaemonID{self.ID}})
+		find := func(actions []lease.Action) (c lease.Commit, r lease.Read) {
+			for _, a := range actions {
+				switch a := a.(type) {
+				case lease.Commit:
+					c = a
+				case lease.Read:
+					r = a
+				}
+			}
+			return c, r
+		}
+		absent := []lease.Stored{{Service: drafts}}
+		_, read := find(m.Step(now, lease.Services{IDs: []state.ServiceID{drafts}}))
+		first, _ := find(m.Step(now, lease.ReadDone{Call: read.Call, Rows: absent}))
+		Expect(first.Writes).To(HaveLen(1))
+		m.Step(now, lease.Unanswered{Call: first.Call})
+		now = now.Add(time.Second)
+		_, read = find(m.Step(now, lease.Tick{}))
+		second, _ := find(m.Step(now, lease.ReadDone{Call: read.Call, Rows: absent}))
+		Expect(second.Writes).To(HaveLen(1))
+		_, read = find(m.Step(now, lease.Conflicted{Call: second.Call}))
+		m.Step(now, lease.ReadDone{Call: read.Call, Rows: []lease.Stored{{Service: drafts, Revision: 1, Row: first.Writes[0].Row}}})
+		s := m.Status(drafts, now)
+		Expect(s.Standing).To(Equal(lease.Held))
+		Expect(s.Until).To(BeTemporally("<", time.Unix(10, 0)), "counted from the first write")
+	})
+
 	// The store is gone for two minutes. Nobody can renew or take a lease. The
 	// last holder may go on with servers that check numbers; when the store is
 	// back it holds on with the same number.
--- a/coordination/lease/row.go
+++ b/coordination/lease/row.go
@@ -44,7 +44,6 @@
 
 // attempt is one write of ours that may yet take effect.
 type attempt struct {
-	revision uint64 // the write's condition
 	nonce    state.Nonce
 	renewals uint64
 	sent     time.Time
@@ -65,7 +64,7 @@
 
 	readAt time.Time // when the last answer that showed the row was taken in
 
-	attempts []attempt // not yet proved done or impossible
+	attempts []attempt // since seen.Revision was first seen; one may yet take effect
 	writing  bool      // a Commit is under way
 	reading  bool
 	doubt    bool      // a write's fate is unknown: read before writing again
@@ -114,24 +113,20 @@
 	}
 }
 
-// settle finds the write of ours that made s, if one did, and forgets those that
-// can't take effect any more: their condition is an older revision.
+// settle finds the write of ours that made s, if one did. All are decided then:
+// each was conditional on an older revision.
 func (l *lease) settle(s Stored, self state.Member) {
-	kept := l.attempts[:0]
 	for _, a := range l.attempts {
-		if s.Revision > 0 && s.Row.Holder == self && a.made(s.Row) {
-			if a.nonce != l.nonce {
-				l.nonce = a.nonce
-				l.counter = a.renewals
-				l.clean = l.seen.Revision == 0 || (l.seen.Row.Released() && l.seen.Row.Clean)
-				l.overtaken = false
-			}
-			l.proved = a.sent
+		if s.Row.Holder != self || !a.made(s.Row) {
 			continue
 		}
-		if a.revision >= s.Revision {
-			kept = append(kept, a)
+		if a.nonce != l.nonce {
+			l.nonce = a.nonce
+			l.counter = a.renewals
+			l.clean = l.seen.Revision == 0 || (l.seen.Row.Released() && l.seen.Row.Clean)
+			l.overtaken = false
 		}
+		l.proved = a.sent
 	}
-	l.attempts = kept
+	l.attempts = nil
 }
