Hold customers' limits over all daemons

Cause: the limits of the documents were checked for existence only. Change: each submission takes a token of its customer's limit from the limiter's part; settings name the seats, the same on all daemons, and the loan life. A site that starts cold refuses for about a loan life (2 s by default), since earlier lives' loans may still be out.

--- a/daemon/control.go
+++ b/daemon/control.go
@@ -42,6 +42,7 @@
 	streams   *streamsPart
 	backends  *backendsPart
 	addresses *addressesPart
+	limits    *limitsPart
 
 	parts []part
 }
@@ -63,9 +64,10 @@
 	c.streams = newStreamsPart(c)
 	c.backends = newBackendsPart(c)
 	c.addresses = newAddressesPart(c)
+	c.limits = newLimitsPart(c)
 	c.parts = []part{
 		c.store, c.members, c.instances, c.documents, c.slots, c.claims,
-		c.batcher, c.streams, c.backends,
+		c.batcher, c.streams, c.backends, c.limits,
 	}
 	return c
 }
--- a/daemon/documents.go
+++ b/daemon/documents.go
@@ -80,6 +80,7 @@
 	p.c.members.step(membership.SetDigest{Digest: membership.Digest{Documents: p.m.Digest().Hash}})
 	p.c.slots.home(home.DocumentChanged{Document: &v.Document})
 	p.c.slots.documentChanged(v)
+	p.c.limits.documentChanged(&v.Document)
 	p.c.d.publish(func(w *view) {
 		w.documents = copyWith(w.documents, doc.Service, v)
 	})
--- a/daemon/members.go
+++ b/daemon/members.go
@@ -172,6 +172,7 @@
 	p.c.slots.route(route.ViewChanged{Live: lo.Map(live, func(i membership.Info, _ int) route.Peer {
 		return route.Peer{Member: i.Member, Region: i.Meta.Region, Draining: i.Draining}
 	})})
+	p.c.limits.membersChanged(live)
 	p.c.store.step(storebudget.RolesChanged{Roles: storebudget.Roles{
 		Members:  len(live),
 		KeyHomes: len(p.keyHomes),
--- a/daemon/messages.go
+++ b/daemon/messages.go
@@ -7,6 +7,7 @@
 	"github.com/hibiscuswick/hibiscuswick/coordination/claims"
 	"github.com/hibiscuswick/hibiscuswick/coordination/documents"
 	"github.com/hibiscuswick/hibiscuswick/coordination/home"
+	"github.com/hibiscuswick/hibiscuswick/coordination/limit"
 	"github.com/hibiscuswick/hibiscuswick/coordination/membership"
 	"github.com/hibiscuswick/hibiscuswick/coordination/request"
 	"github.com/hibiscuswick/hibiscuswick/protocol/peer"
@@ -23,6 +24,7 @@
 	kindClaims     peer.Kind = 400
 	kindStreams    peer.Kind = 500
 	kindPlatform   peer.Kind = 600
+	kindLimits     peer.Kind = 700
 )
 
 // newRegistry lists every message between daemons. New ones are added at the end
@@ -68,6 +70,9 @@
 
 	peer.Register[platform.ListAsk](r, kindPlatform)
 	peer.Register[platform.ListTold](r, kindPlatform+1)
+
+	peer.Register[limit.Report](r, kindLimits)
+	peer.Register[limit.Grant](r, kindLimits+1)
 	return r
 }
 
@@ -91,6 +96,8 @@
 			c.documents.step(documents.Received{From: from, Msg: msg})
 		case home.Message:
 			c.slots.received(from, msg)
+		case limit.Message:
+			c.limits.step(limit.Received{From: from, Msg: msg})
 		case streams.Register:
 			c.streams.put(msg.Record)
 		}
--- a/daemon/operations_test.go
+++ b/daemon/operations_test.go
@@ -182,11 +182,11 @@
 	It("takes no new work where documents may be old", Label("failure:isolated-daemon"), func() {
 		r := newRig(3, slowStep)
 		alone := r.Daemons[0]
+		running := r.submit(0, summary("running"))
+		r.read(running, 2)
 		r.Platform.Down(true)
 		r.Daemons[1].Kill()
 		r.Daemons[2].Kill()
-		running := r.submit(0, summary("running"))
-		r.read(running, 2)
 		Eventually(func() bool { return alone.DaemonStatus(r.ctx).Isolated }).WithTimeout(patience).Should(BeTrue())
 		_, outcome := alone.Submit(r.ctx, summary("late"))
 		Expect(outcome).To(BeAssignableToTypeOf(state.Refused{}))
--- a/daemon/rig_test.go
+++ b/daemon/rig_test.go
@@ -53,9 +53,23 @@
 	r.apply(0, draftsDocument())
 	r.apply(0, alertsDocument())
 	r.awaitServing(2)
+	r.awaitLimits()
 	return r
 }
 
+// awaitLimits waits until every daemon is lent tokens: the first lives of the
+// seats lend nothing until any loan of lives before them would have run out.
+func (r *rig) awaitLimits() {
+	GinkgoHelper()
+	for i, d := range r.Daemons {
+		Eventually(func(g Gomega) {
+			stream, refused := d.Submit(r.ctx, summary(fmt.Sprintf("warm-%d-%d", i, time.Now().UnixNano())))
+			g.Expect(refused).To(BeNil())
+			r.read(stream, -1)
+		}).WithTimeout(patience).Should(Succeed())
+	}
+}
+
 func (r *rig) addDaemon(change func(*settings.Settings)) *daemon.Daemon {
 	GinkgoHelper()
 	d, err := r.AddDaemon(change)
@@ -66,11 +80,19 @@
 // replaceDaemon starts a daemon in place of one that has stopped.
 func (r *rig) replaceDaemon(n int, change func(*settings.Settings)) *daemon.Daemon {
 	GinkgoHelper()
-	d := r.addDaemon(change)
+	id := r.Daemons[n].DaemonStatus(r.ctx).ID
+	d := r.addDaemon(func(set *settings.Settings) {
+		set.ID = id
+		set.Instance = state.InstanceID(id)
+		if change != nil {
+			change(set)
+		}
+	})
 	last := len(r.Daemons) - 1
 	r.Daemons[n] = d
 	r.Daemons = r.Daemons[:last]
 	r.awaitServing(2)
+	r.awaitLimits()
 	return d
 }
 
--- a/daemon/submit.go
+++ b/daemon/submit.go
@@ -18,7 +18,7 @@
 var _ caller.Daemon = (*Daemon)(nil)
 
 // Submit implements caller.Daemon.
-func (d *Daemon) Submit(_ context.Context, s caller.Submission) (caller.Stream, state.Outcome) {
+func (d *Daemon) Submit(ctx context.Context, s caller.Submission) (caller.Stream, state.Outcome) {
 	spec, reason := d.specify(s)
 	if reason != "" {
 		return nil, d.refuse(reason)
@@ -28,6 +28,9 @@
 			return d.joined(k, spec, s.After)
 		}
 	}
+	if refused := d.admit(ctx, s); refused != nil {
+		return nil, refused
+	}
 	d.metrics.Accepted(spec.Service, spec.Class)
 	r := newRunner(d, spec, newAnswer(spec.ID))
 	d.start(r)
--- a/internal/demo/caller.go
+++ b/internal/demo/caller.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -38,6 +39,11 @@
 	refusedPause = 200 * time.Millisecond
 )
 
+// passingReasons are those that soon pass, or that another daemon may not have.
+var passingReasons = []state.Reason{
+	state.ReasonDraining, state.ReasonIsolated, state.ReasonNoReplica, state.ReasonCustomerLimit,
+}
+
 // session is one caller's way to one answer: it takes the answer up again, at
 // another daemon, until it has ended.
 type session struct {
@@ -122,7 +128,7 @@
 		s.request = ""
 		return nil
 	}
-	passing := p.Reason == state.ReasonDraining || p.Reason == state.ReasonIsolated || p.Reason == state.ReasonNoReplica
+	passing := slices.Contains(passingReasons, p.Reason)
 	if p.Execution == state.ExecutionNotRun && passing {
 		time.Sleep(refusedPause)
 		return nil
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -164,7 +164,10 @@
 		"address_answer_valid": "500ms",
 		"drain":                map[string]any{"limit": "1m", "grace": "100ms"},
 		"store":                map[string]any{"digest_interval": "200ms", "instances_interval": "200ms"},
-		"isolation_bound":      "2s",
+		"limits": map[string]any{
+			"seats": []string{"entry-1", "entry-2", "entry-3"}, "loan_life": "500ms",
+		},
+		"isolation_bound": "2s",
 		"peers": map[string]any{
 			"probe_interval": "200ms", "probe_timeout": "100ms", "suspicion_timeout": "500ms",
 		},
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -49,6 +49,8 @@
 	Peers Peers `json:"peers" required:"false"`
 	// Backends bounds the connections towards backend servers.
 	Backends Backends `json:"backends" required:"false"`
+	// Limits says who holds the customers' limits.
+	Limits Limits `json:"limits" required:"false"`
 	// Store is this daemon's share of the table service.
 	Store Store `json:"store" required:"false"`
 	// Log says what is logged, on standard error.
@@ -130,6 +132,23 @@
 	InstancesInterval Duration `json:"instances_interval" defaultDuration:"2s" minDuration:"10ms" maxDuration:"1m"`
 }
 
+// Limits says who holds the customers' limits. Their sum over all daemons rests on
+// every daemon having the same Seats and Total.
+type Limits struct {
+	// Seats are the ids of the daemons that hold the limits, at most 64, the
+	// same list on all daemons; default this daemon alone, so that each daemon
+	// that has no list allows a whole limit.
+	Seats []state.DaemonID `json:"seats,omitempty" format:"name"`
+	// Total is the number of shares of each limit where the list is about to
+	// grow, at least the number of seats; default that number.
+	Total int `json:"total" default:"0" minimum:"0" maximum:"64"`
+	// LoanLife is how long a daemon counts what another lent it, the same on
+	// all daemons; default "2s". After the loss of a daemon its part of every
+	// limit is out of use for about that long, and a daemon's own part at its
+	// start; the shorter it is, the more messages it costs.
+	LoanLife Duration `json:"loan_life" defaultDuration:"2s" minDuration:"200ms" maxDuration:"1m"`
+}
+
 // Log says what is logged.
 type Log struct {
 	// Level is the least level that is written; default "info".
