--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -1,14 +1,17 @@
 package scenario_test
 
 import (
+	"maps"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 
 	"github.com/cockroachdb/datadriven"
 
 	"github.com/hibiscuswick/hibiscuswick/scenario"
+	"github.com/hibiscuswick/hibiscuswick/scenario/daemon"
 )
 
 // TestStories runs each file below testdata: a story that opens with what a user
@@ -34,7 +37,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	for _, name := range scenario.Commands() {
+	names := append(scenario.Commands(), slices.Collect(maps.Keys(daemon.Commands()))...)
+	for _, name := range names {
 		if !strings.Contains(string(page), "`"+name) {
 			t.Errorf("docs/SCENARIOS.md does not list %s", name)
 		}
--- a/trace/make/caller.go
+++ b/trace/make/caller.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/hibiscuswick/hibiscuswick/daemon"
@@ -31,8 +32,11 @@
 	})
 }
 
-// call sends s to daemons in turn until one runs it. What a stopping daemon
-// refuses as not run is sent to the next.
+// passing are the refusals as not run after which a caller comes back: the daemon is
+// stopping, or has no part of the customer's limit yet.
+var passing = []state.Reason{state.ReasonDraining, state.ReasonCustomerLimit}
+
+// call sends s to daemons in turn until one runs it.
 func (r *rig) call(s caller.Submission, at int) error {
 	for {
 		using := r.using()
@@ -41,7 +45,7 @@
 		if stream != nil {
 			return r.read(d, stream)
 		}
-		if refused, ok := outcome.(state.Refused); !ok || refused.Reason != state.ReasonDraining {
+		if refused, ok := outcome.(state.Refused); !ok || !slices.Contains(passing, refused.Reason) {
 			return fmt.Errorf("%T %v", outcome, outcome)
 		}
 		if err := r.sleep(poll); err != nil {
