Use the client library in the demo; tell unreachable daemons from silent ones

Cause: the demo had a caller of its own beside the client library; a daemon of which no connection ever answered was not probed, since its error is silence as well; the front's server had no idle timeout. Change: the demo's callers are client.Client; only ErrUnreachable has a daemon probed; the server is front.NewServer's, and transport counters are reported.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -93,12 +93,11 @@
 		Registry: newRegistry(),
 		Handler:  peer.Handler{Received: d.received, Called: d.called},
 		Lost:     d.connectionLost,
+		Scope:    d.metrics.Scope(),
 	})
 	d.control = newControl(d)
-	d.server = &http.Server{
-		Handler:           front.New(d, front.Options{Metrics: d.metrics.Handler()}),
-		ReadHeaderTimeout: front.DefaultBodyTimeout,
-	}
+	options := front.Options{Metrics: d.metrics.Handler(), Scope: d.metrics.Scope()}
+	d.server = front.NewServer(front.New(d, options), options)
 	return d, nil
 }
 
@@ -176,25 +175,25 @@
 	return d.done
 }
 
-// connectionLost has a daemon probed whose connection ended. One silent
-// connection says nothing of the daemon behind it.
+// connectionLost has a daemon probed that no connection reaches. One silent
+// connection says nothing of the daemon behind it; one that never answered does.
 func (d *Daemon) connectionLost(address string, err error) {
-	silent := errors.Is(err, peer.ErrSilent)
-	if silent {
+	if errors.Is(err, peer.ErrSilent) {
 		d.metrics.Add(telemetry.SilentConnectionsTotal, 1)
 		d.log.Emit(telemetry.EventConnectionSilent, telemetry.Address(address))
 	}
-	d.control.post(func() { d.control.connectionLost(address, silent) })
+	unreachable := errors.Is(err, peer.ErrUnreachable)
+	d.control.post(func() { d.control.connectionLost(address, unreachable) })
 }
 
 // connectionLost tells the parts that messages to a daemon may be lost.
-func (c *control) connectionLost(address string, silent bool) {
+func (c *control) connectionLost(address string, unreachable bool) {
 	for _, i := range c.members.view.Members {
 		if i.Meta.PeerAddress != address || i.Member.ID == c.d.self.ID {
 			continue
 		}
 		c.slots.route(route.Reconnected{Peer: i.Member.ID})
-		if !silent {
+		if unreachable {
 			c.members.step(membership.ConnectionLost{ID: i.Member.ID})
 		}
 	}
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -159,12 +160,13 @@
 	var wg sync.WaitGroup
 	for range perRound {
 		w := workOf(d.sent)
-		s := &session{work: w, at: d.sent, addresses: func() []string { return addresses }}
+		at := d.sent % len(addresses)
+		seeds := append(slices.Clone(addresses[at:]), addresses[:at]...)
 		d.sent++
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			res, err := s.run(ctx)
+			res, err := call(ctx, seeds, w)
 			d.judge(w, res, err)
 		}()
 	}
--- a/internal/demo/report.go
+++ b/internal/demo/report.go
@@ -4,7 +4,8 @@
 	"fmt"
 
 	"github.com/hibiscuswick/hibiscuswick/internal/standin"
-	"github.com/hibiscuswick/hibiscuswick/transport/front"
+	"github.com/hibiscuswick/hibiscuswick/protocol/caller"
+	"github.com/hibiscuswick/hibiscuswick/state"
 )
 
 // Report is the last line of the demo, counted by the callers and the stand-ins.
@@ -28,45 +29,45 @@
 // checks may be.
 func workOf(i int) work {
 	prompt := fmt.Sprintf("consignment %d", i)
-	key := fmt.Sprintf("key-%d", i)
+	key := state.IdempotencyKey(fmt.Sprintf("key-%d", i))
 	switch i % 3 {
 	case 0:
-		return work{Service: drafts, Customer: advocates, Class: classNote, Prompt: prompt, key: key}
+		return work{drafts, advocates, classNote, prompt, key}
 	case 1:
-		return work{Service: drafts, Customer: bank, Class: classSummary, Prompt: prompt, key: key}
+		return work{drafts, bank, classSummary, prompt, key}
 	default:
-		return work{Service: alerts, Customer: dairy, Class: classAlert, Prompt: prompt, key: key}
+		return work{alerts, dairy, classAlert, prompt, key}
 	}
 }
 
 // judge counts one answer against what the stand-ins ran.
 func (d *demo) judge(w work, res result, err error) {
-	runs := d.site.Ledger.Runs(w.Prompt)
+	runs := d.site.Ledger.Runs(w.prompt)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	r := &d.report
 	r.Requests++
-	if runs > 1 && w.Class != classSummary {
-		d.say(fmt.Sprintf("%s (%s) ran %d times", w.Prompt, w.Class, runs))
+	if runs > 1 && w.class != classSummary {
+		d.say(fmt.Sprintf("%s (%s) ran %d times", w.prompt, w.class, runs))
 		r.Duplicated++
 	}
 	if err != nil {
-		d.say(fmt.Sprintf("%s (%s): %v", w.Prompt, w.Class, err))
+		d.say(fmt.Sprintf("%s (%s): %v", w.prompt, w.class, err))
 		r.Lost++
 		return
 	}
 	switch res.end.Outcome {
-	case front.EndCompleted:
+	case caller.EndCompleted:
 		r.judgeWhole(d, w, res)
-	case front.EndRefused:
+	case caller.EndRefused:
 		r.RefusedNotRun++
 		if runs > 0 {
-			d.say(fmt.Sprintf("%s (%s) was refused as not run (%s), but ran", w.Prompt, w.Class, res.end.Reason))
+			d.say(fmt.Sprintf("%s (%s) was refused as not run (%s), but ran", w.prompt, w.class, res.end.Reason))
 			r.Duplicated++
 		}
-	case front.EndFailed:
+	case caller.EndFailed:
 		r.Failed++
-	case front.EndUnknown:
+	case caller.EndUnknown:
 		r.Unknown++
 	}
 }
@@ -76,16 +77,16 @@
 		r.Complete++
 		return
 	}
-	d.say(fmt.Sprintf("%s (%s): answer of %d tokens is not whole", w.Prompt, w.Class, len(res.tokens)))
+	d.say(fmt.Sprintf("%s (%s): answer of %d tokens is not whole", w.prompt, w.class, len(res.tokens)))
 	r.Lost++
 }
 
 // whole reports whether the answer has every token, once, in order.
 func whole(w work, res result) bool {
-	if w.Service == alerts {
-		return len(res.tokens) == 1 && res.tokens[0].Text == standin.PlainAnswer(w.Prompt)
+	if w.service == alerts {
+		return len(res.tokens) == 1 && res.tokens[0].Text == standin.PlainAnswer(w.prompt)
 	}
-	want := standin.ExpectedTokens(w.Prompt, noteTokens)
+	want := standin.ExpectedTokens(w.prompt, noteTokens)
 	if len(want) != len(res.tokens) {
 		return false
 	}
