--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -279,7 +279,8 @@
 	l.load.note(time.Now(), engine.Load{Running: l.live, Queued: len(l.queue), Leaving: leaving})
 }
 
-// crashes reports whether running a request with this prompt ends the engine.
+// crashes reports whether running a request with this prompt ends the engine,
+// given that crashOn is set.
 func (e *Engine) crashes(prompt string) bool {
-	return e.crashOn != "" && strings.Contains(prompt, e.crashOn)
+	return strings.Contains(prompt, e.crashOn)
 }
--- a/internal/standin/engine_steps.go
+++ b/internal/standin/engine_steps.go
@@ -117,8 +117,8 @@
 			continue
 		}
 		took += e.beginStep(l, p)
-		if content := e.contentOf(p); e.crashes(content) {
-			fatal = append(fatal, content)
+		if e.crashOn != "" && e.crashes(e.contentOf(p)) {
+			fatal = append(fatal, e.contentOf(p))
 		}
 		batch = append(batch, p)
 	}
--- a/internal/standin/engine_test.go
+++ b/internal/standin/engine_test.go
@@ -24,6 +24,12 @@
 	return client
 }
 
+func dialPlain(address string) *enginehttp.PlainClient {
+	client := enginehttp.NewPlain(address, enginehttp.Options{ProgressTimeout: generous})
+	DeferCleanup(client.Close)
+	return client
+}
+
 var _ = Describe("an engine's answers", func() {
 	var c *chain
 	var a *attempt
