Bar a lost claim on a voided key; answer repeats from the home's memory

A chain with a restarted stage could be continued over what that stage had forgotten.

Change: a claim voids at the revision where a write of its own may land. A home answers a write below a revision that it has seen itself; a claimant reads a claimed row afresh before it joins or takes over. EvidenceHeld counts only with unchanged boots.

--- a/coordination/claims/batcher.go
+++ b/coordination/claims/batcher.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"time"
 
+	lru "github.com/hashicorp/golang-lru/v2"
+
 	"github.com/hibiscuswick/hibiscuswick/coordination/store"
 	"github.com/hibiscuswick/hibiscuswick/state"
 )
@@ -63,6 +65,12 @@
 	// are read one by one; a larger one is halved.
 	ReadBelow int
 
+	// Remembered is how many rows a home keeps to answer repeats from, each for
+	// RememberFor, far less than the sweep's retention. A repeat that went to
+	// the store would fail the whole transaction that it is in.
+	Remembered  int
+	RememberFor time.Duration
+
 	LazyDelay time.Duration // longest wait of a lazy write for company
 	Retry     time.Duration // back-off after a transaction that was not answered
 	Patience  time.Duration // after it a write is answered Unanswered
@@ -75,6 +83,8 @@
 		MaxInFlight: 1,
 		MaxPending:  8192,
 		ReadBelow:   8,
+		Remembered:  32768,
+		RememberFor: 10 * time.Minute,
 		LazyDelay:   200 * time.Millisecond,
 		Retry:       100 * time.Millisecond,
 		Patience:    time.Second,
@@ -142,6 +152,7 @@
 	urgent  []*item
 	lazy    []*item
 	byKey   map[string]*item
+	recent  *lru.Cache[string, seen]
 	flights map[store.CallID]*flight
 	order   []store.CallID // ids of flights, oldest first
 	last    store.CallID
@@ -152,18 +163,30 @@
 
 // BatchStats counts what a Batcher did since it was made.
 type BatchStats struct {
-	Wanted    int // writes asked for
-	Joined    int // of them, not sent because another of the key was under way
-	Txns      int // transactions sent
-	Rows      int // rows in them
-	Reads     int // rows read to settle conflicts
-	Conflicts int // transactions that conflicted
+	Wanted     int // writes asked for
+	Joined     int // of them, not sent because another of the key was under way
+	Remembered int // of them, answered by a row that this home knew
+	Txns       int // transactions sent
+	Rows       int // rows in them
+	Reads      int // rows read to settle conflicts
+	Conflicts  int // transactions that conflicted
+}
+
+// seen is a row as a home last saw it.
+type seen struct {
+	row store.Row
+	at  time.Time
 }
 
 // NewBatcher returns an empty Batcher.
 func NewBatcher(cfg BatchConfig) *Batcher {
+	recent, err := lru.New[string, seen](cfg.Remembered)
+	if err != nil {
+		panic("claims: BatchConfig.Remembered must be positive: " + err.Error())
+	}
 	return &Batcher{
 		cfg:     cfg,
+		recent:  recent,
 		byKey:   make(map[string]*item),
 		flights: make(map[store.CallID]*flight),
 	}
@@ -219,6 +242,11 @@
 		lead.followers = append(lead.followers, it)
 		return
 	}
+	if row, ok := b.remembered(it); ok {
+		b.stats.Remembered++
+		b.reply(it, store.Conflict, &row)
+		return
+	}
 	if len(b.byKey) >= b.cfg.MaxPending {
 		b.reply(it, store.NotSent, nil)
 		return
@@ -226,6 +254,17 @@
 	b.queue(it)
 }
 
+// remembered returns a row that shows that the write can't land: revisions only
+// grow. The row may have changed since; whatever the claimant does next is
+// conditioned on its revision, or ends in a phase that does not change.
+func (b *Batcher) remembered(it *item) (store.Row, bool) {
+	s, ok := b.recent.Get(it.req.Key)
+	if !ok || b.now.Sub(s.at) > b.cfg.RememberFor || s.row.Revision <= it.req.Base {
+		return store.Row{}, false
+	}
+	return s.row, true
+}
+
 func (b *Batcher) queue(it *item) {
 	b.byKey[it.req.Key] = it
 	if it.req.Lazy {
@@ -418,6 +457,9 @@
 func (b *Batcher) finish(it *item, status store.Status, row *store.Row) {
 	b.reply(it, status, row)
 	delete(b.byKey, it.req.Key)
+	if row != nil {
+		b.recent.Add(it.req.Key, seen{row: *row, at: b.now})
+	}
 	if len(it.followers) == 0 {
 		return
 	}
--- a/coordination/claims/batcher_test.go
+++ b/coordination/claims/batcher_test.go
@@ -20,8 +20,11 @@
 	store     *table
 	homes     []*claims.Batcher
 	latency   time.Duration
+	pace      time.Duration // between transactions of a home, 0 for none
+	free      []time.Time   // when a home may send its next
 	due       []dueCall
 	lazy      []lazyWrite
+	homeKnows bool // repeats are of keys that the home saw
 	asked     map[uint64]time.Time
 	waits     []time.Duration
 	conflicts int
@@ -46,13 +49,26 @@
 	for _, a := range actions {
 		switch a := a.(type) {
 		case claims.CallStore:
-			l.due = append(l.due, dueCall{l.now.Add(l.latency), home, a.Call})
+			at := l.now
+			if a.Call.Writes() {
+				at = later(at, l.free[home])
+				l.free[home] = at.Add(l.pace)
+			}
+			l.due = append(l.due, dueCall{at.Add(l.latency), home, a.Call})
+			slices.SortStableFunc(l.due, func(a, b dueCall) int { return a.at.Compare(b.at) })
 		case claims.Reply:
 			l.replied(a.Reply)
 		}
 	}
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 func (l *load) replied(r claims.WriteReply) {
 	at, ok := l.asked[r.Call]
 	if !ok {
@@ -68,6 +84,16 @@
 	l.lazy = append(l.lazy, lazyWrite{l.now.Add(time.Second), req})
 }
 
+// repeat returns the key of a claim of late, or marks key as claimed before
+// through another home.
+func (l *load) repeat(n uint64, key string) string {
+	if l.homeKnows {
+		return fmt.Sprintf("k%08d", n-min(n-1, l.rng.Uint64N(1000)))
+	}
+	l.store.rows[key] = store.Row{Key: key, Value: []byte("other"), Revision: 3}
+	return key
+}
+
 // run returns the claims asked for.
 func (l *load) run(perSecond float64, repeats float64, span time.Duration) int {
 	const tick = time.Millisecond
@@ -80,7 +106,7 @@
 			next += l.rng.ExpFloat64() / perSecond
 			key := fmt.Sprintf("k%08d", n)
 			if l.rng.Float64() < repeats {
-				l.store.rows[key] = store.Row{Key: key, Value: []byte("other"), Revision: 3}
+				key = l.repeat(n, key)
 			}
 			l.asked[n] = l.now
 			h := l.homeOf(key)
@@ -116,26 +142,47 @@
 		for _, homes := range []int{1, 4, 9, 64} {
 			b.Run(fmt.Sprintf("claims=%v/homes=%d", rate, homes), func(b *testing.B) {
 				for b.Loop() {
-					measure(b, rate, homes)
+					measure(b, rate, homes, 0, 0.01, false)
 				}
 			})
 		}
 	}
 }
 
-func measure(b *testing.B, rate float64, homes int) {
+// BenchmarkPacedClaims gives each of four key homes 33 transactions a second,
+// halves of split ones included: its share of the site's writes among 420
+// daemons.
+func BenchmarkPacedClaims(b *testing.B) {
+	for _, rate := range []float64{500, 1000, 2000, 3000, 4000} {
+		for _, repeats := range []float64{0.001, 0.01} {
+			for _, known := range []bool{false, true} {
+				b.Run(fmt.Sprintf("claims=%v/repeats=%v/known=%v", rate, repeats, known), func(b *testing.B) {
+					for b.Loop() {
+						measure(b, rate, 4, time.Second/33, repeats, known)
+					}
+				})
+			}
+		}
+	}
+}
+
+func measure(b *testing.B, rate float64, homes int, pace time.Duration, repeats float64, known bool) {
 	const span = 20 * time.Second
 	l := &load{
 		now:     time.Unix(0, 0),
 		rng:     rand.New(rand.NewPCG(1, 1)),
 		store:   &table{rows: map[string]store.Row{}},
 		latency: 10 * time.Millisecond,
-		asked:   map[uint64]time.Time{},
+		pace:    pace,
+		free:    make([]time.Time, homes),
+
+		homeKnows: known,
+		asked:     map[uint64]time.Time{},
 	}
 	for range homes {
 		l.homes = append(l.homes, claims.NewBatcher(claims.DefaultBatchConfig()))
 	}
-	n := l.run(rate, 0.01, span)
+	n := l.run(rate, repeats, span)
 	var s claims.BatchStats
 	for _, h := range l.homes {
 		s.Txns += h.Stats().Txns
@@ -147,6 +194,7 @@
 	b.ReportMetric(float64(s.Rows)/float64(n), "rows/claim")
 	b.ReportMetric(float64(s.Reads)/float64(n), "reads/claim")
 	b.ReportMetric(float64(s.Txns)/span.Seconds(), "txns/s")
+	b.ReportMetric(float64(n-len(l.waits))/float64(n), "unanswered/claim")
 	b.ReportMetric(float64(l.waits[len(l.waits)*99/100].Milliseconds()), "p99-wait-ms")
 	b.ReportMetric(0, "ns/op")
 }
--- a/coordination/claims/events.go
+++ b/coordination/claims/events.go
@@ -70,7 +70,8 @@
 	// holds nothing of the attempt. It counts only with equal Boots.
 	EvidenceNeverBegan
 	// EvidenceHeld: the servers hold the attempt whole, so it can go on from
-	// where it is, or is complete.
+	// where it is, or is complete. It counts only if no Boot that was recorded
+	// changed.
 	EvidenceHeld
 )
 
--- a/coordination/claims/failure_test.go
+++ b/coordination/claims/failure_test.go
@@ -100,6 +100,32 @@
 		Expect(w.began[id]).To(BeZero())
 	})
 
+	// A key was voided; a repeat claims it anew, its write is lost on the way,
+	// and it gives up and reads the old void. The lost write lands after all:
+	// it must not lock the key behind a caller that was told "not run".
+	It("bars its own lost write when it gives up", Label("failure:store-answer-lost"), func() {
+		w := steady(2)
+		first := w.submit(w.nodes[0], "k", "x", 0, time.Minute)
+		w.step(w.nodes[0], w.nodes[0].claims[0], claims.GiveUp{Reason: state.ReasonCanceled})
+		w.outage(100*time.Millisecond, fateOK)
+		Expect(w.last(first)).To(Equal(claims.VerdictNotRun))
+		w.choose = func(n int, _ string) int { return n - 1 }
+		second := w.submit(w.nodes[1], "k", "x", 2, time.Minute) // a plain service
+		w.deliverCall(w.lastReal(), fateOK)                      // conflicts
+		w.deliverCall(w.lastReal(), fateOK)                      // the home reads the void
+		w.step(w.nodes[1], w.nodes[1].claims[0], claims.GiveUp{Reason: state.ReasonCanceled})
+		w.outage(1500*time.Millisecond, fateLate)
+		late := w.store.late
+		w.store.late = nil
+		w.outage(2*time.Second, fateOK)
+		Expect(w.last(second)).To(Equal(claims.VerdictNotRun))
+		w.store.late = late
+		w.settle()
+		third := w.submit(w.nodes[1], "k", "x", 0, time.Minute)
+		w.settle()
+		Expect(w.began[third]).To(Equal(1))
+	})
+
 	// The claim is held when the caller leaves, and the store is down, so that
 	// it can't be voided. The caller's repeat comes to the same daemon and
 	// runs on the claim that stands, without the store.
@@ -161,6 +187,27 @@
 		}
 	})
 
+	// The daemon dies mid-stream, and one stage of the chain restarts. What
+	// the other stages hold must not be continued over it: the stage that
+	// forgot would run a step that it ran before.
+	It("is not continued over a stage that forgot", Label("failure:daemon-dies-mid-stream"), func() {
+		for _, boots := range [][]string{{"boot-0"}, {"another"}, nil} {
+			w := steady(2)
+			w.submit(w.nodes[0], "k", "x", 0, time.Minute)
+			w.calls(fateOK)
+			w.nodes[0].dead = true
+			w.choose = func(n int, _ string) int { return n - 1 }
+			b := w.submit(w.nodes[1], "k", "x", 1, time.Minute)
+			w.calls(fateOK)
+			Expect(w.asks).To(HaveLen(1))
+			ask := w.asks[0]
+			w.step(ask.owner, ask.claim, claims.Evidence{Epoch: ask.rec.Epoch, Kind: claims.EvidenceHeld, Boots: boots})
+			same := len(boots) == 1 && boots[0] == "boot-0"
+			Expect(ask.claim.continued).To(Equal(same))
+			Expect(w.last(b) == claims.VerdictUnknown).To(Equal(!same))
+		}
+	})
+
 	// A daemon dies between claim and dispatch. The engine has not restarted
 	// and says that nothing began, so the repeat runs; the dead daemon's step,
 	// should it still be on its way, is barred.
--- a/coordination/claims/judge.go
+++ b/coordination/claims/judge.go
@@ -27,7 +27,7 @@
 		c.finish(verdictOf(rec.Phase), rec)
 	case c.intent == intentVoid:
 		c.finish(VerdictJoin, rec)
-	case c.view.Owns(rec):
+	case c.view.Owns(rec) && !c.mayLandAt(revision):
 		c.mode = modeJoined
 		c.joined = rec
 		c.base = revision
@@ -48,6 +48,10 @@
 func (c *Claim) reclaim(rec Record, revision uint64) {
 	c.clean = true
 	if c.intent == intentVoid {
+		if c.mayLandAt(revision) {
+			c.advance() // our own void bars the claim that is still under way
+			return
+		}
 		c.finish(VerdictNotRun, Record{})
 		return
 	}
@@ -60,6 +64,12 @@
 	}, revision)
 }
 
+// mayLandAt reports whether a write of ours, conditioned on the revision at which
+// the row stands, may still be under way.
+func (c *Claim) mayLandAt(revision uint64) bool {
+	return c.sentSeq > 0 && c.base == revision
+}
+
 // takeOver claims the row of an owner that is gone. The higher epoch bars its
 // late steps at backend servers that are asked with it.
 func (c *Claim) takeOver(rec Record, revision uint64) {
@@ -80,7 +90,7 @@
 		return
 	}
 	switch {
-	case ev.Kind == EvidenceHeld:
+	case ev.Kind == EvidenceHeld && !forgot(c.target.Slot.Backends, ev.Boots):
 		c.mode = modeHeld
 		c.dispatched = true
 		c.continued = true
@@ -114,3 +124,15 @@
 	recorded := lo.Map(backends, func(b Backend, _ int) string { return b.Boot })
 	return len(recorded) > 0 && !slices.Contains(recorded, "") && slices.Equal(recorded, boots)
 }
+
+// forgot reports whether a backend server with a boot has another one now. In a
+// chain that holds the attempt elsewhere, such a stage would run its last step
+// once more.
+func forgot(backends []Backend, boots []string) bool {
+	for i, b := range backends {
+		if b.Boot != "" && (i >= len(boots) || boots[i] != b.Boot) {
+			return true
+		}
+	}
+	return false
+}
--- a/coordination/claims/write.go
+++ b/coordination/claims/write.go
@@ -92,7 +92,7 @@
 		c.advance()
 	case store.Conflict:
 		c.sentSeq = c.sentPrev
-		if row, ok := res.Row(); ok { // the key's home read it for us
+		if row, ok := res.Row(); ok && c.final(row) {
 			c.sawRow(row)
 			return
 		}
@@ -110,6 +110,14 @@
 	}
 }
 
+// final reports whether a row that the key's home knew is enough to decide on:
+// it may be older than the store's. One that another claimed is read afresh,
+// or a repeat would wait for an owner that has voided it since.
+func (c *Claim) final(row store.Row) bool {
+	rec, err := DecodeRecord(row)
+	return err == nil && (rec.Nonce == c.req.Nonce || rec.Phase != PhaseClaimed)
+}
+
 func (c *Claim) didRead(res store.Result) {
 	if res.Status != store.Done {
 		c.later()
