Tell the story of a request that crashes servers

Cause: the quarantine had no story beside the request, its retries and the home.

Change: a scenario's site may have quarantines; a prompt with "crash" in it crashes every engine that runs it. Story request-crashes-servers.

Conclusion: the machine holds its bound of two crashes for a caller that repeats after it was told.

--- a/scenario/args.go
+++ b/scenario/args.go
@@ -28,6 +28,16 @@
 	return ""
 }
 
+// has reports whether a word stands among the arguments.
+func (a args) has(word string) bool {
+	for _, arg := range a.d.CmdArgs {
+		if arg.Key == word && len(arg.Vals) == 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // text returns the value of name, or def.
 func (a args) text(name, def string) string {
 	for _, arg := range a.d.CmdArgs {
@@ -90,7 +100,8 @@
 	l.Slots, errs[3] = a.number("slots", defaultSlots)
 	l.StepTime, errs[4] = a.duration("step", defaultStepTime)
 	l.StoreTime, errs[5] = a.duration("store", defaultStore)
-	l.Documents = a.word(0) == "documents"
+	l.Documents = a.has("documents")
+	l.Quarantine = a.has("quarantine")
 	for _, err := range errs {
 		if err != nil {
 			return l, err
--- a/scenario/books.go
+++ b/scenario/books.go
@@ -40,6 +40,11 @@
 	if stage > 0 && b.layers[layerRun{work: k, token: token, stage: stage - 1}] == 0 {
 		w.violated("stage %d ran before the one below for token %d of %s", stage+1, token, k.request)
 	}
+	b.began(w, k)
+}
+
+// began notes that an engine began an attempt.
+func (b *books) began(w *World, k work) {
 	if b.refused[k] {
 		w.violated("%s was refused as not run, and ran", k.request)
 	}
--- a/scenario/command_faults.go
+++ b/scenario/command_faults.go
@@ -22,6 +22,9 @@
 	w.say("%s dies", name)
 	n.dead = true
 	w.pool.membersChanged()
+	if n.quarantine != nil {
+		w.tellQuarantines()
+	}
 	return nil
 }
 
--- a/scenario/engine.go
+++ b/scenario/engine.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"time"
 
 	"github.com/hibiscuswick/hibiscuswick/coordination/request"
 	"github.com/hibiscuswick/hibiscuswick/state"
@@ -61,6 +62,16 @@
 	e.caches = make(map[work]*cache)
 }
 
+// restartAfter is how long an engine that crashed is gone.
+const restartAfter = time.Second
+
+// crash ends the engine's process, which starts anew by itself.
+func (e *engine) crash() {
+	e.w.say("%s crashes", e.name)
+	e.kill()
+	e.w.after(restartAfter, func() { e.dead = false })
+}
+
 func (e *engine) cache(k work) *cache {
 	c, ok := e.caches[k]
 	if !ok {
--- a/scenario/node.go
+++ b/scenario/node.go
@@ -5,6 +5,7 @@
 
 	"github.com/hibiscuswick/hibiscuswick/coordination/claims"
 	"github.com/hibiscuswick/hibiscuswick/coordination/documents"
+	"github.com/hibiscuswick/hibiscuswick/coordination/quarantine"
 	"github.com/hibiscuswick/hibiscuswick/coordination/request"
 	"github.com/hibiscuswick/hibiscuswick/coordination/retry"
 	"github.com/hibiscuswick/hibiscuswick/state"
@@ -26,9 +27,11 @@
 	claims  []*claim
 	retries *retry.Budgets
 	docs    *documents.Documents // nil where the site has none
+
+	quarantine *quarantined // nil where the site has none
 }
 
-func (w *World) addNode(name string, owner uint32, withDocuments bool) {
+func (w *World) addNode(name string, owner uint32, l Layout) {
 	n := &node{
 		w:       w,
 		name:    name,
@@ -37,9 +40,12 @@
 		retries: retry.New(retry.Config{}, w.now, w.rng),
 	}
 	w.nodes = append(w.nodes, n)
-	if withDocuments {
+	if l.Documents {
 		n.startDocuments()
 	}
+	if l.Quarantine {
+		n.quarantine = newQuarantined(n)
+	}
 }
 
 // do lets something reach the daemon: now, when it wakes, or never.
@@ -80,6 +86,9 @@
 	if n.docs != nil {
 		next = earlier(next, n.docs.NextTick())
 	}
+	if n.quarantine != nil {
+		next = earlier(next, n.quarantine.m.NextTick())
+	}
 	return next
 }
 
@@ -100,6 +109,9 @@
 	if n.docs != nil && due(n.docs.NextTick(), n.w.now) {
 		n.stepDocuments(documents.Tick{})
 	}
+	if n.quarantine != nil && due(n.quarantine.m.NextTick(), n.w.now) {
+		n.quarantine.step(quarantine.Tick{})
+	}
 }
 
 // run returns the daemon's run of a request, or nil.
--- a/scenario/pool.go
+++ b/scenario/pool.go
@@ -97,12 +97,13 @@
 	return home.Ask{Request: state.RequestID(r.n.name + "/" + r.name()), Attempt: a}
 }
 
-func (p *pool) ask(r *run, a request.AskSlot) {
+func (p *pool) ask(r *run, a request.AskSlot, alone bool) {
 	ask := askOf(r, a.Attempt)
 	p.wants[ask] = r
 	p.received(r.n, home.SlotRequest{
 		Ask: ask, Pool: poolID, Class: r.spec.Class, Customer: r.spec.Customer,
 		Budget: r.spec.FirstTokenBy.Sub(p.w.now), Cost: uint32(r.spec.MaxTokens), Exclude: a.Exclude,
+		Alone: alone,
 	})
 }
 
@@ -132,6 +133,9 @@
 		}
 		replica.Stages[i].Life = e.lifeName()
 	}
+	if q := r.n.quarantine; q != nil {
+		q.granted(r, replica)
+	}
 	r.feed(request.SlotGranted{Grant: m.Ask.Attempt, Replica: replica})
 }
 
--- a/scenario/run.go
+++ b/scenario/run.go
@@ -91,14 +91,9 @@
 }
 
 func (r *run) carryOut(a request.Action) {
-	w := r.n.w
 	switch a := a.(type) {
-	case request.AskSlot:
-		w.pool.ask(r, a)
-	case request.StopAsking:
-		w.pool.stop(r, a.Attempt)
-	case request.ReleaseSlot:
-		w.pool.release(r, a)
+	case request.AskSlot, request.StopAsking, request.ReleaseSlot:
+		r.slot(a)
 	case request.RunStep:
 		r.send(a)
 	case request.AskHeld:
@@ -126,6 +121,30 @@
 	}
 }
 
+// slot carries out what concerns slots, by way of the quarantine if there is one.
+func (r *run) slot(a request.Action) {
+	w, q := r.n.w, r.n.quarantine
+	switch a := a.(type) {
+	case request.AskSlot:
+		if q != nil {
+			q.ask(r, a)
+			return
+		}
+		w.pool.ask(r, a, false)
+	case request.StopAsking:
+		if q != nil {
+			q.stop(r)
+		}
+		w.pool.stop(r, a.Attempt)
+	case request.ReleaseSlot:
+		if q != nil {
+			q.looked(r)
+			q.released(r, a)
+		}
+		w.pool.release(r, a)
+	}
+}
+
 // send lets a step travel to its stage, with the mishap that waits there.
 func (r *run) send(a request.RunStep) {
 	w := r.n.w
@@ -157,6 +176,10 @@
 	w := r.n.w
 	life := e.life
 	w.after(hop+w.stepTime, func() {
+		if crashes(r.spec.Prompt) && e.life == life {
+			w.books.began(w, work{request: r.execution, attempt: a.Step.Attempt})
+			e.crash()
+		}
 		if e.life != life {
 			r.later(hop, request.StepUnanswered{Step: a.Step})
 			return
--- a/scenario/world.go
+++ b/scenario/world.go
@@ -44,6 +44,8 @@
 	StepTime  time.Duration
 	StoreTime time.Duration // of one call
 	Documents bool          // the daemons keep service documents
+
+	Quarantine bool // the daemons quarantine what crashes engines
 }
 
 // seed makes every run of a script alike.
@@ -64,9 +66,12 @@
 		w.addReplica(r, l)
 	}
 	for i := 1; i <= l.Daemons; i++ {
-		w.addNode(fmt.Sprintf("d%d", i), uint32(i), l.Documents)
+		w.addNode(fmt.Sprintf("d%d", i), uint32(i), l)
 	}
 	w.pool = newPool(w)
+	if l.Quarantine {
+		w.tellQuarantines()
+	}
 	w.settle()
 	return w
 }
