--- a/coordination/limit/bucket.go
+++ b/coordination/limit/bucket.go
@@ -58,11 +58,11 @@
 	b.seats = seats
 }
 
-// mint adds what the time since the last settling allows. Seats may have been
-// lost meanwhile, so the smaller number counts; a gain is settled before it
+// mint adds what the time since the last settling allows with seats: those left
+// now, since a loss may go unnoticed, while each gain is settled before it
 // counts. The clock may be fast, so the rate is lowered by the drift.
 func (b *bucket) mint(now time.Time, seats int, cfg *Config) {
-	burst, rate := b.limit.share(min(seats, b.seats), cfg.Total)
+	burst, rate := b.limit.share(seats, cfg.Total)
 	if d := now.Sub(b.settled); d > 0 {
 		b.level += rate * (1 - cfg.Drift) * d.Seconds()
 		b.settled = now
--- a/coordination/limit/holder.go
+++ b/coordination/limit/holder.go
@@ -17,7 +17,8 @@
 	asks    int       // since the last regular tick
 	rate    float64   // smoothed asks a second
 	active  time.Time // when last asked for
-	tight   bool      // the owner can't mint before spent tokens are reported
+	tight   bool      // the owner mints nothing before it has word of spent tokens
+	word    bool      // it wants word of batches that were spent whole
 }
 
 // held is one batch as its holder sees it.
@@ -101,13 +102,21 @@
 	}
 }
 
+// untold reports whether the owner of s is to be told of h.
+func (e *entry) untold(h *held, s *session) bool {
+	if h.owner != s.member || h.spent == h.size && !e.word {
+		return false
+	}
+	return h.spent != h.sentSpent || h.closed != h.sentClose || h.sentStamp > s.echoed
+}
+
 // use writes what a Report to the owner of s says of the entry; wants is
 // whether that owner is the one to ask.
 func (e *entry) use(now time.Time, s *session, stamp int64, wants bool, cfg *Config) (Use, bool) {
 	u := Use{Service: e.key.Service, Customer: e.key.Customer}
 	for i := range e.held {
 		h := &e.held[i]
-		if h.owner != s.member || h.spent == h.sentSpent && h.closed == h.sentClose && h.sentStamp <= s.echoed {
+		if !e.untold(h, s) {
 			continue
 		}
 		h.sentStamp, h.sentSpent, h.sentClose = stamp, h.spent, h.closed
--- a/coordination/limit/lender.go
+++ b/coordination/limit/lender.go
@@ -31,12 +31,15 @@
 
 // ready reports whether the seat can be lent at all.
 //
-// A new life waits until the loans of the one before have run out. A daemon
-// whose last round trip to another is old may have been paused for long and
+// A new life waits until the loans of the one before have run out, and those
+// that an owner took from it before it heard of the new one, which writes to
+// all seats at once: it must reach those that the old one reaches within
+// SilentFor. A daemon whose last round trip to another is old may have been paused for long and
 // replaced by a later life that lends the same seat; the answer to its next
 // Report tells it.
 func (l *lender) ready(now time.Time) bool {
-	if l.stopped || now.Before(l.start.Add(l.cfg.outlast(l.cfg.LoanLife))) {
+	holdOff := l.cfg.outlast(l.cfg.LoanLife + l.cfg.SilentFor)
+	if l.stopped || now.Before(l.start.Add(holdOff)) {
 		return false
 	}
 	alone := len(l.cfg.Seats) == 1
--- a/coordination/limit/message.go
+++ b/coordination/limit/message.go
@@ -72,10 +72,14 @@
 	// was needed.
 	WaitMillis uint32 `msgpack:"w,omitempty"`
 
-	// Tight reports that nothing can be minted until tokens are reported
-	// spent.
+	// Tight reports that the whole burst is out in batches: nothing is minted
+	// until the word on spent tokens comes.
 	Tight bool `msgpack:"g,omitempty"`
 
+	// Word reports that much of the burst is out in batches. Else a batch that
+	// was spent whole needs no word: it is taken as spent when it runs out.
+	Word bool `msgpack:"d,omitempty"`
+
 	// Unready reports that the sender has no seats for the key, so that
 	// nothing is known of the limit.
 	Unready bool `msgpack:"u,omitempty"`
--- a/coordination/limit/owner.go
+++ b/coordination/limit/owner.go
@@ -6,6 +6,10 @@
 	"github.com/hibiscuswick/hibiscuswick/state"
 )
 
+// wordPart of the burst, as one in so many, may be out in batches before the
+// holders are to tell of each that was spent whole.
+const wordPart = 8
+
 // owner is the part of a Limiter that borrows seats and gives out tokens.
 type owner struct {
 	cfg       *Config
@@ -197,6 +201,7 @@
 	}
 	burst, _ := b.limit.share(seats, o.cfg.Total)
 	share.Tight = b.outstanding >= burst
+	share.Word = wordPart*b.outstanding >= burst
 	if n < int(u.Need) {
 		share.WaitMillis = uint32(b.wait(o.cfg).Milliseconds())
 	}
--- a/coordination/limit/requests.go
+++ b/coordination/limit/requests.go
@@ -114,6 +114,7 @@
 		})
 	}
 	e.tight = sh.Tight
+	e.word = sh.Word
 	n := 0
 	for n < len(e.pending) && e.spend(now) {
 		m.out = append(m.out, Admit{Call: e.pending[n].call})
