Give returned replicas work again; tell regions as the list tells them

Cause: a replica whose backend server said that it was leaving stayed without work after the server's return; the router knew no regions, so that pools could span them.

--- a/coordination/route/event.go
+++ b/coordination/route/event.go
@@ -47,6 +47,13 @@
 	Replicas []state.Replica
 }
 
+// RegionsChanged tells the region of each failure domain known now. It takes
+// effect on a service's pools with its next ReplicasChanged, so that a list that
+// grows does not move them twice.
+type RegionsChanged struct {
+	Regions map[state.FailureDomain]state.Region
+}
+
 // ReplicaLeaving says that a replica gets no new work.
 type ReplicaLeaving struct {
 	Replica state.ReplicaID
@@ -91,6 +98,7 @@
 func (ReplicasChanged) event() {}
 func (ReplicaLeaving) event()  {}
 func (ReplicaReturned) event() {}
+func (RegionsChanged) event()  {}
 func (Want) event()            {}
 func (Done) event()            {}
 func (Cancel) event()          {}
@@ -135,7 +143,8 @@
 	Self   state.Member
 	Region state.Region
 
-	// Regions tells the region of each failure domain. Replicas of domains
+	// Regions tells the region of each failure domain known at the start; see
+	// RegionsChanged. Replicas of domains
 	// that it lacks share one region without a name.
 	Regions map[state.FailureDomain]state.Region
 
--- a/coordination/route/router.go
+++ b/coordination/route/router.go
@@ -61,6 +61,8 @@
 		r.replicas(now, e)
 	case ReplicaLeaving:
 		r.leaving[e.Replica] = true
+	case RegionsChanged:
+		r.cfg.Regions = e.Regions
 	case ReplicaReturned:
 		delete(r.leaving, e.Replica)
 	case Want:
@@ -91,6 +93,11 @@
 	return p.home, true
 }
 
+// HomeOf returns the home daemon of a replica's pool as this daemon sees it.
+func (r *Router) HomeOf(replica state.ReplicaID) (state.DaemonID, bool) {
+	return r.Home(r.layout.ofRep[replica])
+}
+
 func (r *Router) send(to state.DaemonID, msg home.Message) {
 	r.out = append(r.out, Send{To: to, Msg: msg})
 }
--- a/daemon/backends.go
+++ b/daemon/backends.go
@@ -114,8 +114,11 @@
 	}
 	b.reported = kind
 	p.c.members.step(membership.ReportBackend{Backend: rep.backend, Kind: kind})
-	if kind == membership.BackendLeaving {
+	switch kind {
+	case membership.BackendLeaving:
 		p.leaving(rep.backend)
+	default:
+		p.c.slots.backendReturned(rep.backend)
 	}
 }
 
@@ -134,8 +137,12 @@
 
 // learned takes a fact that another daemon found out.
 func (p *backendsPart) learned(f membership.Fact) {
-	if f.Kind == membership.BackendLeaving {
+	switch f.Kind {
+	case membership.BackendLeaving:
 		p.leaving(state.BackendID(f.Subject))
+	case membership.BackendAvailable:
+		p.c.slots.backendReturned(state.BackendID(f.Subject))
+	default:
 	}
 }
 
--- a/daemon/instances.go
+++ b/daemon/instances.go
@@ -8,6 +8,7 @@
 	"github.com/samber/lo"
 
 	"github.com/hibiscuswick/hibiscuswick/coordination/membership"
+	"github.com/hibiscuswick/hibiscuswick/coordination/route"
 	"github.com/hibiscuswick/hibiscuswick/protocol/platform"
 	"github.com/hibiscuswick/hibiscuswick/state"
 	"github.com/hibiscuswick/hibiscuswick/telemetry"
@@ -83,6 +84,9 @@
 		return i.Address, i.Role == platform.RoleEntry
 	})
 	p.seed(seeds)
+	p.c.slots.route(route.RegionsChanged{Regions: lo.SliceToMap(list, func(i platform.Instance) (state.FailureDomain, state.Region) {
+		return i.Domain, i.Region
+	})})
 	p.c.slots.instancesChanged()
 }
 
--- a/daemon/slots.go
+++ b/daemon/slots.go
@@ -238,6 +238,21 @@
 	return r, true
 }
 
+// backendReturned gives the replicas with a backend server work again, unless
+// another of their servers is still leaving.
+func (p *slotsPart) backendReturned(id state.BackendID) {
+	for _, r := range p.replicas {
+		if !slices.ContainsFunc(r.Stages, func(s state.Stage) bool { return s.Backend == id }) {
+			continue
+		}
+		if r.Leaving || p.anyLeaving(r) {
+			continue
+		}
+		p.route(route.ReplicaReturned{Replica: r.ID})
+		p.home(home.ReplicaReturned{Replica: r.ID})
+	}
+}
+
 func (p *slotsPart) replicaLeaving(id state.ReplicaID) {
 	p.route(route.ReplicaLeaving{Replica: id})
 	p.home(home.ReplicaLeaving{Replica: id})
