--- a/daemon/batcher.go
+++ b/daemon/batcher.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/hibiscuswick/hibiscuswick/coordination/claims"
 	"github.com/hibiscuswick/hibiscuswick/coordination/store"
+	"github.com/hibiscuswick/hibiscuswick/state"
 	tpeer "github.com/hibiscuswick/hibiscuswick/transport/peer"
 )
 
@@ -17,6 +19,8 @@
 type batcherPart struct {
 	c       *control
 	m       *claims.Batcher
+	sweeper *claims.Sweeper
+	homes   []state.DaemonID // as the sweeper was told
 	waiting map[uint64]batchWait
 	last    uint64
 }
@@ -29,11 +33,44 @@
 }
 
 func newBatcherPart(c *control) *batcherPart {
-	return &batcherPart{c: c, m: claims.NewBatcher(claims.DefaultBatchConfig()), waiting: make(map[uint64]batchWait)}
+	return &batcherPart{
+		c:       c,
+		m:       claims.NewBatcher(claims.DefaultBatchConfig()),
+		sweeper: claims.NewSweeper(claims.DefaultSweepConfig(), c.d.self.ID, uint16(c.rng.Uint32())),
+		waiting: make(map[uint64]batchWait),
+	}
+}
+
+func (p *batcherPart) nextTick(now time.Time) time.Time {
+	if !slices.Equal(p.homes, p.c.members.keyHomes) {
+		return now
+	}
+	next, sweep := p.m.NextTick(), p.sweeper.NextTick()
+	if next.IsZero() || !sweep.IsZero() && sweep.Before(next) {
+		return sweep
+	}
+	return next
 }
 
-func (p *batcherPart) nextTick(time.Time) time.Time { return p.m.NextTick() }
-func (p *batcherPart) tick(time.Time)               { p.step(claims.Tick{}) }
+func (p *batcherPart) tick(now time.Time) {
+	if !slices.Equal(p.homes, p.c.members.keyHomes) {
+		p.homes = slices.Clone(p.c.members.keyHomes)
+		p.sweeper.SetHomes(now, p.homes)
+	}
+	p.step(claims.Tick{})
+	if call, due := p.sweeper.Tick(now); due {
+		p.sweep(call)
+	}
+}
+
+// sweep makes one call of the sweeper, which deletes claims past their retention.
+func (p *batcherPart) sweep(call store.Call) {
+	p.c.store.do(call, func(res store.Result) {
+		if next, due := p.sweeper.Answered(p.c.now, res); due {
+			p.sweep(next)
+		}
+	})
+}
 
 // write has one claim row written by the key's home; answer runs on the control
 // goroutine, exactly once.
--- a/daemon/claims.go
+++ b/daemon/claims.go
@@ -27,7 +27,7 @@
 	r         *runner // nil when the request has ended
 	voiding   bool    // r waits for VoidSettled
 	settled   bool    // r has had an answer to its PutClaim
-	onRelease []func()
+	onRelease []func() // once the outcome is in the row
 }
 
 func newClaimsPart(c *control) *claimsPart {
@@ -75,6 +75,8 @@
 	case run.r == r:
 		run.settled = false
 		run.step(claims.Move{Slot: slot, Proof: a.Proof})
+	case run.m.Request().Content != r.content:
+		go r.post(request.ClaimSettled{Result: request.ClaimElsewhere, Reason: state.ReasonKeyReused})
 	case run.r == nil && run.m.Reusable():
 		run.r = r
 		run.settled = false
@@ -196,9 +198,20 @@
 		run.verdict(a)
 	case claims.Released:
 		delete(run.p.byKey, run.m.Key())
-		for _, f := range run.onRelease {
-			f()
-		}
+		run.released(a.Recorded)
+	}
+}
+
+// released frees what waited for the outcome to be in the row. Where it could not
+// be written, the backend servers keep the attempt until they forget it by
+// themselves: freed, it would look as if it had never begun, and a takeover by
+// the row would run it again.
+func (run *claimRun) released(recorded bool) {
+	if !recorded {
+		return
+	}
+	for _, f := range run.onRelease {
+		f()
 	}
 }
 
