Measure innocents and the spread of a death's word

Cause: false convictions and the time until all daemons know of a death were not measured; at 420 daemons a fan-out of 4 left some to the comparison. Change: specs for both; each daemon tells news on to 6 others instead of 4.

--- a/coordination/quarantine/config.go
+++ b/coordination/quarantine/config.go
@@ -46,7 +46,7 @@
 
 	// Direct is to how many daemons facts are told at first; Forward to how
 	// many each tells on those that are new to it, when there are more
-	// daemons than Direct. Defaults 16 and 4.
+	// daemons than Direct. Defaults 16 and 6.
 	Direct  int
 	Forward int
 
@@ -71,7 +71,7 @@
 	setDefault(&c.BurstReplicas, 4)
 	setDefault(&c.BurstWindow, 3*time.Second)
 	setDefault(&c.Direct, 16)
-	setDefault(&c.Forward, 4)
+	setDefault(&c.Forward, 6)
 	setDefault(&c.MaxSuspects, 4096)
 	setDefault(&c.MaxDeaths, 1024)
 	setDefault(&c.MaxConvicted, 1024)
--- a/coordination/quarantine/world_test.go
+++ b/coordination/quarantine/world_test.go
@@ -32,6 +32,7 @@
 	crashes, alone map[string]int // by content
 	aloneBeside    int            // runs alone that were not
 	wronged        int            // innocents that were refused
+	messages       int
 }
 
 type node struct {
@@ -221,6 +222,7 @@
 }
 
 func (w *world) send(from *node, a quarantine.Send) {
+	w.messages++
 	if w.rng.Float64() < w.loss {
 		return
 	}
