--- a/daemon/claims.go
+++ b/daemon/claims.go
@@ -24,9 +24,9 @@
 type claimRun struct {
 	p         *claimsPart
 	m         *claims.Claim
-	r         *runner // nil when the request has ended
-	voiding   bool    // r waits for VoidSettled
-	settled   bool    // r has had an answer to its PutClaim
+	r         *runner  // nil when the request has ended
+	voiding   bool     // r waits for VoidSettled
+	settled   bool     // r has had an answer to its PutClaim
 	onRelease []func() // once the outcome is in the row
 }
 
