--- a/cmd/hibiscusd/main.go
+++ b/cmd/hibiscusd/main.go
@@ -40,6 +40,7 @@
 			{Name: "run", Usage: "run until drained", Flags: []cli.Flag{file, recordFlag()}, Action: run},
 			{Name: "check", Usage: "check the settings and say every fault", Flags: []cli.Flag{file}, Action: check},
 			{Name: "demo", Usage: "run three daemons on embedded stand-ins", Action: runDemo},
+			standinCommand(),
 		},
 	}
 }
