Forget daemons that are long gone in a limit's owner

Cause: an owner kept the newest stamp of every daemon name that ever reported, and a Limiter without seats failed at its first request rather than at New. Change: stamps of daemons silent for 10 min are dropped; New refuses an empty list of seats. Conclusion: memory of an owner is bounded by the daemons of the last 10 min.

--- a/coordination/limit/machine.go
+++ b/coordination/limit/machine.go
@@ -48,8 +48,8 @@
 // New returns a Limiter whose life begins at start.
 func New(cfg Config, start time.Time) *Limiter {
 	cfg = cfg.withDefaults()
-	if len(cfg.Seats) > maxSeats || cfg.Shards > maxShards || cfg.Total < len(cfg.Seats) {
-		panic("limit: more seats or shards than the messages can tell, or a total below the seats")
+	if len(cfg.Seats) == 0 || len(cfg.Seats) > maxSeats || cfg.Shards > maxShards || cfg.Total < len(cfg.Seats) {
+		panic("limit: no seats, more seats or shards than the messages can tell, or a total below the seats")
 	}
 	if cfg.BatchLife > cfg.LoanLife/2 {
 		panic("limit: batches must run out well before the loans that back them")
--- a/coordination/limit/owner.go
+++ b/coordination/limit/owner.go
@@ -1,6 +1,7 @@
 package limit
 
 import (
+	"maps"
 	"time"
 
 	"github.com/hibiscuswick/hibiscuswick/state"
@@ -33,6 +34,7 @@
 type peer struct {
 	member state.Member
 	stamp  int64 // of its newest Report
+	heard  time.Time
 }
 
 func newOwner(cfg *Config, start time.Time, limits map[Key]Limit) *owner {
@@ -83,6 +85,7 @@
 		return Grant{}, false
 	}
 	p.stamp = r.Stamp
+	p.heard = now
 	if i, ok := o.seatIndex[from.ID]; ok {
 		o.borrow(now, i, r)
 		g.Counted = o.counted(now, i)
@@ -235,9 +238,16 @@
 	b.limit = l
 }
 
-// forget drops accounts that a new one would equal, and those of an owner
-// without seats and tokens.
+// peerLife is how long a silent peer's newest stamp is kept: far longer than a
+// message can be on its way.
+const peerLife = 10 * time.Minute
+
+// forget drops accounts that a new one would equal, those of an owner without
+// seats and tokens, and daemons that are long gone.
 func (o *owner) forget(now time.Time) {
+	maps.DeleteFunc(o.peers, func(_ state.DaemonID, p *peer) bool {
+		return now.Sub(p.heard) > peerLife
+	})
 	life := o.cfg.outlast(o.cfg.BatchLife)
 	for n := range o.shards {
 		s := &o.shards[n]
