Check the page of story commands where the daemons are built

Cause: the test of core scenarios had come to need whole daemons, so that it could not run while one of their parts did not compile.

Conclusion: scenario depends on the core alone.

--- a/cmd/hibiscusctl/daemon_script_test.go
+++ b/cmd/hibiscusctl/daemon_script_test.go
@@ -1,7 +1,9 @@
 package main
 
 import (
+	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 
 	"github.com/rogpeppe/go-internal/testscript"
@@ -20,3 +22,15 @@
 		Cmds:  cmds,
 	})
 }
+
+func TestPageListsStoryCommands(t *testing.T) {
+	page, err := os.ReadFile(filepath.Join("..", "..", "docs", "SCENARIOS.md"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name := range scenario.Commands() {
+		if !strings.Contains(string(page), "`"+name) {
+			t.Errorf("docs/SCENARIOS.md does not list %s", name)
+		}
+	}
+}
--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -1,17 +1,14 @@
 package scenario_test
 
 import (
-	"maps"
 	"os"
 	"path/filepath"
-	"slices"
 	"strings"
 	"testing"
 
 	"github.com/cockroachdb/datadriven"
 
 	"github.com/hibiscuswick/hibiscuswick/scenario"
-	"github.com/hibiscuswick/hibiscuswick/scenario/daemon"
 )
 
 // TestStories runs each file below testdata: a story that opens with what a user
@@ -37,8 +34,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	names := append(scenario.Commands(), slices.Collect(maps.Keys(daemon.Commands()))...)
-	for _, name := range names {
+	for _, name := range scenario.Commands() {
 		if !strings.Contains(string(page), "`"+name) {
 			t.Errorf("docs/SCENARIOS.md does not list %s", name)
 		}
