Place services automatically in the daemon

Cause: leases, controllers, placement, weights and the replica catalogue were tested machines that no daemon ran; a document with placement mode "auto" got no replica.

Change: one part per machine on the control goroutine. The holder of the lease of weights.Service lays the site out and publishes each service's part as a table "~layout/<service>", stored and spread as replica tables are; the holder of a service's lease brings its servers there by orders and publishes the replicas. New settings "leases". Fixed placement takes no lease and sends no order.

--- a/coordination/home/home.go
+++ b/coordination/home/home.go
@@ -78,6 +78,17 @@
 	return p.summary(now), true
 }
 
+// InFlight counts the grants of a replica. It reports false where this daemon is
+// not its home, or has not yet learned of the grants of the home before it.
+func (h *Home) InFlight(id state.ReplicaID) (int, bool) {
+	for _, p := range h.order {
+		if r := p.replicas[id]; r != nil {
+			return r.used, p.learn.silent == nil
+		}
+	}
+	return 0, false
+}
+
 func (h *Home) tick(now time.Time) {
 	for _, p := range h.order {
 		p.advanceLearning(now)
--- a/coordination/lease/machine.go
+++ b/coordination/lease/machine.go
@@ -125,6 +125,17 @@
 	return s
 }
 
+// Holder returns who held the service's lease when its row was last read or
+// written; false where nobody did. Members that don't watch the row closely
+// learn of a change late.
+func (m *Machine) Holder(service state.ServiceID) (state.Member, bool) {
+	l, ok := m.leases[service]
+	if !ok || !l.known || l.seen.Revision == 0 || l.seen.Row.Released() {
+		return state.Member{}, false
+	}
+	return l.seen.Row.Holder, true
+}
+
 // Step takes in one event and returns what is to be done.
 func (m *Machine) Step(now time.Time, ev Event) []Action {
 	switch ev := ev.(type) {
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -44,6 +44,14 @@
 	addresses *addressesPart
 	limits    *limitsPart
 
+	leases      *leasesPart
+	tables      *tablesPart
+	catalog     *catalogPart
+	controllers *controllersPart
+	layout      *layoutPart
+	weights     *weightsPart
+	deaths      *deathsPart
+
 	parts []part
 }
 
@@ -65,9 +73,17 @@
 	c.backends = newBackendsPart(c)
 	c.addresses = newAddressesPart(c)
 	c.limits = newLimitsPart(c)
+	c.leases = newLeasesPart(c)
+	c.tables = newTablesPart(c)
+	c.catalog = newCatalogPart(c)
+	c.controllers = newControllersPart(c)
+	c.layout = newLayoutPart(c)
+	c.weights = newWeightsPart(c)
+	c.deaths = newDeathsPart(c)
 	c.parts = []part{
 		c.store, c.members, c.instances, c.documents, c.slots, c.claims,
 		c.batcher, c.streams, c.backends, c.limits,
+		c.leases, c.tables, c.catalog, c.controllers, c.layout,
 	}
 	return c
 }
--- /dev/null
+++ b/daemon/controllers.go
@@ -0,0 +1,264 @@
+package daemon
+
+import (
+	"slices"
+	"time"
+
+	"github.com/samber/lo"
+
+	"github.com/hibiscuswick/hibiscuswick/coordination/controller"
+	"github.com/hibiscuswick/hibiscuswick/coordination/lease"
+	"github.com/hibiscuswick/hibiscuswick/coordination/weights"
+	"github.com/hibiscuswick/hibiscuswick/protocol/platform"
+	"github.com/hibiscuswick/hibiscuswick/state"
+	"github.com/hibiscuswick/hibiscuswick/state/service"
+	"github.com/hibiscuswick/hibiscuswick/telemetry"
+)
+
+// adoptRetry is the pause after a reading of the last published table that failed.
+const adoptRetry = 250 * time.Millisecond
+
+// controllersPart runs one controller for each service with automatic placement.
+// Only those whose lease this daemon holds act.
+type controllersPart struct {
+	c         *control
+	byService map[state.ServiceID]*serviceController
+}
+
+// serviceController is the controller of one service with what it was told.
+type serviceController struct {
+	c        *control
+	service  state.ServiceID
+	m        *controller.Machine
+	document *service.Document
+	auto     bool // the document in force asks for automatic placement
+
+	status   lease.Status
+	adopted  state.Nonce // the reign whose table was adopted
+	adopting bool
+	adoptAt  time.Time
+	servers  []controller.Backend // as last told
+	applied  map[state.BackendID]controller.Holding
+	wanted   int // loads beyond those that need no share
+	asker    *weights.Asker
+}
+
+func newControllersPart(c *control) *controllersPart {
+	return &controllersPart{c: c, byService: make(map[state.ServiceID]*serviceController)}
+}
+
+func controllerConfig(d *Daemon, id state.ServiceID) controller.Config {
+	set := d.set.Leases
+	cfg := controller.DefaultConfig(id)
+	cfg.Reconcile = set.Reconcile.Std()
+	cfg.LongestOrder = set.LongestOrder.Std()
+	cfg.Spread = set.DrainSpread.Std()
+	cfg.ReportLag = set.ReportLag.Std()
+	cfg.LoadPoll = min(cfg.LoadPoll, cfg.Reconcile/2)
+	cfg.Retry = min(cfg.Retry, cfg.Reconcile/2)
+	// A call ends by itself after askTimeout; the machine gives it up later, so
+	// that it hears of an answer that came.
+	cfg.CallTimeout = 2 * d.askTimeout
+	return cfg
+}
+
+// documentChanged takes a document up. A service that is no longer placed
+// automatically keeps what its servers hold; its lease is given up.
+func (p *controllersPart) documentChanged(v *service.Versioned) {
+	id := v.Document.Service
+	auto := isAuto(&v.Document)
+	s, ok := p.byService[id]
+	if !ok && !auto {
+		return
+	}
+	if !ok || auto && !s.auto {
+		s = &serviceController{
+			c: p.c, service: id,
+			m:       controller.New(controllerConfig(p.c.d, id)),
+			applied: make(map[state.BackendID]controller.Holding),
+			asker:   weights.NewAsker(weights.DefaultConfig(p.c.d.set.Leases.SharedLoads), id),
+		}
+		p.byService[id] = s
+	}
+	s.document, s.auto = &v.Document, auto
+	if !auto {
+		s.step(controller.Stop{})
+	}
+	p.c.catalog.start()
+	p.c.leases.servicesChanged()
+	if auto {
+		s.placed(p.c.catalog.table(layoutOf(id)))
+	}
+}
+
+// isAuto reports whether a service's layers are placed by hibiscuswick.
+func isAuto(doc *service.Document) bool {
+	return doc.Kind == service.KindModel && doc.Placement.Mode == service.PlacementAuto
+}
+
+// autoServices lists the services with automatic placement, in order.
+func (p *controllersPart) autoServices() []state.ServiceID {
+	ids := lo.Filter(lo.Keys(p.byService), func(id state.ServiceID, _ int) bool { return p.byService[id].auto })
+	slices.Sort(ids)
+	return ids
+}
+
+func (p *controllersPart) nextTick(time.Time) time.Time {
+	var next time.Time
+	for _, s := range p.byService {
+		if at := s.m.NextTick(); !at.IsZero() && (next.IsZero() || at.Before(next)) {
+			next = at
+		}
+	}
+	return next
+}
+
+func (p *controllersPart) tick(now time.Time) {
+	for _, s := range p.byService {
+		if at := s.m.NextTick(); !at.IsZero() && !at.After(now) {
+			s.tick(now)
+		}
+	}
+}
+
+func (p *controllersPart) lease(st lease.Status) {
+	if s, ok := p.byService[st.Service]; ok {
+		s.lease(st)
+	}
+}
+
+// stopAll ends all ordering before a planned stop.
+func (p *controllersPart) stopAll() {
+	for _, s := range p.byService {
+		s.step(controller.Stop{})
+	}
+}
+
+// clean reports whether no order for a service can be under way.
+func (p *controllersPart) clean(id state.ServiceID) bool {
+	s, ok := p.byService[id]
+	return !ok || s.m.Clean(p.c.now)
+}
+
+// layoutChanged brings the chains that a service is to have.
+func (p *controllersPart) layoutChanged(id state.ServiceID, t controller.Table) {
+	if s, ok := p.byService[id]; ok {
+		s.placed(t)
+	}
+}
+
+func (s *serviceController) lease(st lease.Status) {
+	if st.Reign != s.status.Reign {
+		clear(s.applied)
+	}
+	s.status = st
+	s.serversChanged()
+	s.step(controller.Lease{Status: st})
+	s.adopt()
+}
+
+func (s *serviceController) tick(now time.Time) {
+	s.serversChanged()
+	s.adopt()
+	s.step(controller.Tick{})
+	s.share(now)
+}
+
+// adopt reads the replicas last published, once in each reign.
+func (s *serviceController) adopt() {
+	due := s.status.Standing != lease.None && s.adopted != s.status.Reign
+	if !due || s.adopting || s.c.now.Before(s.adoptAt) {
+		return
+	}
+	s.adopting = true
+	reign := s.status.Reign
+	s.c.tables.newest(s.service, func(t controller.Table, ok bool) {
+		s.adopting = false
+		if !ok || reign != s.status.Reign {
+			s.adoptAt = s.c.now.Add(adoptRetry)
+			return
+		}
+		s.adopted = reign
+		s.step(controller.Adopt{Table: t})
+	})
+}
+
+// placed takes over what the layout says of the service.
+func (s *serviceController) placed(t controller.Table) {
+	if t.Fencing == 0 {
+		return // nothing is laid out yet
+	}
+	s.step(controller.Desired{Document: t.Document, Chains: lo.Map(t.Replicas, func(r controller.Replica, _ int) controller.Chain {
+		return r.Chain
+	})})
+}
+
+// serversChanged tells the machine which servers the service may use. One that is
+// leaving stays among them until it is gone: its chain is drained, not cut.
+func (s *serviceController) serversChanged() {
+	if s.status.Standing == lease.None {
+		return
+	}
+	var servers []controller.Backend
+	for _, in := range s.c.instances.placeable() {
+		kind, ok := kindOf(s.document, in.Kind)
+		if ok {
+			servers = append(servers, controller.Backend{ID: state.BackendID(in.ID), ChecksFencing: kind.ChecksFencing})
+		}
+	}
+	if slices.Equal(servers, s.servers) {
+		return
+	}
+	s.servers = servers
+	s.step(controller.Backends{List: servers})
+}
+
+func kindOf(doc *service.Document, name string) (service.BackendKind, bool) {
+	return lo.Find(doc.BackendKinds, func(k service.BackendKind) bool { return k.Kind == name })
+}
+
+// placeable lists, in order, the engines that layers may be placed on: those that
+// answer and that no document gives to a fixed chain.
+func (p *instancesPart) placeable() []platform.Instance {
+	fixed := make(map[state.BackendID]bool)
+	for _, v := range p.c.documents.inForce {
+		for _, chain := range v.Document.Placement.Chains {
+			for _, st := range chain.Stages {
+				fixed[st.Backend] = true
+			}
+		}
+	}
+	out := lo.Filter(lo.Values(p.byID), func(in platform.Instance, _ int) bool {
+		id := state.BackendID(in.ID)
+		return in.Role == platform.RoleEngine && !fixed[id] && !p.c.deaths.dead(id)
+	})
+	slices.SortFunc(out, func(a, b platform.Instance) int { return compareIDs(a.ID, b.ID) })
+	return out
+}
+
+func (s *serviceController) step(ev controller.Event) {
+	for _, a := range s.m.Step(s.c.now, ev) {
+		switch a := a.(type) {
+		case controller.Order:
+			s.order(a)
+		case controller.ReadState:
+			s.readState(a)
+		case controller.Publish:
+			s.publish(a.Table)
+		case controller.AskRunning:
+			s.askRunning(a)
+		case controller.WantWeights:
+			s.wanted = a.Slots
+			s.asker.Want(s.c.now, a.Slots)
+		case controller.NumberRefused:
+			s.c.d.metrics.Add(telemetry.StaleOrdersTotal, 1)
+			s.c.d.log.Emit(telemetry.EventOrderStale, telemetry.Service(s.service), telemetry.Backend(a.Backend), telemetry.Fencing(a.Fencing))
+			refused := lease.Refused{Service: s.service, Fencing: a.Fencing, Seen: a.Seen}
+			s.c.later(func() { s.c.leases.step(refused) })
+		}
+	}
+}
+
+func (s *serviceController) publish(t controller.Table) {
+	s.c.tables.publish(t, func(serial uint64) { s.step(controller.Published{Serial: serial}) })
+}
--- a/daemon/documents.go
+++ b/daemon/documents.go
@@ -81,6 +81,7 @@
 	p.c.slots.home(home.DocumentChanged{Document: &v.Document})
 	p.c.slots.documentChanged(v)
 	p.c.limits.documentChanged(&v.Document)
+	p.c.controllers.documentChanged(v)
 	p.c.d.publish(func(w *view) {
 		w.documents = copyWith(w.documents, doc.Service, v)
 	})
--- a/daemon/drain.go
+++ b/daemon/drain.go
@@ -11,6 +11,9 @@
 // leaveTime is how long the last messages of a planned stop get to leave.
 const leaveTime = 200 * time.Millisecond
 
+// handOnPoll is the time between two looks at the leases that are being released.
+const handOnPoll = 20 * time.Millisecond
+
 // Drain implements caller.Daemon: it begins a planned stop. The daemon leaves the
 // address answers at once, goes on accepting until every answer that names it
 // has run out, keeps every stream to its end, and then stops.
@@ -22,6 +25,7 @@
 		if !ok {
 			until = time.Now().Add(d.set.AddressAnswerValid.Std() + d.set.Drain.Grace.Std())
 		}
+		d.control.post(d.control.leases.drain)
 		go d.awaitDrained(until)
 	})
 }
@@ -87,6 +91,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), d.set.Drain.Limit.Std())
 	defer cancel()
 	_ = d.server.Shutdown(ctx) // waits for open streams
+	d.awaitHandedOn(ctx)
 	_, _ = ask(ctx, d.control, func() bool {
 		d.control.members.step(membership.Leave{})
 		return true
@@ -95,3 +100,18 @@
 	d.log.Emit(telemetry.EventDaemonStopped)
 	d.Kill()
 }
+
+// awaitHandedOn waits until the leases are released: they were asked for when the
+// stop began, and no order may be under way. With the store down they can't be
+// released; the next holder then waits a term.
+func (d *Daemon) awaitHandedOn(ctx context.Context) {
+	bound := d.set.Leases.LongestOrder.Std() + d.set.Store.Timeout.Std()
+	ctx, cancel := context.WithTimeout(ctx, bound)
+	defer cancel()
+	for {
+		done, ok := ask(ctx, d.control, d.control.leases.handedOn)
+		if done || !ok || !d.sleepUntil(time.Now().Add(handOnPoll)) {
+			return
+		}
+	}
+}
--- a/daemon/members.go
+++ b/daemon/members.go
@@ -1,7 +1,6 @@
 package daemon
 
 import (
-	"slices"
 	"time"
 
 	"github.com/samber/lo"
@@ -10,7 +9,6 @@
 	"github.com/hibiscuswick/hibiscuswick/coordination/documents"
 	"github.com/hibiscuswick/hibiscuswick/coordination/membership"
 	"github.com/hibiscuswick/hibiscuswick/coordination/route"
-	"github.com/hibiscuswick/hibiscuswick/coordination/storebudget"
 	"github.com/hibiscuswick/hibiscuswick/state"
 	"github.com/hibiscuswick/hibiscuswick/telemetry"
 )
@@ -173,12 +171,9 @@
 		return route.Peer{Member: i.Member, Region: i.Meta.Region, Draining: i.Draining}
 	})})
 	p.c.limits.membersChanged(live)
-	p.c.store.step(storebudget.RolesChanged{Roles: storebudget.Roles{
-		Members:  len(live),
-		KeyHomes: len(p.keyHomes),
-		KeyHome:  slices.Contains(p.keyHomes, p.self.Member.ID),
-		Services: max(1, len(p.c.documents.inForce)),
-	}})
+	p.c.leases.membersChanged(live)
+	p.c.catalog.membersChanged(live)
+	p.c.store.rolesChanged()
 	p.c.d.publish(func(v *view) { v.members = p.view })
 }
 
--- a/daemon/messages.go
+++ b/daemon/messages.go
@@ -4,12 +4,16 @@
 	"context"
 	"fmt"
 
+	"github.com/hibiscuswick/hibiscuswick/coordination/catalog"
 	"github.com/hibiscuswick/hibiscuswick/coordination/claims"
+	"github.com/hibiscuswick/hibiscuswick/coordination/controller"
 	"github.com/hibiscuswick/hibiscuswick/coordination/documents"
 	"github.com/hibiscuswick/hibiscuswick/coordination/home"
+	"github.com/hibiscuswick/hibiscuswick/coordination/lease"
 	"github.com/hibiscuswick/hibiscuswick/coordination/limit"
 	"github.com/hibiscuswick/hibiscuswick/coordination/membership"
 	"github.com/hibiscuswick/hibiscuswick/coordination/request"
+	"github.com/hibiscuswick/hibiscuswick/coordination/weights"
 	"github.com/hibiscuswick/hibiscuswick/protocol/peer"
 	"github.com/hibiscuswick/hibiscuswick/protocol/platform"
 	"github.com/hibiscuswick/hibiscuswick/protocol/streams"
@@ -25,6 +29,9 @@
 	kindStreams    peer.Kind = 500
 	kindPlatform   peer.Kind = 600
 	kindLimits     peer.Kind = 700
+	kindCatalog    peer.Kind = 800
+	kindLeases     peer.Kind = 900
+	kindWeights    peer.Kind = 1000
 )
 
 // newRegistry lists every message between daemons. New ones are added at the end
@@ -73,9 +80,24 @@
 
 	peer.Register[limit.Report](r, kindLimits)
 	peer.Register[limit.Grant](r, kindLimits+1)
+	registerPlacement(r)
 	return r
 }
 
+// registerPlacement lists the messages on replica tables, leases and weights.
+func registerPlacement(r *peer.Registry) {
+	peer.Register[catalog.Have](r, kindCatalog)
+	peer.Register[catalog.Want](r, kindCatalog+1)
+	peer.Register[catalog.Delta](r, kindCatalog+2)
+
+	peer.Register[lease.HandOn](r, kindLeases)
+	peer.Register[controller.CountAsk](r, kindLeases+1)
+	peer.Register[controller.CountTold](r, kindLeases+2)
+
+	peer.Register[weights.Ask](r, kindWeights)
+	peer.Register[weights.Grant](r, kindWeights+1)
+}
+
 // send queues a message for the daemon at address. One that can't be sent is
 // lost, as any message may be.
 func (d *Daemon) send(address string, msg any) {
@@ -98,6 +120,14 @@
 			c.slots.received(from, msg)
 		case limit.Message:
 			c.limits.step(limit.Received{From: from, Msg: msg})
+		case catalog.Message:
+			c.catalog.step(catalog.Received{From: from, Msg: msg})
+		case lease.Message:
+			c.leases.step(lease.Received{From: from, Msg: msg})
+		case weights.Ask:
+			c.weights.asked(from, msg)
+		case weights.Grant:
+			c.weights.granted(msg)
 		case streams.Register:
 			c.streams.put(msg.Record)
 		}
@@ -115,6 +145,9 @@
 			return streams.LookedUp{Known: known, Record: rec}
 		})
 		return found, nil
+	case controller.CountAsk:
+		told, _ := ask(ctx, d.control, func() controller.CountTold { return d.control.slots.counts(msg) })
+		return told, nil
 	case platform.ListAsk:
 		told, _ := ask(ctx, d.control, func() platform.ListTold { return d.control.instances.told(msg.From) })
 		return told, nil
--- a/daemon/replicas.go
+++ b/daemon/replicas.go
@@ -1,14 +1,18 @@
 package daemon
 
 import (
+	"github.com/hibiscuswick/hibiscuswick/coordination/controller"
 	"github.com/hibiscuswick/hibiscuswick/state"
 	"github.com/hibiscuswick/hibiscuswick/state/service"
 )
 
-// replicas builds the replicas of a document with fixed chains from the
-// addresses of the instance list. Chains with a backend server that is not
-// listed are left out.
+// replicas builds the replicas of a document from the addresses of the instance
+// list: its fixed chains, or those that the service's controller has published.
+// Chains with a backend server that is not listed are left out.
 func (p *instancesPart) replicas(doc *service.Document) []state.Replica {
+	if isAuto(doc) {
+		return p.published(doc, p.c.catalog.table(doc.Service))
+	}
 	var replicas []state.Replica
 	for _, chain := range doc.Placement.Chains {
 		r, ok := p.replica(doc, chain)
@@ -46,3 +50,36 @@
 	}
 	return r, true
 }
+
+// published builds the replicas of a table.
+func (p *instancesPart) published(doc *service.Document, t controller.Table) []state.Replica {
+	var replicas []state.Replica
+	for _, r := range t.Replicas {
+		if replica, ok := p.placed(doc, r); ok {
+			replicas = append(replicas, replica)
+		}
+	}
+	return replicas
+}
+
+func (p *instancesPart) placed(doc *service.Document, pub controller.Replica) (state.Replica, bool) {
+	r := state.Replica{
+		ID:      pub.Chain.ID,
+		Service: doc.Service,
+		Slots:   doc.Capacity.SlotsPerReplica,
+		Speed:   1,
+		Leaving: pub.Leaving,
+	}
+	for _, s := range pub.Chain.Stages {
+		inst, ok := p.byID[state.InstanceID(s.Backend)]
+		if !ok {
+			return r, false
+		}
+		r.Model, r.Version = s.Holding.Model, s.Holding.Version
+		r.Leaving = r.Leaving || inst.Leaving
+		r.FailureDomain = inst.Domain
+		r.Speed = min(r.Speed, doc.KindSpeed(inst.Kind))
+		r.Stages = append(r.Stages, state.Stage{Backend: s.Backend, Address: inst.Address, Layers: s.Holding.Layers})
+	}
+	return r, true
+}
--- a/daemon/slots.go
+++ b/daemon/slots.go
@@ -205,6 +205,13 @@
 	}
 }
 
+// tableChanged takes up the replicas that a service's controller has published.
+func (p *slotsPart) tableChanged(id state.ServiceID) {
+	if v, ok := p.docs[id]; ok && isAuto(&v.Document) {
+		p.rebuild(v)
+	}
+}
+
 func (p *slotsPart) anyLeaving(r state.Replica) bool {
 	return slices.ContainsFunc(r.Stages, func(s state.Stage) bool {
 		fact, ok := p.c.members.view.Backends[s.Backend]
--- a/daemon/store.go
+++ b/daemon/store.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/samber/lo"
@@ -46,6 +47,18 @@
 func (s *storePart) nextTick(time.Time) time.Time { return s.budget.NextTick() }
 func (s *storePart) tick(time.Time)               { s.step(storebudget.Tick{}) }
 
+// rolesChanged tells the budget what this daemon has to do.
+func (s *storePart) rolesChanged() {
+	homes := s.c.members.keyHomes
+	s.step(storebudget.RolesChanged{Roles: storebudget.Roles{
+		Members:  len(s.c.members.live()),
+		KeyHomes: len(homes),
+		KeyHome:  slices.Contains(homes, s.c.d.self.ID),
+		Services: max(1, len(s.c.documents.inForce)),
+		Leases:   s.c.leases.held(),
+	}})
+}
+
 // do makes one call; answer runs on the control goroutine, exactly once.
 func (s *storePart) do(call store.Call, answer func(store.Result)) {
 	s.last++
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -167,6 +167,10 @@
 		"limits": map[string]any{
 			"seats": []string{"entry-1", "entry-2", "entry-3"}, "loan_life": "500ms",
 		},
+		"leases": map[string]any{
+			"term": "1s", "longest_order": "700ms", "reconcile": "300ms",
+			"drain_spread": "300ms", "report_lag": "100ms",
+		},
 		"isolation_bound": "2s",
 		"peers": map[string]any{
 			"probe_interval": "200ms", "probe_timeout": "100ms", "suspicion_timeout": "500ms",
@@ -236,3 +240,36 @@
 	}
 	return nil
 }
+
+// Spares describes engines that hold nothing, named "<prefix>-<n>" from 1, for
+// layers that are placed by hibiscuswick.
+type Spares struct {
+	Prefix        string
+	Count         int
+	Kind          string
+	ChecksFencing bool
+	ModelLayers   int // of the model that they will hold
+	Domain        state.FailureDomain
+}
+
+// Engine names the n-th engine, counted from 1.
+func (sp Spares) Engine(n int) state.BackendID {
+	return state.BackendID(fmt.Sprintf("%s-%d", sp.Prefix, n))
+}
+
+// AddSpares starts engines that hold nothing, with cfg for all else.
+func (s *Site) AddSpares(sp Spares, cfg standin.EngineConfig) error {
+	for n := 1; n <= sp.Count; n++ {
+		e := cfg
+		e.ID = sp.Engine(n)
+		e.Kind = sp.Kind
+		e.ChecksFencing = sp.ChecksFencing
+		e.ModelLayers = sp.ModelLayers
+		e.Service, e.Model, e.Version = "", "", ""
+		e.Layers = state.LayerRange{}
+		if err := s.AddEngine(e, sp.Domain); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -51,6 +51,8 @@
 	Backends Backends `json:"backends" required:"false"`
 	// Limits says who holds the customers' limits.
 	Limits Limits `json:"limits" required:"false"`
+	// Leases bounds the control of services whose layers are placed by hibiscuswick.
+	Leases Leases `json:"leases" required:"false"`
 	// Store is this daemon's share of the table service.
 	Store Store `json:"store" required:"false"`
 	// Log says what is logged, on standard error.
@@ -149,6 +151,31 @@
 	LoanLife Duration `json:"loan_life" defaultDuration:"2s" minDuration:"200ms" maxDuration:"1m"`
 }
 
+// Leases bounds the control of services with automatic placement: one daemon at a
+// time holds a service's lease and orders its backend servers. All daemons have
+// the same values.
+type Leases struct {
+	// Term is how long a lease must stand without renewal before another daemon
+	// takes it; default "10s". A holder renews it four times in that time.
+	Term Duration `json:"term" defaultDuration:"10s" minDuration:"200ms" maxDuration:"10m"`
+	// LongestOrder is how long after its sending an order may still take effect;
+	// default "10s". A new holder orders servers that ignore fencing numbers no
+	// sooner.
+	LongestOrder Duration `json:"longest_order" defaultDuration:"10s" minDuration:"100ms" maxDuration:"10m"`
+	// Reconcile is the longest time between two looks at what a server holds;
+	// default "10s".
+	Reconcile Duration `json:"reconcile" defaultDuration:"10s" minDuration:"100ms" maxDuration:"10m"`
+	// DrainSpread is how long the news that a replica leaves takes to reach every
+	// daemon; default "3s".
+	DrainSpread Duration `json:"drain_spread" defaultDuration:"3s" minDuration:"0s" maxDuration:"10m"`
+	// ReportLag is how far the backend servers' load reports are behind; default
+	// "2s".
+	ReportLag Duration `json:"report_lag" defaultDuration:"2s" minDuration:"0s" maxDuration:"10m"`
+	// SharedLoads is how many servers of the whole site may load weights at one
+	// time beyond one for each service; default 4.
+	SharedLoads int `json:"shared_loads" default:"4" minimum:"0" maximum:"10000"`
+}
+
 // Log says what is logged.
 type Log struct {
 	// Level is the least level that is written; default "info".
