Wait where a request's replicas all just failed; ask lives before a note

Cause, each found by a story: past its deadline a request whose claim was still being settled asked for ticks in the past, and its goroutine spun; a stage that restarted unnoticed refused a never-repeat request under its old life, which then failed without a token; a request whose replicas had all just failed was refused as no_replica although one was coming back. Change: no tick while a claim is settled; the lives of a replica's processes are asked anew before each never-repeat attempt; such a request waits for the first replica that is trusted again.

--- a/coordination/home/receive.go
+++ b/coordination/home/receive.go
@@ -58,6 +58,11 @@
 	if p.waits[m.Ask] != nil {
 		return
 	}
+	if !p.possible(m.Exclude) {
+		// Every replica failed this request: it waits for the first that is
+		// trusted again, rather than be refused while one restarts.
+		m.Exclude = nil
+	}
 	rank, weight, reason := p.admit(m)
 	if reason != "" {
 		p.refuse(from.ID, m.Ask, reason, 0, now)
--- a/coordination/request/request.go
+++ b/coordination/request/request.go
@@ -107,7 +107,8 @@
 // NextTick returns when the machine next wants a Tick, or the zero time.
 func (r *Request) NextTick() time.Time {
 	switch {
-	case r.phase == phaseEnded:
+	case r.phase == phaseEnded, r.ending != nil:
+		// What ends after its claim is settled waits for that, not for a time.
 		return time.Time{}
 	case r.phase == phaseBackoff && len(r.tokens) > 0:
 		return r.retryAt
--- a/daemon/operations_test.go
+++ b/daemon/operations_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/hibiscuswick/hibiscuswick/daemon"
 	"github.com/hibiscuswick/hibiscuswick/protocol/caller"
 	"github.com/hibiscuswick/hibiscuswick/settings"
 	"github.com/hibiscuswick/hibiscuswick/state"
@@ -27,22 +28,22 @@
 	broken   []string
 }
 
-// startLoad runs callers that each send one request after another to the daemon
-// that at returns.
-func (r *rig) startLoad(callers int, at func() int) *load {
+// startLoad runs callers that each send one request after another to the given
+// daemons in turn.
+func (r *rig) startLoad(callers int, daemons ...*daemon.Daemon) *load {
 	l := &load{r: r, stop: make(chan struct{}), refused: make(map[state.Reason]int)}
 	for c := range callers {
 		l.wg.Add(1)
 		go func() {
 			defer l.wg.Done()
 			defer GinkgoRecover()
-			l.caller(c, at)
+			l.caller(c, daemons)
 		}()
 	}
 	return l
 }
 
-func (l *load) caller(c int, at func() int) {
+func (l *load) caller(c int, daemons []*daemon.Daemon) {
 	for i := 0; ; i++ {
 		select {
 		case <-l.stop:
@@ -54,7 +55,7 @@
 		if i%2 == 0 {
 			submission = note(key)
 		}
-		stream, outcome := l.r.Daemons[at()].Submit(l.r.ctx, submission)
+		stream, outcome := daemons[(c+i)%len(daemons)].Submit(l.r.ctx, submission)
 		if outcome == nil {
 			_, outcome = l.r.read(stream, -1)
 		}
@@ -94,7 +95,7 @@
 	// stop; callers keep the addresses that they were given for a while.
 	It("cuts off no request when a daemon is stopped as planned", Label("failure:planned-stop"), func() {
 		r := newRig(3, time.Millisecond)
-		l := r.startLoad(4, func() int { return 1 })
+		l := r.startLoad(4, r.Daemons[1])
 		Eventually(l.done).WithTimeout(patience).Should(BeNumerically(">", 4))
 		r.Daemons[1].Drain(r.ctx)
 		Eventually(func() []string {
@@ -114,9 +115,7 @@
 	It("gives a leaving backend server no new work", Label("failure:backend-leaving", "failure:lagging-instance-list"), func() {
 		r := newRig(3, time.Millisecond)
 		r.Platform.InstanceLag(10 * time.Second)
-		var turn sync.Mutex
-		n := 0
-		l := r.startLoad(6, func() int { turn.Lock(); defer turn.Unlock(); n++; return n % 3 })
+		l := r.startLoad(6, r.Daemons...)
 		Eventually(l.done).WithTimeout(patience).Should(BeNumerically(">", 10))
 		leaving := r.Engines[chains.Engine(1, 1)]
 		leaving.Leave()
@@ -207,7 +206,7 @@
 	// the work within seconds; nothing breaks.
 	It("uses a replica that joins under load", Label("failure:instance-joins-under-load"), func() {
 		r := newRig(2, time.Millisecond)
-		l := r.startLoad(24, func() int { return 0 })
+		l := r.startLoad(24, r.Daemons[0])
 		Eventually(l.done).WithTimeout(patience).Should(BeNumerically(">", 10))
 		r.addReplica(3)
 		Eventually(func() int { return r.Engines[chains.Engine(3, 1)].Served() }).WithTimeout(patience).Should(BeNumerically(">", 0))
@@ -221,7 +220,7 @@
 	It("replaces every daemon in turn", Label("failure:planned-stop"), func() {
 		r := newRig(3, time.Millisecond)
 		for old := range 3 {
-			l := r.startLoad(3, func() int { return (old + 1) % 3 })
+			l := r.startLoad(3, r.Daemons[(old+1)%3])
 			stream := r.submit(old, note(fmt.Sprintf("turn-%d", old)))
 			r.Daemons[old].Drain(r.ctx)
 			_, outcome := r.read(stream, -1)
--- a/daemon/steps.go
+++ b/daemon/steps.go
@@ -130,7 +130,7 @@
 // the stages before had begun.
 func (r *runner) grant(attempt state.Attempt, replica state.Replica) {
 	if !r.spec.Plain {
-		stages, answered := r.d.withLives(r.ctx, replica.Stages)
+		stages, answered := r.d.withLives(r.ctx, replica.Stages, r.spec.NeverRepeat)
 		if !answered {
 			r.post(request.SlotUnusable{Grant: attempt, Replica: replica.ID})
 			return
@@ -141,14 +141,16 @@
 }
 
 // withLives returns stages with the life of each process, asked for where it is
-// not known. It reports false if one does not answer.
-func (d *Daemon) withLives(ctx context.Context, stages []state.Stage) ([]state.Stage, bool) {
+// not known, or always if fresh: a process that restarted unnoticed refuses what is
+// meant for the one before, and a request that is never repeated would be lost once
+// the stages before had begun. It reports false if one does not answer.
+func (d *Daemon) withLives(ctx context.Context, stages []state.Stage, fresh bool) ([]state.Stage, bool) {
 	out := slices.Clone(stages)
 	var silent atomic.Bool
 	var wg sync.WaitGroup
 	for i := range out {
 		e := d.clients.engine(out[i].Address)
-		if out[i].Life = e.lastLife(); out[i].Life != "" {
+		if out[i].Life = e.lastLife(); out[i].Life != "" && !fresh {
 			continue
 		}
 		wg.Add(1)
