Measure throughput of whole daemons against the engines' bound

Cause: nothing said how much of the engines' bound whole daemons give under an open load, nor whether a simpler way would give as much. Change: package measure starts daemons and stand-in engines in one process, offers short checks beside long drafts by a Poisson process below, at and above the bound, and judges every answer by the stand-ins' ledger.

--- /dev/null
+++ b/measure/fleet.go
@@ -0,0 +1,123 @@
+package measure
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/samber/lo"
+
+	"github.com/hibiscuswick/hibiscuswick/client"
+	"github.com/hibiscuswick/hibiscuswick/internal/site"
+	"github.com/hibiscuswick/hibiscuswick/protocol/caller"
+	"github.com/hibiscuswick/hibiscuswick/settings"
+	"github.com/hibiscuswick/hibiscuswick/telemetry"
+)
+
+const (
+	startTimeout = 30 * time.Second
+	pollInterval = 10 * time.Millisecond
+	memberAlive  = "alive"
+)
+
+// errNotServing says that the daemons did not come up.
+var errNotServing = errors.New("the daemons do not serve")
+
+// fleet is a site that serves one service.
+type fleet struct {
+	site   *site.Site
+	change func(*settings.Settings)
+}
+
+// startFleet starts engines and daemons and waits until all serve.
+func startFleet(ctx context.Context, l Layout, daemons int, change func(*settings.Settings)) (*fleet, error) {
+	s, err := site.New(telemetry.Discard())
+	if err != nil {
+		return nil, err
+	}
+	f := &fleet{site: s, change: change}
+	if err := f.start(ctx, l, daemons); err != nil {
+		s.Close()
+		return nil, err
+	}
+	return f, nil
+}
+
+func (f *fleet) start(ctx context.Context, l Layout, daemons int) error {
+	if err := l.startEngines(f.site); err != nil {
+		return err
+	}
+	for range daemons {
+		if _, err := f.site.AddDaemon(f.change); err != nil {
+			return err
+		}
+	}
+	doc := document(l)
+	res := f.site.Daemons[0].Apply(ctx, caller.Edit{EditID: "measure", Text: doc.Encode()})
+	if res.Status != caller.EditAccepted {
+		return fmt.Errorf("document is not accepted: %s %v", res.Status, res.Faults)
+	}
+	return f.awaitServing(ctx)
+}
+
+// awaitServing waits until every live daemon has the document and knows every
+// other.
+func (f *fleet) awaitServing(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	live := f.site.Live()
+	for _, d := range live {
+		for {
+			s := d.DaemonStatus(ctx)
+			if len(s.Documents) == 1 && !s.Isolated && aliveMembers(s) == len(live) {
+				break
+			}
+			if sleepUntil(ctx, time.Now().Add(pollInterval)) != nil {
+				return errNotServing
+			}
+		}
+	}
+	return nil
+}
+
+func aliveMembers(s caller.DaemonStatus) int {
+	return lo.CountBy(s.Members, func(m caller.MemberStatus) bool { return m.State == memberAlive })
+}
+
+// urls lists the live daemons.
+func (f *fleet) urls() []string {
+	var out []string
+	for _, d := range f.site.Live() {
+		out = append(out, "http://"+d.CallerAddress())
+	}
+	return out
+}
+
+// callers returns one client for each customer. With refusals below 0 they take
+// every refusal as the end, as an open load must.
+func (f *fleet) callers(refusals int) []*client.Client {
+	out := make([]*client.Client, customers)
+	urls := f.urls()
+	for i := range out {
+		out[i] = client.New(client.Config{
+			Seeds:    urls,
+			Service:  drafts,
+			Customer: customer(i),
+			Domain:   site.Domains[i%len(site.Domains)],
+			Refusals: refusals,
+		})
+	}
+	return out
+}
+
+func sleepUntil(ctx context.Context, at time.Time) error {
+	t := time.NewTimer(time.Until(at))
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/measure/layout.go
@@ -0,0 +1,118 @@
+package measure
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/hibiscuswick/hibiscuswick/internal/site"
+	"github.com/hibiscuswick/hibiscuswick/internal/standin"
+	"github.com/hibiscuswick/hibiscuswick/state"
+	"github.com/hibiscuswick/hibiscuswick/state/service"
+)
+
+// Group is a number of equal replicas.
+type Group struct {
+	Kind     string          `json:"kind"` // of accelerator
+	Replicas int             `json:"replicas"`
+	Steps    []time.Duration `json:"step_times_ns"` // of one batch, by stage
+}
+
+// Layout is the engines of a measurement.
+type Layout struct {
+	Groups   []Group `json:"groups"`
+	Layers   int     `json:"layers"`
+	BatchCap int     `json:"batch_cap"` // steps of one batch
+	Slots    int     `json:"slots"`     // requests at one time in one replica
+}
+
+// Mixed is the layout of the published figures: eight replicas of three kinds.
+// The step times are so long that this machine's processors are not what limits.
+func Mixed() Layout {
+	const ms = time.Millisecond
+	return Layout{
+		Groups: []Group{
+			{Kind: "fast", Replicas: 3, Steps: []time.Duration{10 * ms, 10 * ms}},
+			{Kind: "medium", Replicas: 3, Steps: []time.Duration{11 * ms, 11 * ms, 11 * ms}},
+			{Kind: "slow", Replicas: 2, Steps: []time.Duration{13 * ms, 13 * ms, 13 * ms}},
+		},
+		Layers:   24,
+		BatchCap: 8,
+		Slots:    32,
+	}
+}
+
+// Bound is the most tokens a second that one replica of the group can make: no
+// stage runs more than a full batch after another, and each of the replica's
+// slots makes one token while every stage takes one step. Links count as free,
+// so that no real link makes the bound smaller than it is.
+func (g Group) Bound(batchCap, slots int) float64 {
+	var round, slowest time.Duration
+	for _, s := range g.Steps {
+		round += s
+		slowest = max(slowest, s)
+	}
+	return min(float64(batchCap)/slowest.Seconds(), float64(slots)/round.Seconds())
+}
+
+// Bound is the most tokens a second of all replicas.
+func (l Layout) Bound() float64 {
+	sum := 0.0
+	for _, g := range l.Groups {
+		sum += float64(g.Replicas) * g.Bound(l.BatchCap, l.Slots)
+	}
+	return sum
+}
+
+// replica is one chain of engines.
+type replica struct {
+	kind  string
+	steps []time.Duration
+	chain service.Chain
+}
+
+// replicas lists the chains of all groups.
+func (l Layout) replicas() []replica {
+	var out []replica
+	for _, g := range l.Groups {
+		c := site.Chains{Prefix: g.Kind, Replicas: g.Replicas, Stages: len(g.Steps), Layers: l.Layers}
+		for _, chain := range c.Placement().Chains {
+			out = append(out, replica{kind: g.Kind, steps: g.Steps, chain: chain})
+		}
+	}
+	return out
+}
+
+// speeds gives each kind's speed beside the fastest.
+func (l Layout) speeds() []service.BackendKind {
+	best := 0.0
+	for _, g := range l.Groups {
+		best = max(best, g.Bound(l.BatchCap, l.Slots))
+	}
+	var out []service.BackendKind
+	for _, g := range l.Groups {
+		out = append(out, service.BackendKind{
+			Kind: g.Kind, ChecksFencing: true,
+			Speed: g.Bound(l.BatchCap, l.Slots) / best, MemoryLayers: l.Layers,
+		})
+	}
+	return out
+}
+
+const modelName = "notes"
+
+// startEngines starts the engines of all replicas.
+func (l Layout) startEngines(s *site.Site) error {
+	for i, r := range l.replicas() {
+		for j, st := range r.chain.Stages {
+			err := s.AddEngine(standin.EngineConfig{
+				ID: st.Backend, Service: drafts, Kind: r.kind, Model: modelName, Version: "1",
+				Layers: state.LayerRange{First: st.First, End: st.End}, ModelLayers: l.Layers,
+				StepTime: r.steps[j], BatchCap: l.BatchCap, ChecksFencing: true,
+			}, site.Domains[i%len(site.Domains)])
+			if err != nil {
+				return fmt.Errorf("engine %s: %w", st.Backend, err)
+			}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/measure/measure_test.go
@@ -0,0 +1,59 @@
+package measure_test
+
+import (
+	"context"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hibiscuswick/hibiscuswick/measure"
+)
+
+// small is a layout that takes a few milliseconds a token.
+func small() measure.Layout {
+	return measure.Layout{
+		Groups:   []measure.Group{{Kind: "fast", Replicas: 2, Steps: []time.Duration{3 * time.Millisecond, 6 * time.Millisecond}}},
+		Layers:   8,
+		BatchCap: 4,
+		Slots:    16,
+	}
+}
+
+var _ = Describe("The bound", func() {
+	It("is the slowest stage's full batches", func() {
+		Expect(small().Bound()).To(BeNumerically("~", 2*4/0.006))
+	})
+
+	It("is the slots where a round of all stages takes them all", func() {
+		l := small()
+		l.Slots = 3
+		Expect(l.Bound()).To(BeNumerically("~", 2*3/0.009))
+	})
+})
+
+var _ = Describe("Throughput", func() {
+	It("counts whole answers both ways, and none lost", func() {
+		cfg := measure.ThroughputConfig{
+			Layout: small(), Daemons: 2, Warm: 500 * time.Millisecond, Window: 500 * time.Millisecond,
+			Mix:     measure.Mix{CheckShare: 0.5, CheckTokens: 4, DraftLeast: 8, DraftMost: 16},
+			Offered: []float64{0.2, 2}, Seed: 1,
+		}
+		res, err := measure.RunThroughput(context.Background(), cfg, func(line string) { GinkgoWriter.Println(line) })
+		Expect(err).NotTo(HaveOccurred())
+		Expect(res.Ways).To(HaveLen(2))
+		for _, w := range res.Ways {
+			Expect(w.Levels).To(HaveLen(len(cfg.Offered)))
+			for _, lv := range w.Levels {
+				Expect(lv.Ratio).To(BeNumerically(">", 0), w.Name)
+				Expect(lv.Goodput).To(BeNumerically("<=", lv.Ratio))
+				Expect(lv.Lost).To(BeZero(), w.Name)
+				Expect(lv.Violations).To(BeZero(), w.Name)
+			}
+		}
+		for _, lv := range res.Ways[0].Levels {
+			Expect(lv.RefusedButRan).To(BeZero())
+		}
+		Expect(res.Goals).To(HaveLen(5))
+	})
+})
--- /dev/null
+++ b/measure/text.go
@@ -0,0 +1,33 @@
+package measure
+
+import "fmt"
+
+// Summary is a level in one line.
+func (lv Level) Summary() string {
+	s := fmt.Sprintf("offered %.2f: tokens %.3f of the bound, goodput %.3f, requests %.3f;", lv.Offered, lv.Ratio, lv.Goodput, lv.RequestRatio)
+	for _, c := range lv.Classes {
+		s += fmt.Sprintf(" %s first %s, between %s, missed %.3f;", c.Class, c.First, c.Between, c.Missed)
+	}
+	s += fmt.Sprintf(" machine %.2f, control %.3f of a core", lv.CPUShare, lv.ControlShare)
+	for _, e := range lv.Ends {
+		s += fmt.Sprintf("; %s %s %d", e.Outcome, e.Reason, e.Count)
+	}
+	if lv.Lost+lv.RefusedButRan+lv.Violations > 0 {
+		s += fmt.Sprintf("; LOST %d, REFUSED BUT RAN %d, OUT OF ORDER %d", lv.Lost, lv.RefusedButRan, lv.Violations)
+	}
+	return s
+}
+
+// String gives p50, p95 and p99.
+func (q Quantiles) String() string {
+	return fmt.Sprintf("%.0f/%.0f/%.0f ms", q.P50, q.P95, q.P99)
+}
+
+// String is a goal in one line.
+func (g Goal) String() string {
+	verdict := "met"
+	if !g.Met {
+		verdict = "NOT MET"
+	}
+	return fmt.Sprintf("%-52s %9.3f (goal %.3f) %s", g.What, g.Measured, g.Limit, verdict)
+}
