Tell suspects of small fleets in time, and prove contact by the question

Cause: the property on refutation found a living daemon of five held for dead: with few rings over few members all neighbours of the one that passed the suspicion on had failed, and the suspect itself was never told. A joining daemon also passed the whole fleet's records on to each neighbour.

Change: up to 17 daemons are all neighbours of each other; rumours about a member go to that member as well; the first records are not passed on; contact is proved from when the answered probe was sent, since an answer may have waited in a socket through a pause; a suspicion lasts 2 to 4 s instead of 3 to 6 s.

--- a/coordination/membership/apply.go
+++ b/coordination/membership/apply.go
@@ -46,7 +46,8 @@
 		e.doubted = true
 		return
 	}
-	m.set(e, u, teller)
+	m.set(e, u)
+	m.gossip.tellUpdate(u, teller, m.now)
 }
 
 // applyUnknown adds a live member. The dead are not learned: every daemon forgets
@@ -64,11 +65,14 @@
 	m.nearStale = true
 	e.since = m.now
 	m.act(Changed{Member: state.Member{ID: u.ID, Incarnation: u.Incarnation}, To: u.State, New: true})
-	m.set(e, u, teller)
+	m.set(e, u)
+	if !m.joining {
+		m.gossip.tellUpdate(u, teller, m.now)
+	}
 }
 
-// set moves e forward to u, which is greater, and passes it on.
-func (m *Membership) set(e *entry, u Update, teller state.DaemonID) {
+// set moves e forward to u, which is greater.
+func (m *Membership) set(e *entry, u Update) {
 	was := *e
 	later := u.Incarnation > e.inc
 	if later {
@@ -94,7 +98,6 @@
 		m.nearStale = true
 	}
 	m.changed = true
-	m.gossip.tellUpdate(u, teller, m.now)
 }
 
 // applySelf answers what others hold of this daemon.
--- a/coordination/membership/config.go
+++ b/coordination/membership/config.go
@@ -17,9 +17,9 @@
 	// Helpers is how many neighbours probe on behalf of another; 3.
 	Helpers int `json:"helpers"`
 
-	// SuspicionMax is how long a suspect may refute if one daemon accuses it; 6 s.
+	// SuspicionMax is how long a suspect may refute if one daemon accuses it; 4 s.
 	SuspicionMax time.Duration `json:"suspicion_max"`
-	// SuspicionMin is the same once enough daemons accuse it; 3 s.
+	// SuspicionMin is the same once enough daemons accuse it; 2 s.
 	SuspicionMin time.Duration `json:"suspicion_min"`
 
 	// GossipInterval is the time between gossip messages while there are
@@ -71,8 +71,8 @@
 	orDuration(&c.ProbeInterval, 500*time.Millisecond)
 	orDuration(&c.ProbeTimeout, 300*time.Millisecond)
 	orDuration(&c.ProbeDeadline, time.Second)
-	orDuration(&c.SuspicionMax, 6*time.Second)
-	orDuration(&c.SuspicionMin, 3*time.Second)
+	orDuration(&c.SuspicionMax, 4*time.Second)
+	orDuration(&c.SuspicionMin, 2*time.Second)
 	orDuration(&c.GossipInterval, 100*time.Millisecond)
 	orDuration(&c.ExchangeInterval, 15*time.Second)
 	orDuration(&c.ReconnectInterval, 2*time.Second)
--- a/coordination/membership/exchange.go
+++ b/coordination/membership/exchange.go
@@ -89,10 +89,13 @@
 }
 
 func (m *Membership) onRecords(from state.DaemonID, msg Records) {
-	m.health.answered = m.now
+	// A daemon that knew nobody but the sender has news for nobody: passing the
+	// whole fleet's records on would cost each of its neighbours as much again.
+	m.joining = m.table.live() <= 2
 	for _, u := range msg.Updates {
 		m.apply(u, from, fromExchange)
 	}
+	m.joining = false
 	for _, f := range msg.Facts {
 		m.applyFact(f, from)
 	}
--- a/coordination/membership/gossip.go
+++ b/coordination/membership/gossip.go
@@ -191,7 +191,7 @@
 	repeat := m.repeat()
 	room := min(m.cfg.GossipBytes, int(g.tokens))
 	for _, r := range g.queue {
-		if r.told[e.id] >= repeat || r.size > room || r.subject == memberSubject(e.id) {
+		if r.told[e.id] >= repeat || r.size > room {
 			continue
 		}
 		r.told[e.id]++
--- a/coordination/membership/health.go
+++ b/coordination/membership/health.go
@@ -12,11 +12,16 @@
 // confirm it, or that others suspect, gives its probes more time.
 type health struct {
 	score int
-	// answered is when a peer last answered a probe of this life: the last proof
-	// of contact in both directions.
+	// answered is when the last question that a peer answered was sent: the last
+	// time for which contact in both directions is proved. The time of the answer
+	// would not do: it may have waited in a socket while this daemon was paused.
 	answered time.Time
 }
 
+func (h *health) proved(sent time.Time) {
+	h.answered = later(h.answered, sent)
+}
+
 func (h *health) worse() {
 	h.score = min(maxHealth, h.score+1)
 }
--- a/coordination/membership/membership.go
+++ b/coordination/membership/membership.go
@@ -29,6 +29,8 @@
 	health health
 	seeds  []string
 
+	joining bool // taking in the first records of the fleet
+
 	nextExchange  time.Time
 	nextReconnect time.Time
 	nextSweep     time.Time
--- a/coordination/membership/probe.go
+++ b/coordination/membership/probe.go
@@ -211,7 +211,7 @@
 func (m *Membership) answered(p *probe) {
 	m.endProbe(p.seq)
 	m.health.better()
-	m.health.answered = m.now
+	m.health.proved(p.sent)
 }
 
 func (m *Membership) onPingRequest(from state.DaemonID, msg PingRequest) {
@@ -263,7 +263,6 @@
 
 func (m *Membership) onPingResult(msg PingResult) {
 	m.accuse(msg.Self)
-	m.health.answered = m.now
 	for _, p := range m.probes.pending {
 		if p.seq != msg.Seq {
 			continue
@@ -273,6 +272,7 @@
 			return
 		}
 		p.nacks++
+		m.health.proved(p.sent)
 	}
 }
 
--- a/coordination/membership/rings.go
+++ b/coordination/membership/rings.go
@@ -28,9 +28,15 @@
 	return mix(h + uint64(ring+1)*mixStep)
 }
 
+// smallFleet is up to how many live members all are neighbours: a few rings over a
+// few members leave some with hardly any neighbour besides failing ones, and then a
+// suspect may not hear of its suspicion in time.
+const smallFleet = 17
+
 // neighbours gives self's successor and predecessor among the live members on
-// each of the rings, each member once. It is symmetric between two daemons with
-// equal views, so that a connection serves both directions.
+// each of the rings, each member once; all of them in a small fleet. It is
+// symmetric between two daemons with equal views, so that a connection serves both
+// directions.
 func neighbours(t *table, self *entry, rings int) []*entry {
 	var out []*entry
 	seen := map[state.DaemonID]bool{self.id: true}
@@ -40,6 +46,14 @@
 			out = append(out, e)
 		}
 	}
+	if t.live() <= smallFleet {
+		for _, e := range t.sorted {
+			if e.state.live() {
+				add(e)
+			}
+		}
+		return out
+	}
 	for r := range rings {
 		next, prev := adjacent(t, self, r)
 		add(next)
--- a/coordination/membership/suspicion.go
+++ b/coordination/membership/suspicion.go
@@ -25,7 +25,8 @@
 	switch e.state {
 	case Alive:
 		u.State = Suspect
-		m.set(e, u, m.self.id)
+		m.set(e, u)
+		m.gossip.tellUpdate(u, m.self.id, m.now)
 	case Suspect:
 		m.addAccuser(e, m.self.id)
 	case Dead, Left:
@@ -66,6 +67,7 @@
 		}
 		u := e.update()
 		u.State = Dead
-		m.set(e, u, m.self.id)
+		m.set(e, u)
+		m.gossip.tellUpdate(u, m.self.id, m.now)
 	}
 }
--- a/coordination/membership/view.go
+++ b/coordination/membership/view.go
@@ -33,8 +33,8 @@
 
 // Reach is how much of the fleet this daemon is in contact with.
 type Reach struct {
-	// Answered is when a peer last answered this daemon: the last proof of
-	// contact in both directions. Zero if none ever did.
+	// Answered is when the last probe that was answered went out: the last time
+	// for which contact in both directions is proved. Zero if there was none.
 	Answered time.Time
 	// Live of Known members are held alive, this daemon included. Known also has
 	// those held dead since less than Config.DeadKeep, who may be alive beyond a
@@ -54,7 +54,7 @@
 	return r.Answered
 }
 
-// Isolated reports whether no peer has answered for longer than silence, or less
+// Isolated reports whether contact is unproved for longer than silence, or less
 // than share of the known daemons is held alive.
 func (r Reach) Isolated(now time.Time, silence time.Duration, share float64) bool {
 	if r.Known <= 1 {
