Ask again for a slot of a replica not known yet; ask a slow stage again

Cause: a request that waited while a replica joined could wait for ever: the pool's home had the new document first and granted the new replica, which the entry daemon did not know, and the grant was given back without another asking (found as a stall of 20 s in 1 of 9 runs of the whole-daemon tests). A never-repeat request was given up when its stage did not answer one question in time, as on a machine that is overloaded. Change: an unknown replica's slot is given back unused and the request asks again; a stage that may live is asked up to three times before a request that may not be repeated is given up. Both are in the traces and the property test. Ruled out: lost messages between homes (the request's record ended with its AskSlot; the home had granted).

--- a/coordination/request/event.go
+++ b/coordination/request/event.go
@@ -38,6 +38,9 @@
 	SlotUnusable struct {
 		Grant   state.Attempt
 		Replica state.ReplicaID
+		// Unknown: nothing is wrong with the replica; this daemon does not
+		// have the document yet that names it.
+		Unknown bool
 	}
 
 	// SlotRefused answers AskSlot: no replica will be had.
@@ -99,6 +102,7 @@
 	HeldUnanswered struct {
 		Step      StepRef
 		Overtaken bool // another daemon owns the stream now
+		NotSent   bool // not one byte left this daemon: nobody listens there
 	}
 
 	// RetryDecided answers AskRetry.
--- a/coordination/request/recover.go
+++ b/coordination/request/recover.go
@@ -119,6 +119,14 @@
 		r.overtaken()
 		return
 	}
+	if r.spec.NeverRepeat && !ev.NotSent && r.asks < maxAsks {
+		// Giving the attempt up ends a request that may not be repeated. A
+		// stage that only is slow to answer is asked again first.
+		r.asks++
+		r.epoch = r.epoch.Next(r.spec.Owner)
+		r.do(AskHeld{Step: r.ref(), Stage: r.replica.Stages[r.stage]})
+		return
+	}
 	r.lost(state.RetryStageFailed)
 }
 
--- a/coordination/request/request.go
+++ b/coordination/request/request.go
@@ -199,7 +199,7 @@
 // sent. A request that is never repeated must not be lost to a replica that was
 // known to be broken, and any other would lose time there.
 func (r *Request) unusable(ev SlotUnusable) {
-	r.do(ReleaseSlot{Grant: ev.Grant, Replica: ev.Replica, Failed: true})
+	r.do(releaseUnusable(ev))
 	if r.phase != phaseQueued {
 		return
 	}
@@ -212,6 +212,10 @@
 	r.askSlot()
 }
 
+func releaseUnusable(ev SlotUnusable) ReleaseSlot {
+	return ReleaseSlot{Grant: ev.Grant, Replica: ev.Replica, Unused: ev.Unknown, Failed: !ev.Unknown}
+}
+
 func (r *Request) refused(ev SlotRefused) {
 	if r.phase == phaseQueued {
 		r.giveUp(ev.Reason, ev.RetryAfter)
@@ -320,7 +324,7 @@
 	case SlotGranted:
 		r.do(ReleaseSlot{Grant: ev.Grant, Replica: ev.Replica.ID, Unused: true})
 	case SlotUnusable:
-		r.do(ReleaseSlot{Grant: ev.Grant, Replica: ev.Replica, Failed: true})
+		r.do(releaseUnusable(ev))
 	case ClaimSettled:
 		// An End can't come before its claim is settled: giveUp waits for it.
 		panic("request: claim settled after the end")
--- a/daemon/runner.go
+++ b/daemon/runner.go
@@ -97,7 +97,7 @@
 	case request.SlotGranted:
 		r.release(request.ReleaseSlot{Grant: g.Grant, Replica: g.Replica.ID, Unused: true})
 	case request.SlotUnusable:
-		r.release(request.ReleaseSlot{Grant: g.Grant, Replica: g.Replica, Failed: true})
+		r.release(request.ReleaseSlot{Grant: g.Grant, Replica: g.Replica, Unused: g.Unknown, Failed: !g.Unknown})
 	}
 }
 
--- a/daemon/slots.go
+++ b/daemon/slots.go
@@ -159,11 +159,16 @@
 	r, ok := p.wants[a.Ask]
 	replica, known := p.replicas[a.Replica]
 	delete(p.wants, a.Ask)
-	if !ok || !known {
+	switch {
+	case !ok:
 		p.c.later(func() { p.route(route.Done{Ask: a.Ask, Use: home.UseUnused}) })
-		return
+	case !known:
+		// The home has a newer document than this daemon. The request asks
+		// again for another replica; it would wait for ever otherwise.
+		go r.post(request.SlotUnusable{Grant: a.Ask.Attempt, Replica: a.Replica, Unknown: true})
+	default:
+		go r.grant(a.Ask.Attempt, replica)
 	}
-	go r.grant(a.Ask.Attempt, replica)
 }
 
 func (p *slotsPart) refused(a route.Refused) {
--- a/daemon/steps.go
+++ b/daemon/steps.go
@@ -94,7 +94,9 @@
 	e := r.d.clients.engine(a.Stage.Address)
 	held, err := e.Resume(ctx, *r.execution.Load(), a.Step.Attempt, a.Step.Epoch)
 	if err != nil {
-		r.post(request.HeldUnanswered{Step: a.Step, Overtaken: errors.Is(err, engine.ErrEpoch)})
+		r.post(request.HeldUnanswered{
+			Step: a.Step, Overtaken: errors.Is(err, engine.ErrEpoch), NotSent: engine.NotSent(err),
+		})
 		return
 	}
 	r.post(request.HeldAnswer{
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -175,7 +175,7 @@
 		"peers": map[string]any{
 			"probe_interval": "200ms", "probe_timeout": "100ms", "suspicion_timeout": "500ms",
 		},
-		"backends": map[string]any{"progress_timeout": "500ms"},
+		"backends": map[string]any{"progress_timeout": "1s"},
 	})
 	if err != nil {
 		return settings.Settings{}, err
--- a/scenario/run.go
+++ b/scenario/run.go
@@ -204,7 +204,7 @@
 	r.drove[work{request: r.execution, attempt: a.Step.Attempt}] = true
 	w.after(hop, func() {
 		if e.dead {
-			r.later(hop, request.HeldUnanswered{Step: a.Step})
+			r.later(hop, request.HeldUnanswered{Step: a.Step, NotSent: true})
 			return
 		}
 		r.later(hop, e.held(r.execution, a.Step, r.spec.MaxTokens))
--- a/trace/event.go
+++ b/trace/event.go
@@ -54,6 +54,7 @@
 	Silent     bool              `json:"silent,omitempty"`
 	Life       string            `json:"life,omitempty"`
 	Known      bool              `json:"known,omitempty"`
+	Unknown    bool              `json:"unknown,omitempty"`
 	Canceled   bool              `json:"canceled,omitempty"`
 	NextToken  int               `json:"next_token,omitempty"`
 	Tokens     []int64           `json:"tokens,omitempty"` // digests
@@ -81,7 +82,7 @@
 	case request.SlotGranted:
 		return &Event{Kind: KindSlotGranted, Attempt: attempt(ev.Grant), Replica: replicaLine(ev.Replica)}
 	case request.SlotUnusable:
-		return &Event{Kind: KindSlotUnusable, Attempt: attempt(ev.Grant), Replica: &Replica{ID: ev.Replica}}
+		return &Event{Kind: KindSlotUnusable, Attempt: attempt(ev.Grant), Replica: &Replica{ID: ev.Replica}, Unknown: ev.Unknown}
 	case request.SlotRefused:
 		return &Event{Kind: KindSlotRefused, Reason: ev.Reason, RetryAfter: ev.RetryAfter}
 	case request.ClaimSettled:
@@ -119,7 +120,7 @@
 			NextToken: ev.NextToken, Output: m.bytes(ev.LastOutput), Tokens: m.values(ev.Tokens), Final: ev.Final,
 		}
 	case request.HeldUnanswered:
-		return &Event{Kind: KindHeldUnanswered, Step: stepRef(ev.Step), Overtaken: ev.Overtaken}
+		return &Event{Kind: KindHeldUnanswered, Step: stepRef(ev.Step), Overtaken: ev.Overtaken, NotSent: ev.NotSent}
 	default:
 		panic(fmt.Sprintf("trace: event %T has no line", ev))
 	}
--- a/trace/restore.go
+++ b/trace/restore.go
@@ -45,7 +45,7 @@
 			LastOutput: unmasked(e.Output), Tokens: e.Tokens, Final: e.Final,
 		}, nil
 	case KindHeldUnanswered:
-		return request.HeldUnanswered{Step: step, Overtaken: e.Overtaken}, nil
+		return request.HeldUnanswered{Step: step, Overtaken: e.Overtaken, NotSent: e.NotSent}, nil
 	case KindRetryDecided:
 		return request.RetryDecided{
 			Allowed: e.Allowed, At: began.Add(time.Duration(e.NotBefore)), Exclude: e.Exclude, Reason: e.Reason,
@@ -66,7 +66,7 @@
 	if e.Replica == nil {
 		return nil, fmt.Errorf("event %s: no replica", e.Kind)
 	}
-	return request.SlotUnusable{Grant: state.Attempt(e.Attempt), Replica: e.Replica.ID}, nil
+	return request.SlotUnusable{Grant: state.Attempt(e.Attempt), Replica: e.Replica.ID, Unknown: e.Unknown}, nil
 }
 
 func (e *Event) restoreClaim() (request.Event, error) {
