--- a/daemon/backends.go
+++ b/daemon/backends.go
@@ -33,6 +33,7 @@
 type report struct {
 	backend state.BackendID
 	replica state.ReplicaID // whose first stage it is, or ""
+	placed  bool            // its layers can be placed elsewhere
 	load    engine.Load
 	events  []engine.CacheEvent
 	err     error
@@ -75,6 +76,7 @@
 		rep.replica = r.ID
 	}
 	plain := p.c.slots.isPlain(r.Service)
+	rep.placed = p.c.slots.isPlaced(r.Service)
 	seq := b.cacheSeq
 	go func() {
 		p.c.d.readReport(&rep, s.Address, plain, seq)
@@ -101,6 +103,9 @@
 
 func (p *backendsPart) heard(b *backendState, rep report) {
 	b.asking = false
+	if rep.placed {
+		p.c.deaths.heard(rep.backend, rep.err == nil)
+	}
 	if rep.err != nil {
 		return // the calls of requests show what that means
 	}
@@ -156,3 +161,9 @@
 	v, ok := p.docs[id]
 	return ok && v.Document.Kind == service.KindPlain
 }
+
+// isPlaced reports whether a service's layers are placed by hibiscuswick.
+func (p *slotsPart) isPlaced(id state.ServiceID) bool {
+	v, ok := p.docs[id]
+	return ok && isAuto(&v.Document)
+}
--- a/daemon/controllers.go
+++ b/daemon/controllers.go
@@ -76,7 +76,7 @@
 			c: p.c, service: id,
 			m:       controller.New(controllerConfig(p.c.d, id)),
 			applied: make(map[state.BackendID]controller.Holding),
-			asker:   weights.NewAsker(weights.DefaultConfig(p.c.d.set.Leases.SharedLoads), id),
+			asker:   weights.NewAsker(weightsConfig(p.c.d), id),
 		}
 		p.byService[id] = s
 	}
@@ -250,6 +250,7 @@
 		case controller.WantWeights:
 			s.wanted = a.Slots
 			s.asker.Want(s.c.now, a.Slots)
+			s.c.later(func() { s.share(s.c.now) })
 		case controller.NumberRefused:
 			s.c.d.metrics.Add(telemetry.StaleOrdersTotal, 1)
 			s.c.d.log.Emit(telemetry.EventOrderStale, telemetry.Service(s.service), telemetry.Backend(a.Backend), telemetry.Fencing(a.Fencing))
--- a/daemon/weights.go
+++ b/daemon/weights.go
@@ -17,7 +17,16 @@
 }
 
 func newWeightsPart(c *control) *weightsPart {
-	return &weightsPart{c: c, m: weights.NewAllocator(weights.DefaultConfig(c.d.set.Leases.SharedLoads))}
+	return &weightsPart{c: c, m: weights.NewAllocator(weightsConfig(c.d))}
+}
+
+// weightsConfig makes a share last a little less than a lease, so that a new
+// allocator has to wait about as long as it waited for the lease.
+func weightsConfig(d *Daemon) weights.Config {
+	cfg := weights.DefaultConfig(d.set.Leases.SharedLoads)
+	cfg.Span = d.set.Leases.Term.Std() * 9 / 10
+	cfg.Renew = cfg.Span / 3
+	return cfg
 }
 
 func (p *weightsPart) lease(st lease.Status) { p.m.Lease(p.c.now, st) }
