--- a/coordination/membership/failure_test.go
+++ b/coordination/membership/failure_test.go
@@ -185,6 +185,26 @@
 		within(3*time.Second, func() bool { return !isolated(lone) })
 	})
 
+	// One daemon of five dies and another pauses, while a third accuses a living one
+	// by mistake. The fourth passes the accusation on; if it tells only those that
+	// have failed, it holds the living one for dead, and callers are sent elsewhere.
+	It("lets a suspect hear of its suspicion while others fail", Label("failure:daemon-paused"), func() {
+		f = newFleet(1, membership.Config{})
+		f.start(5, 30*time.Second)
+		f.clear()
+		u := update(f.nodes[2])
+		u.State, u.By = membership.Suspect, "entry-1"
+		f.step(f.nodes[0], membership.Received{From: f.nodes[1].self.Member, Msg: membership.Gossip{
+			Self: update(f.nodes[1]), Rumours: membership.Rumours{Updates: []membership.Update{u}},
+		}})
+		f.nodes[3].dead = true
+		f.pause(f.nodes[4], 10*time.Second)
+		within(time.Second, func() bool { return f.tally().refuted == 1 })
+		f.run(20 * time.Second)
+		Expect(f.nodes[0].actions).NotTo(ContainElement(
+			membership.Changed{Member: f.nodes[2].self.Member, From: membership.Suspect, To: membership.Dead}))
+	})
+
 	// A daemon stands still for thirty seconds (a paused virtual machine). The
 	// others hold it for dead and go on. When it wakes, all of its timers have run
 	// out, and whatever was sent to it waits in its sockets. It must hold nobody for
