Quarantine content that crashes backend servers

Cause: the quarantine's machine was not asked by the daemon. Change: every attempt passes it before it asks for a slot; a suspect runs alone on a replica; a stage at which nobody listens any more is reported as dead, once a life, before the runs that it ended. Answers are not held back until the word has spread: a request that was given up gets its final answer at once. The bound is that of docs/design/quarantine.md: two, and one more for each run begun before the first crash is known.

--- a/daemon/control.go
+++ b/daemon/control.go
@@ -44,6 +44,8 @@
 	addresses *addressesPart
 	limits    *limitsPart
 
+	quarantine *quarantinePart
+
 	leases      *leasesPart
 	tables      *tablesPart
 	catalog     *catalogPart
@@ -73,6 +75,7 @@
 	c.backends = newBackendsPart(c)
 	c.addresses = newAddressesPart(c)
 	c.limits = newLimitsPart(c)
+	c.quarantine = newQuarantinePart(c)
 	c.leases = newLeasesPart(c)
 	c.tables = newTablesPart(c)
 	c.catalog = newCatalogPart(c)
@@ -82,7 +85,7 @@
 	c.deaths = newDeathsPart(c)
 	c.parts = []part{
 		c.store, c.members, c.instances, c.documents, c.slots, c.claims,
-		c.batcher, c.streams, c.backends, c.limits,
+		c.batcher, c.streams, c.backends, c.limits, c.quarantine,
 		c.leases, c.tables, c.catalog, c.controllers, c.layout,
 	}
 	return c
--- a/daemon/members.go
+++ b/daemon/members.go
@@ -171,6 +171,7 @@
 		return route.Peer{Member: i.Member, Region: i.Meta.Region, Draining: i.Draining}
 	})})
 	p.c.limits.membersChanged(live)
+	p.c.quarantine.membersChanged(live)
 	p.c.leases.membersChanged(live)
 	p.c.catalog.membersChanged(live)
 	p.c.store.rolesChanged()
--- a/daemon/messages.go
+++ b/daemon/messages.go
@@ -12,6 +12,7 @@
 	"github.com/hibiscuswick/hibiscuswick/coordination/lease"
 	"github.com/hibiscuswick/hibiscuswick/coordination/limit"
 	"github.com/hibiscuswick/hibiscuswick/coordination/membership"
+	"github.com/hibiscuswick/hibiscuswick/coordination/quarantine"
 	"github.com/hibiscuswick/hibiscuswick/coordination/request"
 	"github.com/hibiscuswick/hibiscuswick/coordination/weights"
 	"github.com/hibiscuswick/hibiscuswick/protocol/peer"
@@ -32,6 +33,7 @@
 	kindCatalog    peer.Kind = 800
 	kindLeases     peer.Kind = 900
 	kindWeights    peer.Kind = 1000
+	kindQuarantine peer.Kind = 1100
 )
 
 // newRegistry lists every message between daemons. New ones are added at the end
@@ -78,6 +80,10 @@
 	peer.Register[platform.ListAsk](r, kindPlatform)
 	peer.Register[platform.ListTold](r, kindPlatform+1)
 
+	peer.Register[quarantine.Tell](r, kindQuarantine)
+	peer.Register[quarantine.Ack](r, kindQuarantine+1)
+	peer.Register[quarantine.Compare](r, kindQuarantine+2)
+
 	peer.Register[limit.Report](r, kindLimits)
 	peer.Register[limit.Grant](r, kindLimits+1)
 	registerPlacement(r)
@@ -120,6 +126,8 @@
 			c.slots.received(from, msg)
 		case limit.Message:
 			c.limits.step(limit.Received{From: from, Msg: msg})
+		case quarantine.Message:
+			c.quarantine.step(quarantine.Received{From: from, Msg: msg})
 		case catalog.Message:
 			c.catalog.step(catalog.Received{From: from, Msg: msg})
 		case lease.Message:
--- /dev/null
+++ b/daemon/quarantine.go
@@ -0,0 +1,182 @@
+package daemon
+
+import (
+	"time"
+
+	"github.com/samber/lo"
+
+	"github.com/hibiscuswick/hibiscuswick/coordination/membership"
+	"github.com/hibiscuswick/hibiscuswick/coordination/quarantine"
+	"github.com/hibiscuswick/hibiscuswick/coordination/request"
+	"github.com/hibiscuswick/hibiscuswick/coordination/store"
+	"github.com/hibiscuswick/hibiscuswick/state"
+	"github.com/hibiscuswick/hibiscuswick/telemetry"
+)
+
+// quarantinePart keeps content that crashes backend servers from crashing many.
+// Every attempt passes it before it asks for a slot.
+type quarantinePart struct {
+	c       *control
+	m       *quarantine.Quarantine
+	last    uint64
+	waiting map[uint64]quarantineWait
+	runs    map[*runner]quarantineRun
+	dead    map[state.BackendID]string // the last life that was reported dead
+}
+
+// quarantineWait is an attempt that waits for permission to run.
+type quarantineWait struct {
+	r   *runner
+	ask request.AskSlot
+}
+
+// quarantineRun is an attempt that has permission; run is 0 until it has a slot.
+type quarantineRun struct {
+	run  quarantine.RunID
+	turn uint64
+}
+
+func newQuarantinePart(c *control) *quarantinePart {
+	return &quarantinePart{
+		c:       c,
+		m:       quarantine.New(quarantine.Config{Self: c.d.self}, c.now, c.rng),
+		waiting: make(map[uint64]quarantineWait),
+		runs:    make(map[*runner]quarantineRun),
+		dead:    make(map[state.BackendID]string),
+	}
+}
+
+func (p *quarantinePart) nextTick(time.Time) time.Time { return p.m.NextTick() }
+func (p *quarantinePart) tick(time.Time)               { p.step(quarantine.Tick{}) }
+
+func (p *quarantinePart) step(ev quarantine.Event) {
+	for _, a := range p.m.Step(p.c.now, ev) {
+		p.carryOut(a)
+	}
+}
+
+func (p *quarantinePart) carryOut(a quarantine.Action) {
+	switch a := a.(type) {
+	case quarantine.Allow:
+		p.allowed(a)
+	case quarantine.Refuse:
+		p.refused(a)
+	case quarantine.Send:
+		p.c.d.send(p.c.members.address(a.To), a.Msg)
+	case quarantine.Store:
+		p.c.store.do(a.Call, func(res store.Result) { p.step(quarantine.Stored{Result: res}) })
+	case quarantine.Convicted:
+		p.c.d.log.Emit(telemetry.EventRequestQuarantined, telemetry.Detail(a.Fingerprint.String()))
+	case quarantine.Spread:
+		// Answers are not held back for it: a request that was given up gets
+		// its final answer at once. docs/design/quarantine.md has the bound.
+	}
+}
+
+// fingerprint names what a request makes a backend server do.
+func (p *quarantinePart) fingerprint(r *runner) quarantine.Fingerprint {
+	var model, version string
+	if v, ok := p.c.documents.inForce[r.spec.Service]; ok && v.Document.Model != nil {
+		model, version = v.Document.Model.Name, v.Document.Model.Version
+	}
+	return quarantine.FingerprintOf(r.spec.Service, model, version, r.spec.Prompt)
+}
+
+// ask lets an attempt ask for its slot once its content may run.
+func (p *quarantinePart) ask(r *runner, a request.AskSlot) {
+	p.last++
+	p.waiting[p.last] = quarantineWait{r: r, ask: a}
+	p.step(quarantine.Ask{Call: p.last, Fingerprint: p.fingerprint(r)})
+}
+
+func (p *quarantinePart) allowed(a quarantine.Allow) {
+	w, ok := p.waiting[a.Call]
+	if !ok {
+		p.step(quarantine.Ended{Turn: a.Turn, How: quarantine.RunStopped})
+		return
+	}
+	delete(p.waiting, a.Call)
+	if a.Alone {
+		p.c.d.log.Emit(telemetry.EventRequestImplicated, telemetry.Request(w.r.spec.ID))
+	}
+	p.runs[w.r] = quarantineRun{turn: a.Turn}
+	p.c.slots.ask(w.r, w.ask, a.Alone)
+}
+
+func (p *quarantinePart) refused(a quarantine.Refuse) {
+	w, ok := p.waiting[a.Call]
+	if !ok {
+		return
+	}
+	delete(p.waiting, a.Call)
+	go w.r.post(request.SlotRefused{
+		Reason:     state.ReasonQuarantined,
+		RetryAfter: secondsOf(a.Until.Sub(p.c.now)),
+	})
+}
+
+// stop ends an attempt that has no slot yet.
+func (p *quarantinePart) stop(r *runner, attempt state.Attempt) {
+	for call, w := range p.waiting {
+		if w.r == r {
+			delete(p.waiting, call)
+			p.step(quarantine.Cancel{Call: call})
+			return
+		}
+	}
+	p.c.slots.stop(r, attempt)
+	p.ended(r, quarantine.RunStopped)
+}
+
+// began notes, before anything is sent, that an attempt runs on a replica.
+func (p *quarantinePart) began(r *runner, replica state.ReplicaID) {
+	run, ok := p.runs[r]
+	if !ok {
+		return // a continued attempt of a daemon that is gone
+	}
+	p.last++
+	run.run = quarantine.RunID(p.last)
+	p.runs[r] = run
+	p.step(quarantine.Began{Run: run.run, Fingerprint: p.fingerprint(r), Replica: replica, Turn: run.turn})
+}
+
+// ended notes that an attempt is over.
+func (p *quarantinePart) ended(r *runner, how quarantine.How) {
+	run, ok := p.runs[r]
+	if !ok {
+		return
+	}
+	delete(p.runs, r)
+	if run.run != 0 || run.turn != 0 {
+		p.step(quarantine.Ended{Run: run.run, Turn: run.turn, How: how})
+	}
+}
+
+// died reports a backend server's death, once for each life of its process, and
+// before the runs that it ended are reported as over.
+func (p *quarantinePart) died(replica state.Replica, stage int) {
+	s := replica.Stages[stage]
+	if last, ok := p.dead[s.Backend]; ok && last == s.Life {
+		return
+	}
+	p.dead[s.Backend] = s.Life
+	p.c.d.log.Emit(telemetry.EventBackendDied, telemetry.Backend(s.Backend), telemetry.Replica(replica.ID))
+	p.step(quarantine.Died{Replica: replica.ID, Domain: replica.FailureDomain})
+}
+
+func (p *quarantinePart) membersChanged(live []membership.Info) {
+	p.step(quarantine.Members{Live: lo.Map(live, func(i membership.Info, _ int) state.Member { return i.Member })})
+}
+
+// howEnded says how an attempt ended, for the quarantine. One that ran alone and
+// failed with the replica's fate unknown counts as lost.
+func howEnded(a request.ReleaseSlot, completed bool) quarantine.How {
+	switch {
+	case completed:
+		return quarantine.RunCompleted
+	case a.Failed && !a.Unused:
+		return quarantine.RunLost
+	default:
+		return quarantine.RunStopped
+	}
+}
--- a/daemon/runner.go
+++ b/daemon/runner.go
@@ -38,6 +38,8 @@
 	// execution is the request id that backend servers know the work by. It is
 	// another's where a claimed attempt of a daemon that is gone is continued.
 	execution atomic.Pointer[state.RequestID]
+	// granted is the replica of the last slot; nil before the first.
+	granted atomic.Pointer[state.Replica]
 	// followed is set before the end where another request of the same key has
 	// the answer.
 	followed atomic.Pointer[followed]
@@ -55,7 +57,8 @@
 	arrived    time.Time
 	firstToken time.Time // of the attempt in hand, for the replica's speed
 	lastToken  time.Time
-	made       int // tokens of the attempt in hand
+	made       int  // tokens of the attempt in hand
+	completing bool // the actions under way end with a whole answer
 }
 
 func newRunner(d *Daemon, spec request.Spec, a *answer) *runner {
@@ -150,11 +153,23 @@
 	now := time.Now()
 	actions := r.m.Step(now, ev)
 	r.trace.Step(now, ev, actions)
+	r.completing = endsWhole(actions)
 	for _, a := range actions {
 		r.carryOut(a)
 	}
 }
 
+// endsWhole reports whether the actions end a request with its whole answer.
+func endsWhole(actions []request.Action) bool {
+	for _, a := range actions {
+		if end, ok := a.(request.End); ok {
+			_, whole := end.Outcome.(state.Completed)
+			return whole
+		}
+	}
+	return false
+}
+
 // carryOut does one action. Those that wait for something do so elsewhere and
 // post their result.
 func (r *runner) carryOut(a request.Action) {
@@ -185,9 +200,9 @@
 func (c *control) carryOut(r *runner, a request.Action) {
 	switch a := a.(type) {
 	case request.AskSlot:
-		c.slots.ask(r, a)
+		c.quarantine.ask(r, a)
 	case request.StopAsking:
-		c.slots.stop(r, a.Attempt)
+		c.quarantine.stop(r, a.Attempt)
 	case request.PutClaim:
 		c.claims.put(r, a)
 	case request.AbandonClaim:
@@ -205,7 +220,11 @@
 	tokens, busy := r.made, r.lastToken.Sub(r.firstToken)
 	r.made = 0
 	c := r.d.control
-	c.post(func() { c.slots.release(r.spec.ID, a, tokens, busy) })
+	how := howEnded(a, r.completing)
+	c.post(func() {
+		c.slots.release(r.spec.ID, a, tokens, busy)
+		c.quarantine.ended(r, how)
+	})
 }
 
 // releaseAttempt lets the stages free the KV cache of a whole answer, once it is
--- a/daemon/slots.go
+++ b/daemon/slots.go
@@ -113,7 +113,8 @@
 }
 
 // ask begins to get a slot for a request's next attempt.
-func (p *slotsPart) ask(r *runner, a request.AskSlot) {
+// Alone asks for a replica that runs nothing else meanwhile.
+func (p *slotsPart) ask(r *runner, a request.AskSlot, alone bool) {
 	ask := home.Ask{Request: r.spec.ID, Attempt: a.Attempt}
 	p.wants[ask] = r
 	prefixes := state.Prefixes(r.spec.Prompt)
@@ -127,6 +128,7 @@
 		Cost:     uint32(max(r.spec.MaxTokens, 1)),
 		Prefixes: prefixes,
 		Exclude:  a.Exclude,
+		Alone:    alone,
 	})
 }
 
@@ -167,6 +169,7 @@
 		// again for another replica; it would wait for ever otherwise.
 		go r.post(request.SlotUnusable{Grant: a.Ask.Attempt, Replica: a.Replica, Unknown: true})
 	default:
+		p.c.quarantine.began(r, replica.ID)
 		go r.grant(a.Ask.Attempt, replica)
 	}
 }
--- a/daemon/steps.go
+++ b/daemon/steps.go
@@ -70,6 +70,9 @@
 // stepError posts a call that was not answered.
 func (r *runner) stepError(a request.RunStep, err error) {
 	silent := errors.Is(err, enginehttp.ErrSilent)
+	if r.spec.Plain && !silent && !engine.NotSent(err) && r.ctx.Err() == nil {
+		r.checkPlain(a)
+	}
 	r.post(request.StepUnanswered{Step: a.Step, NotSent: engine.NotSent(err), Silent: silent})
 }
 
@@ -94,6 +97,9 @@
 	e := r.d.clients.engine(a.Stage.Address)
 	held, err := e.Resume(ctx, *r.execution.Load(), a.Step.Attempt, a.Step.Epoch)
 	if err != nil {
+		if engine.NotSent(err) {
+			r.stageDied(a.Step.Stage)
+		}
 		r.post(request.HeldUnanswered{
 			Step: a.Step, Overtaken: errors.Is(err, engine.ErrEpoch), NotSent: engine.NotSent(err),
 		})
@@ -111,6 +117,26 @@
 	})
 }
 
+// checkPlain finds out whether a plain server that broke a call off is gone.
+func (r *runner) checkPlain(a request.RunStep) {
+	ctx, cancel := context.WithTimeout(r.ctx, lifeTimeout)
+	defer cancel()
+	if _, err := r.d.clients.plain(a.Stage.Address).Load(ctx); engine.NotSent(err) {
+		r.stageDied(a.Step.Stage)
+	}
+}
+
+// stageDied reports that nobody listens any more at a stage that had the request.
+// It comes before the request's own end, so that the death implicates it.
+func (r *runner) stageDied(stage int) {
+	replica := r.granted.Load()
+	if replica == nil {
+		return // an attempt that another daemon began
+	}
+	c := r.d.control
+	c.post(func() { c.quarantine.died(*replica, stage) })
+}
+
 // cancelAttempt tells every stage of a replica that an attempt is over.
 func (d *Daemon) cancelAttempt(id state.RequestID, plain bool, attempt state.Attempt, replica state.Replica) {
 	if plain {
@@ -139,6 +165,7 @@
 		}
 		replica.Stages = stages
 	}
+	r.granted.Store(&replica)
 	r.post(request.SlotGranted{Grant: attempt, Replica: replica})
 }
 
