--- a/cmd/hibiscusctl/status.go
+++ b/cmd/hibiscusctl/status.go
@@ -57,6 +57,9 @@
 		return strings.Compare(string(a.Member.ID), string(b.Member.ID))
 	})
 	for _, m := range s.Members {
+		if m.Member.ID == s.ID {
+			continue // it lists itself, and has its line above
+		}
 		printf(w, "%s\t%s\t%s\t%s\n", m.Member, m.State, m.Address, versions(m.Documents))
 	}
 	_ = w.Flush()
