Write a site's documents once

Cause: the demo, the trace maker and the whole-daemon tests each spelled out the same documents. Change: site.ModelDocument, PlainDocument and Customers; each user names its classes only.

--- a/daemon/rig_test.go
+++ b/daemon/rig_test.go
@@ -44,7 +44,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	DeferCleanup(cancel)
 	r := &rig{Site: s, ctx: ctx}
-	cfg := standin.EngineConfig{Service: drafts, Model: "notes", Version: "1", Kind: "large", StepTime: step}
+	cfg := standin.EngineConfig{Service: drafts, Model: site.Model, Version: site.Version, Kind: "large", StepTime: step}
 	Expect(s.AddChains(chains, cfg)).To(Succeed())
 	Expect(s.AddPlain(standin.PlainConfig{ID: "alert-1"}, site.Domains[0])).To(Succeed())
 	for range daemons {
@@ -97,33 +97,16 @@
 }
 
 func draftsDocument() service.Document {
-	return service.Document{
-		Service:   drafts,
-		Kind:      service.KindModel,
-		Model:     &service.Model{Name: "notes", Version: "1", Layers: chains.Layers},
-		Capacity:  service.Capacity{Replicas: chains.Replicas, SlotsPerReplica: 8, QueuePerClass: 64},
-		Placement: chains.Placement(),
-		Classes: []service.Class{
-			{Name: "note", Priority: 0, Deadline: service.Duration(patience), NeverRepeat: true, MaxTokens: noteTokens},
-			{Name: "summary", Priority: 1, Deadline: service.Duration(patience), MaxTokens: noteTokens},
-		},
-		Customers: []service.Customer{{ID: advocates, RequestsPerSecond: 1000, Burst: 1000, Weight: 1}},
-		Retry:     service.Retry{MaxAttempts: 4, BudgetRatio: 1},
+	classes := []service.Class{
+		{Name: "note", Priority: 0, Deadline: service.Duration(patience), NeverRepeat: true, MaxTokens: noteTokens},
+		{Name: "summary", Priority: 1, Deadline: service.Duration(patience), MaxTokens: noteTokens},
 	}
+	return site.ModelDocument(drafts, chains, 8, classes, site.Customers(advocates))
 }
 
 func alertsDocument() service.Document {
-	return service.Document{
-		Service:  alerts,
-		Kind:     service.KindPlain,
-		Capacity: service.Capacity{Replicas: 1, SlotsPerReplica: 8, QueuePerClass: 64},
-		Placement: service.Placement{Mode: service.PlacementFixed, Chains: []service.Chain{
-			{ID: "alert-1", Stages: []service.ChainStage{{Backend: "alert-1"}}},
-		}},
-		Classes:   []service.Class{{Name: "alert", Deadline: service.Duration(patience), NeverRepeat: true}},
-		Customers: []service.Customer{{ID: advocates, RequestsPerSecond: 1000, Burst: 1000, Weight: 1}},
-		Retry:     service.Retry{MaxAttempts: 3, BudgetRatio: 1},
-	}
+	classes := []service.Class{{Name: "alert", Deadline: service.Duration(patience), NeverRepeat: true}}
+	return site.PlainDocument(alerts, []state.BackendID{"alert-1"}, 8, classes, site.Customers(advocates))
 }
 
 // apply edits a document at one daemon, based on the version in force there.
@@ -164,7 +147,7 @@
 	more.Replicas = n
 	for stage := 1; stage <= chains.Stages; stage++ {
 		Expect(r.AddEngine(standin.EngineConfig{
-			ID: more.Engine(n, stage), Service: drafts, Model: "notes", Version: "1", Kind: "large",
+			ID: more.Engine(n, stage), Service: drafts, Model: site.Model, Version: site.Version, Kind: "large",
 			StepTime: time.Millisecond, Layers: more.Range(stage), ModelLayers: more.Layers,
 		}, site.Domains[0])).To(Succeed())
 	}
