--- a/state/outcome.go
+++ b/state/outcome.go
@@ -58,25 +58,25 @@
 	outcome()
 }
 
-// Completed: every token of the answer was given to the caller's stream.
+// Completed says that every token of the answer was given to the caller's stream.
 type Completed struct {
 	Tokens int
 }
 
-// Refused: the request was not run. Only NewRefused makes one.
+// Refused says that the request was not run. Only NewRefused makes one.
 type Refused struct {
 	Reason     Reason
 	RetryAfter RetryAfter
 	proof      NotRunProof
 }
 
-// Failed: execution began, and the answer will not be whole.
+// Failed says that execution began, and the answer will not be whole.
 type Failed struct {
 	Reason Reason
 	Tokens int // tokens already given to the caller
 }
 
-// Unknown: whether the request ran can't be told. It is never run again.
+// Unknown says that it can't be told whether the request ran. It is never run again.
 type Unknown struct {
 	Reason Reason
 }
