Hand fixed chains over to automatic placement without a break

Cause: a service whose document turned from fixed to automatic placement had no replica until the first table; and a new holder that adopted the last table before it knew a layout took all replicas for surplus and had them leave. The spec written for the first showed the second: "no_replica" to callers. An edit that fits on no server emptied the layout and took the running chains down.

Change: the fixed chains serve on, are adopted and kept by the layout where they can; a controller adopts only with a layout; a layout that would be empty is not published. The list of servers is made once for all services. The controller's question interval is part of its Config.

Handing over two fixed chains under load: no request broken, no load ordered. Seen red: adoption without a layout ("no_replica"), publishing an empty layout.

Conclusion: automatic placement can be switched on under load.

--- a/coordination/controller/rollout.go
+++ b/coordination/controller/rollout.go
@@ -9,10 +9,6 @@
 	"github.com/hibiscuswick/hibiscuswick/state"
 )
 
-// askEvery is how often counts of running requests are asked for while some
-// chain drains.
-const askEvery = time.Second
-
 // advance moves each chain as far as the servers' states allow.
 func (m *Machine) advance() {
 	for _, c := range m.chains {
@@ -225,6 +221,6 @@
 	if len(a.Replicas) == 0 {
 		return out
 	}
-	m.askAt = now.Add(askEvery)
+	m.askAt = now.Add(m.cfg.AskEvery)
 	return append(out, a)
 }
--- a/coordination/controller/types.go
+++ b/coordination/controller/types.go
@@ -36,6 +36,9 @@
 	Spread time.Duration
 	// ReportLag is how far a report of running requests is behind.
 	ReportLag time.Duration
+	// AskEvery is the time between questions for counts of running requests while
+	// a chain drains.
+	AskEvery time.Duration
 	// LoadsAlways is how many loads at one time need no weight grant.
 	LoadsAlways int
 }
@@ -56,6 +59,7 @@
 		Retry:             2 * time.Second,
 		Spread:            3 * time.Second,
 		ReportLag:         2 * time.Second,
+		AskEvery:          time.Second,
 		LoadsAlways:       1,
 	}
 }
--- a/daemon/controllers.go
+++ b/daemon/controllers.go
@@ -23,6 +23,14 @@
 type controllersPart struct {
 	c         *control
 	byService map[state.ServiceID]*serviceController
+
+	// former are the fixed chains of services that are placed automatically since
+	// an edit: they serve on until the controller has published its first table,
+	// and are drained then.
+	former map[state.ServiceID]controller.Table
+
+	placeable   []platform.Instance // as of placeableAt
+	placeableAt time.Time
 }
 
 // serviceController is the controller of one service with what it was told.
@@ -44,7 +52,11 @@
 }
 
 func newControllersPart(c *control) *controllersPart {
-	return &controllersPart{c: c, byService: make(map[state.ServiceID]*serviceController)}
+	return &controllersPart{
+		c:         c,
+		byService: make(map[state.ServiceID]*serviceController),
+		former:    make(map[state.ServiceID]controller.Table),
+	}
 }
 
 func controllerConfig(d *Daemon, id state.ServiceID) controller.Config {
@@ -55,6 +67,7 @@
 	cfg.Spread = set.DrainSpread.Std()
 	cfg.ReportLag = set.ReportLag.Std()
 	cfg.LoadPoll = min(cfg.LoadPoll, cfg.Reconcile/2)
+	cfg.AskEvery = min(cfg.AskEvery, cfg.Reconcile/2)
 	cfg.Retry = min(cfg.Retry, cfg.Reconcile/2)
 	// A call ends by itself after askTimeout; the machine gives it up later, so
 	// that it hears of an answer that came.
@@ -62,11 +75,15 @@
 	return cfg
 }
 
-// documentChanged takes a document up. A service that is no longer placed
-// automatically keeps what its servers hold; its lease is given up.
-func (p *controllersPart) documentChanged(v *service.Versioned) {
+// documentChanged takes a document up in place of was, which is nil for the first.
+// A service that is no longer placed automatically keeps what its servers hold;
+// its lease is given up.
+func (p *controllersPart) documentChanged(was, v *service.Versioned) {
 	id := v.Document.Service
 	auto := isAuto(&v.Document)
+	if auto && was != nil && !isAuto(&was.Document) {
+		p.former[id] = fixedTable(&was.Document)
+	}
 	s, ok := p.byService[id]
 	if !ok && !auto {
 		return
@@ -91,6 +108,33 @@
 	}
 }
 
+// fixedTable writes the chains of a document with fixed placement as a table that
+// any other takes the place of.
+func fixedTable(doc *service.Document) controller.Table {
+	t := controller.Table{Service: doc.Service}
+	for _, chain := range doc.Placement.Chains {
+		c := controller.Chain{ID: fixedID(doc.Service, chain.ID)}
+		for _, s := range chain.Stages {
+			c.Stages = append(c.Stages, controller.Stage{Backend: s.Backend, Holding: controller.Holding{
+				Model: doc.Model.Name, Version: doc.Model.Version, Adapters: doc.Model.Adapters,
+				Layers: state.LayerRange{First: s.First, End: s.End},
+			}})
+		}
+		t.Replicas = append(t.Replicas, controller.Replica{Chain: c})
+	}
+	return t
+}
+
+// table returns the replica table of a service, or its fixed chains of before
+// where there is none yet.
+func (p *controllersPart) table(id state.ServiceID) controller.Table {
+	t := p.c.catalog.table(id)
+	if t.Fencing == 0 {
+		return p.former[id]
+	}
+	return t
+}
+
 // isAuto reports whether a service's layers are placed by hibiscuswick.
 func isAuto(doc *service.Document) bool {
 	return doc.Kind == service.KindModel && doc.Placement.Mode == service.PlacementAuto
@@ -164,7 +208,8 @@
 	s.share(now)
 }
 
-// adopt reads the replicas last published, once in each reign.
+// adopt reads the layout and the replicas last published, once in each reign. The
+// layout comes first: to a controller without one, all replicas would be too many.
 func (s *serviceController) adopt() {
 	due := s.status.Standing != lease.None && s.adopted != s.status.Reign
 	if !due || s.adopting || s.c.now.Before(s.adoptAt) {
@@ -172,14 +217,20 @@
 	}
 	s.adopting = true
 	reign := s.status.Reign
-	s.c.tables.newest(s.service, func(t controller.Table, ok bool) {
-		s.adopting = false
-		if !ok || reign != s.status.Reign {
-			s.adoptAt = s.c.now.Add(adoptRetry)
-			return
-		}
-		s.adopted = reign
-		s.step(controller.Adopt{Table: t})
+	s.c.tables.newest(layoutOf(s.service), func(layout controller.Table, known bool) {
+		s.c.tables.newest(s.service, func(t controller.Table, ok bool) {
+			s.adopting = false
+			if !ok || !known || layout.Fencing == 0 || reign != s.status.Reign {
+				s.adoptAt = s.c.now.Add(adoptRetry)
+				return
+			}
+			s.adopted = reign
+			if t.Fencing == 0 {
+				t = s.c.controllers.former[s.service]
+			}
+			s.placed(layout)
+			s.step(controller.Adopt{Table: t})
+		})
 	})
 }
 
@@ -200,7 +251,7 @@
 		return
 	}
 	var servers []controller.Backend
-	for _, in := range s.c.instances.placeable() {
+	for _, in := range s.c.controllers.servers() {
 		kind, ok := kindOf(s.document, in.Kind)
 		if ok {
 			servers = append(servers, controller.Backend{ID: state.BackendID(in.ID), ChecksFencing: kind.ChecksFencing})
@@ -217,9 +268,16 @@
 	return lo.Find(doc.BackendKinds, func(k service.BackendKind) bool { return k.Kind == name })
 }
 
-// placeable lists, in order, the engines that layers may be placed on: those that
+// placeableFor is how long a list of servers is used: at a site of thousands it
+// costs milliseconds to make, and every service needs it four times a second.
+const placeableFor = 200 * time.Millisecond
+
+// servers lists, in order, the engines that layers may be placed on: those that
 // answer and that no document gives to a fixed chain.
-func (p *instancesPart) placeable() []platform.Instance {
+func (p *controllersPart) servers() []platform.Instance {
+	if p.c.now.Sub(p.placeableAt) < placeableFor {
+		return p.placeable
+	}
 	fixed := make(map[state.BackendID]bool)
 	for _, v := range p.c.documents.inForce {
 		for _, chain := range v.Document.Placement.Chains {
@@ -228,12 +286,13 @@
 			}
 		}
 	}
-	out := lo.Filter(lo.Values(p.byID), func(in platform.Instance, _ int) bool {
+	p.placeable = lo.Filter(lo.Values(p.c.instances.byID), func(in platform.Instance, _ int) bool {
 		id := state.BackendID(in.ID)
 		return in.Role == platform.RoleEngine && !fixed[id] && !p.c.deaths.dead(id)
 	})
-	slices.SortFunc(out, func(a, b platform.Instance) int { return compareIDs(a.ID, b.ID) })
-	return out
+	slices.SortFunc(p.placeable, func(a, b platform.Instance) int { return compareIDs(a.ID, b.ID) })
+	p.placeableAt = p.c.now
+	return p.placeable
 }
 
 func (s *serviceController) step(ev controller.Event) {
--- a/daemon/documents.go
+++ b/daemon/documents.go
@@ -72,6 +72,7 @@
 		return
 	}
 	v := &service.Versioned{Version: doc.Version, EditID: doc.EditID, Document: decoded}
+	was := p.inForce[doc.Service]
 	p.inForce[doc.Service] = v
 	p.c.d.recorder.Document(doc.Service, doc.Version)
 	p.c.d.metrics.Add(telemetry.DocumentsAppliedTotal, 1)
@@ -79,9 +80,9 @@
 	p.c.d.log.Emit(telemetry.EventDocumentApplied, telemetry.Service(doc.Service), telemetry.Version(doc.Version))
 	p.c.members.step(membership.SetDigest{Digest: membership.Digest{Documents: p.m.Digest().Hash}})
 	p.c.slots.home(home.DocumentChanged{Document: &v.Document})
+	p.c.controllers.documentChanged(was, v)
 	p.c.slots.documentChanged(v)
 	p.c.limits.documentChanged(&v.Document)
-	p.c.controllers.documentChanged(v)
 	p.c.d.publish(func(w *view) {
 		w.documents = copyWith(w.documents, doc.Service, v)
 	})
--- a/daemon/layout.go
+++ b/daemon/layout.go
@@ -160,7 +160,7 @@
 				job.busy[st.Backend] = true
 			}
 		}
-		for _, r := range p.c.catalog.table(id).Replicas {
+		for _, r := range p.c.controllers.table(id).Replicas {
 			for _, st := range r.Chain.Stages {
 				job.busy[st.Backend] = true
 			}
@@ -171,7 +171,7 @@
 			delete(job.busy, id)
 		}
 	}
-	for _, in := range p.c.instances.placeable() {
+	for _, in := range p.c.controllers.servers() {
 		if !p.c.deaths.leaving(in) {
 			job.input.Servers = append(job.input.Servers, placementServer(in))
 		}
@@ -215,6 +215,10 @@
 	if same && was.Document == version {
 		return
 	}
+	if len(next) == 0 && len(was.Replicas) > 0 {
+		// Nothing that was asked for fits. What serves is kept until it does.
+		return
+	}
 	p.serial++
 	t := controller.Table{
 		Service: layoutOf(id), Document: version, Fencing: p.status.Fencing, Serial: p.serial, Replicas: next,
@@ -234,6 +238,11 @@
 	if own, ok := p.latest[id]; ok && own.Newer(t) {
 		return own
 	}
+	if t.Fencing == 0 {
+		// Nothing was laid out yet: chains that were written by hand stay as
+		// they are where they can.
+		return p.c.controllers.former[id]
+	}
 	return t
 }
 
--- a/daemon/placement_test.go
+++ b/daemon/placement_test.go
@@ -14,10 +14,13 @@
 	. "github.com/onsi/gomega"
 	"github.com/samber/lo"
 
+	"github.com/hibiscuswick/hibiscuswick/coordination/catalog"
+	"github.com/hibiscuswick/hibiscuswick/coordination/controller"
 	"github.com/hibiscuswick/hibiscuswick/coordination/lease"
 	"github.com/hibiscuswick/hibiscuswick/internal/site"
 	"github.com/hibiscuswick/hibiscuswick/internal/standin"
 	"github.com/hibiscuswick/hibiscuswick/protocol/engine"
+	"github.com/hibiscuswick/hibiscuswick/protocol/platform"
 	"github.com/hibiscuswick/hibiscuswick/state"
 	"github.com/hibiscuswick/hibiscuswick/state/service"
 	"github.com/hibiscuswick/hibiscuswick/telemetry"
@@ -162,6 +165,22 @@
 	return r.holder()
 }
 
+// awaitOwnChains waits until replicas of the controller's own chains are published,
+// and no others.
+func (r *placed) awaitOwnChains(replicas int) {
+	GinkgoHelper()
+	Eventually(func(g Gomega) {
+		rows := lo.Filter(r.Platform.Rows(catalog.Table), func(row platform.Row, _ int) bool { return row.Key == string(drafts) })
+		g.Expect(rows).To(HaveLen(1))
+		var t controller.Table
+		g.Expect(json.Unmarshal(rows[0].Value, &t)).To(Succeed())
+		g.Expect(t.Replicas).To(HaveLen(replicas))
+		for _, replica := range t.Replicas {
+			g.Expect(string(replica.Chain.ID)).NotTo(HavePrefix("drafts/" + chains.Prefix))
+		}
+	}).WithTimeout(patience).Should(Succeed())
+}
+
 // took reports how long a recovery took; nothing is asserted of it.
 func took(what string, since time.Time) {
 	AddReportEntry(what, time.Since(since).Round(10*time.Millisecond).String())
@@ -197,12 +216,18 @@
 var _ = Describe("A service placed automatically", func() {
 	// A team writes a document without a word of servers. Both kinds of engine,
 	// those that check fencing numbers and those that don't, are loaded and serve
-	// at every daemon.
+	// at every daemon. An edit that fits on no engines leaves them as they are.
 	It("is loaded on both kinds of engine and serves", func() {
 		r := newPlaced(3, 2, 2, 2)
 		for n := range r.Daemons {
 			r.awaitWhole(n, "first")
 		}
+		doc := placedDocument("2", 2)
+		doc.BackendKinds[0].MemoryLayers, doc.BackendKinds[1].MemoryLayers = 1, 1
+		r.apply(0, doc)
+		Eventually(func() int { return r.log.count("placement_short") }).WithTimeout(patience).Should(Equal(1))
+		Consistently(func() int { return r.held("1") }).WithTimeout(400 * time.Millisecond).Should(Equal(2 * chains.Layers))
+		r.awaitWhole(0, "second")
 		r.expectSound()
 	})
 
@@ -256,6 +281,23 @@
 		r.expectSound()
 	})
 
+	// A team whose chains were written by hand hands the placement over under load.
+	// No caller sees anything, and nothing is loaded anew: the engines already hold
+	// what is wanted.
+	It("takes chains over that were fixed before", func() {
+		r := &placed{rig: newRig(3, time.Millisecond), log: &eventLog{}}
+		stop := r.load()
+		doc := placedDocument("1", chains.Replicas)
+		r.apply(0, doc)
+		Eventually(r.holder).WithTimeout(patience).ShouldNot(Equal(-1))
+		r.awaitOwnChains(chains.Replicas)
+		stop()
+		for id, e := range r.Engines {
+			Expect(lo.CountBy(e.Orders(), func(o engine.Order) bool { return o.Kind != engine.OrderSetRole })).To(BeZero(), "orders to %s", id)
+		}
+		r.expectSound()
+	})
+
 	// The daemon that controls the service dies. Nobody notices; an edit made
 	// afterwards is carried out as ever. Cause: its lease runs out and another
 	// daemon takes it.
--- a/daemon/replicas.go
+++ b/daemon/replicas.go
@@ -11,7 +11,7 @@
 // Chains with a backend server that is not listed are left out.
 func (p *instancesPart) replicas(doc *service.Document) []state.Replica {
 	if isAuto(doc) {
-		return p.published(doc, p.c.catalog.table(doc.Service))
+		return p.published(doc, p.c.controllers.table(doc.Service))
 	}
 	var replicas []state.Replica
 	for _, chain := range doc.Placement.Chains {
@@ -23,9 +23,14 @@
 	return replicas
 }
 
+// fixedID names a chain of a document site-wide.
+func fixedID(id state.ServiceID, chain state.ReplicaID) state.ReplicaID {
+	return state.ReplicaID(string(id) + "/" + string(chain))
+}
+
 func (p *instancesPart) replica(doc *service.Document, chain service.Chain) (state.Replica, bool) {
 	r := state.Replica{
-		ID:      state.ReplicaID(string(doc.Service) + "/" + string(chain.ID)),
+		ID:      fixedID(doc.Service, chain.ID),
 		Service: doc.Service,
 		Slots:   doc.Capacity.SlotsPerReplica,
 		Speed:   1,
