List no event or counter that no daemon gives

Cause: 26 events and 8 metrics stood in the catalogue, and some in the operators' page, that nothing emitted; counters of the transport were not in it; refusals for limits and denied retries had no counter by reason.

--- a/daemon/backends.go
+++ b/daemon/backends.go
@@ -137,6 +137,9 @@
 		b.cacheSeq = e.Seq
 		ev.Changes = append(ev.Changes, home.CacheChange{Prefix: e.Prefix, Evicted: e.Evicted})
 	}
+	if ev.Gap {
+		p.c.d.log.Emit(telemetry.EventCacheEventsMissed, telemetry.Backend(rep.backend))
+	}
 	p.c.slots.home(ev)
 }
 
--- a/daemon/claims.go
+++ b/daemon/claims.go
@@ -262,6 +262,9 @@
 	r := run.r
 	if run.voiding {
 		run.voiding = false
+		if v.Kind == claims.VerdictNotRun {
+			run.p.c.d.log.Emit(telemetry.EventClaimVoided, telemetry.Request(r.spec.ID))
+		}
 		run.settled = true
 		run.r = nil
 		go r.post(request.VoidSettled{Voided: v.Kind == claims.VerdictNotRun})
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -85,7 +85,7 @@
 	c.deaths = newDeathsPart(c)
 	c.parts = []part{
 		c.store, c.members, c.instances, c.documents, c.slots, c.claims,
-		c.batcher, c.streams, c.backends, c.limits, c.quarantine,
+		c.batcher, c.streams, c.backends, c.limits, c.quarantine, newGaugesPart(c),
 		c.leases, c.tables, c.catalog, c.controllers, c.layout,
 	}
 	return c
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -93,6 +93,7 @@
 		Registry: newRegistry(),
 		Handler:  peer.Handler{Received: d.received, Called: d.called},
 		Lost:     d.connectionLost,
+		Rejected: d.peerRejected,
 		Scope:    d.metrics.Scope(),
 	})
 	d.control = newControl(d)
@@ -186,6 +187,11 @@
 	d.control.post(func() { d.control.connectionLost(address, unreachable) })
 }
 
+// peerRejected notes a connection from a peer that ended with an error.
+func (d *Daemon) peerRejected(remote net.Addr, err error) {
+	d.log.Emit(telemetry.EventFrameRefused, telemetry.Address(remote.String()), telemetry.Cause(err))
+}
+
 // connectionLost tells the parts that messages to a daemon may be lost.
 func (c *control) connectionLost(address string, unreachable bool) {
 	for _, i := range c.members.view.Members {
--- a/daemon/limits.go
+++ b/daemon/limits.go
@@ -59,6 +59,7 @@
 		case limit.Admit:
 			p.answer(a.Call, admission{admitted: true})
 		case limit.Refuse:
+			p.c.d.metrics.CountReason(telemetry.LimitedTotal, string(a.Why))
 			p.answer(a.Call, admission{retryAfter: secondsOf(a.RetryAfter)})
 		}
 	}
--- a/daemon/retries.go
+++ b/daemon/retries.go
@@ -45,10 +45,20 @@
 		at := p.c.now.Add(d.After)
 		go r.post(request.RetryDecided{Allowed: true, At: at, Exclude: d.Exclude})
 	case retry.Stop:
+		p.denied(r, d.Denial)
 		go r.post(request.RetryDecided{Reason: d.Denial.Reason()})
 	}
 }
 
+// denied counts a lost attempt that is not repeated.
+func (p *retriesPart) denied(r *runner, d retry.Denial) {
+	p.c.d.metrics.CountReason(telemetry.RetryDeniedTotal, string(d))
+	if d == retry.DenialServiceBudget || d == retry.DenialCustomerBudget {
+		p.c.d.log.Emit(telemetry.EventRetryBudgetEmpty, telemetry.Service(r.spec.Service),
+			telemetry.Customer(r.spec.Customer), telemetry.Detail(string(d)))
+	}
+}
+
 // ended feeds the budgets with what succeeded.
 func (p *retriesPart) ended(r *runner, o state.Outcome) {
 	if _, ok := o.(state.Completed); ok {
--- a/daemon/slots.go
+++ b/daemon/slots.go
@@ -169,6 +169,7 @@
 		// again for another replica; it would wait for ever otherwise.
 		go r.post(request.SlotUnusable{Grant: a.Ask.Attempt, Replica: a.Replica, Unknown: true})
 	default:
+		p.c.d.metrics.ObserveClass(telemetry.QueueSeconds, r.spec.Service, r.spec.Class, p.c.now.Sub(r.arrived))
 		p.c.quarantine.began(r, replica.ID)
 		go r.grant(a.Ask.Attempt, replica)
 	}
@@ -178,6 +179,9 @@
 	r, ok := p.wants[a.Ask]
 	delete(p.wants, a.Ask)
 	if ok {
+		if a.Reason == state.ReasonQueueFull {
+			p.c.d.log.Emit(telemetry.EventQueueFull, telemetry.Service(r.spec.Service), telemetry.Class(r.spec.Class))
+		}
 		go r.post(request.SlotRefused{Reason: a.Reason, RetryAfter: a.RetryAfter})
 	}
 }
--- a/daemon/steps.go
+++ b/daemon/steps.go
@@ -12,6 +12,7 @@
 	"github.com/hibiscuswick/hibiscuswick/coordination/request"
 	"github.com/hibiscuswick/hibiscuswick/protocol/engine"
 	"github.com/hibiscuswick/hibiscuswick/state"
+	"github.com/hibiscuswick/hibiscuswick/telemetry"
 	"github.com/hibiscuswick/hibiscuswick/transport/enginehttp"
 )
 
@@ -30,7 +31,9 @@
 		return
 	}
 	e := r.d.clients.engine(a.Stage.Address)
+	began := time.Now()
 	res, err := e.steps.Step(r.ctx, r.stepRequest(a))
+	r.d.metrics.Observe(telemetry.StepSeconds, time.Since(began))
 	if err != nil || res.Status != engine.StepDone {
 		e.seen("") // perhaps another life of the process by now
 	}
--- a/daemon/store.go
+++ b/daemon/store.go
@@ -78,6 +78,7 @@
 		case storebudget.Grant:
 			go s.perform(a.ID, s.waiting[a.ID].call)
 		case storebudget.Shed:
+			s.c.d.log.Emit(telemetry.EventStoreBudgetSpent)
 			s.finish(a.ID, store.Result{Status: store.NotSent})
 		}
 	}
--- a/daemon/submit.go
+++ b/daemon/submit.go
@@ -40,7 +40,6 @@
 // start makes a runner live and runs it.
 func (d *Daemon) start(r *runner) {
 	d.requests.add(r)
-	d.metrics.Set(telemetry.ActiveRequests, float64(d.requests.count()))
 	go r.run()
 }
 
--- a/internal/catalogue/catalogue_test.go
+++ b/internal/catalogue/catalogue_test.go
@@ -4,11 +4,13 @@
 	"go/ast"
 	"go/parser"
 	"go/token"
+	"io/fs"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"regexp"
 	"strconv"
+	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -42,6 +44,41 @@
 	return values
 }
 
+// names returns, by literal, the names of the constants of one type in a file.
+func names(file, typeName string) map[string]string {
+	f, err := parser.ParseFile(token.NewFileSet(), filepath.Join(root, file), nil, 0)
+	Expect(err).NotTo(HaveOccurred())
+	found := make(map[string]string)
+	ast.Inspect(f, func(n ast.Node) bool {
+		spec, ok := n.(*ast.ValueSpec)
+		if !ok {
+			return true
+		}
+		if t, ok := spec.Type.(*ast.Ident); ok && t.Name == typeName {
+			found[spec.Values[0].(*ast.BasicLit).Value] = spec.Names[0].Name
+		}
+		return true
+	})
+	return found
+}
+
+// sources joins the program's own text, without the catalogue and the tests.
+func sources() string {
+	var all strings.Builder
+	for _, dir := range []string{"client", "cmd", "daemon", "trace", "transport"} {
+		err := filepath.WalkDir(filepath.Join(root, dir), func(path string, _ fs.DirEntry, err error) error {
+			if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+				return err
+			}
+			text, err := os.ReadFile(path)
+			all.Write(text)
+			return err
+		})
+		Expect(err).NotTo(HaveOccurred())
+	}
+	return all.String()
+}
+
 func quoted[T ~string](values []T) []string {
 	return lo.Map(values, func(v T, _ int) string { return strconv.Quote(string(v)) })
 }
@@ -67,6 +104,22 @@
 		Expect(quoted(state.RetryReasons())).To(ConsistOf(constants("state/retry_reason.go", "RetryReason")))
 	})
 
+	// An operator who waits for a line that no daemon writes is worse off than
+	// without it.
+	It("list nothing that no daemon gives", func() {
+		text := sources()
+		used := func(name string) bool { return regexp.MustCompile(`telemetry\.` + name + `\b`).MatchString(text) }
+		for _, name := range names("telemetry/events.go", "Event") {
+			Expect(used(name)).To(BeTrue(), "%s is never emitted", name)
+		}
+		own, err := os.ReadFile(filepath.Join(root, "telemetry", "metrics.go"))
+		Expect(err).NotTo(HaveOccurred())
+		for literal, name := range names("telemetry/counter.go", "Name") {
+			counted := used(name) || strings.Contains(text, literal) || strings.Contains(string(own), name)
+			Expect(counted).To(BeTrue(), "%s is never counted", name)
+		}
+	})
+
 	It("place every event in its area, in order", func() {
 		last := telemetry.Event(1000)
 		for _, e := range telemetry.Events() {
--- a/telemetry/counter.go
+++ b/telemetry/counter.go
@@ -15,29 +15,43 @@
 
 // Counters.
 const (
-	AcceptedTotal            Name = "accepted_total"
-	CompletedTotal           Name = "completed_total"
-	RefusedTotal             Name = "refused_total"
-	FailedTotal              Name = "failed_total"
-	UnknownTotal             Name = "unknown_total"
-	RetriedTotal             Name = "retried_total"
-	TokensTotal              Name = "tokens_total"
-	LateTokensTotal          Name = "late_tokens_total"
-	ReattachedTotal          Name = "reattached_total"
-	JoinedRepeatsTotal       Name = "joined_repeats_total"
-	ClaimsTotal              Name = "claims_total"
-	StoreWritesTotal         Name = "store_writes_total"
-	StoreReadsTotal          Name = "store_reads_total"
-	StoreConflictsTotal      Name = "store_conflicts_total"
-	StoreUnansweredTotal     Name = "store_unanswered_total"
-	DocumentsAppliedTotal    Name = "documents_applied_total"
-	OrdersTotal              Name = "orders_total"
-	StaleOrdersTotal         Name = "stale_orders_total"
-	SilentConnectionsTotal   Name = "silent_connections_total"
-	BrokenFramesTotal        Name = "broken_frames_total"
-	PeerSentBytesTotal       Name = "peer_sent_bytes_total"
-	PeerReceivedBytesTotal   Name = "peer_received_bytes_total"
-	ControlMicrosecondsTotal Name = "control_microseconds_total"
+	AcceptedTotal              Name = "accepted_total"
+	CompletedTotal             Name = "completed_total"
+	RefusedTotal               Name = "refused_total"
+	FailedTotal                Name = "failed_total"
+	UnknownTotal               Name = "unknown_total"
+	RetriedTotal               Name = "retried_total"
+	RetryDeniedTotal           Name = "retry_denied_total"
+	LimitedTotal               Name = "limited_total"
+	TokensTotal                Name = "tokens_total"
+	ReattachedTotal            Name = "reattached_total"
+	JoinedRepeatsTotal         Name = "joined_repeats_total"
+	ClaimsTotal                Name = "claims_total"
+	StoreWritesTotal           Name = "store_writes_total"
+	StoreReadsTotal            Name = "store_reads_total"
+	StoreConflictsTotal        Name = "store_conflicts_total"
+	StoreUnansweredTotal       Name = "store_unanswered_total"
+	DocumentsAppliedTotal      Name = "documents_applied_total"
+	OrdersTotal                Name = "orders_total"
+	StaleOrdersTotal           Name = "stale_orders_total"
+	SilentConnectionsTotal     Name = "silent_connections_total"
+	BrokenFramesTotal          Name = "broken_frames_total"
+	PeerSentBytesTotal         Name = "peer_sent_bytes_total"
+	PeerReceivedBytesTotal     Name = "peer_received_bytes_total"
+	PeerSentTotal              Name = "peer_sent_total"
+	PeerReceivedTotal          Name = "peer_received_total"
+	PeerHeartbeatsTotal        Name = "peer_heartbeats_total"
+	PeerDroppedTotal           Name = "peer_dropped_total"
+	PeerConnectionsOpenedTotal Name = "peer_connections_opened_total"
+	PeerDialFailuresTotal      Name = "peer_dial_failures_total"
+	PeerSilentConnectionsTotal Name = "peer_silent_connections_total"
+	PeerLostConnectionsTotal   Name = "peer_lost_connections_total"
+	PeerUnansweredCallsTotal   Name = "peer_unanswered_calls_total"
+	PeerRefusedCallsTotal      Name = "peer_refused_calls_total"
+	PeerInboundRefusedTotal    Name = "peer_inbound_refused_total"
+	PeerInboundSlowTotal       Name = "peer_inbound_slow_total"
+	PeerFrameFaultsTotal       Name = "peer_frame_faults_total"
+	ControlMicrosecondsTotal   Name = "control_microseconds_total"
 )
 
 // Metrics of the HTTP front, which counts in the scope that Metrics.Scope gives.
@@ -54,7 +68,6 @@
 const (
 	ActiveRequests  Name = "active_requests"
 	QueuedRequests  Name = "queued_requests"
-	OpenStreams     Name = "open_streams"
 	LiveMembers     Name = "live_members"
 	ServingReplicas Name = "serving_replicas"
 	HomedReplicas   Name = "homed_replicas"
@@ -80,6 +93,7 @@
 // The values of Label.
 const (
 	LabelReason  Label = "reason"
+	LabelFault   Label = "fault"
 	LabelService Label = "service"
 	LabelClass   Label = "class"
 )
@@ -99,6 +113,7 @@
 
 var (
 	byReason  = []Label{LabelReason}
+	byFault   = []Label{LabelFault}
 	byService = []Label{LabelService}
 	byClass   = []Label{LabelService, LabelClass}
 )
@@ -110,8 +125,9 @@
 	{FailedTotal, KindCounter, byReason, "Requests that began and whose answer is not whole, by reason."},
 	{UnknownTotal, KindCounter, byReason, "Requests of which it can't be told whether they ran, by reason."},
 	{RetriedTotal, KindCounter, byReason, "Attempts after the first, by the reason of the retry."},
+	{RetryDeniedTotal, KindCounter, byReason, "Lost attempts that were not repeated, by what forbade it."},
+	{LimitedTotal, KindCounter, byReason, "Requests without a token of their customer's limit, by why there was none."},
 	{TokensTotal, KindCounter, nil, "Tokens given to callers."},
-	{LateTokensTotal, KindCounter, nil, "Tokens of abandoned attempts that came late and were dropped."},
 	{ReattachedTotal, KindCounter, nil, "Streams that a caller attached to again."},
 	{JoinedRepeatsTotal, KindCounter, nil, "Repeats that were joined to a request under way with the same idempotency key."},
 	{ClaimsTotal, KindCounter, nil, "Claims of idempotency keys that were committed."},
@@ -126,11 +142,23 @@
 	{BrokenFramesTotal, KindCounter, nil, "Frames that were broken, oversized or of an unknown kind."},
 	{PeerSentBytesTotal, KindCounter, nil, "Bytes sent to other daemons."},
 	{PeerReceivedBytesTotal, KindCounter, nil, "Bytes received from other daemons."},
+	{PeerSentTotal, KindCounter, nil, "Messages sent to other daemons."},
+	{PeerReceivedTotal, KindCounter, nil, "Messages received from other daemons."},
+	{PeerHeartbeatsTotal, KindCounter, nil, "Heartbeats sent on connections to other daemons."},
+	{PeerDroppedTotal, KindCounter, nil, "Messages dropped from a full queue."},
+	{PeerConnectionsOpenedTotal, KindCounter, nil, "Connections made to other daemons."},
+	{PeerDialFailuresTotal, KindCounter, nil, "Connections to other daemons that could not be made."},
+	{PeerSilentConnectionsTotal, KindCounter, nil, "Connections to other daemons that went silent."},
+	{PeerLostConnectionsTotal, KindCounter, nil, "Connections to other daemons that ended with an error."},
+	{PeerUnansweredCallsTotal, KindCounter, nil, "Calls to other daemons without an answer."},
+	{PeerRefusedCallsTotal, KindCounter, nil, "Calls of other daemons that were refused unhandled."},
+	{PeerInboundRefusedTotal, KindCounter, nil, "Connections of other daemons refused over the bound."},
+	{PeerInboundSlowTotal, KindCounter, nil, "Connections of other daemons closed for sending too slowly."},
+	{PeerFrameFaultsTotal, KindCounter, byFault, "Frames that can't be read, by what is wrong with them."},
 	{ControlMicrosecondsTotal, KindCounter, nil, "Processor time of the control goroutine, in microseconds."},
 
 	{ActiveRequests, KindGauge, nil, "Requests under way at this daemon."},
-	{QueuedRequests, KindGauge, byClass, "Requests waiting for a slot in queues homed here."},
-	{OpenStreams, KindGauge, nil, "Streams open to callers."},
+	{QueuedRequests, KindGauge, byService, "Requests waiting for a slot in queues homed here."},
 	{LiveMembers, KindGauge, nil, "Daemons that count as alive here, this one included."},
 	{ServingReplicas, KindGauge, byService, "Replicas that can serve."},
 	{HomedReplicas, KindGauge, byService, "Replicas whose home this daemon is."},
--- a/telemetry/events.go
+++ b/telemetry/events.go
@@ -3,8 +3,6 @@
 // Events of daemon.
 const (
 	EventDaemonStarted       Event = 1001
-	EventDaemonNotReady      Event = 1002
-	EventSettingsRefused     Event = 1003
 	EventDrainStarted        Event = 1004
 	EventDrainAnswersExpired Event = 1005
 	EventDrainCompleted      Event = 1006
@@ -12,7 +10,6 @@
 	EventIsolationBegan      Event = 1008
 	EventIsolationEnded      Event = 1009
 	EventDaemonStopped       Event = 1010
-	EventInternalDefect      Event = 1011
 	EventRecordingFailed     Event = 1012
 )
 
@@ -23,7 +20,6 @@
 	EventMemberRefuted         Event = 1103
 	EventMemberDied            Event = 1104
 	EventMemberLeft            Event = 1105
-	EventMemberReplaced        Event = 1106
 	EventSelfSuspected         Event = 1107
 	EventIncarnationSuperseded Event = 1108
 )
@@ -36,9 +32,6 @@
 	EventDocumentRefused        Event = 1204
 	EventDocumentOutcomeUnknown Event = 1205
 	EventDocumentUnreadable     Event = 1206
-	EventDocumentLagging        Event = 1207
-	EventSnapshotWritten        Event = 1208
-	EventSnapshotUsed           Event = 1209
 )
 
 // Events of requests.
@@ -51,8 +44,6 @@
 	EventOwnershipLost      Event = 1306
 	EventRequestImplicated  Event = 1307
 	EventRequestQuarantined Event = 1308
-	EventRequestCleared     Event = 1309
-	EventLateTokensDropped  Event = 1310
 	EventOrderBroken        Event = 1311
 	EventRetryBudgetEmpty   Event = 1312
 	EventCustomerLimited    Event = 1313
@@ -63,11 +54,8 @@
 const (
 	EventStoreUnavailable        Event = 1401
 	EventStoreRecovered          Event = 1402
-	EventStoreSlow               Event = 1403
 	EventStoreBudgetSpent        Event = 1404
-	EventStoreAnswerLost         Event = 1405
 	EventClaimVoided             Event = 1406
-	EventObjectStoreUnavailable  Event = 1407
 	EventInstanceListUnavailable Event = 1408
 )
 
@@ -88,24 +76,16 @@
 
 // Events of backend servers.
 const (
-	EventBackendJoined     Event = 1601
 	EventBackendLeaving    Event = 1602
 	EventBackendDied       Event = 1603
 	EventBackendRecovered  Event = 1604
-	EventBackendSlow       Event = 1605
 	EventReplicaUp         Event = 1606
 	EventReplicaDown       Event = 1607
 	EventCacheEventsMissed Event = 1608
-	EventLoadReportStale   Event = 1609
 )
 
 // Events of transport.
 const (
-	EventPeerConnected      Event = 1701
-	EventPeerDisconnected   Event = 1702
-	EventConnectionSilent   Event = 1703
-	EventFrameRefused       Event = 1704
-	EventHandshakeRefused   Event = 1705
-	EventRequestBodyRefused Event = 1706
-	EventListenFailed       Event = 1707
+	EventConnectionSilent Event = 1703
+	EventFrameRefused     Event = 1704
 )
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -166,6 +166,12 @@
 	}
 }
 
+// CountReason adds one to a counter that has the label "reason", for reasons whose
+// closed list is kept by the package that decides.
+func (m *Metrics) CountReason(name Name, reason string) {
+	m.scope.Tagged(map[string]string{string(LabelReason): reason}).Counter(string(name)).Inc(1)
+}
+
 // Tokens counts n tokens given to callers.
 func (m *Metrics) Tokens(n int) {
 	m.Add(TokensTotal, int64(n))
