--- a/daemon/steps.go
+++ b/daemon/steps.go
@@ -33,7 +33,7 @@
 	e := r.d.clients.engine(a.Stage.Address)
 	began := time.Now()
 	res, err := e.steps.Step(r.ctx, r.stepRequest(a))
-	r.d.metrics.Observe(telemetry.StepSeconds, time.Since(began))
+	r.d.metrics.ObserveService(telemetry.StepSeconds, r.spec.Service, time.Since(began))
 	if err != nil || res.Status != engine.StepDone {
 		e.seen("") // perhaps another life of the process by now
 	}
