Write down leases and orders in the daemon, and measure them

Cause: the design note knew the machines only, and neither a server that leaves nor two services on one site had a spec.

Change: two specs: an engine that leaves under load is replaced and drained without a broken request; a second service gets engines of its own. The step interval of a controller is part of its Config and follows a short reconcile interval.

Seen red: a leaving server taken from its controller at once is never unloaded.

--- a/coordination/controller/machine.go
+++ b/coordination/controller/machine.go
@@ -55,7 +55,7 @@
 	if m.rights.standing == lease.None {
 		return time.Time{}
 	}
-	return m.stepped.Add(stepEvery)
+	return m.stepped.Add(m.cfg.StepEvery)
 }
 
 // Clean reports whether no order of this or an earlier holder can be under way.
--- a/coordination/controller/types.go
+++ b/coordination/controller/types.go
@@ -36,6 +36,8 @@
 	Spread time.Duration
 	// ReportLag is how far a report of running requests is behind.
 	ReportLag time.Duration
+	// StepEvery is the time between Ticks while the machine may act.
+	StepEvery time.Duration
 	// AskEvery is the time between questions for counts of running requests while
 	// a chain drains.
 	AskEvery time.Duration
@@ -59,14 +61,12 @@
 		Retry:             2 * time.Second,
 		Spread:            3 * time.Second,
 		ReportLag:         2 * time.Second,
+		StepEvery:         250 * time.Millisecond,
 		AskEvery:          time.Second,
 		LoadsAlways:       1,
 	}
 }
 
-// stepEvery is how often the machine wants a Tick while it may act.
-const stepEvery = 250 * time.Millisecond
-
 // Holding is what a server is to hold, or holds.
 type Holding struct {
 	Model    string           `msgpack:"model" json:"model"`
--- a/daemon/controllers.go
+++ b/daemon/controllers.go
@@ -15,6 +15,10 @@
 	"github.com/hibiscuswick/hibiscuswick/telemetry"
 )
 
+// stepsPerReconcile bounds the time between a controller's steps, and between two
+// layouts, where servers are read more often than by default.
+const stepsPerReconcile = 6
+
 // adoptRetry is the pause after a reading of the last published table that failed.
 const adoptRetry = 250 * time.Millisecond
 
@@ -68,6 +72,7 @@
 	cfg.ReportLag = set.ReportLag.Std()
 	cfg.LoadPoll = min(cfg.LoadPoll, cfg.Reconcile/2)
 	cfg.AskEvery = min(cfg.AskEvery, cfg.Reconcile/2)
+	cfg.StepEvery = min(cfg.StepEvery, cfg.Reconcile/stepsPerReconcile)
 	cfg.Retry = min(cfg.Retry, cfg.Reconcile/2)
 	// A call ends by itself after askTimeout; the machine gives it up later, so
 	// that it hears of an answer that came.
--- a/daemon/layout.go
+++ b/daemon/layout.go
@@ -20,8 +20,8 @@
 )
 
 const (
-	layoutPrefix = "~layout/" // of a service's row in the table of replicas
-	layoutEvery  = 250 * time.Millisecond
+	layoutPrefix = "~layout/"             // of a service's row in the table of replicas
+	layoutEvery  = 250 * time.Millisecond // at most
 
 	// crossDomain is the time to move one token's activation between two failure
 	// domains of a region, in layer steps. Links are not measured yet.
@@ -84,7 +84,7 @@
 func (p *layoutPart) lease(st lease.Status) { p.status = st }
 
 func (p *layoutPart) tick(now time.Time) {
-	p.next = now.Add(layoutEvery)
+	p.next = now.Add(min(layoutEvery, p.c.d.set.Leases.Reconcile.Std()/stepsPerReconcile))
 	switch {
 	case p.adopted != p.status.Reign:
 		p.adopt()
--- a/daemon/placement_test.go
+++ b/daemon/placement_test.go
@@ -63,7 +63,6 @@
 	r.apply(0, placedDocument("1", replicas))
 	r.awaitServing(1)
 	r.awaitPlaced("1", replicas)
-	r.awaitLimits()
 	return r
 }
 
@@ -189,6 +188,8 @@
 // load runs requests at all live daemons until the returned function is called,
 // which expects that each ran once and to its end.
 func (r *placed) load() (stop func()) {
+	GinkgoHelper()
+	r.awaitLimits()
 	var wg sync.WaitGroup
 	var ended atomic.Bool
 	for i := range 2 * len(r.Daemons) {
@@ -237,6 +238,7 @@
 	// Cause: a stage is lost with its memory.
 	It("repairs a chain that lost a stage with a spare", Label("failure:stage-dies-mid-stream"), func() {
 		r := newPlaced(3, 3, 2, 2)
+		r.awaitLimits()
 		stream := r.submit(0, summary("a"))
 		first, _ := r.read(stream, 3)
 		var lost state.BackendID
@@ -298,6 +300,45 @@
 		r.expectSound()
 	})
 
+	// The platform takes an engine back under load, and the engine says so. No
+	// caller sees anything: a spare is loaded, the chain of the engine that leaves
+	// drains meanwhile, and then another chain has its place.
+	It("replaces an engine that leaves without breaking a request", Label("failure:backend-leaving"), func() {
+		r := newPlaced(3, 3, 2, 2)
+		stop := r.load()
+		began := time.Now()
+		id := r.holding(checking.Kind)
+		r.Engines[id].Leave()
+		Eventually(func() int { return r.Engines[id].State().Layers.Len() }).WithTimeout(patience).Should(BeZero())
+		took("word of leaving to drained", began)
+		r.awaitPlaced("1", 2)
+		stop()
+		r.expectSound()
+	})
+
+	// A second team's service comes to the same site. Each has its own engines, and
+	// neither is loaded on the other's. Cause: each service has a controller of its
+	// own, at another daemon perhaps.
+	It("shares the site with another service", func() {
+		r := newPlaced(3, 4, 0, 1)
+		doc := placedDocument("1", 1)
+		doc.Service = "checks"
+		r.apply(0, doc)
+		Eventually(func() map[state.ServiceID]int {
+			held := make(map[state.ServiceID]int)
+			for _, e := range r.Engines {
+				held[e.State().Service] += e.State().Layers.Len()
+			}
+			return held
+		}).WithTimeout(patience).Should(Equal(map[state.ServiceID]int{drafts: chains.Layers, "checks": chains.Layers}))
+		for id, e := range r.Engines {
+			Expect(e.Orders()).NotTo(BeEmpty(), "%s", id)
+			for _, o := range e.Orders() {
+				Expect(o.Service).To(Equal(e.State().Service), "order to %s", id)
+			}
+		}
+	})
+
 	// The daemon that controls the service dies. Nobody notices; an edit made
 	// afterwards is carried out as ever. Cause: its lease runs out and another
 	// daemon takes it.
