Let daemons that share an engine meet in its batches

Cause: a daemon held its steps back while a batch of its own was unanswered. With several daemons before one engine each of them then missed every second batch, and whole daemons gave half the bound. A check was also answered only with the drafts that it shared a call with, though the engine ran it first. Change: up to 16 batches may be unanswered, full or not, and steps of unlike priority never share one.

--- a/transport/enginehttp/batcher.go
+++ b/transport/enginehttp/batcher.go
@@ -13,8 +13,8 @@
 
 // Defaults of BatcherOptions.
 const (
-	DefaultMaxOutstanding = 2
-	DefaultMaxPartial     = 1
+	DefaultMaxOutstanding = 16
+	DefaultMaxPartial     = 16
 	DefaultMaxBatch       = 32
 	DefaultYields         = 32
 )
@@ -25,8 +25,11 @@
 	// 2, a full batch waits at the engine while the one before it runs.
 	MaxOutstanding int
 
-	// MaxPartial is how many may be unanswered for one to leave that is not
-	// full. With 1, steps gather while the engine is busy with others.
+	// MaxPartial is how many may be unanswered for one to leave when less than
+	// a full batch waits. With 1, steps gather while the engine is busy with
+	// others: best where this daemon is the engine's only one. Where several
+	// are, the engine forms its next batch of what all have sent, and steps
+	// that are held back here miss it.
 	MaxPartial int
 
 	// MaxBatch is the most steps of one batch; the engine's own batch cap is
@@ -55,9 +58,13 @@
 }
 
 // Batcher joins the steps of concurrent streams toward one engine. A batch
-// leaves at once when the engine has none of this daemon's; otherwise steps
-// gather until one comes back or they fill a batch. Inside a batch the smallest
-// priority number goes first. No step ever waits for a timer.
+// leaves as soon as fewer than MaxPartial are unanswered; otherwise steps gather
+// until one comes back or they fill a batch. The smallest priority number goes
+// first, and no step ever waits for a timer.
+//
+// Steps of unlike priority never share a batch. The engine runs the urgent ones
+// first, but answers a call only when all its steps are done, so that a check
+// would wait for the drafts that it was sent with.
 //
 // A batch's streams all come back at the same moment and ask for their next step
 // within microseconds. If the first of them left alone, the streams would split
@@ -197,15 +204,16 @@
 	}
 }
 
-// take removes the next batch from waiting. Steps of one attempt never stand
-// twice in a batch: the second stays.
+// take removes the next batch from waiting: steps of the first one's priority.
+// Steps of one attempt never stand twice in a batch: the second stays.
 func (b *Batcher) take() []*waiter {
 	ws := make([]*waiter, 0, min(len(b.waiting), b.opts.MaxBatch))
 	seen := make(map[attemptKey]bool, cap(ws))
+	priority := b.waiting[0].step.Priority
 	rest := b.waiting[:0]
 	for _, w := range b.waiting {
 		key := attemptKey{w.step.Request, w.step.Attempt}
-		if len(ws) == b.opts.MaxBatch || seen[key] {
+		if len(ws) == b.opts.MaxBatch || w.step.Priority != priority || seen[key] {
 			rest = append(rest, w)
 			continue
 		}
--- a/transport/enginehttp/chain_bench_test.go
+++ b/transport/enginehttp/chain_bench_test.go
@@ -25,7 +25,8 @@
 //	eager:   two batches may be unanswered, full or not; a step leaves at once
 //	partial: one batch may be unanswered, full or not; a step leaves at once
 //	gather:  partial, but streams that are ready to run add their steps first
-//	default: gather, and a second batch may be unanswered if it is full
+//	full:    gather, and a second batch may be unanswered if it is full
+//	default: gather, but with many batches unanswered, full or not
 //
 // It reports the share of the chain's own bound, which is the batch cap, or the
 // streams over the stages if that is smaller, a step time; and the mean time of
@@ -38,6 +39,7 @@
 		{"eager", enginehttp.BatcherOptions{MaxOutstanding: 2, MaxPartial: 2, Yields: -1}},
 		{"partial", enginehttp.BatcherOptions{MaxOutstanding: 1, Yields: -1}},
 		{"gather", enginehttp.BatcherOptions{MaxOutstanding: 1}},
+		{"full", enginehttp.BatcherOptions{MaxOutstanding: 2, MaxPartial: 1}},
 		{"default", enginehttp.BatcherOptions{}},
 	}
 	for _, daemons := range []int{1, 4} {
