Measure the time from a failure to the next token

The stand-in engine lists the requests that it has in progress. The layout of throughput has 36 slots a replica. A short test runs both measures at small sizes.

--- a/cmd/hibiscusctl/measure.go
+++ b/cmd/hibiscusctl/measure.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"time"
 
+	"github.com/samber/lo"
 	"github.com/urfave/cli/v3"
 
 	"github.com/hibiscuswick/hibiscuswick/measure"
@@ -15,13 +17,16 @@
 	flagDaemons = "daemons"
 	flagSeed    = "seed"
 	flagOffered = "offered"
+	flagRounds  = "rounds"
+	flagFault   = "fault"
+	flagQuick   = "quick"
 )
 
 func measureCommand() *cli.Command {
 	return &cli.Command{
 		Name:     "measure",
 		Usage:    "measure whole daemons against stand-ins in this process, on loopback",
-		Commands: []*cli.Command{measureThroughputCommand()},
+		Commands: []*cli.Command{measureThroughputCommand(), measureRecoveryCommand()},
 	}
 }
 
@@ -60,6 +65,45 @@
 	return printMeasure(cmd, res, res.Goals)
 }
 
+func measureRecoveryCommand() *cli.Command {
+	def := measure.DefaultRecovery()
+	return &cli.Command{
+		Name:  "recovery",
+		Usage: "time from a failure to a caller's next token or accepted request",
+		Flags: []cli.Flag{
+			&cli.BoolFlag{Name: flagJSON, Usage: "print the result as JSON"},
+			&cli.IntFlag{Name: flagRounds, Usage: "rounds of each failure", Value: def.Rounds},
+			&cli.StringSliceFlag{Name: flagFault, Usage: "failures to bring about", Value: lo.Map(def.Faults, func(f measure.Fault, _ int) string { return string(f) })},
+			&cli.BoolFlag{Name: flagQuick, Usage: "take the short timeouts of the tests in place of the defaults"},
+		},
+		Action: measureRecovery,
+	}
+}
+
+func measureRecovery(ctx context.Context, cmd *cli.Command) error {
+	if err := noMore(cmd); err != nil {
+		return err
+	}
+	cfg := measure.DefaultRecovery()
+	cfg.Rounds = cmd.Int(flagRounds)
+	cfg.Quick = cmd.Bool(flagQuick)
+	cfg.Faults = nil
+	for _, name := range cmd.StringSlice(flagFault) {
+		if !slices.Contains(measure.Faults(), measure.Fault(name)) {
+			return fail(exitBadInput, "no failure %q; there are %v", name, measure.Faults())
+		}
+		cfg.Faults = append(cfg.Faults, measure.Fault(name))
+	}
+	if cfg.Rounds <= 0 {
+		return fail(exitBadInput, "--%s must be above 0", flagRounds)
+	}
+	res, err := measure.RunRecovery(ctx, cfg, progress(cmd))
+	if err != nil {
+		return fail(exitFailed, "%v", err)
+	}
+	return printMeasure(cmd, res, res.Goals)
+}
+
 // progress prints each step, on standard error.
 func progress(cmd *cli.Command) func(string) {
 	return func(line string) { printf(cmd.ErrWriter, "%s\n", line) }
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -178,6 +178,20 @@
 	return false
 }
 
+// Requests lists the requests that have an attempt here which began and has not
+// ended.
+func (e *Engine) Requests() []state.RequestID {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var out []state.RequestID
+	for key, a := range e.life.attempts {
+		if a.started && !a.final && !a.canceled {
+			out = append(out, key.request)
+		}
+	}
+	return out
+}
+
 // Served counts the attempts that began in this life of the engine and are
 // remembered.
 func (e *Engine) Served() int {
--- a/measure/figures.go
+++ b/measure/figures.go
@@ -63,6 +63,7 @@
 // Level is what one offered load showed, within its window.
 type Level struct {
 	Offered           float64        `json:"offered"` // of the bound
+	Arrived           float64        `json:"arrived"` // of the bound: what came within the window
 	Requests          int            `json:"requests"`
 	TokensPerSecond   float64        `json:"tokens_per_second"`
 	Ratio             float64        `json:"ratio"` // of the bound
@@ -106,6 +107,9 @@
 	lv.RequestRatio = lv.RequestsPerSecond * meanTokens / bound
 	arrived := slices.DeleteFunc(slices.Clone(seen), func(o *observed) bool { return !inWindow(o.arrived) })
 	lv.Requests = len(arrived)
+	for _, o := range arrived {
+		lv.Arrived += float64(o.work.tokens) / window / bound
+	}
 	lv.Classes = []ClassFigures{classFigures(classCheck, arrived), classFigures(classDraft, arrived)}
 	lv.Ends = endsOf(arrived)
 }
--- a/measure/fleet.go
+++ b/measure/fleet.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/http"
 	"time"
 
 	"github.com/samber/lo"
@@ -98,19 +99,30 @@
 // every refusal as the end, as an open load must.
 func (f *fleet) callers(refusals int) []*client.Client {
 	out := make([]*client.Client, customers)
-	urls := f.urls()
 	for i := range out {
-		out[i] = client.New(client.Config{
-			Seeds:    urls,
-			Service:  drafts,
-			Customer: customer(i),
-			Domain:   site.Domains[i%len(site.Domains)],
-			Refusals: refusals,
-		})
+		cfg := f.callerConfig(i)
+		cfg.Refusals = refusals
+		out[i] = client.New(cfg)
 	}
 	return out
 }
 
+// caller returns the client of one customer, with connections of its own.
+func (f *fleet) caller(number int, http *http.Client) *client.Client {
+	cfg := f.callerConfig(number)
+	cfg.HTTP = http
+	return client.New(cfg)
+}
+
+func (f *fleet) callerConfig(number int) client.Config {
+	return client.Config{
+		Seeds:    f.urls(),
+		Service:  drafts,
+		Customer: customer(number),
+		Domain:   site.Domains[number%len(site.Domains)],
+	}
+}
+
 func sleepUntil(ctx context.Context, at time.Time) error {
 	t := time.NewTimer(time.Until(at))
 	defer t.Stop()
--- a/measure/layout.go
+++ b/measure/layout.go
@@ -37,7 +37,7 @@
 		},
 		Layers:   24,
 		BatchCap: 8,
-		Slots:    32,
+		Slots:    36,
 	}
 }
 
--- a/measure/measure_test.go
+++ b/measure/measure_test.go
@@ -57,3 +57,29 @@
 		Expect(res.Goals).To(HaveLen(5))
 	})
 })
+
+var _ = Describe("Recovery", func() {
+	It("brings every answer through every failure, whole and once", func() {
+		cfg := measure.DefaultRecovery()
+		cfg.Layout = small()
+		cfg.Layout.Groups[0].Replicas = 3
+		cfg.Daemons, cfg.Rounds, cfg.Streams, cfg.Tokens, cfg.Quick = 3, 1, 8, 40, true
+		cfg.Outage = 500 * time.Millisecond
+		cfg.Faults = []measure.Fault{
+			measure.FaultStageDies, measure.FaultStageSilent, measure.FaultDaemonDies, measure.FaultStoreEnds,
+		}
+		res, err := measure.RunRecovery(context.Background(), cfg, func(line string) { GinkgoWriter.Println(line) })
+		Expect(err).NotTo(HaveOccurred())
+		Expect(res.Faults).To(HaveLen(2 + 2 + 2 + 1))
+		for _, f := range res.Faults {
+			Expect(f.Streams).To(BeNumerically(">", 0))
+			Expect(f.Lost).To(BeZero(), f.String())
+			Expect(f.RanTwice).To(BeZero(), f.String())
+			Expect(f.Violations).To(BeZero(), f.String())
+			if f.Way == measure.WayDaemons {
+				Expect(f.NotWhole).To(BeZero(), f.String())
+			}
+		}
+		Expect(res.Goals).To(HaveLen(2))
+	})
+})
--- a/measure/text.go
+++ b/measure/text.go
@@ -4,7 +4,7 @@
 
 // Summary is a level in one line.
 func (lv Level) Summary() string {
-	s := fmt.Sprintf("offered %.2f: tokens %.3f of the bound, goodput %.3f, requests %.3f;", lv.Offered, lv.Ratio, lv.Goodput, lv.RequestRatio)
+	s := fmt.Sprintf("offered %.2f (%.2f came): tokens %.3f of the bound, goodput %.3f, requests %.3f;", lv.Offered, lv.Arrived, lv.Ratio, lv.Goodput, lv.RequestRatio)
 	for _, c := range lv.Classes {
 		s += fmt.Sprintf(" %s first %s, between %s, missed %.3f;", c.Class, c.First, c.Between, c.Missed)
 	}
@@ -31,3 +31,15 @@
 	}
 	return fmt.Sprintf("%-52s %9.3f (goal %.3f) %s", g.What, g.Measured, g.Limit, verdict)
 }
+
+// String is what a way showed under a fault, in one line.
+func (r Recovered) String() string {
+	s := fmt.Sprintf("%-18s %-14s p50 %5.0f, p99 %5.0f, max %5.0f ms of %d; %d streams", r.Fault, r.Way, r.Times.P50, r.Times.P99, r.Times.Max, r.Times.Count, r.Streams)
+	if r.NotWhole > 0 {
+		s += fmt.Sprintf(", %d not whole", r.NotWhole)
+	}
+	if r.Lost+r.RanTwice+r.Violations > 0 {
+		s += fmt.Sprintf(", LOST %d, RAN TWICE %d, OUT OF ORDER %d", r.Lost, r.RanTwice, r.Violations)
+	}
+	return s
+}
