--- a/measure/anew.go
+++ b/measure/anew.go
@@ -35,7 +35,7 @@
 				}
 			})
 			e.give(i)
-			s.outcome, s.request = end.outcome, run.id
+			s.ending, s.request = end, run.id
 			if end.outcome == caller.EndCompleted || ctx.Err() != nil {
 				return
 			}
@@ -67,7 +67,7 @@
 					s.onToken(t.Value)
 				}
 			})
-			s.outcome, s.request = res.End.Outcome, res.Request
+			s.ending, s.request = ending{res.End.Outcome, res.End.Reason}, res.Request
 			if err == nil || ctx.Err() != nil {
 				return
 			}
--- a/measure/figures.go
+++ b/measure/figures.go
@@ -70,6 +70,7 @@
 	RequestsPerSecond float64        `json:"requests_per_second"`
 	RequestRatio      float64        `json:"request_ratio"`
 	Goodput           float64        `json:"goodput_ratio"` // tokens of whole answers begun in time
+	Paced             float64        `json:"paced_ratio"`   // of those whose mean time between tokens is in the goal
 	Classes           []ClassFigures `json:"classes"`
 	Ends              []ReasonCount  `json:"ends,omitempty"` // other than whole answers
 	Lost              int            `json:"lost"`           // told to be whole, but is not
@@ -83,7 +84,7 @@
 // judge fills in what the callers saw within a window.
 func (lv *Level) judge(seen []*observed, opened, closed time.Time, bound, meanTokens float64) {
 	inWindow := func(at time.Time) bool { return !at.Before(opened) && at.Before(closed) }
-	var tokens, good, ended int
+	var tokens, good, paced, ended int
 	for _, o := range seen {
 		n := 0
 		for _, at := range o.tokens {
@@ -95,6 +96,9 @@
 		if o.good() {
 			good += n
 		}
+		if o.good() && o.pace() <= goalBetween {
+			paced += n
+		}
 		if o.outcome == caller.EndCompleted && inWindow(o.tokens[len(o.tokens)-1]) {
 			ended++
 		}
@@ -103,6 +107,7 @@
 	lv.TokensPerSecond = float64(tokens) / window
 	lv.Ratio = lv.TokensPerSecond / bound
 	lv.Goodput = float64(good) / window / bound
+	lv.Paced = float64(paced) / window / bound
 	lv.RequestsPerSecond = float64(ended) / window
 	lv.RequestRatio = lv.RequestsPerSecond * meanTokens / bound
 	arrived := slices.DeleteFunc(slices.Clone(seen), func(o *observed) bool { return !inWindow(o.arrived) })
@@ -163,6 +168,10 @@
 			counts[o.ending]++
 		}
 	}
+	return reasonCounts(counts)
+}
+
+func reasonCounts(counts map[ending]int) []ReasonCount {
 	var out []ReasonCount
 	for e, n := range counts {
 		out = append(out, ReasonCount{Outcome: e.outcome, Reason: e.reason, Count: n})
--- a/measure/load.go
+++ b/measure/load.go
@@ -48,6 +48,15 @@
 	return o.outcome == caller.EndCompleted && o.whole && o.tokens[0].Sub(o.arrived) <= o.work.deadline
 }
 
+// pace is the mean time between the answer's tokens.
+func (o *observed) pace() time.Duration {
+	gaps := len(o.tokens) - 1
+	if gaps < 1 {
+		return 0
+	}
+	return o.tokens[gaps].Sub(o.tokens[0]) / time.Duration(gaps)
+}
+
 // load is an open load: requests come by a Poisson process, whatever became of
 // those before.
 type load struct {
--- a/measure/recovery.go
+++ b/measure/recovery.go
@@ -59,10 +59,12 @@
 	Times Quantiles `json:"times"` // from the fault to the next token, or from the outage's end to the first
 
 	Streams    int `json:"streams"`     // all, met by the fault or not
-	NotWhole   int `json:"not_whole"`   // answers that ended without all tokens
+	NotWhole   int `json:"not_whole"`   // answers that ended without all tokens, and said so
 	Lost       int `json:"lost"`        // told to be whole, but is not
 	RanTwice   int `json:"ran_twice"`   // never to be repeated, but was
 	Violations int `json:"layer_order"` // of both ways together
+
+	Ends []ReasonCount `json:"ends,omitempty"` // of those not whole
 }
 
 // Recovery is the result.
@@ -109,6 +111,7 @@
 	return func(s *settings.Settings) {
 		s.AddressAnswerValid, s.IsolationBound = def.AddressAnswerValid, def.IsolationBound
 		s.Drain, s.Peers, s.Backends, s.Store = def.Drain, def.Peers, def.Backends, def.Store
+		s.Limits.LoanLife = def.Limits.LoanLife
 	}, nil
 }
 
--- a/measure/rounds.go
+++ b/measure/rounds.go
@@ -10,6 +10,7 @@
 	"github.com/hibiscuswick/hibiscuswick/client"
 	"github.com/hibiscuswick/hibiscuswick/internal/standin"
 	"github.com/hibiscuswick/hibiscuswick/protocol/caller"
+	"github.com/hibiscuswick/hibiscuswick/settings"
 	"github.com/hibiscuswick/hibiscuswick/state"
 )
 
@@ -37,14 +38,16 @@
 type tally struct {
 	Recovered
 	times times
+	ends  map[ending]int
 }
 
 func newTally(fault Fault, way string) *tally {
-	return &tally{Recovered: Recovered{Fault: fault, Way: way}, times: newTimes()}
+	return &tally{Recovered: Recovered{Fault: fault, Way: way}, times: newTimes(), ends: make(map[ending]int)}
 }
 
 func (t *tally) result() Recovered {
 	t.Times = t.times.quantiles()
+	t.Ends = reasonCounts(t.ends)
 	return t.Recovered
 }
 
@@ -56,6 +59,7 @@
 		switch {
 		case s.outcome != caller.EndCompleted:
 			t.NotWhole++
+			t.ends[s.ending]++
 		case !s.whole():
 			t.Lost++
 		}
@@ -173,14 +177,20 @@
 	callers := r.fleet.callers(0)
 	a := r.start(ctx, WayDaemons, func(i int) runner { return reattaching(callers[i%len(callers)]) })
 	b := r.start(ctx, WayAnew, r.fleet.sendAnew)
-	at, err := strike(ctx, r.fleet.site.Live()[0].Kill, a, b)
+	oldest := r.fleet.site.Live()[0]
+	name := oldest.DaemonStatus(ctx).ID
+	at, err := strike(ctx, oldest.Kill, a, b)
 	if err != nil {
 		return err
 	}
 	met := func(s *stream) bool { return s.tries > 1 }
 	ours.add(a, at, met)
 	base.add(b, at, met)
-	_, err = r.fleet.site.AddDaemon(r.fleet.change)
+	// A replacement keeps the name, and with it the seat in customers' limits.
+	_, err = r.fleet.site.AddDaemon(func(set *settings.Settings) {
+		r.fleet.change(set)
+		set.ID, set.Instance = name, state.InstanceID(name)
+	})
 	return err
 }
 
--- a/measure/stream.go
+++ b/measure/stream.go
@@ -22,9 +22,11 @@
 	values []int64
 
 	// Set at the end.
-	outcome caller.Ending
+	ending
 	request state.RequestID
 	tries   int // connections, or executions where the caller begins anew
+
+	done chan struct{} // closed at the end
 }
 
 func (s *stream) onToken(value int64) {
@@ -40,6 +42,15 @@
 	return len(s.times)
 }
 
+func (s *stream) ended() bool {
+	select {
+	case <-s.done:
+		return true
+	default:
+		return false
+	}
+}
+
 // whole reports whether every token came once, in order, with the right value.
 func (s *stream) whole() bool {
 	return s.outcome == caller.EndCompleted &&
@@ -64,7 +75,8 @@
 	return func(ctx context.Context, s *stream) {
 		res, _ := c.Do(ctx, client.Request{Class: s.work.class, Prompt: s.work.prompt, MaxTokens: s.work.tokens},
 			func(t caller.TokenEvent) { s.onToken(t.Value) })
-		s.outcome, s.request, s.tries = res.End.Outcome, res.Request, res.Tries
+		s.ending = ending{res.End.Outcome, res.End.Reason}
+		s.request, s.tries = res.Request, res.Tries
 	}
 }
 
@@ -78,21 +90,24 @@
 func begin(ctx context.Context, way string, n, first, tokens int, run func(i int) runner) *streams {
 	ss := &streams{}
 	for i := range n {
-		s := &stream{work: work{
+		s := &stream{done: make(chan struct{}), work: work{
 			number: first + i, class: classDraft, priority: 1, tokens: tokens, deadline: draftDeadline,
 			prompt: fmt.Sprintf("%s %d tokens=%d", way, first+i, tokens),
 		}}
 		ss.all = append(ss.all, s)
 		get := run(i)
-		ss.wg.Go(func() { get(ctx, s) })
+		ss.wg.Go(func() {
+			defer close(s.done)
+			get(ctx, s)
+		})
 	}
 	return ss
 }
 
-// awaitTokens waits until every stream has n tokens.
+// awaitTokens waits until every stream has n tokens or has ended.
 func (ss *streams) awaitTokens(ctx context.Context, n int) error {
 	for _, s := range ss.all {
-		for s.tokens() < n {
+		for s.tokens() < n && !s.ended() {
 			if err := sleepUntil(ctx, time.Now().Add(pollInterval)); err != nil {
 				return err
 			}
--- a/measure/text.go
+++ b/measure/text.go
@@ -4,7 +4,7 @@
 
 // Summary is a level in one line.
 func (lv Level) Summary() string {
-	s := fmt.Sprintf("offered %.2f (%.2f came): tokens %.3f of the bound, goodput %.3f, requests %.3f;", lv.Offered, lv.Arrived, lv.Ratio, lv.Goodput, lv.RequestRatio)
+	s := fmt.Sprintf("offered %.2f (%.2f came): tokens %.3f of the bound, goodput %.3f, paced %.3f, requests %.3f;", lv.Offered, lv.Arrived, lv.Ratio, lv.Goodput, lv.Paced, lv.RequestRatio)
 	for _, c := range lv.Classes {
 		s += fmt.Sprintf(" %s first %s, between %s, missed %.3f;", c.Class, c.First, c.Between, c.Missed)
 	}
@@ -38,6 +38,9 @@
 	if r.NotWhole > 0 {
 		s += fmt.Sprintf(", %d not whole", r.NotWhole)
 	}
+	for _, e := range r.Ends {
+		s += fmt.Sprintf("; %s %s %d", e.Outcome, e.Reason, e.Count)
+	}
 	if r.Lost+r.RanTwice+r.Violations > 0 {
 		s += fmt.Sprintf(", LOST %d, RAN TWICE %d, OUT OF ORDER %d", r.Lost, r.RanTwice, r.Violations)
 	}
