Tell a suspect whose server's fate is known from a lost one

Cause: every failed run of a suspect counted as lost, and a lost turn convicts for ten minutes: innocents ended as quarantined after an ordinary death. A stage that had restarted before it was asked was not reported as dead. Change: lost is a run whose server answers nothing at all; a stage that answers in another life is reported as dead, once.

--- a/daemon/quarantine.go
+++ b/daemon/quarantine.go
@@ -168,13 +168,14 @@
 	p.step(quarantine.Members{Live: lo.Map(live, func(i membership.Info, _ int) state.Member { return i.Member })})
 }
 
-// howEnded says how an attempt ended, for the quarantine. One that ran alone and
-// failed with the replica's fate unknown counts as lost.
-func howEnded(a request.ReleaseSlot, completed bool) quarantine.How {
+// howEnded says how an attempt ended, for the quarantine. One that failed with the
+// replica's fate unknown counts as lost. Where the replica is known to have died,
+// that was reported before; where it lives, the content did it no harm.
+func howEnded(a request.ReleaseSlot, completed, fateUnknown bool) quarantine.How {
 	switch {
 	case completed:
 		return quarantine.RunCompleted
-	case a.Failed && !a.Unused:
+	case a.Failed && fateUnknown:
 		return quarantine.RunLost
 	default:
 		return quarantine.RunStopped
--- a/daemon/runner.go
+++ b/daemon/runner.go
@@ -40,6 +40,9 @@
 	execution atomic.Pointer[state.RequestID]
 	// granted is the replica of the last slot; nil before the first.
 	granted atomic.Pointer[state.Replica]
+	// fateUnknown is set while it can't be told whether the backend server that
+	// failed the attempt lives.
+	fateUnknown atomic.Bool
 	// followed is set before the end where another request of the same key has
 	// the answer.
 	followed atomic.Pointer[followed]
@@ -220,7 +223,7 @@
 	tokens, busy := r.made, r.lastToken.Sub(r.firstToken)
 	r.made = 0
 	c := r.d.control
-	how := howEnded(a, r.completing)
+	how := howEnded(a, r.completing, r.fateUnknown.Load())
 	c.post(func() {
 		c.slots.release(r.spec.ID, a, tokens, busy)
 		c.quarantine.ended(r, how)
--- a/daemon/steps.go
+++ b/daemon/steps.go
@@ -103,11 +103,15 @@
 		if engine.NotSent(err) {
 			r.stageDied(a.Step.Stage)
 		}
+		r.fateUnknown.Store(!engine.NotSent(err))
 		r.post(request.HeldUnanswered{
 			Step: a.Step, Overtaken: errors.Is(err, engine.ErrEpoch), NotSent: engine.NotSent(err),
 		})
 		return
 	}
+	if a.Stage.Life != "" && held.Life != a.Stage.Life {
+		r.stageDied(a.Step.Stage) // and is back already
+	}
 	r.post(request.HeldAnswer{
 		Step:       a.Step,
 		Life:       held.Life,
@@ -124,9 +128,11 @@
 func (r *runner) checkPlain(a request.RunStep) {
 	ctx, cancel := context.WithTimeout(r.ctx, lifeTimeout)
 	defer cancel()
-	if _, err := r.d.clients.plain(a.Stage.Address).Load(ctx); engine.NotSent(err) {
+	_, err := r.d.clients.plain(a.Stage.Address).Load(ctx)
+	if engine.NotSent(err) {
 		r.stageDied(a.Step.Stage)
 	}
+	r.fateUnknown.Store(err != nil && !engine.NotSent(err))
 }
 
 // stageDied reports that nobody listens any more at a stage that had the request.
@@ -169,6 +175,7 @@
 		replica.Stages = stages
 	}
 	r.granted.Store(&replica)
+	r.fateUnknown.Store(false)
 	r.post(request.SlotGranted{Grant: attempt, Replica: replica})
 }
 
