Run hibiscuswick as a gateway on the platform, thin

Cause: the product drove every stage of a chain itself and followed documents of its own; the platform's engines pass a request along a path by themselves, list themselves in the store, and take orders for ranges of layers.

Membership and the peer transport are the present ones.

Ruled out: net/http's Transport towards backend servers (it repeats requests by itself and hands over an answer that belongs to another request).

--- a/cmd/hibiscusd/main.go
+++ b/cmd/hibiscusd/main.go
@@ -41,6 +41,7 @@
 			{Name: "check", Usage: "check the settings and say every fault", Flags: []cli.Flag{file}, Action: check},
 			{Name: "demo", Usage: "run three daemons on embedded stand-ins", Action: runDemo},
 			standinCommand(),
+			gatewayCommand(),
 		},
 	}
 }
--- /dev/null
+++ b/coordination/layering/layering.go
@@ -0,0 +1,365 @@
+package layering
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/hibiscuswick/hibiscuswick/coordination/cover"
+	"github.com/hibiscuswick/hibiscuswick/state"
+	"github.com/hibiscuswick/hibiscuswick/state/fleet"
+)
+
+const (
+	// settleFirst is how long the list must stand still before a first layout:
+	// engines list themselves over the first seconds of a site's life.
+	settleFirst = 1500 * time.Millisecond
+	// settleLater is the same for a repair, so that engines which come back
+	// together are laid out together.
+	settleLater = 200 * time.Millisecond
+	// rankDelay is how much later each next daemon tries to take the lease.
+	rankDelay = 500 * time.Millisecond
+	// Term is how long a lease stands without renewal.
+	Term = 3 * time.Second
+	// termMargin is how much sooner a holder stops than others take over, for
+	// clocks that differ in rate and a call's way.
+	termMargin = 500 * time.Millisecond
+	// renewBefore is how long before its end a lease that is still needed is
+	// renewed.
+	renewBefore = time.Second
+	// acquireRetry is how long after a failed attempt the next one follows.
+	acquireRetry = 400 * time.Millisecond
+	// orderRetry is how long after an order without effect it is decided anew.
+	orderRetry = 700 * time.Millisecond
+	// loadSlack is added to the time that a load should take, before the order
+	// counts as lost: lists lag by a heartbeat or two.
+	loadSlack = 4 * time.Second
+)
+
+// Event is something that happened.
+type Event interface{ layeringEvent() }
+
+// Tick lets timers run.
+type Tick struct{}
+
+// Listed replaces what is known of one service's engines.
+type Listed struct {
+	Service state.ServiceID
+	Engine  *fleet.Engine
+	Servers []fleet.Server
+}
+
+// Ranked says how many daemons are to try before this one.
+type Ranked struct{ Before int }
+
+// Acquired says that the lease is held under a fencing number; Sent is when the
+// write that took it was sent.
+type Acquired struct {
+	Fence state.FencingNumber
+	Sent  time.Time
+}
+
+// NotAcquired says that another daemon holds the lease, or that the attempt
+// failed. HeldFor is how long the other's lease still stands, if known.
+type NotAcquired struct{ HeldFor time.Duration }
+
+// OrderEnd is what became of an order.
+type OrderEnd uint8
+
+// The values of OrderEnd.
+const (
+	Begun    OrderEnd = iota + 1 // it is being carried out, or holds already
+	Lost                         // no answer; it may be carried out late
+	Conflict                     // it does not fit the engine's state
+	Fenced                       // a higher fencing number was seen
+)
+
+// Ordered answers an Order action. Orders is the number of orders that the engine
+// has begun by its own report, where Known.
+type Ordered struct {
+	Server state.BackendID
+	End    OrderEnd
+	Known  bool
+	Orders uint64
+}
+
+func (Tick) layeringEvent()        {}
+func (Listed) layeringEvent()      {}
+func (Ranked) layeringEvent()      {}
+func (Acquired) layeringEvent()    {}
+func (NotAcquired) layeringEvent() {}
+func (Ordered) layeringEvent()     {}
+
+// Action is something for the caller of Step to do.
+type Action interface{ layeringAction() }
+
+// Acquire asks for the lease to be taken or renewed.
+type Acquire struct{}
+
+// Order asks for an engine to be given layers. It is sent only while Holds.
+type Order struct {
+	Server fleet.Server
+	Layers fleet.Range
+	Fence  state.FencingNumber
+	Orders uint64
+	Until  time.Time // after which it may not be sent
+}
+
+func (Acquire) layeringAction() {}
+func (Order) layeringAction()   {}
+
+// service is what is known of one service's engines.
+type service struct {
+	engine  *fleet.Engine
+	servers []fleet.Server
+	changed time.Time // when the list last did
+}
+
+// pending is an order under way.
+type pending struct {
+	layers fleet.Range
+	orders uint64    // that the engine must have begun before
+	until  time.Time // when it is decided anew
+}
+
+// Machine decides for one daemon. It belongs to one goroutine.
+type Machine struct {
+	services map[state.ServiceID]*service
+	pending  map[state.BackendID]pending
+	orders   map[state.BackendID]uint64 // that each engine has begun, as far as is known
+
+	before    int // daemons that try first
+	needed    time.Time
+	fence     state.FencingNumber
+	until     time.Time // of the lease
+	acquiring bool
+	notBefore time.Time // of the next attempt at the lease
+
+	now time.Time
+	out []Action
+}
+
+// New returns a machine that knows nothing.
+func New() *Machine {
+	return &Machine{
+		services: make(map[state.ServiceID]*service),
+		pending:  make(map[state.BackendID]pending),
+		orders:   make(map[state.BackendID]uint64),
+	}
+}
+
+// Holds reports whether orders may be given at now.
+func (m *Machine) Holds(now time.Time) bool {
+	return now.Before(m.until)
+}
+
+// Step takes in one event and gives what is to be done about it.
+func (m *Machine) Step(now time.Time, ev Event) []Action {
+	m.now, m.out = now, nil
+	switch ev := ev.(type) {
+	case Listed:
+		m.listed(ev)
+	case Ranked:
+		m.before = ev.Before
+	case Acquired:
+		m.acquiring = false
+		m.fence = ev.Fence
+		m.until = ev.Sent.Add(Term - termMargin)
+	case NotAcquired:
+		m.acquiring = false
+		m.notBefore = now.Add(max(ev.HeldFor, acquireRetry))
+	case Ordered:
+		m.ordered(ev)
+	case Tick:
+	}
+	m.decide()
+	return m.out
+}
+
+// NextTick is when a timer is due, zero for never.
+func (m *Machine) NextTick() time.Time {
+	var next time.Time
+	earlier := func(t time.Time) {
+		if t.After(m.now) && (next.IsZero() || t.Before(next)) {
+			next = t
+		}
+	}
+	for _, s := range m.services {
+		earlier(s.changed.Add(m.settle(s)))
+	}
+	for _, p := range m.pending {
+		earlier(p.until)
+	}
+	if !m.needed.IsZero() {
+		earlier(m.needed.Add(time.Duration(m.before) * rankDelay))
+		earlier(m.notBefore)
+		earlier(m.until.Add(-renewBefore))
+	}
+	return next
+}
+
+func (m *Machine) listed(ev Listed) {
+	s, ok := m.services[ev.Service]
+	if !ok {
+		s = &service{}
+		m.services[ev.Service] = s
+	}
+	if !ok || !sameEngines(s.servers, ev.Servers) {
+		s.changed = m.now
+	}
+	s.engine, s.servers = ev.Engine, ev.Servers
+	for _, srv := range ev.Servers {
+		if p, ok := m.pending[srv.ID]; ok && srv.Layers == p.layers {
+			delete(m.pending, srv.ID)
+		}
+	}
+	m.forgetGone()
+}
+
+// sameEngines reports whether two lists hold the same engines with the same layers.
+func sameEngines(a, b []fleet.Server) bool {
+	key := func(s fleet.Server) string { return string(s.ID) }
+	have := make(map[string]fleet.Range, len(a))
+	for _, s := range a {
+		have[key(s)] = s.Layers
+	}
+	if len(a) != len(b) {
+		return false
+	}
+	for _, s := range b {
+		if r, ok := have[key(s)]; !ok || r != s.Layers {
+			return false
+		}
+	}
+	return true
+}
+
+// forgetGone drops what is kept of engines that are no longer listed.
+func (m *Machine) forgetGone() {
+	listed := make(map[state.BackendID]bool)
+	for _, s := range m.services {
+		for _, srv := range s.servers {
+			listed[srv.ID] = true
+		}
+	}
+	gone := func(id state.BackendID) bool { return !listed[id] }
+	for _, id := range slices.Collect(maps.Keys(m.pending)) {
+		if gone(id) {
+			delete(m.pending, id)
+		}
+	}
+	for _, id := range slices.Collect(maps.Keys(m.orders)) {
+		if gone(id) {
+			delete(m.orders, id)
+		}
+	}
+}
+
+func (m *Machine) ordered(ev Ordered) {
+	p, ok := m.pending[ev.Server]
+	if !ok {
+		return
+	}
+	if ev.Known {
+		m.orders[ev.Server] = ev.Orders
+	}
+	switch ev.End {
+	case Begun:
+		m.orders[ev.Server] = max(m.orders[ev.Server], p.orders+1)
+		return
+	case Fenced:
+		// Another daemon holds a later lease: this one's has ended.
+		m.until = m.now
+	default:
+	}
+	p.until = m.now.Add(orderRetry)
+	m.pending[ev.Server] = p
+}
+
+// settle is how long a service's list must stand still.
+func (m *Machine) settle(s *service) time.Duration {
+	bare := !slices.ContainsFunc(s.servers, func(srv fleet.Server) bool { return srv.Layers.Len() > 0 })
+	if bare && len(m.pending) == 0 {
+		return settleFirst
+	}
+	return settleLater
+}
+
+// decide works out what is to be ordered, and orders it under the lease.
+func (m *Machine) decide() {
+	for _, id := range slices.Collect(maps.Keys(m.pending)) {
+		if !m.now.Before(m.pending[id].until) {
+			delete(m.pending, id)
+		}
+	}
+	wanted := m.wanted()
+	if len(wanted) == 0 {
+		m.needed = time.Time{}
+		return
+	}
+	if m.needed.IsZero() {
+		m.needed = m.now
+	}
+	if !m.Holds(m.now) || m.until.Sub(m.now) < renewBefore {
+		m.acquire()
+	}
+	if !m.Holds(m.now) {
+		return
+	}
+	for _, w := range wanted {
+		m.order(w)
+	}
+}
+
+func (m *Machine) acquire() {
+	turn := m.needed.Add(time.Duration(m.before) * rankDelay)
+	if m.acquiring || m.now.Before(m.notBefore) || m.now.Before(turn) {
+		return
+	}
+	m.acquiring = true
+	m.out = append(m.out, Acquire{})
+}
+
+// want is one assignment with the engine that it is for.
+type want struct {
+	cover.Assignment
+	engine *fleet.Engine
+}
+
+// wanted lists what is to be ordered now.
+func (m *Machine) wanted() []want {
+	under := make(map[state.BackendID]fleet.Range, len(m.pending))
+	for id, p := range m.pending {
+		under[id] = p.layers
+	}
+	var out []want
+	for _, id := range slices.Sorted(maps.Keys(m.services)) {
+		s := m.services[id]
+		if s.engine == nil || m.now.Before(s.changed.Add(m.settle(s))) {
+			continue
+		}
+		for _, a := range m.assignments(s, under) {
+			out = append(out, want{a, s.engine})
+		}
+	}
+	return out
+}
+
+func (m *Machine) assignments(s *service, under map[state.BackendID]fleet.Range) []cover.Assignment {
+	holds := func(srv fleet.Server) bool { return srv.Layers.Len() > 0 || under[srv.ID].Len() > 0 }
+	if !slices.ContainsFunc(s.servers, holds) {
+		return cover.Plan(s.engine, s.servers)
+	}
+	return cover.Repair(s.engine, s.servers, under)
+}
+
+func (m *Machine) order(w want) {
+	if w.Server.Layers == w.Layers {
+		return
+	}
+	orders := m.orders[w.Server.ID]
+	share := float64(w.Layers.Len()) / float64(w.engine.Layers)
+	load := time.Duration(float64(w.engine.LoadTime) * share)
+	m.pending[w.Server.ID] = pending{layers: w.Layers, orders: orders, until: m.now.Add(2*load + loadSlack)}
+	m.out = append(m.out, Order{Server: w.Server, Layers: w.Layers, Fence: m.fence, Orders: orders, Until: m.until})
+}
--- /dev/null
+++ b/coordination/pathing/pathing.go
@@ -0,0 +1,155 @@
+package pathing
+
+import (
+	"math"
+	"sort"
+
+	"github.com/hibiscuswick/hibiscuswick/state"
+	"github.com/hibiscuswick/hibiscuswick/state/fleet"
+)
+
+// Card is one backend server with what speaks for and against it.
+type Card struct {
+	Server *fleet.Server
+	Kind   fleet.CardKind
+	Room   int // tokens that it can hold beside its weights
+	Load   Load
+}
+
+// Load is what all daemons together are believed to run on a server.
+type Load struct {
+	Requests float64 // as any hop
+	First    float64 // as the first hop, each of which takes a slot
+	Tokens   float64 // held for them, in tokens of the layers that they use
+}
+
+// Request is what a path is wanted for.
+type Request struct {
+	Domain state.FailureDomain // of the daemon that sends it
+	Tokens int                 // prompt and longest answer
+	Avoid  map[string]bool     // addresses that may not be used
+}
+
+const (
+	// hopMS is the fixed cost of one more hop, in ms a token: the link within a
+	// domain and the wait for the server's next pass.
+	hopMS = 0.4
+	// crossMS is what a hop to another domain costs beyond the link's delay. A
+	// prompt of 770 tokens of 23 KB takes 18 ms of a pipe of 7,900 Mbit/s, and
+	// all paths share it: one use in ten tokens' time leaves it free.
+	crossMS = 3.0
+	// loadMS is what each request that runs on a server adds to a token's wait
+	// there, in ms; it spreads requests over equal servers.
+	loadMS = 0.15
+	// fullMS is the cost of a server whose room would be used up. It is paid only
+	// where no other way is left.
+	fullMS = 200.0
+	// scarceFrom is the share of a server's room from which on it grows dearer.
+	scarceFrom = 0.6
+)
+
+// cost returns what one use of a card costs, in ms a token.
+func cost(c *Card, e *fleet.Engine, layers int, r *Request) float64 {
+	share := float64(layers) / float64(e.Layers)
+	ms := hopMS + e.StepMS*c.Kind.Pace*share + loadMS*c.Load.Requests
+	if c.Room <= 0 {
+		return ms
+	}
+	used := (c.Load.Tokens + float64(r.Tokens)) / float64(c.Room)
+	switch {
+	case used >= 1:
+		ms += fullMS
+	case used > scarceFrom:
+		ms += fullMS / 10 * (used - scarceFrom) / (1 - scarceFrom)
+	}
+	return ms
+}
+
+// reach is the cheapest way found that ends with one card.
+type reach struct {
+	cost float64
+	from int // index of the card before, or -1
+	at   int // first layer that this card runs
+}
+
+// Choose returns the cheapest path, or false where some layer is held by no card
+// that may be used.
+func Choose(e *fleet.Engine, cards []Card, r Request) (fleet.Path, bool) {
+	order := usable(cards, &r)
+	best := make([]reach, len(order))
+	last, lastCost := -1, math.Inf(1)
+	for i, c := range order {
+		best[i] = arrive(e, order, best, i, &r)
+		if c.Server.Layers.To >= e.Layers && best[i].cost < lastCost {
+			last, lastCost = i, best[i].cost
+		}
+	}
+	if last < 0 {
+		return nil, false
+	}
+	return trace(e, order, best, last), true
+}
+
+// usable lists the cards that hold layers and may be used, those that end first
+// first.
+func usable(cards []Card, r *Request) []*Card {
+	order := make([]*Card, 0, len(cards))
+	for i := range cards {
+		s := cards[i].Server
+		if s.Layers.Len() > 0 && !s.Draining && !r.Avoid[s.Address] {
+			order = append(order, &cards[i])
+		}
+	}
+	sort.SliceStable(order, func(a, b int) bool { return order[a].Server.Layers.To < order[b].Server.Layers.To })
+	return order
+}
+
+// arrive finds the cheapest way to use card i up to its last layer.
+func arrive(e *fleet.Engine, order []*Card, best []reach, i int, r *Request) reach {
+	c := order[i]
+	out := reach{cost: math.Inf(1), from: -1}
+	if c.Server.Layers.From == 0 {
+		out.cost = cost(c, e, c.Server.Layers.Len(), r)
+		if c.Server.Domain != r.Domain {
+			out.cost += hopMS // events and prompt texts are small
+		}
+		if slots := c.Server.Slots; slots > 0 && c.Load.First >= float64(slots) {
+			out.cost += fullMS
+		}
+	}
+	for j := range i {
+		before := order[j].Server
+		end := before.Layers.To
+		if math.IsInf(best[j].cost, 1) || end < c.Server.Layers.From || end >= c.Server.Layers.To {
+			continue
+		}
+		total := best[j].cost + cost(c, e, c.Server.Layers.To-end, r)
+		if before.Domain != c.Server.Domain {
+			total += crossMS
+		}
+		if total < out.cost {
+			out = reach{cost: total, from: j, at: end}
+		}
+	}
+	return out
+}
+
+// trace writes the path that ends with card i.
+func trace(e *fleet.Engine, order []*Card, best []reach, i int) fleet.Path {
+	var back fleet.Path
+	end := e.Layers
+	for i >= 0 {
+		s := order[i].Server
+		back = append(back, fleet.Hop{
+			Server: s.ID, Address: s.Address, Domain: s.Domain,
+			Layers: fleet.Range{From: best[i].at, To: min(s.Layers.To, end)},
+		})
+		end = best[i].at
+		i = best[i].from
+	}
+	path := make(fleet.Path, 0, len(back))
+	for k := len(back) - 1; k >= 0; k-- {
+		path = append(path, back[k])
+	}
+	return path
+}
--- /dev/null
+++ b/coordination/suspect/suspect.go
@@ -0,0 +1,133 @@
+package suspect
+
+import (
+	"time"
+
+	"github.com/hibiscuswick/hibiscuswick/state/fleet"
+)
+
+const (
+	// avoidFirst is how long a server is avoided after one failure: a crashed
+	// server leaves the list within four heartbeats, a busy one has room again
+	// within some answers' time.
+	avoidFirst = 400 * time.Millisecond
+	// avoidMost bounds the time after several failures in a row; a probe with one
+	// request each few seconds is all that a dead server costs.
+	avoidMost = 4 * time.Second
+	// forgetAfter is when a server that nothing was heard of is dropped.
+	forgetAfter = 30 * time.Second
+)
+
+// Book is what one daemon knows. It is not safe for use by several goroutines.
+type Book struct {
+	servers map[string]*record // by address
+}
+
+// record is what is known of one server.
+type record struct {
+	alive    time.Time // when it was last shown alive
+	failures int       // in a row
+	avoid    time.Time // until when
+	touched  time.Time
+}
+
+// Stream follows one answer along its path.
+type Stream struct {
+	path    fleet.Path
+	records []*record
+	last    time.Time // of its last event
+}
+
+// NewBook returns an empty book.
+func NewBook() *Book {
+	return &Book{servers: make(map[string]*record)}
+}
+
+func (b *Book) record(now time.Time, address string) *record {
+	r, ok := b.servers[address]
+	if !ok {
+		r = &record{}
+		b.servers[address] = r
+	}
+	r.touched = now
+	return r
+}
+
+// Failed notes that a server failed a request, and has it avoided.
+func (b *Book) Failed(now time.Time, address string) {
+	r := b.record(now, address)
+	r.failures++
+	wait := avoidFirst
+	for i := 1; i < r.failures && wait < avoidMost; i++ {
+		wait *= 2
+	}
+	r.avoid = now.Add(min(wait, avoidMost))
+}
+
+// Answered notes a whole answer of a server.
+func (b *Book) Answered(now time.Time, address string) {
+	r := b.record(now, address)
+	r.alive = now
+	r.failures = 0
+	r.avoid = time.Time{}
+}
+
+// Avoided returns the addresses that are better not used now.
+func (b *Book) Avoided(now time.Time) map[string]bool {
+	var out map[string]bool
+	for address, r := range b.servers {
+		if now.Before(r.avoid) {
+			if out == nil {
+				out = make(map[string]bool)
+			}
+			out[address] = true
+		}
+		if now.Sub(r.touched) > forgetAfter {
+			delete(b.servers, address)
+		}
+	}
+	return out
+}
+
+// Follow begins to follow an answer along a path.
+func (b *Book) Follow(now time.Time, path fleet.Path) *Stream {
+	s := &Stream{path: path, last: now, records: make([]*record, len(path))}
+	for i, h := range path {
+		s.records[i] = b.record(now, h.Address)
+	}
+	return s
+}
+
+// Progress notes that an event came: every server of the path works.
+func (b *Book) Progress(now time.Time, s *Stream) {
+	s.last = now
+	for _, r := range s.records {
+		r.alive = now
+		r.touched = now
+	}
+}
+
+// Silent returns the hops of a stream that nothing has shown alive since its last
+// event. It is empty where each of them was, and where the whole site is silent.
+func (b *Book) Silent(s *Stream) []fleet.Hop {
+	var out []fleet.Hop
+	for i, r := range s.records {
+		if !r.alive.After(s.last) {
+			out = append(out, s.path[i])
+		}
+	}
+	if len(out) == len(s.path) && !b.anyAlive(s.last) {
+		return nil
+	}
+	return out
+}
+
+// anyAlive reports whether any server was shown alive after t.
+func (b *Book) anyAlive(t time.Time) bool {
+	for _, r := range b.servers {
+		if r.alive.After(t) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/gateway/book.go
@@ -0,0 +1,191 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+
+	"github.com/hibiscuswick/hibiscuswick/coordination/pathing"
+	"github.com/hibiscuswick/hibiscuswick/coordination/retrybudget"
+	"github.com/hibiscuswick/hibiscuswick/coordination/suspect"
+	"github.com/hibiscuswick/hibiscuswick/state"
+	"github.com/hibiscuswick/hibiscuswick/state/fleet"
+)
+
+// book is what traffic goroutines share. Each method holds its mutex for
+// microseconds.
+type book struct {
+	mu       sync.Mutex
+	loads    map[string]*pathing.Load // own requests by the server's address
+	suspects *suspect.Book
+	budget   *retrybudget.Budget
+}
+
+func newBook(set Settings) *book {
+	return &book{
+		loads:    make(map[string]*pathing.Load),
+		suspects: suspect.NewBook(),
+		budget:   retrybudget.New(retrybudget.Config{Ratio: set.BudgetRatio, Window: set.BudgetWindow, Slack: set.BudgetSlack}),
+	}
+}
+
+func (b *book) load(address string) *pathing.Load {
+	l, ok := b.loads[address]
+	if !ok {
+		l = &pathing.Load{}
+		b.loads[address] = l
+	}
+	return l
+}
+
+// choose takes a path for a request and counts its load until release.
+func (b *book) choose(now time.Time, v *view, svc *fleet.Service, r pathing.Request) (fleet.Path, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	servers := v.servers[svc.ID]
+	cards := make([]pathing.Card, 0, len(servers))
+	// Requests are spread over the daemons at random, so that this one's are a
+	// fair sample of all.
+	daemons := float64(max(v.live, 1))
+	for i := range servers {
+		s := &servers[i]
+		kind := svc.Engine.Kinds[s.Kind]
+		load := *b.load(s.Address)
+		load.Requests *= daemons
+		load.First *= daemons
+		load.Tokens *= daemons
+		cards = append(cards, pathing.Card{Server: s, Kind: kind, Room: svc.Engine.Room(kind, s.Layers.Len()), Load: load})
+	}
+	own := r.Avoid
+	r.Avoid = merge(b.suspects.Avoided(now), own)
+	path, ok := pathing.Choose(svc.Engine, cards, r)
+	if !ok && len(r.Avoid) > len(own) {
+		// A suspect is better than nothing.
+		r.Avoid = own
+		path, ok = pathing.Choose(svc.Engine, cards, r)
+	}
+	if ok {
+		b.count(path, r.Tokens, 1)
+	}
+	return path, ok
+}
+
+// merge returns the union of two sets; it may be one of them.
+func merge(a, b map[string]bool) map[string]bool {
+	if len(a) == 0 {
+		return b
+	}
+	for k := range b {
+		a[k] = true
+	}
+	return a
+}
+
+// count adds a request's load to each server of its path, or takes it off.
+func (b *book) count(path fleet.Path, tokens int, by float64) {
+	for i, h := range path {
+		l := b.load(h.Address)
+		l.Requests += by
+		l.Tokens += by * float64(tokens)
+		if i == 0 {
+			l.First += by
+		}
+	}
+}
+
+func (b *book) release(path fleet.Path, tokens int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.count(path, tokens, -1)
+}
+
+// pick takes a plain server for a request: the one with the least load, by share
+// of its slots, among those not to be avoided.
+func (b *book) pick(now time.Time, v *view, svc state.ServiceID, domain state.FailureDomain, avoid map[string]bool) (fleet.Server, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	suspects := b.suspects.Avoided(now)
+	best, bestCost := -1, 0.0
+	servers := v.servers[svc]
+	for i := range servers {
+		s := &servers[i]
+		if s.Draining || avoid[s.Address] {
+			continue
+		}
+		cost := b.load(s.Address).Requests
+		if s.Domain != domain {
+			cost += crossCost
+		}
+		if suspects[s.Address] {
+			cost += suspectCost
+		}
+		if best < 0 || cost < bestCost {
+			best, bestCost = i, cost
+		}
+	}
+	if best < 0 {
+		return fleet.Server{}, false
+	}
+	b.load(servers[best].Address).Requests++
+	return servers[best], true
+}
+
+const (
+	// crossCost prefers a server of the same failure domain among equally loaded
+	// ones.
+	crossCost = 0.5
+	// suspectCost puts suspects last.
+	suspectCost = 1000
+)
+
+func (b *book) releaseServer(address string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.load(address).Requests--
+}
+
+func (b *book) failed(now time.Time, address string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.suspects.Failed(now, address)
+}
+
+func (b *book) answered(now time.Time, address string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.suspects.Answered(now, address)
+}
+
+func (b *book) request(now time.Time, svc state.ServiceID) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.budget.Request(now, svc)
+}
+
+func (b *book) spend(now time.Time, svc state.ServiceID, members int) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.budget.Spend(now, svc, members)
+}
+
+func (b *book) follow(now time.Time, path fleet.Path) *suspect.Stream {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.suspects.Follow(now, path)
+}
+
+func (b *book) progress(now time.Time, s *suspect.Stream) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.suspects.Progress(now, s)
+}
+
+// silent returns the hops of a stream that seem dead, and has them avoided.
+func (b *book) silent(now time.Time, s *suspect.Stream) []fleet.Hop {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	hops := b.suspects.Silent(s)
+	for _, h := range hops {
+		b.suspects.Failed(now, h.Address)
+	}
+	return hops
+}
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,181 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hibiscuswick/hibiscuswick/coordination/membership"
+	"github.com/hibiscuswick/hibiscuswick/protocol/backend"
+	"github.com/hibiscuswick/hibiscuswick/protocol/site"
+	"github.com/hibiscuswick/hibiscuswick/state"
+	"github.com/hibiscuswick/hibiscuswick/state/fleet"
+	"github.com/hibiscuswick/hibiscuswick/telemetry"
+	"github.com/hibiscuswick/hibiscuswick/transport/peer"
+)
+
+// Errors of this package.
+var (
+	errNoCalls   = errors.New("gateways answer no calls")
+	errStaleRead = errors.New("the answer is older than what is known")
+)
+
+// Site is what a gateway reaches of its site.
+type Site struct {
+	Configs site.Feed[*fleet.Config]
+	Servers site.Feed[fleet.Server]
+	Members site.Table // where gateways find each other
+	Leases  site.Table
+}
+
+// Gateway is one router process.
+type Gateway struct {
+	set      Settings
+	self     state.Member
+	site     Site
+	backends backend.Client
+	log      *telemetry.Log
+
+	book    *book
+	control *control
+	current atomic.Pointer[view]
+	node    *peer.Node
+	peers   net.Listener
+
+	draining  atomic.Int64 // when a planned stop began, in ns; 0 for none
+	following context.CancelFunc
+	endOnce   sync.Once
+	done      chan struct{}
+}
+
+// New provisions a gateway and opens its port for peers. It does nothing before
+// Run.
+func New(set Settings, s Site, backends backend.Client, log *telemetry.Log) (*Gateway, error) {
+	g := &Gateway{
+		set:      set,
+		self:     state.Member{ID: set.ID, Incarnation: state.Incarnation(time.Now().UnixNano())},
+		site:     s,
+		backends: backends,
+		log:      log.With(telemetry.Daemon(set.ID)),
+		book:     newBook(set),
+		done:     make(chan struct{}),
+	}
+	listener, err := net.Listen("tcp", set.Peers)
+	if err != nil {
+		return nil, fmt.Errorf("peers' address %s: %w", set.Peers, err)
+	}
+	g.peers = listener
+	g.node = peer.New(peer.Config{
+		Self:     g.self,
+		Registry: newRegistry(),
+		Handler:  peer.Handler{Received: g.received, Called: g.called},
+		Lost:     g.connectionLost,
+	})
+	g.control = newControl(g)
+	g.current.Store(&view{members: g.control.view.members, live: 1})
+	return g, nil
+}
+
+// Run begins to follow the site and to take part among the gateways.
+func (g *Gateway) Run() {
+	ctx, cancel := context.WithCancel(context.Background())
+	g.following = cancel
+	g.node.Serve(g.peers)
+	go g.control.run()
+	go follow(ctx, g, "configuration", g.site.Configs, func(b site.Batch[*fleet.Config], _ bool) {
+		g.control.post(func() { g.control.listing.configured(b) })
+	})
+	go follow(ctx, g, "servers", g.site.Servers, func(b site.Batch[fleet.Server], whole bool) {
+		g.control.post(func() { g.control.listing.listed(b, whole) })
+	})
+	g.log.Emit(telemetry.EventDaemonStarted, telemetry.Address(g.set.Front))
+}
+
+// Drain begins a planned stop: the gateway leaves the answers to callers at once
+// and serves on. Close ends it.
+func (g *Gateway) Drain() {
+	if !g.draining.CompareAndSwap(0, time.Now().UnixNano()) {
+		return
+	}
+	g.log.Emit(telemetry.EventDrainStarted)
+	g.control.post(func() {
+		g.control.view.draining = true
+		g.control.changed = true
+		g.control.members.step(membership.Drain{})
+	})
+}
+
+// drainedFor is how long a planned stop has been under way; 0 for none.
+func (g *Gateway) drainedFor(now time.Time) time.Duration {
+	began := g.draining.Load()
+	if began == 0 {
+		return 0
+	}
+	return now.Sub(time.Unix(0, began))
+}
+
+// Close tells the other gateways that this one leaves, and stops.
+func (g *Gateway) Close() {
+	left := make(chan struct{})
+	g.control.post(func() {
+		g.control.members.step(membership.Leave{})
+		close(left)
+	})
+	select {
+	case <-left:
+	case <-time.After(tickInterval):
+	}
+	g.endOnce.Do(func() {
+		g.log.Emit(telemetry.EventDaemonStopped)
+		g.following()
+		close(g.done)
+		g.node.Close()
+	})
+}
+
+// Ready reports whether requests can be served here.
+func (g *Gateway) Ready() bool {
+	return g.current.Load().ready()
+}
+
+// Limits returns what the configuration in force lets callers send.
+func (g *Gateway) Limits() fleet.Limits {
+	if c := g.current.Load().config; c != nil {
+		return c.Limits
+	}
+	return fleet.Limits{}
+}
+
+// connectionLost has a daemon probed that no connection reaches.
+func (g *Gateway) connectionLost(address string, _ error) {
+	g.control.post(func() {
+		for _, i := range g.control.view.members.Members {
+			if i.Meta.PeerAddress == address && i.Member.ID != g.self.ID {
+				g.control.members.step(membership.ConnectionLost{ID: i.Member.ID})
+			}
+		}
+	})
+}
+
+// Shares of the time that a planned stop has.
+const (
+	// acceptShare is how long new requests are served: callers that keep an answer
+	// longest come until then.
+	acceptShare = 0.36
+	// graceShare is when the stop ends at the latest; the rest is for the process's
+	// own end.
+	graceShare = 0.93
+)
+
+// Closing reports whether callers are to use another connection next time.
+func (g *Gateway) Closing() bool { return g.draining.Load() != 0 }
+
+// AwaitDrained returns when a planned stop is over.
+func (g *Gateway) AwaitDrained() {
+	until := time.Unix(0, g.draining.Load()).Add(time.Duration(graceShare * float64(g.set.Grace)))
+	time.Sleep(time.Until(until))
+}
--- /dev/null
+++ b/gateway/members.go
@@ -0,0 +1,175 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"time"
+
+	"github.com/samber/lo"
+
+	"github.com/hibiscuswick/hibiscuswick/coordination/membership"
+	"github.com/hibiscuswick/hibiscuswick/protocol/peer"
+	"github.com/hibiscuswick/hibiscuswick/protocol/site"
+	"github.com/hibiscuswick/hibiscuswick/state"
+	"github.com/hibiscuswick/hibiscuswick/telemetry"
+)
+
+// Times of the membership. Callers keep an answer that names a dead daemon for
+// some seconds anyway, so that a death known within a second costs little more.
+const (
+	probeInterval = 400 * time.Millisecond
+	probeTimeout  = 150 * time.Millisecond
+	suspicionMin  = 600 * time.Millisecond
+	// seedInterval is how often a daemon that is in contact with nobody reads
+	// where others may be.
+	seedInterval = 2 * time.Second
+)
+
+// First kind of the membership's messages between gateways.
+const kindMembership peer.Kind = 100
+
+// newRegistry lists every message between gateways.
+func newRegistry() *peer.Registry {
+	r := peer.NewRegistry()
+	peer.Register[membership.Ping](r, kindMembership)
+	peer.Register[membership.Ack](r, kindMembership+1)
+	peer.Register[membership.PingRequest](r, kindMembership+2)
+	peer.Register[membership.PingResult](r, kindMembership+3)
+	peer.Register[membership.Gossip](r, kindMembership+4)
+	peer.Register[membership.Compare](r, kindMembership+5)
+	peer.Register[membership.Records](r, kindMembership+6)
+	return r
+}
+
+// presence is a daemon's row in the table of members: where others find it.
+type presence struct {
+	Peers string `json:"peers"`
+}
+
+// membersPart watches the other gateways.
+type membersPart struct {
+	c        *control
+	m        *membership.Membership
+	announce bool // the row of this daemon is written
+	reading  bool
+	nextSeed time.Time
+}
+
+func newMembersPart(c *control) *membersPart {
+	g := c.g
+	self := membership.Self{
+		Member: g.self,
+		Meta: membership.Meta{
+			PeerAddress:   g.set.Peers,
+			CallerAddress: g.set.Front,
+			Domain:        g.set.Domain,
+			Region:        g.set.Region,
+		},
+	}
+	m := membership.New(membership.Config{
+		ProbeInterval: probeInterval,
+		ProbeTimeout:  probeTimeout,
+		SuspicionMin:  suspicionMin,
+		SuspicionMax:  2 * suspicionMin,
+	}, self, rand.New(rand.NewPCG(uint64(g.self.Incarnation), 1)))
+	c.view.members = m.View()
+	c.view.live = 1
+	return &membersPart{c: c, m: m}
+}
+
+func (p *membersPart) tick() {
+	p.step(membership.Tick{})
+	if !p.reading && !p.c.now.Before(p.nextSeed) && (!p.announce || p.c.view.live < 2) {
+		p.nextSeed = p.c.now.Add(seedInterval)
+		p.reading = true
+		go p.seed(p.announce)
+	}
+}
+
+// seed writes this daemon's row, unless it stands, and reads those of the others.
+func (p *membersPart) seed(announced bool) {
+	g := p.c.g
+	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
+	defer cancel()
+	var err error
+	if !announced {
+		var row []byte
+		if row, err = json.Marshal(presence{Peers: g.set.Peers}); err == nil {
+			_, err = g.site.Members.Commit(ctx, site.Change{Key: string(g.self.ID), Value: row})
+		}
+	}
+	rows, readErr := g.site.Members.Read(ctx)
+	p.c.post(func() { p.seeded(announced || err == nil, rows, readErr) })
+}
+
+func (p *membersPart) seeded(announced bool, rows site.Rows, err error) {
+	p.reading = false
+	p.announce = announced
+	if err != nil {
+		p.c.g.log.Emit(telemetry.EventStoreUnavailable, telemetry.Detail("members"), telemetry.Cause(err))
+		return
+	}
+	var seeds membership.Seeds
+	for _, r := range rows.Rows {
+		var at presence
+		if err := json.Unmarshal(r.Value, &at); err == nil && at.Peers != p.c.g.set.Peers {
+			seeds.Addresses = append(seeds.Addresses, at.Peers)
+		}
+	}
+	p.step(seeds)
+}
+
+func (p *membersPart) step(ev membership.Event) {
+	for _, a := range p.m.Step(p.c.now, ev) {
+		p.carryOut(a)
+	}
+}
+
+func (p *membersPart) carryOut(a membership.Action) {
+	g := p.c.g
+	switch a := a.(type) {
+	case membership.Send:
+		_ = g.node.Send(a.Address, a.Msg) // a lost message is a missed probe
+	case membership.ViewChanged:
+		p.c.view.members = p.m.View()
+		p.c.view.live = lo.CountBy(p.c.view.members.Members, membership.Info.Live)
+		p.c.changed = true
+	case membership.Changed:
+		g.log.Emit(memberEvent(a), telemetry.Peer(a.Member.ID), telemetry.Incarnation(a.Member.Incarnation))
+	case membership.Refuted, membership.Late:
+		g.log.Emit(telemetry.EventSelfSuspected)
+	case membership.Superseded:
+		g.log.Emit(telemetry.EventIncarnationSuperseded, telemetry.Incarnation(a.By))
+	}
+}
+
+// memberEvent is the log event of a member's change.
+func memberEvent(a membership.Changed) telemetry.Event {
+	switch {
+	case a.New && a.To == membership.Alive:
+		return telemetry.EventMemberJoined
+	case a.To == membership.Suspect:
+		return telemetry.EventMemberSuspected
+	case a.To == membership.Dead:
+		return telemetry.EventMemberDied
+	case a.To == membership.Left:
+		return telemetry.EventMemberLeft
+	default:
+		return telemetry.EventMemberRefuted
+	}
+}
+
+// received takes a message of another gateway.
+func (g *Gateway) received(from state.Member, msg any) {
+	m, ok := msg.(membership.Message)
+	if !ok {
+		return
+	}
+	g.control.post(func() { g.control.members.step(membership.Received{From: from, Msg: m}) })
+}
+
+// called refuses calls: gateways make none to each other.
+func (g *Gateway) called(context.Context, state.Member, any) (any, error) {
+	return nil, errNoCalls
+}
--- /dev/null
+++ b/gateway/path.go
@@ -0,0 +1,92 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/hibiscuswick/hibiscuswick/coordination/pathing"
+	"github.com/hibiscuswick/hibiscuswick/coordination/relay"
+	"github.com/hibiscuswick/hibiscuswick/protocol/backend"
+	"github.com/hibiscuswick/hibiscuswick/state/fleet"
+	"github.com/hibiscuswick/hibiscuswick/telemetry"
+)
+
+// attemptPath sends the request along a path of engines.
+func (r *run) attemptPath(ctx context.Context) (relay.End, Result) {
+	tokens := r.req.Prompt + r.req.Answer
+	var path fleet.Path
+	found := r.hold(ctx, func() (ok bool) {
+		path, ok = r.g.book.choose(time.Now(), r.view, r.service, pathing.Request{
+			Domain: r.g.set.Domain, Tokens: tokens, Avoid: r.avoid,
+		})
+		return ok
+	})
+	if !found {
+		return r.noServer(retryUncovered)
+	}
+	defer r.g.book.release(path, tokens)
+	if !path.Whole(r.service.Engine.Layers) {
+		panic("gateway: a path that does not run each layer once")
+	}
+	call := r.call(path[0].Server, path[0].Address)
+	call.Path = path
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	answer, err := r.g.backends.Send(ctx, call)
+	if err != nil {
+		if ctx.Err() == nil {
+			r.blame(path[0].Address)
+		}
+		return sendEnd(err), Result{}
+	}
+	defer func() { _ = answer.Body.Close() }()
+	return r.takeStream(cancel, path, answer)
+}
+
+// blame has a server avoided, by this request for good and by others for a while.
+func (r *run) blame(address string) {
+	r.avoidFrom(address)
+	r.g.book.failed(time.Now(), address)
+}
+
+// takeStream gives an engine's answer to the caller.
+func (r *run) takeStream(cancel context.CancelFunc, path fleet.Path, answer *backend.Answer) (relay.End, Result) {
+	if answer.NotRun {
+		culprit := answer.Culprit
+		if culprit == "" {
+			culprit = path[0].Address
+		}
+		r.blame(culprit)
+		drain(answer.Body)
+		r.g.log.Emit(telemetry.EventPathRefused, telemetry.Request(r.req.ID), telemetry.Address(culprit), telemetry.Count(answer.Status))
+		return relay.NotRun, Result{}
+	}
+	if answer.Status != http.StatusOK || !answer.Signed {
+		return r.takeFailure(path, answer)
+	}
+	s := newStream(r, path, answer, cancel)
+	defer s.close()
+	return s.pump()
+}
+
+// takeFailure handles an engine's own failure.
+func (r *run) takeFailure(path fleet.Path, answer *backend.Answer) (relay.End, Result) {
+	if unsigned(answer) {
+		r.blame(path[0].Address)
+		return relay.Broken, Result{}
+	}
+	body, err := io.ReadAll(io.LimitReader(answer.Body, holdBody))
+	if err != nil {
+		r.blame(path[0].Address)
+		return relay.Broken, Result{}
+	}
+	if answer.Status >= http.StatusInternalServerError {
+		r.blame(path[0].Address)
+	} else if !r.headed {
+		return 0, r.pass(answer, body)
+	}
+	r.own = &ownFailure{answer: answer, body: body}
+	return relay.Errored, Result{}
+}
--- /dev/null
+++ b/gateway/plain.go
@@ -0,0 +1,117 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/hibiscuswick/hibiscuswick/coordination/relay"
+	"github.com/hibiscuswick/hibiscuswick/protocol/backend"
+	"github.com/hibiscuswick/hibiscuswick/state/fleet"
+)
+
+// holdBody is how much of an answer is held back until it is whole, so that one
+// that breaks off can be replaced: plain answers are some KB.
+const holdBody = 256 << 10
+
+// attemptPlain sends the request to one plain server.
+func (r *run) attemptPlain(ctx context.Context) (relay.End, Result) {
+	var server fleet.Server
+	found := r.hold(ctx, func() (ok bool) {
+		server, ok = r.g.book.pick(time.Now(), r.view, r.service.ID, r.g.set.Domain, r.avoid)
+		return ok
+	})
+	if !found {
+		return r.noServer(retrySoon)
+	}
+	defer r.g.book.releaseServer(server.Address)
+	answer, err := r.g.backends.Send(ctx, r.call(server.ID, server.Address))
+	if err != nil {
+		r.avoidFrom(server.Address)
+		if ctx.Err() == nil {
+			r.g.book.failed(time.Now(), server.Address)
+		}
+		return sendEnd(err), Result{}
+	}
+	defer func() { _ = answer.Body.Close() }()
+	return r.takePlain(server.Address, answer)
+}
+
+// takePlain gives a plain server's answer to the caller.
+func (r *run) takePlain(address string, answer *backend.Answer) (relay.End, Result) {
+	if answer.NotRun {
+		r.avoidFrom(address)
+		drain(answer.Body)
+		return relay.NotRun, Result{}
+	}
+	body, err := io.ReadAll(io.LimitReader(answer.Body, holdBody))
+	if err != nil {
+		r.avoidFrom(address)
+		r.g.book.failed(time.Now(), address)
+		return relay.Broken, Result{}
+	}
+	if unsigned(answer) {
+		r.avoidFrom(address)
+		r.g.book.failed(time.Now(), address)
+		return relay.Broken, Result{}
+	}
+	if answer.Status >= http.StatusInternalServerError {
+		r.avoidFrom(address)
+		r.own = &ownFailure{answer: answer, body: body}
+		return relay.Errored, Result{}
+	}
+	r.g.book.answered(time.Now(), address)
+	return 0, r.pass(answer, body)
+}
+
+// unsigned reports whether an answer claims success without the server's
+// signature; a caller must not take it for the server's.
+func unsigned(a *backend.Answer) bool {
+	return a.Status < http.StatusMultipleChoices && !a.Signed
+}
+
+// ownFailure is a failure that a server answered with, for the case that no other
+// server does better.
+type ownFailure struct {
+	answer *backend.Answer
+	body   []byte
+}
+
+// pass gives an answer to the caller: what was held of it, and then the rest.
+func (r *run) pass(answer *backend.Answer, held []byte) Result {
+	r.headed = true
+	r.reply.Head(answer.Status, answer.Header)
+	if err := r.reply.Write(held); err != nil {
+		return Result{Outcome: Gone, Reason: "caller_left"}
+	}
+	if len(held) < holdBody {
+		return Result{Outcome: Answered}
+	}
+	buf := make([]byte, 32<<10)
+	for {
+		n, err := answer.Body.Read(buf)
+		if n > 0 {
+			if werr := r.reply.Write(buf[:n]); werr != nil {
+				return Result{Outcome: Gone, Reason: "caller_left"}
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return Result{Outcome: Answered}
+		}
+		if err != nil {
+			return r.failed(relay.ReasonBrokenAgain)
+		}
+	}
+}
+
+// maxDrained bounds what is read of an answer that nobody wants, to keep its
+// connection.
+const maxDrained = 4 << 10
+
+// drain reads the rest of a short answer.
+func drain(body io.Reader) {
+	// An answer that is longer or broken costs its connection, no more.
+	_, _ = io.CopyN(io.Discard, body, maxDrained)
+}
--- /dev/null
+++ b/gateway/stream.go
@@ -0,0 +1,173 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"time"
+
+	"github.com/hibiscuswick/hibiscuswick/coordination/relay"
+	"github.com/hibiscuswick/hibiscuswick/coordination/suspect"
+	"github.com/hibiscuswick/hibiscuswick/protocol/backend"
+	"github.com/hibiscuswick/hibiscuswick/state/fleet"
+	"github.com/hibiscuswick/hibiscuswick/telemetry"
+)
+
+const (
+	// readSize is enough for some events at once: usual ones have under 100 bytes.
+	readSize = 4 << 10
+	// gapShare is the part of a route's longest pause after which a stream counts
+	// as silent: what is left of the pause is needed to go on elsewhere.
+	gapShare = 2
+	// firstShare is the same part of the target for the first event.
+	firstShare = 2
+)
+
+// eventEnd separates events.
+var eventEnd = []byte("\n\n")
+
+// eventID begins the line with an event's id.
+var eventID = []byte("id:")
+
+// stream passes one answer's events on, whole ones only, so that another engine's
+// events can follow the last one.
+type stream struct {
+	r      *run
+	path   fleet.Path
+	answer *backend.Answer
+	cancel context.CancelFunc
+
+	watch  *suspect.Stream
+	timer  *time.Timer
+	silent bool // the watch ended the stream; read after cancel
+	held   []byte
+	events int
+}
+
+func newStream(r *run, path fleet.Path, answer *backend.Answer, cancel context.CancelFunc) *stream {
+	s := &stream{r: r, path: path, answer: answer, cancel: cancel}
+	s.watch = r.g.book.follow(time.Now(), path)
+	return s
+}
+
+func (s *stream) close() {
+	if s.timer != nil {
+		s.timer.Stop()
+	}
+}
+
+// pump passes events on until the answer ends.
+func (s *stream) pump() (relay.End, Result) {
+	buf := make([]byte, readSize)
+	s.arm()
+	for {
+		n, err := s.answer.Body.Read(buf)
+		if n > 0 {
+			if werr := s.take(buf[:n]); werr != nil {
+				return 0, Result{Outcome: Gone, Reason: "caller_left"}
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return s.ended()
+		}
+		if err != nil {
+			return s.broken(err)
+		}
+	}
+}
+
+// arm sets the watch for the next event. Only a stream that may go on elsewhere
+// is watched.
+func (s *stream) arm() {
+	if s.r.route.Repeat != fleet.RunOn {
+		return
+	}
+	gap := s.r.route.Gap / gapShare
+	if s.events == 0 {
+		gap = s.r.route.Target / firstShare
+	}
+	if gap <= 0 {
+		return
+	}
+	if s.timer == nil {
+		s.timer = time.AfterFunc(gap, s.quiet)
+		return
+	}
+	s.timer.Reset(gap)
+}
+
+// quiet is called when no event came for a while.
+func (s *stream) quiet() {
+	hops := s.r.g.book.silent(time.Now(), s.watch)
+	if len(hops) == 0 {
+		s.timer.Reset(s.r.route.Gap / gapShare)
+		return
+	}
+	for _, h := range hops {
+		s.r.g.log.Emit(telemetry.EventHopSilent, telemetry.Request(s.r.req.ID), telemetry.Backend(h.Server), telemetry.Address(h.Address))
+	}
+	s.cancel()
+}
+
+// take passes on the whole events that have come.
+func (s *stream) take(b []byte) error {
+	s.held = append(s.held, b...)
+	end := bytes.LastIndex(s.held, eventEnd)
+	if end < 0 {
+		return nil
+	}
+	end += len(eventEnd)
+	whole := s.held[:end]
+	if !s.r.headed {
+		s.r.headed = true
+		s.r.relay.Given()
+		s.r.reply.Head(s.answer.Status, s.answer.Header)
+	}
+	if err := s.r.reply.Write(whole); err != nil {
+		return err
+	}
+	s.events++
+	if id, ok := lastID(whole); ok {
+		s.r.after = id
+	}
+	s.held = append(s.held[:0], s.held[end:]...)
+	s.r.g.book.progress(time.Now(), s.watch)
+	s.arm()
+	return nil
+}
+
+// lastID finds the id of the last event that has one.
+func lastID(events []byte) (string, bool) {
+	at := bytes.LastIndex(events, eventID)
+	for at > 0 && events[at-1] != '\n' {
+		at = bytes.LastIndex(events[:at], eventID)
+	}
+	if at < 0 {
+		return "", false
+	}
+	line := events[at+len(eventID):]
+	if end := bytes.IndexByte(line, '\n'); end >= 0 {
+		line = line[:end]
+	}
+	return string(bytes.TrimSpace(line)), true
+}
+
+// ended is the end of a whole answer. One that ends within an event is not whole.
+func (s *stream) ended() (relay.End, Result) {
+	if len(s.held) > 0 {
+		return s.broken(io.ErrUnexpectedEOF)
+	}
+	if !s.r.headed {
+		return 0, s.r.pass(s.answer, nil)
+	}
+	s.r.g.book.answered(time.Now(), s.path[0].Address)
+	return 0, Result{Outcome: Answered}
+}
+
+// broken is the end of an answer that broke off.
+func (s *stream) broken(err error) (relay.End, Result) {
+	s.r.g.log.Emit(telemetry.EventStreamBroken, telemetry.Request(s.r.req.ID), telemetry.Address(s.path[0].Address),
+		telemetry.Count(s.events), telemetry.Cause(err))
+	return relay.Broken, Result{}
+}
--- a/internal/catalogue/catalogue_test.go
+++ b/internal/catalogue/catalogue_test.go
@@ -65,7 +65,7 @@
 // sources joins the program's own text, without the catalogue and the tests.
 func sources() string {
 	var all strings.Builder
-	for _, dir := range []string{"client", "cmd", "daemon", "trace", "transport"} {
+	for _, dir := range []string{"client", "cmd", "daemon", "gateway", "trace", "transport"} {
 		err := filepath.WalkDir(filepath.Join(root, dir), func(path string, _ fs.DirEntry, err error) error {
 			if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
 				return err
--- /dev/null
+++ b/state/fleet/server.go
@@ -0,0 +1,60 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/hibiscuswick/hibiscuswick/state"
+)
+
+// Range is a contiguous range of layers.
+type Range struct {
+	From int
+	To   int // exclusive
+}
+
+// Len is the number of layers in r.
+func (r Range) Len() int { return r.To - r.From }
+
+// Server is one life of one backend server, as it lists itself.
+type Server struct {
+	ID       state.BackendID // of this life; a restart has another
+	Service  state.ServiceID
+	Address  string // host:port
+	Domain   state.FailureDomain
+	Kind     string // of its accelerator, "" for plain servers
+	Slots    int
+	Draining bool
+	Cold     time.Duration // for which it stays slow after its start
+	Layers   Range         // that it holds; empty for none
+}
+
+// Holds reports whether the server holds layer l.
+func (s *Server) Holds(l int) bool {
+	return s.Layers.From <= l && l < s.Layers.To
+}
+
+// Hop is one backend server's part of a path.
+type Hop struct {
+	Server  state.BackendID
+	Address string
+	Domain  state.FailureDomain
+	Layers  Range
+}
+
+// Path is the way of a request through all layers, in order.
+type Path []Hop
+
+// Whole reports whether the path runs layers 0 to n once each and in order, on
+// different servers.
+func (p Path) Whole(n int) bool {
+	at := 0
+	seen := make(map[string]bool, len(p))
+	for _, h := range p {
+		if h.Layers.From != at || h.Layers.To <= at || seen[h.Address] {
+			return false
+		}
+		seen[h.Address] = true
+		at = h.Layers.To
+	}
+	return at == n
+}
--- a/telemetry/events.go
+++ b/telemetry/events.go
@@ -48,6 +48,9 @@
 	EventRetryBudgetEmpty   Event = 1312
 	EventCustomerLimited    Event = 1313
 	EventQueueFull          Event = 1314
+	EventPathRefused        Event = 1315
+	EventHopSilent          Event = 1316
+	EventStreamBroken       Event = 1317
 )
 
 // Events of store.
@@ -79,6 +82,8 @@
 	EventBackendLeaving    Event = 1602
 	EventBackendDied       Event = 1603
 	EventBackendRecovered  Event = 1604
+	EventBackendJoined     Event = 1609
+	EventBackendUnreadable Event = 1610
 	EventReplicaUp         Event = 1606
 	EventReplicaDown       Event = 1607
 	EventCacheEventsMissed Event = 1608
--- a/telemetry/field.go
+++ b/telemetry/field.go
@@ -1,9 +1,11 @@
 package telemetry
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/hibiscuswick/hibiscuswick/state"
+	"github.com/hibiscuswick/hibiscuswick/state/fleet"
 )
 
 // Keys of every line.
@@ -38,6 +40,7 @@
 	KeySeconds     Key = "seconds"
 	KeyCause       Key = "cause"
 	KeyDetail      Key = "detail"
+	KeyLayers      Key = "layers"
 )
 
 // Keys lists every Key in the order of docs/EVENTS.md.
@@ -46,7 +49,7 @@
 		KeyDaemon, KeyIncarnation, KeyPeer, KeyService, KeyCustomer, KeyClass,
 		KeyRequest, KeyAttempt, KeyReplica, KeyBackend, KeyDomain, KeyVersion,
 		KeyEditID, KeyFencing, KeyReason, KeyRetryReason, KeyAddress, KeyCount,
-		KeySeconds, KeyCause, KeyDetail,
+		KeySeconds, KeyCause, KeyDetail, KeyLayers,
 	}
 }
 
@@ -122,5 +125,10 @@
 	return Field{KeyCause, err.Error()}
 }
 
+// Layers is a range of layers, such as "0-20", the second one excluded.
+func Layers(r fleet.Range) Field {
+	return Field{KeyLayers, fmt.Sprintf("%d-%d", r.From, r.To)}
+}
+
 // Detail is a short text for people.
 func Detail(text string) Field { return Field{KeyDetail, text} }
