Keep paths within a failure domain, and find dead hops by probing

(1) A silent stream had 4 to 5 hops of its path taken for dead, since streams that share a chain fall silent together; the avoided servers' load moved to others, which slowed down and fell silent too (343 hop_silent a second). (2) Paths crossed between domains wherever one card was a little less loaded: 161 GB of activations in 50 s over a pipe that takes 50 GB in that time.

Ruled out: too little computing (engines read prompts 5% of their time by the arithmetic of the engine's page); lost layers (8 loads, all layers held).

Change: a silent stream's hops are asked for their report, 60 ms each; only those that do not answer are avoided, until they do, and all streams across one move at once. A crossing costs the time that the prompt takes of the pipe, three times; the first hop may be in another domain, since only texts cross then. Layers are laid out and mended within each domain that can hold all of them.

--- a/coordination/cover/cover.go
+++ b/coordination/cover/cover.go
@@ -56,95 +56,124 @@
 
 // Plan lays out all engines of a service anew.
 func Plan(e *fleet.Engine, servers []fleet.Server) []Assignment {
+	return Repair(e, servers, nil)
+}
+
+// Repair gives layers to the engines that have none, and where a group of engines
+// lacks a layer, moves one of its engines all of whose layers others of the group
+// hold too. Engines in pending are carrying out an order, for the layers given.
+func Repair(e *fleet.Engine, servers []fleet.Server, pending map[state.BackendID]fleet.Range) []Assignment {
 	layers := capacityFor(e, servers)
-	p := &plan{engine: e, layers: layers, copies: make([]float64, e.Layers)}
-	var rest []fleet.Server
-	for _, group := range byDomain(servers) {
-		rest = append(rest, p.tile(group)...)
+	all := make([]float64, e.Layers)
+	var out []Assignment
+	groups := grouped(e, servers, layers)
+	for _, g := range groups {
+		for _, s := range g {
+			count(all, held(s, pending), 1)
+		}
 	}
-	for _, s := range rest {
-		p.place(s, p.thinnest(layers[s.Kind]))
+	for _, g := range groups {
+		p := &plan{engine: e, layers: layers, copies: make([]float64, e.Layers), all: all}
+		p.group(g, pending)
+		out = append(out, p.out...)
 	}
-	return p.out
+	return out
 }
 
-// Repair gives layers to the engines that have none, and where a layer is still
-// held by none, moves an engine all of whose layers others hold too. Engines in
-// busy are carrying out an order; pending holds what they are about to hold.
-func Repair(e *fleet.Engine, servers []fleet.Server, pending map[state.BackendID]fleet.Range) []Assignment {
-	layers := capacityFor(e, servers)
-	p := &plan{engine: e, layers: layers, copies: make([]float64, e.Layers)}
-	var idle, settled []fleet.Server
-	for _, s := range servers {
-		next, busy := pending[s.ID]
-		switch {
-		case s.Draining:
-		case busy:
-			p.count(next, 1)
-		case s.Layers.Len() > 0:
-			p.count(s.Layers, 1)
-			settled = append(settled, s)
-		default:
-			idle = append(idle, s)
+// grouped returns the engines of each domain that can hold every layer by itself,
+// and those of all other domains together as one more group.
+func grouped(e *fleet.Engine, servers []fleet.Server, layers map[string]int) [][]fleet.Server {
+	var groups [][]fleet.Server
+	var rest []fleet.Server
+	for _, g := range byDomain(servers) {
+		total := 0
+		for i := range g {
+			total += layers[g[i].Kind]
+		}
+		if total >= e.Layers {
+			groups = append(groups, g)
+		} else {
+			rest = append(rest, g...)
 		}
 	}
-	sortServers(idle, layers)
-	for _, s := range idle {
-		p.place(s, p.thinnest(layers[s.Kind]))
+	if len(rest) > 0 {
+		groups = append(groups, rest)
 	}
-	p.fillHoles(settled)
-	return p.out
+	return groups
 }
 
-// plan is a layout under construction.
+// held is what an engine holds or is about to hold.
+func held(s fleet.Server, pending map[state.BackendID]fleet.Range) fleet.Range {
+	if r, ok := pending[s.ID]; ok {
+		return r
+	}
+	return s.Layers
+}
+
+// plan is the layout of one group under construction.
 type plan struct {
 	engine *fleet.Engine
 	layers map[string]int // by kind of card
-	copies []float64      // of each layer
+	copies []float64      // of each layer within the group
+	all    []float64      // of each layer within the site
 	out    []Assignment
 }
 
-func (p *plan) count(r fleet.Range, by float64) {
-	for l := max(r.From, 0); l < min(r.To, p.engine.Layers); l++ {
-		p.copies[l] += by
+func count(copies []float64, r fleet.Range, by float64) {
+	for l := max(r.From, 0); l < min(r.To, len(copies)); l++ {
+		copies[l] += by
 	}
 }
 
+func (p *plan) count(r fleet.Range, by float64) {
+	count(p.copies, r, by)
+}
+
 func (p *plan) place(s fleet.Server, r fleet.Range) {
 	if r.Len() <= 0 {
 		return
 	}
 	p.count(r, 1)
+	count(p.all, r, 1)
 	p.out = append(p.out, Assignment{Server: s, Layers: r})
 }
 
-// tile lays the engines of one domain end to end and returns those that are left.
-// A domain whose engines can't hold every layer leaves all of them.
-func (p *plan) tile(group []fleet.Server) []fleet.Server {
-	total := 0
-	for i := range group {
-		total += p.layers[group[i].Kind]
+// group lays out one group.
+func (p *plan) group(servers []fleet.Server, pending map[state.BackendID]fleet.Range) {
+	var idle, settled []fleet.Server
+	for _, s := range servers {
+		_, busy := pending[s.ID]
+		r := held(s, pending)
+		p.count(r, 1)
+		switch {
+		case r.Len() == 0:
+			idle = append(idle, s)
+		case !busy:
+			settled = append(settled, s)
+		}
 	}
-	if total < p.engine.Layers {
-		return group
+	sortServers(idle, p.layers)
+	for _, s := range idle {
+		p.place(s, p.next(p.layers[s.Kind]))
 	}
-	sortServers(group, p.layers)
-	at := 0
-	for i, s := range group {
-		if at >= p.engine.Layers {
-			return group[i:]
-		}
-		n := p.layers[s.Kind]
-		end := min(at+n, p.engine.Layers)
-		// The last range reaches back over the one before rather than being short.
-		p.place(s, fleet.Range{From: max(0, end-n), To: end})
-		at = end
+	p.fillHoles(settled)
+}
+
+// next returns the range for an engine of n layers: from the first layer that
+// nobody holds, so that ranges lie end to end, and otherwise where copies are
+// fewest.
+func (p *plan) next(n int) fleet.Range {
+	n = min(n, p.engine.Layers)
+	hole := slices.IndexFunc(p.copies, func(c float64) bool { return c < 1 })
+	if n <= 0 || hole < 0 {
+		return p.thinnest(n)
 	}
-	return nil
+	// The last range reaches back over the one before rather than being short.
+	from := min(hole, p.engine.Layers-n)
+	return fleet.Range{From: from, To: from + n}
 }
 
-// thinnest returns the range of n layers with the fewest copies: first the one
-// with the most layers that nobody holds, then that with the fewest copies.
+// thinnest returns the range of n layers where one more copy is worth most.
 func (p *plan) thinnest(n int) fleet.Range {
 	n = min(n, p.engine.Layers)
 	if n <= 0 {
@@ -154,7 +183,7 @@
 	for from := 0; from+n <= p.engine.Layers; from++ {
 		score := 0.0
 		for l := from; l < from+n; l++ {
-			score += weight(p.copies[l])
+			score += weight(p.copies[l]) + siteWeight*weight(p.all[l])
 		}
 		if score > bestScore {
 			best, bestScore = from, score
@@ -163,6 +192,10 @@
 	return fleet.Range{From: best, To: best + n}
 }
 
+// siteWeight lets the copies in other groups decide among ranges that are equal
+// within the group.
+const siteWeight = 0.01
+
 // weight is how much one more copy of a layer is worth that has this many: each
 // one a fraction of the one before, so that a layer that nobody holds goes first.
 func weight(copies float64) float64 {
@@ -173,12 +206,11 @@
 	return w
 }
 
-// fillHoles moves engines whose layers others hold too onto layers that nobody
-// holds.
+// fillHoles moves engines whose layers others of the group hold too onto layers
+// that nobody in it holds.
 func (p *plan) fillHoles(settled []fleet.Server) {
 	for range settled {
-		hole := slices.IndexFunc(p.copies, func(c float64) bool { return c < 1 })
-		if hole < 0 {
+		if !slices.ContainsFunc(p.copies, func(c float64) bool { return c < 1 }) {
 			return
 		}
 		i := slices.IndexFunc(settled, func(s fleet.Server) bool { return p.spare(s.Layers) })
@@ -188,11 +220,11 @@
 		s := settled[i]
 		settled = slices.Delete(settled, i, i+1)
 		p.count(s.Layers, -1)
-		p.place(s, p.thinnest(p.layers[s.Kind]))
+		p.place(s, p.next(p.layers[s.Kind]))
 	}
 }
 
-// spare reports whether every layer of r is held by another engine too.
+// spare reports whether every layer of r is held by another engine of the group.
 func (p *plan) spare(r fleet.Range) bool {
 	for l := r.From; l < r.To; l++ {
 		if p.copies[l] < 2 {
--- a/coordination/layering/layering.go
+++ b/coordination/layering/layering.go
@@ -346,10 +346,6 @@
 }
 
 func (m *Machine) assignments(s *service, under map[state.BackendID]fleet.Range) []cover.Assignment {
-	holds := func(srv fleet.Server) bool { return srv.Layers.Len() > 0 || under[srv.ID].Len() > 0 }
-	if !slices.ContainsFunc(s.servers, holds) {
-		return cover.Plan(s.engine, s.servers)
-	}
 	return cover.Repair(s.engine, s.servers, under)
 }
 
--- a/coordination/pathing/pathing.go
+++ b/coordination/pathing/pathing.go
@@ -26,6 +26,7 @@
 // Request is what a path is wanted for.
 type Request struct {
 	Domain state.FailureDomain // of the daemon that sends it
+	Prompt int                 // tokens
 	Tokens int                 // prompt and longest answer
 	Avoid  map[string]bool     // addresses that may not be used
 }
@@ -34,10 +35,13 @@
 	// hopMS is the fixed cost of one more hop, in ms a token: the link within a
 	// domain and the wait for the server's next pass.
 	hopMS = 0.4
-	// crossMS is what a hop to another domain costs beyond the link's delay. A
-	// prompt of 770 tokens of 23 KB takes 18 ms of a pipe of 7,900 Mbit/s, and
-	// all paths share it: one use in ten tokens' time leaves it free.
-	crossMS = 3.0
+	// crossWeight is the cost of a hop to another domain for each ms that the
+	// prompt's activations take of the pipe between domains. All paths share it:
+	// 62 prompts a second of 18 ms each over one crossing are more than it takes,
+	// so that a path crosses only where its domain lacks a layer.
+	crossWeight = 3.0
+	// farMS is the cost of a first hop in another domain. Only texts cross then.
+	farMS = 1.0
 	// loadMS is what each request that runs on a server adds to a token's wait
 	// there, in ms; it spreads requests over equal servers.
 	loadMS = 0.15
@@ -65,6 +69,14 @@
 	return ms
 }
 
+// crossing returns what a hop to another domain costs.
+func crossing(e *fleet.Engine, r *Request) float64 {
+	if e.PipeMbps <= 0 {
+		return hopMS
+	}
+	return hopMS + crossWeight*float64(r.Prompt)*e.ActivateKB*8/e.PipeMbps
+}
+
 // reach is the cheapest way found that ends with one card.
 type reach struct {
 	cost float64
@@ -111,7 +123,7 @@
 	if c.Server.Layers.From == 0 {
 		out.cost = cost(c, e, c.Server.Layers.Len(), r)
 		if c.Server.Domain != r.Domain {
-			out.cost += hopMS // events and prompt texts are small
+			out.cost += farMS
 		}
 		if slots := c.Server.Slots; slots > 0 && c.Load.First >= float64(slots) {
 			out.cost += fullMS
@@ -125,7 +137,7 @@
 		}
 		total := best[j].cost + cost(c, e, c.Server.Layers.To-end, r)
 		if before.Domain != c.Server.Domain {
-			total += crossMS
+			total += crossing(e, r)
 		}
 		if total < out.cost {
 			out = reach{cost: total, from: j, at: end}
--- a/coordination/suspect/suspect.go
+++ b/coordination/suspect/suspect.go
@@ -35,7 +35,6 @@
 type Stream struct {
 	path    fleet.Path
 	records []*record
-	last    time.Time // of its last event
 }
 
 // NewBook returns an empty book.
@@ -91,7 +90,7 @@
 
 // Follow begins to follow an answer along a path.
 func (b *Book) Follow(now time.Time, path fleet.Path) *Stream {
-	s := &Stream{path: path, last: now, records: make([]*record, len(path))}
+	s := &Stream{path: path, records: make([]*record, len(path))}
 	for i, h := range path {
 		s.records[i] = b.record(now, h.Address)
 	}
@@ -100,34 +99,19 @@
 
 // Progress notes that an event came: every server of the path works.
 func (b *Book) Progress(now time.Time, s *Stream) {
-	s.last = now
 	for _, r := range s.records {
 		r.alive = now
 		r.touched = now
 	}
 }
 
-// Silent returns the hops of a stream that nothing has shown alive since its last
-// event. It is empty where each of them was, and where the whole site is silent.
-func (b *Book) Silent(s *Stream) []fleet.Hop {
+// Silent returns the hops of a stream that nothing has shown alive for a while.
+func (b *Book) Silent(now time.Time, s *Stream, quiet time.Duration) []fleet.Hop {
 	var out []fleet.Hop
 	for i, r := range s.records {
-		if !r.alive.After(s.last) {
+		if now.Sub(r.alive) >= quiet {
 			out = append(out, s.path[i])
 		}
 	}
-	if len(out) == len(s.path) && !b.anyAlive(s.last) {
-		return nil
-	}
 	return out
 }
-
-// anyAlive reports whether any server was shown alive after t.
-func (b *Book) anyAlive(t time.Time) bool {
-	for _, r := range b.servers {
-		if r.alive.After(t) {
-			return true
-		}
-	}
-	return false
-}
--- a/gateway/book.go
+++ b/gateway/book.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -17,13 +19,17 @@
 	mu       sync.Mutex
 	loads    map[string]*pathing.Load // own requests by the server's address
 	suspects *suspect.Book
+	buried   map[string]bool // addresses of servers that answer no probe
 	budget   *retrybudget.Budget
+	streams  map[*stream]struct{}
 }
 
 func newBook(set Settings) *book {
 	return &book{
 		loads:    make(map[string]*pathing.Load),
 		suspects: suspect.NewBook(),
+		buried:   make(map[string]bool),
+		streams:  make(map[*stream]struct{}),
 		budget:   retrybudget.New(retrybudget.Config{Ratio: set.BudgetRatio, Window: set.BudgetWindow, Slack: set.BudgetSlack}),
 	}
 }
@@ -55,12 +61,12 @@
 		load.Tokens *= daemons
 		cards = append(cards, pathing.Card{Server: s, Kind: kind, Room: svc.Engine.Room(kind, s.Layers.Len()), Load: load})
 	}
-	own := r.Avoid
-	r.Avoid = merge(b.suspects.Avoided(now), own)
+	never := merge(maps.Clone(b.buried), r.Avoid)
+	r.Avoid = merge(b.suspects.Avoided(now), never)
 	path, ok := pathing.Choose(svc.Engine, cards, r)
-	if !ok && len(r.Avoid) > len(own) {
-		// A suspect is better than nothing.
-		r.Avoid = own
+	if !ok && len(r.Avoid) > len(never) {
+		// A suspect is better than nothing; a dead server is not.
+		r.Avoid = never
 		path, ok = pathing.Choose(svc.Engine, cards, r)
 	}
 	if ok {
@@ -108,7 +114,7 @@
 	servers := v.servers[svc]
 	for i := range servers {
 		s := &servers[i]
-		if s.Draining || avoid[s.Address] {
+		if s.Draining || avoid[s.Address] || b.buried[s.Address] {
 			continue
 		}
 		cost := b.load(s.Address).Requests
@@ -179,13 +185,53 @@
 	b.suspects.Progress(now, s)
 }
 
-// silent returns the hops of a stream that seem dead, and has them avoided.
-func (b *book) silent(now time.Time, s *suspect.Stream) []fleet.Hop {
+// silent returns the hops of a stream that nothing has shown alive of late.
+func (b *book) silent(now time.Time, s *suspect.Stream, quiet time.Duration) []fleet.Hop {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	hops := b.suspects.Silent(s)
-	for _, h := range hops {
-		b.suspects.Failed(now, h.Address)
+	return b.suspects.Silent(now, s, quiet)
+}
+
+// join lists a stream among those to be told of a dead server; leave takes it off.
+func (b *book) join(s *stream) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.streams[s] = struct{}{}
+}
+
+func (b *book) leave(s *stream) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	delete(b.streams, s)
+}
+
+// crossing lists the streams whose path has a server.
+func (b *book) crossing(address string) []*stream {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out []*stream
+	for s := range b.streams {
+		if slices.ContainsFunc(s.path, func(h fleet.Hop) bool { return h.Address == address }) {
+			out = append(out, s)
+		}
 	}
-	return hops
+	return out
+}
+
+// bury notes that a server answers no probe. It returns false if that was known.
+func (b *book) bury(address string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.buried[address] {
+		return false
+	}
+	b.buried[address] = true
+	return true
+}
+
+// raise takes back bury.
+func (b *book) raise(address string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	delete(b.buried, address)
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -41,6 +41,7 @@
 	log      *telemetry.Log
 
 	book    *book
+	prober  *prober
 	control *control
 	current atomic.Pointer[view]
 	node    *peer.Node
@@ -64,6 +65,7 @@
 		book:     newBook(set),
 		done:     make(chan struct{}),
 	}
+	g.prober = newProber(g)
 	listener, err := net.Listen("tcp", set.Peers)
 	if err != nil {
 		return nil, fmt.Errorf("peers' address %s: %w", set.Peers, err)
--- a/gateway/path.go
+++ b/gateway/path.go
@@ -19,7 +19,7 @@
 	var path fleet.Path
 	found := r.hold(ctx, func() (ok bool) {
 		path, ok = r.g.book.choose(time.Now(), r.view, r.service, pathing.Request{
-			Domain: r.g.set.Domain, Tokens: tokens, Avoid: r.avoid,
+			Domain: r.g.set.Domain, Prompt: r.req.Prompt, Tokens: tokens, Avoid: r.avoid,
 		})
 		return ok
 	})
--- /dev/null
+++ b/gateway/probe.go
@@ -0,0 +1,110 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/singleflight"
+
+	"github.com/hibiscuswick/hibiscuswick/state/fleet"
+	"github.com/hibiscuswick/hibiscuswick/telemetry"
+)
+
+const (
+	// probeWait is how long a server may take to answer a probe. A live one needs
+	// a round trip and no slot: about a millisecond.
+	probeWait = 60 * time.Millisecond
+	// probeFresh is how long the result of a probe stands for other streams.
+	probeFresh = 120 * time.Millisecond
+	// reprobeEvery is how often a dead server is probed again.
+	reprobeEvery = 500 * time.Millisecond
+	// reprobeFor is how long: a server that stays dead leaves the list sooner.
+	reprobeFor = 15 * time.Second
+)
+
+// prober finds out whether servers are alive by asking them for their report.
+// Streams that fall silent together share its probes.
+type prober struct {
+	g     *Gateway
+	group singleflight.Group
+
+	mu   sync.Mutex
+	last map[string]probed // by address
+}
+
+// probed is the result of one probe.
+type probed struct {
+	at    time.Time
+	alive bool
+}
+
+func newProber(g *Gateway) *prober {
+	return &prober{g: g, last: make(map[string]probed)}
+}
+
+// alive reports whether a server answers.
+func (p *prober) alive(address string) bool {
+	p.mu.Lock()
+	old, ok := p.last[address]
+	p.mu.Unlock()
+	if ok && time.Since(old.at) < probeFresh {
+		return old.alive
+	}
+	alive, _, _ := p.group.Do(address, func() (any, error) {
+		ctx, cancel := context.WithTimeout(context.Background(), probeWait)
+		defer cancel()
+		_, err := p.g.backends.Report(ctx, address)
+		p.mu.Lock()
+		p.last[address] = probed{at: time.Now(), alive: err == nil}
+		p.mu.Unlock()
+		return err == nil, nil
+	})
+	return alive.(bool)
+}
+
+// dead probes all hops at once and reports whether one does not answer. Those are
+// avoided until they do, and the streams that cross them are told.
+func (p *prober) dead(hops []fleet.Hop) bool {
+	alive := make([]bool, len(hops))
+	var all sync.WaitGroup
+	for i, h := range hops {
+		all.Go(func() { alive[i] = p.alive(h.Address) })
+	}
+	all.Wait()
+	found := false
+	for i, h := range hops {
+		if alive[i] {
+			continue
+		}
+		found = true
+		p.bury(h)
+		for _, s := range p.g.book.crossing(h.Address) {
+			s.lost(h)
+		}
+	}
+	return found
+}
+
+// bury has a dead server avoided, and probes it until it answers again.
+func (p *prober) bury(h fleet.Hop) {
+	if !p.g.book.bury(h.Address) {
+		return
+	}
+	p.g.log.Emit(telemetry.EventBackendDead, telemetry.Backend(h.Server), telemetry.Address(h.Address))
+	go func() {
+		until := time.Now().Add(reprobeFor)
+		for time.Now().Before(until) {
+			select {
+			case <-p.g.done:
+				return
+			case <-time.After(reprobeEvery):
+			}
+			if p.alive(h.Address) {
+				break
+			}
+		}
+		p.g.book.raise(h.Address)
+		p.g.log.Emit(telemetry.EventBackendRecovered, telemetry.Backend(h.Server), telemetry.Address(h.Address))
+	}()
+}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -40,7 +40,6 @@
 
 	watch  *suspect.Stream
 	timer  *time.Timer
-	silent bool // the watch ended the stream; read after cancel
 	held   []byte
 	events int
 }
@@ -48,10 +47,12 @@
 func newStream(r *run, path fleet.Path, answer *backend.Answer, cancel context.CancelFunc) *stream {
 	s := &stream{r: r, path: path, answer: answer, cancel: cancel}
 	s.watch = r.g.book.follow(time.Now(), path)
+	r.g.book.join(s)
 	return s
 }
 
 func (s *stream) close() {
+	s.r.g.book.leave(s)
 	if s.timer != nil {
 		s.timer.Stop()
 	}
@@ -97,16 +98,21 @@
 	s.timer.Reset(gap)
 }
 
-// quiet is called when no event came for a while.
+// quiet is called when no event came for a while. A stream that is merely slow is
+// left alone: moving it would cost a prompt and help nobody.
 func (s *stream) quiet() {
-	hops := s.r.g.book.silent(time.Now(), s.watch)
-	if len(hops) == 0 {
-		s.timer.Reset(s.r.route.Gap / gapShare)
-		return
+	g := s.r.g
+	if !g.prober.dead(g.book.silent(time.Now(), s.watch, s.r.route.Gap/gapShare)) {
+		s.timer.Reset(s.r.route.Gap)
 	}
-	for _, h := range hops {
-		s.r.g.log.Emit(telemetry.EventHopSilent, telemetry.Request(s.r.req.ID), telemetry.Backend(h.Server), telemetry.Address(h.Address))
+}
+
+// lost is called when a server of the path was found dead.
+func (s *stream) lost(h fleet.Hop) {
+	if s.r.route.Repeat != fleet.RunOn {
+		return
 	}
+	s.r.g.log.Emit(telemetry.EventHopSilent, telemetry.Request(s.r.req.ID), telemetry.Backend(h.Server), telemetry.Address(h.Address))
 	s.cancel()
 }
 
--- a/telemetry/catalogue.go
+++ b/telemetry/catalogue.go
@@ -62,6 +62,7 @@
 	{EventBackendRecovered, "backend_recovered", logrus.InfoLevel, "A backend server that counted as dead answers again."},
 	{EventBackendJoined, "backend_joined", logrus.InfoLevel, "A backend server is listed for the first time."},
 	{EventBackendUnreadable, "backend_unreadable", logrus.ErrorLevel, "The entry of a backend server can't be read; it is passed over."},
+	{EventBackendDead, "backend_dead", logrus.WarnLevel, "A backend server on the path of a silent stream answers no probe; it is avoided until it does."},
 	{EventReplicaUp, "replica_up", logrus.InfoLevel, "A replica can serve."},
 	{EventReplicaDown, "replica_down", logrus.WarnLevel, "A replica can't serve."},
 	{EventCacheEventsMissed, "cache_events_missed", logrus.DebugLevel, "Cache events are missing; beliefs about the engine's cache are dropped."},
--- a/telemetry/events.go
+++ b/telemetry/events.go
@@ -84,6 +84,7 @@
 	EventBackendRecovered  Event = 1604
 	EventBackendJoined     Event = 1609
 	EventBackendUnreadable Event = 1610
+	EventBackendDead       Event = 1611
 	EventReplicaUp         Event = 1606
 	EventReplicaDown       Event = 1607
 	EventCacheEventsMissed Event = 1608
