Stop an overdue timer from spinning, and doubt probes that came back late

While draining the control goroutine skipped the duty of layers but still asked it for its next timer, which was overdue: it span, took the instance's whole share of a core, and for a second no stream moved. All probes then failed at 33.6 s, all servers counted as dead and 22 streams were cut (LOST).

Change: an inactive duty has no timer, and no timer fires sooner than 2 ms. A probe that took over 30 ms beyond its bound says nothing, and where none of several probed servers answers, none is taken for dead.

--- a/gateway/control.go
+++ b/gateway/control.go
@@ -7,6 +7,10 @@
 // tickInterval is how often timers of the control state run at the latest.
 const tickInterval = 100 * time.Millisecond
 
+// leastTick keeps a timer that is overdue from taking the whole processor, of which
+// an instance has a part only: streams would stand still.
+const leastTick = 2 * time.Millisecond
+
 // control owns the control state. Its fields belong to run's goroutine.
 type control struct {
 	g     *Gateway
@@ -54,7 +58,7 @@
 		c.members.tick()
 		c.duty.tick()
 		c.publish()
-		timer.Reset(c.nextTick().Sub(time.Now()))
+		timer.Reset(max(time.Until(c.nextTick()), leastTick))
 	}
 }
 
--- a/gateway/duty.go
+++ b/gateway/duty.go
@@ -43,12 +43,23 @@
 	return &dutyPart{c: c, m: layering.New()}
 }
 
-func (p *dutyPart) nextTick() time.Time { return p.m.NextTick() }
+// active reports whether this daemon may take up the duty.
+func (p *dutyPart) active() bool {
+	v := &p.c.view
+	return v.config != nil && v.listed && !v.draining
+}
+
+func (p *dutyPart) nextTick() time.Time {
+	if !p.active() {
+		return time.Time{}
+	}
+	return p.m.NextTick()
+}
 
 // tick tells the machine what has changed, and runs its timers.
 func (p *dutyPart) tick() {
 	v := &p.c.view
-	if v.config == nil || !v.listed || v.draining {
+	if !p.active() {
 		return
 	}
 	if p.servedState != v.members {
--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -23,6 +24,10 @@
 	reprobeFor = 15 * time.Second
 )
 
+// probeLate is how long a probe may take beyond probeWait before its failure says
+// nothing: this process did not run meanwhile.
+const probeLate = 30 * time.Millisecond
+
 // prober finds out whether servers are alive by asking them for their report.
 // Streams that fall silent together share its probes.
 type prober struct {
@@ -52,13 +57,15 @@
 		return old.alive
 	}
 	alive, _, _ := p.group.Do(address, func() (any, error) {
+		began := time.Now()
 		ctx, cancel := context.WithTimeout(context.Background(), probeWait)
 		defer cancel()
 		_, err := p.g.backends.Report(ctx, address)
+		alive := err == nil || time.Since(began) > probeWait+probeLate
 		p.mu.Lock()
-		p.last[address] = probed{at: time.Now(), alive: err == nil}
+		p.last[address] = probed{at: time.Now(), alive: alive}
 		p.mu.Unlock()
-		return err == nil, nil
+		return alive, nil
 	})
 	return alive.(bool)
 }
@@ -72,6 +79,10 @@
 		all.Go(func() { alive[i] = p.alive(h.Address) })
 	}
 	all.Wait()
+	// One live server proves that this daemon is not cut off itself.
+	if !slices.Contains(alive, true) && len(hops) > 1 {
+		return false
+	}
 	found := false
 	for i, h := range hops {
 		if alive[i] {
