Probe a store that is down more often; test the new packages

A call to a silent store took up to 3.5 s, and the pause after it up to 0.8 s.

Change: after a failure the feed asks without waiting for a change, for 0.5, 0.7 and 1.5 s in turn, with pauses of 0.3 s at most. A daemon that finds an engine busy with another's order leaves it alone for 2 s. Layers that engines list are logged.

--- a/coordination/layering/layering.go
+++ b/coordination/layering/layering.go
@@ -31,6 +31,9 @@
 	acquireRetry = 400 * time.Millisecond
 	// orderRetry is how long after an order without effect it is decided anew.
 	orderRetry = 700 * time.Millisecond
+	// busyRetry is the same where the engine is carrying out another order: a load
+	// of a tenth of the layers takes some 1.5 s.
+	busyRetry = 2 * time.Second
 	// loadSlack is added to the time that a load should take, before the order
 	// counts as lost: lists lag by a heartbeat or two.
 	loadSlack = 4 * time.Second
@@ -81,6 +84,7 @@
 	End    OrderEnd
 	Known  bool
 	Orders uint64
+	Busy   bool // it is carrying out an order, of another daemon perhaps
 }
 
 func (Tick) layeringEvent()        {}
@@ -273,6 +277,9 @@
 	default:
 	}
 	p.until = m.now.Add(orderRetry)
+	if ev.Busy {
+		p.until = m.now.Add(busyRetry)
+	}
 	m.pending[ev.Server] = p
 }
 
--- /dev/null
+++ b/coordination/suspect/suspect_test.go
@@ -0,0 +1,48 @@
+package suspect_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hibiscuswick/hibiscuswick/coordination/suspect"
+	"github.com/hibiscuswick/hibiscuswick/state/fleet"
+)
+
+func path(addresses ...string) fleet.Path {
+	var p fleet.Path
+	for _, a := range addresses {
+		p = append(p, fleet.Hop{Address: a})
+	}
+	return p
+}
+
+var _ = Describe("Suspicion", func() {
+	start := time.Unix(1000, 0)
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+	// Two streams share one hop, which goes dark. Another stream crosses the other
+	// hops of the first. Only the dark hop is suspected of the first one's silence.
+	It("falls on the hops that nothing shows alive", Label("failure:hop-dies"), func() {
+		b := suspect.NewBook()
+		dark := b.Follow(at(0), path("a", "b", "c"))
+		other := b.Follow(at(0), path("a", "c"))
+		b.Progress(at(10), dark)
+		b.Progress(at(110), other)
+		hops := b.Silent(at(120), dark, 100*time.Millisecond)
+		Expect(hops).To(HaveLen(1))
+		Expect(hops[0].Address).To(Equal("b"))
+	})
+
+	It("grows with failures in a row and ends with an answer", func() {
+		b := suspect.NewBook()
+		b.Failed(at(0), "a")
+		Expect(b.Avoided(at(100))).To(HaveKey("a"))
+		Expect(b.Avoided(at(500))).To(BeEmpty())
+		b.Failed(at(500), "a")
+		Expect(b.Avoided(at(1000))).To(HaveKey("a"))
+		b.Answered(at(1000), "a")
+		Expect(b.Avoided(at(1001))).To(BeEmpty())
+	})
+})
--- a/daemon/backends.go
+++ b/daemon/backends.go
@@ -101,8 +101,14 @@
 	}
 }
 
+// soon has every backend server asked in this turn or the next.
+func (p *backendsPart) soon() {
+	p.next = time.Time{}
+}
+
 func (p *backendsPart) heard(b *backendState, rep report) {
 	b.asking = false
+	defer p.c.slots.heard(rep.backend)
 	if rep.placed {
 		p.c.deaths.heard(rep.backend, rep.err == nil)
 	}
--- a/daemon/slots.go
+++ b/daemon/slots.go
@@ -28,6 +28,9 @@
 	leaving  map[state.ReplicaID]bool
 	pools    []home.PoolSpec // that this daemon is home of
 	wants    map[home.Ask]*runner
+	// unheard are the backend servers of newly assigned pools that have not said
+	// yet whether they are leaving.
+	unheard map[state.BackendID]bool
 }
 
 func newSlotsPart(c *control) *slotsPart {
@@ -39,6 +42,7 @@
 		replicas: make(map[state.ReplicaID]state.Replica),
 		leaving:  make(map[state.ReplicaID]bool),
 		wants:    make(map[home.Ask]*runner),
+		unheard:  make(map[state.BackendID]bool),
 	}
 }
 
@@ -70,8 +74,50 @@
 		case route.Refused:
 			p.refused(a)
 		case route.Assigned:
-			p.pools = a.Pools
-			p.home(home.PoolsAssigned{Pools: a.Pools})
+			p.assigned(a.Pools)
+		}
+	}
+}
+
+// assigned takes up the pools that this daemon is home of. A new home asks each
+// backend server at once, and gives out no slot before its first word: only homes
+// ask, so that a server which began to leave while its pool had none would get new
+// work until the next report, a second later.
+func (p *slotsPart) assigned(pools []home.PoolSpec) {
+	old := make(map[home.PoolID]bool, len(p.pools))
+	for _, pool := range p.pools {
+		old[pool.ID] = true
+	}
+	p.pools = pools
+	p.home(home.PoolsAssigned{Pools: pools})
+	for _, pool := range pools {
+		if old[pool.ID] {
+			continue
+		}
+		for _, r := range pool.Replicas {
+			for _, s := range r.Stages {
+				p.unheard[s.Backend] = true
+			}
+			p.home(home.ReplicaLeaving{Replica: r.ID})
+		}
+		p.c.backends.soon()
+	}
+}
+
+// heard gives the replicas of a backend server work once all their servers have
+// said, or failed to say, whether they are leaving.
+func (p *slotsPart) heard(id state.BackendID) {
+	if !p.unheard[id] {
+		return
+	}
+	delete(p.unheard, id)
+	for _, r := range p.replicas {
+		if !slices.ContainsFunc(r.Stages, func(s state.Stage) bool { return s.Backend == id }) {
+			continue
+		}
+		waits := slices.ContainsFunc(r.Stages, func(s state.Stage) bool { return p.unheard[s.Backend] })
+		if !waits && !r.Leaving && !p.anyLeaving(r) {
+			p.home(home.ReplicaReturned{Replica: r.ID})
 		}
 	}
 }
@@ -270,7 +316,8 @@
 		if !slices.ContainsFunc(r.Stages, func(s state.Stage) bool { return s.Backend == id }) {
 			continue
 		}
-		if r.Leaving || p.anyLeaving(r) {
+		waits := slices.ContainsFunc(r.Stages, func(s state.Stage) bool { return p.unheard[s.Backend] })
+		if waits || r.Leaving || p.anyLeaving(r) {
 			continue
 		}
 		p.route(route.ReplicaReturned{Replica: r.ID})
--- a/gateway/book.go
+++ b/gateway/book.go
@@ -179,17 +179,17 @@
 	return b.suspects.Follow(now, path)
 }
 
-func (b *book) progress(now time.Time, s *suspect.Stream) {
+func (b *book) progress(now time.Time, s *stream) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.suspects.Progress(now, s)
+	b.suspects.Progress(now, s.watch)
 }
 
 // silent returns the hops of a stream that nothing has shown alive of late.
-func (b *book) silent(now time.Time, s *suspect.Stream, quiet time.Duration) []fleet.Hop {
+func (b *book) silent(now time.Time, s *stream, quiet time.Duration) []fleet.Hop {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.suspects.Silent(now, s, quiet)
+	return b.suspects.Silent(now, s.watch, quiet)
 }
 
 // join lists a stream among those to be told of a dead server; leave takes it off.
--- a/gateway/duty.go
+++ b/gateway/duty.go
@@ -162,7 +162,7 @@
 	ev := layering.Ordered{Server: a.Server.ID, End: orderEnd(result)}
 	if ev.End == layering.Conflict {
 		if report, rerr := g.backends.Report(ctx, a.Server.Address); rerr == nil {
-			ev.Known, ev.Orders = true, report.Orders
+			ev.Known, ev.Orders, ev.Busy = true, report.Orders, report.Busy
 		}
 	}
 	g.log.Emit(telemetry.EventOrderSent, telemetry.Backend(a.Server.ID), telemetry.Fencing(a.Fence),
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -111,15 +111,6 @@
 	})
 }
 
-// drainedFor is how long a planned stop has been under way; 0 for none.
-func (g *Gateway) drainedFor(now time.Time) time.Duration {
-	began := g.draining.Load()
-	if began == 0 {
-		return 0
-	}
-	return now.Sub(time.Unix(0, began))
-}
-
 // Close tells the other gateways that this one leaves, and stops.
 func (g *Gateway) Close() {
 	left := make(chan struct{})
@@ -163,15 +154,9 @@
 	})
 }
 
-// Shares of the time that a planned stop has.
-const (
-	// acceptShare is how long new requests are served: callers that keep an answer
-	// longest come until then.
-	acceptShare = 0.36
-	// graceShare is when the stop ends at the latest; the rest is for the process's
-	// own end.
-	graceShare = 0.93
-)
+// graceShare is the part of a planned stop's time after which it ends; the rest is
+// for the process's own end.
+const graceShare = 0.93
 
 // Closing reports whether callers are to use another connection next time.
 func (g *Gateway) Closing() bool { return g.draining.Load() != 0 }
--- a/gateway/listing.go
+++ b/gateway/listing.go
@@ -20,9 +20,14 @@
 	followWait = 2 * time.Second
 	// Waits between calls to a store that does not answer.
 	backoffMin = 100 * time.Millisecond
-	backoffMax = 800 * time.Millisecond
+	backoffMax = 300 * time.Millisecond
 )
 
+// probeTimeouts bound the calls to a store that does not answer, in turn. A store
+// that is back must be heard well within the bound of a configuration, 2 s; one that
+// is merely slow answers within the longest.
+var probeTimeouts = []time.Duration{500 * time.Millisecond, 700 * time.Millisecond, storeTimeout}
+
 // listingPart keeps the configuration and the list of servers.
 type listingPart struct {
 	c       *control
@@ -41,11 +46,11 @@
 	var (
 		revision uint64
 		known    bool
-		down     bool
+		failures int
 		wait     = backoffMin
 	)
 	for ctx.Err() == nil {
-		batch, whole, err := next(ctx, f, revision, known)
+		batch, whole, err := next(ctx, f, revision, known, failures)
 		if errors.Is(err, site.ErrHistoryGone) {
 			known = false
 			continue
@@ -55,16 +60,16 @@
 			err = errStaleRead
 		}
 		if err != nil {
-			if !down {
-				down = true
+			failures++
+			if failures == 1 {
 				g.log.Emit(telemetry.EventStoreUnavailable, telemetry.Detail(name), telemetry.Cause(err))
 			}
 			pause(ctx, wait/2+rand.N(wait/2))
 			wait = min(2*wait, backoffMax)
 			continue
 		}
-		if down {
-			down = false
+		if failures > 0 {
+			failures = 0
 			g.log.Emit(telemetry.EventStoreRecovered, telemetry.Detail(name))
 		}
 		wait = backoffMin
@@ -75,17 +80,23 @@
 	}
 }
 
-// next reads a feed whole, or what changed in it after revision.
-func next[T any](ctx context.Context, f site.Feed[T], revision uint64, known bool) (site.Batch[T], bool, error) {
+// next reads a feed whole, or what changed in it after revision. After failures it
+// does not let the store wait for a change, so that its return is noticed at once.
+func next[T any](ctx context.Context, f site.Feed[T], revision uint64, known bool, failures int) (site.Batch[T], bool, error) {
+	wait, timeout := followWait, followWait+storeTimeout
+	if failures > 0 {
+		wait, timeout = 0, probeTimeouts[(failures-1)%len(probeTimeouts)]
+	}
+	if !known {
+		timeout = min(timeout, storeTimeout)
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
 	if !known {
-		ctx, cancel := context.WithTimeout(ctx, storeTimeout)
-		defer cancel()
 		b, err := f.Read(ctx)
 		return b, true, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, followWait+storeTimeout)
-	defer cancel()
-	b, err := f.Follow(ctx, revision, followWait)
+	b, err := f.Follow(ctx, revision, wait)
 	return b, false, err
 }
 
@@ -145,10 +156,14 @@
 func (p *listingPart) seen(s fleet.Server) {
 	old, known := p.servers[s.ID]
 	p.servers[s.ID] = s
-	switch {
-	case !known:
+	if !known {
 		p.c.g.log.Emit(telemetry.EventBackendJoined, telemetry.Backend(s.ID), telemetry.Address(s.Address))
-	case s.Draining && !old.Draining:
+		return
+	}
+	if s.Layers != old.Layers {
+		p.c.g.log.Emit(telemetry.EventLayersListed, telemetry.Backend(s.ID), telemetry.Layers(s.Layers))
+	}
+	if s.Draining && !old.Draining {
 		p.c.g.log.Emit(telemetry.EventBackendLeaving, telemetry.Backend(s.ID))
 	}
 }
--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -15,7 +15,7 @@
 const (
 	// probeWait is how long a server may take to answer a probe. A live one needs
 	// a round trip and no slot: about a millisecond.
-	probeWait = 60 * time.Millisecond
+	probeWait = 40 * time.Millisecond
 	// probeFresh is how long the result of a probe stands for other streams.
 	probeFresh = 120 * time.Millisecond
 	// reprobeEvery is how often a dead server is probed again.
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -19,7 +19,7 @@
 	readSize = 4 << 10
 	// gapShare is the part of a route's longest pause after which a stream counts
 	// as silent: what is left of the pause is needed to go on elsewhere.
-	gapShare = 2
+	gapShare = 3
 	// firstShare is the same part of the target for the first event.
 	firstShare = 2
 )
@@ -102,7 +102,7 @@
 // left alone: moving it would cost a prompt and help nobody.
 func (s *stream) quiet() {
 	g := s.r.g
-	if !g.prober.dead(g.book.silent(time.Now(), s.watch, s.r.route.Gap/gapShare)) {
+	if !g.prober.dead(g.book.silent(time.Now(), s, s.r.route.Gap/gapShare)) {
 		s.timer.Reset(s.r.route.Gap)
 	}
 }
@@ -138,7 +138,7 @@
 		s.r.after = id
 	}
 	s.held = append(s.held[:0], s.held[end:]...)
-	s.r.g.book.progress(time.Now(), s.watch)
+	s.r.g.book.progress(time.Now(), s)
 	s.arm()
 	return nil
 }
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -1,8 +1,6 @@
 package gateway
 
 import (
-	"github.com/samber/lo"
-
 	"github.com/hibiscuswick/hibiscuswick/coordination/membership"
 	"github.com/hibiscuswick/hibiscuswick/state"
 	"github.com/hibiscuswick/hibiscuswick/state/fleet"
@@ -23,8 +21,3 @@
 func (v *view) ready() bool {
 	return v.config != nil && v.listed && !v.draining
 }
-
-// server finds a server of a service by its address.
-func (v *view) server(svc state.ServiceID, address string) (fleet.Server, bool) {
-	return lo.Find(v.servers[svc], func(s fleet.Server) bool { return s.Address == address })
-}
--- a/protocol/backend/backend.go
+++ b/protocol/backend/backend.go
@@ -79,31 +79,12 @@
 	OrderRejected                    // the engine refuses it for good
 )
 
-// Move gives a running request another path with the same first hop.
-type Move struct {
-	Address   string // of the first hop
-	Server    state.BackendID
-	RequestID string
-	Path      fleet.Path
-	Fence     state.FencingNumber
-}
-
-// MoveResult says what became of a Move. Culprit is the address of a hop that has
-// no room or is not there.
-type MoveResult struct {
-	Moved   bool
-	Gone    bool // the engine does not run the request
-	Culprit string
-}
-
 // Report is what an engine says of itself, some hundred milliseconds old.
 type Report struct {
 	Busy   bool
 	Orders uint64
 	Layers fleet.Range
 	Pace   float64 // over 1 is slow
-	// Stalled are requests that wait for a hop, by request id, with its address.
-	Stalled map[string]string
 }
 
 // Client speaks to backend servers. Its methods may be called by many goroutines.
@@ -112,6 +93,5 @@
 	// server stops work.
 	Send(ctx context.Context, c Call) (*Answer, error)
 	Order(ctx context.Context, o Order) (OrderResult, error)
-	Move(ctx context.Context, m Move) (MoveResult, error)
 	Report(ctx context.Context, address string) (Report, error)
 }
--- a/telemetry/events.go
+++ b/telemetry/events.go
@@ -85,6 +85,7 @@
 	EventBackendJoined     Event = 1609
 	EventBackendUnreadable Event = 1610
 	EventBackendDead       Event = 1611
+	EventLayersListed      Event = 1612
 	EventReplicaUp         Event = 1606
 	EventReplicaDown       Event = 1607
 	EventCacheEventsMissed Event = 1608
--- a/transport/exchange/exchange.go
+++ b/transport/exchange/exchange.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"net/http"
 	"net/textproto"
@@ -74,7 +73,7 @@
 	} else {
 		sent <- err
 	}
-	resp, err := readHead(c, req)
+	resp, err := readHead(c, req) //nolint:bodyclose // the body of the Response closes it
 	if err != nil {
 		stop()
 		_ = c.Close()
@@ -98,12 +97,15 @@
 // writeRequest writes head and body in as few writes as possible.
 func writeRequest(c *conn, req *Request) error {
 	w := bufio.NewWriterSize(c, bufferSize)
-	fmt.Fprintf(w, "%s %s HTTP/1.1\r\n", req.Method, req.Target)
+	head := req.Method + " " + req.Target + " HTTP/1.1\r\n"
 	if req.Header.Get("Host") == "" {
-		fmt.Fprintf(w, "Host: %s\r\n", req.Address)
+		head += "Host: " + req.Address + "\r\n"
 	}
 	if len(req.Body) > 0 || req.Method == http.MethodPost || req.Method == http.MethodPut {
-		fmt.Fprintf(w, "Content-Length: %s\r\n", strconv.Itoa(len(req.Body)))
+		head += "Content-Length: " + strconv.Itoa(len(req.Body)) + "\r\n"
+	}
+	if _, err := w.WriteString(head); err != nil {
+		return err
 	}
 	if err := req.Header.Write(w); err != nil {
 		return err
