Watch hops by how long they are usually quiet; drain without late streams

Cause: streams across a dead hop were late (longest pause 0.23 to 0.26 s of 0.2 s allowed): 66 ms until the hops were probed, 40 ms for the probe, then a prompt. Streams taken late in a planned stop were cut at its end and came back late.

Change: a hop counts as silent after twice its longest quiet time of late, between a fifth and a half of the route's pause; probes take 25 ms and are bounded to 20 a second and daemon. A draining daemon refuses new streams after a fifth of its time, to be sent elsewhere. Links between domains have an estimated backlog that paths pay for. Entries that go missing within 3 s of the store's return are kept for 1.8 s. A line for each stream that was late: pauses, sends, first hop.

--- a/coordination/pathing/pathing.go
+++ b/coordination/pathing/pathing.go
@@ -29,6 +29,9 @@
 	Prompt int                 // tokens
 	Tokens int                 // prompt and longest answer
 	Avoid  map[string]bool     // addresses that may not be used
+	// Backlog is how many ms of transfers wait for the link between two domains;
+	// nil for none.
+	Backlog func(a, b state.FailureDomain) float64
 }
 
 const (
@@ -69,12 +72,22 @@
 	return ms
 }
 
-// crossing returns what a hop to another domain costs.
-func crossing(e *fleet.Engine, r *Request) float64 {
+// TransferMS is how long a prompt's activations take the link between two domains,
+// in ms.
+func TransferMS(e *fleet.Engine, prompt int) float64 {
 	if e.PipeMbps <= 0 {
-		return hopMS
+		return 0
 	}
-	return hopMS + crossWeight*float64(r.Prompt)*e.ActivateKB*8/e.PipeMbps
+	return float64(prompt) * e.ActivateKB * 8 / e.PipeMbps
+}
+
+// crossing returns what a hop from one domain to another costs.
+func crossing(e *fleet.Engine, r *Request, from, to state.FailureDomain) float64 {
+	ms := hopMS + crossWeight*TransferMS(e, r.Prompt)
+	if r.Backlog != nil {
+		ms += r.Backlog(from, to)
+	}
+	return ms
 }
 
 // reach is the cheapest way found that ends with one card.
@@ -137,7 +150,7 @@
 		}
 		total := best[j].cost + cost(c, e, c.Server.Layers.To-end, r)
 		if before.Domain != c.Server.Domain {
-			total += crossing(e, r)
+			total += crossing(e, r, before.Domain, c.Server.Domain)
 		}
 		if total < out.cost {
 			out = reach{cost: total, from: j, at: end}
--- a/coordination/suspect/suspect.go
+++ b/coordination/suspect/suspect.go
@@ -14,6 +14,10 @@
 	// avoidMost bounds the time after several failures in a row; a probe with one
 	// request each few seconds is all that a dead server costs.
 	avoidMost = 4 * time.Second
+	// peakMemory is how long a server's longest quiet time is remembered. It bounds
+	// the probes of a site that is slow as a whole: each of its servers is quiet for
+	// long, time and again.
+	peakMemory = 2 * time.Second
 	// forgetAfter is when a server that nothing was heard of is dropped.
 	forgetAfter = 30 * time.Second
 )
@@ -25,7 +29,9 @@
 
 // record is what is known of one server.
 type record struct {
-	alive    time.Time // when it was last shown alive
+	alive time.Time // when it was last shown alive
+	// peak is about the longest time of late in which nothing showed it alive.
+	peak     time.Duration
 	failures int       // in a row
 	avoid    time.Time // until when
 	touched  time.Time
@@ -100,16 +106,26 @@
 // Progress notes that an event came: every server of the path works.
 func (b *Book) Progress(now time.Time, s *Stream) {
 	for _, r := range s.records {
-		r.alive = now
-		r.touched = now
+		r.show(now)
 	}
 }
 
-// Silent returns the hops of a stream that nothing has shown alive for a while.
-func (b *Book) Silent(now time.Time, s *Stream, quiet time.Duration) []fleet.Hop {
+// show notes that a server works.
+func (r *record) show(now time.Time) {
+	if gap := now.Sub(r.alive); !r.alive.IsZero() && gap < peakMemory {
+		r.peak = max(gap, r.peak-time.Duration(float64(r.peak)*float64(gap)/float64(peakMemory)))
+	}
+	r.alive = now
+	r.touched = now
+}
+
+// Silent returns the hops of a stream that nothing has shown alive for longer than
+// is usual for them: twice their longest quiet time of late, but no less than least
+// and no more than most.
+func (b *Book) Silent(now time.Time, s *Stream, least, most time.Duration) []fleet.Hop {
 	var out []fleet.Hop
 	for i, r := range s.records {
-		if now.Sub(r.alive) >= quiet {
+		if now.Sub(r.alive) >= min(max(2*r.peak, least), most) {
 			out = append(out, s.path[i])
 		}
 	}
--- a/gateway/book.go
+++ b/gateway/book.go
@@ -22,6 +22,7 @@
 	buried   map[string]bool // addresses of servers that answer no probe
 	budget   *retrybudget.Budget
 	streams  map[*stream]struct{}
+	pipes    pipes
 }
 
 func newBook(set Settings) *book {
@@ -30,6 +31,7 @@
 		suspects: suspect.NewBook(),
 		buried:   make(map[string]bool),
 		streams:  make(map[*stream]struct{}),
+		pipes:    make(pipes),
 		budget:   retrybudget.New(retrybudget.Config{Ratio: set.BudgetRatio, Window: set.BudgetWindow, Slack: set.BudgetSlack}),
 	}
 }
@@ -61,6 +63,7 @@
 		load.Tokens *= daemons
 		cards = append(cards, pathing.Card{Server: s, Kind: kind, Room: svc.Engine.Room(kind, s.Layers.Len()), Load: load})
 	}
+	r.Backlog = func(x, y state.FailureDomain) float64 { return b.pipes.backlog(now, x, y) }
 	never := merge(maps.Clone(b.buried), r.Avoid)
 	r.Avoid = merge(b.suspects.Avoided(now), never)
 	path, ok := pathing.Choose(svc.Engine, cards, r)
@@ -70,6 +73,7 @@
 		path, ok = pathing.Choose(svc.Engine, cards, r)
 	}
 	if ok {
+		b.pipes.add(now, path, pathing.TransferMS(svc.Engine, r.Prompt)*daemons)
 		b.count(path, r.Tokens, 1)
 	}
 	return path, ok
@@ -186,10 +190,10 @@
 }
 
 // silent returns the hops of a stream that nothing has shown alive of late.
-func (b *book) silent(now time.Time, s *stream, quiet time.Duration) []fleet.Hop {
+func (b *book) silent(now time.Time, s *suspect.Stream, least, most time.Duration) []fleet.Hop {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.suspects.Silent(now, s.watch, quiet)
+	return b.suspects.Silent(now, s, least, most)
 }
 
 // join lists a stream among those to be told of a dead server; leave takes it off.
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -56,6 +56,7 @@
 		}
 		c.now = time.Now()
 		c.members.tick()
+		c.listing.tick()
 		c.duty.tick()
 		c.publish()
 		timer.Reset(max(time.Until(c.nextTick()), leastTick))
@@ -71,6 +72,11 @@
 	if t := c.duty.nextTick(); !t.IsZero() && t.Before(next) {
 		next = t
 	}
+	for _, t := range c.listing.missing {
+		if t.Before(next) {
+			next = t
+		}
+	}
 	return next
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -88,11 +88,11 @@
 	g.following = cancel
 	g.node.Serve(g.peers)
 	go g.control.run()
-	go follow(ctx, g, "configuration", g.site.Configs, func(b site.Batch[*fleet.Config], _ bool) {
+	go follow(ctx, g, "configuration", g.site.Configs, func(b site.Batch[*fleet.Config], _ arrival) {
 		g.control.post(func() { g.control.listing.configured(b) })
 	})
-	go follow(ctx, g, "servers", g.site.Servers, func(b site.Batch[fleet.Server], whole bool) {
-		g.control.post(func() { g.control.listing.listed(b, whole) })
+	go follow(ctx, g, "servers", g.site.Servers, func(b site.Batch[fleet.Server], how arrival) {
+		g.control.post(func() { g.control.listing.listed(b, how) })
 	})
 	g.log.Emit(telemetry.EventDaemonStarted, telemetry.Address(g.set.Front))
 }
@@ -154,9 +154,21 @@
 	})
 }
 
-// graceShare is the part of a planned stop's time after which it ends; the rest is
-// for the process's own end.
-const graceShare = 0.93
+// Shares of the time that a planned stop has.
+const (
+	// streamShare is how long new streams are taken: callers that keep an answer for
+	// its whole time have left by about then, and a stream takes up to 6 s of the 8.
+	streamShare = 0.2
+	// graceShare is when the stop ends at the latest; the rest is for the process's
+	// own end.
+	graceShare = 0.93
+)
+
+// takesStreams reports whether a new stream is likely to end before this daemon.
+func (g *Gateway) takesStreams(now time.Time) bool {
+	began := g.draining.Load()
+	return began == 0 || now.Sub(time.Unix(0, began)) < time.Duration(streamShare*float64(g.set.Grace))
+}
 
 // Closing reports whether callers are to use another connection next time.
 func (g *Gateway) Closing() bool { return g.draining.Load() != 0 }
--- a/gateway/listing.go
+++ b/gateway/listing.go
@@ -34,15 +34,39 @@
 	servers map[state.BackendID]fleet.Server
 	// changed is when the list last did.
 	changed time.Time
+	// recovered is when the store last answered after a while without.
+	recovered time.Time
+	// missing are servers that are no longer listed, but may only have lapsed, and
+	// when they count as gone.
+	missing map[state.BackendID]time.Time
 }
 
+const (
+	// lapseWindow is how long after the store's return an entry that goes may have
+	// lapsed while servers could not renew it.
+	lapseWindow = 3 * time.Second
+	// lapseGrace is how long such a server is still used. A living one is listed
+	// again within about two seconds, and a leaving one may get no request later
+	// than that.
+	lapseGrace = 1800 * time.Millisecond
+)
+
 func newListingPart(c *control) *listingPart {
-	return &listingPart{c: c, servers: make(map[state.BackendID]fleet.Server)}
+	return &listingPart{
+		c:       c,
+		servers: make(map[state.BackendID]fleet.Server),
+		missing: make(map[state.BackendID]time.Time),
+	}
 }
 
-// follow hands each batch of a feed to take, until ctx ends. whole says that a
-// batch holds all rows.
-func follow[T any](ctx context.Context, g *Gateway, name string, f site.Feed[T], take func(b site.Batch[T], whole bool)) {
+// arrival says how a batch came.
+type arrival struct {
+	whole     bool // it holds all rows
+	recovered bool // the store did not answer before
+}
+
+// follow hands each batch of a feed to take, until ctx ends.
+func follow[T any](ctx context.Context, g *Gateway, name string, f site.Feed[T], take func(b site.Batch[T], how arrival)) {
 	var (
 		revision uint64
 		known    bool
@@ -68,14 +92,15 @@
 			wait = min(2*wait, backoffMax)
 			continue
 		}
+		how := arrival{whole: whole, recovered: failures > 0}
 		if failures > 0 {
 			failures = 0
 			g.log.Emit(telemetry.EventStoreRecovered, telemetry.Detail(name))
 		}
 		wait = backoffMin
 		known, revision = true, batch.Revision
-		if whole || len(batch.Items) > 0 {
-			take(batch, whole)
+		if whole || how.recovered || len(batch.Items) > 0 {
+			take(batch, how)
 		}
 	}
 }
@@ -127,24 +152,27 @@
 }
 
 // listed takes up a change of the list of servers.
-func (p *listingPart) listed(b site.Batch[fleet.Server], whole bool) {
+func (p *listingPart) listed(b site.Batch[fleet.Server], how arrival) {
+	if how.recovered {
+		p.recovered = p.c.now
+	}
 	present := make(map[state.BackendID]bool, len(b.Items))
 	for _, it := range b.Items {
 		id := state.BackendID(it.Key)
 		present[id] = !it.Removed
 		switch {
 		case it.Removed:
-			p.gone(id)
+			p.miss(id)
 		case it.Err != nil:
 			p.c.g.log.Emit(telemetry.EventBackendUnreadable, telemetry.Backend(id), telemetry.Cause(it.Err))
 		default:
 			p.seen(it.Value)
 		}
 	}
-	if whole {
+	if how.whole {
 		for id := range p.servers {
 			if !present[id] {
-				p.gone(id)
+				p.miss(id)
 			}
 		}
 	}
@@ -153,7 +181,30 @@
 	p.regroup()
 }
 
+// miss takes a server off the list, at once unless its entry may have lapsed.
+func (p *listingPart) miss(id state.BackendID) {
+	if p.c.now.Sub(p.recovered) > lapseWindow {
+		p.gone(id)
+		return
+	}
+	if _, ok := p.missing[id]; !ok {
+		p.missing[id] = p.c.now.Add(lapseGrace)
+	}
+}
+
+// tick takes off the list what has been missing for too long.
+func (p *listingPart) tick() {
+	for id, until := range p.missing {
+		if !p.c.now.Before(until) {
+			p.gone(id)
+			p.changed = p.c.now
+			p.regroup()
+		}
+	}
+}
+
 func (p *listingPart) seen(s fleet.Server) {
+	delete(p.missing, s.ID)
 	old, known := p.servers[s.ID]
 	p.servers[s.ID] = s
 	if !known {
@@ -169,6 +220,7 @@
 }
 
 func (p *listingPart) gone(id state.BackendID) {
+	delete(p.missing, id)
 	if _, ok := p.servers[id]; !ok {
 		return
 	}
--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"golang.org/x/sync/singleflight"
+	"golang.org/x/time/rate"
 
 	"github.com/hibiscuswick/hibiscuswick/state/fleet"
 	"github.com/hibiscuswick/hibiscuswick/telemetry"
@@ -15,9 +16,14 @@
 const (
 	// probeWait is how long a server may take to answer a probe. A live one needs
 	// a round trip and no slot: about a millisecond.
-	probeWait = 40 * time.Millisecond
-	// probeFresh is how long the result of a probe stands for other streams.
-	probeFresh = 120 * time.Millisecond
+	probeWait = 25 * time.Millisecond
+	// probeFresh is how long the result of a probe stands for other streams: longer
+	// ones find a death later, shorter ones cost a probe for each slow stream.
+	probeFresh = 250 * time.Millisecond
+	// probeRate and probeBurst bound the probes of one daemon, which the site pays
+	// for: a death has about ten suspects, and a site that is slow as a whole none.
+	probeRate  = 20 // a second
+	probeBurst = 40
 	// reprobeEvery is how often a dead server is probed again.
 	reprobeEvery = 500 * time.Millisecond
 	// reprobeFor is how long: a server that stays dead leaves the list sooner.
@@ -33,6 +39,7 @@
 type prober struct {
 	g     *Gateway
 	group singleflight.Group
+	limit *rate.Limiter
 
 	mu   sync.Mutex
 	last map[string]probed // by address
@@ -45,7 +52,7 @@
 }
 
 func newProber(g *Gateway) *prober {
-	return &prober{g: g, last: make(map[string]probed)}
+	return &prober{g: g, limit: rate.NewLimiter(probeRate, probeBurst), last: make(map[string]probed)}
 }
 
 // alive reports whether a server answers.
@@ -57,6 +64,9 @@
 		return old.alive
 	}
 	alive, _, _ := p.group.Do(address, func() (any, error) {
+		if !p.limit.Allow() {
+			return true, nil
+		}
 		began := time.Now()
 		ctx, cancel := context.WithTimeout(context.Background(), probeWait)
 		defer cancel()
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -22,6 +22,9 @@
 	// retryUncovered is when a caller may come back where a layer is held by no
 	// server: about what finding and loading it takes.
 	retryUncovered = 2 * time.Second
+	// retryElsewhere is when a caller may come back that met a daemon about to stop:
+	// any other one takes it.
+	retryElsewhere = 20 * time.Millisecond
 	// retryUnready is when a caller may come back to a daemon that knows no
 	// configuration yet.
 	retryUnready = time.Second
@@ -47,6 +50,7 @@
 	after    string // id of the last event that the caller has
 	headed   bool   // the head of an answer was given
 	sends    int
+	pauses   pauses
 	own      *ownFailure // the last one, or nil
 }
 
@@ -70,6 +74,9 @@
 	if res, ok := r.findCustomer(); !ok {
 		return res
 	}
+	if r.route.Stream && !r.g.takesStreams(r.req.Arrived) {
+		return Result{Outcome: Refused, Reason: "draining", RetryAfter: retryElsewhere}
+	}
 	r.limitTime()
 	r.relay = relay.Relay{
 		Repeat:      r.route.Repeat,
@@ -257,6 +264,9 @@
 func (r *run) logEnd(res Result) {
 	var event telemetry.Event
 	switch res.Outcome {
+	case Answered:
+		r.logLate()
+		return
 	case Refused, NoRoute, BadKey:
 		event = telemetry.EventRequestRefused
 	case Failed, TimedOut, Cut:
@@ -276,3 +286,33 @@
 	}
 	r.g.log.Emit(event, fields...)
 }
+
+// pauses are the waits that a caller of a stream saw.
+type pauses struct {
+	last    time.Time // of the last event
+	first   time.Duration
+	longest time.Duration // between two events
+	at      string        // first hop of the path after the longest pause
+}
+
+// event notes that an event was given to the caller.
+func (p *pauses) event(now, arrived time.Time, hop string) {
+	switch {
+	case p.last.IsZero():
+		p.first = now.Sub(arrived)
+	case now.Sub(p.last) > p.longest:
+		p.longest, p.at = now.Sub(p.last), hop
+	}
+	p.last = now
+}
+
+// logLate writes a line for a stream whose caller waited too long for its first
+// event or between two.
+func (r *run) logLate() {
+	p := &r.pauses
+	if !r.route.Stream || p.first <= r.route.Target && p.longest <= r.route.Gap {
+		return
+	}
+	r.g.log.Emit(telemetry.EventStreamLate, telemetry.Request(r.req.ID), telemetry.Took(p.longest),
+		telemetry.FirstTook(p.first), telemetry.Count(r.sends), telemetry.Address(p.at))
+}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -17,9 +17,13 @@
 const (
 	// readSize is enough for some events at once: usual ones have under 100 bytes.
 	readSize = 4 << 10
-	// gapShare is the part of a route's longest pause after which a stream counts
-	// as silent: what is left of the pause is needed to go on elsewhere.
-	gapShare = 3
+	// leastShare and mostShare are the parts of a route's longest pause after which
+	// a hop counts as silent, by how long it is usually quiet. What is left of the
+	// pause is needed to go on elsewhere: a probe and a prompt, some 100 ms.
+	leastShare = 5
+	mostShare  = 2
+	// lookShare is the part after which a stream that is still silent looks again.
+	lookShare = 8
 	// firstShare is the same part of the target for the first event.
 	firstShare = 2
 )
@@ -84,7 +88,7 @@
 	if s.r.route.Repeat != fleet.RunOn {
 		return
 	}
-	gap := s.r.route.Gap / gapShare
+	gap := s.r.route.Gap / leastShare
 	if s.events == 0 {
 		gap = s.r.route.Target / firstShare
 	}
@@ -101,9 +105,10 @@
 // quiet is called when no event came for a while. A stream that is merely slow is
 // left alone: moving it would cost a prompt and help nobody.
 func (s *stream) quiet() {
-	g := s.r.g
-	if !g.prober.dead(g.book.silent(time.Now(), s, s.r.route.Gap/gapShare)) {
-		s.timer.Reset(s.r.route.Gap)
+	g, gap := s.r.g, s.r.route.Gap
+	hops := g.book.silent(time.Now(), s.watch, gap/leastShare, gap/mostShare)
+	if !g.prober.dead(hops) {
+		s.timer.Reset(gap / lookShare)
 	}
 }
 
@@ -134,6 +139,7 @@
 		return err
 	}
 	s.events++
+	s.r.pauses.event(time.Now(), s.r.req.Arrived, s.path[0].Address)
 	if id, ok := lastID(whole); ok {
 		s.r.after = id
 	}
--- a/telemetry/events.go
+++ b/telemetry/events.go
@@ -51,6 +51,7 @@
 	EventPathRefused        Event = 1315
 	EventHopSilent          Event = 1316
 	EventStreamBroken       Event = 1317
+	EventStreamLate         Event = 1318
 )
 
 // Events of store.
--- a/telemetry/field.go
+++ b/telemetry/field.go
@@ -41,6 +41,7 @@
 	KeyCause       Key = "cause"
 	KeyDetail      Key = "detail"
 	KeyLayers      Key = "layers"
+	KeyFirst       Key = "first_seconds"
 )
 
 // Keys lists every Key in the order of docs/EVENTS.md.
@@ -50,6 +51,7 @@
 		KeyRequest, KeyAttempt, KeyReplica, KeyBackend, KeyDomain, KeyVersion,
 		KeyEditID, KeyFencing, KeyReason, KeyRetryReason, KeyAddress, KeyCount,
 		KeySeconds, KeyCause, KeyDetail, KeyLayers,
+		KeyFirst,
 	}
 }
 
@@ -130,5 +132,8 @@
 	return Field{KeyLayers, fmt.Sprintf("%d-%d", r.From, r.To)}
 }
 
+// FirstTook is the time to the first event, written in seconds.
+func FirstTook(d time.Duration) Field { return Field{KeyFirst, d.Seconds()} }
+
 // Detail is a short text for people.
 func Detail(text string) Field { return Field{KeyDetail, text} }
