Ask elsewhere for answers that were lost, within bounds

Nothing watched an attempt before its head.

Change: where a request may run again, an answer that does not begin, or a stream that falls silent, for 1.5 and 2 times the longest usual wait of the last 2 s is asked for elsewhere, for at most 1 in 20 requests.

--- a/coordination/suspect/suspect.go
+++ b/coordination/suspect/suspect.go
@@ -14,10 +14,6 @@
 	// avoidMost bounds the time after several failures in a row; a probe with one
 	// request each few seconds is all that a dead server costs.
 	avoidMost = 4 * time.Second
-	// peakMemory is how long a server's longest quiet time is remembered. It bounds
-	// the probes of a site that is slow as a whole: each of its servers is quiet for
-	// long, time and again.
-	peakMemory = 2 * time.Second
 	// forgetAfter is when a server that nothing was heard of is dropped.
 	forgetAfter = 30 * time.Second
 )
@@ -29,9 +25,8 @@
 
 // record is what is known of one server.
 type record struct {
-	alive time.Time // when it was last shown alive
-	// peak is about the longest time of late in which nothing showed it alive.
-	peak     time.Duration
+	alive    time.Time // when it was last shown alive
+	quiet    Usual     // times in which nothing showed it alive
 	failures int       // in a row
 	avoid    time.Time // until when
 	touched  time.Time
@@ -112,8 +107,8 @@
 
 // show notes that a server works.
 func (r *record) show(now time.Time) {
-	if gap := now.Sub(r.alive); !r.alive.IsZero() && gap < peakMemory {
-		r.peak = max(gap, r.peak-time.Duration(float64(r.peak)*float64(gap)/float64(peakMemory)))
+	if gap := now.Sub(r.alive); !r.alive.IsZero() && gap < usualMemory {
+		r.quiet.Add(now, gap)
 	}
 	r.alive = now
 	r.touched = now
@@ -125,7 +120,7 @@
 func (b *Book) Silent(now time.Time, s *Stream, least, most time.Duration) []fleet.Hop {
 	var out []fleet.Hop
 	for i, r := range s.records {
-		if now.Sub(r.alive) >= min(max(2*r.peak, least), most) {
+		if now.Sub(r.alive) >= min(max(2*r.quiet.Longest(now), least), most) {
 			out = append(out, s.path[i])
 		}
 	}
--- a/gateway/path.go
+++ b/gateway/path.go
@@ -34,14 +34,19 @@
 	call.Path = path
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	watch := r.watchFirst(cancel)
+	sent := time.Now()
 	answer, err := r.g.backends.Send(ctx, call)
+	stopTimer(watch)
 	if err != nil {
+		r.avoidFrom(path[0].Address)
 		if ctx.Err() == nil {
-			r.blame(path[0].Address)
+			r.g.book.failed(time.Now(), path[0].Address)
 		}
 		return sendEnd(err), Result{}
 	}
 	defer func() { _ = answer.Body.Close() }()
+	r.g.book.tookFirst(time.Now(), r.service.ID, time.Since(sent))
 	return r.takeStream(cancel, path, answer)
 }
 
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -27,6 +27,10 @@
 		return r.noServer(retrySoon)
 	}
 	defer r.g.book.releaseServer(server.Address)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer stopTimer(r.watchFirst(cancel))
+	sent := time.Now()
 	answer, err := r.g.backends.Send(ctx, r.call(server.ID, server.Address))
 	if err != nil {
 		r.avoidFrom(server.Address)
@@ -36,6 +40,7 @@
 		return sendEnd(err), Result{}
 	}
 	defer func() { _ = answer.Body.Close() }()
+	r.g.book.tookFirst(time.Now(), r.service.ID, time.Since(sent))
 	return r.takePlain(server.Address, answer)
 }
 
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -234,6 +234,31 @@
 	}
 }
 
+// watchFirst cancels an attempt whose answer does not begin in usual time, if the
+// request may run again: its answer was lost, or its connection has gone silent.
+// The caller stops the timer once the answer has begun.
+func (r *run) watchFirst(cancel context.CancelFunc) *time.Timer {
+	if r.route.Repeat == fleet.RunOnce || r.relay.Runs()+1 >= r.route.MaxAttempts {
+		return nil
+	}
+	first, _ := r.g.book.patience(time.Now(), r.service.ID, r.route)
+	if first == 0 {
+		return nil
+	}
+	return time.AfterFunc(first, func() {
+		if r.g.book.giveUp(r.service.ID) {
+			cancel()
+		}
+	})
+}
+
+// stopTimer stops a timer that may be nil.
+func stopTimer(t *time.Timer) {
+	if t != nil {
+		t.Stop()
+	}
+}
+
 // maxRank is the least urgent rank that servers know.
 const maxRank = 9
 
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"sync/atomic"
 	"time"
 
 	"github.com/hibiscuswick/hibiscuswick/coordination/relay"
@@ -46,10 +47,12 @@
 	timer  *time.Timer
 	held   []byte
 	events int
+	last   atomic.Int64 // when the last event came, in ns
 }
 
 func newStream(r *run, path fleet.Path, answer *backend.Answer, cancel context.CancelFunc) *stream {
 	s := &stream{r: r, path: path, answer: answer, cancel: cancel}
+	s.last.Store(time.Now().UnixNano())
 	s.watch = r.g.book.follow(time.Now(), path)
 	r.g.book.join(s)
 	return s
@@ -103,10 +106,17 @@
 }
 
 // quiet is called when no event came for a while. A stream that is merely slow is
-// left alone: moving it would cost a prompt and help nobody.
+// left alone: going on elsewhere would cost a prompt and help nobody. One that is
+// silent for much longer than is usual, although its hops live, has lost its answer.
 func (s *stream) quiet() {
-	g, gap := s.r.g, s.r.route.Gap
-	hops := g.book.silent(time.Now(), s.watch, gap/leastShare, gap/mostShare)
+	g, gap, now := s.r.g, s.r.route.Gap, time.Now()
+	_, patience := g.book.patience(now, s.r.service.ID, s.r.route)
+	if silence := now.Sub(time.Unix(0, s.last.Load())); patience > 0 && silence > patience && g.book.giveUp(s.r.service.ID) {
+		g.log.Emit(telemetry.EventStreamSilent, telemetry.Request(s.r.req.ID), telemetry.Address(s.path[0].Address), telemetry.Took(silence))
+		s.cancel()
+		return
+	}
+	hops := g.book.silent(now, s.watch, gap/leastShare, gap/mostShare)
 	if !g.prober.dead(hops) {
 		s.timer.Reset(gap / lookShare)
 	}
@@ -139,12 +149,17 @@
 		return err
 	}
 	s.events++
-	s.r.pauses.event(time.Now(), s.r.req.Arrived, s.path[0].Address)
+	now := time.Now()
+	if s.events > 1 {
+		s.r.g.book.tookGap(now, s.r.service.ID, now.Sub(time.Unix(0, s.last.Load())))
+	}
+	s.last.Store(now.UnixNano())
+	s.r.pauses.event(now, s.r.req.Arrived, s.path[0].Address)
 	if id, ok := lastID(whole); ok {
 		s.r.after = id
 	}
 	s.held = append(s.held[:0], s.held[end:]...)
-	s.r.g.book.progress(time.Now(), s)
+	s.r.g.book.progress(now, s)
 	s.arm()
 	return nil
 }
--- a/telemetry/catalogue.go
+++ b/telemetry/catalogue.go
@@ -42,6 +42,7 @@
 	{EventHopSilent, "hop_silent", logrus.WarnLevel, "A stream is silent and nothing shows this hop of its path alive; it is avoided, and the stream goes on elsewhere."},
 	{EventStreamBroken, "stream_broken", logrus.InfoLevel, "An engine's answer broke off after the counted events."},
 	{EventStreamLate, "stream_late", logrus.InfoLevel, "A stream was answered whole, but its caller waited too long: the longest pause, the time to the first event, how often the request was sent, and the first hop after the pause."},
+	{EventStreamSilent, "stream_silent", logrus.InfoLevel, "A stream was silent for much longer than is usual, although its hops live; it goes on elsewhere."},
 	{EventStoreUnavailable, "store_unavailable", logrus.WarnLevel, "The table service does not answer; repeatable and claimed work goes on."},
 	{EventStoreRecovered, "store_recovered", logrus.InfoLevel, "The table service answers again."},
 	{EventStoreBudgetSpent, "store_budget_spent", logrus.WarnLevel, "This daemon's share of store writes is used up; claims go before all else."},
--- a/telemetry/events.go
+++ b/telemetry/events.go
@@ -52,6 +52,7 @@
 	EventHopSilent          Event = 1316
 	EventStreamBroken       Event = 1317
 	EventStreamLate         Event = 1318
+	EventStreamSilent       Event = 1319
 )
 
 // Events of store.
