Let streams go on at their engines, hold requests for a layer on its way

Change: a stream that has used up its engines goes on at one of them, four runs in all. No engine in use is moved while two domains hold every layer. A request waits for a layer for 7.5% of its time, 1.5 s at most, before it is refused: after a loss of all daemons 197 were refused within a second that were served later. A content that two servers died under is failed at every daemon. The log is bounded and never blocks; counters are served; changed settings are taken without a restart.

Ruled out for the refusals: the retry budget (it ran out after them).

--- a/cmd/hibiscusd/gateway.go
+++ b/cmd/hibiscusd/gateway.go
@@ -2,14 +2,17 @@
 
 import (
 	"context"
+	"net"
 	"os"
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"strconv"
 	"syscall"
 
 	"github.com/urfave/cli/v3"
 
+	"github.com/hibiscuswick/hibiscuswick/gateway"
 	"github.com/hibiscuswick/hibiscuswick/platform"
 	"github.com/hibiscuswick/hibiscuswick/telemetry"
 )
@@ -20,29 +23,55 @@
 
 func gatewayCommand() *cli.Command {
 	return &cli.Command{
-		Name:   "gateway",
-		Usage:  "run as a gateway on the platform whose settings file " + platform.SettingsEnv + " names",
+		Name:  "gateway",
+		Usage: "run as a gateway on the platform whose settings file " + platform.SettingsEnv + " names",
+		Flags: []cli.Flag{
+			&cli.IntFlag{Name: "metrics-port", Usage: "serve counters at /metrics on `PORT`; 0 for not"},
+			&cli.BoolFlag{Name: "check", Usage: "check the settings and end"},
+		},
 		Action: runGateway,
 	}
 }
 
-func runGateway(context.Context, *cli.Command) error {
+// loadGateway reads the settings that the platform has written.
+func loadGateway(cmd *cli.Command) (gateway.Settings, error) {
+	set, err := platform.LoadSettings(os.Getenv(platform.SettingsEnv))
+	if err != nil {
+		return set, err
+	}
+	if port := cmd.Int("metrics-port"); port != 0 {
+		host, _, err := net.SplitHostPort(set.Front)
+		if err != nil {
+			return set, err
+		}
+		set.Metrics = net.JoinHostPort(host, strconv.Itoa(port))
+	}
+	return set, nil
+}
+
+func runGateway(_ context.Context, cmd *cli.Command) error {
 	// An instance has a part of one core; more threads only take turns.
 	runtime.GOMAXPROCS(1)
-	set, err := platform.LoadSettings(os.Getenv(platform.SettingsEnv))
+	set, err := loadGateway(cmd)
 	if err != nil {
 		return cli.Exit(err.Error(), exitBadInput)
 	}
+	if cmd.Bool("check") {
+		return nil
+	}
 	if set.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(set.MemoryMB) * (1 << 20)))
 	}
-	log := telemetry.NewLog(telemetry.LogConfig{Level: "info", Format: "json", Output: os.Stdout})
-	d, err := platform.NewDaemon(set, log)
+	log := telemetry.NewLog(telemetry.LogConfig{Level: "info", Format: "json", Output: os.Stdout, Bounded: true})
+	metrics := telemetry.NewMetrics()
+	defer func() { _ = metrics.Close() }()
+	d, err := platform.NewDaemon(set, log, metrics)
 	if err != nil {
 		return err
 	}
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
+	go d.Follow(func() (gateway.Settings, error) { return loadGateway(cmd) }, hup)
 	term := make(chan os.Signal, 1)
 	signal.Notify(term, syscall.SIGTERM, os.Interrupt)
 	stop := make(chan struct{})
--- a/coordination/cover/cover.go
+++ b/coordination/cover/cover.go
@@ -60,8 +60,8 @@
 }
 
 // Repair gives layers to the engines that have none, and where a group of engines
-// lacks a layer, moves one of its engines all of whose layers others of the group
-// hold too. Engines in pending are carrying out an order, for the layers given.
+// lacks a layer and too few others hold all, moves one of its engines all of whose
+// layers others of the group hold too. Engines in pending are carrying out an order, for the layers given.
 func Repair(e *fleet.Engine, servers []fleet.Server, pending map[state.BackendID]fleet.Range) []Assignment {
 	layers := capacityFor(e, servers)
 	all := make([]float64, e.Layers)
@@ -72,14 +72,34 @@
 			count(all, held(s, pending), 1)
 		}
 	}
+	whole := 0
 	for _, g := range groups {
-		p := &plan{engine: e, layers: layers, copies: make([]float64, e.Layers), all: all}
+		if wholeGroup(e, g, pending) {
+			whole++
+		}
+	}
+	for _, g := range groups {
+		p := &plan{engine: e, layers: layers, copies: make([]float64, e.Layers), all: all, fill: whole < enoughWhole}
 		p.group(g, pending)
 		out = append(out, p.out...)
 	}
 	return out
 }
 
+// enoughWhole is how many groups that hold every layer make it needless to move
+// engines in another. A move takes an engine out of use until the streams across its
+// old layers have ended, 3 to 10 s, while two domains carry a site's whole load.
+const enoughWhole = 2
+
+// wholeGroup reports whether a group's engines hold every layer, or are about to.
+func wholeGroup(e *fleet.Engine, servers []fleet.Server, pending map[state.BackendID]fleet.Range) bool {
+	copies := make([]float64, e.Layers)
+	for _, s := range servers {
+		count(copies, held(s, pending), 1)
+	}
+	return !slices.ContainsFunc(copies, func(c float64) bool { return c < 1 })
+}
+
 // grouped returns the engines of each domain that can hold every layer by itself,
 // and those of all other domains together as one more group.
 func grouped(e *fleet.Engine, servers []fleet.Server, layers map[string]int) [][]fleet.Server {
@@ -117,6 +137,7 @@
 	copies []float64      // of each layer within the group
 	all    []float64      // of each layer within the site
 	out    []Assignment
+	fill   bool // move engines onto layers that nobody in the group holds
 }
 
 func count(copies []float64, r fleet.Range, by float64) {
@@ -156,7 +177,9 @@
 	for _, s := range idle {
 		p.place(s, p.next(p.layers[s.Kind]))
 	}
-	p.fillHoles(settled)
+	if p.fill {
+		p.fillHoles(settled)
+	}
 }
 
 // next returns the range for an engine of n layers: from the first layer that
--- a/coordination/cover/cover_test.go
+++ b/coordination/cover/cover_test.go
@@ -94,11 +94,13 @@
 		Expect(cover.Repair(engine, servers, nil)).To(BeEmpty())
 	})
 
-	// A domain loses its largest card for good. Callers see a moment of other
-	// domains' paths; then the domain serves by itself again. Cause: cards that
-	// hold what others hold too are moved onto the lost layers.
+	// A domain loses its largest card for good, while only one other domain holds
+	// every layer. Callers see a moment of that domain's paths; then the first one
+	// serves by itself again. Cause: cards that hold what others hold too are moved
+	// onto the lost layers.
 	It("moves cards that are held twice onto layers that nobody holds", Label("failure:hop-dies"), func() {
-		servers := apply(site(), cover.Plan(engine, site()))
+		two := append(cards("a", 3, 3, 5), cards("b", 1, 5, 8)...)
+		servers := apply(two, cover.Plan(engine, two))
 		lost := servers[:0:0]
 		for _, s := range servers {
 			if s.ID != "b-big-00" {
@@ -112,6 +114,18 @@
 		Expect(missing(lost, "b")).To(BeZero())
 	})
 
+	It("moves no card in use while two domains hold every layer", func() {
+		servers := apply(site(), cover.Plan(engine, site()))
+		var lost []fleet.Server
+		for _, s := range servers {
+			if s.ID != "b-big-00" {
+				lost = append(lost, s)
+			}
+		}
+		Expect(missing(lost, "b")).NotTo(BeZero())
+		Expect(cover.Repair(engine, lost, nil)).To(BeEmpty())
+	})
+
 	It("orders nothing for an engine that is carrying out an order", func() {
 		servers := site()
 		pending := make(map[state.BackendID]fleet.Range)
--- a/coordination/pathing/pathing.go
+++ b/coordination/pathing/pathing.go
@@ -29,6 +29,8 @@
 	Prompt int                 // tokens
 	Tokens int                 // prompt and longest answer
 	Avoid  map[string]bool     // addresses that may not be used
+	// First are the addresses that a path may begin with; nil for any.
+	First map[string]bool
 	// Backlog is how many ms of transfers wait for the link between two domains;
 	// nil for none.
 	Backlog func(a, b state.FailureDomain) float64
@@ -133,7 +135,7 @@
 func arrive(e *fleet.Engine, order []*Card, best []reach, i int, r *Request) reach {
 	c := order[i]
 	out := reach{cost: math.Inf(1), from: -1}
-	if c.Server.Layers.From == 0 {
+	if c.Server.Layers.From == 0 && (r.First == nil || r.First[c.Server.Address]) {
 		out.cost = cost(c, e, c.Server.Layers.Len(), r)
 		if c.Server.Domain != r.Domain {
 			out.cost += farMS
--- a/coordination/relay/relay.go
+++ b/coordination/relay/relay.go
@@ -48,9 +48,15 @@
 	Reason Reason
 }
 
-// maxProofs bounds the attempts of one request that ended with a proof that it did
-// not run: a fourth server that is full says that all are.
-const maxProofs = 3
+const (
+	// maxProofs bounds the attempts of one request that ended with a proof that it
+	// did not run: a fourth server that is full says that all are.
+	maxProofs = 3
+	// maxRuns bounds the runs of one request on all servers together. A stream that
+	// goes on costs its prompt again; three losses of hops in 20 s are a site that
+	// is being replaced as a whole.
+	maxRuns = 4
+)
 
 // Relay follows the attempts of one request.
 type Relay struct {
@@ -60,26 +66,39 @@
 	// Spend takes one retry from the budget.
 	Spend func(now time.Time) bool
 
-	runs   int // attempts that have run, or may have
-	proofs int // attempts that ended with a proof
+	runs   int             // attempts that have run, or may have
+	on     map[string]bool // addresses of the servers of those
+	proofs int             // attempts that ended with a proof
 	given  bool
 }
 
 // Given notes that a part of an answer has reached the caller.
 func (r *Relay) Given() { r.given = true }
 
-// Runs is how many servers have run the request, or may have.
-func (r *Relay) Runs() int { return r.runs }
+// Exhausted returns the servers that have run the request, or may have, once no
+// other one may: a stream goes on only at one of them.
+func (r *Relay) Exhausted() (map[string]bool, bool) {
+	return r.on, len(r.on) >= r.MaxAttempts
+}
+
+// Last reports whether the attempt under way at a server is the last that may run.
+func (r *Relay) Last(server string) bool {
+	more := 1
+	if r.on[server] {
+		more = 0
+	}
+	return len(r.on)+more >= r.MaxAttempts
+}
 
 // Untouched reports whether no server can have run the request.
 func (r *Relay) Untouched() bool { return r.runs == 0 }
 
-// Ended decides what follows an attempt's end.
-func (r *Relay) Ended(now time.Time, e End) Decision {
+// Ended decides what follows the end of an attempt at a server.
+func (r *Relay) Ended(now time.Time, e End, server string) Decision {
 	if e == NotSent || e == NotRun {
 		r.proofs++
 	} else {
-		r.runs++
+		r.ran(server)
 	}
 	if reason := r.forbids(now, e); reason != ReasonNone {
 		return r.finish(e, reason)
@@ -87,6 +106,24 @@
 	return Decision{Again: true}
 }
 
+func (r *Relay) ran(server string) {
+	r.runs++
+	if r.on == nil {
+		r.on = make(map[string]bool)
+	}
+	r.on[server] = true
+}
+
+// spent reports whether the request may run no further: on other servers, or for a
+// stream that goes on, at all.
+func (r *Relay) spent() bool {
+	if r.runs >= maxRuns {
+		return true
+	}
+	_, exhausted := r.Exhausted()
+	return exhausted && (r.Repeat != fleet.RunOn || !r.given)
+}
+
 // forbids returns what speaks against another attempt. The budget is asked last,
 // so that it is spent only on an attempt that follows.
 func (r *Relay) forbids(now time.Time, e End) Reason {
@@ -97,7 +134,7 @@
 		return ReasonRunOnce
 	case r.given && r.Repeat != fleet.RunOn:
 		return ReasonRunOnce
-	case r.runs >= r.MaxAttempts, r.proofs > maxProofs:
+	case r.spent(), r.proofs > maxProofs:
 		return ReasonAttempts
 	case e != NotSent && r.Spend != nil && !r.Spend(now):
 		return ReasonBudget
--- a/coordination/retrybudget/budget.go
+++ b/coordination/retrybudget/budget.go
@@ -40,6 +40,15 @@
 	return &Budget{cfg: cfg, services: make(map[state.ServiceID]*window)}
 }
 
+// Configure puts another allowance into force. Counts are kept, unless they are by
+// another window.
+func (b *Budget) Configure(cfg Config) {
+	if cfg.Window != b.cfg.Window {
+		clear(b.services)
+	}
+	b.cfg = cfg
+}
+
 // Request counts a caller's request.
 func (b *Budget) Request(now time.Time, svc state.ServiceID) {
 	w := b.window(now, svc)
--- a/gateway/book.go
+++ b/gateway/book.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/hibiscuswick/hibiscuswick/coordination/crashes"
 	"github.com/hibiscuswick/hibiscuswick/coordination/pathing"
 	"github.com/hibiscuswick/hibiscuswick/coordination/retrybudget"
 	"github.com/hibiscuswick/hibiscuswick/coordination/suspect"
@@ -24,6 +25,7 @@
 	streams  map[*stream]struct{}
 	pipes    pipes
 	waits    map[state.ServiceID]*waits
+	crashes  *crashes.Book
 }
 
 func newBook(set Settings) *book {
@@ -34,10 +36,22 @@
 		streams:  make(map[*stream]struct{}),
 		pipes:    make(pipes),
 		waits:    make(map[state.ServiceID]*waits),
-		budget:   retrybudget.New(retrybudget.Config{Ratio: set.BudgetRatio, Window: set.BudgetWindow, Slack: set.BudgetSlack}),
+		crashes:  crashes.NewBook(),
+		budget:   retrybudget.New(budgetConfig(set)),
 	}
 }
 
+func budgetConfig(set Settings) retrybudget.Config {
+	return retrybudget.Config{Ratio: set.BudgetRatio, Window: set.BudgetWindow, Slack: set.BudgetSlack}
+}
+
+// rebudget puts changed settings of the retry budget into force.
+func (b *book) rebudget(set Settings) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.budget.Configure(budgetConfig(set))
+}
+
 func (b *book) load(address string) *pathing.Load {
 	l, ok := b.loads[address]
 	if !ok {
@@ -244,6 +258,13 @@
 	delete(b.buried, address)
 }
 
+// sizes counts the open streams and the dead servers.
+func (b *book) sizes() (streams, dead int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.streams), len(b.buried)
+}
+
 // waits are how long one service's answers take of late.
 type waits struct {
 	first suspect.Usual // until the first event, or the whole of a plain answer
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -23,6 +23,7 @@
 	members *membersPart
 	listing *listingPart
 	duty    *dutyPart
+	gauges  gauges
 }
 
 func newControl(g *Gateway) *control {
@@ -30,6 +31,7 @@
 	c.members = newMembersPart(c)
 	c.listing = newListingPart(c)
 	c.duty = newDutyPart(c)
+	c.gauges.c = c
 	return c
 }
 
@@ -58,6 +60,7 @@
 		c.members.tick()
 		c.listing.tick()
 		c.duty.tick()
+		c.gauges.tick()
 		c.publish()
 		timer.Reset(max(time.Until(c.nextTick()), leastTick))
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -22,6 +22,8 @@
 var (
 	errNoCalls   = errors.New("gateways answer no calls")
 	errStaleRead = errors.New("the answer is older than what is known")
+
+	errNeedsRestart = errors.New("name, place and addresses change only with a restart")
 )
 
 // Site is what a gateway reaches of its site.
@@ -34,11 +36,12 @@
 
 // Gateway is one router process.
 type Gateway struct {
-	set      Settings
+	settings atomic.Pointer[Settings]
 	self     state.Member
 	site     Site
 	backends backend.Client
 	log      *telemetry.Log
+	metrics  *telemetry.Metrics
 
 	book    *book
 	prober  *prober
@@ -55,16 +58,17 @@
 
 // New provisions a gateway and opens its port for peers. It does nothing before
 // Run.
-func New(set Settings, s Site, backends backend.Client, log *telemetry.Log) (*Gateway, error) {
+func New(set Settings, s Site, backends backend.Client, log *telemetry.Log, metrics *telemetry.Metrics) (*Gateway, error) {
 	g := &Gateway{
-		set:      set,
 		self:     state.Member{ID: set.ID, Incarnation: state.Incarnation(time.Now().UnixNano())},
 		site:     s,
 		backends: backends,
 		log:      log.With(telemetry.Daemon(set.ID)),
+		metrics:  metrics,
 		book:     newBook(set),
 		done:     make(chan struct{}),
 	}
+	g.settings.Store(&set)
 	g.prober = newProber(g)
 	listener, err := net.Listen("tcp", set.Peers)
 	if err != nil {
@@ -82,6 +86,33 @@
 	return g, nil
 }
 
+// set returns the settings in force.
+func (g *Gateway) set() *Settings { return g.settings.Load() }
+
+// Reload puts changed settings into force. The daemon's name, place and addresses
+// can't change while it runs; its error says so, and all stays as it was.
+func (g *Gateway) Reload(set Settings) error {
+	old := *g.set()
+	if set == old {
+		return nil
+	}
+	fixed := func(s Settings) [9]string {
+		return [9]string{string(s.ID), string(s.Domain), string(s.Region), s.Front, s.Readiness, s.Directory, s.Peers, s.Store, s.Metrics}
+	}
+	if fixed(set) != fixed(old) {
+		return errNeedsRestart
+	}
+	g.settings.Store(&set)
+	g.book.rebudget(set)
+	g.log.Emit(telemetry.EventSettingsReloaded)
+	return nil
+}
+
+// Refused notes that changed settings can't be used.
+func (g *Gateway) Refused(err error) {
+	g.log.Emit(telemetry.EventSettingsRefused, telemetry.Cause(err))
+}
+
 // Run begins to follow the site and to take part among the gateways.
 func (g *Gateway) Run() {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -94,7 +125,7 @@
 	go follow(ctx, g, "servers", g.site.Servers, func(b site.Batch[fleet.Server], how arrival) {
 		g.control.post(func() { g.control.listing.listed(b, how) })
 	})
-	g.log.Emit(telemetry.EventDaemonStarted, telemetry.Address(g.set.Front))
+	g.log.Emit(telemetry.EventDaemonStarted, telemetry.Address(g.set().Front))
 }
 
 // Drain begins a planned stop: the gateway leaves the answers to callers at once
@@ -167,7 +198,7 @@
 // takesStreams reports whether a new stream is likely to end before this daemon.
 func (g *Gateway) takesStreams(now time.Time) bool {
 	began := g.draining.Load()
-	return began == 0 || now.Sub(time.Unix(0, began)) < time.Duration(streamShare*float64(g.set.Grace))
+	return began == 0 || now.Sub(time.Unix(0, began)) < time.Duration(streamShare*float64(g.set().Grace))
 }
 
 // Closing reports whether callers are to use another connection next time.
@@ -175,6 +206,6 @@
 
 // AwaitDrained returns when a planned stop is over.
 func (g *Gateway) AwaitDrained() {
-	until := time.Unix(0, g.draining.Load()).Add(time.Duration(graceShare * float64(g.set.Grace)))
+	until := time.Unix(0, g.draining.Load()).Add(time.Duration(graceShare * float64(g.set().Grace)))
 	time.Sleep(time.Until(until))
 }
--- /dev/null
+++ b/gateway/gateway_test.go
@@ -0,0 +1,280 @@
+package gateway_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hibiscuswick/hibiscuswick/gateway"
+	"github.com/hibiscuswick/hibiscuswick/protocol/backend"
+	"github.com/hibiscuswick/hibiscuswick/protocol/site"
+	"github.com/hibiscuswick/hibiscuswick/state"
+	"github.com/hibiscuswick/hibiscuswick/state/fleet"
+)
+
+// whole is the text of events 1 to n.
+func whole(n int) string {
+	var b strings.Builder
+	for id := 1; id <= n; id++ {
+		fmt.Fprintf(&b, "id: %d\ndata: %d\n\n", id, id)
+	}
+	return b.String()
+}
+
+var _ = Describe("A gateway", func() {
+	var r *rig
+
+	BeforeEach(func() {
+		r = newRig()
+	})
+
+	It("refuses as not run while it knows no configuration", func() {
+		_, res := r.serve("/again/x")
+		Expect(res.Outcome).To(Equal(gateway.Refused))
+		Expect(res.RetryAfter).To(BeNumerically(">", 0))
+		Expect(r.gateway.Ready()).To(BeFalse())
+	})
+
+	It("passes a plain server's answer on", func() {
+		r.fill()
+		to, res := r.serve("/again/x")
+		Expect(res.Outcome).To(Equal(gateway.Answered))
+		Expect(to.status).To(Equal(http.StatusOK))
+		Expect(to.body.String()).To(Equal("ok"))
+		Expect(r.servers.sent()[0].Customer).To(BeEquivalentTo("bank"))
+	})
+
+	It("knows no route or key that the configuration lacks", func() {
+		r.fill()
+		_, res := r.serve("/nowhere/x")
+		Expect(res.Outcome).To(Equal(gateway.NoRoute))
+		req := request("/again/x")
+		req.Key = "wrong"
+		Expect(r.gateway.Serve(context.Background(), req, &reply{}).Outcome).To(Equal(gateway.BadKey))
+		Expect(r.servers.sent()).To(BeEmpty())
+	})
+
+	It("sends a stream along a path that runs every layer", func() {
+		r.fill()
+		to, res := r.serve("/stream/x")
+		Expect(res.Outcome).To(Equal(gateway.Answered))
+		Expect(to.body.String()).To(Equal(whole(5)))
+		path := r.servers.sent()[0].Path
+		Expect(path.Whole(8)).To(BeTrue())
+		Expect(path[0].Domain).To(BeEquivalentTo("a"))
+	})
+
+	// An engine breaks off in the middle of an event. The caller sees one answer
+	// with each event once. Cause: the engine died; the part of an event is dropped
+	// and the next engine goes on after the last whole one.
+	It("goes on after the last whole event", Label("failure:stream-breaks-off"), func() {
+		r.fill()
+		var first atomic.Bool
+		r.servers.stream = func(c backend.Call, out *io.PipeWriter) {
+			if first.CompareAndSwap(false, true) {
+				_, _ = io.WriteString(out, whole(2)+"id: 3\nda")
+				_ = out.CloseWithError(backend.ErrBroken)
+				return
+			}
+			events(out, c.After, 5)
+		}
+		to, res := r.serve("/stream/x")
+		Expect(res.Outcome).To(Equal(gateway.Answered))
+		Expect(to.body.String()).To(Equal(whole(5)))
+		Expect(r.servers.sent()[1].After).To(Equal("2"))
+	})
+
+	It("cuts a stream that no further engine may run", Label("failure:stream-breaks-off"), func() {
+		r.fill()
+		r.servers.stream = func(_ backend.Call, out *io.PipeWriter) {
+			_, _ = io.WriteString(out, whole(1))
+			_ = out.CloseWithError(backend.ErrBroken)
+		}
+		to, res := r.serve("/stream/x")
+		Expect(res.Outcome).To(Equal(gateway.Cut))
+		Expect(to.cut).To(BeTrue())
+		began := make(map[string]bool)
+		for _, c := range r.servers.sent() {
+			began[c.Address] = true
+		}
+		Expect(began).To(HaveLen(2), "the route lets two engines run it")
+		Expect(len(r.servers.sent())).To(BeNumerically("<=", 4))
+	})
+
+	// A server in the middle of a path loses power. The stream falls silent, its
+	// connection stays open. The caller sees a short pause and the rest.
+	It("finds a dead hop by the silence of its streams", Label("failure:hop-dies"), func() {
+		r.fill()
+		r.servers.stream = func(c backend.Call, out *io.PipeWriter) {
+			if c.After == "" {
+				_, _ = io.WriteString(out, whole(2))
+				r.servers.kill(c.Path[1].Address)
+				return // silent for good
+			}
+			events(out, c.After, 5)
+		}
+		to, res := r.serve("/stream/x")
+		Expect(res.Outcome).To(Equal(gateway.Answered))
+		Expect(to.body.String()).To(Equal(whole(5)))
+		sent := r.servers.sent()
+		for _, h := range sent[1].Path {
+			Expect(h.Address).NotTo(Equal(sent[0].Path[1].Address))
+		}
+	})
+
+	// A server runs a request that may run once, and its answer is lost. The caller
+	// is told that it failed, not that it did not run, and no other server gets it.
+	It("neither repeats nor refuses what may have run once", Label("failure:answer-lost"), func() {
+		r.fill()
+		r.servers.plain = func(backend.Call) (*backend.Answer, error) { return nil, backend.ErrBroken }
+		_, res := r.serve("/once/x")
+		Expect(res.Outcome).To(Equal(gateway.Failed))
+		Expect(r.servers.sent()).To(HaveLen(1))
+	})
+
+	It("tries another server after a proof that the first did not run it", func() {
+		r.fill()
+		var first atomic.Bool
+		r.servers.plain = func(backend.Call) (*backend.Answer, error) {
+			if first.CompareAndSwap(false, true) {
+				a := answer(http.StatusServiceUnavailable, "")
+				a.NotRun = true
+				return a, nil
+			}
+			return answer(http.StatusOK, "ok"), nil
+		}
+		_, res := r.serve("/once/x")
+		Expect(res.Outcome).To(Equal(gateway.Answered))
+		Expect(r.servers.sent()).To(HaveLen(2))
+	})
+
+	It("never passes a success on that no server signed", func() {
+		r.fill()
+		r.servers.plain = func(backend.Call) (*backend.Answer, error) {
+			a := answer(http.StatusOK, "someone else's")
+			a.Signed = false
+			return a, nil
+		}
+		to, res := r.serve("/once/x")
+		Expect(res.Outcome).To(Equal(gateway.Failed))
+		Expect(to.status).To(BeZero())
+	})
+
+	It("gives a server that is leaving no request", Label("failure:backend-leaving"), func() {
+		r.fill()
+		r.listed.set("p0", fleet.Server{ID: "p0", Service: "app", Address: "p0", Domain: "a", Draining: true})
+		Eventually(func(g Gomega) {
+			before := len(r.servers.sent())
+			for range 4 {
+				r.serve("/again/x")
+			}
+			for _, c := range r.servers.sent()[before:] {
+				g.Expect(c.Address).To(Equal("p1"))
+			}
+		}).WithTimeout(patience).Should(Succeed())
+	})
+
+	// A request crashes each engine that begins it, and its caller sends it again
+	// and again. Two engines die, and the request is failed from then on.
+	It("refuses a content that has crashed two servers", Label("failure:request-crashes-servers"), func() {
+		r.fill()
+		r.servers.plain = func(c backend.Call) (*backend.Answer, error) {
+			r.servers.kill(c.Address)
+			return nil, backend.ErrBroken
+		}
+		_, res := r.serve("/again/x")
+		Expect(res.Outcome).To(Equal(gateway.Failed))
+		Expect(r.servers.sent()).To(HaveLen(2))
+		_, res = r.serve("/again/x")
+		Expect(res.Outcome).To(Equal(gateway.Failed))
+		Expect(r.servers.sent()).To(HaveLen(2))
+	})
+
+	It("ends a request whose caller leaves", func() {
+		r.fill()
+		ctx, cancel := context.WithCancel(context.Background())
+		r.servers.stream = func(_ backend.Call, out *io.PipeWriter) {
+			_, _ = io.WriteString(out, whole(1))
+			cancel()
+		}
+		res := r.gateway.Serve(ctx, request("/stream/x"), &reply{})
+		Expect(res.Outcome).To(Equal(gateway.Gone))
+		Expect(r.servers.sent()).To(HaveLen(1))
+	})
+
+	// A store that has lost its history answers a read from a copy that is behind.
+	// Callers must not see an older configuration again.
+	It("never goes back to an older configuration", Label("failure:store-behind"), func() {
+		r.fill()
+		r.configs.set("config", config(9))
+		Eventually(func() gateway.Outcome { _, res := r.serve("/again/x"); return res.Outcome }).Should(Equal(gateway.Answered))
+		old := config(2)
+		old.Hosts = nil
+		r.configs.mu.Lock()
+		r.configs.behind = &site.Batch[*fleet.Config]{Revision: 1, Items: []site.Item[*fleet.Config]{{Key: "config", Value: old}}}
+		r.configs.mu.Unlock()
+		r.configs.set("other", config(9))
+		Consistently(func() gateway.Outcome { _, res := r.serve("/again/x"); return res.Outcome }).
+			WithTimeout(300 * time.Millisecond).Should(Equal(gateway.Answered))
+	})
+
+	// The store is down for a while, and entries of living servers lapse meanwhile.
+	// Callers are served all the same; who is not listed again in time is gone.
+	It("keeps servers whose entries lapsed with the store", Label("failure:entries-lapse"), func() {
+		r.fill()
+		r.listed.fail(errors.New("down"))
+		r.listed.remove("p0")
+		r.listed.remove("p1")
+		time.Sleep(50 * time.Millisecond)
+		r.listed.fail(nil)
+		Consistently(func() gateway.Outcome { _, res := r.serve("/again/x"); return res.Outcome }).
+			WithTimeout(time.Second).Should(Equal(gateway.Answered))
+		Eventually(func() gateway.Outcome { _, res := r.serve("/again/x"); return res.Outcome }).
+			WithTimeout(patience).Should(Equal(gateway.Refused))
+	})
+
+	It("lays out layers where engines hold none, one gateway for all", func() {
+		second := r.start("g2")
+		for i := range 4 {
+			id := fmt.Sprintf("e%d", i)
+			r.listed.set(id, engineNamed(id))
+		}
+		r.configs.set("config", config(1))
+		Eventually(func() gateway.Outcome { _, res := r.serve("/stream/x"); return res.Outcome }).
+			WithTimeout(patience).Should(Equal(gateway.Answered))
+		Expect(second.Ready()).To(BeTrue())
+		r.servers.mu.Lock()
+		defer r.servers.mu.Unlock()
+		Expect(r.servers.orders).To(HaveLen(4))
+	})
+
+	It("leaves the addresses and takes no new stream when it is stopped as planned", Label("failure:planned-stop"), func() {
+		r.fill()
+		second := r.start("g2")
+		Eventually(func() []string { a, _ := second.Addresses("a"); return a }).WithTimeout(patience).
+			Should(ConsistOf("front-g1", "front-g2"))
+		r.gateway.Drain()
+		Expect(r.gateway.Closing()).To(BeTrue())
+		Eventually(func() []string { a, _ := second.Addresses("a"); return a }).WithTimeout(patience).
+			Should(ConsistOf("front-g2"))
+		Eventually(r.gateway.Ready).Should(BeFalse())
+		time.Sleep(100 * time.Millisecond)
+		_, res := r.serve("/stream/x")
+		Expect(res.Outcome).To(Equal(gateway.Refused))
+		_, res = r.serve("/again/x")
+		Expect(res.Outcome).To(Equal(gateway.Answered))
+	})
+})
+
+// engineNamed is an engine without layers.
+func engineNamed(id string) fleet.Server {
+	return fleet.Server{ID: state.BackendID(id), Service: "llm", Address: id, Kind: "card", Domain: "a"}
+}
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -8,6 +8,7 @@
 
 	"github.com/samber/lo"
 
+	"github.com/hibiscuswick/hibiscuswick/coordination/crashes"
 	"github.com/hibiscuswick/hibiscuswick/coordination/membership"
 	"github.com/hibiscuswick/hibiscuswick/protocol/peer"
 	"github.com/hibiscuswick/hibiscuswick/protocol/site"
@@ -26,8 +27,11 @@
 	seedInterval = 2 * time.Second
 )
 
-// First kind of the membership's messages between gateways.
-const kindMembership peer.Kind = 100
+// First kinds of each family of messages between gateways.
+const (
+	kindMembership peer.Kind = 100
+	kindCrashes    peer.Kind = 1200
+)
 
 // newRegistry lists every message between gateways.
 func newRegistry() *peer.Registry {
@@ -39,6 +43,7 @@
 	peer.Register[membership.Gossip](r, kindMembership+4)
 	peer.Register[membership.Compare](r, kindMembership+5)
 	peer.Register[membership.Records](r, kindMembership+6)
+	peer.Register[crashes.Told](r, kindCrashes)
 	return r
 }
 
@@ -61,10 +66,10 @@
 	self := membership.Self{
 		Member: g.self,
 		Meta: membership.Meta{
-			PeerAddress:   g.set.Peers,
-			CallerAddress: g.set.Front,
-			Domain:        g.set.Domain,
-			Region:        g.set.Region,
+			PeerAddress:   g.set().Peers,
+			CallerAddress: g.set().Front,
+			Domain:        g.set().Domain,
+			Region:        g.set().Region,
 		},
 	}
 	m := membership.New(membership.Config{
@@ -95,7 +100,7 @@
 	var err error
 	if !announced {
 		var row []byte
-		if row, err = json.Marshal(presence{Peers: g.set.Peers}); err == nil {
+		if row, err = json.Marshal(presence{Peers: g.set().Peers}); err == nil {
 			_, err = g.site.Members.Commit(ctx, site.Change{Key: string(g.self.ID), Value: row})
 		}
 	}
@@ -113,7 +118,7 @@
 	var seeds membership.Seeds
 	for _, r := range rows.Rows {
 		var at presence
-		if err := json.Unmarshal(r.Value, &at); err == nil && at.Peers != p.c.g.set.Peers {
+		if err := json.Unmarshal(r.Value, &at); err == nil && at.Peers != p.c.g.set().Peers {
 			seeds.Addresses = append(seeds.Addresses, at.Peers)
 		}
 	}
@@ -162,11 +167,12 @@
 
 // received takes a message of another gateway.
 func (g *Gateway) received(from state.Member, msg any) {
-	m, ok := msg.(membership.Message)
-	if !ok {
-		return
+	switch m := msg.(type) {
+	case membership.Message:
+		g.control.post(func() { g.control.members.step(membership.Received{From: from, Msg: m}) })
+	case crashes.Told:
+		g.book.implicate(time.Now(), m.Fingerprint, m.Servers...)
 	}
-	g.control.post(func() { g.control.members.step(membership.Received{From: from, Msg: m}) })
 }
 
 // called refuses calls: gateways make none to each other.
--- a/gateway/path.go
+++ b/gateway/path.go
@@ -16,11 +16,13 @@
 // attemptPath sends the request along a path of engines.
 func (r *run) attemptPath(ctx context.Context) (relay.End, Result) {
 	tokens := r.req.Prompt + r.req.Answer
+	want := pathing.Request{Domain: r.g.set().Domain, Prompt: r.req.Prompt, Tokens: tokens, Avoid: r.avoid}
+	if on, exhausted := r.relay.Exhausted(); exhausted {
+		want.First = on
+	}
 	var path fleet.Path
 	found := r.hold(ctx, func() (ok bool) {
-		path, ok = r.g.book.choose(time.Now(), r.view, r.service, pathing.Request{
-			Domain: r.g.set.Domain, Prompt: r.req.Prompt, Tokens: tokens, Avoid: r.avoid,
-		})
+		path, ok = r.g.book.choose(time.Now(), r.view, r.service, want)
 		return ok
 	})
 	if !found {
@@ -30,6 +32,7 @@
 	if !path.Whole(r.service.Engine.Layers) {
 		panic("gateway: a path that does not run each layer once")
 	}
+	r.at = path[0].Address
 	call := r.call(path[0].Server, path[0].Address)
 	call.Path = path
 	ctx, cancel := context.WithCancel(ctx)
@@ -40,10 +43,14 @@
 	stopTimer(watch)
 	if err != nil {
 		r.avoidFrom(path[0].Address)
+		end := sendEnd(err)
 		if ctx.Err() == nil {
 			r.g.book.failed(time.Now(), path[0].Address)
+			if end == relay.Broken {
+				r.implicate(path[0].Server, path[0].Address)
+			}
 		}
-		return sendEnd(err), Result{}
+		return end, Result{}
 	}
 	defer func() { _ = answer.Body.Close() }()
 	r.g.book.tookFirst(time.Now(), r.service.ID, time.Since(sent))
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -20,13 +20,14 @@
 func (r *run) attemptPlain(ctx context.Context) (relay.End, Result) {
 	var server fleet.Server
 	found := r.hold(ctx, func() (ok bool) {
-		server, ok = r.g.book.pick(time.Now(), r.view, r.service.ID, r.g.set.Domain, r.avoid)
+		server, ok = r.g.book.pick(time.Now(), r.view, r.service.ID, r.g.set().Domain, r.avoid)
 		return ok
 	})
 	if !found {
 		return r.noServer(retrySoon)
 	}
 	defer r.g.book.releaseServer(server.Address)
+	r.at = server.Address
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer stopTimer(r.watchFirst(cancel))
@@ -34,10 +35,14 @@
 	answer, err := r.g.backends.Send(ctx, r.call(server.ID, server.Address))
 	if err != nil {
 		r.avoidFrom(server.Address)
+		end := sendEnd(err)
 		if ctx.Err() == nil {
 			r.g.book.failed(time.Now(), server.Address)
+			if end == relay.Broken {
+				r.implicate(server.ID, server.Address)
+			}
 		}
-		return sendEnd(err), Result{}
+		return end, Result{}
 	}
 	defer func() { _ = answer.Body.Close() }()
 	r.g.book.tookFirst(time.Now(), r.service.ID, time.Since(sent))
@@ -68,6 +73,7 @@
 		return relay.Errored, Result{}
 	}
 	r.g.book.answered(time.Now(), address)
+	r.cleared()
 	return 0, r.pass(answer, body)
 }
 
--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -45,6 +45,9 @@
 	last map[string]probed // by address
 }
 
+// probeNames are the results of probes in counters.
+var probeNames = map[bool]string{true: "alive", false: "dead"}
+
 // probed is the result of one probe.
 type probed struct {
 	at    time.Time
@@ -72,6 +75,7 @@
 		defer cancel()
 		_, err := p.g.backends.Report(ctx, address)
 		alive := err == nil || time.Since(began) > probeWait+probeLate
+		p.g.metrics.CountReason(telemetry.GatewayProbesTotal, probeNames[alive])
 		p.mu.Lock()
 		p.last[address] = probed{at: time.Now(), alive: alive}
 		p.mu.Unlock()
@@ -101,7 +105,7 @@
 		found = true
 		p.bury(h)
 		for _, s := range p.g.book.crossing(h.Address) {
-			s.lost(h)
+			s.hopDied(h)
 		}
 	}
 	return found
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -28,13 +28,18 @@
 	// retryUnready is when a caller may come back to a daemon that knows no
 	// configuration yet.
 	retryUnready = time.Second
-	// holdShare is the part of the route's target for which a request waits for
-	// a server before it is refused.
-	holdShare = 8
+	// holdShare is the part of its time for which a request waits for a server
+	// before it is refused, and holdMost bounds it: callers leave a stream that shows
+	// nothing for 2 s, and a layer that is held nowhere is mostly back within that.
+	holdShare = 0.075
+	holdMost  = 1500 * time.Millisecond
 	// holdStep is how often a request that waits looks again.
 	holdStep = 15 * time.Millisecond
 )
 
+// reasonCrashes ends requests whose content has crashed servers.
+const reasonCrashes relay.Reason = "crashes_servers"
+
 // run is one request on its way through the gateway.
 type run struct {
 	g        *Gateway
@@ -50,6 +55,7 @@
 	after    string // id of the last event that the caller has
 	headed   bool   // the head of an answer was given
 	sends    int
+	at       string // address of the server of the attempt under way
 	pauses   pauses
 	own      *ownFailure // the last one, or nil
 }
@@ -59,6 +65,7 @@
 func (g *Gateway) Serve(ctx context.Context, req *Request, reply Reply) Result {
 	r := &run{g: g, req: req, reply: reply, view: g.current.Load(), after: req.After}
 	result := r.serve(ctx)
+	r.measure(result)
 	r.logEnd(result)
 	return result
 }
@@ -141,6 +148,10 @@
 // attempts sends the request until it has its end.
 func (r *run) attempts(ctx context.Context) Result {
 	for {
+		if r.g.book.convicted(time.Now(), r.fingerprint) {
+			r.g.log.Emit(telemetry.EventRequestQuarantined, telemetry.Request(r.req.ID))
+			return r.failed(reasonCrashes)
+		}
 		end, result := r.attempt(ctx)
 		if end == 0 {
 			return result
@@ -148,10 +159,11 @@
 		if errors.Is(context.Cause(ctx), context.Canceled) {
 			return Result{Outcome: Gone, Reason: "caller_left"}
 		}
-		d := r.relay.Ended(time.Now(), end)
+		d := r.relay.Ended(time.Now(), end, r.at)
 		switch {
 		case d.Again:
 			r.view = r.g.current.Load()
+			r.g.metrics.CountReason(telemetry.GatewayRetriedTotal, endNames[end])
 			r.g.log.Emit(telemetry.EventRequestRetried, telemetry.Request(r.req.ID), telemetry.Detail(endNames[end]))
 		case d.Pass && r.own != nil:
 			return r.pass(r.own.answer, r.own.body)
@@ -202,9 +214,10 @@
 	return r.attemptPlain(ctx)
 }
 
-// hold waits until try succeeds, for a part of the route's target.
+// hold waits until try succeeds, for a part of the request's time.
 func (r *run) hold(ctx context.Context, try func() bool) bool {
-	until := r.req.Arrived.Add(r.route.Target / holdShare)
+	part := time.Duration(holdShare * float64(r.deadline.Sub(r.req.Arrived)))
+	until := r.req.Arrived.Add(min(part, holdMost))
 	for {
 		if try() {
 			return true
@@ -238,7 +251,7 @@
 // request may run again: its answer was lost, or its connection has gone silent.
 // The caller stops the timer once the answer has begun.
 func (r *run) watchFirst(cancel context.CancelFunc) *time.Timer {
-	if r.route.Repeat == fleet.RunOnce || r.relay.Runs()+1 >= r.route.MaxAttempts {
+	if r.route.Repeat == fleet.RunOnce || r.relay.Last(r.at) {
 		return nil
 	}
 	first, _ := r.g.book.patience(time.Now(), r.service.ID, r.route)
@@ -285,6 +298,31 @@
 	r.avoid[address] = true
 }
 
+// outcomeNames are the outcomes in counters.
+var outcomeNames = map[Outcome]string{
+	Answered: "answered", Refused: "refused", Failed: "failed", TimedOut: "timed_out",
+	Cut: "cut", Gone: "caller_left", NoRoute: "no_route", BadKey: "unknown_key",
+}
+
+// measure counts how a request ended and how long it took.
+func (r *run) measure(res Result) {
+	m := r.g.metrics
+	m.CountReason(telemetry.GatewayEndedTotal, outcomeNames[res.Outcome])
+	switch res.Outcome {
+	case Refused:
+		m.CountReason(telemetry.GatewayRefusedTotal, res.Reason)
+	case Failed, TimedOut, Cut:
+		m.CountReason(telemetry.GatewayFailedTotal, res.Reason)
+	case Answered:
+		m.ObserveService(telemetry.AnswerSeconds, r.service.ID, time.Since(r.req.Arrived))
+		if r.route.Stream {
+			m.ObserveService(telemetry.FirstEventSeconds, r.service.ID, r.pauses.first)
+			m.ObserveService(telemetry.EventGapSeconds, r.service.ID, r.pauses.longest)
+		}
+	default:
+	}
+}
+
 // logEnd writes a line for each request without a whole answer.
 func (r *run) logEnd(res Result) {
 	var event telemetry.Event
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -18,6 +18,7 @@
 	Directory string // where callers ask for addresses; "" for not here
 	Peers     string // where other daemons connect
 	Store     string // the site's table service
+	Metrics   string // where counters are read; "" for nowhere
 
 	MemoryMB    int // beyond which the process is ended
 	Descriptors int
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -48,6 +48,7 @@
 	held   []byte
 	events int
 	last   atomic.Int64 // when the last event came, in ns
+	lost   atomic.Bool  // the answer was given up although all hops live
 }
 
 func newStream(r *run, path fleet.Path, answer *backend.Answer, cancel context.CancelFunc) *stream {
@@ -112,6 +113,7 @@
 	g, gap, now := s.r.g, s.r.route.Gap, time.Now()
 	_, patience := g.book.patience(now, s.r.service.ID, s.r.route)
 	if silence := now.Sub(time.Unix(0, s.last.Load())); patience > 0 && silence > patience && g.book.giveUp(s.r.service.ID) {
+		s.lost.Store(true)
 		g.log.Emit(telemetry.EventStreamSilent, telemetry.Request(s.r.req.ID), telemetry.Address(s.path[0].Address), telemetry.Took(silence))
 		s.cancel()
 		return
@@ -122,8 +124,8 @@
 	}
 }
 
-// lost is called when a server of the path was found dead.
-func (s *stream) lost(h fleet.Hop) {
+// hopDied is called when a server of the path was found dead.
+func (s *stream) hopDied(h fleet.Hop) {
 	if s.r.route.Repeat != fleet.RunOn {
 		return
 	}
@@ -143,6 +145,7 @@
 	if !s.r.headed {
 		s.r.headed = true
 		s.r.relay.Given()
+		s.r.cleared()
 		s.r.reply.Head(s.answer.Status, s.answer.Header)
 	}
 	if err := s.r.reply.Write(whole); err != nil {
@@ -196,5 +199,11 @@
 func (s *stream) broken(err error) (relay.End, Result) {
 	s.r.g.log.Emit(telemetry.EventStreamBroken, telemetry.Request(s.r.req.ID), telemetry.Address(s.path[0].Address),
 		telemetry.Count(s.events), telemetry.Cause(err))
+	switch {
+	case s.lost.Load():
+		s.r.avoidFrom(s.path[0].Address)
+	case !errors.Is(err, context.Canceled):
+		s.r.g.book.failed(time.Now(), s.path[0].Address)
+	}
 	return relay.Broken, Result{}
 }
--- a/telemetry/counter.go
+++ b/telemetry/counter.go
@@ -52,6 +52,11 @@
 	PeerInboundSlowTotal       Name = "peer_inbound_slow_total"
 	PeerFrameFaultsTotal       Name = "peer_frame_faults_total"
 	ControlMicrosecondsTotal   Name = "control_microseconds_total"
+	GatewayEndedTotal          Name = "gateway_ended_total"
+	GatewayRefusedTotal        Name = "gateway_refused_total"
+	GatewayFailedTotal         Name = "gateway_failed_total"
+	GatewayRetriedTotal        Name = "gateway_retried_total"
+	GatewayProbesTotal         Name = "gateway_probes_total"
 )
 
 // Metrics of the HTTP front, which counts in the scope that Metrics.Scope gives.
@@ -74,6 +79,10 @@
 	DocumentVersion Name = "document_version"
 	LeasesHeld      Name = "leases_held"
 	StoreQueued     Name = "store_queued"
+	ConfigVersion   Name = "config_version"
+	OpenStreams     Name = "open_streams"
+	DeadServers     Name = "dead_servers"
+	UncoveredLayers Name = "uncovered_layers"
 	Draining        Name = "draining"
 	Isolated        Name = "isolated"
 )
@@ -85,6 +94,9 @@
 	QueueSeconds      Name = "queue_seconds"
 	StoreCallSeconds  Name = "store_call_seconds"
 	StepSeconds       Name = "step_seconds"
+	FirstEventSeconds Name = "first_event_seconds"
+	EventGapSeconds   Name = "event_gap_seconds"
+	AnswerSeconds     Name = "answer_seconds"
 )
 
 // Label is the name of a metric's label.
@@ -155,6 +167,11 @@
 	{PeerInboundRefusedTotal, KindCounter, nil, "Connections of other daemons refused over the bound."},
 	{PeerInboundSlowTotal, KindCounter, nil, "Connections of other daemons closed for sending too slowly."},
 	{PeerFrameFaultsTotal, KindCounter, byFault, "Frames that can't be read, by what is wrong with them."},
+	{GatewayEndedTotal, KindCounter, byReason, "Requests that a gateway has ended, by outcome."},
+	{GatewayRefusedTotal, KindCounter, byReason, "Requests that a gateway refused as not run, by reason."},
+	{GatewayFailedTotal, KindCounter, byReason, "Requests that a gateway failed, timed out or cut, by reason."},
+	{GatewayRetriedTotal, KindCounter, byReason, "Requests sent to another backend server, by how the attempt before ended."},
+	{GatewayProbesTotal, KindCounter, byReason, "Probes of backend servers on silent streams, by result."},
 	{ControlMicrosecondsTotal, KindCounter, nil, "Processor time of the control goroutine, in microseconds."},
 
 	{ActiveRequests, KindGauge, nil, "Requests under way at this daemon."},
@@ -165,6 +182,10 @@
 	{DocumentVersion, KindGauge, byService, "The version of the document in force here."},
 	{LeasesHeld, KindGauge, nil, "Services that this daemon controls."},
 	{StoreQueued, KindGauge, nil, "Writes waiting for the store budget."},
+	{ConfigVersion, KindGauge, nil, "The version of the configuration in force at this gateway."},
+	{OpenStreams, KindGauge, nil, "Streams that this gateway passes on."},
+	{DeadServers, KindGauge, nil, "Backend servers that answered no probe of this gateway and are avoided."},
+	{UncoveredLayers, KindGauge, nil, "Layers that no listed backend server holds, over all services."},
 	{Draining, KindGauge, nil, "1 while a planned stop is under way."},
 	{Isolated, KindGauge, nil, "1 while the daemon can't know that its documents are current."},
 
@@ -179,5 +200,8 @@
 	{TokenGapSeconds, KindHistogram, byService, "Between two tokens of one answer, in seconds."},
 	{QueueSeconds, KindHistogram, byClass, "From a request's arrival to its slot, in seconds."},
 	{StoreCallSeconds, KindHistogram, nil, "One call to the table service, in seconds."},
+	{FirstEventSeconds, KindHistogram, byService, "From a request's arrival at a gateway to its first event, in seconds."},
+	{EventGapSeconds, KindHistogram, byService, "The longest pause of each stream at a gateway, in seconds."},
+	{AnswerSeconds, KindHistogram, byService, "From a request's arrival at a gateway to the end of its answer, in seconds."},
 	{StepSeconds, KindHistogram, byService, "One pipeline step in one stage, in seconds."},
 }
--- a/telemetry/events.go
+++ b/telemetry/events.go
@@ -11,6 +11,9 @@
 	EventIsolationEnded      Event = 1009
 	EventDaemonStopped       Event = 1010
 	EventRecordingFailed     Event = 1012
+	EventSettingsReloaded    Event = 1013
+	EventSettingsRefused     Event = 1014
+	EventLinesLeftOut        Event = 1015
 )
 
 // Events of membership.
