Take a pool up only after its servers' first words

Cause: the mend of the leaving server marked the replicas of a newly assigned pool as leaving until their servers had answered. A request in that moment found a pool with nothing but leaving replicas and was refused with no_replica at once: five specs of the daemon red.

Change: a new home takes the pool up once its servers have answered, or after 0.3 s; until then it is not the pool's home and requests ask again. Replicas whose servers are still silent then get no work before they answer.

--- a/daemon/slots.go
+++ b/daemon/slots.go
@@ -31,6 +31,8 @@
 	// unheard are the backend servers of newly assigned pools that have not said
 	// yet whether they are leaving.
 	unheard map[state.BackendID]bool
+	// unproved are newly assigned pools that wait for those words, and until when.
+	unproved map[home.PoolID]time.Time
 }
 
 func newSlotsPart(c *control) *slotsPart {
@@ -43,11 +45,22 @@
 		leaving:  make(map[state.ReplicaID]bool),
 		wants:    make(map[home.Ask]*runner),
 		unheard:  make(map[state.BackendID]bool),
+		unproved: make(map[home.PoolID]time.Time),
 	}
 }
 
 func (p *slotsPart) nextTick(now time.Time) time.Time {
+	for _, until := range p.unproved {
+		if !now.Before(until) {
+			return now
+		}
+	}
 	a, b := p.router.NextTick(), p.homes.NextTick(now)
+	for _, until := range p.unproved {
+		if b.IsZero() || until.Before(b) {
+			b = until
+		}
+	}
 	if a.IsZero() || !b.IsZero() && b.Before(a) {
 		return b
 	}
@@ -55,6 +68,9 @@
 }
 
 func (p *slotsPart) tick(time.Time) {
+	if len(p.unproved) > 0 {
+		p.takeUp()
+	}
 	p.route(route.Tick{})
 	p.home(home.Tick{})
 }
@@ -79,38 +95,83 @@
 	}
 }
 
+// firstWordWait is how long a new home waits for the first word of its backend
+// servers: a round trip, and some slack for a busy machine.
+const firstWordWait = 300 * time.Millisecond
+
 // assigned takes up the pools that this daemon is home of. A new home asks each
-// backend server at once, and gives out no slot before its first word: only homes
-// ask, so that a server which began to leave while its pool had none would get new
-// work until the next report, a second later.
+// backend server at once, and takes a pool up only after their first words: only
+// homes ask, so that a server which began to leave while its pool had none would
+// get new work until the next report, a second later.
 func (p *slotsPart) assigned(pools []home.PoolSpec) {
 	old := make(map[home.PoolID]bool, len(p.pools))
 	for _, pool := range p.pools {
 		old[pool.ID] = true
 	}
 	p.pools = pools
-	p.home(home.PoolsAssigned{Pools: pools})
+	for id := range p.unproved {
+		if !slices.ContainsFunc(pools, func(pool home.PoolSpec) bool { return pool.ID == id }) {
+			delete(p.unproved, id)
+		}
+	}
 	for _, pool := range pools {
 		if old[pool.ID] {
 			continue
 		}
+		p.unproved[pool.ID] = p.c.now.Add(firstWordWait)
+		for _, s := range stagesOf(pool) {
+			p.unheard[s.Backend] = true
+		}
+		p.c.backends.soon()
+	}
+	p.takeUp()
+}
+
+func stagesOf(pool home.PoolSpec) []state.Stage {
+	var out []state.Stage
+	for _, r := range pool.Replicas {
+		out = append(out, r.Stages...)
+	}
+	return out
+}
+
+// takeUp gives the homes the pools whose servers have all said whether they are
+// leaving, or had time to. The replicas of those that have not get no work yet.
+func (p *slotsPart) takeUp() {
+	var ready []home.PoolSpec
+	var silent []state.ReplicaID
+	waits := func(s state.Stage) bool { return p.unheard[s.Backend] }
+	for _, pool := range p.pools {
+		until, unproved := p.unproved[pool.ID]
+		if unproved && p.c.now.Before(until) && slices.ContainsFunc(stagesOf(pool), waits) {
+			continue
+		}
+		ready = append(ready, pool)
+		if !unproved {
+			continue
+		}
+		delete(p.unproved, pool.ID)
 		for _, r := range pool.Replicas {
-			for _, s := range r.Stages {
-				p.unheard[s.Backend] = true
+			if slices.ContainsFunc(r.Stages, waits) {
+				silent = append(silent, r.ID)
 			}
-			p.home(home.ReplicaLeaving{Replica: r.ID})
 		}
-		p.c.backends.soon()
+	}
+	p.home(home.PoolsAssigned{Pools: ready})
+	for _, id := range silent {
+		p.home(home.ReplicaLeaving{Replica: id})
 	}
 }
 
-// heard gives the replicas of a backend server work once all their servers have
-// said, or failed to say, whether they are leaving.
+// heard notes the first word of a backend server, or that it gives none.
 func (p *slotsPart) heard(id state.BackendID) {
 	if !p.unheard[id] {
 		return
 	}
 	delete(p.unheard, id)
+	if len(p.unproved) > 0 {
+		p.takeUp()
+	}
 	for _, r := range p.replicas {
 		if !slices.ContainsFunc(r.Stages, func(s state.Stage) bool { return s.Backend == id }) {
 			continue
