Choose paths by how late answers began on their servers

Change: each answer's time to begin is shared among the hops of its path; a server's part fades within seconds and adds to its cost.

--- a/coordination/pathing/pathing.go
+++ b/coordination/pathing/pathing.go
@@ -14,6 +14,7 @@
 	Kind   fleet.CardKind
 	Room   int // tokens that it can hold beside its weights
 	Load   Load
+	Delay  float64 // its part of what answers took to begin of late, in ms
 }
 
 // Load is what all daemons together are believed to run on a server.
@@ -50,6 +51,10 @@
 	// loadMS is what each request that runs on a server adds to a token's wait
 	// there, in ms; it spreads requests over equal servers.
 	loadMS = 0.15
+	// delayWeight is the cost of each ms of an answer's beginning that a server is
+	// held to account for: a domain with a slow card, or behind a busy link, is left
+	// to its own streams until it is as fast as the others again.
+	delayWeight = 0.3
 	// fullMS is the cost of a server whose room would be used up. It is paid only
 	// where no other way is left.
 	fullMS = 200.0
@@ -60,7 +65,7 @@
 // cost returns what one use of a card costs, in ms a token.
 func cost(c *Card, e *fleet.Engine, layers int, r *Request) float64 {
 	share := float64(layers) / float64(e.Layers)
-	ms := hopMS + e.StepMS*c.Kind.Pace*share + loadMS*c.Load.Requests
+	ms := hopMS + e.StepMS*c.Kind.Pace*share + loadMS*c.Load.Requests + delayWeight*c.Delay
 	if c.Room <= 0 {
 		return ms
 	}
--- a/coordination/suspect/suspect.go
+++ b/coordination/suspect/suspect.go
@@ -27,6 +27,7 @@
 type record struct {
 	alive    time.Time // when it was last shown alive
 	quiet    Usual     // times in which nothing showed it alive
+	delay    delay
 	failures int       // in a row
 	avoid    time.Time // until when
 	touched  time.Time
--- a/coordination/suspect/suspect_test.go
+++ b/coordination/suspect/suspect_test.go
@@ -48,6 +48,23 @@
 		Expect(b.Silent(at(970), s, least, most)).To(HaveLen(1))
 	})
 
+	// A card of one domain is slow. Answers through that domain begin late, and its
+	// servers are held to account for it until other answers are faster, or some
+	// seconds have passed.
+	It("holds servers to account for answers that began late, for a while", func() {
+		b := suspect.NewBook()
+		b.Began(at(0), path("a", "b"), 600*time.Millisecond)
+		b.Began(at(0), path("c"), 60*time.Millisecond)
+		Expect(b.Delay(at(0), "a")).To(BeNumerically(">", b.Delay(at(0), "c")))
+		late := b.Delay(at(0), "b")
+		for range 20 {
+			b.Began(at(1), path("b", "c"), 20*time.Millisecond)
+		}
+		Expect(b.Delay(at(1), "b")).To(BeNumerically("<", late/2))
+		Expect(b.Delay(at(10000), "a")).To(BeNumerically("<", 1))
+		Expect(b.Delay(at(0), "unknown")).To(BeZero())
+	})
+
 	It("grows with failures in a row and ends with an answer", func() {
 		b := suspect.NewBook()
 		b.Failed(at(0), "a")
--- a/gateway/book.go
+++ b/gateway/book.go
@@ -77,7 +77,7 @@
 		load.Requests *= daemons
 		load.First *= daemons
 		load.Tokens *= daemons
-		cards = append(cards, pathing.Card{Server: s, Kind: kind, Room: svc.Engine.Room(kind, s.Layers.Len()), Load: load})
+		cards = append(cards, pathing.Card{Server: s, Kind: kind, Room: svc.Engine.Room(kind, s.Layers.Len()), Load: load, Delay: b.suspects.Delay(now, s.Address)})
 	}
 	r.Backlog = func(x, y state.FailureDomain) float64 { return b.pipes.backlog(now, x, y) }
 	never := merge(maps.Clone(b.buried), r.Avoid)
@@ -289,6 +289,13 @@
 	b.waitsOf(svc).first.Add(now, d)
 }
 
+// began notes how long a stream took to begin along its path.
+func (b *book) began(now time.Time, path fleet.Path, d time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.suspects.Began(now, path, d)
+}
+
 func (b *book) tookGap(now time.Time, svc state.ServiceID, d time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/gateway/path.go
+++ b/gateway/path.go
@@ -54,6 +54,7 @@
 	}
 	defer func() { _ = answer.Body.Close() }()
 	r.g.book.tookFirst(time.Now(), r.service.ID, time.Since(sent))
+	r.g.book.began(time.Now(), path, time.Since(sent))
 	return r.takeStream(cancel, path, answer)
 }
 
