Write a line for each attempt and each answer; wait for a hop after the last event

Cause: the log told only what went wrong, so that of a request which was answered late nobody could see where it had been sent, and by which configuration.

Change: request_sent (attempt, hops, version of the configuration, age) and request_answered; a stream that has begun waits for a server from its last event on. A test of the gateway went red once in six: it did not wait for the newer configuration that it means to protect; now it does.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -214,8 +214,11 @@
 	// Callers must not see an older configuration again.
 	It("never goes back to an older configuration", Label("failure:store-behind"), func() {
 		r.fill()
-		r.configs.set("config", config(9))
-		Eventually(func() gateway.Outcome { _, res := r.serve("/again/x"); return res.Outcome }).Should(Equal(gateway.Answered))
+		newer := config(9)
+		newer.Hosts["h"] = append(newer.Hosts["h"], fleet.Route{Prefix: "/nine/", Repeat: fleet.RunAgain, MaxAttempts: 1, Split: []fleet.Share{{Service: "app", Weight: 1}}})
+		r.configs.set("config", newer)
+		Eventually(func() gateway.Outcome { _, res := r.serve("/nine/x"); return res.Outcome }).
+			WithTimeout(patience).Should(Equal(gateway.Answered), "the newer one is in force")
 		old := config(2)
 		old.Hosts = nil
 		r.configs.mu.Lock()
--- a/gateway/path.go
+++ b/gateway/path.go
@@ -33,6 +33,7 @@
 		panic("gateway: a path that does not run each layer once")
 	}
 	r.at = path[0].Address
+	r.logSent(path.String())
 	call := r.call(path[0].Server, path[0].Address)
 	call.Path = path
 	ctx, cancel := context.WithCancel(ctx)
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -28,6 +28,7 @@
 	}
 	defer r.g.book.releaseServer(server.Address)
 	r.at = server.Address
+	r.logSent(string(server.ID))
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer stopTimer(r.watchFirst(cancel))
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -217,7 +217,11 @@
 // hold waits until try succeeds, for a part of the request's time.
 func (r *run) hold(ctx context.Context, try func() bool) bool {
 	part := time.Duration(holdShare * float64(r.deadline.Sub(r.req.Arrived)))
-	until := r.req.Arrived.Add(min(part, holdMost))
+	from := r.req.Arrived
+	if r.headed {
+		from = r.pauses.last // a caller waits for the next event as for the first
+	}
+	until := from.Add(min(part, holdMost))
 	for {
 		if try() {
 			return true
@@ -328,7 +332,7 @@
 	var event telemetry.Event
 	switch res.Outcome {
 	case Answered:
-		r.logLate()
+		r.logAnswered()
 		return
 	case Refused, NoRoute, BadKey:
 		event = telemetry.EventRequestRefused
@@ -369,9 +373,11 @@
 	p.last = now
 }
 
-// logLate writes a line for a stream whose caller waited too long for its first
-// event or between two.
-func (r *run) logLate() {
+// logAnswered writes a line for an answered request, and one more for a stream whose
+// caller waited too long for its first event or between two.
+func (r *run) logAnswered() {
+	r.g.log.Emit(telemetry.EventRequestAnswered, telemetry.Request(r.req.ID), telemetry.Count(r.sends),
+		telemetry.Address(r.at), telemetry.Took(time.Since(r.req.Arrived)))
 	p := &r.pauses
 	if !r.route.Stream || p.first <= r.route.Target && p.longest <= r.route.Gap {
 		return
@@ -379,3 +385,11 @@
 	r.g.log.Emit(telemetry.EventStreamLate, telemetry.Request(r.req.ID), telemetry.Took(p.longest),
 		telemetry.FirstTook(p.first), telemetry.Count(r.sends), telemetry.Address(p.at))
 }
+
+// logSent writes a line for each attempt: where it goes, by which configuration, and
+// how long after the request came. For a path the detail names its hops.
+func (r *run) logSent(detail string) {
+	r.g.log.Emit(telemetry.EventRequestSent, telemetry.Request(r.req.ID), telemetry.Service(r.service.ID),
+		telemetry.Count(r.sends), telemetry.Address(r.at), telemetry.Detail(detail),
+		telemetry.Version(state.DocumentVersion(r.view.config.Version)), telemetry.Took(time.Since(r.req.Arrived)))
+}
--- a/state/fleet/server.go
+++ b/state/fleet/server.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/hibiscuswick/hibiscuswick/state"
@@ -44,6 +46,22 @@
 // Path is the way of a request through all layers, in order.
 type Path []Hop
 
+// String gives the hops in order, such as "10.1.0.7:80=0-15 10.1.0.9:80=15-24".
+func (p Path) String() string {
+	var b strings.Builder
+	for i, h := range p {
+		if i > 0 {
+			b.WriteByte(' ')
+		}
+		b.WriteString(h.Address)
+		b.WriteByte('=')
+		b.WriteString(strconv.Itoa(h.Layers.From))
+		b.WriteByte('-')
+		b.WriteString(strconv.Itoa(h.Layers.To))
+	}
+	return b.String()
+}
+
 // Whole reports whether the path runs layers 0 to n once each and in order, on
 // different servers.
 func (p Path) Whole(n int) bool {
--- a/telemetry/events.go
+++ b/telemetry/events.go
@@ -56,6 +56,8 @@
 	EventStreamBroken       Event = 1317
 	EventStreamLate         Event = 1318
 	EventStreamSilent       Event = 1319
+	EventRequestSent        Event = 1320
+	EventRequestAnswered    Event = 1321
 )
 
 // Events of store.
