Let daemons that all stop at once take streams for longer, and end when idle

A draining daemon sent new streams to others, and there were none; each took its 7.4 s although idle.

Change: where no other daemon serves, streams are taken for 0.36 of the stop's time (later ones would be cut at its end), then sent back for 2 s. A stop ends from 0.4 of its time on once no request is left.

--- a/gateway/fake_test.go
+++ b/gateway/fake_test.go
@@ -240,12 +240,16 @@
 	members *table
 	leases  *table
 	gateway *gateway.Gateway
+	grace   time.Duration
 }
 
 const patience = 20 * time.Second
 
-func newRig() *rig {
-	r := &rig{configs: newFeed[*fleet.Config](), listed: newFeed[fleet.Server](), members: newTable(), leases: newTable()}
+func newRig() *rig { return newRigWith(20 * time.Second) }
+
+// newRigWith has gateways whose planned stops take grace at most.
+func newRigWith(grace time.Duration) *rig {
+	r := &rig{grace: grace, configs: newFeed[*fleet.Config](), listed: newFeed[fleet.Server](), members: newTable(), leases: newTable()}
 	r.servers = &servers{dead: make(map[string]bool), listed: r.listed}
 	r.servers.stream = func(c backend.Call, out *io.PipeWriter) { events(out, c.After, 5) }
 	r.servers.plain = func(backend.Call) (*backend.Answer, error) { return answer(http.StatusOK, "ok"), nil }
@@ -256,7 +260,7 @@
 // start runs one more gateway of the site.
 func (r *rig) start(id state.DaemonID) *gateway.Gateway {
 	g, err := gateway.New(gateway.Settings{
-		ID: id, Domain: "a", Front: "front-" + string(id), Peers: freeAddress(), Grace: 200 * time.Millisecond,
+		ID: id, Domain: "a", Front: "front-" + string(id), Peers: freeAddress(), Grace: r.grace,
 		AddressesValid: 5 * time.Second, BudgetRatio: 0.2, BudgetWindow: 10 * time.Second, BudgetSlack: 100,
 	}, gateway.Site{Configs: r.configs, Servers: r.listed, Members: r.members, Leases: r.leases},
 		r.servers, telemetry.Discard(), telemetry.NewMetrics())
@@ -324,3 +328,10 @@
 	res := r.gateway.Serve(context.Background(), request(path), to)
 	return to, res
 }
+
+// serveAt sends a request as if it had come some time from now.
+func (r *rig) serveAt(path string, in time.Duration) gateway.Result {
+	req := request(path)
+	req.Arrived = req.Arrived.Add(in)
+	return r.gateway.Serve(context.Background(), req, &reply{})
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -50,6 +51,7 @@
 	node    *peer.Node
 	peers   net.Listener
 
+	active    atomic.Int64 // requests under way
 	draining  atomic.Int64 // when a planned stop began, in ns; 0 for none
 	following context.CancelFunc
 	endOnce   sync.Once
@@ -190,15 +192,38 @@
 	// streamShare is how long new streams are taken: callers that keep an answer for
 	// its whole time have left by about then, and a stream takes up to 6 s of the 8.
 	streamShare = 0.2
+	// lastShare is how long new streams are taken where no other daemon takes them:
+	// one that comes later would be cut at the stop's end.
+	lastShare = 0.36
+	// idleShare is when the stop ends at the earliest: where no request is left by
+	// then, callers have gone elsewhere, and a successor can start.
+	idleShare = 0.4
 	// graceShare is when the stop ends at the latest; the rest is for the process's
 	// own end.
 	graceShare = 0.93
 )
 
-// takesStreams reports whether a new stream is likely to end before this daemon.
-func (g *Gateway) takesStreams(now time.Time) bool {
+// takesStreams reports whether a new stream is to be taken, and if not, when its
+// caller may come back. Where another daemon takes it, it is sent there soon. Where
+// all are stopping, each a second after the other, it is taken for longer, and then
+// sent back until one of them has started again.
+func (g *Gateway) takesStreams(now time.Time) (bool, time.Duration) {
 	began := g.draining.Load()
-	return began == 0 || now.Sub(time.Unix(0, began)) < time.Duration(streamShare*float64(g.set().Grace))
+	if began == 0 {
+		return true, 0
+	}
+	share := float64(now.Sub(time.Unix(0, began))) / float64(g.set().Grace)
+	elsewhere := slices.ContainsFunc(g.current.Load().members.Members, func(i membership.Info) bool {
+		return i.Member.ID != g.self.ID && i.State == membership.Alive && !i.Draining
+	})
+	switch {
+	case share < streamShare:
+		return true, 0
+	case elsewhere:
+		return false, retryElsewhere
+	default:
+		return share < lastShare, retryRestarted
+	}
 }
 
 // Closing reports whether callers are to use another connection next time.
@@ -206,6 +231,17 @@
 
 // AwaitDrained returns when a planned stop is over.
 func (g *Gateway) AwaitDrained() {
-	until := time.Unix(0, g.draining.Load()).Add(time.Duration(graceShare * float64(g.set().Grace)))
-	time.Sleep(time.Until(until))
+	began, grace := time.Unix(0, g.draining.Load()), float64(g.set().Grace)
+	for {
+		since := float64(time.Since(began))
+		idle := g.active.Load() == 0
+		if since >= graceShare*grace || idle && since >= idleShare*grace {
+			g.log.Emit(telemetry.EventDrainCompleted, telemetry.Count(int(g.active.Load())), telemetry.Took(time.Since(began)))
+			return
+		}
+		time.Sleep(drainLook)
+	}
 }
+
+// drainLook is how often a planned stop looks whether requests are left.
+const drainLook = 20 * time.Millisecond
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -269,11 +269,37 @@
 		Eventually(func() []string { a, _ := second.Addresses("a"); return a }).WithTimeout(patience).
 			Should(ConsistOf("front-g2"))
 		Eventually(r.gateway.Ready).Should(BeFalse())
-		time.Sleep(100 * time.Millisecond)
-		_, res := r.serve("/stream/x")
-		Expect(res.Outcome).To(Equal(gateway.Refused))
-		_, res = r.serve("/again/x")
-		Expect(res.Outcome).To(Equal(gateway.Answered))
+		Expect(r.serveAt("/stream/x", 5*time.Second).Outcome).To(Equal(gateway.Refused))
+		Expect(r.serveAt("/again/x", 5*time.Second).Outcome).To(Equal(gateway.Answered))
+	})
+})
+
+var _ = Describe("A site whose gateways are all stopped as planned", func() {
+	// Every daemon of a site is restarted, each a second after the other, so that all
+	// of them are stopping at one time. Callers are served all the same. Cause: a
+	// daemon that stops sends new streams elsewhere, and there was no elsewhere.
+	It("takes streams where no other gateway does", Label("failure:planned-stop"), func() {
+		r := newRig()
+		r.fill()
+		second := r.start("g2")
+		Eventually(func() []string { a, _ := r.gateway.Addresses("a"); return a }).WithTimeout(patience).Should(HaveLen(2))
+		second.Drain()
+		Eventually(func() []string { a, _ := r.gateway.Addresses("a"); return a }).WithTimeout(patience).Should(HaveLen(1))
+		r.gateway.Drain()
+		Expect(r.serveAt("/stream/x", 5*time.Second).Outcome).To(Equal(gateway.Answered), "past the fifth after which it is sent elsewhere")
+		res := r.serveAt("/stream/x", 10*time.Second)
+		Expect(res.Outcome).To(Equal(gateway.Refused), "it would be cut at the end")
+		Expect(res.RetryAfter).To(BeNumerically(">=", time.Second))
+	})
+
+	It("ends once no request is left", Label("failure:planned-stop"), func() {
+		const grace = 5 * time.Second
+		r := newRigWith(grace)
+		r.fill()
+		began := time.Now()
+		r.gateway.Drain()
+		r.gateway.AwaitDrained()
+		Expect(time.Since(began)).To(BeNumerically("<", 9*grace/10))
 	})
 })
 
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -25,6 +25,9 @@
 	// retryElsewhere is when a caller may come back that met a daemon about to stop:
 	// any other one takes it.
 	retryElsewhere = 20 * time.Millisecond
+	// retryRestarted is when one may come back that met only daemons about to stop:
+	// a stop takes 3 to 7 s, and the first to begin it is back within this.
+	retryRestarted = 2 * time.Second
 	// retryUnready is when a caller may come back to a daemon that knows no
 	// configuration yet.
 	retryUnready = time.Second
@@ -64,6 +67,8 @@
 // is to be told. ctx ends when the caller leaves.
 func (g *Gateway) Serve(ctx context.Context, req *Request, reply Reply) Result {
 	r := &run{g: g, req: req, reply: reply, view: g.current.Load(), after: req.After}
+	g.active.Add(1)
+	defer g.active.Add(-1)
 	result := r.serve(ctx)
 	r.measure(result)
 	r.logEnd(result)
@@ -81,8 +86,8 @@
 	if res, ok := r.findCustomer(); !ok {
 		return res
 	}
-	if r.route.Stream && !r.g.takesStreams(r.req.Arrived) {
-		return Result{Outcome: Refused, Reason: "draining", RetryAfter: retryElsewhere}
+	if takes, after := r.g.takesStreams(r.req.Arrived); r.route.Stream && !takes {
+		return Result{Outcome: Refused, Reason: "draining", RetryAfter: after}
 	}
 	r.limitTime()
 	r.relay = relay.Relay{
