--- a/daemon/messages.go
+++ b/daemon/messages.go
@@ -40,13 +40,7 @@
 // of their family.
 func newRegistry() *peer.Registry {
 	r := peer.NewRegistry()
-	peer.Register[membership.Ping](r, kindMembership)
-	peer.Register[membership.Ack](r, kindMembership+1)
-	peer.Register[membership.PingRequest](r, kindMembership+2)
-	peer.Register[membership.PingResult](r, kindMembership+3)
-	peer.Register[membership.Gossip](r, kindMembership+4)
-	peer.Register[membership.Compare](r, kindMembership+5)
-	peer.Register[membership.Records](r, kindMembership+6)
+	peer.RegisterMembership(r, kindMembership)
 
 	peer.Register[documents.Digest](r, kindDocuments)
 	peer.Register[documents.Announce](r, kindDocuments+1)
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -36,13 +36,7 @@
 // newRegistry lists every message between gateways.
 func newRegistry() *peer.Registry {
 	r := peer.NewRegistry()
-	peer.Register[membership.Ping](r, kindMembership)
-	peer.Register[membership.Ack](r, kindMembership+1)
-	peer.Register[membership.PingRequest](r, kindMembership+2)
-	peer.Register[membership.PingResult](r, kindMembership+3)
-	peer.Register[membership.Gossip](r, kindMembership+4)
-	peer.Register[membership.Compare](r, kindMembership+5)
-	peer.Register[membership.Records](r, kindMembership+6)
+	peer.RegisterMembership(r, kindMembership)
 	peer.Register[crashes.Told](r, kindCrashes)
 	return r
 }
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -31,13 +31,6 @@
 	// retryUnready is when a caller may come back to a daemon that knows no
 	// configuration yet.
 	retryUnready = time.Second
-	// holdShare is the part of its time for which a request waits for a server
-	// before it is refused, and holdMost bounds it: callers leave a stream that shows
-	// nothing for 2 s, and a layer that is held nowhere is mostly back within that.
-	holdShare = 0.075
-	holdMost  = 1500 * time.Millisecond
-	// holdStep is how often a request that waits looks again.
-	holdStep = 15 * time.Millisecond
 )
 
 // reasonCrashes ends requests whose content has crashed servers.
@@ -219,26 +212,6 @@
 	return r.attemptPlain(ctx)
 }
 
-// hold waits until try succeeds, for a part of the request's time.
-func (r *run) hold(ctx context.Context, try func() bool) bool {
-	part := time.Duration(holdShare * float64(r.deadline.Sub(r.req.Arrived)))
-	from := r.req.Arrived
-	if r.headed {
-		from = r.pauses.last // a caller waits for the next event as for the first
-	}
-	until := from.Add(min(part, holdMost))
-	for {
-		if try() {
-			return true
-		}
-		if !time.Now().Before(until) || ctx.Err() != nil {
-			return false
-		}
-		pause(ctx, holdStep)
-		r.view = r.g.current.Load()
-	}
-}
-
 // call fills in a call to a server.
 func (r *run) call(s state.BackendID, address string) backend.Call {
 	return backend.Call{
@@ -250,35 +223,19 @@
 		Header:    r.req.Header,
 		Body:      r.req.Body,
 		Customer:  r.customer.ID,
-		Left:      time.Until(r.deadline),
+		Left:      r.left(),
 		After:     r.after,
 		Rank:      r.rank(),
 	}
 }
 
-// watchFirst cancels an attempt whose answer does not begin in usual time, if the
-// request may run again: its answer was lost, or its connection has gone silent.
-// The caller stops the timer once the answer has begun.
-func (r *run) watchFirst(cancel context.CancelFunc) *time.Timer {
-	if r.route.Repeat == fleet.RunOnce || r.relay.Last(r.at) {
-		return nil
-	}
-	first, _ := r.g.book.patience(time.Now(), r.service.ID, r.route)
-	if first == 0 {
-		return nil
-	}
-	return time.AfterFunc(first, func() {
-		if r.g.book.giveUp(r.service.ID) {
-			cancel()
-		}
-	})
-}
-
-// stopTimer stops a timer that may be nil.
-func stopTimer(t *time.Timer) {
-	if t != nil {
-		t.Stop()
+// left is what is left of the request's time, 0 where neither its caller nor its
+// route bounds it.
+func (r *run) left() time.Duration {
+	if r.req.Wait <= 0 && r.route.Timeout <= 0 {
+		return 0
 	}
+	return time.Until(r.deadline)
 }
 
 // maxRank is the least urgent rank that servers know.
@@ -306,95 +263,3 @@
 	}
 	r.avoid[address] = true
 }
-
-// outcomeNames are the outcomes in counters.
-var outcomeNames = map[Outcome]string{
-	Answered: "answered", Refused: "refused", Failed: "failed", TimedOut: "timed_out",
-	Cut: "cut", Gone: "caller_left", NoRoute: "no_route", BadKey: "unknown_key",
-}
-
-// measure counts how a request ended and how long it took.
-func (r *run) measure(res Result) {
-	m := r.g.metrics
-	m.CountReason(telemetry.GatewayEndedTotal, outcomeNames[res.Outcome])
-	switch res.Outcome {
-	case Refused:
-		m.CountReason(telemetry.GatewayRefusedTotal, res.Reason)
-	case Failed, TimedOut, Cut:
-		m.CountReason(telemetry.GatewayFailedTotal, res.Reason)
-	case Answered:
-		m.ObserveService(telemetry.AnswerSeconds, r.service.ID, time.Since(r.req.Arrived))
-		if r.route.Stream {
-			m.ObserveService(telemetry.FirstEventSeconds, r.service.ID, r.pauses.first)
-			m.ObserveService(telemetry.EventGapSeconds, r.service.ID, r.pauses.longest)
-		}
-	default:
-	}
-}
-
-// logEnd writes a line for each request without a whole answer.
-func (r *run) logEnd(res Result) {
-	var event telemetry.Event
-	switch res.Outcome {
-	case Answered:
-		r.logAnswered()
-		return
-	case Refused, NoRoute, BadKey:
-		event = telemetry.EventRequestRefused
-	case Failed, TimedOut, Cut:
-		event = telemetry.EventRequestFailed
-	default:
-		return
-	}
-	fields := []telemetry.Field{
-		telemetry.Request(r.req.ID), telemetry.Detail(res.Reason), telemetry.Count(r.sends),
-		telemetry.Took(time.Since(r.req.Arrived)),
-	}
-	if r.service != nil {
-		fields = append(fields, telemetry.Service(r.service.ID))
-	}
-	if r.view.config != nil {
-		fields = append(fields, telemetry.Version(state.DocumentVersion(r.view.config.Version)))
-	}
-	r.g.log.Emit(event, fields...)
-}
-
-// pauses are the waits that a caller of a stream saw.
-type pauses struct {
-	last    time.Time // of the last event
-	first   time.Duration
-	longest time.Duration // between two events
-	at      string        // first hop of the path after the longest pause
-}
-
-// event notes that an event was given to the caller.
-func (p *pauses) event(now, arrived time.Time, hop string) {
-	switch {
-	case p.last.IsZero():
-		p.first = now.Sub(arrived)
-	case now.Sub(p.last) > p.longest:
-		p.longest, p.at = now.Sub(p.last), hop
-	}
-	p.last = now
-}
-
-// logAnswered writes a line for an answered request, and one more for a stream whose
-// caller waited too long for its first event or between two.
-func (r *run) logAnswered() {
-	r.g.log.Emit(telemetry.EventRequestAnswered, telemetry.Request(r.req.ID), telemetry.Count(r.sends),
-		telemetry.Address(r.at), telemetry.Took(time.Since(r.req.Arrived)))
-	p := &r.pauses
-	if !r.route.Stream || p.first <= r.route.Target && p.longest <= r.route.Gap {
-		return
-	}
-	r.g.log.Emit(telemetry.EventStreamLate, telemetry.Request(r.req.ID), telemetry.Took(p.longest),
-		telemetry.FirstTook(p.first), telemetry.Count(r.sends), telemetry.Address(p.at))
-}
-
-// logSent writes a line for each attempt: where it goes, by which configuration, and
-// how long after the request came. For a path the detail names its hops.
-func (r *run) logSent(detail string) {
-	r.g.log.Emit(telemetry.EventRequestSent, telemetry.Request(r.req.ID), telemetry.Service(r.service.ID),
-		telemetry.Count(r.sends), telemetry.Address(r.at), telemetry.Detail(detail),
-		telemetry.Version(state.DocumentVersion(r.view.config.Version)), telemetry.Took(time.Since(r.req.Arrived)))
-}
--- /dev/null
+++ b/protocol/peer/membership.go
@@ -0,0 +1,14 @@
+package peer
+
+import "github.com/hibiscuswick/hibiscuswick/coordination/membership"
+
+// RegisterMembership lists the messages of the membership, from kind first on.
+func RegisterMembership(r *Registry, first Kind) {
+	Register[membership.Ping](r, first)
+	Register[membership.Ack](r, first+1)
+	Register[membership.PingRequest](r, first+2)
+	Register[membership.PingResult](r, first+3)
+	Register[membership.Gossip](r, first+4)
+	Register[membership.Compare](r, first+5)
+	Register[membership.Records](r, first+6)
+}
