Use the later of two lives that are listed at one address

A path over both named one address twice; the check before sending stopped the request with a panic, and its caller's connection closed without an answer.

Ruled out: the check itself, which did what it is for.

Change: of two lives at one address the one whose entry was written later is used. Its test panics without the guard. The daemon's own end is no longer logged as a fault of the store.

--- a/gateway/fake_test.go
+++ b/gateway/fake_test.go
@@ -28,6 +28,7 @@
 	mu       sync.Mutex
 	rows     map[string]T
 	revision uint64
+	written  map[string]uint64 // revisions of the rows
 	changed  chan struct{}
 	err      error
 	// behind makes reads answer as of an older revision.
@@ -35,11 +36,11 @@
 }
 
 func newFeed[T any]() *feed[T] {
-	return &feed[T]{rows: make(map[string]T), changed: make(chan struct{})}
+	return &feed[T]{rows: make(map[string]T), written: make(map[string]uint64), changed: make(chan struct{})}
 }
 
 func (f *feed[T]) set(key string, v T) {
-	f.change(func() { f.rows[key] = v })
+	f.change(func() { f.rows[key] = v; f.written[key] = f.revision + 1 })
 }
 
 func (f *feed[T]) remove(key string) {
@@ -73,7 +74,7 @@
 func (f *feed[T]) all() site.Batch[T] {
 	b := site.Batch[T]{Revision: f.revision}
 	for k, v := range f.rows {
-		b.Items = append(b.Items, site.Item[T]{Key: k, Value: v})
+		b.Items = append(b.Items, site.Item[T]{Key: k, Value: v, Revision: f.written[k]})
 	}
 	return b
 }
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -244,6 +244,31 @@
 			WithTimeout(patience).Should(Equal(gateway.Refused))
 	})
 
+	// An engine crashes where the store can't be reached and starts again at its
+	// address. Both of its lives are listed for some seconds. Callers are served by
+	// the later one. Cause: a path over both lives names one address twice.
+	It("uses the later of two lives at one address", Label("failure:two-lives-listed"), func() {
+		r.fill()
+		for i := range 4 {
+			r.listed.remove(fmt.Sprintf("e%d", i))
+		}
+		old, later := engineNamed("old"), engineNamed("later")
+		old.Address, old.Layers = "e", fleet.Range{From: 0, To: 4}
+		later.Address, later.Layers = "e", fleet.Range{From: 4, To: 8}
+		first := engineNamed("first")
+		first.Layers = fleet.Range{From: 0, To: 4}
+		r.listed.set("old", old)
+		r.listed.set("later", later)
+		// From here on a path over both lives would stop the request with a panic.
+		Eventually(func() gateway.Outcome { return r.serveAt("/stream/x", -9*time.Second).Outcome }).
+			WithTimeout(patience).Should(Equal(gateway.Refused))
+		r.listed.set("first", first)
+		Eventually(func() gateway.Outcome { _, res := r.serve("/stream/x"); return res.Outcome }).
+			WithTimeout(patience).Should(Equal(gateway.Answered))
+		sent := r.servers.sent()
+		Expect(sent[len(sent)-1].Path.String()).To(Equal("first=0-4 e=4-8"))
+	})
+
 	It("lays out layers where engines hold none, one gateway for all", func() {
 		second := r.start("g2")
 		for i := range 4 {
--- a/gateway/listing.go
+++ b/gateway/listing.go
@@ -32,6 +32,8 @@
 type listingPart struct {
 	c       *control
 	servers map[state.BackendID]fleet.Server
+	// revisions tell which of two lives at one address is the later one.
+	revisions map[state.BackendID]uint64
 	// changed is when the list last did.
 	changed time.Time
 	// recovered is when the store last answered after a while without.
@@ -53,9 +55,10 @@
 
 func newListingPart(c *control) *listingPart {
 	return &listingPart{
-		c:       c,
-		servers: make(map[state.BackendID]fleet.Server),
-		missing: make(map[state.BackendID]time.Time),
+		c:         c,
+		servers:   make(map[state.BackendID]fleet.Server),
+		revisions: make(map[state.BackendID]uint64),
+		missing:   make(map[state.BackendID]time.Time),
 	}
 }
 
@@ -83,6 +86,9 @@
 			// A replica of the store that is behind would take us back.
 			err = errStaleRead
 		}
+		if ctx.Err() != nil {
+			return // the gateway has ended; that is no fault of the store
+		}
 		if err != nil {
 			failures++
 			if failures == 1 {
@@ -166,6 +172,7 @@
 		case it.Err != nil:
 			p.c.g.log.Emit(telemetry.EventBackendUnreadable, telemetry.Backend(id), telemetry.Cause(it.Err))
 		default:
+			p.revisions[id] = it.Revision
 			p.seen(it.Value)
 		}
 	}
@@ -225,13 +232,24 @@
 		return
 	}
 	delete(p.servers, id)
+	delete(p.revisions, id)
 	p.c.g.log.Emit(telemetry.EventBackendDied, telemetry.Backend(id))
 }
 
-// regroup publishes the servers by service.
+// regroup publishes the servers by service. Of two lives at one address only the
+// later one is there: a server that crashed and started again where the store could
+// not be reached is listed twice until its first life's entry lapses, and a path over
+// both would name one address twice.
 func (p *listingPart) regroup() {
+	latest := make(map[string]state.BackendID, len(p.servers))
+	for id, s := range p.servers {
+		if other, ok := latest[s.Address]; !ok || p.revisions[id] > p.revisions[other] {
+			latest[s.Address] = id
+		}
+	}
 	groups := make(map[state.ServiceID][]fleet.Server)
-	for _, s := range p.servers {
+	for _, id := range latest {
+		s := p.servers[id]
 		groups[s.Service] = append(groups[s.Service], s)
 	}
 	p.c.view.servers = groups
--- a/protocol/site/site.go
+++ b/protocol/site/site.go
@@ -23,10 +23,11 @@
 
 // Item is one row of a feed, decoded.
 type Item[T any] struct {
-	Key     string
-	Removed bool
-	Value   T     // undefined if Removed or Err is set
-	Err     error // why the row can't be read
+	Key      string
+	Removed  bool
+	Revision uint64 // of the row; a later write has a higher one
+	Value    T      // undefined if Removed or Err is set
+	Err      error  // why the row can't be read
 }
 
 // Batch is what a feed held, or how it changed, up to Revision.
