Measure a planned stop, pauses and the retry budget by the steady clock

Cause: reading of the code.

Change: they are counted from the gateway's start by the clock that does not jump. Loads of addresses that are gone are dropped.

--- a/coordination/retrybudget/budget.go
+++ b/coordination/retrybudget/budget.go
@@ -25,6 +25,7 @@
 // several goroutines.
 type Budget struct {
 	cfg      Config
+	start    time.Time // zero of the slices; the time of day may jump, this may not
 	services map[state.ServiceID]*window
 }
 
@@ -35,9 +36,9 @@
 	retries  [slices + 1]int
 }
 
-// New returns an empty budget.
-func New(cfg Config) *Budget {
-	return &Budget{cfg: cfg, services: make(map[state.ServiceID]*window)}
+// New returns an empty budget. Times before start count as start.
+func New(cfg Config, start time.Time) *Budget {
+	return &Budget{cfg: cfg, start: start, services: make(map[state.ServiceID]*window)}
 }
 
 // Configure puts another allowance into force. Counts are kept, unless they are by
@@ -79,7 +80,7 @@
 func (b *Budget) window(now time.Time, svc state.ServiceID) *window {
 	w, ok := b.services[svc]
 	length := max(b.cfg.Window/slices, time.Millisecond)
-	slice := now.UnixNano() / int64(length)
+	slice := max(int64(now.Sub(b.start)/length), 0)
 	if !ok {
 		w = &window{slice: slice}
 		b.services[svc] = w
--- a/coordination/retrybudget/budget_test.go
+++ b/coordination/retrybudget/budget_test.go
@@ -15,7 +15,8 @@
 
 var _ = Describe("The retry budget", func() {
 	It("shares the slack among the daemons", func() {
-		b, now, n := retrybudget.New(cfg), time.Unix(1000, 0), 0
+		now, n := time.Unix(1000, 0), 0
+		b := retrybudget.New(cfg, now)
 		for b.Spend(now, "s", 7) {
 			n++
 		}
@@ -24,7 +25,8 @@
 	})
 
 	It("has room again once a window has passed", func() {
-		b, now := retrybudget.New(cfg), time.Unix(1000, 0)
+		now := time.Unix(1000, 0)
+		b := retrybudget.New(cfg, now)
 		for b.Spend(now, "s", 7) {
 		}
 		Expect(b.Spend(now.Add(9*time.Second), "s", 7)).To(BeFalse())
@@ -32,7 +34,8 @@
 	})
 
 	It("counts services apart", func() {
-		b, now := retrybudget.New(cfg), time.Unix(1000, 0)
+		now := time.Unix(1000, 0)
+		b := retrybudget.New(cfg, now)
 		for b.Spend(now, "s", 7) {
 		}
 		Expect(b.Spend(now, "t", 7)).To(BeTrue())
@@ -43,7 +46,8 @@
 // the slack and the ratio of the requests of that span and the one before allow.
 func TestBudgetHoldsInEverySpan(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		b, now := retrybudget.New(cfg), time.Unix(1000, 0)
+		now := time.Unix(1000, 0)
+		b := retrybudget.New(cfg, now)
 		var requests, retries []time.Time
 		for range rapid.IntRange(1, 400).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond)
--- a/gateway/book.go
+++ b/gateway/book.go
@@ -37,7 +37,7 @@
 		pipes:    make(pipes),
 		waits:    make(map[state.ServiceID]*waits),
 		crashes:  crashes.NewBook(),
-		budget:   retrybudget.New(budgetConfig(set)),
+		budget:   retrybudget.New(budgetConfig(set), time.Now()),
 	}
 }
 
@@ -115,6 +115,9 @@
 		if i == 0 {
 			l.First += by
 		}
+		if l.Requests <= 0 {
+			delete(b.loads, h.Address) // addresses come and go
+		}
 	}
 }
 
@@ -124,8 +127,8 @@
 	b.count(path, tokens, -1)
 }
 
-// pick takes a plain server for a request: the one with the least load, by share
-// of its slots, among those not to be avoided.
+// pick takes a plain server for a request: the one with the fewest of our requests
+// among those not to be avoided.
 func (b *book) pick(now time.Time, v *view, svc state.ServiceID, domain state.FailureDomain, avoid map[string]bool) (fleet.Server, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -166,7 +169,11 @@
 func (b *book) releaseServer(address string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.load(address).Requests--
+	if l := b.load(address); l.Requests > 1 {
+		l.Requests--
+		return
+	}
+	delete(b.loads, address)
 }
 
 func (b *book) failed(now time.Time, address string) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -52,7 +52,8 @@
 	peers   net.Listener
 
 	active    atomic.Int64 // requests under way
-	draining  atomic.Int64 // when a planned stop began, in ns; 0 for none
+	born      time.Time    // zero of steady
+	draining  atomic.Int64 // when a planned stop began, in steady ns; 0 for none
 	following context.CancelFunc
 	endOnce   sync.Once
 	done      chan struct{}
@@ -68,6 +69,7 @@
 		log:      log.With(telemetry.Daemon(set.ID)),
 		metrics:  metrics,
 		book:     newBook(set),
+		born:     time.Now(),
 		done:     make(chan struct{}),
 	}
 	g.settings.Store(&set)
@@ -130,10 +132,14 @@
 	g.log.Emit(telemetry.EventDaemonStarted, telemetry.Address(g.set().Front))
 }
 
+// steady is the time since this gateway began, by the clock that the time of day does
+// not move: an instance's time of day may jump by seconds.
+func (g *Gateway) steady(now time.Time) time.Duration { return now.Sub(g.born) }
+
 // Drain begins a planned stop: the gateway leaves the answers to callers at once
 // and serves on. Close ends it.
 func (g *Gateway) Drain() {
-	if !g.draining.CompareAndSwap(0, time.Now().UnixNano()) {
+	if !g.draining.CompareAndSwap(0, int64(max(g.steady(time.Now()), 1))) {
 		return
 	}
 	g.log.Emit(telemetry.EventDrainStarted)
@@ -212,7 +218,7 @@
 	if began == 0 {
 		return true, 0
 	}
-	share := float64(now.Sub(time.Unix(0, began))) / float64(g.set().Grace)
+	share := float64(g.steady(now)-time.Duration(began)) / float64(g.set().Grace)
 	elsewhere := slices.ContainsFunc(g.current.Load().members.Members, func(i membership.Info) bool {
 		return i.Member.ID != g.self.ID && i.State == membership.Alive && !i.Draining
 	})
@@ -231,12 +237,13 @@
 
 // AwaitDrained returns when a planned stop is over.
 func (g *Gateway) AwaitDrained() {
-	began, grace := time.Unix(0, g.draining.Load()), float64(g.set().Grace)
+	began, grace := time.Duration(g.draining.Load()), float64(g.set().Grace)
 	for {
-		since := float64(time.Since(began))
+		stopping := g.steady(time.Now()) - began
+		since := float64(stopping)
 		idle := g.active.Load() == 0
 		if since >= graceShare*grace || idle && since >= idleShare*grace {
-			g.log.Emit(telemetry.EventDrainCompleted, telemetry.Count(int(g.active.Load())), telemetry.Took(time.Since(began)))
+			g.log.Emit(telemetry.EventDrainCompleted, telemetry.Count(int(g.active.Load())), telemetry.Took(stopping))
 			return
 		}
 		time.Sleep(drainLook)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -47,18 +47,23 @@
 	timer  *time.Timer
 	held   []byte
 	events int
-	last   atomic.Int64 // when the last event came, in ns
+	last   atomic.Int64 // when the last event came, in steady ns
 	lost   atomic.Bool  // the answer was given up although all hops live
 }
 
 func newStream(r *run, path fleet.Path, answer *backend.Answer, cancel context.CancelFunc) *stream {
 	s := &stream{r: r, path: path, answer: answer, cancel: cancel}
-	s.last.Store(time.Now().UnixNano())
+	s.last.Store(int64(r.g.steady(time.Now())))
 	s.watch = r.g.book.follow(time.Now(), path)
 	r.g.book.join(s)
 	return s
 }
 
+// since is how long ago the last event came.
+func (s *stream) since(now time.Time) time.Duration {
+	return s.r.g.steady(now) - time.Duration(s.last.Load())
+}
+
 func (s *stream) close() {
 	s.r.g.book.leave(s)
 	if s.timer != nil {
@@ -112,7 +117,7 @@
 func (s *stream) quiet() {
 	g, gap, now := s.r.g, s.r.route.Gap, time.Now()
 	_, patience := g.book.patience(now, s.r.service.ID, s.r.route)
-	if silence := now.Sub(time.Unix(0, s.last.Load())); patience > 0 && silence > patience && g.book.giveUp(s.r.service.ID) {
+	if silence := s.since(now); patience > 0 && silence > patience && g.book.giveUp(s.r.service.ID) {
 		s.lost.Store(true)
 		g.log.Emit(telemetry.EventStreamSilent, telemetry.Request(s.r.req.ID), telemetry.Address(s.path[0].Address), telemetry.Took(silence))
 		s.cancel()
@@ -154,9 +159,9 @@
 	s.events++
 	now := time.Now()
 	if s.events > 1 {
-		s.r.g.book.tookGap(now, s.r.service.ID, now.Sub(time.Unix(0, s.last.Load())))
+		s.r.g.book.tookGap(now, s.r.service.ID, s.since(now))
 	}
-	s.last.Store(now.UnixNano())
+	s.last.Store(int64(s.r.g.steady(now)))
 	s.r.pauses.event(now, s.r.req.Arrived, s.path[0].Address)
 	if id, ok := lastID(whole); ok {
 		s.r.after = id
