Keep asks for a pool that waits for its servers' first words

A home that takes a pool up only after its servers' first words answered asks meanwhile that nobody is home; after some such answers a request is refused.

Change: asks for such a pool wait for it.

--- a/daemon/slots.go
+++ b/daemon/slots.go
@@ -33,6 +33,14 @@
 	unheard map[state.BackendID]bool
 	// unproved are newly assigned pools that wait for those words, and until when.
 	unproved map[home.PoolID]time.Time
+	// early are asks for slots of those pools.
+	early []earlyAsk
+}
+
+// earlyAsk is an ask that came before its pool was taken up.
+type earlyAsk struct {
+	from state.Member
+	msg  home.SlotRequest
 }
 
 func newSlotsPart(c *control) *slotsPart {
@@ -102,11 +110,15 @@
 // assigned takes up the pools that this daemon is home of. A new home asks each
 // backend server at once, and takes a pool up only after their first words: only
 // homes ask, so that a server which began to leave while its pool had none would
-// get new work until the next report, a second later.
+// get new work until the next report, a second later. Where this daemon was home of
+// the service's pool before, the pool has only changed, as in a roll-out: it is taken
+// up at once, since requests that wait for it would find no home and be refused.
 func (p *slotsPart) assigned(pools []home.PoolSpec) {
 	old := make(map[home.PoolID]bool, len(p.pools))
+	homed := make(map[state.ServiceID]bool, len(p.pools))
 	for _, pool := range p.pools {
 		old[pool.ID] = true
+		homed[pool.Service] = homed[pool.Service] || !p.waits(pool.ID)
 	}
 	p.pools = pools
 	for id := range p.unproved {
@@ -118,15 +130,24 @@
 		if old[pool.ID] {
 			continue
 		}
+		p.c.backends.soon()
+		if homed[pool.Service] {
+			continue
+		}
 		p.unproved[pool.ID] = p.c.now.Add(firstWordWait)
 		for _, s := range stagesOf(pool) {
 			p.unheard[s.Backend] = true
 		}
-		p.c.backends.soon()
 	}
 	p.takeUp()
 }
 
+// waits reports whether a pool is not taken up yet.
+func (p *slotsPart) waits(id home.PoolID) bool {
+	_, ok := p.unproved[id]
+	return ok
+}
+
 func stagesOf(pool home.PoolSpec) []state.Stage {
 	var out []state.Stage
 	for _, r := range pool.Replicas {
@@ -161,6 +182,17 @@
 	for _, id := range silent {
 		p.home(home.ReplicaLeaving{Replica: id})
 	}
+	p.answerEarly()
+}
+
+// answerEarly hands the asks that came early to their homes. Without it they would
+// be told that nobody is home, and after some such answers be refused.
+func (p *slotsPart) answerEarly() {
+	early := p.early
+	p.early = nil
+	for _, a := range early {
+		p.received(a.from, a.msg)
+	}
 }
 
 // heard notes the first word of a backend server, or that it gives none.
@@ -211,12 +243,17 @@
 // received hands a message to the side that it is for: what homes say goes to
 // the router, what entry daemons say to the homes.
 func (p *slotsPart) received(from state.Member, msg home.Message) {
-	switch msg.(type) {
+	switch m := msg.(type) {
 	case home.SlotGrant, home.SlotRefusal, home.NotHome, home.ReportQuery:
 		p.route(route.Received{From: from, Msg: msg})
-	default:
-		p.home(home.Received{From: from, Msg: msg})
+		return
+	case home.SlotRequest:
+		if p.waits(m.Pool) {
+			p.early = append(p.early, earlyAsk{from: from, msg: m})
+			return
+		}
 	}
+	p.home(home.Received{From: from, Msg: msg})
 }
 
 // ask begins to get a slot for a request's next attempt.
