Keep tests' ports out of the range of outgoing connections

Cause: a platform spec failed once with 'bind: address already in use' on port 36563. Four tests closed a port that the system had picked and listened on it later; 32768 to 60999 is where outgoing connections get theirs, and the gateway's specs open such connections at the same time.

Ruled out: a listener of another spec (ports are closed before a daemon starts), a daemon that was not stopped (its specs wait for its end).

Change: internal/freeport picks below that range and gives no port twice.

Before: 1 of 30 specs red in one run of gateway and platform side by side. After: both green side by side under the race detector, one run; not shown to be rare enough by more.

--- a/cmd/hibiscusd/script_test.go
+++ b/cmd/hibiscusd/script_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"os"
 	"path/filepath"
 	"strconv"
@@ -15,6 +14,7 @@
 
 	"github.com/hibiscuswick/hibiscuswick/client"
 	"github.com/hibiscuswick/hibiscuswick/ctl"
+	"github.com/hibiscuswick/hibiscuswick/internal/freeport"
 	"github.com/hibiscuswick/hibiscuswick/internal/site"
 	"github.com/hibiscuswick/hibiscuswick/internal/standin"
 	"github.com/hibiscuswick/hibiscuswick/protocol/caller"
@@ -66,7 +66,7 @@
 	if err := s.AddChains(chains, cfg); err != nil {
 		return err
 	}
-	callers, err := freeAddress()
+	callers, err := freeport.Address()
 	if err != nil {
 		return err
 	}
@@ -74,16 +74,6 @@
 	return os.WriteFile(filepath.Join(env.WorkDir, "settings.json"), settingsText(s, callers), 0o644)
 }
 
-// freeAddress returns a loopback address that nothing listens on.
-func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer l.Close()
-	return l.Addr().String(), nil
-}
-
 func settingsText(s *site.Site, callers string) []byte {
 	text, _ := json.Marshal(map[string]any{
 		"id": "entry-1", "instance": "entry-1", "failure_domain": site.Domains[0], "region": site.Region,
