Pay for a retry before a silent stream is given up

Cause: a stream with a dead hop was ended first, and only then the retry budget was asked.

Ruled out: holding such a request for the budget (its caller leaves after 2 s).

Change: Relay.Reserve takes the retry in advance. Where none may follow, the stream is left to its engine, which ends it after its own bound if the hop is dead. A watch that is set again while its stream ends does nothing any more. The line of a dead server says how its probe failed.

--- a/coordination/relay/relay.go
+++ b/coordination/relay/relay.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"maps"
 	"time"
 
 	"github.com/hibiscuswick/hibiscuswick/state/fleet"
@@ -70,6 +71,8 @@
 	on     map[string]bool // addresses of the servers of those
 	proofs int             // attempts that ended with a proof
 	given  bool
+	// reserved is a retry that the budget has already paid for.
+	reserved bool
 }
 
 // Given notes that a part of an answer has reached the caller.
@@ -93,6 +96,20 @@
 // Untouched reports whether no server can have run the request.
 func (r *Relay) Untouched() bool { return r.runs == 0 }
 
+// Reserve takes the retry that would follow if the attempt under way at a server
+// broke off now, and reports whether one would. An answer that is only silent is
+// given up if so: one that nothing can follow may yet go on.
+func (r *Relay) Reserve(now time.Time, server string) bool {
+	if r.reserved {
+		return true
+	}
+	after := *r
+	after.on = maps.Clone(r.on)
+	after.ran(server)
+	r.reserved = after.forbids(now, Broken) == ReasonNone
+	return r.reserved
+}
+
 // Ended decides what follows the end of an attempt at a server.
 func (r *Relay) Ended(now time.Time, e End, server string) Decision {
 	if e == NotSent || e == NotRun {
@@ -103,6 +120,7 @@
 	if reason := r.forbids(now, e); reason != ReasonNone {
 		return r.finish(e, reason)
 	}
+	r.reserved = false
 	return Decision{Again: true}
 }
 
@@ -136,7 +154,7 @@
 		return ReasonRunOnce
 	case r.spent(), r.proofs > maxProofs:
 		return ReasonAttempts
-	case e != NotSent && r.Spend != nil && !r.Spend(now):
+	case e != NotSent && !r.reserved && r.Spend != nil && !r.Spend(now):
 		return ReasonBudget
 	}
 	return ReasonNone
--- a/coordination/relay/relay_test.go
+++ b/coordination/relay/relay_test.go
@@ -53,6 +53,27 @@
 		Expect(d.Refuse).To(BeFalse())
 	})
 
+	// A stream falls silent since a server of its path died, and the retry budget is
+	// used up. Its caller loses an answer that might have gone on. Cause: it was
+	// ended before it was known whether another attempt may follow.
+	It("tells before an answer is given up whether another attempt follows", Label("failure:silent-without-budget"), func() {
+		r.Repeat = fleet.RunOn
+		budget = 0
+		Expect(r.Reserve(now, "a")).To(BeFalse())
+		budget = 1
+		Expect(r.Reserve(now, "a")).To(BeTrue())
+		Expect(r.Reserve(now, "a")).To(BeTrue())
+		Expect(budget).To(Equal(0), "the retry is paid for once")
+		Expect(r.Ended(now, relay.Broken, "a").Again).To(BeTrue())
+		Expect(r.Ended(now, relay.Broken, "a").Again).To(BeFalse(), "the next one is not paid for")
+	})
+
+	It("reserves nothing for an attempt that may not follow", func() {
+		r.Repeat = fleet.RunOnce
+		Expect(r.Reserve(now, "a")).To(BeFalse())
+		Expect(budget).To(Equal(10))
+	})
+
 	It("bounds the servers that run one request", func() {
 		r.Repeat = fleet.RunOn
 		Expect(r.Ended(now, relay.Broken, "a").Again).To(BeTrue())
--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -48,10 +48,12 @@
 // probeNames are the results of probes in counters.
 var probeNames = map[bool]string{true: "alive", false: "dead"}
 
-// probed is the result of one probe.
+// probed is the result of one probe. took and err say why a server counts as dead.
 type probed struct {
 	at    time.Time
 	alive bool
+	took  time.Duration
+	err   error
 }
 
 func newProber(g *Gateway) *prober {
@@ -59,51 +61,61 @@
 }
 
 // alive reports whether a server answers.
-func (p *prober) alive(address string) bool {
+func (p *prober) alive(address string) bool { return p.probe(address).alive }
+
+// probe asks a server for its report, unless that was done a moment ago.
+func (p *prober) probe(address string) probed {
 	p.mu.Lock()
 	old, ok := p.last[address]
 	p.mu.Unlock()
 	if ok && time.Since(old.at) < probeFresh {
-		return old.alive
+		return old
 	}
-	alive, _, _ := p.group.Do(address, func() (any, error) {
+	result, _, _ := p.group.Do(address, func() (any, error) {
 		if !p.limit.Allow() {
-			return true, nil
+			return probed{alive: true}, nil
 		}
-		began := time.Now()
-		ctx, cancel := context.WithTimeout(context.Background(), probeWait)
-		defer cancel()
-		_, err := p.g.backends.Report(ctx, address)
-		alive := err == nil || time.Since(began) > probeWait+probeLate
-		p.g.metrics.CountReason(telemetry.GatewayProbesTotal, probeNames[alive])
-		p.mu.Lock()
-		p.last[address] = probed{at: time.Now(), alive: alive}
-		p.mu.Unlock()
-		return alive, nil
+		return p.ask(address), nil
 	})
-	return alive.(bool)
+	return result.(probed)
+}
+
+// ask sends one probe and keeps its result.
+func (p *prober) ask(address string) probed {
+	began := time.Now()
+	ctx, cancel := context.WithTimeout(context.Background(), probeWait)
+	defer cancel()
+	_, err := p.g.backends.Report(ctx, address)
+	out := probed{at: time.Now(), took: time.Since(began), err: err}
+	out.alive = err == nil || out.took > probeWait+probeLate
+	p.g.metrics.CountReason(telemetry.GatewayProbesTotal, probeNames[out.alive])
+	p.mu.Lock()
+	p.last[address] = out
+	p.mu.Unlock()
+	return out
 }
 
 // dead probes all hops at once and reports whether one does not answer. Those are
 // avoided until they do, and the streams that cross them are told.
 func (p *prober) dead(hops []fleet.Hop) bool {
-	alive := make([]bool, len(hops))
+	results := make([]probed, len(hops))
 	var all sync.WaitGroup
 	for i, h := range hops {
-		all.Go(func() { alive[i] = p.alive(h.Address) })
+		all.Go(func() { results[i] = p.probe(h.Address) })
 	}
 	all.Wait()
 	// One live server proves that this daemon is not cut off itself.
-	if !slices.Contains(alive, true) && len(hops) > 1 {
+	lives := func(r probed) bool { return r.alive }
+	if !slices.ContainsFunc(results, lives) && len(hops) > 1 {
 		return false
 	}
 	found := false
 	for i, h := range hops {
-		if alive[i] {
+		if results[i].alive {
 			continue
 		}
 		found = true
-		p.bury(h)
+		p.bury(h, results[i])
 		for _, s := range p.g.book.crossing(h.Address) {
 			s.hopDied(h)
 		}
@@ -112,11 +124,12 @@
 }
 
 // bury has a dead server avoided, and probes it until it answers again.
-func (p *prober) bury(h fleet.Hop) {
+func (p *prober) bury(h fleet.Hop, why probed) {
 	if !p.g.book.bury(h.Address) {
 		return
 	}
-	p.g.log.Emit(telemetry.EventBackendDead, telemetry.Backend(h.Server), telemetry.Address(h.Address))
+	p.g.log.Emit(telemetry.EventBackendDead, telemetry.Backend(h.Server), telemetry.Address(h.Address),
+		telemetry.Took(why.took), telemetry.Cause(why.err))
 	go func() {
 		until := time.Now().Add(reprobeFor)
 		for time.Now().Before(until) {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/hibiscuswick/hibiscuswick/coordination/relay"
@@ -46,7 +47,8 @@
 	service  *fleet.Service
 	customer fleet.Customer
 	relay    relay.Relay
-	deadline time.Time // the caller's or the route's, the earlier one
+	relayMu  sync.Mutex // a stream's watch asks it from other goroutines
+	deadline time.Time  // the caller's or the route's, the earlier one
 	avoid    map[string]bool
 	after    string // id of the last event that the caller has
 	headed   bool   // the head of an answer was given
@@ -157,7 +159,7 @@
 		if errors.Is(context.Cause(ctx), context.Canceled) {
 			return Result{Outcome: Gone, Reason: "caller_left"}
 		}
-		d := r.relay.Ended(time.Now(), end, r.at)
+		d := r.ended(end)
 		switch {
 		case d.Again:
 			r.view = r.g.current.Load()
@@ -173,6 +175,28 @@
 	}
 }
 
+// ended decides what follows an attempt.
+func (r *run) ended(end relay.End) relay.Decision {
+	r.relayMu.Lock()
+	defer r.relayMu.Unlock()
+	return r.relay.Ended(time.Now(), end, r.at)
+}
+
+// mayGoOn reports whether another attempt follows if the one under way at a server
+// is given up, and takes it from the budget.
+func (r *run) mayGoOn(server string) bool {
+	r.relayMu.Lock()
+	defer r.relayMu.Unlock()
+	return r.relay.Reserve(time.Now(), server)
+}
+
+// given notes that a part of an answer has reached the caller.
+func (r *run) given() {
+	r.relayMu.Lock()
+	defer r.relayMu.Unlock()
+	r.relay.Given()
+}
+
 // endNames are the ends of attempts in log lines.
 var endNames = map[relay.End]string{
 	relay.NotSent: "not_sent",
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -49,6 +49,7 @@
 	events int
 	last   atomic.Int64 // when the last event came, in steady ns
 	lost   atomic.Bool  // the answer was given up although all hops live
+	ending atomic.Bool  // it was given up, or has ended
 }
 
 func newStream(r *run, path fleet.Path, answer *backend.Answer, cancel context.CancelFunc) *stream {
@@ -65,6 +66,7 @@
 }
 
 func (s *stream) close() {
+	s.ending.Store(true)
 	s.r.g.book.leave(s)
 	if s.timer != nil {
 		s.timer.Stop()
@@ -115,23 +117,32 @@
 // left alone: going on elsewhere would cost a prompt and help nobody. One that is
 // silent for much longer than is usual, although its hops live, has lost its answer.
 func (s *stream) quiet() {
+	if s.ending.Load() {
+		return // the timer was set again while the stream ended
+	}
 	g, gap, now := s.r.g, s.r.route.Gap, time.Now()
 	_, patience := g.book.patience(now, s.r.service.ID, s.r.route)
-	if silence := s.since(now); patience > 0 && silence > patience && g.book.giveUp(s.r.service.ID) {
+	if silence := s.since(now); patience > 0 && silence > patience && g.book.giveUp(s.r.service.ID) && s.mayGoOn() {
 		s.lost.Store(true)
+		s.ending.Store(true)
 		g.log.Emit(telemetry.EventStreamSilent, telemetry.Request(s.r.req.ID), telemetry.Address(s.path[0].Address), telemetry.Took(silence))
 		s.cancel()
 		return
 	}
 	hops := g.book.silent(now, s.watch, gap/leastShare, gap/mostShare)
-	if !g.prober.dead(hops) {
+	g.prober.dead(hops)
+	if !s.ending.Load() {
 		s.timer.Reset(gap / lookShare)
 	}
 }
 
+// mayGoOn reports whether another engine takes the stream over if it is given up.
+// Where none may, its own may yet go on, and ends it if not.
+func (s *stream) mayGoOn() bool { return s.r.mayGoOn(s.path[0].Address) }
+
 // hopDied is called when a server of the path was found dead.
 func (s *stream) hopDied(h fleet.Hop) {
-	if s.r.route.Repeat != fleet.RunOn {
+	if s.r.route.Repeat != fleet.RunOn || !s.mayGoOn() || !s.ending.CompareAndSwap(false, true) {
 		return
 	}
 	s.r.g.log.Emit(telemetry.EventHopSilent, telemetry.Request(s.r.req.ID), telemetry.Backend(h.Server), telemetry.Address(h.Address))
@@ -149,7 +160,7 @@
 	whole := s.held[:end]
 	if !s.r.headed {
 		s.r.headed = true
-		s.r.relay.Given()
+		s.r.given()
 		s.r.cleared()
 		s.r.reply.Head(s.answer.Status, s.answer.Header)
 	}
