Follow the store by two daemons, which tell the others

Cause: each daemon followed both feeds: calls grew as daemons times changes, each change woke all of them, and in an outage each asked four times a second.

Ruled out: longer calls (a silent connection hides a leaving server), one daemon (its loss would cost a timeout).

Change: coordination/following chooses two daemons in different failure domains, and says for each other one whether it may go by their word: heard within 1.2 s, the store's answer no older than 2.8 s, corrected by what a word was held up, and the revision of the last change known. Otherwise it asks the store as before. gateway/follow.go carries it out and passes rows down a tree.

--- /dev/null
+++ b/coordination/following/following.go
@@ -0,0 +1,286 @@
+package following
+
+import (
+	"time"
+
+	"github.com/hibiscuswick/hibiscuswick/state"
+)
+
+const (
+	// Followers is how many daemons follow a feed: one more than may fail at once.
+	Followers = 2
+	// TellInterval is how often a follower tells what it knows where nothing changes.
+	TellInterval = 500 * time.Millisecond
+	// HeardFor is how long a follower's word stands: two that are lost cost a read.
+	HeardFor = 1200 * time.Millisecond
+	// behindFor is how long changes that a follower has told of may be on their way.
+	behindFor = 150 * time.Millisecond
+)
+
+// Mode says how a daemon is to learn of changes.
+type Mode int32
+
+// The values of Mode.
+const (
+	// ByStore: the daemon follows the store itself.
+	ByStore Mode = iota
+	// BySeldom: the same, but a store that does not answer is asked seldom, since
+	// followers ask it often.
+	BySeldom
+	// ByPeers: followers tell it.
+	ByPeers
+)
+
+// Told is what a follower tells of a feed.
+type Told struct {
+	Root     state.Member  `msgpack:"root"` // the follower
+	Feed     string        `msgpack:"feed"`
+	Sent     time.Duration `msgpack:"sent"`     // by the follower's steady clock
+	Revision uint64        `msgpack:"revision"` // up to which the feed is known
+	Changed  uint64        `msgpack:"changed"`  // no row changed after it, up to Revision
+	Age      time.Duration `msgpack:"age"`      // since the store last answered
+	Failing  bool          `msgpack:"failing"`  // the store does not answer the follower
+	// Recovered is how long the store answers again after a failure; 0 for always.
+	Recovered time.Duration `msgpack:"recovered"`
+	// Rows are the rows that changed after After, encoded; empty for none.
+	After uint64 `msgpack:"after"`
+	Rows  []byte `msgpack:"rows"`
+}
+
+// Daemon is one that takes part.
+type Daemon struct {
+	ID     state.DaemonID
+	Domain state.FailureDomain
+	// Steady is false for one that is suspected or about to stop: it is told, but
+	// follows for nobody.
+	Steady bool
+}
+
+// Verdict is what to do with what was told.
+type Verdict int
+
+// The values of Verdict.
+const (
+	Known   Verdict = iota // nothing is new
+	Advance                // no row changed, but the revision is higher
+	Apply                  // its rows are the next ones
+)
+
+// Machine is one daemon's part in one feed. It is not safe for use by several
+// goroutines.
+type Machine struct {
+	self     state.Member
+	feed     string
+	fresh    time.Duration
+	born     time.Time // zero of this daemon's steady clock
+	daemons  []Daemon
+	chosen   []state.DaemonID
+	heard    map[state.DaemonID]*heard
+	revision uint64
+	known    bool
+	changed  uint64
+	behind   time.Time // since when a higher revision is known of; zero for not
+
+	answered  time.Time // when the store last did
+	failing   bool
+	recovered time.Time
+	nextTell  time.Time
+}
+
+// heard is the last word of one follower.
+type heard struct {
+	life     state.Incarnation
+	at       time.Time // when it came
+	shortest time.Duration
+	age      time.Duration // of the store's answer when the word came
+	failing  bool
+}
+
+// New returns a machine that knows of no other daemon. A follower's word counts
+// while the store's last answer to it is no older than fresh, which is more than
+// the store holds a call that has nothing to tell.
+func New(self state.Member, feed string, fresh time.Duration, now time.Time) *Machine {
+	return &Machine{self: self, feed: feed, fresh: fresh, born: now, heard: make(map[state.DaemonID]*heard)}
+}
+
+// Members takes up who takes part, by ID and with this daemon among them.
+func (m *Machine) Members(daemons []Daemon) {
+	m.daemons = daemons
+	m.chosen = choose(daemons)
+}
+
+// choose picks the followers: the last ones by ID, each in a failure domain of its
+// own as far as there are such. The first ones by ID have other duties.
+func choose(daemons []Daemon) []state.DaemonID {
+	var out, rest []state.DaemonID
+	used := make(map[state.FailureDomain]bool)
+	for i := len(daemons) - 1; i >= 0; i-- {
+		d := daemons[i]
+		switch {
+		case !d.Steady:
+		case used[d.Domain]:
+			rest = append(rest, d.ID)
+		default:
+			used[d.Domain] = true
+			out = append(out, d.ID)
+		}
+	}
+	out = append(out, rest...)
+	return out[:min(len(out), Followers)]
+}
+
+// Follows reports whether this daemon follows the feed for others.
+func (m *Machine) Follows() bool {
+	for _, id := range m.chosen {
+		if id == m.self.ID {
+			return true
+		}
+	}
+	return false
+}
+
+// Mode says how this daemon is to learn of changes.
+func (m *Machine) Mode(now time.Time) Mode {
+	switch {
+	case !m.known, m.Follows(), !m.behind.IsZero() && now.Sub(m.behind) >= behindFor:
+		return ByStore
+	}
+	mode := ByStore
+	for _, id := range m.chosen {
+		h, ok := m.heard[id]
+		switch {
+		case !ok || now.Sub(h.at) > HeardFor:
+		case h.failing:
+			mode = BySeldom
+		case now.Sub(h.at)+h.age <= m.fresh:
+			return ByPeers
+		}
+	}
+	return mode
+}
+
+// Leads reports whether this daemon is the follower that passes rows on.
+func (m *Machine) Leads() bool { return len(m.chosen) > 0 && m.chosen[0] == m.self.ID }
+
+// Answered notes an answer of the store, with all changes up to a revision.
+func (m *Machine) Answered(now time.Time, revision uint64, changes bool) {
+	if m.failing {
+		m.recovered = now
+	}
+	if changes || m.failing {
+		m.nextTell = now
+	}
+	m.failing = false
+	m.answered = now
+	m.Advanced(revision, changes)
+}
+
+// Advanced notes that the feed is known up to a revision.
+func (m *Machine) Advanced(revision uint64, changes bool) {
+	m.known = true
+	if changes {
+		m.changed = max(m.changed, revision)
+	}
+	if revision >= m.revision {
+		m.revision = revision
+		m.behind = time.Time{}
+	}
+}
+
+// Failed notes that the store did not answer this daemon.
+func (m *Machine) Failed(now time.Time) {
+	if !m.failing {
+		m.nextTell = now
+	}
+	m.failing = true
+}
+
+// Revision is up to where the feed is known; false before the first answer.
+func (m *Machine) Revision() (uint64, bool) { return m.revision, m.known }
+
+// Changed is the revision after which no row has changed.
+func (m *Machine) Changed() uint64 { return m.changed }
+
+// Heard takes a follower's word. Where the verdict is not Known, Advanced is to be
+// called with its revision once its rows are applied.
+func (m *Machine) Heard(now time.Time, t Told) Verdict {
+	m.note(now, t)
+	switch {
+	case !m.known || t.Revision <= m.revision:
+		return Known
+	case m.revision >= t.Changed:
+		return Advance
+	case len(t.Rows) > 0 && m.revision >= t.After:
+		return Apply
+	}
+	if m.behind.IsZero() {
+		m.behind = now
+	}
+	return Known
+}
+
+// note keeps what a word says of its follower. A clock's reading less the other's is
+// least where a word was not held up: what it is more is the time that it took.
+func (m *Machine) note(now time.Time, t Told) {
+	took := now.Sub(m.born) - t.Sent
+	h, ok := m.heard[t.Root.ID]
+	if !ok || h.life != t.Root.Incarnation {
+		h = &heard{life: t.Root.Incarnation, shortest: took}
+		m.heard[t.Root.ID] = h
+	}
+	h.shortest = min(h.shortest, took)
+	h.at, h.age, h.failing = now, t.Age+took-h.shortest, t.Failing
+}
+
+// Tell returns what this daemon is to tell the others now, if it is to. Rows and
+// After are the caller's.
+func (m *Machine) Tell(now time.Time) (Told, bool) {
+	if !m.known || !m.Follows() || len(m.daemons) < 2 || now.Before(m.nextTell) {
+		return Told{}, false
+	}
+	m.nextTell = now.Add(TellInterval)
+	t := Told{
+		Root: m.self, Feed: m.feed, Sent: now.Sub(m.born), Revision: m.revision, Changed: m.changed,
+		Age: now.Sub(m.answered), Failing: m.failing,
+	}
+	if !m.recovered.IsZero() {
+		t.Recovered = now.Sub(m.recovered)
+	}
+	return t, true
+}
+
+// NextTick is when Tell is due or Mode may change by itself; zero for never.
+func (m *Machine) NextTick(now time.Time) time.Time {
+	switch {
+	case !m.known || len(m.daemons) < 2:
+		return time.Time{}
+	case m.Follows():
+		return m.nextTell
+	case m.Mode(now) != ByPeers:
+		return time.Time{}
+	}
+	var next time.Time
+	for _, id := range m.chosen {
+		if h, ok := m.heard[id]; ok {
+			next = later(next, h.at.Add(min(HeardFor, m.fresh-h.age)))
+		}
+	}
+	if !m.behind.IsZero() {
+		next = earlier(next, m.behind.Add(behindFor))
+	}
+	return next
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -2,6 +2,10 @@
 
 import (
 	"time"
+
+	"github.com/hibiscuswick/hibiscuswick/coordination/following"
+	"github.com/hibiscuswick/hibiscuswick/coordination/membership"
+	"github.com/hibiscuswick/hibiscuswick/state/fleet"
 )
 
 // tickInterval is how often timers of the control state run at the latest.
@@ -22,6 +26,8 @@
 
 	members *membersPart
 	listing *listingPart
+	configs *feedPart[*fleet.Config]
+	entries *feedPart[fleet.Server]
 	duty    *dutyPart
 	gauges  gauges
 }
@@ -30,6 +36,8 @@
 	c := &control{g: g, inbox: make(chan func(), 256), now: time.Now()}
 	c.members = newMembersPart(c)
 	c.listing = newListingPart(c)
+	c.configs = newFeedPart(c, "configuration", g.site.Configs, c.listing.configured, c.listing.answeredAgain)
+	c.entries = newFeedPart(c, "servers", g.site.Servers, c.listing.listed, c.listing.answeredAgain)
 	c.duty = newDutyPart(c)
 	c.gauges.c = c
 	return c
@@ -59,6 +67,8 @@
 		c.now = time.Now()
 		c.members.tick()
 		c.listing.tick()
+		c.configs.tick()
+		c.entries.tick()
 		c.duty.tick()
 		c.gauges.tick()
 		c.publish()
@@ -75,6 +85,11 @@
 	if t := c.duty.nextTick(); !t.IsZero() && t.Before(next) {
 		next = t
 	}
+	for _, t := range []time.Time{c.configs.m.NextTick(c.now), c.entries.m.NextTick(c.now)} {
+		if !t.IsZero() && t.Before(next) {
+			next = t
+		}
+	}
 	for _, t := range c.listing.missing {
 		if t.Before(next) {
 			next = t
@@ -92,3 +107,27 @@
 	v := c.view
 	c.g.current.Store(&v)
 }
+
+// membersChanged takes up who takes part.
+func (c *control) membersChanged() {
+	var daemons []following.Daemon
+	for _, i := range c.view.members.Members {
+		if i.Live() {
+			daemons = append(daemons, following.Daemon{
+				ID: i.Member.ID, Domain: i.Meta.Domain, Steady: i.State == membership.Alive && !i.Draining,
+			})
+		}
+	}
+	c.configs.m.Members(daemons)
+	c.entries.m.Members(daemons)
+}
+
+// heard takes what a daemon tells of a feed that it follows for others.
+func (c *control) heard(t following.Told) {
+	switch t.Feed {
+	case c.configs.name:
+		c.configs.heard(t)
+	case c.entries.name:
+		c.entries.heard(t)
+	}
+}
--- a/gateway/fake_test.go
+++ b/gateway/fake_test.go
@@ -6,16 +6,17 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"github.com/hibiscuswick/hibiscuswick/gateway"
+	"github.com/hibiscuswick/hibiscuswick/internal/freeport"
 	"github.com/hibiscuswick/hibiscuswick/protocol/backend"
 	"github.com/hibiscuswick/hibiscuswick/protocol/site"
 	"github.com/hibiscuswick/hibiscuswick/state"
@@ -33,6 +34,28 @@
 	err      error
 	// behind makes reads answer as of an older revision.
 	behind *site.Batch[T]
+	// history keeps the changes, nil for a feed that has always lost them.
+	history []site.Item[T]
+}
+
+// keep makes the feed tell changes from now on.
+func (f *feed[T]) keep() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.history = []site.Item[T]{}
+}
+
+// since lists the changes after a revision.
+func (f *feed[T]) since(after uint64) site.Batch[T] {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	b := site.Batch[T]{Revision: f.revision}
+	for _, it := range f.history {
+		if it.Revision > after {
+			b.Items = append(b.Items, it)
+		}
+	}
+	return b
 }
 
 func newFeed[T any]() *feed[T] {
@@ -40,11 +63,24 @@
 }
 
 func (f *feed[T]) set(key string, v T) {
-	f.change(func() { f.rows[key] = v; f.written[key] = f.revision + 1 })
+	f.change(func() {
+		f.rows[key] = v
+		f.written[key] = f.revision + 1
+		f.log(site.Item[T]{Key: key, Value: v, Revision: f.revision + 1})
+	})
 }
 
 func (f *feed[T]) remove(key string) {
-	f.change(func() { delete(f.rows, key) })
+	f.change(func() {
+		delete(f.rows, key)
+		f.log(site.Item[T]{Key: key, Removed: true, Revision: f.revision + 1})
+	})
+}
+
+func (f *feed[T]) log(it site.Item[T]) {
+	if f.history != nil {
+		f.history = append(f.history, it)
+	}
 }
 
 // fail makes every call end with err, nil for none.
@@ -79,21 +115,21 @@
 	return b
 }
 
-// Follow implements site.Feed. It demands a whole read at each change, as a feed
-// does that has lost its history.
+// Follow implements site.Feed. Without a history it demands a whole read at each
+// change.
 func (f *feed[T]) Follow(ctx context.Context, after uint64, wait time.Duration) (site.Batch[T], error) {
 	f.mu.Lock()
-	changed, revision, err := f.changed, f.revision, f.err
+	changed, revision, err, kept := f.changed, f.revision, f.err, f.history != nil
 	f.mu.Unlock()
 	if err != nil {
 		return site.Batch[T]{}, err
 	}
 	if revision > after {
-		return site.Batch[T]{}, site.ErrHistoryGone
+		return f.changes(after, kept)
 	}
 	select {
 	case <-changed:
-		return site.Batch[T]{}, site.ErrHistoryGone
+		return f.changes(after, kept)
 	case <-time.After(wait):
 		return site.Batch[T]{Revision: after}, nil
 	case <-ctx.Done():
@@ -101,6 +137,38 @@
 	}
 }
 
+func (f *feed[T]) changes(after uint64, kept bool) (site.Batch[T], error) {
+	if !kept {
+		return site.Batch[T]{}, site.ErrHistoryGone
+	}
+	return f.since(after), nil
+}
+
+// door is one gateway's way to a feed.
+type door[T any] struct {
+	feed  *feed[T]
+	calls atomic.Int64
+	shut  atomic.Bool // every call is refused
+}
+
+// Read implements site.Feed.
+func (d *door[T]) Read(ctx context.Context) (site.Batch[T], error) {
+	d.calls.Add(1)
+	if d.shut.Load() {
+		return site.Batch[T]{}, site.ErrUnavailable
+	}
+	return d.feed.Read(ctx)
+}
+
+// Follow implements site.Feed.
+func (d *door[T]) Follow(ctx context.Context, after uint64, wait time.Duration) (site.Batch[T], error) {
+	d.calls.Add(1)
+	if d.shut.Load() {
+		return site.Batch[T]{}, site.ErrUnavailable
+	}
+	return d.feed.Follow(ctx, after, wait)
+}
+
 // table is a table of the site's store.
 type table struct {
 	mu       sync.Mutex
@@ -260,10 +328,15 @@
 
 // start runs one more gateway of the site.
 func (r *rig) start(id state.DaemonID) *gateway.Gateway {
+	return r.startAt(id, r.configs, r.listed)
+}
+
+// startAt runs a gateway with ways of its own to the site's feeds.
+func (r *rig) startAt(id state.DaemonID, configs site.Feed[*fleet.Config], servers site.Feed[fleet.Server]) *gateway.Gateway {
 	g, err := gateway.New(gateway.Settings{
 		ID: id, Domain: "a", Front: "front-" + string(id), Peers: freeAddress(), Grace: r.grace,
 		AddressesValid: 5 * time.Second, BudgetRatio: 0.2, BudgetWindow: 10 * time.Second, BudgetSlack: 100,
-	}, gateway.Site{Configs: r.configs, Servers: r.listed, Members: r.members, Leases: r.leases},
+	}, gateway.Site{Configs: configs, Servers: servers, Members: r.members, Leases: r.leases},
 		r.servers, telemetry.Discard(), telemetry.NewMetrics())
 	Expect(err).NotTo(HaveOccurred())
 	g.Run()
@@ -272,10 +345,9 @@
 }
 
 func freeAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := freeport.Address()
 	Expect(err).NotTo(HaveOccurred())
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	return address
 }
 
 // config has a streaming route to engines of 8 layers, and two to plain servers.
--- /dev/null
+++ b/gateway/follow.go
@@ -0,0 +1,260 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/hibiscuswick/hibiscuswick/coordination/following"
+	"github.com/hibiscuswick/hibiscuswick/protocol/site"
+	"github.com/hibiscuswick/hibiscuswick/telemetry"
+)
+
+const (
+	// storeTimeout bounds one call to the store that is to be answered at once.
+	storeTimeout = 1500 * time.Millisecond
+	// followWait is how long the store holds a call that has nothing to tell: a
+	// connection that has gone silent shows within it and storeTimeout.
+	followWait = 2 * time.Second
+	// followFresh is how old the store's last answer to a follower may be: as long as
+	// such a call takes, until the next word.
+	followFresh = followWait + following.TellInterval + 300*time.Millisecond
+	// Waits between calls to a store that does not answer.
+	backoffMin = 100 * time.Millisecond
+	backoffMax = 300 * time.Millisecond
+	// seldomWait is the same where followers ask it more often, and only find out
+	// later than this daemon if the store refuses just them.
+	seldomWait = time.Second
+)
+
+// probeTimeouts bound the calls to a store that does not answer, in turn. A store
+// that is back must be heard well within the bound of a configuration, 2 s; one that
+// is merely slow answers within the longest.
+var probeTimeouts = []time.Duration{500 * time.Millisecond, 700 * time.Millisecond, storeTimeout}
+
+// arrival says how a batch came.
+type arrival struct {
+	whole     bool // it holds all rows
+	recovered bool // the store did not answer before
+}
+
+// feedPart keeps one feed up to date, by the store or by other daemons. All but its
+// run method belongs to the control goroutine.
+type feedPart[T any] struct {
+	c    *control
+	name string
+	feed site.Feed[T]
+	m    *following.Machine
+	take func(b site.Batch[T], how arrival)
+	// recovered takes when the store answered a follower again.
+	recovered func(at time.Time)
+	rows      encodedRows // that are to go with the next word
+
+	mode     atomic.Int32  // a following.Mode
+	revision atomic.Uint64 // up to which the feed is known
+	wake     chan struct{}
+}
+
+func newFeedPart[T any](c *control, name string, feed site.Feed[T], take func(site.Batch[T], arrival), recovered func(time.Time)) *feedPart[T] {
+	return &feedPart[T]{
+		c: c, name: name, feed: feed, take: take, recovered: recovered,
+		m:    following.New(c.g.self, name, followFresh, c.now),
+		wake: make(chan struct{}, 1),
+	}
+}
+
+// run asks the store as long as no other daemon does, until ctx ends.
+func (p *feedPart[T]) run(ctx context.Context) {
+	var (
+		revision uint64
+		known    bool
+		failures int
+		wait     = backoffMin
+		log      = p.c.g.log
+	)
+	for ctx.Err() == nil {
+		if p.told() {
+			failures, wait = 0, backoffMin
+			p.await(ctx)
+			continue
+		}
+		revision = max(revision, p.revision.Load())
+		batch, whole, err := next(ctx, p.feed, revision, known, failures)
+		if errors.Is(err, site.ErrHistoryGone) {
+			known = false
+			continue
+		}
+		if err == nil && batch.Revision < revision {
+			// A replica of the store that is behind would take us back.
+			err = errStaleRead
+		}
+		if ctx.Err() != nil {
+			return // the gateway has ended; that is no fault of the store
+		}
+		if err != nil {
+			failures++
+			if failures == 1 {
+				log.Emit(telemetry.EventStoreUnavailable, telemetry.Detail(p.name), telemetry.Cause(err))
+				p.c.post(func() { p.m.Failed(p.c.now) })
+			}
+			p.backOff(ctx, wait)
+			wait = min(2*wait, backoffMax)
+			continue
+		}
+		how := arrival{whole: whole, recovered: failures > 0}
+		if failures > 0 {
+			failures = 0
+			log.Emit(telemetry.EventStoreRecovered, telemetry.Detail(p.name))
+		}
+		wait = backoffMin
+		known, revision = true, batch.Revision
+		p.c.post(func() { p.answered(batch, how) })
+	}
+}
+
+// told reports whether other daemons tell this one.
+func (p *feedPart[T]) told() bool { return following.Mode(p.mode.Load()) == following.ByPeers }
+
+// await returns once the store is to be asked.
+func (p *feedPart[T]) await(ctx context.Context) {
+	select {
+	case <-p.wake:
+	case <-ctx.Done():
+	}
+}
+
+// backOff waits between two calls to a store that does not answer.
+func (p *feedPart[T]) backOff(ctx context.Context, wait time.Duration) {
+	if following.Mode(p.mode.Load()) == following.BySeldom {
+		wait = seldomWait
+	}
+	pause(ctx, wait/2+rand.N(wait/2))
+}
+
+// next reads a feed whole, or what changed in it after revision. After failures it
+// does not let the store wait for a change, so that its return is noticed at once.
+func next[T any](ctx context.Context, f site.Feed[T], revision uint64, known bool, failures int) (site.Batch[T], bool, error) {
+	wait, timeout := followWait, followWait+storeTimeout
+	if failures > 0 {
+		wait, timeout = 0, probeTimeouts[(failures-1)%len(probeTimeouts)]
+	}
+	if !known {
+		timeout = min(timeout, storeTimeout)
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	if !known {
+		b, err := f.Read(ctx)
+		return b, true, err
+	}
+	b, err := f.Follow(ctx, revision, wait)
+	return b, false, err
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+// answered takes an answer of the store. Other daemons may have told of a part of it
+// meanwhile.
+func (p *feedPart[T]) answered(b site.Batch[T], how arrival) {
+	before, known := p.m.Revision()
+	if known && b.Revision < before {
+		p.m.Answered(p.c.now, before, false)
+		return
+	}
+	if !how.whole {
+		b.Items = since(b.Items, before)
+	}
+	changed := how.whole || len(b.Items) > 0
+	if changed && !how.whole && p.m.Leads() {
+		p.rows = p.encode(b.Items, p.m.Changed())
+	}
+	p.m.Answered(p.c.now, b.Revision, changed)
+	p.revision.Store(b.Revision)
+	if changed || how.recovered {
+		p.take(b, how)
+	}
+}
+
+// since returns the items that are newer than a revision.
+func since[T any](items []site.Item[T], revision uint64) []site.Item[T] {
+	var out []site.Item[T]
+	for _, it := range items {
+		if it.Revision > revision {
+			out = append(out, it)
+		}
+	}
+	return out
+}
+
+// heard takes another daemon's word, and passes it on.
+func (p *feedPart[T]) heard(t following.Told) {
+	p.send(t)
+	if t.Recovered > 0 && !t.Failing {
+		p.recovered(p.c.now.Add(-t.Recovered))
+	}
+	switch p.m.Heard(p.c.now, t) {
+	case following.Apply:
+		items, err := decode[T](t.Rows)
+		if err != nil {
+			p.c.g.log.Emit(telemetry.EventRowsUnreadable, telemetry.Peer(t.Root.ID), telemetry.Cause(err))
+			return // the next word shows that this one was not taken
+		}
+		before, _ := p.m.Revision()
+		p.m.Advanced(t.Revision, true)
+		p.take(site.Batch[T]{Items: since(items, before), Revision: t.Revision}, arrival{})
+	case following.Advance:
+		p.m.Advanced(t.Revision, false)
+	case following.Known:
+	}
+	if revision, known := p.m.Revision(); known {
+		p.revision.Store(revision)
+	}
+}
+
+// tick tells other daemons what is due, and the run method who is to be asked.
+func (p *feedPart[T]) tick() {
+	if t, ok := p.m.Tell(p.c.now); ok {
+		t.After, t.Rows = p.rows.after, p.rows.bytes
+		p.rows = encodedRows{}
+		p.send(t)
+	}
+	p.setMode(p.m.Mode(p.c.now))
+}
+
+// setMode has the run method learn of changes in another way.
+func (p *feedPart[T]) setMode(mode following.Mode) {
+	old := following.Mode(p.mode.Swap(int32(mode)))
+	if old == mode {
+		return
+	}
+	p.c.g.log.Emit(telemetry.EventFeedSource, telemetry.Detail(p.name+" "+sourceNames[mode]))
+	if old == following.ByPeers {
+		select {
+		case p.wake <- struct{}{}:
+		default: // it has been told and has not looked yet
+		}
+	}
+}
+
+// sourceNames are the modes in log lines.
+var sourceNames = map[following.Mode]string{
+	following.ByStore: "by_store", following.BySeldom: "by_store_seldom", following.ByPeers: "by_peers",
+}
+
+// send passes a word on. One that is lost is made up for by the next.
+func (p *feedPart[T]) send(t following.Told) {
+	for _, id := range p.m.Next(t.Root.ID) {
+		if i, ok := p.c.view.members.Lookup(id); ok {
+			_ = p.c.g.node.Send(i.Meta.PeerAddress, t)
+		}
+	}
+}
--- /dev/null
+++ b/gateway/follow_test.go
@@ -0,0 +1,133 @@
+package gateway_test
+
+import (
+	"context"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hibiscuswick/hibiscuswick/gateway"
+	"github.com/hibiscuswick/hibiscuswick/state"
+	"github.com/hibiscuswick/hibiscuswick/state/fleet"
+)
+
+// posts are gateways of one site, each with its own way to the store. The last two
+// follow the store for all.
+type posts struct {
+	*rig
+	gateways []*gateway.Gateway
+	configs  []*door[*fleet.Config]
+	servers  []*door[fleet.Server]
+}
+
+func newPosts(ids ...state.DaemonID) *posts {
+	p := &posts{rig: newRig()}
+	p.gateway.Close()
+	p.rig.configs.keep()
+	p.listed.keep()
+	for _, id := range ids {
+		c, s := &door[*fleet.Config]{feed: p.rig.configs}, &door[fleet.Server]{feed: p.listed}
+		p.configs, p.servers = append(p.configs, c), append(p.servers, s)
+		p.gateways = append(p.gateways, p.startAt(id, c, s))
+	}
+	p.gateway = p.gateways[0]
+	p.fill()
+	Eventually(func(g Gomega) {
+		for _, gw := range p.gateways {
+			a, _ := gw.Addresses("a")
+			g.Expect(a).To(HaveLen(len(ids)))
+			g.Expect(gw.Ready()).To(BeTrue())
+		}
+	}).WithTimeout(patience).Should(Succeed())
+	p.settle()
+	return p
+}
+
+// settle waits until all but the followers have left the store.
+func (p *posts) settle() {
+	Eventually(func() int { return p.asking() }).WithTimeout(patience).Should(Equal(2))
+}
+
+// asking counts the gateways that ask the store for the servers now.
+func (p *posts) asking() int {
+	before := make([]int64, len(p.servers))
+	for i, d := range p.servers {
+		before[i] = d.calls.Load()
+	}
+	time.Sleep(2300 * time.Millisecond)
+	n := 0
+	for i, d := range p.servers {
+		if d.calls.Load() > before[i] {
+			n++
+		}
+	}
+	return n
+}
+
+// outcomeAt asks one gateway for a path.
+func (p *posts) outcomeAt(i int, path string) gateway.Outcome {
+	return p.gateways[i].Serve(context.Background(), request(path), &reply{}).Outcome
+}
+
+// withRoute is a configuration with one more route.
+func withRoute(version uint64, prefix string) *fleet.Config {
+	c := config(version)
+	c.Hosts["h"] = append(c.Hosts["h"], fleet.Route{
+		Prefix: prefix, Repeat: fleet.RunAgain, MaxAttempts: 1, Split: []fleet.Share{{Service: "app", Weight: 1}},
+	})
+	return c
+}
+
+var _ = Describe("Gateways of one site", func() {
+	// bound is how late a change may be in force.
+	const bound = 2 * time.Second
+
+	It("ask the store through two of them, and all learn of changes at once", func() {
+		p := newPosts("g1", "g2", "g3", "g4", "g5")
+		p.rig.configs.set("config", withRoute(2, "/two/"))
+		for i := range p.gateways {
+			Eventually(func() gateway.Outcome { return p.outcomeAt(i, "/two/x") }).
+				WithTimeout(bound / 4).WithPolling(5 * time.Millisecond).Should(Equal(gateway.Answered))
+		}
+		p.listed.remove("p0")
+		p.listed.remove("p1")
+		for i := range p.gateways {
+			Eventually(func() gateway.Outcome { return p.outcomeAt(i, "/two/x") }).
+				WithTimeout(bound / 4).WithPolling(5 * time.Millisecond).Should(Equal(gateway.Refused))
+		}
+		Expect(p.asking()).To(Equal(2))
+	})
+
+	// The store refuses one daemon and serves the others. Callers of that one see
+	// new routes as fast as all: it learns of them from the daemons that follow.
+	It("learn of changes although the store refuses them", Label("failure:store-refuses-some"), func() {
+		p := newPosts("g1", "g2", "g3")
+		p.configs[0].shut.Store(true)
+		p.rig.configs.set("config", withRoute(2, "/two/"))
+		Eventually(func() gateway.Outcome { return p.outcomeAt(0, "/two/x") }).
+			WithTimeout(bound).Should(Equal(gateway.Answered))
+	})
+
+	// The store refuses just the daemons that follow it for all. The others see new
+	// routes in time. Cause: they would wait for those.
+	It("ask the store themselves where it refuses those that follow it", Label("failure:followers-refused"), func() {
+		p := newPosts("g1", "g2", "g3")
+		p.configs[1].shut.Store(true)
+		p.configs[2].shut.Store(true)
+		time.Sleep(bound) // their calls under way end
+		p.rig.configs.set("config", withRoute(2, "/two/"))
+		Eventually(func() gateway.Outcome { return p.outcomeAt(0, "/two/x") }).
+			WithTimeout(bound).Should(Equal(gateway.Answered))
+	})
+
+	// Both daemons that follow the store stop. The others see new routes in time.
+	It("ask the store themselves once nobody follows it for them", Label("failure:follower-silent"), func() {
+		p := newPosts("g1", "g2", "g3")
+		p.gateways[1].Close()
+		p.gateways[2].Close()
+		p.rig.configs.set("config", withRoute(2, "/two/"))
+		Eventually(func() gateway.Outcome { return p.outcomeAt(0, "/two/x") }).
+			WithTimeout(bound).Should(Equal(gateway.Answered))
+	})
+})
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -123,12 +123,8 @@
 	g.following = cancel
 	g.node.Serve(g.peers)
 	go g.control.run()
-	go follow(ctx, g, "configuration", g.site.Configs, func(b site.Batch[*fleet.Config], _ arrival) {
-		g.control.post(func() { g.control.listing.configured(b) })
-	})
-	go follow(ctx, g, "servers", g.site.Servers, func(b site.Batch[fleet.Server], how arrival) {
-		g.control.post(func() { g.control.listing.listed(b, how) })
-	})
+	go g.control.configs.run(ctx)
+	go g.control.entries.run(ctx)
 	g.log.Emit(telemetry.EventDaemonStarted, telemetry.Address(g.set().Front))
 }
 
--- a/gateway/listing.go
+++ b/gateway/listing.go
@@ -1,9 +1,6 @@
 package gateway
 
 import (
-	"context"
-	"errors"
-	"math/rand/v2"
 	"time"
 
 	"github.com/hibiscuswick/hibiscuswick/protocol/site"
@@ -12,22 +9,6 @@
 	"github.com/hibiscuswick/hibiscuswick/telemetry"
 )
 
-const (
-	// storeTimeout bounds one call to the store that is to be answered at once.
-	storeTimeout = 1500 * time.Millisecond
-	// followWait is how long the store holds a call that has nothing to tell: a
-	// connection that has gone silent shows within it and storeTimeout.
-	followWait = 2 * time.Second
-	// Waits between calls to a store that does not answer.
-	backoffMin = 100 * time.Millisecond
-	backoffMax = 300 * time.Millisecond
-)
-
-// probeTimeouts bound the calls to a store that does not answer, in turn. A store
-// that is back must be heard well within the bound of a configuration, 2 s; one that
-// is merely slow answers within the longest.
-var probeTimeouts = []time.Duration{500 * time.Millisecond, 700 * time.Millisecond, storeTimeout}
-
 // listingPart keeps the configuration and the list of servers.
 type listingPart struct {
 	c       *control
@@ -62,87 +43,9 @@
 	}
 }
 
-// arrival says how a batch came.
-type arrival struct {
-	whole     bool // it holds all rows
-	recovered bool // the store did not answer before
-}
-
-// follow hands each batch of a feed to take, until ctx ends.
-func follow[T any](ctx context.Context, g *Gateway, name string, f site.Feed[T], take func(b site.Batch[T], how arrival)) {
-	var (
-		revision uint64
-		known    bool
-		failures int
-		wait     = backoffMin
-	)
-	for ctx.Err() == nil {
-		batch, whole, err := next(ctx, f, revision, known, failures)
-		if errors.Is(err, site.ErrHistoryGone) {
-			known = false
-			continue
-		}
-		if err == nil && batch.Revision < revision {
-			// A replica of the store that is behind would take us back.
-			err = errStaleRead
-		}
-		if ctx.Err() != nil {
-			return // the gateway has ended; that is no fault of the store
-		}
-		if err != nil {
-			failures++
-			if failures == 1 {
-				g.log.Emit(telemetry.EventStoreUnavailable, telemetry.Detail(name), telemetry.Cause(err))
-			}
-			pause(ctx, wait/2+rand.N(wait/2))
-			wait = min(2*wait, backoffMax)
-			continue
-		}
-		how := arrival{whole: whole, recovered: failures > 0}
-		if failures > 0 {
-			failures = 0
-			g.log.Emit(telemetry.EventStoreRecovered, telemetry.Detail(name))
-		}
-		wait = backoffMin
-		known, revision = true, batch.Revision
-		if whole || how.recovered || len(batch.Items) > 0 {
-			take(batch, how)
-		}
-	}
-}
-
-// next reads a feed whole, or what changed in it after revision. After failures it
-// does not let the store wait for a change, so that its return is noticed at once.
-func next[T any](ctx context.Context, f site.Feed[T], revision uint64, known bool, failures int) (site.Batch[T], bool, error) {
-	wait, timeout := followWait, followWait+storeTimeout
-	if failures > 0 {
-		wait, timeout = 0, probeTimeouts[(failures-1)%len(probeTimeouts)]
-	}
-	if !known {
-		timeout = min(timeout, storeTimeout)
-	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	if !known {
-		b, err := f.Read(ctx)
-		return b, true, err
-	}
-	b, err := f.Follow(ctx, revision, wait)
-	return b, false, err
-}
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // configured takes up the newest configuration. An older one is never taken: a
 // caller that has seen the effect of a version would see it undone.
-func (p *listingPart) configured(b site.Batch[*fleet.Config]) {
+func (p *listingPart) configured(b site.Batch[*fleet.Config], _ arrival) {
 	for _, it := range b.Items {
 		if it.Err != nil {
 			p.c.g.log.Emit(telemetry.EventDocumentUnreadable, telemetry.Cause(it.Err))
@@ -160,7 +63,7 @@
 // listed takes up a change of the list of servers.
 func (p *listingPart) listed(b site.Batch[fleet.Server], how arrival) {
 	if how.recovered {
-		p.recovered = p.c.now
+		p.answeredAgain(p.c.now)
 	}
 	present := make(map[state.BackendID]bool, len(b.Items))
 	for _, it := range b.Items {
@@ -188,6 +91,13 @@
 	p.regroup()
 }
 
+// answeredAgain notes when the store answered again after a while without.
+func (p *listingPart) answeredAgain(at time.Time) {
+	if at.After(p.recovered) {
+		p.recovered = at
+	}
+}
+
 // miss takes a server off the list, at once unless its entry may have lapsed.
 func (p *listingPart) miss(id state.BackendID) {
 	if p.c.now.Sub(p.recovered) > lapseWindow {
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -9,6 +9,7 @@
 	"github.com/samber/lo"
 
 	"github.com/hibiscuswick/hibiscuswick/coordination/crashes"
+	"github.com/hibiscuswick/hibiscuswick/coordination/following"
 	"github.com/hibiscuswick/hibiscuswick/coordination/membership"
 	"github.com/hibiscuswick/hibiscuswick/protocol/peer"
 	"github.com/hibiscuswick/hibiscuswick/protocol/site"
@@ -31,6 +32,7 @@
 const (
 	kindMembership peer.Kind = 100
 	kindCrashes    peer.Kind = 1200
+	kindFollowing  peer.Kind = 1300
 )
 
 // newRegistry lists every message between gateways.
@@ -38,6 +40,7 @@
 	r := peer.NewRegistry()
 	peer.RegisterMembership(r, kindMembership)
 	peer.Register[crashes.Told](r, kindCrashes)
+	peer.Register[following.Told](r, kindFollowing)
 	return r
 }
 
@@ -134,6 +137,7 @@
 		p.c.view.members = p.m.View()
 		p.c.view.live = lo.CountBy(p.c.view.members.Members, membership.Info.Live)
 		p.c.changed = true
+		p.c.membersChanged()
 	case membership.Changed:
 		g.log.Emit(memberEvent(a), telemetry.Peer(a.Member.ID), telemetry.Incarnation(a.Member.Incarnation))
 	case membership.Refuted, membership.Late:
@@ -164,6 +168,8 @@
 	switch m := msg.(type) {
 	case membership.Message:
 		g.control.post(func() { g.control.members.step(membership.Received{From: from, Msg: m}) })
+	case following.Told:
+		g.control.post(func() { g.control.heard(m) })
 	case crashes.Told:
 		g.book.implicate(time.Now(), m.Fingerprint, m.Servers...)
 	}
--- a/telemetry/catalogue.go
+++ b/telemetry/catalogue.go
@@ -74,6 +74,8 @@
 	{EventBackendUnreadable, "backend_unreadable", logrus.ErrorLevel, "The entry of a backend server can't be read; it is passed over."},
 	{EventBackendDead, "backend_dead", logrus.WarnLevel, "A backend server on the path of a silent stream answers no probe; it is avoided until it does."},
 	{EventLayersListed, "layers_listed", logrus.InfoLevel, "A backend server lists another range of layers than before."},
+	{EventFeedSource, "feed_source", logrus.InfoLevel, "This daemon learns of a feed's changes from another source than before: the store, or the daemons that follow it."},
+	{EventRowsUnreadable, "rows_unreadable", logrus.ErrorLevel, "Rows that one daemon passes on to others can't be written or read; each reads them from the store."},
 	{EventConnectionSilent, "connection_silent", logrus.WarnLevel, "An open connection went silent; it is replaced, and what was under way on it is asked about."},
 	{EventFrameRefused, "frame_refused", logrus.WarnLevel, "A broken, oversized or unknown frame came; the connection is closed."},
 }
--- a/telemetry/events.go
+++ b/telemetry/events.go
@@ -93,6 +93,8 @@
 	EventBackendUnreadable Event = 1610
 	EventBackendDead       Event = 1611
 	EventLayersListed      Event = 1612
+	EventFeedSource        Event = 1613
+	EventRowsUnreadable    Event = 1614
 	EventReplicaUp         Event = 1606
 	EventReplicaDown       Event = 1607
 	EventCacheEventsMissed Event = 1608
