Pass followers' words between domains once, and publish lists once

Each batch of rows made a new view of all servers.

Change: a follower tells one daemon of each other domain, and each domain passes a word on within itself. Followers have different heads there. The control goroutine takes all that has come before it works out the view.

--- a/coordination/following/following_test.go
+++ b/coordination/following/following_test.go
@@ -191,26 +191,53 @@
 		})
 	})
 
-	It("reaches each daemon once, each through a few others", func() {
-		const n = 420
+	It("reaches each daemon once, each through a few others, and each domain once", func() {
+		const n, domains = 420, 17
 		var daemons []following.Daemon
 		for i := range n {
-			daemons = append(daemons, following.Daemon{ID: state.DaemonID(fmt.Sprintf("g%03d", i)), Steady: true})
+			daemons = append(daemons, following.Daemon{
+				ID: state.DaemonID(fmt.Sprintf("g%03d", i)), Domain: state.FailureDomain(fmt.Sprint(i % domains)), Steady: i%5 != 0,
+			})
 		}
-		got := make(map[state.DaemonID]int)
-		for _, d := range daemons {
-			m := following.New(state.Member{ID: d.ID}, "servers", fresh, start)
-			m.Members(daemons)
-			next := m.Next("g200")
-			Expect(len(next)).To(BeNumerically("<=", following.Degree))
-			for _, id := range next {
-				got[id]++
+		for _, root := range []state.DaemonID{"g200", "g419", "g418"} {
+			got := make(map[state.DaemonID]int)
+			crossing := 0
+			for i, d := range daemons {
+				m := following.New(state.Member{ID: d.ID}, "servers", fresh, start)
+				m.Members(daemons)
+				next := m.Next(root)
+				if d.ID != root {
+					Expect(len(next)).To(BeNumerically("<=", following.Degree))
+				}
+				for _, id := range next {
+					got[id]++
+					var to int
+					_, err := fmt.Sscanf(string(id), "g%d", &to)
+					Expect(err).NotTo(HaveOccurred())
+					if to%domains != i%domains {
+						crossing++
+					}
+				}
 			}
+			Expect(got).To(HaveLen(n - 1))
+			Expect(got).NotTo(HaveKey(root))
+			for _, times := range got {
+				Expect(times).To(Equal(1))
+			}
+			Expect(crossing).To(Equal(domains - 1))
 		}
-		Expect(got).To(HaveLen(n - 1))
-		Expect(got).NotTo(HaveKey(state.DaemonID("g200")))
-		for _, times := range got {
-			Expect(times).To(Equal(1))
-		}
+	})
+
+	It("passes nothing on of a follower that it does not know", func() {
+		Expect(m.Next("stranger")).To(BeEmpty())
+	})
+
+	// One daemon of a domain is paused. The others of it go on by the followers'
+	// words. Cause: both would come through the paused one.
+	It("reaches a domain through different daemons", func() {
+		first, second := machine("g6").Next("g6"), machine("g5").Next("g5")
+		Expect(first).To(ContainElement(state.DaemonID("g1")))
+		Expect(second).NotTo(ContainElement(state.DaemonID("g1")))
+		Expect(second).To(ContainElement(state.DaemonID("g3")))
 	})
 })
--- a/coordination/following/tree.go
+++ b/coordination/following/tree.go
@@ -1,30 +1,94 @@
 package following
 
-import "github.com/hibiscuswick/hibiscuswick/state"
+import (
+	"slices"
 
-// Degree is how many daemons each one passes a word on to: 420 daemons are reached
-// in three steps.
+	"github.com/hibiscuswick/hibiscuswick/state"
+)
+
+// Degree is how many daemons of its failure domain each one passes a word on to.
 const Degree = 8
 
 // Next lists the daemons that this one passes a follower's word on to, or none if
-// the follower is not known.
+// the follower is not known. A word crosses to each other failure domain once, to
+// that domain's head, and goes down a tree within each, since bytes between domains are
+// paid for.
 func (m *Machine) Next(root state.DaemonID) []state.DaemonID {
-	n, from, self := len(m.daemons), -1, -1
-	for i, d := range m.daemons {
-		if d.ID == root {
-			from = i
+	home, known := m.domain(root)
+	mine, here := m.domain(m.self.ID)
+	if !known || !here {
+		return nil
+	}
+	head := root
+	if mine != home {
+		head = m.head(mine, root)
+	}
+	next := m.below(mine, head)
+	if root != m.self.ID {
+		return next
+	}
+	for _, d := range m.domains() {
+		if d != home {
+			next = append(next, m.head(d, root))
 		}
-		if d.ID == m.self.ID {
-			self = i
+	}
+	return next
+}
+
+// domain is where a daemon is.
+func (m *Machine) domain(id state.DaemonID) (state.FailureDomain, bool) {
+	for _, d := range m.daemons {
+		if d.ID == id {
+			return d.Domain, true
 		}
 	}
-	if from < 0 || self < 0 {
-		return nil
+	return "", false
+}
+
+// domains lists the failure domains, in the order of their first daemons.
+func (m *Machine) domains() []state.FailureDomain {
+	var out []state.FailureDomain
+	for _, d := range m.daemons {
+		if !slices.Contains(out, d.Domain) {
+			out = append(out, d.Domain)
+		}
+	}
+	return out
+}
+
+// head is the daemon of a domain that a follower in another one tells. Followers have
+// different ones, so that one that is paused keeps no domain from hearing of both.
+func (m *Machine) head(domain state.FailureDomain, root state.DaemonID) state.DaemonID {
+	var all, steady []state.DaemonID
+	for _, d := range m.daemons {
+		if d.Domain != domain {
+			continue
+		}
+		all = append(all, d.ID)
+		if d.Steady {
+			steady = append(steady, d.ID)
+		}
+	}
+	if len(steady) > 0 {
+		all = steady
+	}
+	turn := max(slices.Index(m.chosen, root), 0)
+	return all[turn%len(all)]
+}
+
+// below lists the daemons under this one in the tree of a domain.
+func (m *Machine) below(domain state.FailureDomain, head state.DaemonID) []state.DaemonID {
+	var ids []state.DaemonID
+	for _, d := range m.daemons {
+		if d.Domain == domain {
+			ids = append(ids, d.ID)
+		}
 	}
+	n, from, self := len(ids), slices.Index(ids, head), slices.Index(ids, m.self.ID)
 	at := (self - from + n) % n
 	var out []state.DaemonID
 	for k := Degree*at + 1; k <= Degree*(at+1) && k < n; k++ {
-		out = append(out, m.daemons[(from+k)%n].ID)
+		out = append(out, ids[(from+k)%n])
 	}
 	return out
 }
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -60,6 +60,7 @@
 		case f := <-c.inbox:
 			c.now = time.Now()
 			f()
+			c.drainInbox()
 		case <-timer.C:
 		case <-c.g.done:
 			return
@@ -76,6 +77,19 @@
 	}
 }
 
+// drainInbox runs what else has come meanwhile, so that its effects are worked out once.
+func (c *control) drainInbox() {
+	for range cap(c.inbox) {
+		select {
+		case f := <-c.inbox:
+			c.now = time.Now()
+			f()
+		default:
+			return
+		}
+	}
+}
+
 // nextTick is when the first timer is due.
 func (c *control) nextTick() time.Time {
 	next := c.now.Add(10 * tickInterval)
--- a/gateway/listing.go
+++ b/gateway/listing.go
@@ -15,8 +15,9 @@
 	servers map[state.BackendID]fleet.Server
 	// revisions tell which of two lives at one address is the later one.
 	revisions map[state.BackendID]uint64
-	// changed is when the list last did.
+	// changed is when the list last did, and stale whether that is not published yet.
 	changed time.Time
+	stale   bool
 	// recovered is when the store last answered after a while without.
 	recovered time.Time
 	// missing are servers that are no longer listed, but may only have lapsed, and
@@ -87,8 +88,7 @@
 		}
 	}
 	p.c.view.listed = true
-	p.changed = p.c.now
-	p.regroup()
+	p.stale = true
 }
 
 // answeredAgain notes when the store answered again after a while without.
@@ -109,15 +109,20 @@
 	}
 }
 
-// tick takes off the list what has been missing for too long.
+// tick takes off the list what has been missing for too long, and publishes it if it
+// has changed: once for all changes that came together.
 func (p *listingPart) tick() {
 	for id, until := range p.missing {
 		if !p.c.now.Before(until) {
 			p.gone(id)
-			p.changed = p.c.now
-			p.regroup()
+			p.stale = true
 		}
 	}
+	if p.stale {
+		p.stale = false
+		p.changed = p.c.now
+		p.regroup()
+	}
 }
 
 func (p *listingPart) seen(s fleet.Server) {
