Tell one request's story from the logs of several daemons

Cause: an engineer on call had to pick the lines of an id, and by hand look up what its daemon believed of the configuration, the store and each server of the path.

Change: package explain reads the logs; hibiscusctl explain prints the steps, what the daemon went by at each and how long it had known it, what other daemons saw of the same server, and a cause. Specs play a stream that is cut by a dark hop, a request that may run once whose answer is lost, and a refusal with the store away, and find each cause from the logs alone.

--- /dev/null
+++ b/cmd/hibiscusctl/explain.go
@@ -0,0 +1,62 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"os"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/hibiscuswick/hibiscuswick/explain"
+)
+
+const argLogs = "logs"
+
+func explainCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "explain",
+		Usage:     "tell one request's story from the logs of several daemons, and its cause",
+		ArgsUsage: "LOG... (- for standard input)",
+		Arguments: []cli.Argument{&cli.StringArgs{Name: argLogs, Min: 0, Max: -1}},
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "request", Usage: "`ID` of the caller's attempt", Required: true},
+			&cli.BoolFlag{Name: "json", Usage: "write the story as JSON"},
+		},
+		Action: explainRequest,
+	}
+}
+
+func explainRequest(_ context.Context, cmd *cli.Command) error {
+	paths := cmd.StringArgs(argLogs)
+	if len(paths) == 0 {
+		return fail(exitBadInput, "which logs? - is standard input")
+	}
+	var log explain.Log
+	for _, path := range paths {
+		if err := readLog(&log, path); err != nil {
+			return fail(exitBadInput, "%s: %v", path, err)
+		}
+	}
+	story, err := log.Find(cmd.String("request"))
+	if err != nil {
+		return fail(exitFailed, "%v; %d lines were of no daemon", err, log.Other)
+	}
+	if cmd.Bool("json") {
+		return json.NewEncoder(cmd.Writer).Encode(story)
+	}
+	return story.WriteText(cmd.Writer)
+}
+
+func readLog(log *explain.Log, path string) error {
+	var in io.Reader = os.Stdin
+	if path != "-" {
+		file, err := os.Open(path)
+		if err != nil {
+			return err
+		}
+		defer func() { _ = file.Close() }()
+		in = file
+	}
+	return log.Read(in)
+}
--- a/cmd/hibiscusctl/main.go
+++ b/cmd/hibiscusctl/main.go
@@ -45,6 +45,7 @@
 			statusCommand(),
 			drainCommand(),
 			replayCommand(),
+			explainCommand(),
 			measureCommand(),
 		},
 		// The code comes from the error, below.
--- /dev/null
+++ b/explain/explain_test.go
@@ -0,0 +1,121 @@
+package explain
+
+import (
+	"bytes"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/hibiscuswick/hibiscuswick/telemetry"
+)
+
+// Stories are made of events by their names: each is one that daemons write.
+func TestEventsAreInTheCatalogue(t *testing.T) {
+	names := append([]string{
+		eventSent, eventRefused, eventFailed, eventAnswered, eventLate, eventImplicated, eventQuarantined,
+		eventHopSilent, eventPathRefused, eventConfig, eventStoreLost, eventStoreBack, eventSource, eventStarted, eventDrain,
+	}, serverEvents...)
+	for _, name := range names {
+		if !slices.ContainsFunc(telemetry.Events(), func(e telemetry.EventInfo) bool { return e.Name == name }) {
+			t.Errorf("no daemon writes %s", name)
+		}
+	}
+}
+
+func read(t *testing.T, lines ...string) *Log {
+	t.Helper()
+	var log Log
+	if err := log.Read(strings.NewReader(strings.Join(lines, "\n"))); err != nil {
+		t.Fatal(err)
+	}
+	return &log
+}
+
+const (
+	sent   = `{"time":"2026-01-01T00:00:10Z","daemon":"g1","event":"request_sent","request":"r","address":"a:1","detail":"a:1=0-4 b:1=4-8","count":1,"version":7}`
+	silent = `{"time":"2026-01-01T00:00:11Z","daemon":"g1","event":"hop_silent","request":"r","backend":"b1","address":"b:1"}`
+	failed = `{"time":"2026-01-01T00:00:12Z","daemon":"g1","event":"request_failed","request":"r","detail":"retry_budget","count":1,"seconds":2}`
+)
+
+// A server dies. Two daemons find it dead, and a stream of one of them is cut: the
+// server failed, not the daemon.
+func TestOtherDaemonsTellAServersDeathFromACutDaemon(t *testing.T) {
+	other := `{"time":"2026-01-01T00:00:11.5Z","daemon":"g2","event":"backend_dead","backend":"b1","address":"b:1"}`
+	for _, c := range []struct {
+		name  string
+		lines []string
+		want  string
+	}{
+		{"seen by another", []string{sent, silent, other, failed}, "1 other daemons found it dead"},
+		{"seen by this one only", []string{sent, silent, failed}, "no other daemon saw that"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s, err := read(t, c.lines...).Find("r")
+			if err != nil {
+				t.Fatal(err)
+			}
+			if s.Cause.Kind != KindHopDied || !strings.Contains(s.Cause.Summary, c.want) {
+				t.Fatalf("got %+v", s.Cause)
+			}
+		})
+	}
+}
+
+func TestBeliefsAreThoseOfTheDaemonBeforeTheStep(t *testing.T) {
+	log := read(t,
+		`{"time":"2026-01-01T00:00:09Z","daemon":"g1","event":"document_applied","version":7}`,
+		`{"time":"2026-01-01T00:00:09.5Z","daemon":"g2","event":"document_applied","version":8}`,
+		`{"time":"2026-01-01T00:00:08Z","daemon":"g1","event":"backend_joined","backend":"b1","address":"b:1"}`,
+		`{"time":"2026-01-01T00:00:09Z","daemon":"g1","event":"backend_leaving","backend":"b1"}`,
+		`{"time":"2026-01-01T00:00:13Z","daemon":"g1","event":"document_applied","version":9}`,
+		sent, failed)
+	s, err := log.Find("r")
+	if err != nil {
+		t.Fatal(err)
+	}
+	beliefs := s.Steps[0].Beliefs
+	if len(beliefs) != 2 || beliefs[0].Line.Version != 7 || beliefs[0].Age.Seconds() != 1 || beliefs[1].Line.Event != eventLeaving {
+		t.Fatalf("got %+v", beliefs)
+	}
+	var b bytes.Buffer
+	if err := s.WriteText(&b); err != nil {
+		t.Fatal(err)
+	}
+	if !strings.Contains(b.String(), "known for 1s") || !strings.Contains(b.String(), "cause: ") {
+		t.Fatalf("got %s", b.String())
+	}
+}
+
+func TestReadPassesOverWhatIsNoLogLine(t *testing.T) {
+	log := read(t, "built in 3 s", "{broken", `{"a":1}`, "  10.0 node "+sent)
+	if len(log.Lines) != 1 || log.Other != 3 {
+		t.Fatalf("%d lines, %d others", len(log.Lines), log.Other)
+	}
+	if _, err := log.Find("nobody"); err == nil {
+		t.Fatal("a story of a request that no line names")
+	}
+}
+
+// No log makes the reader or a story fail.
+func FuzzFind(f *testing.F) {
+	f.Add([]byte(sent + "\n" + silent + "\n" + failed))
+	f.Add([]byte("{}\n" + `{"time":"2026-01-01T00:00:10Z","event":"request_refused","request":"r","detail":"no_configuration"}`))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		var log Log
+		if err := log.Read(bytes.NewReader(b)); err != nil {
+			return
+		}
+		for _, line := range log.Lines {
+			if line.Request == "" {
+				continue
+			}
+			s, err := log.Find(line.Request)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if err := s.WriteText(&bytes.Buffer{}); err != nil {
+				t.Fatal(err)
+			}
+		}
+	})
+}
--- a/gateway/fake_test.go
+++ b/gateway/fake_test.go
@@ -310,6 +310,7 @@
 	leases  *table
 	gateway *gateway.Gateway
 	grace   time.Duration
+	log     *telemetry.Log
 }
 
 const patience = 20 * time.Second
@@ -318,7 +319,12 @@
 
 // newRigWith has gateways whose planned stops take grace at most.
 func newRigWith(grace time.Duration) *rig {
-	r := &rig{grace: grace, configs: newFeed[*fleet.Config](), listed: newFeed[fleet.Server](), members: newTable(), leases: newTable()}
+	return newRigLogging(grace, telemetry.Discard())
+}
+
+// newRigLogging has gateways that write to a log.
+func newRigLogging(grace time.Duration, log *telemetry.Log) *rig {
+	r := &rig{log: log, grace: grace, configs: newFeed[*fleet.Config](), listed: newFeed[fleet.Server](), members: newTable(), leases: newTable()}
 	r.servers = &servers{dead: make(map[string]bool), listed: r.listed}
 	r.servers.stream = func(c backend.Call, out *io.PipeWriter) { events(out, c.After, 5) }
 	r.servers.plain = func(backend.Call) (*backend.Answer, error) { return answer(http.StatusOK, "ok"), nil }
@@ -337,7 +343,7 @@
 		ID: id, Domain: "a", Front: "front-" + string(id), Peers: freeAddress(), Grace: r.grace,
 		AddressesValid: 5 * time.Second, BudgetRatio: 0.2, BudgetWindow: 10 * time.Second, BudgetSlack: 100,
 	}, gateway.Site{Configs: configs, Servers: servers, Members: r.members, Leases: r.leases},
-		r.servers, telemetry.Discard(), telemetry.NewMetrics())
+		r.servers, r.log, telemetry.NewMetrics())
 	Expect(err).NotTo(HaveOccurred())
 	g.Run()
 	DeferCleanup(g.Close)
