--- a/cmd/hibiscusd/gateway.go
+++ b/cmd/hibiscusd/gateway.go
@@ -71,7 +71,7 @@
 	}
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
-	go d.Follow(func() (gateway.Settings, error) { return loadGateway(cmd) }, hup)
+	go d.Gateway().FollowSettings(func() (gateway.Settings, error) { return loadGateway(cmd) }, hup)
 	term := make(chan os.Signal, 1)
 	signal.Notify(term, syscall.SIGTERM, os.Interrupt)
 	stop := make(chan struct{})
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -112,11 +112,6 @@
 	return nil
 }
 
-// Refused notes that changed settings can't be used.
-func (g *Gateway) Refused(err error) {
-	g.log.Emit(telemetry.EventSettingsRefused, telemetry.Cause(err))
-}
-
 // Run begins to follow the site and to take part among the gateways.
 func (g *Gateway) Run() {
 	ctx, cancel := context.WithCancel(context.Background())
