Show what a gateway goes by, and how current it is

Cause: an engineer on call could not see a running gateway's layout, cover, lease or configuration, nor how old its view is, how much room and how many retries are left.

Change: /status beside /metrics, hibiscusctl inspect as a table or JSON, gauges for the age of configuration and servers, waiting requests, retries left, room used and the process's memory. No caller's key is in it. A request that waits for a path is tried once before it counts as waiting.

--- /dev/null
+++ b/cmd/hibiscusctl/inspect.go
@@ -0,0 +1,141 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"net/http"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/hibiscuswick/hibiscuswick/gateway"
+)
+
+const (
+	argOperators = "address"
+	// inspectTimeout bounds the question: a gateway answers within milliseconds.
+	inspectTimeout = 5 * time.Second
+	// mostStatus bounds the answer, in bytes: 12,000 servers of some 200.
+	mostStatus = 16 << 20
+)
+
+func inspectCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "inspect",
+		Usage:     "show what a gateway goes by: layout and cover, configuration, lease, members",
+		ArgsUsage: "HOST:PORT (where its counters are)",
+		Arguments: []cli.Argument{&cli.StringArg{Name: argOperators}},
+		Flags:     []cli.Flag{&cli.BoolFlag{Name: flagJSON, Usage: "print the answer as JSON"}},
+		Action:    inspect,
+	}
+}
+
+func inspect(ctx context.Context, cmd *cli.Command) error {
+	address := cmd.StringArg(argOperators)
+	if address == "" {
+		return fail(exitBadInput, "which gateway?")
+	}
+	if err := noMore(cmd); err != nil {
+		return err
+	}
+	s, err := askStatus(ctx, address)
+	if err != nil {
+		return fail(exitFailed, "%v", err)
+	}
+	if cmd.Bool(flagJSON) {
+		e := json.NewEncoder(cmd.Writer)
+		e.SetIndent("", "  ")
+		return e.Encode(s)
+	}
+	printGateway(cmd.Writer, s)
+	return nil
+}
+
+func askStatus(ctx context.Context, address string) (*gateway.Status, error) {
+	ctx, cancel := context.WithTimeout(ctx, inspectTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/status", nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("%s: %s", address, resp.Status)
+	}
+	var s gateway.Status
+	if err := json.NewDecoder(io.LimitReader(resp.Body, mostStatus)).Decode(&s); err != nil {
+		return nil, fmt.Errorf("%s: %w", address, err)
+	}
+	return &s, nil
+}
+
+func printGateway(out io.Writer, s *gateway.Status) {
+	printf(out, "gateway %s, ready %t, draining %t, %d streams\n", s.Daemon, s.Ready, s.Draining, s.Streams)
+	printf(out, "configuration version %d, current %.1f s ago, %s\n", s.Config.Version, s.Config.Age, s.Config.Source)
+	printf(out, "servers current %.1f s ago, %s\n", s.Servers.Age, s.Servers.Source)
+	if s.Lease.Held {
+		printf(out, "orders layers, fencing number %d, %d orders under way\n", s.Lease.Fence, s.Lease.Orders)
+	}
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	printf(w, "\nMEMBER\tSTATE\tDRAINING\tDOMAIN\tADDRESS\n")
+	for _, m := range s.Members {
+		printf(w, "%s\t%s\t%t\t%s\t%s\n", m.ID, m.State, m.Draining, m.Domain, m.Address)
+	}
+	_ = w.Flush()
+	for i := range s.Services {
+		printService(out, &s.Services[i])
+	}
+}
+
+func printService(out io.Writer, s *gateway.ServiceStatus) {
+	printf(out, "\nservice %s, %d retries left\n", s.ID, s.RetriesLeft)
+	if s.Layers > 0 {
+		printf(out, "%d layers, %d held by none; whole in %v; copies %s\n", s.Layers, s.Uncovered, s.Whole, copies(s.Copies))
+	}
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	printf(w, "SERVER\tADDRESS\tDOMAIN\tKIND\tLAYERS\tSTATE\tREQUESTS\tTOKENS\tROOM\n")
+	for i := range s.Servers {
+		r := &s.Servers[i]
+		printf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%.0f\t%.0f\t%d\n", r.ID, r.Address, r.Domain, r.Kind, r.Layers, serverState(r), r.Requests, r.Tokens, r.Room)
+	}
+	_ = w.Flush()
+}
+
+func serverState(s *gateway.ServerStatus) string {
+	switch {
+	case s.Dead:
+		return "dead"
+	case s.Draining:
+		return "leaving"
+	case s.Avoided:
+		return "avoided"
+	default:
+		return "used"
+	}
+}
+
+// copies gives "0-15:2 15-30:3".
+func copies(runs map[string]int) string {
+	parts := make([]string, 0, len(runs))
+	for _, run := range slices.SortedFunc(maps.Keys(runs), byFirstLayer) {
+		parts = append(parts, fmt.Sprintf("%s:%d", run, runs[run]))
+	}
+	return strings.Join(parts, " ")
+}
+
+func byFirstLayer(a, b string) int {
+	var x, y int
+	_, _ = fmt.Sscanf(a, "%d", &x) // a gateway's own ranges
+	_, _ = fmt.Sscanf(b, "%d", &y)
+	return x - y
+}
--- a/cmd/hibiscusctl/main.go
+++ b/cmd/hibiscusctl/main.go
@@ -46,6 +46,7 @@
 			drainCommand(),
 			replayCommand(),
 			explainCommand(),
+			inspectCommand(),
 			measureCommand(),
 		},
 		// The code comes from the error, below.
--- a/coordination/following/following.go
+++ b/coordination/following/following.go
@@ -232,6 +232,22 @@
 	h.at, h.age, h.failing = now, t.Age+took-h.shortest, t.Failing
 }
 
+// Age is how long ago the feed was last known to be whole, by the store's answer to
+// this daemon or to a follower whose last change is known here.
+func (m *Machine) Age(now time.Time) time.Duration {
+	age := now.Sub(m.born)
+	if !m.answered.IsZero() {
+		age = now.Sub(m.answered)
+	}
+	if !m.known || !m.behind.IsZero() {
+		return age
+	}
+	for _, h := range m.heard {
+		age = min(age, now.Sub(h.at)+h.age)
+	}
+	return age
+}
+
 // Tell returns what this daemon is to tell the others now, if it is to. Rows and
 // After are the caller's.
 func (m *Machine) Tell(now time.Time) (Told, bool) {
--- a/coordination/following/tree.go
+++ b/coordination/following/tree.go
@@ -11,8 +11,8 @@
 
 // Next lists the daemons that this one passes a follower's word on to, or none if
 // the follower is not known. A word crosses to each other failure domain once, to
-// that domain's head, and goes down a tree within each, since bytes between domains are
-// paid for.
+// that domain's head, and goes down a tree within each: 18 MB between three domains for 100
+// daemons before 998 servers in 41 s, 70 MB with one tree over all.
 func (m *Machine) Next(root state.DaemonID) []state.DaemonID {
 	home, known := m.domain(root)
 	mine, here := m.domain(m.self.ID)
--- a/coordination/layering/layering.go
+++ b/coordination/layering/layering.go
@@ -158,6 +158,12 @@
 	return now.Before(m.until)
 }
 
+// Fence is the fencing number of the lease that is held, or was last.
+func (m *Machine) Fence() state.FencingNumber { return m.fence }
+
+// UnderWay counts the orders that engines are carrying out, as far as is known.
+func (m *Machine) UnderWay() int { return len(m.pending) }
+
 // Step takes in one event and gives what is to be done about it.
 func (m *Machine) Step(now time.Time, ev Event) []Action {
 	m.now, m.out = now, nil
--- a/coordination/retrybudget/budget.go
+++ b/coordination/retrybudget/budget.go
@@ -59,6 +59,16 @@
 // Spend takes one retry from the budget of a service, if there is one left. members
 // is how many daemons share the slack.
 func (b *Budget) Spend(now time.Time, svc state.ServiceID, members int) bool {
+	if b.Left(now, svc, members) < 1 {
+		return false
+	}
+	w := b.window(now, svc)
+	w.retries[w.slice%int64(len(w.retries))]++
+	return true
+}
+
+// Left is how many retries Spend would still give now.
+func (b *Budget) Left(now time.Time, svc state.ServiceID, members int) int {
 	w := b.window(now, svc)
 	requests, retries := 0, 0
 	oldest := (w.slice + 1) % int64(len(w.requests))
@@ -69,11 +79,7 @@
 		}
 	}
 	allowed := b.cfg.Ratio*float64(requests) + b.cfg.Slack*(1-reserve)/float64(max(members, 1))
-	if float64(retries+1) > allowed {
-		return false
-	}
-	w.retries[w.slice%int64(len(w.retries))]++
-	return true
+	return max(0, int(allowed)-retries)
 }
 
 // window returns a service's counts with the slices that have passed cleared.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -52,6 +52,7 @@
 	peers   net.Listener
 
 	active    atomic.Int64 // requests under way
+	waiting   atomic.Int64 // of those, for a server or a path
 	born      time.Time    // zero of steady
 	draining  atomic.Int64 // when a planned stop began, in steady ns; 0 for none
 	following context.CancelFunc
--- a/gateway/gauges.go
+++ b/gateway/gauges.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	rtmetrics "runtime/metrics"
 	"time"
 
 	"github.com/hibiscuswick/hibiscuswick/state/fleet"
@@ -27,12 +28,39 @@
 	m.Set(telemetry.DeadServers, float64(dead))
 	m.Set(telemetry.LiveMembers, float64(v.live))
 	m.SetFlag(telemetry.Draining, v.draining)
+	m.Set(telemetry.ConfigAge, p.c.configs.m.Age(p.c.now).Seconds())
+	m.Set(telemetry.ServersAge, p.c.entries.m.Age(p.c.now).Seconds())
+	m.Set(telemetry.WaitingRequests, float64(p.c.g.waiting.Load()))
+	m.Set(telemetry.ProcessMemory, processMemory())
 	if v.config != nil {
 		m.Set(telemetry.ConfigVersion, float64(v.config.Version))
 		m.Set(telemetry.UncoveredLayers, float64(uncovered(v)))
+		p.services(v)
 	}
 }
 
+// services sets the gauges of each service.
+func (p *gauges) services(v *view) {
+	for _, s := range p.c.g.book.services(p.c.now, v) {
+		p.c.g.metrics.SetService(telemetry.RetriesLeft, s.ID, float64(s.RetriesLeft))
+		tokens, room := 0.0, 0
+		for i := range s.Servers {
+			tokens += s.Servers[i].Tokens
+			room += s.Servers[i].Room
+		}
+		if room > 0 {
+			p.c.g.metrics.SetService(telemetry.RoomUsed, s.ID, tokens*float64(max(v.live, 1))/float64(room))
+		}
+	}
+}
+
+// processMemory is what the process has from the system and has not given back.
+func processMemory() float64 {
+	samples := []rtmetrics.Sample{{Name: "/memory/classes/total:bytes"}, {Name: "/memory/classes/heap/released:bytes"}}
+	rtmetrics.Read(samples)
+	return float64(samples[0].Value.Uint64() - samples[1].Value.Uint64())
+}
+
 // uncovered counts the layers that no listed server holds.
 func uncovered(v *view) int {
 	n := 0
--- a/gateway/wait.go
+++ b/gateway/wait.go
@@ -25,16 +25,19 @@
 		from = r.pauses.last // a caller waits for the next event as for the first
 	}
 	until := from.Add(min(part, holdMost))
-	for {
+	if try() {
+		return true
+	}
+	r.g.waiting.Add(1)
+	defer r.g.waiting.Add(-1)
+	for time.Now().Before(until) && ctx.Err() == nil {
+		pause(ctx, holdStep)
+		r.view = r.g.current.Load()
 		if try() {
 			return true
 		}
-		if !time.Now().Before(until) || ctx.Err() != nil {
-			return false
-		}
-		pause(ctx, holdStep)
-		r.view = r.g.current.Load()
 	}
+	return false
 }
 
 // watchFirst cancels an attempt whose answer does not begin in usual time, if the
--- a/state/fleet/server.go
+++ b/state/fleet/server.go
@@ -17,6 +17,9 @@
 // Len is the number of layers in r.
 func (r Range) Len() int { return r.To - r.From }
 
+// String gives the range as FROM-TO, TO exclusive.
+func (r Range) String() string { return strconv.Itoa(r.From) + "-" + strconv.Itoa(r.To) }
+
 // Server is one life of one backend server, as it lists itself.
 type Server struct {
 	ID       state.BackendID // of this life; a restart has another
--- a/telemetry/counter.go
+++ b/telemetry/counter.go
@@ -85,6 +85,12 @@
 	UncoveredLayers Name = "uncovered_layers"
 	Draining        Name = "draining"
 	Isolated        Name = "isolated"
+	ConfigAge       Name = "config_age_seconds"
+	ServersAge      Name = "servers_age_seconds"
+	WaitingRequests Name = "waiting_requests"
+	RetriesLeft     Name = "retries_left"
+	RoomUsed        Name = "room_used"
+	ProcessMemory   Name = "process_memory_bytes"
 )
 
 // Histograms, in seconds.
@@ -187,6 +193,12 @@
 	{DeadServers, KindGauge, nil, "Backend servers that answered no probe of this gateway and are avoided."},
 	{UncoveredLayers, KindGauge, nil, "Layers that no listed backend server holds, over all services."},
 	{Draining, KindGauge, nil, "1 while a planned stop is under way."},
+	{ConfigAge, KindGauge, nil, "Time since this gateway's configuration was known to be the newest, in seconds."},
+	{ServersAge, KindGauge, nil, "The same for the list of backend servers."},
+	{WaitingRequests, KindGauge, nil, "Requests that wait at this gateway for a server or a path to be there."},
+	{RetriesLeft, KindGauge, byService, "Retries that this gateway's part of the budget still allows."},
+	{RoomUsed, KindGauge, byService, "Share of its engines' room for tokens that this gateway's requests hold, times the live gateways."},
+	{ProcessMemory, KindGauge, nil, "Memory that the process has from the system, in bytes."},
 	{Isolated, KindGauge, nil, "1 while the daemon can't know that its documents are current."},
 
 	{FrontRefused, KindCounter, nil, "Requests that the HTTP front refused itself: malformed, or over one of its bounds."},
