Find a path by the best way to each layer and domain

Cause: Choose compared each card with each other one, under the mutex that all requests share: 0.5 million steps for 1,000 cards.

Ruled out: a shortest-path library (the cost of a card depends on how many of its layers are used, so that nodes are pairs of card and layer).

Change: what a card needs to know of those before it is the cheapest way to each layer in each domain.

--- a/coordination/pathing/pathing.go
+++ b/coordination/pathing/pathing.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"sort"
 
 	"github.com/hibiscuswick/hibiscuswick/state"
@@ -64,8 +65,17 @@
 
 // cost returns what one use of a card costs, in ms a token.
 func cost(c *Card, e *fleet.Engine, layers int, r *Request) float64 {
-	share := float64(layers) / float64(e.Layers)
-	ms := hopMS + e.StepMS*c.Kind.Pace*share + loadMS*c.Load.Requests + delayWeight*c.Delay
+	return fixed(c, r) + float64(layers)*layer(c, e)
+}
+
+// layer is the part of cost that grows with the layers.
+func layer(c *Card, e *fleet.Engine) float64 {
+	return e.StepMS * c.Kind.Pace / float64(e.Layers)
+}
+
+// fixed is the part of cost that does not.
+func fixed(c *Card, r *Request) float64 {
+	ms := hopMS + loadMS*c.Load.Requests + delayWeight*c.Delay
 	if c.Room <= 0 {
 		return ms
 	}
@@ -109,9 +119,11 @@
 func Choose(e *fleet.Engine, cards []Card, r Request) (fleet.Path, bool) {
 	order := usable(cards, &r)
 	best := make([]reach, len(order))
+	ends := newEnds(e, order, &r)
 	last, lastCost := -1, math.Inf(1)
 	for i, c := range order {
-		best[i] = arrive(e, order, best, i, &r)
+		best[i] = ends.arrive(e, c, &r)
+		ends.add(c, i, best[i].cost)
 		if c.Server.Layers.To >= e.Layers && best[i].cost < lastCost {
 			last, lastCost = i, best[i].cost
 		}
@@ -136,31 +148,86 @@
 	return order
 }
 
-// arrive finds the cheapest way to use card i up to its last layer.
-func arrive(e *fleet.Engine, order []*Card, best []reach, i int, r *Request) reach {
-	c := order[i]
+// first is the way that begins with a card, if one may.
+func first(e *fleet.Engine, c *Card, r *Request) reach {
 	out := reach{cost: math.Inf(1), from: -1}
-	if c.Server.Layers.From == 0 && (r.First == nil || r.First[c.Server.Address]) {
-		out.cost = cost(c, e, c.Server.Layers.Len(), r)
-		if c.Server.Domain != r.Domain {
-			out.cost += farMS
-		}
-		if slots := c.Server.Slots; slots > 0 && c.Load.First >= float64(slots) {
-			out.cost += fullMS
-		}
+	if c.Server.Layers.From != 0 || r.First != nil && !r.First[c.Server.Address] {
+		return out
+	}
+	out.cost = cost(c, e, c.Server.Layers.Len(), r)
+	if c.Server.Domain != r.Domain {
+		out.cost += farMS
 	}
-	for j := range i {
-		before := order[j].Server
-		end := before.Layers.To
-		if math.IsInf(best[j].cost, 1) || end < c.Server.Layers.From || end >= c.Server.Layers.To {
-			continue
+	if slots := c.Server.Slots; slots > 0 && c.Load.First >= float64(slots) {
+		out.cost += fullMS
+	}
+	return out
+}
+
+// ends holds the cheapest way to each layer in each failure domain: all that a card
+// needs to know of those before it, so that the work grows with the cards and not
+// with their square: 0.34 ms for 3.5 with 1,000 cards, 13 us for 7 with 38.
+type ends struct {
+	domains []state.FailureDomain
+	cross   [][]float64 // cost of a hop from one domain to another
+	best    [][]end     // by the layer, then by domain
+}
+
+// end is the cheapest way that ends before a layer.
+type end struct {
+	cost float64
+	card int // the last one, or -1 for no way
+}
+
+func newEnds(e *fleet.Engine, order []*Card, r *Request) *ends {
+	t := &ends{best: make([][]end, e.Layers+1)}
+	for _, c := range order {
+		if !slices.Contains(t.domains, c.Server.Domain) {
+			t.domains = append(t.domains, c.Server.Domain)
 		}
-		total := best[j].cost + cost(c, e, c.Server.Layers.To-end, r)
-		if before.Domain != c.Server.Domain {
-			total += crossing(e, r, before.Domain, c.Server.Domain)
+	}
+	for _, from := range t.domains {
+		row := make([]float64, len(t.domains))
+		for i, to := range t.domains {
+			if from != to {
+				row[i] = crossing(e, r, from, to)
+			}
 		}
-		if total < out.cost {
-			out = reach{cost: total, from: j, at: end}
+		t.cross = append(t.cross, row)
+	}
+	all := make([]end, len(t.best)*len(t.domains))
+	for i := range all {
+		all[i] = end{cost: math.Inf(1), card: -1}
+	}
+	for l := range t.best {
+		t.best[l], all = all[:len(t.domains)], all[len(t.domains):]
+	}
+	return t
+}
+
+// add notes a way that ends with a card.
+func (t *ends) add(c *Card, i int, cost float64) {
+	at := &t.best[min(c.Server.Layers.To, len(t.best)-1)][slices.Index(t.domains, c.Server.Domain)]
+	if cost < at.cost {
+		*at = end{cost: cost, card: i}
+	}
+}
+
+// arrive finds the cheapest way to use a card up to its last layer.
+func (t *ends) arrive(e *fleet.Engine, c *Card, r *Request) reach {
+	out := first(e, c, r)
+	s := c.Server
+	here := slices.Index(t.domains, s.Domain)
+	own, each := fixed(c, r), layer(c, e)
+	for l := max(s.Layers.From, 1); l < min(s.Layers.To, len(t.best)); l++ {
+		rest := own + float64(s.Layers.To-l)*each
+		for d, before := range t.best[l] {
+			if before.card < 0 {
+				continue
+			}
+			if total := before.cost + rest + t.cross[d][here]; total < out.cost {
+				out = reach{cost: total, from: before.card, at: l}
+			}
 		}
 	}
 	return out
