Take out dead settings; keep descriptors for servers

Cause: five settings and two fields of an engine were filled and never read. One of them, the descriptors, is a bound that nothing held: callers could take all of them, and leave none to reach servers by.

Change: 0.6 of the descriptors are for callers at a port, the rest of them wait. The other fields are gone.

--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -21,17 +21,12 @@
 	Metrics   string // where counters are read; "" for nowhere
 
 	MemoryMB    int // beyond which the process is ended
-	Descriptors int
+	Descriptors int // open at one time; 0 for no bound
 
 	Grace          time.Duration // from a planned stop's signal to its end
 	AddressesValid time.Duration // longest time that callers keep an answer
-	LeavingBound   time.Duration // after which a leaving server may get no request
-	ConfigBound    time.Duration // after which a configuration must be in force
-	Stall          time.Duration // after which an engine gives up waiting for a hop
 
 	BudgetRatio  float64 // retries for each request
 	BudgetWindow time.Duration
 	BudgetSlack  float64 // retries of all daemons in a window, beyond the ratio
-
-	ListingHeartbeat time.Duration // of backend servers in their list
 }
--- a/state/fleet/config.go
+++ b/state/fleet/config.go
@@ -113,7 +113,6 @@
 type Engine struct {
 	Layers     int
 	LayerMB    float64 // of memory for the weights of one layer
-	Slots      int     // requests that an engine takes as the first of a path
 	KVTokens   int     // tokens that an engine is meant to hold at one time
 	TokenKB    float64 // of KV cache for one token in all layers
 	ActivateKB float64 // of activations for one token at each hop
@@ -121,7 +120,6 @@
 	StepMS     float64 // of one token step through all layers at pace 1
 	ReadPerS   float64 // prompt tokens a second through all layers at pace 1
 	LoadTime   time.Duration
-	Stall      time.Duration // after which an engine gives up waiting for a dead hop
 	Kinds      map[string]CardKind
 }
 
--- a/transport/inbound/doc.go
+++ b/transport/inbound/doc.go
@@ -14,4 +14,6 @@
 //     next request loses it.
 //   - A caller sends an endless header: it gets 431, and no more than MaxHeader bytes
 //     are kept.
+//   - More callers connect than the process has descriptors for: those beyond a share
+//     wait, so that the others are still answered.
 package inbound
--- a/transport/inbound/inbound_test.go
+++ b/transport/inbound/inbound_test.go
@@ -18,6 +18,9 @@
 	"github.com/hibiscuswick/hibiscuswick/transport/inbound"
 )
 
+// descriptors leaves room for 1,200 callers.
+const descriptors = 2000
+
 const request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
 
 var _ = Describe("A daemon's ports", func() {
@@ -31,7 +34,7 @@
 		var err error
 		address, err = freeport.Address()
 		Expect(err).NotTo(HaveOccurred())
-		ports := inbound.New(func() inbound.Limits { return *limits.Load() })
+		ports := inbound.New(func() inbound.Limits { return *limits.Load() }, descriptors)
 		Expect(ports.Open(address, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 			_, _ = io.WriteString(w, "ok")
 		}))).To(Succeed())
@@ -111,6 +114,20 @@
 		Expect(resp.StatusCode).To(Equal(http.StatusRequestHeaderFieldsTooLarge))
 	})
 
+	// More callers connect than the process can hold. It still reaches its servers,
+	// and the callers beyond its share are answered as others end.
+	It("let callers wait beyond their share of descriptors", Label("failure:flood-of-callers"), func() {
+		const share = 1200
+		limits.Store(&inbound.Limits{Header: 700 * time.Millisecond, Idle: time.Second})
+		for range share {
+			_, err := io.WriteString(dial(), "GET")
+			Expect(err).NotTo(HaveOccurred())
+		}
+		began := time.Now()
+		ask(dial())
+		Expect(time.Since(began)).To(BeNumerically(">", 200*time.Millisecond), "it waited for one of the slow ones to be closed")
+	})
+
 	// Many callers open connections and send half a header. Others are served
 	// meanwhile, and what the slow ones hold is given back.
 	It("serve others beside many slow callers", Label("failure:half-a-header"), func() {
--- a/transport/inbound/ports.go
+++ b/transport/inbound/ports.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"golang.org/x/net/netutil"
 	"golang.org/x/sync/errgroup"
 )
 
@@ -16,18 +17,25 @@
 	MaxHeader = 64 << 10
 	// closeWait is how long answers under way have when the ports are closed.
 	closeWait = 50 * time.Millisecond
+	// callersShare is the part of a process's descriptors that callers may take. The
+	// rest is for backend servers, of which 998 took 995 connections, other daemons and
+	// the store: without it a flood of callers leaves none to answer them by.
+	callersShare = 0.6
 )
 
 // Ports are a daemon's HTTP ports.
 type Ports struct {
 	limits  func() Limits
+	most    int // connections at one port; 0 for no bound
 	servers []*http.Server
 	ports   []net.Listener
 }
 
 // New returns no ports yet. limits is asked whenever a connection begins to wait.
-func New(limits func() Limits) *Ports {
-	return &Ports{limits: limits}
+// descriptors is how many the process may have open, 0 for no bound: connections
+// beyond a port's part wait until one of it ends.
+func New(limits func() Limits, descriptors int) *Ports {
+	return &Ports{limits: limits, most: int(callersShare * float64(descriptors))}
 }
 
 // Open listens on address, host:port. Requests are served from Serve on.
@@ -36,6 +44,9 @@
 	if err != nil {
 		return err
 	}
+	if p.most > 0 {
+		l = netutil.LimitListener(l, p.most)
+	}
 	p.ports = append(p.ports, &listener{Listener: l, limits: p.limits})
 	p.servers = append(p.servers, &http.Server{
 		Handler:           h,
