--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -29,12 +28,6 @@
 	firstShare = 2
 )
 
-// eventEnd separates events.
-var eventEnd = []byte("\n\n")
-
-// eventID begins the line with an event's id.
-var eventID = []byte("id:")
-
 // stream passes one answer's events on, whole ones only, so that another engine's
 // events can follow the last one.
 type stream struct {
@@ -45,7 +38,7 @@
 
 	watch  *suspect.Stream
 	timer  *time.Timer
-	held   []byte
+	frames frames
 	events int
 	last   atomic.Int64 // when the last event came, in steady ns
 	lost   atomic.Bool  // the answer was given up although all hops live
@@ -151,13 +144,10 @@
 
 // take passes on the whole events that have come.
 func (s *stream) take(b []byte) error {
-	s.held = append(s.held, b...)
-	end := bytes.LastIndex(s.held, eventEnd)
-	if end < 0 {
+	whole := s.frames.take(b)
+	if len(whole) == 0 {
 		return nil
 	}
-	end += len(eventEnd)
-	whole := s.held[:end]
 	if !s.r.headed {
 		s.r.headed = true
 		s.r.given()
@@ -177,31 +167,14 @@
 	if id, ok := lastID(whole); ok {
 		s.r.after = id
 	}
-	s.held = append(s.held[:0], s.held[end:]...)
 	s.r.g.book.progress(now, s)
 	s.arm()
 	return nil
 }
 
-// lastID finds the id of the last event that has one.
-func lastID(events []byte) (string, bool) {
-	at := bytes.LastIndex(events, eventID)
-	for at > 0 && events[at-1] != '\n' {
-		at = bytes.LastIndex(events[:at], eventID)
-	}
-	if at < 0 {
-		return "", false
-	}
-	line := events[at+len(eventID):]
-	if end := bytes.IndexByte(line, '\n'); end >= 0 {
-		line = line[:end]
-	}
-	return string(bytes.TrimSpace(line)), true
-}
-
 // ended is the end of a whole answer. One that ends within an event is not whole.
 func (s *stream) ended() (relay.End, Result) {
-	if len(s.held) > 0 {
+	if s.frames.open() {
 		return s.broken(io.ErrUnexpectedEOF)
 	}
 	if !s.r.headed {
--- /dev/null
+++ b/transport/exchange/fuzz_test.go
@@ -0,0 +1,69 @@
+package exchange_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/hibiscuswick/hibiscuswick/transport/exchange"
+)
+
+// Whatever a server answers, a body that ends without an error is as long as it was
+// said to be, another request's answer is never taken, and the call ends.
+func FuzzAnswer(f *testing.F) {
+	f.Add([]byte("HTTP/1.1 200 OK\r\nX-Id: r\r\nContent-Length: 2\r\n\r\nhi"))
+	f.Add([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\nmore"))
+	f.Add([]byte("HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 2\r\n\r\nhiHTTP/1.1 200 OK\r\nX-Id: r\r\nContent-Length: 1\r\n\r\nx"))
+	f.Add([]byte("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nshort"))
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Cleanup(func() { _ = l.Close() })
+	answers := make(chan []byte, 1)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = http.ReadRequest(bufio.NewReader(c))
+			_, _ = c.Write(<-answers)
+			_ = c.Close()
+		}
+	}()
+	f.Fuzz(func(t *testing.T, b []byte) {
+		pool := exchange.NewPool()
+		defer pool.Close()
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		answers <- b
+		resp, err := pool.Do(ctx, exchange.Request{
+			Address: l.Addr().String(), Method: http.MethodGet, Target: "/", Header: http.Header{"Host": {"h"}},
+			Mine: func(h http.Header) bool { return h.Get("X-Id") == "" || h.Get("X-Id") == "r" },
+		})
+		if err != nil {
+			return
+		}
+		defer func() { _ = resp.Body.Close() }()
+		if id := resp.Header.Get("X-Id"); id != "" && id != "r" {
+			t.Fatalf("the answer of request %q", id)
+		}
+		body, err := io.ReadAll(resp.Body)
+		if ctx.Err() != nil {
+			t.Fatal("the call did not end")
+		}
+		if err != nil {
+			return
+		}
+		if said, convErr := strconv.Atoi(resp.Header.Get("Content-Length")); convErr == nil && said != len(body) &&
+			resp.Header.Get("Transfer-Encoding") == "" && resp.Status >= 200 && resp.Status != 204 && resp.Status != 304 {
+			t.Fatalf("%d bytes of %d counted as whole", len(body), said)
+		}
+	})
+}
