Order again at once after a conflict that told the engine's number

Cause: a daemon that takes the lease over does not know how many orders each engine has begun; its first order to each is refused, the report tells the number, and it waited 0.7 s more. After an outage of the store eight engines were without layers for that time.

Ruled out: asking each engine before the first order (a call each, also where the holder has not changed).

Change: a conflict that told another number is decided anew at once; one that told nothing new, or that the engine is busy, waits as before. The spec that waited 0.8 s for the second order now wants it at once, and a new one that it waits.

--- a/coordination/layering/layering.go
+++ b/coordination/layering/layering.go
@@ -281,6 +281,14 @@
 	case Fenced:
 		// Another daemon holds a later lease: this one's has ended.
 		m.until = m.now
+	case Conflict:
+		if ev.Known && !ev.Busy && ev.Orders != p.orders {
+			// A new holder does not know how many orders each engine has begun.
+			// Now it does, and decides anew at once: a wait of orderRetry keeps
+			// callers without these layers for 0.7 s.
+			delete(m.pending, ev.Server)
+			return
+		}
 	default:
 	}
 	p.until = m.now.Add(orderRetry)
--- a/coordination/layering/layering_test.go
+++ b/coordination/layering/layering_test.go
@@ -122,16 +122,31 @@
 		Expect(again[0].Layers).To(Equal(first[0].Layers))
 	})
 
-	It("learns from a conflict how many orders the engine has begun", func() {
+	// Another daemon takes the lease over. Layers that nobody holds are ordered at
+	// once. Cause: it did not know the engines' numbers of orders, and waited 0.7 s
+	// after each had told.
+	It("learns from a conflict how many orders the engine has begun, and orders at once", func() {
 		m := settled(empty(2))
 		m.Step(at(2000), layering.Tick{})
 		first := orders(hold(m, 2010))
-		m.Step(at(2020), layering.Ordered{Server: first[0].Server.ID, End: layering.Conflict, Known: true, Orders: 3})
-		again := orders(m.Step(at(2800), layering.Tick{}))
+		again := orders(m.Step(at(2020), layering.Ordered{Server: first[0].Server.ID, End: layering.Conflict, Known: true, Orders: 3}))
 		Expect(again).To(HaveLen(1))
+		Expect(again[0].Server.ID).To(Equal(first[0].Server.ID))
 		Expect(again[0].Orders).To(Equal(uint64(3)))
 	})
 
+	It("waits after a conflict that tells nothing new", func() {
+		m := settled(empty(2))
+		m.Step(at(2000), layering.Tick{})
+		first := orders(hold(m, 2010))
+		conflict := layering.Ordered{Server: first[0].Server.ID, End: layering.Conflict, Known: true, Orders: 3}
+		m.Step(at(2020), conflict)
+		Expect(orders(m.Step(at(2030), conflict))).To(BeEmpty())
+		Expect(orders(m.Step(at(2800), layering.Tick{}))).To(HaveLen(1))
+		busy := layering.Ordered{Server: first[0].Server.ID, End: layering.Conflict, Known: true, Orders: 4, Busy: true}
+		Expect(orders(m.Step(at(2810), busy))).To(BeEmpty())
+	})
+
 	It("gives up its lease when an engine knows a higher fencing number", func() {
 		m := settled(empty(2))
 		m.Step(at(2000), layering.Tick{})
