Tell all daemons of an entry that its server has contradicted

Cause: engines that crash where the store can't be reached and start again at their addresses stay listed with the layers of their former life. Each daemon learned of each by a refusal of its own, avoided it for 0.4 s, and learned again: refusals that the retry budget pays for.

Ruled out: avoiding the address for longer (a server that is only full is refused the same way).

Change: what answers that it is another life, or lacks the layers, is not gone by as it is listed for 5 s; a changed entry counts again at once. Daemons tell each other.

--- /dev/null
+++ b/coordination/suspect/outdated.go
@@ -0,0 +1,40 @@
+package suspect
+
+import (
+	"time"
+
+	"github.com/hibiscuswick/hibiscuswick/state"
+	"github.com/hibiscuswick/hibiscuswick/state/fleet"
+)
+
+// outdatedFor is how long an entry that a server has contradicted is not gone by. A
+// server that has started again under another name leaves the list within three of
+// its heartbeats; whatever is still listed then may be true again.
+const outdatedFor = 5 * time.Second
+
+// Outdated is an entry of the list that its server has contradicted: another life is
+// at its address, or it does not hold these layers. Daemons tell each other.
+type Outdated struct {
+	Server state.BackendID `msgpack:"server"`
+	Layers fleet.Range     `msgpack:"layers"`
+}
+
+// Contradicted notes such an entry. It returns false if that was known.
+func (b *Book) Contradicted(now time.Time, o Outdated) bool {
+	for old, until := range b.outdated {
+		if !now.Before(until) {
+			delete(b.outdated, old)
+		}
+	}
+	if _, known := b.outdated[o]; known {
+		return false
+	}
+	b.outdated[o] = now.Add(outdatedFor)
+	return true
+}
+
+// Outdated reports whether a server's entry, as it is listed, has been contradicted.
+func (b *Book) Outdated(now time.Time, s *fleet.Server) bool {
+	until, ok := b.outdated[Outdated{Server: s.ID, Layers: s.Layers}]
+	return ok && now.Before(until)
+}
--- a/coordination/suspect/suspect.go
+++ b/coordination/suspect/suspect.go
@@ -21,6 +21,8 @@
 // Book is what one daemon knows. It is not safe for use by several goroutines.
 type Book struct {
 	servers map[string]*record // by address
+	// outdated are entries that are not gone by, and until when.
+	outdated map[Outdated]time.Time
 }
 
 // record is what is known of one server.
@@ -41,7 +43,7 @@
 
 // NewBook returns an empty book.
 func NewBook() *Book {
-	return &Book{servers: make(map[string]*record)}
+	return &Book{servers: make(map[string]*record), outdated: make(map[Outdated]time.Time)}
 }
 
 func (b *Book) record(now time.Time, address string) *record {
--- a/coordination/suspect/suspect_test.go
+++ b/coordination/suspect/suspect_test.go
@@ -75,4 +75,19 @@
 		b.Answered(at(1000), "a")
 		Expect(b.Avoided(at(1001))).To(BeEmpty())
 	})
+
+	It("goes by no entry that its server has contradicted, until the entry changes", func() {
+		b := suspect.NewBook()
+		s := fleet.Server{ID: "i-1", Layers: fleet.Range{From: 0, To: 4}}
+		o := suspect.Outdated{Server: s.ID, Layers: s.Layers}
+		now := time.Unix(1000, 0)
+		Expect(b.Contradicted(now, o)).To(BeTrue())
+		Expect(b.Contradicted(now, o)).To(BeFalse(), "it is told once")
+		Expect(b.Outdated(now, &s)).To(BeTrue())
+		moved := s
+		moved.Layers = fleet.Range{From: 4, To: 8}
+		Expect(b.Outdated(now, &moved)).To(BeFalse())
+		Expect(b.Outdated(now.Add(5*time.Second), &s)).To(BeFalse(), "it is still listed, and may be true again")
+		Expect(b.Contradicted(now.Add(5*time.Second), o)).To(BeTrue())
+	})
 })
--- a/gateway/book.go
+++ b/gateway/book.go
@@ -72,6 +72,9 @@
 	daemons := float64(max(v.live, 1))
 	for i := range servers {
 		s := &servers[i]
+		if b.suspects.Outdated(now, s) {
+			continue
+		}
 		kind := svc.Engine.Kinds[s.Kind]
 		load := *b.load(s.Address)
 		load.Requests *= daemons
@@ -137,7 +140,7 @@
 	servers := v.servers[svc]
 	for i := range servers {
 		s := &servers[i]
-		if s.Draining || avoid[s.Address] || b.buried[s.Address] {
+		if s.Draining || avoid[s.Address] || b.buried[s.Address] || b.suspects.Outdated(now, s) {
 			continue
 		}
 		cost := b.load(s.Address).Requests
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -40,16 +40,6 @@
 	r.g.book.clear(r.fingerprint)
 }
 
-// tell sends what was implicated to the other daemons. It is rare, and a message
-// that is lost costs one more server.
-func (g *Gateway) tell(told crashes.Told) {
-	for _, i := range g.current.Load().members.Members {
-		if i.Live() && i.Member.ID != g.self.ID {
-			_ = g.node.Send(i.Meta.PeerAddress, told)
-		}
-	}
-}
-
 func (b *book) implicate(now time.Time, fp crashes.Fingerprint, servers ...state.BackendID) (crashes.Told, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/gateway/follow_test.go
+++ b/gateway/follow_test.go
@@ -2,12 +2,16 @@
 
 import (
 	"context"
+	"net/http"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/samber/lo"
 
 	"github.com/hibiscuswick/hibiscuswick/gateway"
+	"github.com/hibiscuswick/hibiscuswick/protocol/backend"
 	"github.com/hibiscuswick/hibiscuswick/state"
 	"github.com/hibiscuswick/hibiscuswick/state/fleet"
 )
@@ -130,4 +134,32 @@
 		Eventually(func() gateway.Outcome { return p.outcomeAt(0, "/two/x") }).
 			WithTimeout(bound).Should(Equal(gateway.Answered))
 	})
+
+	// Engines crash where the store can't be reached, and start again at their
+	// addresses; they stay listed for seconds. Callers wait and are refused. Cause: each
+	// daemon learns of each such engine by refusals of its own, again and again, until
+	// the retry budget is used up.
+	It("tell each other of entries that a server has contradicted", Label("failure:reborn-behind-a-cut"), func() {
+		p := newPosts("g1", "g2")
+		var reborn atomic.Value // the address that the first request goes to
+		p.rig.servers.plain = func(c backend.Call) (*backend.Answer, error) {
+			reborn.CompareAndSwap(nil, c.Address)
+			if c.Address == reborn.Load() {
+				a := answer(http.StatusMisdirectedRequest, "")
+				a.NotRun, a.Stale = true, true
+				return a, nil
+			}
+			return answer(http.StatusOK, "ok"), nil
+		}
+		sentThere := func() int {
+			return lo.CountBy(p.rig.servers.sent(), func(c backend.Call) bool { return c.Address == reborn.Load() })
+		}
+		Expect(p.outcomeAt(0, "/once/x")).To(Equal(gateway.Answered))
+		time.Sleep(100 * time.Millisecond) // the message's way
+		for range 20 {
+			Expect(p.outcomeAt(1, "/once/x")).To(Equal(gateway.Answered))
+			Expect(p.outcomeAt(0, "/once/x")).To(Equal(gateway.Answered))
+		}
+		Expect(sentThere()).To(Equal(1))
+	})
 })
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -12,6 +12,7 @@
 	"github.com/hibiscuswick/hibiscuswick/coordination/following"
 	"github.com/hibiscuswick/hibiscuswick/coordination/membership"
 	"github.com/hibiscuswick/hibiscuswick/coordination/retrybudget"
+	"github.com/hibiscuswick/hibiscuswick/coordination/suspect"
 	"github.com/hibiscuswick/hibiscuswick/protocol/peer"
 	"github.com/hibiscuswick/hibiscuswick/protocol/site"
 	"github.com/hibiscuswick/hibiscuswick/state"
@@ -34,6 +35,7 @@
 	kindMembership peer.Kind = 100
 	kindCrashes    peer.Kind = 1200
 	kindFollowing  peer.Kind = 1300
+	kindOutdated   peer.Kind = 1400
 )
 
 // newRegistry lists every message between gateways.
@@ -42,6 +44,7 @@
 	peer.RegisterMembership(r, kindMembership)
 	peer.Register[crashes.Told](r, kindCrashes)
 	peer.Register[following.Told](r, kindFollowing)
+	peer.Register[suspect.Outdated](r, kindOutdated)
 	return r
 }
 
@@ -216,6 +219,8 @@
 		g.control.post(func() { g.control.members.step(membership.Received{From: from, Msg: m}) })
 	case following.Told:
 		g.control.post(func() { g.control.heard(m) })
+	case suspect.Outdated:
+		g.book.contradicted(time.Now(), m)
 	case crashes.Told:
 		g.book.implicate(time.Now(), m.Fingerprint, m.Servers...)
 	}
--- a/gateway/path.go
+++ b/gateway/path.go
@@ -73,6 +73,9 @@
 			culprit = path[0].Address
 		}
 		r.blame(culprit)
+		if answer.Stale {
+			r.outdated(culprit)
+		}
 		drain(answer.Body)
 		r.g.log.Emit(telemetry.EventPathRefused, telemetry.Request(r.req.ID), telemetry.Address(culprit), telemetry.Count(answer.Status))
 		return relay.NotRun, Result{}
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -54,6 +54,9 @@
 func (r *run) takePlain(address string, answer *backend.Answer) (relay.End, Result) {
 	if answer.NotRun {
 		r.avoidFrom(address)
+		if answer.Stale {
+			r.outdated(address)
+		}
 		drain(answer.Body)
 		return relay.NotRun, Result{}
 	}
--- a/telemetry/events.go
+++ b/telemetry/events.go
@@ -95,6 +95,7 @@
 	EventLayersListed      Event = 1612
 	EventFeedSource        Event = 1613
 	EventRowsUnreadable    Event = 1614
+	EventEntryOutdated     Event = 1615
 	EventReplicaUp         Event = 1606
 	EventReplicaDown       Event = 1607
 	EventCacheEventsMissed Event = 1608
