Ask an engine again that lost an answer, where no other may run it

Ruled out: not giving up the second answer (it was lost: nothing came until the caller left).

Change: an engine is avoided for a lost answer only while another one may run it.

The spec fails without the change.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -130,6 +130,35 @@
 		}
 	})
 
+	// The first engine of a stream dies, and the second one loses its answer although it
+	// lives. The caller's stream goes on there. Cause: no third engine may run it, and
+	// the second one was avoided since its answer had been lost.
+	It("asks an engine again that has lost an answer, where no other may run it", Label("failure:answer-lost"), func() {
+		r.fill()
+		for range 30 { // until it is known how long answers take, and one may be given up
+			r.serve("/stream/x")
+		}
+		before := len(r.servers.sent())
+		var run atomic.Int32
+		r.servers.stream = func(c backend.Call, out *io.PipeWriter) {
+			switch run.Add(1) {
+			case 1:
+				_, _ = io.WriteString(out, whole(2))
+				r.servers.kill(c.Address)
+			case 2: // silent for good
+			default:
+				events(out, c.After, 5)
+			}
+		}
+		to, res := r.serve("/stream/x")
+		sent := r.servers.sent()[before:]
+		Expect(res.Outcome).To(Equal(gateway.Answered))
+		Expect(to.body.String()).To(Equal(whole(5)))
+		Expect(sent).To(HaveLen(3))
+		Expect(sent[1].Address).NotTo(Equal(sent[0].Address))
+		Expect(sent[2].Address).To(Equal(sent[1].Address))
+	})
+
 	// A server runs a request that may run once, and its answer is lost. The caller
 	// is told that it failed, not that it did not run, and no other server gets it.
 	It("neither repeats nor refuses what may have run once", Label("failure:answer-lost"), func() {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -190,6 +190,14 @@
 	return r.relay.Reserve(time.Now(), server)
 }
 
+// last reports whether the attempt under way at a server is the last that a further
+// server may run.
+func (r *run) last(server string) bool {
+	r.relayMu.Lock()
+	defer r.relayMu.Unlock()
+	return r.relay.Last(server)
+}
+
 // given notes that a part of an answer has reached the caller.
 func (r *run) given() {
 	r.relayMu.Lock()
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -189,8 +189,11 @@
 	s.r.g.log.Emit(telemetry.EventStreamBroken, telemetry.Request(s.r.req.ID), telemetry.Address(s.path[0].Address),
 		telemetry.Count(s.events), telemetry.Cause(err))
 	switch {
-	case s.lost.Load():
+	case s.lost.Load() && !s.r.last(s.path[0].Address):
 		s.r.avoidFrom(s.path[0].Address)
+	case s.lost.Load():
+		// No further engine may run it: the one that lost this answer, and lives, is
+		// the only one that may still give it.
 	case !errors.Is(err, context.Canceled):
 		s.r.g.book.failed(time.Now(), s.path[0].Address)
 	}
--- a/gateway/wait.go
+++ b/gateway/wait.go
@@ -44,7 +44,7 @@
 // request may run again: its answer was lost, or its connection has gone silent.
 // The caller stops the timer once the answer has begun.
 func (r *run) watchFirst(cancel context.CancelFunc) *time.Timer {
-	if r.route.Repeat == fleet.RunOnce || r.relay.Last(r.at) {
+	if r.route.Repeat == fleet.RunOnce || r.last(r.at) {
 		return nil
 	}
 	first, _ := r.g.book.patience(time.Now(), r.service.ID, r.route)
