Check the deploy file before it is handed over

Cause: hibiscusd could check settings only; a wrong deploy file showed when the platform refused to build or place the system.

Change: platform.CheckDeploy and hibiscusd check-deploy name every fault with its role and field: unknown fields, wrong types, a program outside the build, no number of instances, ports that the command does not name, templates that are missing, classes with two roles that serve the same.

--- a/cmd/hibiscusd/main.go
+++ b/cmd/hibiscusd/main.go
@@ -42,6 +42,7 @@
 			{Name: "demo", Usage: "run three daemons on embedded stand-ins", Action: runDemo},
 			standinCommand(),
 			gatewayCommand(),
+			checkDeployCommand(),
 		},
 	}
 }
