--- a/explain/cause.go
+++ b/explain/cause.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/hibiscuswick/hibiscuswick/coordination/relay"
@@ -13,6 +14,7 @@
 	eventRefused     = "request_refused"
 	eventFailed      = "request_failed"
 	eventAnswered    = "request_answered"
+	eventRetried     = "request_retried"
 	eventLate        = "stream_late"
 	eventImplicated  = "request_implicated"
 	eventQuarantined = "request_quarantined"
@@ -52,6 +54,7 @@
 	KindUncovered   Kind = "no_server"      // no server, or no path, was there
 	KindStopping    Kind = "daemon_stops"   // its daemon was about to stop
 	KindCrashes     Kind = "crashes"        // its content has crashed servers
+	KindUsedUp      Kind = "attempts"       // as many servers have run it as its route allows
 	KindBudget      Kind = "retry_budget"   // the retry budget was used up
 	KindTime        Kind = "time_ran_out"   // its time was over
 	KindLate        Kind = "late"           // it was answered late
@@ -160,9 +163,27 @@
 	case end.Detail == string(relay.ReasonDeadline):
 		return Cause{Kind: KindTime, Summary: fmt.Sprintf("its time was over after %.3f s in %d attempts", end.Seconds, end.Count), Next: "the server of its last attempt"}
 	}
+	if end.Detail == string(relay.ReasonAttempts) {
+		return s.usedUp(end)
+	}
 	return Cause{Kind: KindOther, Summary: "failed: " + end.Detail}
 }
 
+// usedUp explains a request that as many servers have run as its route allows.
+func (s *Story) usedUp(end *Line) Cause {
+	how := ""
+	for i := range s.Steps {
+		if x := &s.Steps[i].Line; x.Event == eventRetried {
+			how += ", " + x.Detail
+		}
+	}
+	return Cause{
+		Kind:    KindUsedUp,
+		Summary: fmt.Sprintf("%d attempts, and no further server may run it; those before the last ended: %s", end.Count, strings.TrimPrefix(how, ", ")),
+		Next:    "the servers of its request_sent lines: backend_dead, backend_leaving, or answers that others lost too",
+	}
+}
+
 func (s *Story) answerLost(end *Line) Cause {
 	c := Cause{
 		Kind:    KindAnswerLost,
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -12,7 +12,7 @@
 // Stories are made of events by their names: each is one that daemons write.
 func TestEventsAreInTheCatalogue(t *testing.T) {
 	names := append([]string{
-		eventSent, eventRefused, eventFailed, eventAnswered, eventLate, eventImplicated, eventQuarantined,
+		eventSent, eventRefused, eventFailed, eventAnswered, eventRetried, eventLate, eventImplicated, eventQuarantined,
 		eventHopSilent, eventPathRefused, eventConfig, eventStoreLost, eventStoreBack, eventSource, eventStarted, eventDrain,
 	}, serverEvents...)
 	for _, name := range names {
@@ -86,6 +86,18 @@
 	}
 }
 
+func TestAttemptsUsedUp(t *testing.T) {
+	s, err := read(t, sent,
+		`{"time":"2026-01-01T00:00:11Z","daemon":"g1","event":"request_retried","request":"r","detail":"broken"}`,
+		`{"time":"2026-01-01T00:00:12Z","daemon":"g1","event":"request_failed","request":"r","detail":"attempts","count":2}`).Find("r")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.Cause.Kind != KindUsedUp || !strings.Contains(s.Cause.Summary, "2 attempts") || !strings.HasSuffix(s.Cause.Summary, "ended: broken") {
+		t.Fatalf("got %+v", s.Cause)
+	}
+}
+
 func TestReadPassesOverWhatIsNoLogLine(t *testing.T) {
 	log := read(t, "built in 3 s", "{broken", `{"a":1}`, "  10.0 node "+sent)
 	if len(log.Lines) != 1 || log.Other != 3 {
