Send rows only with the change that they are

Cause, found on reading: rows that a follower had encoded just before it stopped following stayed, and would have gone out with a later word; who applied them up to that word's revision would miss the changes in between.

Change: rows name the revision that they reach, and go only with a word of that one.

--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -175,7 +175,7 @@
 	}
 	changed := how.whole || len(b.Items) > 0
 	if changed && !how.whole && p.m.Leads() {
-		p.rows = p.encode(b.Items, p.m.Changed())
+		p.rows = p.encode(b.Items, p.m.Changed(), b.Revision)
 	}
 	p.m.Answered(p.c.now, b.Revision, changed)
 	p.revision.Store(b.Revision)
@@ -223,7 +223,7 @@
 // tick tells other daemons what is due, and the run method who is to be asked.
 func (p *feedPart[T]) tick() {
 	if t, ok := p.m.Tell(p.c.now); ok {
-		t.After, t.Rows = p.rows.after, p.rows.bytes
+		p.rows.attach(&t)
 		p.rows = encodedRows{}
 		p.send(t)
 	}
