--- a/cmd/hibiscusctl/explain.go
+++ b/cmd/hibiscusctl/explain.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"io"
 	"os"
 
@@ -43,7 +42,7 @@
 		return fail(exitFailed, "%v; %d lines were of no daemon", err, log.Other)
 	}
 	if cmd.Bool("json") {
-		return json.NewEncoder(cmd.Writer).Encode(story)
+		return printJSON(cmd.Writer, story)
 	}
 	return story.WriteText(cmd.Writer)
 }
--- a/cmd/hibiscusctl/inspect.go
+++ b/cmd/hibiscusctl/inspect.go
@@ -49,9 +49,7 @@
 		return fail(exitFailed, "%v", err)
 	}
 	if cmd.Bool(flagJSON) {
-		e := json.NewEncoder(cmd.Writer)
-		e.SetIndent("", "  ")
-		return e.Encode(s)
+		return printJSON(cmd.Writer, s)
 	}
 	printGateway(cmd.Writer, s)
 	return nil
--- a/cmd/hibiscusctl/main.go
+++ b/cmd/hibiscusctl/main.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -82,6 +83,13 @@
 	return &exitError{code, fmt.Sprintf(format, args...)}
 }
 
+// printJSON writes a value as indented JSON.
+func printJSON(w io.Writer, v any) error {
+	e := json.NewEncoder(w)
+	e.SetIndent("", "  ")
+	return e.Encode(v)
+}
+
 func printf(w io.Writer, format string, args ...any) {
 	_, _ = fmt.Fprintf(w, format, args...)
 }
--- a/cmd/hibiscusctl/status.go
+++ b/cmd/hibiscusctl/status.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"maps"
@@ -40,9 +39,7 @@
 		return fail(exitFailed, "%v", err)
 	}
 	if cmd.Bool(flagJSON) {
-		e := json.NewEncoder(cmd.Writer)
-		e.SetIndent("", "  ")
-		return e.Encode(s)
+		return printJSON(cmd.Writer, s)
 	}
 	printStatus(cmd.Writer, s)
 	return nil
