Hold failed sends and unsigned answers against servers in one place

Plain and path attempts each spelled out what a failed call and an unsigned or broken answer mean for the server; blame stood beside three copies of itself. A plain answer that nobody signed is given up before its body is read, as one of an engine was.

--- a/gateway/path.go
+++ b/gateway/path.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"time"
 
@@ -43,15 +42,7 @@
 	answer, err := r.g.backends.Send(ctx, call)
 	stopTimer(watch)
 	if err != nil {
-		r.avoidFrom(path[0].Address)
-		end := sendEnd(err)
-		if ctx.Err() == nil {
-			r.g.book.failed(time.Now(), path[0].Address)
-			if end == relay.Broken {
-				r.implicate(path[0].Server, path[0].Address)
-			}
-		}
-		return end, Result{}
+		return r.sendFailed(ctx, err, path[0].Server, path[0].Address), Result{}
 	}
 	defer func() { _ = answer.Body.Close() }()
 	r.g.book.tookFirst(time.Now(), r.service.ID, time.Since(sent))
@@ -59,12 +50,6 @@
 	return r.takeStream(cancel, path, answer)
 }
 
-// blame has a server avoided, by this request for good and by others for a while.
-func (r *run) blame(address string) {
-	r.avoidFrom(address)
-	r.g.book.failed(time.Now(), address)
-}
-
 // takeStream gives an engine's answer to the caller.
 func (r *run) takeStream(cancel context.CancelFunc, path fleet.Path, answer *backend.Answer) (relay.End, Result) {
 	if answer.NotRun {
@@ -90,13 +75,8 @@
 
 // takeFailure handles an engine's own failure.
 func (r *run) takeFailure(path fleet.Path, answer *backend.Answer) (relay.End, Result) {
-	if unsigned(answer) {
-		r.blame(path[0].Address)
-		return relay.Broken, Result{}
-	}
-	body, err := io.ReadAll(io.LimitReader(answer.Body, holdBody))
-	if err != nil {
-		r.blame(path[0].Address)
+	body, ok := r.readSigned(path[0].Address, answer)
+	if !ok {
 		return relay.Broken, Result{}
 	}
 	if answer.Status >= http.StatusInternalServerError {
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -35,15 +35,7 @@
 	sent := time.Now()
 	answer, err := r.g.backends.Send(ctx, r.call(server.ID, server.Address))
 	if err != nil {
-		r.avoidFrom(server.Address)
-		end := sendEnd(err)
-		if ctx.Err() == nil {
-			r.g.book.failed(time.Now(), server.Address)
-			if end == relay.Broken {
-				r.implicate(server.ID, server.Address)
-			}
-		}
-		return end, Result{}
+		return r.sendFailed(ctx, err, server.ID, server.Address), Result{}
 	}
 	defer func() { _ = answer.Body.Close() }()
 	r.g.book.tookFirst(time.Now(), r.service.ID, time.Since(sent))
@@ -60,15 +52,8 @@
 		drain(answer.Body)
 		return relay.NotRun, Result{}
 	}
-	body, err := io.ReadAll(io.LimitReader(answer.Body, holdBody))
-	if err != nil {
-		r.avoidFrom(address)
-		r.g.book.failed(time.Now(), address)
-		return relay.Broken, Result{}
-	}
-	if unsigned(answer) {
-		r.avoidFrom(address)
-		r.g.book.failed(time.Now(), address)
+	body, ok := r.readSigned(address, answer)
+	if !ok {
 		return relay.Broken, Result{}
 	}
 	if answer.Status >= http.StatusInternalServerError {
@@ -81,6 +66,19 @@
 	return 0, r.pass(answer, body)
 }
 
+// readSigned reads an answer's body, the first part of it where it is long. It blames
+// the server and returns false where that breaks off, or where nobody signed it.
+func (r *run) readSigned(address string, answer *backend.Answer) ([]byte, bool) {
+	if !unsigned(answer) {
+		body, err := io.ReadAll(io.LimitReader(answer.Body, holdBody))
+		if err == nil {
+			return body, true
+		}
+	}
+	r.blame(address)
+	return nil, false
+}
+
 // unsigned reports whether an answer claims success without the server's
 // signature; a caller must not take it for the server's.
 func unsigned(a *backend.Answer) bool {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -281,12 +281,28 @@
 	return min(max(rank, 0), maxRank)
 }
 
-// sendEnd classifies an error of a call.
-func sendEnd(err error) relay.End {
+// sendFailed is the end of an attempt whose call to a server failed. One that this
+// daemon gave up itself, or its caller, is held against nobody.
+func (r *run) sendFailed(ctx context.Context, err error, id state.BackendID, address string) relay.End {
+	end := relay.Broken
 	if errors.Is(err, backend.ErrNotSent) {
-		return relay.NotSent
+		end = relay.NotSent
 	}
-	return relay.Broken
+	if ctx.Err() != nil {
+		r.avoidFrom(address)
+		return end
+	}
+	r.blame(address)
+	if end == relay.Broken {
+		r.implicate(id, address)
+	}
+	return end
+}
+
+// blame has a server avoided, by this request for good and by others for a while.
+func (r *run) blame(address string) {
+	r.avoidFrom(address)
+	r.g.book.failed(time.Now(), address)
 }
 
 func (r *run) avoidFrom(address string) {
