Forget addresses that nobody uses; drop a result that nobody takes

Reading a server's load made an entry for it that only a later request to it could take away, and the prober kept the last result of every address for good: both grew with the servers that come and go. The prober's answer to its stream was not used any more since a stream looks again anyway.

--- a/gateway/book.go
+++ b/gateway/book.go
@@ -52,13 +52,28 @@
 	b.budget.Configure(budgetConfig(set))
 }
 
-func (b *book) load(address string) *pathing.Load {
+// load is what this daemon runs on a server.
+func (b *book) load(address string) pathing.Load {
+	if l, ok := b.loads[address]; ok {
+		return *l
+	}
+	return pathing.Load{}
+}
+
+// add changes the load of a server. One without requests is forgotten: addresses come
+// and go.
+func (b *book) add(address string, requests, first, tokens float64) {
 	l, ok := b.loads[address]
 	if !ok {
 		l = &pathing.Load{}
 		b.loads[address] = l
 	}
-	return l
+	l.Requests += requests
+	l.First += first
+	l.Tokens += tokens
+	if l.Requests <= 0 {
+		delete(b.loads, address)
+	}
 }
 
 // choose takes a path for a request and counts its load until release.
@@ -76,7 +91,7 @@
 			continue
 		}
 		kind := svc.Engine.Kinds[s.Kind]
-		load := *b.load(s.Address)
+		load := b.load(s.Address)
 		load.Requests *= daemons
 		load.First *= daemons
 		load.Tokens *= daemons
@@ -111,16 +126,10 @@
 
 // count adds a request's load to each server of its path, or takes it off.
 func (b *book) count(path fleet.Path, tokens int, by float64) {
-	for i, h := range path {
-		l := b.load(h.Address)
-		l.Requests += by
-		l.Tokens += by * float64(tokens)
-		if i == 0 {
-			l.First += by
-		}
-		if l.Requests <= 0 {
-			delete(b.loads, h.Address) // addresses come and go
-		}
+	first := by
+	for _, h := range path {
+		b.add(h.Address, by, first, by*float64(tokens))
+		first = 0
 	}
 }
 
@@ -157,7 +166,7 @@
 	if best < 0 {
 		return fleet.Server{}, false
 	}
-	b.load(servers[best].Address).Requests++
+	b.add(servers[best].Address, 1, 0, 0)
 	return servers[best], true
 }
 
@@ -172,11 +181,7 @@
 func (b *book) releaseServer(address string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if l := b.load(address); l.Requests > 1 {
-		l.Requests--
-		return
-	}
-	delete(b.loads, address)
+	b.add(address, -1, 0, 0)
 }
 
 func (b *book) failed(now time.Time, address string) {
--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -68,7 +69,7 @@
 	p.mu.Lock()
 	old, ok := p.last[address]
 	p.mu.Unlock()
-	if ok && time.Since(old.at) < probeFresh {
+	if ok && old.fresh() {
 		return old
 	}
 	result, _, _ := p.group.Do(address, func() (any, error) {
@@ -90,14 +91,18 @@
 	out.alive = err == nil || out.took > probeWait+probeLate
 	p.g.metrics.CountReason(telemetry.GatewayProbesTotal, probeNames[out.alive])
 	p.mu.Lock()
+	maps.DeleteFunc(p.last, func(_ string, old probed) bool { return !old.fresh() }) // addresses come and go
 	p.last[address] = out
 	p.mu.Unlock()
 	return out
 }
 
-// dead probes all hops at once and reports whether one does not answer. Those are
-// avoided until they do, and the streams that cross them are told.
-func (p *prober) dead(hops []fleet.Hop) bool {
+// fresh reports whether the result still stands.
+func (r probed) fresh() bool { return time.Since(r.at) < probeFresh }
+
+// check probes all hops at once. Those that do not answer are avoided until they do,
+// and the streams that cross them are told.
+func (p *prober) check(hops []fleet.Hop) {
 	results := make([]probed, len(hops))
 	var all sync.WaitGroup
 	for i, h := range hops {
@@ -107,20 +112,17 @@
 	// One live server proves that this daemon is not cut off itself.
 	lives := func(r probed) bool { return r.alive }
 	if !slices.ContainsFunc(results, lives) && len(hops) > 1 {
-		return false
+		return
 	}
-	found := false
 	for i, h := range hops {
 		if results[i].alive {
 			continue
 		}
-		found = true
 		p.bury(h, results[i])
 		for _, s := range p.g.book.crossing(h.Address) {
 			s.hopDied(h)
 		}
 	}
-	return found
 }
 
 // bury has a dead server avoided, and probes it until it answers again.
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -123,7 +123,7 @@
 		return
 	}
 	hops := g.book.silent(now, s.watch, gap/leastShare, gap/mostShare)
-	g.prober.dead(hops)
+	g.prober.check(hops)
 	if !s.ending.Load() {
 		s.timer.Reset(gap / lookShare)
 	}
