--- a/explain/cause.go
+++ b/explain/cause.go
@@ -76,7 +76,7 @@
 	case end == nil:
 		return Cause{Kind: KindNone, Summary: "its end is not in these logs", Next: "its daemon was killed, or its lines were left out: see lines_left_out"}
 	case end.Event == eventRefused:
-		return l.refused(s, end)
+		return s.refused(end)
 	case end.Event == eventFailed:
 		return l.failed(s, end)
 	case s.first(eventLate) != nil:
@@ -117,7 +117,7 @@
 	return nil
 }
 
-func (l *Log) refused(s *Story, end *Line) Cause {
+func (s *Story) refused(end *Line) Cause {
 	switch end.Detail {
 	case reasonNoConfig:
 		return s.noConfig()
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -93,21 +93,15 @@
 // nextTick is when the first timer is due.
 func (c *control) nextTick() time.Time {
 	next := c.now.Add(10 * tickInterval)
-	if t := c.members.m.NextTick(); !t.IsZero() && t.Before(next) {
-		next = t
-	}
-	if t := c.duty.nextTick(); !t.IsZero() && t.Before(next) {
-		next = t
-	}
-	for _, t := range []time.Time{c.configs.m.NextTick(c.now), c.entries.m.NextTick(c.now)} {
-		if !t.IsZero() && t.Before(next) {
-			next = t
+	for _, t := range []time.Time{
+		c.members.m.NextTick(), c.duty.nextTick(), c.configs.m.NextTick(c.now), c.entries.m.NextTick(c.now),
+	} {
+		if !t.IsZero() {
+			next = earlier(next, t)
 		}
 	}
 	for _, t := range c.listing.missing {
-		if t.Before(next) {
-			next = t
-		}
+		next = earlier(next, t)
 	}
 	return next
 }
--- a/gateway/frames.go
+++ b/gateway/frames.go
@@ -11,26 +11,23 @@
 // frames cuts a stream of bytes into whole events. An event is held until its end
 // has come, so that another engine's events can follow the last whole one.
 type frames struct {
-	held  []byte // of the event that is not whole yet
-	given []byte // what take returned last
+	held []byte
+	done int // of held, whole events that take has returned
 }
 
 // take adds bytes and returns the events that are whole now, or none. What it
 // returns stands until the next call.
 func (f *frames) take(b []byte) []byte {
-	f.held = append(f.held, b...)
-	end := bytes.LastIndex(f.held, eventEnd)
-	if end < 0 {
-		return nil
+	f.held = append(f.held[:0], f.held[f.done:]...)
+	f.held, f.done = append(f.held, b...), 0
+	if end := bytes.LastIndex(f.held, eventEnd); end >= 0 {
+		f.done = end + len(eventEnd)
 	}
-	end += len(eventEnd)
-	f.given = append(f.given[:0], f.held[:end]...)
-	f.held = append(f.held[:0], f.held[end:]...)
-	return f.given
+	return f.held[:f.done]
 }
 
 // open reports whether an event has begun that is not whole.
-func (f *frames) open() bool { return len(f.held) > 0 }
+func (f *frames) open() bool { return len(f.held) > f.done }
 
 // lastID finds the id of the last event that has one.
 func lastID(events []byte) (string, bool) {
--- a/gateway/frames_test.go
+++ b/gateway/frames_test.go
@@ -26,11 +26,12 @@
 				t.Fatalf("id %q", id)
 			}
 		}
-		if !bytes.Equal(append(out.Bytes(), fr.held...), in) {
-			t.Fatalf("%q and %q held of %q", out.Bytes(), fr.held, in)
+		rest := fr.held[fr.done:]
+		if !bytes.Equal(append(out.Bytes(), rest...), in) {
+			t.Fatalf("%q and %q held of %q", out.Bytes(), rest, in)
 		}
-		if bytes.Contains(fr.held, eventEnd) {
-			t.Fatalf("a whole event is held: %q", fr.held)
+		if bytes.Contains(rest, eventEnd) || fr.open() != (len(rest) > 0) {
+			t.Fatalf("a whole event is held: %q", rest)
 		}
 	})
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -55,7 +55,7 @@
 	waiting   atomic.Int64 // of those, for a server or a path
 	born      time.Time    // zero of steady
 	draining  atomic.Int64 // when a planned stop began, in steady ns; 0 for none
-	following context.CancelFunc
+	stopFeeds context.CancelFunc
 	endOnce   sync.Once
 	done      chan struct{}
 }
@@ -116,7 +116,7 @@
 // Run begins to follow the site and to take part among the gateways.
 func (g *Gateway) Run() {
 	ctx, cancel := context.WithCancel(context.Background())
-	g.following = cancel
+	g.stopFeeds = cancel
 	g.node.Serve(g.peers)
 	go g.control.run()
 	go g.control.configs.run(ctx)
@@ -155,7 +155,7 @@
 	}
 	g.endOnce.Do(func() {
 		g.log.Emit(telemetry.EventDaemonStopped)
-		g.following()
+		g.stopFeeds()
 		close(g.done)
 		g.node.Close()
 	})
