--- a/transport/inbound/inbound_test.go
+++ b/transport/inbound/inbound_test.go
@@ -6,9 +6,11 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"runtime"
 	"strings"
 	"sync/atomic"
+	"testing/iotest"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -114,6 +116,29 @@
 		Expect(resp.StatusCode).To(Equal(http.StatusRequestHeaderFieldsTooLarge))
 	})
 
+	// A configuration allows less than the ports: the bounds of one request.
+	DescribeTable("refuse a request beyond its bounds",
+		func(b inbound.Bounds, want int) {
+			r := httptest.NewRequest(http.MethodPost, "/", strings.NewReader("12345"))
+			r.Header.Set("X-A", strings.Repeat("a", 100))
+			body, status := inbound.ReadBody(httptest.NewRecorder(), r, b)
+			Expect(status).To(Equal(want))
+			if want == 0 {
+				Expect(string(body)).To(Equal("12345"))
+			}
+		},
+		Entry("none are set", inbound.Bounds{}, 0),
+		Entry("all hold", inbound.Bounds{HeaderBytes: 200, BodyBytes: 5}, 0),
+		Entry("a header", inbound.Bounds{HeaderBytes: 100}, http.StatusRequestHeaderFieldsTooLarge),
+		Entry("a body", inbound.Bounds{BodyBytes: 4}, http.StatusRequestEntityTooLarge),
+	)
+
+	It("refuse a body that breaks off", func() {
+		r := httptest.NewRequest(http.MethodPost, "/", iotest.ErrReader(io.ErrUnexpectedEOF))
+		_, status := inbound.ReadBody(httptest.NewRecorder(), r, inbound.Bounds{})
+		Expect(status).To(Equal(http.StatusBadRequest))
+	})
+
 	// More callers connect than the process can hold. It still reaches its servers,
 	// and the callers beyond its share are answered as others end.
 	It("let callers wait beyond their share of descriptors", Label("failure:flood-of-callers"), func() {
