Keep a configuration in time where all followers' connections are silent

Cause, found by taking the guard out: a spec in which both followers' calls to the store hang was red even with its guard. Their word counted until the store's last answer was 2.8 s old; a configuration accepted in between was in force only then, and 2 s are allowed.

Ruled out: a third follower (its connection may go silent too); a shorter age with calls held as long (a calm follower's answers are as old).

Change: calls are held for 1 s, and an answer counts for 1.7 s. The spec sets the configuration as soon as both calls hang, and fails without either change.

--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -17,10 +17,12 @@
 	storeTimeout = 1500 * time.Millisecond
 	// followWait is how long the store holds a call that has nothing to tell: a
 	// connection that has gone silent shows within it and storeTimeout.
-	followWait = 2 * time.Second
+	followWait = time.Second
 	// followFresh is how old the store's last answer to a follower may be: as long as
-	// such a call takes, until the next word.
-	followFresh = followWait + following.TellInterval + 300*time.Millisecond
+	// such a call takes, until the next word. It is less than the 2 s within which a
+	// configuration is to be in force, also where the connections of all followers go
+	// silent at once.
+	followFresh = followWait + following.TellInterval + 200*time.Millisecond
 	// Waits between calls to a store that does not answer.
 	backoffMin = 100 * time.Millisecond
 	backoffMax = 300 * time.Millisecond
--- a/gateway/follow_test.go
+++ b/gateway/follow_test.go
@@ -128,9 +128,11 @@
 	// tell what they knew. The others see new routes in time.
 	It("ask the store themselves once what they are told is old", Label("failure:follower-stale"), func() {
 		p := newPosts("g1", "g2", "g3")
-		p.configs[1].hangs.Store(true)
-		p.configs[2].hangs.Store(true)
-		time.Sleep(2 * bound) // a call under way ends, and the next ones stay silent
+		for _, d := range p.configs[1:] {
+			before := d.calls.Load()
+			d.hangs.Store(true)
+			Eventually(d.calls.Load).WithTimeout(patience).Should(BeNumerically(">", before), "a call is silent")
+		}
 		p.rig.configs.set("config", withRoute(2, "/two/"))
 		Eventually(func() gateway.Outcome { return p.outcomeAt(0, "/two/x") }).
 			WithTimeout(bound).Should(Equal(gateway.Answered))
