Tell lives of a server by name and start; use no entry of another writer

Cause: a server may start again under its name, and only its start, which it now tells in its entry, its report and its answers to orders, shows that it holds and knows nothing of before. Orders under way, counts of orders, contradicted entries, own load and deaths under a content were kept by the name. An entry without its fields, of an unknown state, service or card was used, and one that could not be read left the former one in use. Ruled out: requiring the start. Ordering lives by the number: clocks of servers differ; another value in a later revision is the later life, and a former life never comes back. A new life at an address ends what was believed of the former one, moves the streams that cross it, and is ordered anew with a count of 0. The specs of gateways that slept 100 ms for a message now wait for its effect.

--- a/cmd/hibiscusctl/inspect.go
+++ b/cmd/hibiscusctl/inspect.go
@@ -115,6 +115,8 @@
 		return "dead"
 	case s.Draining:
 		return "leaving"
+	case s.Outdated:
+		return "outdated"
 	case s.Avoided:
 		return "avoided"
 	default:
--- a/coordination/crashes/crashes.go
+++ b/coordination/crashes/crashes.go
@@ -22,8 +22,8 @@
 
 // Told is what a daemon tells the others: servers that died under a content.
 type Told struct {
-	Fingerprint Fingerprint       `msgpack:"f"`
-	Servers     []state.BackendID `msgpack:"s"`
+	Fingerprint Fingerprint  `msgpack:"f"`
+	Servers     []state.Life `msgpack:"s"`
 }
 
 // Book is what one daemon knows. It is not safe for use by several goroutines.
@@ -33,8 +33,8 @@
 
 // content is what is known of one content.
 type content struct {
-	servers []state.BackendID // lives that died under it
-	at      time.Time         // of the last implication
+	servers []state.Life // lives that died under it
+	at      time.Time    // of the last implication
 }
 
 // NewBook returns an empty book.
@@ -44,7 +44,7 @@
 
 // Implicate notes that servers died under a content. It returns what to tell the
 // other daemons, and false if all of it was known.
-func (b *Book) Implicate(now time.Time, fp Fingerprint, servers ...state.BackendID) (Told, bool) {
+func (b *Book) Implicate(now time.Time, fp Fingerprint, servers ...state.Life) (Told, bool) {
 	c, ok := b.contents[fp]
 	if !ok {
 		b.makeRoom(now)
@@ -62,7 +62,7 @@
 	return Told{Fingerprint: fp, Servers: c.servers}, news
 }
 
-func (c *content) has(s state.BackendID) bool {
+func (c *content) has(s state.Life) bool {
 	for _, have := range c.servers {
 		if have == s {
 			return true
--- a/coordination/layering/layering.go
+++ b/coordination/layering/layering.go
@@ -80,7 +80,7 @@
 // Ordered answers an Order action. Orders is the number of orders that the engine
 // has begun by its own report, where Known.
 type Ordered struct {
-	Server state.BackendID
+	Server state.Life
 	End    OrderEnd
 	Known  bool
 	Orders uint64
@@ -130,8 +130,8 @@
 // Machine decides for one daemon. It belongs to one goroutine.
 type Machine struct {
 	services map[state.ServiceID]*service
-	pending  map[state.BackendID]pending
-	orders   map[state.BackendID]uint64 // that each engine has begun, as far as is known
+	pending  map[state.Life]pending
+	orders   map[state.Life]uint64 // that each engine has begun, as far as is known
 
 	before    int // daemons that try first
 	needed    time.Time
@@ -148,8 +148,8 @@
 func New() *Machine {
 	return &Machine{
 		services: make(map[state.ServiceID]*service),
-		pending:  make(map[state.BackendID]pending),
-		orders:   make(map[state.BackendID]uint64),
+		pending:  make(map[state.Life]pending),
+		orders:   make(map[state.Life]uint64),
 	}
 }
 
@@ -220,8 +220,8 @@
 	}
 	s.engine, s.servers = ev.Engine, ev.Servers
 	for _, srv := range ev.Servers {
-		if p, ok := m.pending[srv.ID]; ok && srv.Layers == p.layers {
-			delete(m.pending, srv.ID)
+		if p, ok := m.pending[srv.Life()]; ok && srv.Layers == p.layers {
+			delete(m.pending, srv.Life())
 		}
 	}
 	m.forgetGone()
@@ -230,15 +230,15 @@
 // sameEngines reports whether two lists hold the same engines with the same layers,
 // and the same ones leaving.
 func sameEngines(a, b []fleet.Server) bool {
-	have := make(map[state.BackendID]fleet.Server, len(a))
+	have := make(map[state.Life]fleet.Server, len(a))
 	for _, s := range a {
-		have[s.ID] = s
+		have[s.Life()] = s
 	}
 	if len(a) != len(b) {
 		return false
 	}
 	for _, s := range b {
-		if old, ok := have[s.ID]; !ok || old.Layers != s.Layers || old.Draining != s.Draining {
+		if old, ok := have[s.Life()]; !ok || old.Layers != s.Layers || old.Draining != s.Draining {
 			return false
 		}
 	}
@@ -247,13 +247,13 @@
 
 // forgetGone drops what is kept of engines that are no longer listed.
 func (m *Machine) forgetGone() {
-	listed := make(map[state.BackendID]bool)
+	listed := make(map[state.Life]bool)
 	for _, s := range m.services {
 		for _, srv := range s.servers {
-			listed[srv.ID] = true
+			listed[srv.Life()] = true
 		}
 	}
-	gone := func(id state.BackendID) bool { return !listed[id] }
+	gone := func(id state.Life) bool { return !listed[id] }
 	for _, id := range slices.Collect(maps.Keys(m.pending)) {
 		if gone(id) {
 			delete(m.pending, id)
@@ -350,7 +350,7 @@
 
 // wanted lists what is to be ordered now.
 func (m *Machine) wanted() []want {
-	under := make(map[state.BackendID]cover.Order, len(m.pending))
+	under := make(map[state.Life]cover.Order, len(m.pending))
 	for id, p := range m.pending {
 		under[id] = cover.Order{Layers: p.layers, Moved: p.moved}
 	}
@@ -367,7 +367,7 @@
 	return out
 }
 
-func (m *Machine) assignments(s *service, under map[state.BackendID]cover.Order) []cover.Assignment {
+func (m *Machine) assignments(s *service, under map[state.Life]cover.Order) []cover.Assignment {
 	return cover.Repair(s.engine, s.servers, under)
 }
 
@@ -375,9 +375,9 @@
 	if w.Server.Layers == w.Layers {
 		return
 	}
-	orders := m.orders[w.Server.ID]
+	orders := m.orders[w.Server.Life()]
 	share := float64(w.Layers.Len()) / float64(w.engine.Layers)
 	load := time.Duration(float64(w.engine.LoadTime) * share)
-	m.pending[w.Server.ID] = pending{layers: w.Layers, orders: orders, until: m.now.Add(2*load + loadSlack), moved: w.Server.Layers.Len() > 0}
+	m.pending[w.Server.Life()] = pending{layers: w.Layers, orders: orders, until: m.now.Add(2*load + loadSlack), moved: w.Server.Layers.Len() > 0}
 	m.out = append(m.out, Order{Server: w.Server, Layers: w.Layers, Fence: m.fence, Orders: orders, Until: m.until})
 }
--- a/coordination/layering/layering_test.go
+++ b/coordination/layering/layering_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -98,7 +99,7 @@
 		m.Step(at(2000), layering.Tick{})
 		first := orders(hold(m, 2010))
 		for _, o := range first {
-			m.Step(at(2020), layering.Ordered{Server: o.Server.ID, End: layering.Lost})
+			m.Step(at(2020), layering.Ordered{Server: o.Server.Life(), End: layering.Lost})
 			Expect(o.Until).To(BeTemporally("<", at(2010).Add(layering.Term)))
 		}
 		woken := m.Step(at(7000), layering.Tick{})
@@ -114,10 +115,10 @@
 		m.Step(at(2000), layering.Tick{})
 		first := orders(hold(m, 2010))
 		Expect(first).To(HaveLen(2))
-		m.Step(at(2020), layering.Ordered{Server: first[0].Server.ID, End: layering.Lost})
+		m.Step(at(2020), layering.Ordered{Server: first[0].Server.Life(), End: layering.Lost})
 		again := orders(m.Step(at(2800), layering.Tick{}))
 		Expect(again).To(HaveLen(1))
-		Expect(again[0].Server.ID).To(Equal(first[0].Server.ID))
+		Expect(again[0].Server.Life()).To(Equal(first[0].Server.Life()))
 		Expect(again[0].Orders).To(Equal(first[0].Orders))
 		Expect(again[0].Layers).To(Equal(first[0].Layers))
 	})
@@ -129,21 +130,45 @@
 		m := settled(empty(2))
 		m.Step(at(2000), layering.Tick{})
 		first := orders(hold(m, 2010))
-		again := orders(m.Step(at(2020), layering.Ordered{Server: first[0].Server.ID, End: layering.Conflict, Known: true, Orders: 3}))
+		again := orders(m.Step(at(2020), layering.Ordered{Server: first[0].Server.Life(), End: layering.Conflict, Known: true, Orders: 3}))
 		Expect(again).To(HaveLen(1))
-		Expect(again[0].Server.ID).To(Equal(first[0].Server.ID))
+		Expect(again[0].Server.Life()).To(Equal(first[0].Server.Life()))
 		Expect(again[0].Orders).To(Equal(uint64(3)))
 	})
 
+	// An engine starts again under its name while it loads layers. Callers miss these
+	// layers for the time of the load and some seconds more. Cause: the order that its
+	// former life was carrying out counted as under way, and the count of orders that
+	// it had told was sent with the next one.
+	It("orders a new life at once, as one that has begun no order", Label("failure:restarts-under-its-name"), func() {
+		engines := empty(2)
+		m := settled(slices.Clone(engines))
+		m.Step(at(2000), layering.Tick{})
+		first := orders(hold(m, 2010))
+		m.Step(at(2020), layering.Ordered{Server: first[0].Server.Life(), End: layering.Begun})
+		m.Step(at(2021), layering.Ordered{Server: first[1].Server.Life(), End: layering.Begun})
+		for i := range engines {
+			if engines[i].ID == first[0].Server.ID {
+				engines[i].Born++
+			}
+		}
+		m.Step(at(2100), layering.Listed{Service: "s", Engine: engine, Servers: slices.Clone(engines)})
+		again := orders(m.Step(at(2400), layering.Tick{}))
+		Expect(again).To(HaveLen(1))
+		Expect(again[0].Server.Born).To(Equal(first[0].Server.Born + 1))
+		Expect(again[0].Layers).To(Equal(first[0].Layers))
+		Expect(again[0].Orders).To(BeZero())
+	})
+
 	It("waits after a conflict that tells nothing new", func() {
 		m := settled(empty(2))
 		m.Step(at(2000), layering.Tick{})
 		first := orders(hold(m, 2010))
-		conflict := layering.Ordered{Server: first[0].Server.ID, End: layering.Conflict, Known: true, Orders: 3}
+		conflict := layering.Ordered{Server: first[0].Server.Life(), End: layering.Conflict, Known: true, Orders: 3}
 		m.Step(at(2020), conflict)
 		Expect(orders(m.Step(at(2030), conflict))).To(BeEmpty())
 		Expect(orders(m.Step(at(2800), layering.Tick{}))).To(HaveLen(1))
-		busy := layering.Ordered{Server: first[0].Server.ID, End: layering.Conflict, Known: true, Orders: 4, Busy: true}
+		busy := layering.Ordered{Server: first[0].Server.Life(), End: layering.Conflict, Known: true, Orders: 4, Busy: true}
 		Expect(orders(m.Step(at(2810), busy))).To(BeEmpty())
 	})
 
@@ -151,7 +176,7 @@
 		m := settled(empty(2))
 		m.Step(at(2000), layering.Tick{})
 		first := orders(hold(m, 2010))
-		m.Step(at(2020), layering.Ordered{Server: first[0].Server.ID, End: layering.Fenced})
+		m.Step(at(2020), layering.Ordered{Server: first[0].Server.Life(), End: layering.Fenced})
 		Expect(m.Holds(at(2021))).To(BeFalse())
 	})
 
--- a/coordination/pathing/pathing.go
+++ b/coordination/pathing/pathing.go
@@ -240,7 +240,7 @@
 	for i >= 0 {
 		s := order[i].Server
 		back = append(back, fleet.Hop{
-			Server: s.ID, Address: s.Address, Domain: s.Domain,
+			Server: s.Life(), Address: s.Address, Domain: s.Domain,
 			Layers: fleet.Range{From: best[i].at, To: min(s.Layers.To, end)},
 		})
 		end = best[i].at
--- a/coordination/suspect/outdated.go
+++ b/coordination/suspect/outdated.go
@@ -15,8 +15,8 @@
 // Outdated is an entry of the list that its server has contradicted: another life is
 // at its address, or it does not hold these layers. Daemons tell each other.
 type Outdated struct {
-	Server state.BackendID `msgpack:"server"`
-	Layers fleet.Range     `msgpack:"layers"`
+	Server state.Life  `msgpack:"server"`
+	Layers fleet.Range `msgpack:"layers"`
 }
 
 // Contradicted notes such an entry. It returns false if that was known.
@@ -35,6 +35,6 @@
 
 // Outdated reports whether a server's entry, as it is listed, has been contradicted.
 func (b *Book) Outdated(now time.Time, s *fleet.Server) bool {
-	until, ok := b.outdated[Outdated{Server: s.ID, Layers: s.Layers}]
+	until, ok := b.outdated[Outdated{Server: s.Life(), Layers: s.Layers}]
 	return ok && now.Before(until)
 }
--- a/coordination/suspect/suspect.go
+++ b/coordination/suspect/suspect.go
@@ -75,6 +75,9 @@
 	r.avoid = time.Time{}
 }
 
+// Forget drops what is known of the server at an address: another one is there now.
+func (b *Book) Forget(address string) { delete(b.servers, address) }
+
 // Avoided returns the addresses that are better not used now.
 func (b *Book) Avoided(now time.Time) map[string]bool {
 	var out map[string]bool
--- a/coordination/suspect/suspect_test.go
+++ b/coordination/suspect/suspect_test.go
@@ -76,14 +76,26 @@
 		Expect(b.Avoided(at(1001))).To(BeEmpty())
 	})
 
+	It("forgets the failures of a server that another one has followed", func() {
+		b := suspect.NewBook()
+		b.Failed(at(0), "a")
+		b.Began(at(0), path("a"), time.Second)
+		b.Forget("a")
+		Expect(b.Avoided(at(1))).To(BeEmpty())
+		Expect(b.Delay(at(1), "a")).To(BeZero())
+	})
+
 	It("goes by no entry that its server has contradicted, until the entry changes", func() {
 		b := suspect.NewBook()
 		s := fleet.Server{ID: "i-1", Layers: fleet.Range{From: 0, To: 4}}
-		o := suspect.Outdated{Server: s.ID, Layers: s.Layers}
+		o := suspect.Outdated{Server: s.Life(), Layers: s.Layers}
 		now := time.Unix(1000, 0)
 		Expect(b.Contradicted(now, o)).To(BeTrue())
 		Expect(b.Contradicted(now, o)).To(BeFalse(), "it is told once")
 		Expect(b.Outdated(now, &s)).To(BeTrue())
+		restarted := s
+		restarted.Born = 5
+		Expect(b.Outdated(now, &restarted)).To(BeFalse(), "another life may hold what this one did not")
 		moved := s
 		moved.Layers = fleet.Range{From: 4, To: 8}
 		Expect(b.Outdated(now, &moved)).To(BeFalse())
--- a/gateway/book.go
+++ b/gateway/book.go
@@ -18,7 +18,7 @@
 // microseconds.
 type book struct {
 	mu       sync.Mutex
-	loads    map[string]*pathing.Load // own requests by the server's address
+	loads    map[state.Life]*pathing.Load // own requests by server
 	suspects *suspect.Book
 	buried   map[string]bool // addresses of servers that answer no probe
 	budget   *retrybudget.Budget
@@ -30,7 +30,7 @@
 
 func newBook(set Settings) *book {
 	return &book{
-		loads:    make(map[string]*pathing.Load),
+		loads:    make(map[state.Life]*pathing.Load),
 		suspects: suspect.NewBook(),
 		buried:   make(map[string]bool),
 		streams:  make(map[*stream]struct{}),
@@ -53,26 +53,26 @@
 }
 
 // load is what this daemon runs on a server.
-func (b *book) load(address string) pathing.Load {
-	if l, ok := b.loads[address]; ok {
+func (b *book) load(server state.Life) pathing.Load {
+	if l, ok := b.loads[server]; ok {
 		return *l
 	}
 	return pathing.Load{}
 }
 
-// add changes the load of a server. One without requests is forgotten: addresses come
+// add changes the load of a server. One without requests is forgotten: servers come
 // and go.
-func (b *book) add(address string, requests, first, tokens float64) {
-	l, ok := b.loads[address]
+func (b *book) add(server state.Life, requests, first, tokens float64) {
+	l, ok := b.loads[server]
 	if !ok {
 		l = &pathing.Load{}
-		b.loads[address] = l
+		b.loads[server] = l
 	}
 	l.Requests += requests
 	l.First += first
 	l.Tokens += tokens
 	if l.Requests <= 0 {
-		delete(b.loads, address)
+		delete(b.loads, server)
 	}
 }
 
@@ -91,7 +91,7 @@
 			continue
 		}
 		kind := svc.Engine.Kinds[s.Kind]
-		load := b.load(s.Address)
+		load := b.load(s.Life())
 		load.Requests *= daemons
 		load.First *= daemons
 		load.Tokens *= daemons
@@ -128,7 +128,7 @@
 func (b *book) count(path fleet.Path, tokens int, by float64) {
 	first := by
 	for _, h := range path {
-		b.add(h.Address, by, first, by*float64(tokens))
+		b.add(h.Server, by, first, by*float64(tokens))
 		first = 0
 	}
 }
@@ -152,7 +152,7 @@
 		if s.Draining || avoid[s.Address] || b.buried[s.Address] || b.suspects.Outdated(now, s) {
 			continue
 		}
-		cost := b.load(s.Address).Requests
+		cost := b.load(s.Life()).Requests
 		if s.Domain != domain {
 			cost += crossCost
 		}
@@ -166,7 +166,7 @@
 	if best < 0 {
 		return fleet.Server{}, false
 	}
-	b.add(servers[best].Address, 1, 0, 0)
+	b.add(servers[best].Life(), 1, 0, 0)
 	return servers[best], true
 }
 
@@ -178,10 +178,10 @@
 	suspectCost = 1000
 )
 
-func (b *book) releaseServer(address string) {
+func (b *book) releaseServer(server state.Life) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.add(address, -1, 0, 0)
+	b.add(server, -1, 0, 0)
 }
 
 func (b *book) failed(now time.Time, address string) {
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -23,15 +23,15 @@
 
 // implicate asks whether a server died under a request whose answer had not begun,
 // and if so tells all daemons.
-func (r *run) implicate(server state.BackendID, address string) {
-	if r.headed || r.g.prober.alive(address) {
+func (r *run) implicate(server state.Life, address string) {
+	if r.headed || r.g.prober.alive(server, address) {
 		return
 	}
 	told, news := r.g.book.implicate(time.Now(), r.fingerprint(), server)
 	if !news {
 		return
 	}
-	r.g.log.Emit(telemetry.EventRequestImplicated, telemetry.Request(r.req.ID), telemetry.Backend(server))
+	r.g.log.Emit(telemetry.EventRequestImplicated, telemetry.Request(r.req.ID), telemetry.Backend(server.ID))
 	r.g.tell(told)
 }
 
@@ -40,7 +40,7 @@
 	r.g.book.clear(r.fingerprint)
 }
 
-func (b *book) implicate(now time.Time, fp crashes.Fingerprint, servers ...state.BackendID) (crashes.Told, bool) {
+func (b *book) implicate(now time.Time, fp crashes.Fingerprint, servers ...state.Life) (crashes.Told, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.crashes.Implicate(now, fp, servers...)
--- a/gateway/duty.go
+++ b/gateway/duty.go
@@ -156,17 +156,19 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
 	defer cancel()
-	result, err := g.backends.Order(ctx, backend.Order{
+	answer, err := g.backends.Order(ctx, backend.Order{
 		Server: a.Server.ID, Address: a.Server.Address, Layers: a.Layers, Fence: a.Fence, Orders: a.Orders,
 	})
-	ev := layering.Ordered{Server: a.Server.ID, End: orderEnd(result)}
+	g.metLife(a.Server.Life(), a.Server.Address, answer.Born)
+	ev := layering.Ordered{Server: a.Server.Life(), End: orderEnd(answer.Result)}
 	if ev.End == layering.Conflict {
 		if report, rerr := g.backends.Report(ctx, a.Server.Address); rerr == nil {
+			g.metLife(a.Server.Life(), a.Server.Address, report.Born)
 			ev.Known, ev.Orders, ev.Busy = true, report.Orders, report.Busy
 		}
 	}
 	g.log.Emit(telemetry.EventOrderSent, telemetry.Backend(a.Server.ID), telemetry.Fencing(a.Fence),
-		telemetry.Layers(a.Layers), telemetry.Detail(orderNames[result]), telemetry.Cause(err))
+		telemetry.Layers(a.Layers), telemetry.Detail(orderNames[answer.Result]), telemetry.Cause(err))
 	p.c.post(func() { p.step(ev) })
 }
 
--- a/gateway/explain_test.go
+++ b/gateway/explain_test.go
@@ -71,7 +71,7 @@
 		s := logs.story("r1")
 		Expect(s.Daemon).To(Equal("g1"))
 		Expect(s.Cause.Kind).To(Equal(explain.KindHopDied))
-		Expect(s.Cause.Summary).To(ContainSubstring(string(hop.Server)))
+		Expect(s.Cause.Summary).To(ContainSubstring(string(hop.Server.ID)))
 		Expect(s.Steps[0].Beliefs).To(ContainElement(HaveField("About", "configuration")))
 		Expect(s.Steps[0].Beliefs).To(ContainElement(HaveField("About", "server "+hop.Address)))
 	})
--- a/gateway/fake_test.go
+++ b/gateway/fake_test.go
@@ -28,7 +28,8 @@
 	mu     sync.Mutex
 	calls  []backend.Call
 	orders []backend.Order
-	dead   map[string]bool // by address
+	dead   map[string]bool  // by address
+	born   map[string]int64 // of servers that are another life than listed, by address
 	// plain and stream answer calls; a stream writes events with increasing ids.
 	plain  func(c backend.Call) (*backend.Answer, error)
 	stream func(c backend.Call, out *io.PipeWriter)
@@ -54,7 +55,7 @@
 }
 
 // Order implements backend.Client: the engine lists its layers at once.
-func (s *servers) Order(_ context.Context, o backend.Order) (backend.OrderResult, error) {
+func (s *servers) Order(_ context.Context, o backend.Order) (backend.OrderAnswer, error) {
 	s.mu.Lock()
 	s.orders = append(s.orders, o)
 	s.mu.Unlock()
@@ -63,7 +64,7 @@
 	s.listed.mu.Unlock()
 	srv.Layers = o.Layers
 	s.listed.set(string(o.Server), srv)
-	return backend.OrderBegun, nil
+	return backend.OrderAnswer{Result: backend.OrderBegun}, nil
 }
 
 // Report implements backend.Client.
@@ -75,7 +76,16 @@
 		<-ctx.Done()
 		return backend.Report{}, ctx.Err()
 	}
-	return backend.Report{}, nil
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return backend.Report{Born: s.born[address]}, nil
+}
+
+// reborn has a server say that it is another life.
+func (s *servers) reborn(address string, born int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.born[address] = born
 }
 
 func (s *servers) kill(address string) {
@@ -146,7 +156,7 @@
 // newRigLogging has gateways that write to a log.
 func newRigLogging(grace time.Duration, log *telemetry.Log) *rig {
 	r := &rig{log: log, grace: grace, configs: newFeed[*fleet.Config](), listed: newFeed[fleet.Server](), members: newTable(), leases: newTable()}
-	r.servers = &servers{dead: make(map[string]bool), listed: r.listed}
+	r.servers = &servers{dead: make(map[string]bool), born: make(map[string]int64), listed: r.listed}
 	r.servers.stream = func(c backend.Call, out *io.PipeWriter) { events(out, c.After, 5) }
 	r.servers.plain = func(backend.Call) (*backend.Answer, error) { return answer(http.StatusOK, "ok"), nil }
 	r.gateway = r.start("g1")
--- a/gateway/fakestore_test.go
+++ b/gateway/fakestore_test.go
@@ -19,6 +19,8 @@
 	err      error
 	// behind makes reads answer as of an older revision.
 	behind *site.Batch[T]
+	// bad are rows that can't be read.
+	bad map[string]error
 	// history keeps the changes, nil for a feed that has always lost them.
 	history []site.Item[T]
 }
@@ -44,17 +46,27 @@
 }
 
 func newFeed[T any]() *feed[T] {
-	return &feed[T]{rows: make(map[string]T), written: make(map[string]uint64), changed: make(chan struct{})}
+	return &feed[T]{rows: make(map[string]T), written: make(map[string]uint64), bad: make(map[string]error), changed: make(chan struct{})}
 }
 
 func (f *feed[T]) set(key string, v T) {
 	f.change(func() {
 		f.rows[key] = v
+		delete(f.bad, key)
 		f.written[key] = f.revision + 1
 		f.log(site.Item[T]{Key: key, Value: v, Revision: f.revision + 1})
 	})
 }
 
+// spoil makes a row unreadable.
+func (f *feed[T]) spoil(key string, why error) {
+	f.change(func() {
+		delete(f.rows, key)
+		f.bad[key] = why
+		f.log(site.Item[T]{Key: key, Err: why, Revision: f.revision + 1})
+	})
+}
+
 func (f *feed[T]) remove(key string) {
 	f.change(func() {
 		delete(f.rows, key)
@@ -97,6 +109,9 @@
 	for k, v := range f.rows {
 		b.Items = append(b.Items, site.Item[T]{Key: k, Value: v, Revision: f.written[k]})
 	}
+	for k, err := range f.bad {
+		b.Items = append(b.Items, site.Item[T]{Key: k, Err: err})
+	}
 	return b
 }
 
--- a/gateway/follow_test.go
+++ b/gateway/follow_test.go
@@ -73,6 +73,20 @@
 	return p.gateways[i].Serve(context.Background(), request(path), &reply{}).Outcome
 }
 
+// outdated reports whether a gateway goes by no entry of a plain server.
+func (p *posts) outdated(i int, server state.BackendID) bool {
+	status, err := p.gateways[i].Status(context.Background())
+	Expect(err).NotTo(HaveOccurred())
+	for _, svc := range status.Services {
+		for _, s := range svc.Servers {
+			if s.ID == server {
+				return s.Outdated
+			}
+		}
+	}
+	return false
+}
+
 // withRoute is a configuration with one more route.
 func withRoute(version uint64, prefix string) *fleet.Config {
 	c := config(version)
@@ -168,7 +182,7 @@
 			return lo.CountBy(p.rig.servers.sent(), func(c backend.Call) bool { return c.Address == reborn })
 		}
 		Expect(p.outcomeAt(0, "/once/x")).To(Equal(gateway.Answered))
-		time.Sleep(100 * time.Millisecond) // the message's way
+		Eventually(func() bool { return p.outdated(1, reborn) }).WithTimeout(patience).Should(BeTrue(), "the message has come")
 		for range 20 {
 			Expect(p.outcomeAt(1, "/once/x")).To(Equal(gateway.Answered))
 			Expect(p.outcomeAt(0, "/once/x")).To(Equal(gateway.Answered))
--- a/gateway/gauges.go
+++ b/gateway/gauges.go
@@ -75,7 +75,7 @@
 	tokens, room := 0.0, 0
 	for i := range v.servers[svc.ID] {
 		s := &v.servers[svc.ID][i]
-		tokens += b.load(s.Address).Tokens
+		tokens += b.load(s.Life()).Tokens
 		room += svc.Engine.Room(svc.Engine.Kinds[s.Kind], s.Layers.Len())
 	}
 	return retries, tokens * float64(max(v.live, 1)) / float64(max(room, 1))
--- a/gateway/listing.go
+++ b/gateway/listing.go
@@ -23,6 +23,13 @@
 	// missing are servers that are no longer listed, but may only have lapsed, and
 	// when they count as gone.
 	missing map[state.BackendID]time.Time
+	// former are lives that another one of the same name has followed. Their entries
+	// may still come: a write that was held up is done after the new life's.
+	former map[state.Life]bool
+	// young are lives that were listed first since the list was last published.
+	young []state.Life
+	// bad are entries that can't be read, by the revision that was logged.
+	bad map[state.BackendID]uint64
 }
 
 const (
@@ -41,6 +48,8 @@
 		servers:   make(map[state.BackendID]fleet.Server),
 		revisions: make(map[state.BackendID]uint64),
 		missing:   make(map[state.BackendID]time.Time),
+		former:    make(map[state.Life]bool),
+		bad:       make(map[state.BackendID]uint64),
 	}
 }
 
@@ -57,6 +66,7 @@
 		}
 		p.c.view.config = it.Value
 		p.c.changed = true
+		p.stale = true // which entries are usable depends on it
 		p.c.g.log.Emit(telemetry.EventDocumentApplied, telemetry.Version(state.DocumentVersion(it.Value.Version)))
 	}
 }
@@ -72,10 +82,14 @@
 		present[id] = !it.Removed
 		switch {
 		case it.Removed:
+			delete(p.bad, id)
 			p.miss(id)
 		case it.Err != nil:
-			p.c.g.log.Emit(telemetry.EventBackendUnreadable, telemetry.Backend(id), telemetry.Cause(it.Err))
+			p.unreadable(id, it.Revision, it.Err)
+		case p.former[it.Value.Life()]:
+			// A write of the former life that was held up; the new one's follows.
 		default:
+			delete(p.bad, id)
 			p.revisions[id] = it.Revision
 			p.seen(it.Value)
 		}
@@ -130,9 +144,14 @@
 	old, known := p.servers[s.ID]
 	p.servers[s.ID] = s
 	if !known {
+		p.young = append(p.young, s.Life())
 		p.c.g.log.Emit(telemetry.EventBackendJoined, telemetry.Backend(s.ID), telemetry.Address(s.Address))
 		return
 	}
+	if s.Life() != old.Life() {
+		p.restarted(old, s)
+		return
+	}
 	if s.Layers != old.Layers {
 		p.c.g.log.Emit(telemetry.EventLayersListed, telemetry.Backend(s.ID), telemetry.Layers(s.Layers))
 	}
@@ -143,6 +162,7 @@
 
 func (p *listingPart) gone(id state.BackendID) {
 	delete(p.missing, id)
+	p.forgetLives(id)
 	if _, ok := p.servers[id]; !ok {
 		return
 	}
@@ -158,6 +178,9 @@
 func (p *listingPart) regroup() {
 	latest := make(map[string]state.BackendID, len(p.servers))
 	for id, s := range p.servers {
+		if !usable(p.c.view.config, &s) {
+			continue
+		}
 		if other, ok := latest[s.Address]; !ok || p.revisions[id] > p.revisions[other] {
 			latest[s.Address] = id
 		}
@@ -167,6 +190,7 @@
 		s := p.servers[id]
 		groups[s.Service] = append(groups[s.Service], s)
 	}
+	p.welcome(latest)
 	p.c.view.servers = groups
 	p.c.changed = true
 }
--- a/gateway/outdated.go
+++ b/gateway/outdated.go
@@ -18,7 +18,7 @@
 	if !ok {
 		return
 	}
-	o := suspect.Outdated{Server: s.ID, Layers: s.Layers}
+	o := suspect.Outdated{Server: s.Life(), Layers: s.Layers}
 	if !r.g.book.contradicted(time.Now(), o) {
 		return
 	}
--- a/gateway/path.go
+++ b/gateway/path.go
@@ -33,7 +33,7 @@
 	}
 	r.at = path[0].Address
 	r.logSent(path.String())
-	call := r.call(path[0].Server, path[0].Address)
+	call := r.call(path[0].Server.ID, path[0].Address)
 	call.Path = path
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -26,7 +26,7 @@
 	if !found {
 		return r.noServer(retrySoon)
 	}
-	defer r.g.book.releaseServer(server.Address)
+	defer r.g.book.releaseServer(server.Life())
 	r.at = server.Address
 	r.logSent(string(server.ID))
 	ctx, cancel := context.WithCancel(ctx)
@@ -35,7 +35,7 @@
 	sent := time.Now()
 	answer, err := r.g.backends.Send(ctx, r.call(server.ID, server.Address))
 	if err != nil {
-		return r.sendFailed(ctx, err, server.ID, server.Address), Result{}
+		return r.sendFailed(ctx, err, server.Life(), server.Address), Result{}
 	}
 	defer func() { _ = answer.Body.Close() }()
 	r.g.book.tookFirst(time.Now(), r.service.ID, time.Since(sent))
--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sync/singleflight"
 	"golang.org/x/time/rate"
 
+	"github.com/hibiscuswick/hibiscuswick/state"
 	"github.com/hibiscuswick/hibiscuswick/state/fleet"
 	"github.com/hibiscuswick/hibiscuswick/telemetry"
 )
@@ -62,10 +63,10 @@
 }
 
 // alive reports whether a server answers.
-func (p *prober) alive(address string) bool { return p.probe(address).alive }
+func (p *prober) alive(server state.Life, address string) bool { return p.probe(server, address).alive }
 
 // probe asks a server for its report, unless that was done a moment ago.
-func (p *prober) probe(address string) probed {
+func (p *prober) probe(server state.Life, address string) probed {
 	p.mu.Lock()
 	old, ok := p.last[address]
 	p.mu.Unlock()
@@ -76,17 +77,20 @@
 		if !p.limit.Allow() {
 			return probed{alive: true}, nil
 		}
-		return p.ask(address), nil
+		return p.ask(server, address), nil
 	})
 	return result.(probed)
 }
 
 // ask sends one probe and keeps its result.
-func (p *prober) ask(address string) probed {
+func (p *prober) ask(server state.Life, address string) probed {
 	began := time.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), probeWait)
 	defer cancel()
-	_, err := p.g.backends.Report(ctx, address)
+	report, err := p.g.backends.Report(ctx, address)
+	if err == nil {
+		p.g.metLife(server, address, report.Born)
+	}
 	out := probed{at: time.Now(), took: time.Since(began), err: err}
 	out.alive = err == nil || out.took > probeWait+probeLate
 	p.g.metrics.CountReason(telemetry.GatewayProbesTotal, probeNames[out.alive])
@@ -106,7 +110,7 @@
 	results := make([]probed, len(hops))
 	var all sync.WaitGroup
 	for i, h := range hops {
-		all.Go(func() { results[i] = p.probe(h.Address) })
+		all.Go(func() { results[i] = p.probe(h.Server, h.Address) })
 	}
 	all.Wait()
 	// One live server proves that this daemon is not cut off itself.
@@ -130,7 +134,7 @@
 	if !p.g.book.bury(h.Address) {
 		return
 	}
-	p.g.log.Emit(telemetry.EventBackendDead, telemetry.Backend(h.Server), telemetry.Address(h.Address),
+	p.g.log.Emit(telemetry.EventBackendDead, telemetry.Backend(h.Server.ID), telemetry.Address(h.Address),
 		telemetry.Took(why.took), telemetry.Cause(why.err))
 	go func() {
 		until := time.Now().Add(reprobeFor)
@@ -140,11 +144,11 @@
 				return
 			case <-time.After(reprobeEvery):
 			}
-			if p.alive(h.Address) {
+			if p.alive(h.Server, h.Address) {
 				break
 			}
 		}
 		p.g.book.raise(h.Address)
-		p.g.log.Emit(telemetry.EventBackendRecovered, telemetry.Backend(h.Server), telemetry.Address(h.Address))
+		p.g.log.Emit(telemetry.EventBackendRecovered, telemetry.Backend(h.Server.ID), telemetry.Address(h.Address))
 	}()
 }
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -283,7 +283,7 @@
 
 // sendFailed is the end of an attempt whose call to a server failed. One that this
 // daemon gave up itself, or its caller, is held against nobody.
-func (r *run) sendFailed(ctx context.Context, err error, id state.BackendID, address string) relay.End {
+func (r *run) sendFailed(ctx context.Context, err error, server state.Life, address string) relay.End {
 	end := relay.Broken
 	if errors.Is(err, backend.ErrNotSent) {
 		end = relay.NotSent
@@ -294,7 +294,7 @@
 	}
 	r.blame(address)
 	if end == relay.Broken {
-		r.implicate(id, address)
+		r.implicate(server, address)
 	}
 	return end
 }
--- a/gateway/status.go
+++ b/gateway/status.go
@@ -71,8 +71,9 @@
 	Kind     string              `json:"kind,omitempty"`
 	Layers   string              `json:"layers,omitempty"`
 	Draining bool                `json:"draining"`
-	Dead     bool                `json:"dead"`    // it answers no probe
-	Avoided  bool                `json:"avoided"` // it failed of late
+	Dead     bool                `json:"dead"`     // it answers no probe
+	Avoided  bool                `json:"avoided"`  // it failed of late
+	Outdated bool                `json:"outdated"` // it has contradicted its entry
 	Requests float64             `json:"requests"`
 	Tokens   float64             `json:"tokens"`         // held for this gateway's requests
 	Room     int                 `json:"room,omitempty"` // for the tokens of all gateways
@@ -167,16 +168,16 @@
 	avoided := b.suspects.Avoided(now)
 	s := ServiceStatus{ID: svc.ID, RetriesLeft: b.budget.Left(now, svc.ID, v.sharers)}
 	for i := range v.servers[svc.ID] {
-		s.Servers = append(s.Servers, b.server(&v.servers[svc.ID][i], svc.Engine, avoided))
+		s.Servers = append(s.Servers, b.server(now, &v.servers[svc.ID][i], svc.Engine, avoided))
 	}
 	return s
 }
 
-func (b *book) server(s *fleet.Server, e *fleet.Engine, avoided map[string]bool) ServerStatus {
-	load := b.load(s.Address)
+func (b *book) server(now time.Time, s *fleet.Server, e *fleet.Engine, avoided map[string]bool) ServerStatus {
+	load := b.load(s.Life())
 	out := ServerStatus{
 		ID: s.ID, Address: s.Address, Domain: s.Domain, Kind: s.Kind, Draining: s.Draining,
-		Dead: b.buried[s.Address], Avoided: avoided[s.Address],
+		Dead: b.buried[s.Address], Avoided: avoided[s.Address], Outdated: b.suspects.Outdated(now, s),
 		Requests: load.Requests, Tokens: load.Tokens,
 	}
 	if e != nil && s.Layers.Len() > 0 {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -138,7 +138,7 @@
 	if s.r.route.Repeat != fleet.RunOn || !s.mayGoOn() || !s.ending.CompareAndSwap(false, true) {
 		return
 	}
-	s.r.g.log.Emit(telemetry.EventHopSilent, telemetry.Request(s.r.req.ID), telemetry.Backend(h.Server), telemetry.Address(h.Address))
+	s.r.g.log.Emit(telemetry.EventHopSilent, telemetry.Request(s.r.req.ID), telemetry.Backend(h.Server.ID), telemetry.Address(h.Address))
 	s.cancel()
 }
 
--- a/protocol/backend/backend.go
+++ b/protocol/backend/backend.go
@@ -79,12 +79,19 @@
 	OrderRejected                    // the engine refuses it for good
 )
 
+// OrderAnswer is an engine's answer to an order.
+type OrderAnswer struct {
+	Result OrderResult
+	Born   int64 // of the life that answered, as state.Life has it; 0 if it does not say
+}
+
 // Report is what an engine says of itself, some hundred milliseconds old.
 type Report struct {
 	Busy   bool
 	Orders uint64
 	Layers fleet.Range
 	Pace   float64 // over 1 is slow
+	Born   int64   // of the life that reports, as state.Life has it
 }
 
 // Client speaks to backend servers. Its methods may be called by many goroutines.
@@ -92,6 +99,6 @@
 	// Send sends a request. Canceling ctx closes its connection, so that the
 	// server stops work.
 	Send(ctx context.Context, c Call) (*Answer, error)
-	Order(ctx context.Context, o Order) (OrderResult, error)
+	Order(ctx context.Context, o Order) (OrderAnswer, error)
 	Report(ctx context.Context, address string) (Report, error)
 }
--- a/state/fleet/server.go
+++ b/state/fleet/server.go
@@ -20,9 +20,11 @@
 // String gives the range as FROM-TO, TO exclusive.
 func (r Range) String() string { return strconv.Itoa(r.From) + "-" + strconv.Itoa(r.To) }
 
-// Server is one life of one backend server, as it lists itself.
+// Server is one life of one backend server, as it lists itself. One that starts again
+// has another id, or the same one and another Born.
 type Server struct {
-	ID       state.BackendID // of this life; a restart has another
+	ID       state.BackendID
+	Born     int64 // of this life, as state.Life has it
 	Service  state.ServiceID
 	Address  string // host:port
 	Domain   state.FailureDomain
@@ -33,6 +35,9 @@
 	Layers   Range         // that it holds; empty for none
 }
 
+// Life is the start of the server that this entry is of.
+func (s *Server) Life() state.Life { return state.Life{ID: s.ID, Born: s.Born} }
+
 // Holds reports whether the server holds layer l.
 func (s *Server) Holds(l int) bool {
 	return s.Layers.From <= l && l < s.Layers.To
@@ -40,7 +45,7 @@
 
 // Hop is one backend server's part of a path.
 type Hop struct {
-	Server  state.BackendID
+	Server  state.Life
 	Address string
 	Domain  state.FailureDomain
 	Layers  Range
--- a/state/ids.go
+++ b/state/ids.go
@@ -46,6 +46,23 @@
 	Nonce string
 )
 
+// Life is one start of one backend server. A server that starts again may keep its
+// name; it then holds nothing that it held, and knows nothing of what it was told.
+type Life struct {
+	ID BackendID `msgpack:"id"`
+	// Born is when it started, in Unix ms by its own clock. It tells two lives of one
+	// name apart and does not order them, since clocks differ; 0 if it does not say.
+	Born int64 `msgpack:"born,omitempty"`
+}
+
+// String gives the name, and the start where it is known.
+func (l Life) String() string {
+	if l.Born == 0 {
+		return string(l.ID)
+	}
+	return fmt.Sprintf("%s@%d", l.ID, l.Born)
+}
+
 // Incarnation orders the lives of one daemon: a later process of the same
 // DaemonID has a strictly higher one.
 type Incarnation uint64
--- a/telemetry/catalogue.go
+++ b/telemetry/catalogue.go
@@ -77,6 +77,7 @@
 	{EventFeedSource, "feed_source", logrus.InfoLevel, "This daemon learns of a feed's changes from another source than before: the store, or the daemons that follow it."},
 	{EventRowsUnreadable, "rows_unreadable", logrus.ErrorLevel, "Rows that one daemon passes on to others can't be written or read; each reads them from the store."},
 	{EventEntryOutdated, "entry_outdated", logrus.InfoLevel, "A backend server has contradicted its entry in the list: it is another life, or lacks the layers; no daemon goes by the entry for a while."},
+	{EventBackendRestarted, "backend_restarted", logrus.InfoLevel, "A backend server has started again under its name; it holds nothing of before, and nothing that was believed of it stands."},
 	{EventConnectionSilent, "connection_silent", logrus.WarnLevel, "An open connection went silent; it is replaced, and what was under way on it is asked about."},
 	{EventFrameRefused, "frame_refused", logrus.WarnLevel, "A broken, oversized or unknown frame came; the connection is closed."},
 }
--- a/telemetry/events.go
+++ b/telemetry/events.go
@@ -96,6 +96,7 @@
 	EventFeedSource        Event = 1613
 	EventRowsUnreadable    Event = 1614
 	EventEntryOutdated     Event = 1615
+	EventBackendRestarted  Event = 1616
 	EventReplicaUp         Event = 1606
 	EventReplicaDown       Event = 1607
 	EventCacheEventsMissed Event = 1608
