Let a request that runs alone prove a replica that failed

A bystander of the crash is implicated too, and runs alone. By then servers of each replica had died under it and the content beside it; all were started again, but a replica with a failure was given to other requests only, to prove it, and there was none: the bystander waited for its deadline with all 29 tokens delivered but the end. Ruled out: the caller's side (the answer's tokens were all there), the re-attach, load alone (green one by one because then one replica stays without a failure). Change: coordination/home: where no replica in good standing is left for it, a request that runs alone takes an idle one that failed; one proves one. The new spec in virtual time fails without the change.

--- a/coordination/home/choose.go
+++ b/coordination/home/choose.go
@@ -110,8 +110,29 @@
 	if best != nil {
 		best.held = w
 		p.holding = best
+		return nil
 	}
-	return nil
+	return p.chooseFailed(w, now)
+}
+
+// chooseFailed returns an idle replica that has failed, to be proved by w, where no
+// replica in good standing is left for w. Elsewhere other requests prove it: a server
+// that is not sound yet would have w taken for what ended it. Here nobody else may
+// come, and w would wait for its deadline.
+func (p *pool) chooseFailed(w *wait, now time.Time) *replica {
+	var failed *replica
+	for _, r := range p.order {
+		if r.leaving || slices.Contains(w.exclude, r.id) {
+			continue
+		}
+		if r.failures == 0 {
+			return nil
+		}
+		if failed == nil && r.offers(now) && !r.probing && !r.alone && r.used == 0 {
+			failed = r
+		}
+	}
+	return failed
 }
 
 func (p *pool) usableAlone(r *replica, w *wait, now time.Time) bool {
--- a/coordination/home/choose_test.go
+++ b/coordination/home/choose_test.go
@@ -60,6 +60,26 @@
 		Expect(len(w.granted)).To(BeNumerically(">=", 3))
 	})
 
+	// A draft of which some words have come stands still until its deadline. Order: a
+	// server of each replica dies under it and another request, and all are started
+	// again. Cause: a replica that failed was given to other requests only, to prove it,
+	// and there was none.
+	It("gives a replica that failed to a request that runs alone, where no other is left", Label("failure:request-crashes-servers"), func() {
+		w := newWorld(home.Config{}, document(100, 1), replicas(2, 3))
+		for range 2 {
+			w.release(other, w.ask(other, "draft", 0), home.UseFailed)
+		}
+		apart := func(m *home.SlotRequest) { m.Alone, m.Apart = true, true }
+		first := w.ask(other, "draft", 0, apart)
+		Expect(w.granted).NotTo(HaveKey(first), "they have just failed")
+		w.advance(5 * time.Second)
+		Expect(w.granted).To(HaveKey(first))
+		second := w.ask(other, "draft", 0, apart)
+		Expect(place(w, second)).NotTo(Equal(place(w, first)), "one proves one")
+		third := w.ask(other, "draft", 0, apart)
+		Expect(w.granted).NotTo(HaveKey(third))
+	})
+
 	// What users see: after a server died, their answers go on within a moment
 	// each, although each may be what ended it. Order: one begins on a replica
 	// that was quiet for a while, then the next as soon as it has passed; nothing
