Tell all daemons of a server that refuses requests although it has room

Change: after a refusal its report, 0.3 s later, tells whether it had room. The first such refusal is told to all, and the second in a row, with no answer in between, shows that it leaves: all are told, and avoid it for 10 s unless no other way is left. With it, a refusal no longer counts as an answer that has begun: refusing engines looked fastest.

--- a/cmd/hibiscusctl/inspect.go
+++ b/cmd/hibiscusctl/inspect.go
@@ -113,7 +113,7 @@
 	switch {
 	case s.Dead:
 		return "dead"
-	case s.Draining:
+	case s.Draining || s.Refusing:
 		return "leaving"
 	case s.Outdated:
 		return "outdated"
--- a/coordination/suspect/delay.go
+++ b/coordination/suspect/delay.go
@@ -28,6 +28,7 @@
 	part := float64(took) / float64(time.Millisecond) / float64(len(path))
 	for _, h := range path {
 		r := b.record(now, h.Address)
+		r.refusals = refusals{}
 		have := r.delay.fade(now)
 		r.delay = delay{ms: have + delayGain*(part-have), at: now}
 	}
--- a/coordination/suspect/suspect.go
+++ b/coordination/suspect/suspect.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/hibiscuswick/hibiscuswick/state"
 	"github.com/hibiscuswick/hibiscuswick/state/fleet"
 )
 
@@ -23,6 +24,8 @@
 	servers map[string]*record // by address
 	// outdated are entries that are not gone by, and until when.
 	outdated map[Outdated]time.Time
+	// leaving are servers that refuse requests, and until when that counts.
+	leaving map[state.Life]time.Time
 }
 
 // record is what is known of one server.
@@ -30,6 +33,7 @@
 	alive    time.Time // when it was last shown alive
 	quiet    Usual     // times in which nothing showed it alive
 	delay    delay
+	refusals refusals
 	failures int       // in a row
 	avoid    time.Time // until when
 	touched  time.Time
@@ -43,7 +47,7 @@
 
 // NewBook returns an empty book.
 func NewBook() *Book {
-	return &Book{servers: make(map[string]*record), outdated: make(map[Outdated]time.Time)}
+	return &Book{servers: make(map[string]*record), outdated: make(map[Outdated]time.Time), leaving: make(map[state.Life]time.Time)}
 }
 
 func (b *Book) record(now time.Time, address string) *record {
--- a/coordination/suspect/suspect_test.go
+++ b/coordination/suspect/suspect_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/hibiscuswick/hibiscuswick/coordination/suspect"
+	"github.com/hibiscuswick/hibiscuswick/state"
 	"github.com/hibiscuswick/hibiscuswick/state/fleet"
 )
 
@@ -85,6 +86,30 @@
 		Expect(b.Delay(at(1), "a")).To(BeZero())
 	})
 
+	// A server leaves and is not listed so. It refuses each request, at each daemon. One
+	// refusal is no proof, nor are several of what was sent at once.
+	It("takes a server for leaving that refuses in a row", Label("failure:leaving-unlisted"), func() {
+		b := suspect.NewBook()
+		b.Refused(at(0), "a")
+		b.Refused(at(100), "a")
+		Expect(b.RefusesAll("a")).To(BeFalse(), "both were sent at once")
+		b.Refused(at(400), "a")
+		Expect(b.RefusesAll("a")).To(BeTrue())
+		b.Began(at(500), path("a"), time.Millisecond)
+		Expect(b.RefusesAll("a")).To(BeFalse(), "an answer has begun there")
+		Expect(b.RefusesAll("unknown")).To(BeFalse())
+	})
+
+	It("avoids a server that is leaving for a while, and not its next life", func() {
+		b := suspect.NewBook()
+		life := state.Life{ID: "i-1"}
+		Expect(b.Leaves(at(0), suspect.Leaving{Server: life})).To(BeTrue())
+		Expect(b.Leaves(at(1), suspect.Leaving{Server: life})).To(BeFalse())
+		Expect(b.IsLeaving(at(9000), life)).To(BeTrue())
+		Expect(b.IsLeaving(at(9000), state.Life{ID: "i-1", Born: 7})).To(BeFalse())
+		Expect(b.IsLeaving(at(10000), life)).To(BeFalse())
+	})
+
 	It("goes by no entry that its server has contradicted, until the entry changes", func() {
 		b := suspect.NewBook()
 		s := fleet.Server{ID: "i-1", Layers: fleet.Range{From: 0, To: 4}}
--- a/gateway/book.go
+++ b/gateway/book.go
@@ -21,6 +21,7 @@
 	loads    map[state.Life]*pathing.Load // own requests by server
 	suspects *suspect.Book
 	buried   map[string]bool // addresses of servers that answer no probe
+	doubted  map[string]bool // addresses of servers whose refusal is looked into
 	budget   *retrybudget.Budget
 	streams  map[*stream]struct{}
 	pipes    pipes
@@ -33,6 +34,7 @@
 		loads:    make(map[state.Life]*pathing.Load),
 		suspects: suspect.NewBook(),
 		buried:   make(map[string]bool),
+		doubted:  make(map[string]bool),
 		streams:  make(map[*stream]struct{}),
 		pipes:    make(pipes),
 		waits:    make(map[state.ServiceID]*waits),
@@ -99,7 +101,7 @@
 	}
 	r.Backlog = func(x, y state.FailureDomain) float64 { return b.pipes.backlog(now, x, y) }
 	never := merge(maps.Clone(b.buried), r.Avoid)
-	r.Avoid = merge(b.suspects.Avoided(now), never)
+	r.Avoid = merge(merge(b.suspects.Avoided(now), b.leaving(now, servers)), never)
 	path, ok := pathing.Choose(svc.Engine, cards, r)
 	if !ok && len(r.Avoid) > len(never) {
 		// A suspect is better than nothing; a dead server is not.
--- a/gateway/fake_test.go
+++ b/gateway/fake_test.go
@@ -29,6 +29,8 @@
 	calls  []backend.Call
 	orders []backend.Order
 	dead   map[string]bool  // by address
+	used   int64            // of 100, what every server's report says
+	refuse map[string]bool  // by address: they run no request along a path
 	born   map[string]int64 // of servers that are another life than listed, by address
 	// plain and stream answer calls; a stream writes events with increasing ids.
 	plain  func(c backend.Call) (*backend.Answer, error)
@@ -48,6 +50,11 @@
 	if c.Path == nil {
 		return s.plain(c)
 	}
+	if culprit, ok := s.refuses(c.Path); ok {
+		a := answer(http.StatusServiceUnavailable, "")
+		a.NotRun, a.Culprit = true, culprit
+		return a, nil
+	}
 	r, w := io.Pipe()
 	context.AfterFunc(ctx, func() { _ = w.CloseWithError(backend.ErrBroken) })
 	go s.stream(c, w)
@@ -78,7 +85,19 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return backend.Report{Born: s.born[address]}, nil
+	return backend.Report{Born: s.born[address], Room: 100, Used: s.used}, nil
+}
+
+// refuses finds a hop of a path that runs no request.
+func (s *servers) refuses(path fleet.Path) (string, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, h := range path {
+		if s.refuse[h.Address] {
+			return h.Address, true
+		}
+	}
+	return "", false
 }
 
 // reborn has a server say that it is another life.
@@ -156,7 +175,7 @@
 // newRigLogging has gateways that write to a log.
 func newRigLogging(grace time.Duration, log *telemetry.Log) *rig {
 	r := &rig{log: log, grace: grace, configs: newFeed[*fleet.Config](), listed: newFeed[fleet.Server](), members: newTable(), leases: newTable()}
-	r.servers = &servers{dead: make(map[string]bool), born: make(map[string]int64), listed: r.listed}
+	r.servers = &servers{dead: make(map[string]bool), refuse: make(map[string]bool), born: make(map[string]int64), listed: r.listed}
 	r.servers.stream = func(c backend.Call, out *io.PipeWriter) { events(out, c.After, 5) }
 	r.servers.plain = func(backend.Call) (*backend.Answer, error) { return answer(http.StatusOK, "ok"), nil }
 	r.gateway = r.start("g1")
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -35,6 +35,8 @@
 	kindCrashes    peer.Kind = 1200
 	kindFollowing  peer.Kind = 1300
 	kindOutdated   peer.Kind = 1400
+	kindRefusal    peer.Kind = 1500
+	kindLeaving    peer.Kind = 1600
 )
 
 // newRegistry lists every message between gateways.
@@ -44,6 +46,8 @@
 	peer.Register[crashes.Told](r, kindCrashes)
 	peer.Register[following.Told](r, kindFollowing)
 	peer.Register[suspect.Outdated](r, kindOutdated)
+	peer.Register[suspect.Refusal](r, kindRefusal)
+	peer.Register[suspect.Leaving](r, kindLeaving)
 	return r
 }
 
@@ -184,6 +188,10 @@
 		g.control.post(func() { g.control.heard(m) })
 	case suspect.Outdated:
 		g.book.contradicted(time.Now(), m)
+	case suspect.Refusal:
+		g.book.refused(time.Now(), m.Address)
+	case suspect.Leaving:
+		g.book.leaves(time.Now(), m)
 	case crashes.Told:
 		g.book.implicate(time.Now(), m.Fingerprint, m.Servers...)
 	}
--- a/gateway/path.go
+++ b/gateway/path.go
@@ -45,8 +45,12 @@
 		return r.sendFailed(ctx, err, path[0].Server, path[0].Address), Result{}
 	}
 	defer func() { _ = answer.Body.Close() }()
-	r.g.book.tookFirst(time.Now(), r.service.ID, time.Since(sent))
-	r.g.book.began(time.Now(), path, time.Since(sent))
+	if !answer.NotRun {
+		// A refusal comes at once: taken for an answer that has begun, it would have
+		// those that refuse look like the fastest.
+		r.g.book.tookFirst(time.Now(), r.service.ID, time.Since(sent))
+		r.g.book.began(time.Now(), path, time.Since(sent))
+	}
 	return r.takeStream(cancel, path, answer)
 }
 
@@ -57,9 +61,11 @@
 		if culprit == "" {
 			culprit = path[0].Address
 		}
-		r.blame(culprit)
 		if answer.Stale {
+			r.blame(culprit)
 			r.outdated(culprit)
+		} else {
+			r.refusedBy(path, culprit)
 		}
 		drain(answer.Body)
 		r.g.log.Emit(telemetry.EventPathRefused, telemetry.Request(r.req.ID), telemetry.Address(culprit), telemetry.Count(answer.Status))
--- a/gateway/status.go
+++ b/gateway/status.go
@@ -74,6 +74,7 @@
 	Dead     bool                `json:"dead"`     // it answers no probe
 	Avoided  bool                `json:"avoided"`  // it failed of late
 	Outdated bool                `json:"outdated"` // it has contradicted its entry
+	Refusing bool                `json:"refusing"` // it is leaving, and not listed so
 	Requests float64             `json:"requests"`
 	Tokens   float64             `json:"tokens"`         // held for this gateway's requests
 	Room     int                 `json:"room,omitempty"` // for the tokens of all gateways
@@ -178,6 +179,7 @@
 	out := ServerStatus{
 		ID: s.ID, Address: s.Address, Domain: s.Domain, Kind: s.Kind, Draining: s.Draining,
 		Dead: b.buried[s.Address], Avoided: avoided[s.Address], Outdated: b.suspects.Outdated(now, s),
+		Refusing: b.suspects.IsLeaving(now, s.Life()),
 		Requests: load.Requests, Tokens: load.Tokens,
 	}
 	if e != nil && s.Layers.Len() > 0 {
--- a/protocol/backend/backend.go
+++ b/protocol/backend/backend.go
@@ -87,11 +87,14 @@
 
 // Report is what an engine says of itself, some hundred milliseconds old.
 type Report struct {
-	Busy   bool
-	Orders uint64
-	Layers fleet.Range
-	Pace   float64 // over 1 is slow
-	Born   int64   // of the life that reports, as state.Life has it
+	Busy    bool
+	Orders  uint64
+	Layers  fleet.Range
+	Pace    float64 // over 1 is slow
+	Running int     // requests that it runs as their first server
+	Used    int64   // of Room, what no other request can have
+	Room    int64   // of memory for requests, in tokens times layers; 0 if it does not say
+	Born    int64   // of the life that reports, as state.Life has it
 }
 
 // Client speaks to backend servers. Its methods may be called by many goroutines.
--- a/telemetry/events.go
+++ b/telemetry/events.go
@@ -97,6 +97,7 @@
 	EventRowsUnreadable    Event = 1614
 	EventEntryOutdated     Event = 1615
 	EventBackendRestarted  Event = 1616
+	EventBackendRefusing   Event = 1617
 	EventReplicaUp         Event = 1606
 	EventReplicaDown       Event = 1607
 	EventCacheEventsMissed Event = 1608
