Wait for events, not for times, in three specs

Cause: specs of the list of servers, of followers and of kept connections slept 50 ms, 2 s and 60 ms and took it that something had happened meanwhile; beside load it may not have. Change: they wait for the failed call, the refused call and the second answer. Checks are as before. Ruled out: the sleeps of 900 and 100 ms in transport/inbound and platform, and those that only make something slow: they lengthen a wait that the check needs, and a slower machine makes none of them red.

--- a/gateway/fakestore_test.go
+++ b/gateway/fakestore_test.go
@@ -17,6 +17,7 @@
 	written  map[string]uint64 // revisions of the rows
 	changed  chan struct{}
 	err      error
+	failures atomic.Int64 // calls that ended with err
 	// behind makes reads answer as of an older revision.
 	behind *site.Batch[T]
 	// bad are rows that can't be read.
@@ -101,6 +102,9 @@
 	if f.behind != nil {
 		return *f.behind, nil
 	}
+	if f.err != nil {
+		f.failures.Add(1)
+	}
 	return f.all(), f.err
 }
 
@@ -122,6 +126,7 @@
 	changed, revision, err, kept := f.changed, f.revision, f.err, f.history != nil
 	f.mu.Unlock()
 	if err != nil {
+		f.failures.Add(1)
 		return site.Batch[T]{}, err
 	}
 	if revision > after {
--- a/gateway/follow_test.go
+++ b/gateway/follow_test.go
@@ -130,9 +130,11 @@
 	// routes in time. Cause: they would wait for those.
 	It("ask the store themselves where it refuses those that follow it", Label("failure:followers-refused"), func() {
 		p := newPosts("g1", "g2", "g3")
-		p.configs[1].shut.Store(true)
-		p.configs[2].shut.Store(true)
-		time.Sleep(bound) // their calls under way end
+		for _, d := range p.configs[1:] {
+			before := d.calls.Load()
+			d.shut.Store(true)
+			Eventually(d.calls.Load).WithTimeout(patience).Should(BeNumerically(">", before), "a call is refused")
+		}
 		p.rig.configs.set("config", withRoute(2, "/two/"))
 		Eventually(func() gateway.Outcome { return p.outcomeAt(0, "/two/x") }).
 			WithTimeout(bound).Should(Equal(gateway.Answered))
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -265,7 +265,7 @@
 		r.listed.fail(errors.New("down"))
 		r.listed.remove("p0")
 		r.listed.remove("p1")
-		time.Sleep(50 * time.Millisecond)
+		Eventually(r.listed.failures.Load).WithTimeout(patience).Should(BeNumerically(">", 0))
 		r.listed.fail(nil)
 		Consistently(func() gateway.Outcome { _, res := r.serve("/again/x"); return res.Outcome }).
 			WithTimeout(time.Second).Should(Equal(gateway.Answered))
--- a/transport/exchange/exchange_test.go
+++ b/transport/exchange/exchange_test.go
@@ -121,15 +121,18 @@
 
 	// The same, but the second answer comes while the connection is kept.
 	It("uses no connection again on which bytes came while it was kept", Label("failure:extra-answer"), func() {
-		s := serve(func(c net.Conn) bool {
-			if !send(ours)(c) {
-				return false
-			}
-			time.Sleep(20 * time.Millisecond)
-			return send(strings.Replace(ours, "ok", "no", 1))(c)
-		})
+		taken, sent := make(chan struct{}), make(chan struct{})
+		twice := func(c net.Conn) bool {
+			send(ours)(c)
+			<-taken
+			send(strings.Replace(ours, "ok", "no", 1))(c)
+			close(sent)
+			return true
+		}
+		s := serve(twice, send(ours))
 		Expect(do(s)).To(Equal("ok"))
-		time.Sleep(60 * time.Millisecond)
+		close(taken)
+		Eventually(sent).WithTimeout(20 * time.Second).Should(BeClosed())
 		Expect(do(s)).To(Equal("ok"))
 		Expect(s.accepted.Load()).To(Equal(int32(2)))
 	})
