Decide how long requests wait and what refused ones are told in one pure package

Cause: how work waits and is turned away stood in gateway/wait.go, five constants of serve.go and the shares of a planned stop in gateway.go, each beside its input and output. Change: coordination/admission holds the three decisions (Wait, Refusal, Stop) with the load pattern that each limit answers and the reason for its figure, and specs in virtual time. The gateway looks again and tells. No figure changes. Not done: waking those that wait by room that comes free instead of every 15 ms; order and fairness among them.

--- /dev/null
+++ b/coordination/admission/admission_test.go
@@ -0,0 +1,75 @@
+package admission_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hibiscuswick/hibiscuswick/coordination/admission"
+)
+
+var _ = Describe("A request that finds no server", func() {
+	start := time.Unix(1000, 0)
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+	// A card dies that alone held some layers, and another one loads them in 1.2 s. 60
+	// streams a second come meanwhile. Each is answered that can be before its caller
+	// leaves; the callers of the others are told at once when to come back.
+	It("waits for a layer that comes back, and not until its caller leaves", func() {
+		const back = 1200
+		answered, refused := 0, 0
+		for ms := 0; ms < back; ms += 17 {
+			until := admission.Wait{Arrived: at(ms), Deadline: at(ms + 20000)}.Until()
+			Expect(until.Sub(at(ms))).To(BeNumerically("<", 2*time.Second), "callers leave then")
+			if until.Before(at(back)) {
+				refused++
+				continue
+			}
+			answered++
+		}
+		Expect(answered).To(Equal(71))
+		Expect(refused).To(BeZero())
+	})
+
+	// A clerk's check must have its answer within a second. It is turned away while
+	// there is time to come back.
+	It("waits for a small part of a short time", func() {
+		until := admission.Wait{Arrived: at(0), Deadline: at(1000)}.Until()
+		Expect(until).To(Equal(at(75)))
+	})
+
+	It("waits for the next event as for the first", func() {
+		until := admission.Wait{Arrived: at(0), Deadline: at(20000), LastEvent: at(6000)}.Until()
+		Expect(until).To(Equal(at(7500)))
+	})
+})
+
+var _ = Describe("A caller that is turned away", func() {
+	It("comes back when that can help, and while it has time", func() {
+		for _, r := range []admission.Refusal{admission.Busy, admission.Uncovered, admission.Stopping, admission.AllStopping, admission.Unready} {
+			Expect(r.RetryAfter()).To(And(BeNumerically(">", 0), BeNumerically("<=", 2*time.Second)))
+		}
+		Expect(admission.Stopping.RetryAfter()).To(BeNumerically("<", admission.Busy.RetryAfter()), "others take it now")
+	})
+
+	// All daemons are stopped, each a second after the other. Cause of an earlier fault:
+	// each sent new streams to others that sent them on, until their callers gave up.
+	It("is kept by the last daemons that stop, while a stream still ends in time", func() {
+		stop := admission.Stop{Grace: 8 * time.Second}
+		taken := func(since time.Duration, elsewhere bool) (bool, admission.Refusal) {
+			stop.Since, stop.Elsewhere = since, elsewhere
+			return stop.TakesStream()
+		}
+		ok, _ := taken(time.Second, true)
+		Expect(ok).To(BeTrue(), "callers still hold answers that name this daemon")
+		ok, why := taken(2*time.Second, true)
+		Expect(ok).To(BeFalse())
+		Expect(why).To(Equal(admission.Stopping))
+		ok, _ = taken(2*time.Second, false)
+		Expect(ok).To(BeTrue())
+		ok, why = taken(3*time.Second, false)
+		Expect(ok).To(BeFalse())
+		Expect(why).To(Equal(admission.AllStopping))
+	})
+})
--- /dev/null
+++ b/coordination/admission/doc.go
@@ -0,0 +1,17 @@
+// Package admission decides what becomes of a request that no server can take now: how
+// long it waits, and when its caller may come back if it is turned away.
+//
+// It has no clock and does no input or output: the caller passes times in, looks again
+// for a server until the time that Wait gives, and tells its caller what Refusal gives.
+//
+// # Load patterns that the limits answer
+//
+//   - A layer is held nowhere for a moment, after a loss: requests wait for it, since
+//     it is back before their callers leave.
+//   - All servers of a service fail or are full at once: callers are sent away for as
+//     long as suspects are avoided, so that they do not meet the same ones again.
+//   - Daemons are stopped one after the other, or all of them: callers are sent to a
+//     daemon that takes them, or until one has started again.
+//   - A daemon has just started: callers are sent away until it can know the
+//     configuration.
+package admission
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/hibiscuswick/hibiscuswick/coordination/admission"
 	"github.com/hibiscuswick/hibiscuswick/coordination/membership"
 	"github.com/hibiscuswick/hibiscuswick/protocol/backend"
 	"github.com/hibiscuswick/hibiscuswick/protocol/site"
@@ -187,12 +188,6 @@
 
 // Shares of the time that a planned stop has.
 const (
-	// streamShare is how long new streams are taken: callers that keep an answer for
-	// its whole time have left by about then, and a stream takes up to 6 s of the 8.
-	streamShare = 0.2
-	// lastShare is how long new streams are taken where no other daemon takes them:
-	// one that comes later would be cut at the stop's end.
-	lastShare = 0.36
 	// idleShare is when the stop ends at the earliest: where no request is left by
 	// then, callers have gone elsewhere, and a successor can start.
 	idleShare = 0.4
@@ -201,27 +196,18 @@
 	graceShare = 0.93
 )
 
-// takesStreams reports whether a new stream is to be taken, and if not, when its
-// caller may come back. Where another daemon takes it, it is sent there soon. Where
-// all are stopping, each a second after the other, it is taken for longer, and then
-// sent back until one of them has started again.
-func (g *Gateway) takesStreams(now time.Time) (bool, time.Duration) {
+// takesStreams reports whether a new stream is to be taken, and if not, why its caller is
+// turned away.
+func (g *Gateway) takesStreams(now time.Time) (bool, admission.Refusal) {
 	began := g.draining.Load()
 	if began == 0 {
 		return true, 0
 	}
-	share := float64(g.steady(now)-time.Duration(began)) / float64(g.set().Grace)
 	elsewhere := slices.ContainsFunc(g.current.Load().members.Members, func(i membership.Info) bool {
 		return i.Member.ID != g.self.ID && i.State == membership.Alive && !i.Draining
 	})
-	switch {
-	case share < streamShare:
-		return true, 0
-	case elsewhere:
-		return false, retryElsewhere
-	default:
-		return share < lastShare, retryRestarted
-	}
+	stop := admission.Stop{Since: g.steady(now) - time.Duration(began), Grace: g.set().Grace, Elsewhere: elsewhere}
+	return stop.TakesStream()
 }
 
 // Closing reports whether callers are to use another connection next time.
--- a/gateway/path.go
+++ b/gateway/path.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/hibiscuswick/hibiscuswick/coordination/admission"
 	"github.com/hibiscuswick/hibiscuswick/coordination/pathing"
 	"github.com/hibiscuswick/hibiscuswick/coordination/relay"
 	"github.com/hibiscuswick/hibiscuswick/protocol/backend"
@@ -25,7 +26,7 @@
 		return ok
 	})
 	if !found {
-		return r.noServer(retryUncovered)
+		return r.noServer(admission.Uncovered)
 	}
 	defer r.g.book.release(path, tokens)
 	if !path.Whole(r.service.Engine.Layers) {
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/hibiscuswick/hibiscuswick/coordination/admission"
 	"github.com/hibiscuswick/hibiscuswick/coordination/relay"
 	"github.com/hibiscuswick/hibiscuswick/protocol/backend"
 	"github.com/hibiscuswick/hibiscuswick/state/fleet"
@@ -24,7 +25,7 @@
 		return ok
 	})
 	if !found {
-		return r.noServer(retrySoon)
+		return r.noServer(admission.Busy)
 	}
 	defer r.g.book.releaseServer(server.Life())
 	r.at = server.Address
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/hibiscuswick/hibiscuswick/coordination/admission"
 	"github.com/hibiscuswick/hibiscuswick/coordination/relay"
 	"github.com/hibiscuswick/hibiscuswick/protocol/backend"
 	"github.com/hibiscuswick/hibiscuswick/state"
@@ -14,25 +15,8 @@
 	"github.com/hibiscuswick/hibiscuswick/telemetry"
 )
 
-const (
-	// deadlineMargin is kept of a caller's time for the answer's way back.
-	deadlineMargin = 5 * time.Millisecond
-	// retrySoon is when a caller may come back that met a full or just failing
-	// server: suspects are tried again after about that time.
-	retrySoon = 400 * time.Millisecond
-	// retryUncovered is when a caller may come back where a layer is held by no
-	// server: about what finding and loading it takes.
-	retryUncovered = 2 * time.Second
-	// retryElsewhere is when a caller may come back that met a daemon about to stop:
-	// any other one takes it.
-	retryElsewhere = 20 * time.Millisecond
-	// retryRestarted is when one may come back that met only daemons about to stop:
-	// a stop takes 3 to 7 s, and the first to begin it is back within this.
-	retryRestarted = 2 * time.Second
-	// retryUnready is when a caller may come back to a daemon that knows no
-	// configuration yet.
-	retryUnready = time.Second
-)
+// deadlineMargin is kept of a caller's time for the answer's way back.
+const deadlineMargin = 5 * time.Millisecond
 
 // reasonCrashes ends requests whose content has crashed servers.
 const reasonCrashes relay.Reason = "crashes_servers"
@@ -73,7 +57,7 @@
 // serve runs the stages: route, customer, admission, attempts.
 func (r *run) serve(ctx context.Context) Result {
 	if r.view.config == nil || !r.view.listed {
-		return Result{Outcome: Refused, Reason: "no_configuration", RetryAfter: retryUnready}
+		return refused("no_configuration", admission.Unready)
 	}
 	if res, ok := r.findRoute(); !ok {
 		return res
@@ -81,8 +65,8 @@
 	if res, ok := r.findCustomer(); !ok {
 		return res
 	}
-	if takes, after := r.g.takesStreams(r.req.Arrived); r.route.Stream && !takes {
-		return Result{Outcome: Refused, Reason: "draining", RetryAfter: after}
+	if takes, why := r.g.takesStreams(r.req.Arrived); r.route.Stream && !takes {
+		return refused("draining", why)
 	}
 	r.limitTime()
 	r.relay = relay.Relay{
@@ -168,7 +152,7 @@
 		case d.Pass && r.own != nil:
 			return r.pass(r.own.answer, r.own.body)
 		case d.Refuse:
-			return Result{Outcome: Refused, Reason: string(d.Reason), RetryAfter: retrySoon}
+			return refused(d.Reason, admission.Busy)
 		default:
 			return r.failed(d.Reason)
 		}
@@ -226,10 +210,15 @@
 	return Result{Outcome: outcome, Reason: string(reason)}
 }
 
+// refused is the result of a request that has not run and won't.
+func refused(reason relay.Reason, why admission.Refusal) Result {
+	return Result{Outcome: Refused, Reason: string(reason), RetryAfter: why.RetryAfter()}
+}
+
 // noServer is the result of a request that no server can take.
-func (r *run) noServer(after time.Duration) (relay.End, Result) {
+func (r *run) noServer(why admission.Refusal) (relay.End, Result) {
 	if r.relay.Untouched() && !r.headed {
-		return 0, Result{Outcome: Refused, Reason: string(relay.ReasonNoServer), RetryAfter: after}
+		return 0, refused(relay.ReasonNoServer, why)
 	}
 	return 0, r.failed(relay.ReasonNoServer)
 }
--- a/gateway/wait.go
+++ b/gateway/wait.go
@@ -4,33 +4,25 @@
 	"context"
 	"time"
 
+	"github.com/hibiscuswick/hibiscuswick/coordination/admission"
 	"github.com/hibiscuswick/hibiscuswick/state/fleet"
 )
 
-const (
-	// holdShare is the part of its time for which a request waits for a server
-	// before it is refused, and holdMost bounds it: callers leave a stream that shows
-	// nothing for 2 s, and a layer that is held nowhere is mostly back within that.
-	holdShare = 0.075
-	holdMost  = 1500 * time.Millisecond
-	// holdStep is how often a request that waits looks again.
-	holdStep = 15 * time.Millisecond
-)
+// holdStep is how often a request that waits looks again.
+const holdStep = 15 * time.Millisecond
 
-// hold waits until try succeeds, for a part of the request's time.
+// hold waits until try succeeds, for as long as the request may wait.
 func (r *run) hold(ctx context.Context, try func() bool) bool {
-	part := time.Duration(holdShare * float64(r.deadline.Sub(r.req.Arrived)))
-	from := r.req.Arrived
+	wait := admission.Wait{Arrived: r.req.Arrived, Deadline: r.deadline}
 	if r.headed {
-		from = r.pauses.last // a caller waits for the next event as for the first
+		wait.LastEvent = r.pauses.last
 	}
-	until := from.Add(min(part, holdMost))
 	if try() {
 		return true
 	}
 	r.g.waiting.Add(1)
 	defer r.g.waiting.Add(-1)
-	for time.Now().Before(until) && ctx.Err() == nil {
+	for until := wait.Until(); time.Now().Before(until) && ctx.Err() == nil; {
 		pause(ctx, holdStep)
 		r.view = r.g.current.Load()
 		if try() {
