Have requests wait while a list that has just begun still fills

Change: coordination/admission.List: while a list that was first read within the last second grew within the last 0.2 s, and some layer has one holder only, new streams wait.

--- a/coordination/admission/admission_test.go
+++ b/coordination/admission/admission_test.go
@@ -45,6 +45,29 @@
 	})
 })
 
+var _ = Describe("A list of servers that a daemon has just begun to read", func() {
+	start := time.Unix(1000, 0)
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+	// All daemons are ended while the store is away, and entries lapse. When it is back,
+	// callers wait for 1.5 s and more, and leave. Order: 10 of 41 servers are listed
+	// first, the others over 0.8 s. Cause: what came in between went to those 10.
+	It("has requests wait while it fills, and no longer", Label("failure:restart-beside-lapsed-entries"), func() {
+		l := admission.List{First: at(0), Joined: at(0), Copies: 1}
+		Expect(l.Filling(at(10))).To(BeFalse(), "it came whole, as on any other start")
+		for ms := 50; ms <= 800; ms += 50 {
+			l.Joined = at(ms)
+			Expect(l.Filling(at(ms + 40))).To(BeTrue())
+		}
+		Expect(l.Filling(at(999))).To(BeTrue())
+		Expect(l.Filling(at(1000))).To(BeFalse(), "the rest may be gone for good")
+		l.Joined = at(300)
+		Expect(l.Filling(at(500))).To(BeFalse(), "nothing came for a while")
+		l.Copies = 2
+		Expect(l.Filling(at(310))).To(BeFalse(), "enough are there")
+	})
+})
+
 var _ = Describe("A caller that is turned away", func() {
 	It("comes back when that can help, and while it has time", func() {
 		for _, r := range []admission.Refusal{admission.Busy, admission.Uncovered, admission.Stopping, admission.AllStopping, admission.Unready} {
--- a/coordination/admission/doc.go
+++ b/coordination/admission/doc.go
@@ -12,6 +12,8 @@
 //     long as suspects are avoided, so that they do not meet the same ones again.
 //   - Daemons are stopped one after the other, or all of them: callers are sent to a
 //     daemon that takes them, or until one has started again.
+//   - All daemons start again while entries of servers have lapsed: requests wait while
+//     the list fills, instead of all going to the servers that are listed first.
 //   - A daemon has just started: callers are sent away until it can know the
 //     configuration.
 package admission
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -100,6 +100,9 @@
 			next = earlier(next, t)
 		}
 	}
+	if c.view.filling {
+		next = earlier(next, c.now.Add(tickInterval))
+	}
 	for _, t := range c.listing.missing {
 		next = earlier(next, t)
 	}
--- a/gateway/listing.go
+++ b/gateway/listing.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/hibiscuswick/hibiscuswick/coordination/admission"
 	"github.com/hibiscuswick/hibiscuswick/protocol/site"
 	"github.com/hibiscuswick/hibiscuswick/state"
 	"github.com/hibiscuswick/hibiscuswick/state/fleet"
@@ -28,6 +29,8 @@
 	former map[state.Life]bool
 	// young are lives that were listed first since the list was last published.
 	young []state.Life
+	// first is when the list was first read, and joined when a server was last added.
+	first, joined time.Time
 	// bad are entries that can't be read, by the revision that was logged.
 	bad map[state.BackendID]uint64
 }
@@ -101,6 +104,9 @@
 			}
 		}
 	}
+	if p.first.IsZero() {
+		p.first = p.c.now
+	}
 	p.c.view.listed = true
 	p.stale = true
 }
@@ -137,6 +143,29 @@
 		p.changed = p.c.now
 		p.regroup()
 	}
+	if filling := p.filling(); filling != p.c.view.filling {
+		p.c.view.filling = filling
+		p.c.changed = true
+	}
+}
+
+// filling reports whether requests had better wait for more servers to be listed.
+func (p *listingPart) filling() bool {
+	v := &p.c.view
+	list := admission.List{First: p.first, Joined: p.joined}
+	if v.config == nil || !list.Filling(p.c.now) {
+		return false // it does not grow, whatever it holds
+	}
+	for id, svc := range v.config.Services {
+		if svc.Engine == nil {
+			continue
+		}
+		list.Copies = cover(svc.Engine, v.servers[id]).Least()
+		if list.Filling(p.c.now) {
+			return true
+		}
+	}
+	return false
 }
 
 func (p *listingPart) seen(s fleet.Server) {
@@ -144,6 +173,7 @@
 	old, known := p.servers[s.ID]
 	p.servers[s.ID] = s
 	if !known {
+		p.joined = p.c.now
 		p.young = append(p.young, s.Life())
 		p.c.g.log.Emit(telemetry.EventBackendJoined, telemetry.Backend(s.ID), telemetry.Address(s.Address))
 		return
--- a/gateway/path.go
+++ b/gateway/path.go
@@ -22,6 +22,9 @@
 	}
 	var path fleet.Path
 	found := r.hold(ctx, func() (ok bool) {
+		if r.view.filling && !r.headed {
+			return false
+		}
 		path, ok = r.g.book.choose(time.Now(), r.view, r.service, want)
 		return ok
 	})
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -12,7 +12,9 @@
 	config  *fleet.Config // nil until one is known
 	servers map[state.ServiceID][]fleet.Server
 	// listed is whether the servers were read at all.
-	listed   bool
+	listed bool
+	// filling is whether requests had better wait for more servers to be listed.
+	filling  bool
 	members  *membership.View
 	live     int // daemons that take part, this one included
 	sharers  retrybudget.Sharers
--- a/state/fleet/server.go
+++ b/state/fleet/server.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -109,5 +110,14 @@
 	return n
 }
 
+// Least is how many servers hold the layer that is held by the fewest, 0 for a model
+// without layers.
+func (c Cover) Least() int {
+	if len(c) == 0 {
+		return 0
+	}
+	return slices.Min(c)
+}
+
 // Whole reports whether each layer is held.
 func (c Cover) Whole() bool { return c.Missing() == 0 }
