--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -100,8 +100,8 @@
 		return
 	}
 	if s.timer == nil {
-		s.timer = time.AfterFunc(gap, s.quiet)
-		return
+		// It is set only once it stands in s: quiet, which sets it again, may run at once.
+		s.timer = time.AfterFunc(time.Hour, s.quiet)
 	}
 	s.timer.Reset(gap)
 }
