--- a/coordination/admission/admission_test.go
+++ b/coordination/admission/admission_test.go
@@ -68,6 +68,29 @@
 	})
 })
 
+var _ = Describe("A daemon that has just started", func() {
+	start := time.Unix(1000, 0)
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+	// All 195 daemons are ended at once and start again; each knows the configuration 160
+	// to 290 ms later, and 375 requests a second come. Some 80 callers would be sent away
+	// for a second for want of those 0.2 s.
+	It("has requests wait until it can know the configuration", Label("failure:all-start-at-once"), func() {
+		for ms := 0; ms < 290; ms += 3 {
+			w := admission.Wait{Arrived: at(ms), Deadline: at(ms + 20000)}
+			Expect(admission.Start{Began: at(0)}.Until(w)).To(BeTemporally(">", at(290)))
+		}
+	})
+
+	It("sends callers away at once where it can't say when it will serve", func() {
+		w := admission.Wait{Arrived: at(100), Deadline: at(20100)}
+		Expect(admission.Start{Began: at(0), Failed: true}.Until(w)).To(Equal(at(100)))
+		Expect(admission.Start{Began: at(-600)}.Until(w)).To(BeTemporally("<=", at(100)), "it had its time")
+		w.Deadline = at(1100)
+		Expect(admission.Start{Began: at(0)}.Until(w)).To(Equal(at(175)), "a check is short of time")
+	})
+})
+
 var _ = Describe("A caller that is turned away", func() {
 	It("comes back when that can help, and while it has time", func() {
 		for _, r := range []admission.Refusal{admission.Busy, admission.Uncovered, admission.Stopping, admission.AllStopping, admission.Unready} {
--- a/coordination/admission/doc.go
+++ b/coordination/admission/doc.go
@@ -14,6 +14,6 @@
 //     daemon that takes them, or until one has started again.
 //   - All daemons start again while entries of servers have lapsed: requests wait while
 //     the list fills, instead of all going to the servers that are listed first.
-//   - A daemon has just started: callers are sent away until it can know the
-//     configuration.
+//   - Daemons have just started, one or all at once: requests wait for the moment that
+//     it takes to know the configuration, unless the store does not answer.
 package admission
--- a/coordination/following/doc.go
+++ b/coordination/following/doc.go
@@ -20,6 +20,8 @@
 //     how much later than usual one comes.
 //   - A message with changes is lost: the next one names a higher revision, and the
 //     daemon reads what it lacks.
-//   - The store refuses the followers only: they say so, and each daemon asks it now
-//     and then.
+//   - The store refuses the followers only: they say so, daemons ask it now and then by
+//     turns, and one that is answered tells the others in their place.
+//   - A daemon hears no words for a while, since others know of other daemons than it
+//     does: it asks some what they have heard before it asks the store.
 package following
--- a/coordination/following/following.go
+++ b/coordination/following/following.go
@@ -1,6 +1,7 @@
 package following
 
 import (
+	"slices"
 	"time"
 
 	"github.com/hibiscuswick/hibiscuswick/state"
@@ -15,6 +16,15 @@
 	HeardFor = 1200 * time.Millisecond
 	// behindFor is how long changes that a follower has told of may be on their way.
 	behindFor = 150 * time.Millisecond
+	// restFor is how long a daemon that follows for nobody goes by what the store has
+	// just said before it asks again: with a call that is held for a second, and one
+	// silent connection in between, it still learns of a change within 2 s.
+	restFor = 700 * time.Millisecond
+	// seldomRate is how many calls a second all daemons together make to a store that
+	// does not answer its followers, to find out whether it refuses just those.
+	seldomRate = 4.0
+	// seldomLeast is the least time between two such calls of one daemon.
+	seldomLeast = time.Second
 )
 
 // Mode says how a daemon is to learn of changes.
@@ -29,6 +39,8 @@
 	BySeldom
 	// ByPeers: followers tell it.
 	ByPeers
+	// Resting: the store has just said what is known, and nobody need be asked yet.
+	Resting
 )
 
 // Told is what a follower tells of a feed.
@@ -76,13 +88,16 @@
 	daemons  []Daemon
 	chosen   []state.DaemonID
 	heard    map[state.DaemonID]*heard
+	asked    heard // the last answer of a daemon that was asked, whichever
 	revision uint64
 	known    bool
 	changed  uint64
 	behind   time.Time // since when a higher revision is known of; zero for not
+	wanted   uint64    // that revision
 
-	answered  time.Time // when the store last did
+	answered  time.Time // when the store last did, to this daemon or to who told it
 	failing   bool
+	volunteer bool // it follows for others in place of the chosen ones
 	recovered time.Time
 	nextTell  time.Time
 }
@@ -141,26 +156,90 @@
 
 // Mode says how this daemon is to learn of changes.
 func (m *Machine) Mode(now time.Time) Mode {
-	switch {
-	case !m.known, m.Follows(), !m.behind.IsZero() && now.Sub(m.behind) >= behindFor:
+	if !m.known || m.Tells(now) || m.lacks(now) {
 		return ByStore
 	}
 	mode := ByStore
-	for _, id := range m.chosen {
-		h, ok := m.heard[id]
+	for id, h := range m.heard {
 		switch {
-		case !ok || now.Sub(h.at) > HeardFor:
-		case h.failing:
+		case now.Sub(h.at) > HeardFor:
+		case h.failing && m.isChosen(id):
 			mode = BySeldom
-		case now.Sub(h.at)+h.age <= m.fresh:
+		case !h.failing && now.Sub(h.at)+h.age <= m.fresh:
 			return ByPeers
 		}
 	}
+	switch {
+	case now.Sub(m.asked.at) <= HeardFor && now.Sub(m.asked.at)+m.asked.age <= m.fresh:
+		return ByPeers
+	case mode == ByStore && !m.failing && now.Sub(m.answered) < restFor:
+		return Resting
+	}
 	return mode
 }
 
-// Leads reports whether this daemon is the follower that passes rows on.
-func (m *Machine) Leads() bool { return len(m.chosen) > 0 && m.chosen[0] == m.self.ID }
+// lacks reports whether changes that a follower has told of are overdue.
+func (m *Machine) lacks(now time.Time) bool {
+	return !m.behind.IsZero() && now.Sub(m.behind) >= behindFor
+}
+
+// Lacks is the revision that this daemon has been told of and still lacks; false if it
+// lacks none.
+func (m *Machine) Lacks(now time.Time) (uint64, bool) {
+	return m.wanted, m.known && m.lacks(now)
+}
+
+// SeldomWait is the time between two calls of a daemon in the mode BySeldom. It grows
+// with the daemons: each asking once a second, 195 of them made over 3,000 calls in an
+// outage of 8 s.
+func (m *Machine) SeldomWait() time.Duration {
+	wait := time.Duration(float64(len(m.daemons)) / seldomRate * float64(time.Second))
+	return max(wait, seldomLeast)
+}
+
+func (m *Machine) isChosen(id state.DaemonID) bool {
+	return slices.Contains(m.chosen, id)
+}
+
+// Tells reports whether this daemon follows for others now: it is chosen, or it has
+// stood in for the chosen ones and they are still missed.
+func (m *Machine) Tells(now time.Time) bool {
+	return m.Follows() || m.volunteer && m.missed(now)
+}
+
+// missed reports whether this daemon, if the store answers it, is to stand in for the
+// chosen ones, which say that the store does not answer them.
+//
+// Guard (all-stand-in): where daemons know different ones, each has chosen ones of its
+// own, and many would stand in at a time, each telling every change to all. Only the
+// last by ID of those that hear each other goes on.
+func (m *Machine) missed(now time.Time) bool {
+	failing := false
+	for id, h := range m.heard {
+		switch {
+		case now.Sub(h.at) > HeardFor:
+		case !h.failing && (m.isChosen(id) || id > m.self.ID):
+			return false
+		case h.failing && m.isChosen(id):
+			failing = true
+		}
+	}
+	return failing
+}
+
+// Leads reports whether this daemon is the one that passes rows on: the first of the
+// chosen ones that the store answers, or one in their place.
+func (m *Machine) Leads(now time.Time) bool {
+	for _, id := range m.chosen {
+		if id == m.self.ID {
+			return true
+		}
+		if h, ok := m.heard[id]; ok && !h.failing && now.Sub(h.at) <= HeardFor {
+			return false
+		}
+	}
+	return m.Tells(now)
+}
 
 // Answered notes an answer of the store, with all changes up to a revision.
 func (m *Machine) Answered(now time.Time, revision uint64, changes bool) {
@@ -172,9 +251,18 @@
 	}
 	m.failing = false
 	m.answered = now
+	m.volunteer = !m.Follows() && m.missed(now)
 	m.Advanced(revision, changes)
 }
 
+// Given notes that the whole feed was taken from another daemon, as the store said it
+// some time ago.
+func (m *Machine) Given(now time.Time, revision uint64, age time.Duration) {
+	m.asked = heard{at: now, age: age}
+	m.answered = now.Add(-age)
+	m.Advanced(revision, true)
+}
+
 // Advanced notes that the feed is known up to a revision.
 func (m *Machine) Advanced(revision uint64, changes bool) {
 	m.known = true
@@ -187,12 +275,30 @@
 	}
 }
 
+// Confirmed notes that another daemon knows the feed up to a revision, with no change
+// after what is known here, as the store said it some time ago.
+func (m *Machine) Confirmed(now time.Time, revision uint64, age time.Duration) {
+	m.asked = heard{at: now, age: age}
+	if at := now.Add(-age); at.After(m.answered) {
+		m.answered = at
+	}
+	if m.known {
+		m.Advanced(revision, false)
+	}
+}
+
 // Failed notes that the store did not answer this daemon.
 func (m *Machine) Failed(now time.Time) {
 	if !m.failing {
 		m.nextTell = now
 	}
 	m.failing = true
+	m.volunteer = false
+}
+
+// Failing reports whether the store is not known to answer anybody.
+func (m *Machine) Failing(now time.Time) bool {
+	return m.failing || m.Mode(now) == BySeldom
 }
 
 // Revision is up to where the feed is known; false before the first answer.
@@ -216,6 +322,7 @@
 	if m.behind.IsZero() {
 		m.behind = now
 	}
+	m.wanted = max(m.wanted, t.Changed)
 	return Known
 }
 
@@ -251,7 +358,7 @@
 // Tell returns what this daemon is to tell the others now, if it is to. Rows and
 // After are the caller's.
 func (m *Machine) Tell(now time.Time) (Told, bool) {
-	if !m.known || !m.Follows() || len(m.daemons) < 2 || now.Before(m.nextTell) {
+	if !m.known || !m.Tells(now) || len(m.daemons) < 2 || now.Before(m.nextTell) {
 		return Told{}, false
 	}
 	m.nextTell = now.Add(TellInterval)
@@ -267,19 +374,25 @@
 
 // NextTick is when Tell is due or Mode may change by itself; zero for never.
 func (m *Machine) NextTick(now time.Time) time.Time {
-	switch {
-	case !m.known || len(m.daemons) < 2:
+	if !m.known || len(m.daemons) < 2 && m.Mode(now) != Resting {
 		return time.Time{}
-	case m.Follows():
+	}
+	if m.Tells(now) {
 		return m.nextTell
-	case m.Mode(now) != ByPeers:
-		return time.Time{}
 	}
 	var next time.Time
-	for _, id := range m.chosen {
-		if h, ok := m.heard[id]; ok {
-			next = later(next, h.at.Add(min(HeardFor, m.fresh-h.age)))
+	switch m.Mode(now) {
+	case ByPeers:
+		for _, h := range m.heard {
+			if !h.failing {
+				next = later(next, h.at.Add(min(HeardFor, m.fresh-h.age)))
+			}
 		}
+		next = later(next, m.asked.at.Add(min(HeardFor, m.fresh-m.asked.age)))
+	case Resting:
+		next = m.answered.Add(restFor)
+	default:
+		return time.Time{}
 	}
 	if !m.behind.IsZero() {
 		next = earlier(next, m.behind.Add(behindFor))
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -26,9 +26,6 @@
 	// Waits between calls to a store that does not answer.
 	backoffMin = 100 * time.Millisecond
 	backoffMax = 300 * time.Millisecond
-	// seldomWait is the same where followers ask it more often, and only find out
-	// later than this daemon if the store refuses just them.
-	seldomWait = time.Second
 )
 
 // probeTimeouts bound the calls to a store that does not answer, in turn. A store
@@ -52,18 +49,26 @@
 	take func(b site.Batch[T], how arrival)
 	// recovered takes when the store answered a follower again.
 	recovered func(at time.Time)
-	rows      encodedRows // that are to go with the next word
+	rows      encodedRows  // that are to go with the next word
+	rowsKnown rowsKnown[T] // for other daemons
+	// stale is what another daemon gave, and the store has not confirmed. It belongs to
+	// the run method.
+	stale *stale[T]
 
 	mode     atomic.Int32  // a following.Mode
+	lacks    atomic.Uint64 // the revision that is overdue; 0 for none
+	follows  atomic.Bool   // this daemon follows the feed for others
 	revision atomic.Uint64 // up to which the feed is known
+	seldom   atomic.Int64  // the time between two calls in the mode BySeldom, in ns
 	wake     chan struct{}
 }
 
 func newFeedPart[T any](c *control, name string, feed site.Feed[T], take func(site.Batch[T], arrival), recovered func(time.Time)) *feedPart[T] {
 	return &feedPart[T]{
 		c: c, name: name, feed: feed, take: take, recovered: recovered,
-		m:    following.New(c.g.self, name, followFresh, c.now),
-		wake: make(chan struct{}, 1),
+		m:         following.New(c.g.self, name, followFresh, c.now),
+		rowsKnown: newRowsKnown[T](),
+		wake:      make(chan struct{}, 1),
 	}
 }
 
@@ -82,7 +87,14 @@
 			p.await(ctx)
 			continue
 		}
+		if !p.mayAsk(ctx) {
+			continue
+		}
 		revision = max(revision, p.revision.Load())
+		if p.spareStore(ctx, known, revision) {
+			known = true
+			continue
+		}
 		batch, whole, err := next(ctx, p.feed, revision, known, failures)
 		if errors.Is(err, site.ErrHistoryGone) {
 			known = false
@@ -101,6 +113,11 @@
 				log.Emit(telemetry.EventStoreUnavailable, telemetry.Detail(p.name), telemetry.Cause(err))
 				p.c.post(func() { p.m.Failed(p.c.now) })
 			}
+			if p.stale != nil && !known {
+				known = true
+				p.takeStale(ctx)
+			}
+			p.c.g.unanswered.Store(!known)
 			p.backOff(ctx, wait)
 			wait = min(2*wait, backoffMax)
 			continue
@@ -112,12 +129,62 @@
 		}
 		wait = backoffMin
 		known, revision = true, batch.Revision
-		p.c.post(func() { p.answered(batch, how) })
+		p.c.g.unanswered.Store(false)
+		p.post(ctx, func() { p.answered(batch, how) })
+	}
+}
+
+// post has f run by the control goroutine, and waits until the mode that follows from
+// it is in force.
+func (p *feedPart[T]) post(ctx context.Context, f func()) {
+	done := make(chan struct{})
+	p.c.post(func() {
+		f()
+		p.tick()
+		close(done)
+	})
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
+
+// told reports whether the store need not be asked now.
+func (p *feedPart[T]) told() bool {
+	mode := following.Mode(p.mode.Load())
+	return mode == following.ByPeers || mode == following.Resting
+}
+
+// spareStore asks other daemons instead of the store, where this one follows it for
+// nobody. It returns false where the store is to be asked.
+func (p *feedPart[T]) spareStore(ctx context.Context, known bool, revision uint64) bool {
+	switch {
+	case !known && revision == 0:
+		return p.startFromPeers(ctx)
+	case !known: // the store has forgotten the changes since then
+		return p.fromPeers(ctx, rowsAsked{Least: revision + 1})
+	case p.follows.Load() || following.Mode(p.mode.Load()) == following.BySeldom:
+		return false
 	}
+	ask := rowsAsked{Least: max(p.lacks.Swap(0), revision), Has: revision}
+	for range overdueRounds {
+		if p.fromPeers(ctx, ask) {
+			return true
+		}
+		if ask.Least == revision {
+			break // nothing is known to be overdue: these know no more
+		}
+		pause(ctx, giveStep)
+	}
+	return false
 }
 
-// told reports whether other daemons tell this one.
-func (p *feedPart[T]) told() bool { return following.Mode(p.mode.Load()) == following.ByPeers }
+// takeStale goes by what another daemon gave, since the store does not answer.
+func (p *feedPart[T]) takeStale(ctx context.Context) {
+	old := p.stale
+	p.stale = nil
+	p.post(ctx, func() { p.given(old.batch, p.c.now.Sub(old.at), true) })
+}
 
 // await returns once the store is to be asked.
 func (p *feedPart[T]) await(ctx context.Context) {
@@ -129,12 +196,28 @@
 
 // backOff waits between two calls to a store that does not answer.
 func (p *feedPart[T]) backOff(ctx context.Context, wait time.Duration) {
-	if following.Mode(p.mode.Load()) == following.BySeldom {
-		wait = seldomWait
-	}
 	pause(ctx, wait/2+rand.N(wait/2))
 }
 
+// mayAsk waits, where the store does not answer those that follow it for all, for this
+// daemon's turn to find out whether it refuses just those. It returns false where the
+// mode has changed meanwhile. Daemons wait a random time from 0 on: were each to ask as
+// soon as it hears of the failure, 195 would ask at one moment, each time.
+func (p *feedPart[T]) mayAsk(ctx context.Context) bool {
+	if following.Mode(p.mode.Load()) != following.BySeldom {
+		return true
+	}
+	t := time.NewTimer(rand.N(time.Duration(p.seldom.Load()) + 1))
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return following.Mode(p.mode.Load()) == following.BySeldom
+	case <-p.wake:
+	case <-ctx.Done():
+	}
+	return false
+}
+
 // next reads a feed whole, or what changed in it after revision. After failures it
 // does not let the store wait for a change, so that its return is noticed at once.
 func next[T any](ctx context.Context, f site.Feed[T], revision uint64, known bool, failures int) (site.Batch[T], bool, error) {
@@ -176,9 +259,12 @@
 		b.Items = since(b.Items, before)
 	}
 	changed := how.whole || len(b.Items) > 0
-	if changed && !how.whole && p.m.Leads() {
+	if changed && !how.whole && p.m.Leads(p.c.now) {
 		p.rows = p.encode(b.Items, p.m.Changed(), b.Revision)
 	}
+	if changed {
+		p.rowsKnown.keep(b, how.whole)
+	}
 	p.m.Answered(p.c.now, b.Revision, changed)
 	p.revision.Store(b.Revision)
 	if changed || how.recovered {
@@ -212,7 +298,9 @@
 		}
 		before, _ := p.m.Revision()
 		p.m.Advanced(t.Revision, true)
-		p.take(site.Batch[T]{Items: since(items, before), Revision: t.Revision}, arrival{})
+		b := site.Batch[T]{Items: since(items, before), Revision: t.Revision}
+		p.rowsKnown.keep(b, false)
+		p.take(b, arrival{})
 	case following.Advance:
 		p.m.Advanced(t.Revision, false)
 	case following.Known:
@@ -229,6 +317,10 @@
 		p.rows = encodedRows{}
 		p.send(t)
 	}
+	least, _ := p.m.Lacks(p.c.now)
+	p.lacks.Store(least)
+	p.follows.Store(p.m.Tells(p.c.now))
+	p.seldom.Store(int64(p.m.SeldomWait()))
 	p.setMode(p.m.Mode(p.c.now))
 }
 
@@ -239,7 +331,7 @@
 		return
 	}
 	p.c.g.log.Emit(telemetry.EventFeedSource, telemetry.Detail(p.name+" "+sourceNames[mode]))
-	if old == following.ByPeers {
+	if old != following.ByStore {
 		select {
 		case p.wake <- struct{}{}:
 		default: // it has been told and has not looked yet
@@ -250,6 +342,7 @@
 // sourceNames are the modes in log lines.
 var sourceNames = map[following.Mode]string{
 	following.ByStore: "by_store", following.BySeldom: "by_store_seldom", following.ByPeers: "by_peers",
+	following.Resting: "resting",
 }
 
 // send passes a word on. One that is lost is made up for by the next.
--- a/gateway/follow_test.go
+++ b/gateway/follow_test.go
@@ -154,6 +154,24 @@
 			WithTimeout(bound).Should(Equal(gateway.Answered))
 	})
 
+	// A daemon ends and starts again while the store is away. Callers that are sent to it
+	// are refused until the store is back. Cause: it asked nobody else for what its peers
+	// go by.
+	It("give one that starts what they know while the store does not answer it", Label("failure:start-without-store"), func() {
+		p := newPosts("g1", "g2")
+		c, s := &door[*fleet.Config]{feed: p.rig.configs}, &door[fleet.Server]{feed: p.listed}
+		c.shut.Store(true)
+		s.shut.Store(true)
+		g := p.startAt("g3", c, s)
+		Eventually(g.Ready).WithTimeout(patience).Should(BeTrue())
+		Expect(g.Serve(context.Background(), request("/stream/x"), &reply{}).Outcome).To(Equal(gateway.Answered))
+		p.listed.remove("p0")
+		p.listed.remove("p1")
+		Eventually(func() gateway.Outcome {
+			return g.Serve(context.Background(), request("/again/x"), &reply{}).Outcome
+		}).WithTimeout(bound).Should(Equal(gateway.Refused), "it learns of changes")
+	})
+
 	// Both daemons that follow the store stop. The others see new routes in time.
 	It("follow the store in place of those that stop", func() {
 		p := newPosts("g1", "g2", "g3")
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -23,7 +23,6 @@
 
 // Errors of this package.
 var (
-	errNoCalls   = errors.New("gateways answer no calls")
 	errStaleRead = errors.New("the answer is older than what is known")
 
 	errNeedsRestart = errors.New("name, place and addresses change only with a restart")
@@ -55,6 +54,9 @@
 	node    *peer.Node
 	peers   net.Listener
 
+	// unanswered is whether a feed was asked for in vain, of which nothing is known yet.
+	unanswered atomic.Bool
+
 	active    atomic.Int64 // requests under way
 	waiting   atomic.Int64 // of those, for a server or a path
 	born      time.Time    // zero of steady
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -361,3 +361,20 @@
 func engineNamed(id string) fleet.Server {
 	return fleet.Server{ID: state.BackendID(id), Service: "llm", Address: id, Kind: "card", Domain: "a"}
 }
+
+var _ = Describe("A gateway that has just started", func() {
+	// All daemons are ended and start again; callers that come back within the next 0.2 s
+	// are sent away for a second. Cause: a daemon that was about to read the
+	// configuration refused what came before it had.
+	It("answers what came before it knew the configuration", Label("failure:all-start-at-once"), func() {
+		r := newRig()
+		r.fill()
+		n := 1
+		Eventually(func() gateway.Outcome { // a start that this machine holds up is tried again
+			n++
+			g := r.start(state.DaemonID(fmt.Sprint("g", n)))
+			defer g.Close()
+			return g.Serve(context.Background(), request("/again/x"), &reply{}).Outcome
+		}).WithTimeout(patience).Should(Equal(gateway.Answered))
+	})
+})
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/samber/lo"
@@ -27,6 +28,9 @@
 	// seedInterval is how often a daemon that is in contact with nobody reads
 	// where others may be.
 	seedInterval = 2 * time.Second
+	// announceInterval is how often a daemon that others have found tries to write a
+	// row that it could not write yet: only daemons that know nobody look for it.
+	announceInterval = 10 * time.Second
 )
 
 // First kinds of each family of messages between gateways.
@@ -37,6 +41,8 @@
 	kindOutdated   peer.Kind = 1400
 	kindRefusal    peer.Kind = 1500
 	kindLeaving    peer.Kind = 1600
+	kindRowsAsked  peer.Kind = 1700
+	kindRowsGiven  peer.Kind = 1701
 )
 
 // newRegistry lists every message between gateways.
@@ -48,6 +54,8 @@
 	peer.Register[suspect.Outdated](r, kindOutdated)
 	peer.Register[suspect.Refusal](r, kindRefusal)
 	peer.Register[suspect.Leaving](r, kindLeaving)
+	peer.Register[rowsAsked](r, kindRowsAsked)
+	peer.Register[rowsGiven](r, kindRowsGiven)
 	return r
 }
 
@@ -62,7 +70,7 @@
 	m        *membership.Membership
 	announce bool // the row of this daemon is written
 	reading  bool
-	nextSeed time.Time
+	lastSeed time.Time // when the table was last read; zero for never
 
 	rows   int       // daemons in the table when it was read last; 0 for never
 	most   int       // highest number of live daemons of late
@@ -97,27 +105,65 @@
 		p.c.view.sharers = n
 		p.c.changed = true
 	}
-	if !p.reading && !p.c.now.Before(p.nextSeed) && (!p.announce || p.c.view.live < 2) {
-		p.nextSeed = p.c.now.Add(seedInterval)
+	if p.seedDue() {
+		p.lastSeed = p.c.now
 		p.reading = true
 		go p.seed(p.announce)
 	}
 }
 
-// seed writes this daemon's row, unless it stands, and reads those of the others.
+// seedDue reports whether the table of members is to be read now. A daemon that others
+// have found needs it no more, but for its own row.
+func (p *membersPart) seedDue() bool {
+	switch {
+	case p.reading:
+		return false
+	case p.lastSeed.IsZero():
+		return true
+	case p.c.view.live < 2:
+		return p.c.now.Sub(p.lastSeed) >= seedInterval
+	default:
+		return !p.announce && p.c.now.Sub(p.lastSeed) >= announceInterval
+	}
+}
+
+// seed reads the rows of the other daemons, and writes that of this one unless it
+// stands, as it does after a restart: two calls in a daemon's first life and one in each
+// later one.
 func (p *membersPart) seed(announced bool) {
-	g := p.c.g
 	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 	defer cancel()
-	var err error
-	if !announced {
-		var row []byte
-		if row, err = json.Marshal(presence{Peers: g.set().Peers}); err == nil {
-			_, err = g.site.Members.Commit(ctx, site.Change{Key: string(g.self.ID), Value: row})
+	table := p.c.g.site.Members
+	rows, err := table.Read(ctx)
+	if err == nil && !announced {
+		announced = p.stands(rows) || p.write(ctx)
+		if len(rows.Rows) == 0 { // another first daemon may have written meanwhile
+			rows, err = table.Read(ctx)
 		}
 	}
-	rows, readErr := g.site.Members.Read(ctx)
-	p.c.post(func() { p.seeded(announced || err == nil, rows, readErr) })
+	p.c.post(func() { p.seeded(announced, rows, err) })
+}
+
+// stands reports whether this daemon's row is in the table as it is to be.
+func (p *membersPart) stands(rows site.Rows) bool {
+	g := p.c.g
+	return slices.ContainsFunc(rows.Rows, func(r site.Row) bool {
+		var at presence
+		return r.Key == string(g.self.ID) && json.Unmarshal(r.Value, &at) == nil && at.Peers == g.set().Peers
+	})
+}
+
+// write puts this daemon's row into the table.
+func (p *membersPart) write(ctx context.Context) bool {
+	g := p.c.g
+	row, err := json.Marshal(presence{Peers: g.set().Peers})
+	if err == nil {
+		_, err = g.site.Members.Commit(ctx, site.Change{Key: string(g.self.ID), Value: row})
+	}
+	if err != nil {
+		g.log.Emit(telemetry.EventStoreUnavailable, telemetry.Detail("members"), telemetry.Cause(err))
+	}
+	return err == nil
 }
 
 func (p *membersPart) seeded(announced bool, rows site.Rows, err error) {
@@ -128,6 +174,8 @@
 		return
 	}
 	p.rows = len(rows.Rows)
+	p.c.view.found = p.rows
+	p.c.changed = true
 	var seeds membership.Seeds
 	for _, r := range rows.Rows {
 		var at presence
@@ -190,8 +238,3 @@
 		g.control.post(func() { g.control.heard(m) })
 	}
 }
-
-// called refuses calls: gateways make none to each other.
-func (g *Gateway) called(context.Context, state.Member, any) (any, error) {
-	return nil, errNoCalls
-}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -56,7 +56,7 @@
 
 // serve runs the stages: route, customer, admission, attempts.
 func (r *run) serve(ctx context.Context) Result {
-	if r.view.config == nil || !r.view.listed {
+	if !r.awaitStart(ctx) {
 		return refused("no_configuration", admission.Unready)
 	}
 	if res, ok := r.findRoute(); !ok {
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -17,11 +17,13 @@
 	filling  bool
 	members  *membership.View
 	live     int // daemons that take part, this one included
+	found    int // daemons in the table of members when it was read; 0 for never
 	sharers  retrybudget.Sharers
 	draining bool
 }
 
+// known reports whether the configuration and the servers are known.
+func (v *view) known() bool { return v.config != nil && v.listed }
+
 // ready reports whether requests can be served.
-func (v *view) ready() bool {
-	return v.config != nil && v.listed && !v.draining
-}
+func (v *view) ready() bool { return v.known() && !v.draining }
--- a/gateway/wait.go
+++ b/gateway/wait.go
@@ -32,6 +32,27 @@
 	return false
 }
 
+// awaitStart waits while this daemon has just started and does not know the
+// configuration and the servers. It returns false where the caller is to come back.
+func (r *run) awaitStart(ctx context.Context) bool {
+	if r.view.known() {
+		return true
+	}
+	wait := admission.Wait{Arrived: r.req.Arrived, Deadline: r.req.Arrived.Add(r.req.Wait)}
+	r.g.waiting.Add(1)
+	defer r.g.waiting.Add(-1)
+	for {
+		start := admission.Start{Began: r.g.born, Failed: r.g.unanswered.Load()}
+		if !time.Now().Before(start.Until(wait)) || ctx.Err() != nil {
+			return false
+		}
+		pause(ctx, holdStep)
+		if r.view = r.g.current.Load(); r.view.known() {
+			return true
+		}
+	}
+}
+
 // watchFirst cancels an attempt whose answer does not begin in usual time, if the
 // request may run again: its answer was lost, or its connection has gone silent.
 // The caller stops the timer once the answer has begun.
--- a/telemetry/catalogue.go
+++ b/telemetry/catalogue.go
@@ -80,6 +80,7 @@
 	{EventBackendRestarted, "backend_restarted", logrus.InfoLevel, "A backend server has started again under its name; it holds nothing of before, and nothing that was believed of it stands."},
 	{EventBackendRefusing, "backend_refusing", logrus.InfoLevel, "A backend server refuses requests although it has room: it is leaving and not listed so; all daemons are told, and avoid it for a while."},
 	{EventNoticeUnreadable, "notice_unreadable", logrus.ErrorLevel, "What one daemon found out of a server or a content can't be written or read by another; each finds it out for itself."},
+	{EventFeedGiven, "feed_given", logrus.InfoLevel, "Another daemon gave this one a feed's rows, which the store had told so long ago; the store was not asked."},
 	{EventConnectionSilent, "connection_silent", logrus.WarnLevel, "An open connection went silent; it is replaced, and what was under way on it is asked about."},
 	{EventFrameRefused, "frame_refused", logrus.WarnLevel, "A broken, oversized or unknown frame came; the connection is closed."},
 }
--- a/telemetry/events.go
+++ b/telemetry/events.go
@@ -99,6 +99,7 @@
 	EventBackendRestarted  Event = 1616
 	EventBackendRefusing   Event = 1617
 	EventNoticeUnreadable  Event = 1618
+	EventFeedGiven         Event = 1619
 	EventReplicaUp         Event = 1606
 	EventReplicaDown       Event = 1607
 	EventCacheEventsMissed Event = 1608
