Ask one daemon before the store, for 50 ms at most

Cause: a daemon that has heard no word for 1.7 s asked two others for up to 100 ms each before the store; where both are gone a change is in force after 1.9 s of 2 s.

Change: one is asked, 50 ms at most; two where nothing is known yet.

--- a/gateway/handover.go
+++ b/gateway/handover.go
@@ -38,14 +38,15 @@
 
 const (
 	// giveTimeout bounds one question: a daemon answers within some ms, one that has
-	// just started knows nothing and says so.
-	giveTimeout = 100 * time.Millisecond
+	// just started knows nothing and says so. A daemon that has heard no word for long asks
+	// one other before the store, and is still to know a change within 2 s.
+	giveTimeout = 50 * time.Millisecond
 	// giveStep is the time between two rounds of questions by a daemon that starts.
 	giveStep = 25 * time.Millisecond
 	// overdueRounds is how often a daemon asks others for a change that it has been told
 	// of and lacks: it is on its way to them too.
 	overdueRounds = 3
-	// giveAsked is how many daemons are asked in a round.
+	// giveAsked is how many daemons are asked in a round, by one that knows nothing yet.
 	giveAsked = 2
 	// patienceLeast, patienceEach and patienceMost are how long a daemon that starts
 	// asks others before it reads the store itself: a random time that grows with the
@@ -125,11 +126,15 @@
 	return false
 }
 
-// fromPeers asks a few other daemons for the feed, and takes what one of them knows. It
-// returns false where the store is to be asked all the same.
+// fromPeers asks another daemon for the feed, or two where nothing is known, and takes
+// what one of them knows. It returns false where the store is to be asked all the same.
 func (p *feedPart[T]) fromPeers(ctx context.Context, ask rowsAsked) bool {
 	ask.Feed = p.name
-	for _, address := range p.c.g.somePeers(giveAsked) {
+	n := 1
+	if ask.Has == 0 {
+		n = giveAsked
+	}
+	for _, address := range p.c.g.somePeers(n) {
 		if p.ask(ctx, address, ask) {
 			return true
 		}
