Ask the store at once where one follower fails and the other's view is old

In "tell each other of entries that a server has contradicted" the spec sent its request before the gateway had the other server listed in another domain: half of the time nothing was contradicted and nothing to tell.

Ruled out: a lost word (it is a fact, told by several); the machine's load.

Change: a daemon waits for its turn only where all followers that are heard say that the store fails; one whose view is merely old has it ask at once. A spec in virtual time, red before. The other spec waits until both gateways list the server in its domain; it checks as much as before.

--- a/coordination/following/following.go
+++ b/coordination/following/following.go
@@ -159,23 +159,26 @@
 	if !m.known || m.Tells(now) || m.lacks(now) {
 		return ByStore
 	}
-	mode := ByStore
+	failing, old := false, false
 	for id, h := range m.heard {
 		switch {
 		case now.Sub(h.at) > HeardFor:
-		case h.failing && m.isChosen(id):
-			mode = BySeldom
 		case !h.failing && now.Sub(h.at)+h.age <= m.fresh:
 			return ByPeers
+		case m.isChosen(id):
+			failing = failing || h.failing
+			old = old || !h.failing
 		}
 	}
 	switch {
 	case now.Sub(m.asked.at) <= HeardFor && now.Sub(m.asked.at)+m.asked.age <= m.fresh:
 		return ByPeers
-	case mode == ByStore && !m.failing && now.Sub(m.answered) < restFor:
+	case failing && !old:
+		return BySeldom // where one merely waits for an answer, the store may be well
+	case !failing && !m.failing && now.Sub(m.answered) < restFor:
 		return Resting
 	}
-	return mode
+	return ByStore
 }
 
 // lacks reports whether changes that a follower has told of are overdue.
--- a/coordination/following/following_test.go
+++ b/coordination/following/following_test.go
@@ -138,6 +138,20 @@
 		Expect(m.Mode(at(0))).To(Equal(following.BySeldom))
 	})
 
+	// The store answers neither follower: one has found it out, the other one's connection
+	// has gone silent. A change is in force a second too late. Cause: a daemon waited for
+	// its turn as if the store were known to answer nobody.
+	It("asks the store at once where one follower fails and the other's view is old", Label("failure:follower-stale"), func() {
+		failing, silent := word(0, 10, 10), word(0, 10, 10)
+		failing.Root.ID, failing.Failing = "g5", true
+		silent.Age = fresh - 100*time.Millisecond
+		m.Heard(at(time.Second), failing)
+		silent.Sent = time.Second
+		m.Heard(at(time.Second), silent)
+		Expect(m.Mode(at(1100 * time.Millisecond))).To(Equal(following.ByPeers))
+		Expect(m.Mode(at(1101 * time.Millisecond))).To(Equal(following.ByStore))
+	})
+
 	// The store is away for 8 s, and each of 195 daemons asks it once a second: over
 	// 3,000 calls, each paid for. Cause: how often one asks did not depend on how many do.
 	It("asks such a store no oftener in all where daemons are many", Label("failure:outage-asked-by-all"), func() {
--- a/gateway/follow_test.go
+++ b/gateway/follow_test.go
@@ -87,6 +87,20 @@
 	return false
 }
 
+// domainOf is where a gateway has a server listed.
+func (p *posts) domainOf(i int, server state.BackendID) state.FailureDomain {
+	status, err := p.gateways[i].Status(context.Background())
+	Expect(err).NotTo(HaveOccurred())
+	for _, svc := range status.Services {
+		for _, s := range svc.Servers {
+			if s.ID == server {
+				return s.Domain
+			}
+		}
+	}
+	return ""
+}
+
 // withRoute is a configuration with one more route.
 func withRoute(version uint64, prefix string) *fleet.Config {
 	c := config(version)
@@ -190,6 +204,9 @@
 		const reborn = "p0" // which all prefer: the other one is in another domain
 		p := newPosts("g1", "g2")
 		p.listed.set("p1", fleet.Server{ID: "p1", Service: "app", Address: "p1", Domain: "b"})
+		for i := range p.gateways { // else the one in another domain may be taken
+			Eventually(func() state.FailureDomain { return p.domainOf(i, "p1") }).WithTimeout(patience).Should(Equal(state.FailureDomain("b")))
+		}
 		p.rig.servers.plain = func(c backend.Call) (*backend.Answer, error) {
 			if c.Address == reborn {
 				a := answer(http.StatusMisdirectedRequest, "")
