--- a/gateway/control.go
+++ b/gateway/control.go
@@ -66,17 +66,22 @@
 			return
 		}
 		c.now = time.Now()
-		c.members.tick()
-		c.listing.tick()
-		c.configs.tick()
-		c.entries.tick()
-		c.duty.tick()
-		c.gauges.tick()
-		c.publish()
+		c.tick()
 		timer.Reset(max(time.Until(c.nextTick()), leastTick))
 	}
 }
 
+// tick runs the timers that are due, and publishes what has changed.
+func (c *control) tick() {
+	c.members.tick()
+	c.listing.tick()
+	c.configs.tick()
+	c.entries.tick()
+	c.duty.tick()
+	c.gauges.tick()
+	c.publish()
+}
+
 // drainInbox runs what else has come meanwhile, so that its effects are worked out once.
 func (c *control) drainInbox() {
 	for range cap(c.inbox) {
