Choose paths over groups of like cards, prepared once for each list

Cause: each request built a list of all cards with four map look-ups each, sorted it, and compared every card's layers with every domain's ways, under the lock that all requests of a daemon share. Change: a roster (cards, groups, domains) is made with each published list; a choice fills in the states of the few cards of which this daemon knows something, takes the cheapest card of each group, and searches over groups. Test: any roster and states give a path of the least cost that a search over all cards finds; the comparison is of costs now, not of paths: of two cards that cost the same either may come.

--- /dev/null
+++ b/coordination/pathing/choose.go
@@ -0,0 +1,169 @@
+package pathing
+
+import (
+	"math"
+
+	"github.com/hibiscuswick/hibiscuswick/state/fleet"
+)
+
+// Choose returns the cheapest path, or false where some layer is held by no card that may
+// be used. states has one entry a card of the roster. Cards that are suspects are used only
+// where suspects is set.
+func (r *Roster) Choose(req Request, states []State, suspects bool) (fleet.Path, bool) {
+	w := r.newWays(&req)
+	last, lastCost := -1, math.Inf(1)
+	for i := range r.groups {
+		g := &r.groups[i]
+		best, ok := w.best(g, states, suspects)
+		if !ok {
+			continue
+		}
+		w.reached[i] = w.arrive(g, best)
+		w.add(g, i)
+		if cost := w.reached[i].cost; g.layers.To >= r.engine.Layers && cost < lastCost {
+			last, lastCost = i, cost
+		}
+	}
+	if last < 0 {
+		return nil, false
+	}
+	return w.trace(last), true
+}
+
+// reach is the cheapest way found that ends with a group.
+type reach struct {
+	cost float64
+	card int // of the group
+	from int // index of the group before, or -1
+	at   int // first layer that this card runs
+}
+
+// choice is the cheapest card of a group, as a later hop and as the first one.
+type choice struct {
+	card, first         int // -1 for none
+	cardCost, firstCost float64
+}
+
+// ways holds the cheapest way to each layer in each failure domain: all that a group needs
+// to know of those before it, so that the work grows with the groups and not with their
+// square.
+type ways struct {
+	r       *Roster
+	req     *Request
+	reached []reach     // by group
+	cross   [][]float64 // cost of a hop from one domain to another
+	ends    []end       // by the layer, then by domain
+}
+
+// end is the cheapest way that ends before a layer.
+type end struct {
+	cost  float64
+	group int // the last one, or -1 for no way
+}
+
+func (r *Roster) newWays(req *Request) *ways {
+	w := &ways{r: r, req: req, reached: make([]reach, len(r.groups)), ends: make([]end, (r.engine.Layers+1)*len(r.domains))}
+	for i := range w.ends {
+		w.ends[i] = end{cost: math.Inf(1), group: -1}
+	}
+	for _, from := range r.domains {
+		row := make([]float64, len(r.domains))
+		for i, to := range r.domains {
+			if from != to {
+				row[i] = crossing(r.engine, req, from, to)
+			}
+		}
+		w.cross = append(w.cross, row)
+	}
+	return w
+}
+
+// at is the ends before a layer, by domain.
+func (w *ways) at(layer int) []end {
+	n := len(w.r.domains)
+	return w.ends[layer*n : (layer+1)*n]
+}
+
+// best finds the cheapest cards of a group; false where none may be used.
+func (w *ways) best(g *group, states []State, suspects bool) (choice, bool) {
+	out := choice{card: -1, first: -1, cardCost: math.Inf(1), firstCost: math.Inf(1)}
+	for _, i := range g.cards {
+		st := &states[i]
+		if st.Barred || st.Suspect && !suspects {
+			continue
+		}
+		cost := fixed(&w.r.cards[i], st, w.req)
+		if cost < out.cardCost {
+			out.card, out.cardCost = i, cost
+		}
+		if extra, ok := w.first(&w.r.cards[i], st); ok && cost+extra < out.firstCost {
+			out.first, out.firstCost = i, cost+extra
+		}
+	}
+	return out, out.card >= 0
+}
+
+// first is what a card costs more as the first hop; false where it may not be that.
+func (w *ways) first(c *Card, st *State) (float64, bool) {
+	s := c.Server
+	if s.Layers.From != 0 || w.req.First != nil && !w.req.First[s.Address] {
+		return 0, false
+	}
+	extra := 0.0
+	if s.Domain != w.req.Domain {
+		extra += farMS
+	}
+	if s.Slots > 0 && st.Load.First >= float64(s.Slots) {
+		extra += fullMS
+	}
+	return extra, true
+}
+
+// arrive finds the cheapest way to use a group up to its last layer.
+func (w *ways) arrive(g *group, c choice) reach {
+	out := reach{cost: math.Inf(1), card: -1, from: -1}
+	if c.first >= 0 {
+		out = reach{cost: c.firstCost + float64(g.layers.Len())*g.each, card: c.first, from: -1}
+	}
+	for l := max(g.layers.From, 1); l < min(g.layers.To, w.r.engine.Layers+1); l++ {
+		rest := c.cardCost + float64(g.layers.To-l)*g.each
+		for d, before := range w.at(l) {
+			if before.group < 0 {
+				continue
+			}
+			if total := before.cost + rest + w.cross[d][g.domain]; total < out.cost {
+				out = reach{cost: total, card: c.card, from: before.group, at: l}
+			}
+		}
+	}
+	return out
+}
+
+// add notes the way that ends with a group, if there is one.
+func (w *ways) add(g *group, i int) {
+	at := &w.at(min(g.layers.To, w.r.engine.Layers))[g.domain]
+	if cost := w.reached[i].cost; cost < at.cost {
+		*at = end{cost: cost, group: i}
+	}
+}
+
+// trace writes the path that ends with group i.
+func (w *ways) trace(i int) fleet.Path {
+	n := 0
+	for k := i; k >= 0; k = w.reached[k].from {
+		n++
+	}
+	path := make(fleet.Path, n)
+	to := w.r.engine.Layers
+	for i >= 0 {
+		n--
+		way := w.reached[i]
+		s := w.r.cards[way.card].Server
+		path[n] = fleet.Hop{
+			Server: s.Life(), Address: s.Address, Domain: s.Domain,
+			Layers: fleet.Range{From: way.at, To: min(s.Layers.To, to)},
+		}
+		to, i = way.at, way.from
+	}
+	return path
+}
--- a/coordination/pathing/reference_test.go
+++ b/coordination/pathing/reference_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math"
-	"reflect"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -12,86 +11,168 @@
 	"github.com/hibiscuswick/hibiscuswick/state/fleet"
 )
 
-var big = &fleet.Engine{Layers: 80, StepMS: 0.85, ActivateKB: 22.9, PipeMbps: 7900}
+var big = &fleet.Engine{
+	Layers: 80, LayerMB: 1750, TokenKB: 459, StepMS: 0.85, ActivateKB: 22.9, PipeMbps: 7900,
+	Kinds: map[string]fleet.CardKind{
+		"fast": {Pace: 3.1, MemoryMB: 36000}, "middle": {Pace: 15, MemoryMB: 21600}, "slow": {Pace: 16, MemoryMB: 14400},
+	},
+}
+
+// hopCost is what a card costs as the hop after a card of another domain, or of its own.
+func hopCost(r *Roster, req *Request, i int, st *State, layers int, before *state.FailureDomain) float64 {
+	c := &r.cards[i]
+	ms := fixed(c, st, req) + float64(layers)*layer(c, r.engine)
+	if before != nil && *before != c.Server.Domain {
+		ms += crossing(r.engine, req, *before, c.Server.Domain)
+	}
+	return ms
+}
 
-// reference is Choose by comparing each card with each other one.
-func reference(e *fleet.Engine, cards []Card, r Request) (fleet.Path, bool) {
-	order := usable(cards, &r)
-	best := make([]reach, len(order))
-	last, lastCost := -1, math.Inf(1)
-	for i, c := range order {
-		best[i] = first(e, c, &r)
-		for j := range i {
-			before := order[j].Server
-			end := before.Layers.To
-			if math.IsInf(best[j].cost, 1) || end < c.Server.Layers.From || end >= c.Server.Layers.To {
+// firstCost is what a card costs more as the first hop.
+func firstCost(r *Roster, req *Request, i int, st *State) float64 {
+	w := ways{r: r, req: req}
+	ms, ok := w.first(&r.cards[i], st)
+	if !ok {
+		return math.Inf(1)
+	}
+	return ms
+}
+
+// cheapest is the cost of the cheapest path, found by comparing each card with each other
+// one, layer by layer.
+func cheapest(r *Roster, req Request, states []State, suspects bool) float64 {
+	cost := make([]float64, r.Len()) // of the cheapest way that ends with a card
+	for i := range cost {
+		cost[i] = math.Inf(1)
+	}
+	best := math.Inf(1)
+	for to := 1; to <= r.engine.Layers; to++ {
+		for i := range r.cards {
+			s, st := r.cards[i].Server, &states[i]
+			if s.Layers.To != to || st.Barred || st.Suspect && !suspects {
 				continue
 			}
-			total := best[j].cost + cost(c, e, c.Server.Layers.To-end, &r)
-			if before.Domain != c.Server.Domain {
-				total += crossing(e, &r, before.Domain, c.Server.Domain)
+			cost[i] = firstCost(r, &req, i, st) + hopCost(r, &req, i, st, s.Layers.Len(), nil)
+			for j := range r.cards {
+				before := r.cards[j].Server
+				if at := before.Layers.To; at >= s.Layers.From && at < to && at > 0 {
+					cost[i] = min(cost[i], cost[j]+hopCost(r, &req, i, st, to-at, &before.Domain))
+				}
 			}
-			if total < best[i].cost {
-				best[i] = reach{cost: total, from: j, at: end}
+			if to == r.engine.Layers {
+				best = min(best, cost[i])
 			}
 		}
-		if c.Server.Layers.To >= e.Layers && best[i].cost < lastCost {
-			last, lastCost = i, best[i].cost
-		}
 	}
-	if last < 0 {
-		return nil, false
+	return best
+}
+
+// costOf is what a path costs.
+func costOf(r *Roster, req Request, states []State, path fleet.Path) float64 {
+	total := 0.0
+	var before *state.FailureDomain
+	for k, h := range path {
+		i, _ := r.At(h.Address)
+		if k == 0 {
+			total += firstCost(r, &req, i, &states[i])
+		}
+		total += hopCost(r, &req, i, &states[i], h.Layers.Len(), before)
+		before = &path[k].Domain
 	}
-	return trace(e, order, best, last), true
+	return total
 }
 
-// draw makes cards of several domains with any load.
-func draw(t *rapid.T, n int) []Card {
-	var cards []Card
+// draw makes engines of several domains with any state.
+func draw(t *rapid.T, n int) (*Roster, []State) {
+	servers := make([]fleet.Server, n)
+	states := make([]State, n)
 	for i := range n {
 		size := rapid.SampledFrom([]int{6, 9, 15}).Draw(t, "size")
-		from := rapid.IntRange(0, big.Layers-size).Draw(t, "from")
-		cards = append(cards, Card{
-			Server: &fleet.Server{
-				ID: state.BackendID(fmt.Sprint(i)), Address: fmt.Sprint(i), Slots: 192,
-				Domain: rapid.SampledFrom([]state.FailureDomain{"a", "b", "c"}).Draw(t, "domain"),
-				Layers: fleet.Range{From: from, To: from + size},
+		from := rapid.SampledFrom([]int{0, 6, 12, 21, 30, 44, 50, 60, 65, 71, 74}).Draw(t, "from")
+		servers[i] = fleet.Server{
+			ID: state.BackendID(fmt.Sprint(i)), Address: fmt.Sprint(i), Slots: 192,
+			Kind:   rapid.SampledFrom([]string{"fast", "middle", "slow"}).Draw(t, "kind"),
+			Domain: rapid.SampledFrom([]state.FailureDomain{"a", "b", "c"}).Draw(t, "domain"),
+			Layers: fleet.Range{From: from, To: min(from+size, big.Layers)},
+		}
+		states[i] = State{
+			Load: Load{
+				Requests: rapid.Float64Range(0, 100).Draw(t, "requests"), First: rapid.Float64Range(0, 300).Draw(t, "first"),
+				Tokens: rapid.Float64Range(0, 2e5).Draw(t, "tokens"),
 			},
-			Kind: fleet.CardKind{Pace: rapid.Float64Range(3, 16).Draw(t, "pace")},
-			Room: 100000,
-			Load: Load{Requests: rapid.Float64Range(0, 100).Draw(t, "requests"), Tokens: rapid.Float64Range(0, 2e5).Draw(t, "tokens")},
-		})
+			Delay:  rapid.Float64Range(0, 100).Draw(t, "delay"),
+			Barred: rapid.IntRange(0, 9).Draw(t, "barred") == 0, Suspect: rapid.IntRange(0, 4).Draw(t, "suspect") == 0,
+		}
 	}
-	return cards
+	return NewRoster(big, servers), states
 }
 
-// The path is the cheapest one, however it is found.
+// The path is a cheapest one, however it is found.
 func TestChooseFindsTheCheapestPath(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		cards := draw(t, rapid.IntRange(0, 60).Draw(t, "cards"))
+		roster, states := draw(t, rapid.IntRange(0, 60).Draw(t, "cards"))
 		r := Request{Domain: "a", Prompt: 700, Tokens: 900, Backlog: func(x, y state.FailureDomain) float64 { return float64(len(x + y)) }}
-		want, wantOK := reference(big, cards, r)
-		got, ok := Choose(big, cards, r)
-		if ok != wantOK || !reflect.DeepEqual(got, want) {
-			t.Fatalf("got %v %v, want %v %v", got, ok, want, wantOK)
+		if rapid.Bool().Draw(t, "begins at few") {
+			r.First = map[string]bool{"0": true, "1": true, "2": true}
+		}
+		suspects := rapid.Bool().Draw(t, "suspects")
+		want := cheapest(roster, r, states, suspects)
+		got, ok := roster.Choose(r, states, suspects)
+		if ok == math.IsInf(want, 1) {
+			t.Fatalf("got %v %v, the cheapest costs %v", got, ok, want)
+		}
+		if !ok {
+			return
+		}
+		if !got.Whole(big.Layers) {
+			t.Fatalf("not whole: %v", got)
+		}
+		if cost := costOf(roster, r, states, got); math.Abs(cost-want) > 1e-6 {
+			t.Fatalf("%v costs %v, the cheapest %v", got, cost, want)
 		}
 	})
 }
 
+// benchServers are n engines of three domains as a layout leaves them.
+func benchServers(n int) []fleet.Server {
+	servers := make([]fleet.Server, n)
+	for i := range servers {
+		kind := i / 3 % 3
+		size := []int{18, 10, 6}[kind]
+		servers[i] = fleet.Server{
+			ID: state.BackendID(fmt.Sprint(i)), Address: fmt.Sprint(i), Domain: state.FailureDomain("abc"[i%3 : i%3+1]),
+			Kind: []string{"fast", "middle", "slow"}[kind], Slots: 192,
+		}
+		from := min(i/9*size%big.Layers, big.Layers-size)
+		servers[i].Layers = fleet.Range{From: from, To: from + size}
+	}
+	return servers
+}
+
 func BenchmarkChoose(b *testing.B) {
-	for _, n := range []int{38, 1000} {
+	for _, n := range []int{45, 100, 1000, 3000, 12000} {
 		b.Run(fmt.Sprintf("%d cards", n), func(b *testing.B) {
-			var cards []Card
-			for i := range n {
-				size := []int{6, 9, 15}[i%3]
-				from := i * 7 % (big.Layers - size + 1)
-				cards = append(cards, Card{
-					Server: &fleet.Server{Address: fmt.Sprint(i), Domain: state.FailureDomain("abc"[i%3 : i%3+1]), Layers: fleet.Range{From: from, To: from + size}},
-					Kind:   fleet.CardKind{Pace: 5}, Room: 100000, Load: Load{Requests: float64(i % 10)},
-				})
+			roster := NewRoster(big, benchServers(n))
+			states := make([]State, roster.Len())
+			for i := range states {
+				states[i].Load.Requests = float64(i % 10)
 			}
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, ok := roster.Choose(Request{Domain: "a", Prompt: 700, Tokens: 900}, states, false); !ok {
+					b.Fatal("no path")
+				}
+			}
+		})
+	}
+}
+
+func BenchmarkNewRoster(b *testing.B) {
+	for _, n := range []int{100, 3000} {
+		servers := benchServers(n)
+		b.Run(fmt.Sprintf("%d cards", n), func(b *testing.B) {
 			for b.Loop() {
-				Choose(big, cards, Request{Domain: "a", Prompt: 700, Tokens: 900})
+				NewRoster(big, servers)
 			}
 		})
 	}
--- a/coordination/suspect/delay.go
+++ b/coordination/suspect/delay.go
@@ -34,15 +34,7 @@
 	}
 }
 
-// Delay is a server's part of what answers took to begin of late, in ms.
-func (b *Book) Delay(now time.Time, address string) float64 {
-	r, ok := b.servers[address]
-	if !ok {
-		return 0
-	}
-	return r.delay.fade(now)
-}
-
+// fade is the delay as of now, in ms.
 func (d delay) fade(now time.Time) float64 {
 	if d.at.IsZero() {
 		return 0
--- a/coordination/suspect/leaving.go
+++ b/coordination/suspect/leaving.go
@@ -71,3 +71,12 @@
 func (b *Book) IsLeaving(now time.Time, server state.Life) bool {
 	return now.Before(b.leaving[server])
 }
+
+// EachLeaving calls f for each server that is better not used, since it is leaving.
+func (b *Book) EachLeaving(now time.Time, f func(state.Life)) {
+	for server, until := range b.leaving {
+		if now.Before(until) {
+			f(server)
+		}
+	}
+}
--- a/coordination/suspect/outdated.go
+++ b/coordination/suspect/outdated.go
@@ -38,3 +38,12 @@
 	until, ok := b.outdated[Outdated{Server: s.Life(), Layers: s.Layers}]
 	return ok && now.Before(until)
 }
+
+// EachOutdated calls f for each entry that is not to be gone by.
+func (b *Book) EachOutdated(now time.Time, f func(Outdated)) {
+	for o, until := range b.outdated {
+		if now.Before(until) {
+			f(o)
+		}
+	}
+}
--- a/coordination/suspect/suspect.go
+++ b/coordination/suspect/suspect.go
@@ -99,6 +99,18 @@
 	return out
 }
 
+// Each calls f for each address of which something is known: whether it is better not used
+// now, and its part of what answers took to begin of late, in ms.
+func (b *Book) Each(now time.Time, f func(address string, avoided bool, delayMS float64)) {
+	for address, r := range b.servers {
+		if now.Sub(r.touched) > forgetAfter {
+			delete(b.servers, address)
+			continue
+		}
+		f(address, now.Before(r.avoid), r.delay.fade(now))
+	}
+}
+
 // Follow begins to follow an answer along a path.
 func (b *Book) Follow(now time.Time, path fleet.Path) *Stream {
 	s := &Stream{path: path, records: make([]*record, len(path))}
--- a/coordination/suspect/suspect_test.go
+++ b/coordination/suspect/suspect_test.go
@@ -19,6 +19,18 @@
 	return p
 }
 
+// delayOf is a server's part of what answers took to begin, in ms, as its book tells it; 0
+// for a server that the book does not know.
+func delayOf(b *suspect.Book, now time.Time, server string) float64 {
+	out := 0.0
+	b.Each(now, func(address string, _ bool, delayMS float64) {
+		if address == server {
+			out = delayMS
+		}
+	})
+	return out
+}
+
 var _ = Describe("Suspicion", func() {
 	start := time.Unix(1000, 0)
 	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
@@ -56,14 +68,14 @@
 		b := suspect.NewBook()
 		b.Began(at(0), path("a", "b"), 600*time.Millisecond)
 		b.Began(at(0), path("c"), 60*time.Millisecond)
-		Expect(b.Delay(at(0), "a")).To(BeNumerically(">", b.Delay(at(0), "c")))
-		late := b.Delay(at(0), "b")
+		Expect(delayOf(b, at(0), "a")).To(BeNumerically(">", delayOf(b, at(0), "c")))
+		late := delayOf(b, at(0), "b")
 		for range 20 {
 			b.Began(at(1), path("b", "c"), 20*time.Millisecond)
 		}
-		Expect(b.Delay(at(1), "b")).To(BeNumerically("<", late/2))
-		Expect(b.Delay(at(10000), "a")).To(BeNumerically("<", 1))
-		Expect(b.Delay(at(0), "unknown")).To(BeZero())
+		Expect(delayOf(b, at(1), "b")).To(BeNumerically("<", late/2))
+		Expect(delayOf(b, at(10000), "a")).To(BeNumerically("<", 1))
+		Expect(delayOf(b, at(0), "unknown")).To(BeZero())
 	})
 
 	It("grows with failures in a row and ends with an answer", func() {
@@ -83,7 +95,7 @@
 		b.Began(at(0), path("a"), time.Second)
 		b.Forget("a")
 		Expect(b.Avoided(at(1))).To(BeEmpty())
-		Expect(b.Delay(at(1), "a")).To(BeZero())
+		Expect(delayOf(b, at(1), "a")).To(BeZero())
 	})
 
 	// A server leaves and is not listed so. It refuses each request, at each daemon. One
--- a/gateway/book.go
+++ b/gateway/book.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -27,6 +26,7 @@
 	pipes    pipes
 	waits    map[state.ServiceID]*waits
 	crashes  *crashes.Book
+	states   []pathing.State // of the roster's cards in a choice; kept for the next one
 }
 
 func newBook(set Settings) *book {
@@ -78,54 +78,6 @@
 	}
 }
 
-// choose takes a path for a request and counts its load until release.
-func (b *book) choose(now time.Time, v *view, svc *fleet.Service, r pathing.Request) (fleet.Path, bool) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	servers := v.servers[svc.ID]
-	cards := make([]pathing.Card, 0, len(servers))
-	// Requests are spread over the daemons at random, so that this one's are a
-	// fair sample of all.
-	daemons := float64(max(v.live, 1))
-	for i := range servers {
-		s := &servers[i]
-		if b.suspects.Outdated(now, s) {
-			continue
-		}
-		kind := svc.Engine.Kinds[s.Kind]
-		load := b.load(s.Life())
-		load.Requests *= daemons
-		load.First *= daemons
-		load.Tokens *= daemons
-		cards = append(cards, pathing.Card{Server: s, Kind: kind, Room: svc.Engine.Room(kind, s.Layers.Len()), Load: load, Delay: b.suspects.Delay(now, s.Address)})
-	}
-	r.Backlog = func(x, y state.FailureDomain) float64 { return b.pipes.backlog(now, x, y) }
-	never := merge(maps.Clone(b.buried), r.Avoid)
-	r.Avoid = merge(merge(b.suspects.Avoided(now), b.leaving(now, servers)), never)
-	path, ok := pathing.Choose(svc.Engine, cards, r)
-	if !ok && len(r.Avoid) > len(never) {
-		// A suspect is better than nothing; a dead server is not.
-		r.Avoid = never
-		path, ok = pathing.Choose(svc.Engine, cards, r)
-	}
-	if ok {
-		b.pipes.add(now, path, pathing.TransferMS(svc.Engine, r.Prompt)*daemons)
-		b.count(path, r.Tokens, 1)
-	}
-	return path, ok
-}
-
-// merge returns the union of two sets; it may be one of them.
-func merge(a, b map[string]bool) map[string]bool {
-	if len(a) == 0 {
-		return b
-	}
-	for k := range b {
-		a[k] = true
-	}
-	return a
-}
-
 // count adds a request's load to each server of its path, or takes it off.
 func (b *book) count(path fleet.Path, tokens int, by float64) {
 	first := by
--- a/gateway/control_bench_internal_test.go
+++ b/gateway/control_bench_internal_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	plannedcover "github.com/hibiscuswick/hibiscuswick/coordination/cover"
+	"github.com/hibiscuswick/hibiscuswick/coordination/pathing"
 	"github.com/hibiscuswick/hibiscuswick/internal/freeport"
 	"github.com/hibiscuswick/hibiscuswick/protocol/site"
 	"github.com/hibiscuswick/hibiscuswick/state"
@@ -127,3 +129,46 @@
 	}
 	spread(loading, true)
 }
+
+// BenchmarkChoose is the choice of a path at a daemon of 300 that has 60 streams under way.
+func BenchmarkChoose(b *testing.B) {
+	for _, servers := range []int{100, 1000, 3000, 12000} {
+		b.Run(fmt.Sprint(servers), func(b *testing.B) {
+			c := startedControl(b)
+			benchList(c, servers)
+			v, book := c.g.current.Load(), c.g.book
+			svc := v.config.Services["llm"]
+			want := pathing.Request{Domain: "a", Prompt: 760, Tokens: 1000}
+			now := time.Now()
+			for range 60 {
+				path, ok := book.choose(now, v, &svc, want, nil)
+				if !ok {
+					b.Fatal("no path")
+				}
+				book.began(now, path, 100*time.Millisecond)
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				path, _ := book.choose(now, v, &svc, want, nil)
+				book.release(path, want.Tokens)
+			}
+		})
+	}
+}
+
+// benchList lists servers with the layers of a layout.
+func benchList(c *control, servers int) {
+	var batch site.Batch[fleet.Server]
+	var all []fleet.Server
+	for i := range servers {
+		all = append(all, benchServer(i))
+	}
+	for i, a := range plannedcover.Plan(benchEngine(), all) {
+		s := a.Server
+		s.Layers = a.Layers
+		batch.Items = append(batch.Items, site.Item[fleet.Server]{Key: string(s.ID), Revision: uint64(i + 1), Value: s})
+	}
+	batch.Revision = uint64(servers + 1)
+	c.entries.answered(batch, arrival{whole: true})
+	c.tick()
+}
--- a/gateway/listing.go
+++ b/gateway/listing.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/hibiscuswick/hibiscuswick/coordination/admission"
+	"github.com/hibiscuswick/hibiscuswick/coordination/pathing"
 	"github.com/hibiscuswick/hibiscuswick/protocol/site"
 	"github.com/hibiscuswick/hibiscuswick/state"
 	"github.com/hibiscuswick/hibiscuswick/state/fleet"
@@ -222,5 +223,20 @@
 	}
 	p.welcome(latest)
 	p.c.view.servers = groups
+	p.c.view.rosters = rosters(p.c.view.config, groups)
 	p.c.changed = true
 }
+
+// rosters prepares the engines of each service for the choice of paths.
+func rosters(c *fleet.Config, groups map[state.ServiceID][]fleet.Server) map[state.ServiceID]*pathing.Roster {
+	if c == nil {
+		return nil
+	}
+	out := make(map[state.ServiceID]*pathing.Roster)
+	for id, svc := range c.Services {
+		if svc.Engine != nil {
+			out[id] = pathing.NewRoster(svc.Engine, groups[id])
+		}
+	}
+	return out
+}
--- a/gateway/path.go
+++ b/gateway/path.go
@@ -16,7 +16,7 @@
 // attemptPath sends the request along a path of engines.
 func (r *run) attemptPath(ctx context.Context) (relay.End, Result) {
 	tokens := r.req.Prompt + r.req.Answer
-	want := pathing.Request{Domain: r.g.set().Domain, Prompt: r.req.Prompt, Tokens: tokens, Avoid: r.avoid}
+	want := pathing.Request{Domain: r.g.set().Domain, Prompt: r.req.Prompt, Tokens: tokens}
 	if on, exhausted := r.relay.Exhausted(); exhausted {
 		want.First = on
 	}
@@ -25,7 +25,7 @@
 		if r.view.filling && !r.headed {
 			return false
 		}
-		path, ok = r.g.book.choose(time.Now(), r.view, r.service, want)
+		path, ok = r.g.book.choose(time.Now(), r.view, r.service, want, r.avoid)
 		return ok
 	})
 	if !found {
--- a/gateway/refusal.go
+++ b/gateway/refusal.go
@@ -130,17 +130,3 @@
 	defer b.mu.Unlock()
 	return b.suspects.Leaves(now, l)
 }
-
-// leaving lists the addresses of servers that are leaving and not listed so.
-func (b *book) leaving(now time.Time, servers []fleet.Server) map[string]bool {
-	var out map[string]bool
-	for i := range servers {
-		if s := &servers[i]; b.suspects.IsLeaving(now, s.Life()) {
-			if out == nil {
-				out = make(map[string]bool)
-			}
-			out[s.Address] = true
-		}
-	}
-	return out
-}
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/hibiscuswick/hibiscuswick/coordination/membership"
+	"github.com/hibiscuswick/hibiscuswick/coordination/pathing"
 	"github.com/hibiscuswick/hibiscuswick/coordination/retrybudget"
 	"github.com/hibiscuswick/hibiscuswick/state"
 	"github.com/hibiscuswick/hibiscuswick/state/fleet"
@@ -11,6 +12,7 @@
 type view struct {
 	config  *fleet.Config // nil until one is known
 	servers map[state.ServiceID][]fleet.Server
+	rosters map[state.ServiceID]*pathing.Roster // of the services with engines
 	// listed is whether the servers were read at all.
 	listed bool
 	// filling is whether requests had better wait for more servers to be listed.
