--- a/gateway/control.go
+++ b/gateway/control.go
@@ -66,17 +66,22 @@
 			return
 		}
 		c.now = time.Now()
-		c.members.tick()
-		c.listing.tick()
-		c.configs.tick()
-		c.entries.tick()
-		c.duty.tick()
-		c.gauges.tick()
-		c.publish()
+		c.tick()
 		timer.Reset(max(time.Until(c.nextTick()), leastTick))
 	}
 }
 
+// tick runs the timers that are due, and publishes what has changed.
+func (c *control) tick() {
+	c.members.tick()
+	c.listing.tick()
+	c.configs.tick()
+	c.entries.tick()
+	c.duty.tick()
+	c.gauges.tick()
+	c.publish()
+}
+
 // drainInbox runs what else has come meanwhile, so that its effects are worked out once.
 func (c *control) drainInbox() {
 	for range cap(c.inbox) {
@@ -95,6 +100,7 @@
 	next := c.now.Add(10 * tickInterval)
 	for _, t := range []time.Time{
 		c.members.m.NextTick(), c.duty.nextTick(), c.configs.m.NextTick(c.now), c.entries.m.NextTick(c.now),
+		c.listing.nextTick(),
 	} {
 		if !t.IsZero() {
 			next = earlier(next, t)
@@ -103,9 +109,6 @@
 	if c.view.filling {
 		next = earlier(next, c.now.Add(tickInterval))
 	}
-	for _, t := range c.listing.missing {
-		next = earlier(next, t)
-	}
 	return next
 }
 
--- a/gateway/handover.go
+++ b/gateway/handover.go
@@ -103,12 +103,25 @@
 	if asked.Has >= p.m.Changed() && asked.Has > 0 {
 		return given
 	}
-	items, whole := p.rowsKnown.after(asked.Has)
-	rows := p.encode(items, asked.Has, revision)
-	given.Rows, given.Whole, given.Known = rows.bytes, whole, len(rows.bytes) > 0
+	rows, whole := p.rowsAfter(asked.Has)
+	given.Rows, given.Whole, given.Known = rows, whole, len(rows) > 0
 	return given
 }
 
+// rowsAfter encodes what changed after a revision, or all rows (true). All rows are kept as
+// they were encoded last: hundreds of daemons that start together ask a few for them.
+func (p *feedPart[T]) rowsAfter(revision uint64) ([]byte, bool) {
+	if p.rowsKnown.forgotten(revision) && len(p.allRows.bytes) > 0 && p.allRows.upTo == p.m.Changed() {
+		return p.allRows.bytes, true
+	}
+	items, whole := p.rowsKnown.after(revision)
+	rows := p.encode(items, revision, p.m.Changed())
+	if whole {
+		p.allRows = rows
+	}
+	return rows.bytes, whole
+}
+
 // startFromPeers has a daemon that starts ask others for a while, as it finds them. It
 // returns false where the store is to be asked.
 func (p *feedPart[T]) startFromPeers(ctx context.Context) bool {
@@ -152,7 +165,16 @@
 		return false // it ends, or has not begun to listen; another one is asked, or the store
 	}
 	given, ok := answer.Msg.(rowsGiven)
-	if !ok || !given.Known || given.Revision < ask.Least {
+	if !ok {
+		return false
+	}
+	return p.takeGiven(ctx, address, ask, given)
+}
+
+// takeGiven takes what a daemon answered. It returns false where another one, or the store,
+// is to be asked.
+func (p *feedPart[T]) takeGiven(ctx context.Context, address string, ask rowsAsked, given rowsGiven) bool {
+	if !given.Known || given.Revision < ask.Least {
 		return false
 	}
 	if len(given.Rows) == 0 {
@@ -164,6 +186,9 @@
 		return false
 	}
 	b := site.Batch[T]{Items: items, Revision: given.Revision}
+	// Guard (follower-stale): a daemon that is cut off from the store by itself answers with
+	// what it knew, and this one would go by an old configuration although it reaches the
+	// store. Only where the store answers nobody is nothing newer to be had.
 	if given.Age > followFresh && !given.Failing {
 		if !given.Whole {
 			return false
@@ -191,6 +216,8 @@
 // given takes up a feed, or what changed in it, from another daemon, unless more is known.
 func (p *feedPart[T]) given(b site.Batch[T], age time.Duration, whole bool) {
 	before, known := p.m.Revision()
+	// Guard (rows-older): what another daemon gave comes beside its words and the store's
+	// answers. Were older rows taken, a server that has left since would be listed again.
 	if known && b.Revision < before || !known && !whole {
 		return
 	}
