Have a request wait for a replica that its daemon does not know yet

Cause: where the home of a pool has heard of its new replicas first, it grants one that the request's daemon does not know; the request asked again at once, was granted it again (all replicas excluded are none excluded), and ended as no_replica after nine tries within milliseconds, although nothing was wrong. Ruled out: more tries; they only last some milliseconds longer. Change: such a slot counts for nothing, and another one is asked for 20 ms later. Tests: that story, red before; its end at the deadline and when the caller leaves.

--- a/coordination/request/request.go
+++ b/coordination/request/request.go
@@ -33,7 +33,7 @@
 
 	claimed  bool          // the claim row names this owner
 	ending   *ending       // set while an abandoned claim is settled
-	retryAt  time.Time     // in phaseBackoff
+	retryAt  time.Time     // in phaseBackoff and phaseLagging
 	adopting []*HeldAnswer // by stage, in phaseAdopting
 
 	out []Action
@@ -48,6 +48,11 @@
 // maxUseless bounds the slots that a request tries whose replica does not answer.
 const maxUseless = 8
 
+// lagWait is the time after which a request asks again that was granted a replica which this
+// daemon does not know yet: the list of replicas reaches a daemon some 10 to 100 ms after
+// another one.
+const lagWait = 20 * time.Millisecond
+
 // New returns the machine of one request; Start begins it.
 func New(spec Spec) *Request {
 	return &Request{spec: spec, sent: state.NewDispatches()}
@@ -71,7 +76,7 @@
 	case SlotGranted:
 		r.granted(ev)
 	case SlotUnusable:
-		r.unusable(ev)
+		r.unusable(now, ev)
 	case SlotRefused:
 		r.refused(ev)
 	case ClaimSettled:
@@ -112,7 +117,7 @@
 		return time.Time{}
 	case r.phase == phaseBackoff && len(r.tokens) > 0:
 		return r.retryAt
-	case r.phase == phaseBackoff && r.retryAt.Before(r.spec.FirstTokenBy):
+	case r.waitsToAsk() && r.retryAt.Before(r.spec.FirstTokenBy):
 		return r.retryAt
 	case len(r.tokens) == 0:
 		return r.spec.FirstTokenBy
@@ -132,7 +137,12 @@
 
 // Queued reports whether nothing was dispatched yet.
 func (r *Request) Queued() bool {
-	return r.phase == phaseNew || r.phase == phaseQueued || r.phase == phaseClaiming
+	return r.phase == phaseNew || r.phase == phaseQueued || r.phase == phaseLagging || r.phase == phaseClaiming
+}
+
+// waitsToAsk reports whether a slot is asked for at retryAt.
+func (r *Request) waitsToAsk() bool {
+	return r.phase == phaseBackoff || r.phase == phaseLagging
 }
 
 func (r *Request) do(a Action) {
@@ -160,7 +170,7 @@
 		r.giveUp(state.ReasonDeadline, 0)
 		return
 	}
-	if r.phase == phaseBackoff && !now.Before(r.retryAt) {
+	if r.waitsToAsk() && !now.Before(r.retryAt) {
 		r.askSlot()
 	}
 }
@@ -198,11 +208,19 @@
 // unusable looks for another slot. It costs no attempt and no retry: nothing was
 // sent. A request that is never repeated must not be lost to a replica that was
 // known to be broken, and any other would lose time there.
-func (r *Request) unusable(ev SlotUnusable) {
+func (r *Request) unusable(now time.Time, ev SlotUnusable) {
 	r.do(releaseUnusable(ev))
 	if r.phase != phaseQueued {
 		return
 	}
+	if ev.Unknown {
+		// Guard (replica-not-known-yet): the home has heard of the replica first. Asked
+		// again at once it grants it again, until the request has used up its tries and is
+		// refused within milliseconds, although nothing is wrong.
+		r.phase = phaseLagging
+		r.retryAt = now.Add(lagWait)
+		return
+	}
 	r.useless++
 	if r.useless > maxUseless {
 		r.end(state.ReasonNoReplica, 0)
--- a/coordination/request/spec.go
+++ b/coordination/request/spec.go
@@ -49,6 +49,7 @@
 const (
 	phaseNew phase = iota
 	phaseQueued
+	phaseLagging // a granted replica is not known here; a slot is asked for again at retryAt
 	phaseClaiming
 	phaseRunning   // one step is under way
 	phaseAsking    // a stage is asked about a lost step
