Let requests wait for the successor of a pool's last replica

Cause: word that a replica is leaving reaches a home at once, the list that names the one which follows some 100 ms later. Change: such a pool keeps requests for one second, then refuses them as before. One whose avoided replicas are the only ones that stay waits for those, as it does when it comes.

--- a/coordination/home/dispatch.go
+++ b/coordination/home/dispatch.go
@@ -70,15 +70,46 @@
 	}
 }
 
-// refuseImpossible refuses waits that no replica of the pool can ever serve.
+// SuccessorWait is how long requests wait for the successor of a pool's last replicas, once
+// all of them are leaving. Daemons tell each other at once that one leaves, and the list that
+// names its successor follows within some 100 ms; without one they are refused after this.
+const SuccessorWait = time.Second
+
+// refuseImpossible refuses waits that no replica of the pool can ever serve. One whose
+// avoided replicas are the only ones that stay waits for those.
 func (p *pool) refuseImpossible(now time.Time) {
-	for _, w := range p.waitsInOrder() {
-		if !p.possible(w.exclude) {
-			p.refuseWait(w, state.ReasonNoReplica, 1, now)
+	if p.possible(nil) {
+		p.barren = time.Time{}
+		for _, w := range p.waits {
+			if !p.possible(w.exclude) {
+				w.exclude = nil
+			}
 		}
+		return
+	}
+	if p.awaitsSuccessor(now) {
+		return
+	}
+	for _, w := range p.waitsInOrder() {
+		p.refuseWait(w, state.ReasonNoReplica, 1, now)
 	}
 }
 
+// awaitsSuccessor reports whether all replicas of the pool are leaving, and that for so
+// short a time that the list of their successors may be on its way.
+//
+// Guard (successor-listed-late): a caller would be refused while a new version is rolled out,
+// although its first replica is ready.
+func (p *pool) awaitsSuccessor(now time.Time) bool {
+	if len(p.order) == 0 {
+		return false
+	}
+	if p.barren.IsZero() {
+		p.barren = now
+	}
+	return now.Before(p.barren.Add(SuccessorWait))
+}
+
 // clearProbes ends the suspicion of replicas whose probe runs well.
 func (p *pool) clearProbes(now time.Time) {
 	for _, r := range p.order {
@@ -99,6 +130,9 @@
 	if len(p.expiry) > 0 {
 		next = earliest(next, p.expiry[0].expires)
 	}
+	if !p.barren.IsZero() && len(p.waits) > 0 {
+		next = earliest(next, p.barren.Add(SuccessorWait))
+	}
 	if r := p.holding; r != nil && r.held.apart {
 		next = earliest(next, r.begunAt.Add(p.cfg.SettleFor))
 	}
--- a/coordination/home/home.go
+++ b/coordination/home/home.go
@@ -95,6 +95,7 @@
 		p.clearProbes(now)
 		p.audit(now, h.live)
 		p.expire(now)
+		p.refuseImpossible(now)
 		p.dispatch(now)
 	}
 }
--- a/coordination/home/pool.go
+++ b/coordination/home/pool.go
@@ -40,6 +40,7 @@
 	used    []int         // slots in use by class rank
 	holds   []*holding    // by class rank
 	expiry  expiryHeap
+	barren  time.Time // since when all replicas are leaving; zero for not
 	holders map[state.Member]*holder
 	cache   *prefixCache
 	learn   learning
--- a/coordination/home/receive.go
+++ b/coordination/home/receive.go
@@ -67,7 +67,7 @@
 		// trusted again, rather than be refused while one restarts.
 		m.Exclude = nil
 	}
-	rank, weight, reason := p.admit(m)
+	rank, weight, reason := p.admit(now, m)
 	if reason != "" {
 		p.refuse(from.ID, m.Ask, reason, 0, now)
 		return
@@ -95,7 +95,7 @@
 }
 
 // admit checks an ask against the document and the pool's replicas.
-func (p *pool) admit(m SlotRequest) (rank int, weight float64, reason state.Reason) {
+func (p *pool) admit(now time.Time, m SlotRequest) (rank int, weight float64, reason state.Reason) {
 	rank, ok := p.terms.rank[m.Class]
 	if !ok {
 		return 0, 0, state.ReasonBadRequest
@@ -104,7 +104,7 @@
 	if !ok {
 		return 0, 0, state.ReasonUnknownCustomer
 	}
-	if !p.possible(m.Exclude) {
+	if !p.possible(m.Exclude) && !p.awaitsSuccessor(now) {
 		return 0, 0, state.ReasonNoReplica
 	}
 	return rank, weight, ""
