--- a/gateway/choice.go
+++ b/gateway/choice.go
@@ -64,16 +64,16 @@
 
 // suspect fills in what is believed of the cards. It returns whether any is better not used.
 func (b *book) suspect(now time.Time, roster *pathing.Roster, states []pathing.State) bool {
-	any := false
+	found := false
 	b.suspects.Each(now, func(address string, avoided bool, delayMS float64) {
 		if i, ok := roster.At(address); ok {
 			states[i].Delay, states[i].Suspect = delayMS, avoided
-			any = any || avoided
+			found = found || avoided
 		}
 	})
 	b.suspects.EachLeaving(now, func(server state.Life) {
 		if i, ok := roster.OfLife(server); ok {
-			states[i].Suspect, any = true, true
+			states[i].Suspect, found = true, true
 		}
 	})
 	b.suspects.EachOutdated(now, func(o suspect.Outdated) {
@@ -81,5 +81,5 @@
 			states[i].Barred = true
 		}
 	})
-	return any
+	return found
 }
