End no answer that has begun for want of an engine

Streams whose engine left with them met two full ones and were cut 1.4 s later, as a request that has not begun is turned away; one was cut since no retry was left. Change: a stream whose caller has a part of it waits until its caller leaves or its time is up. It asks two engines at most each 0.5 s, forgives those that had no room then, and waits for the retry budget. A spec said that it waits for the next event as for the first, 1.5 s: it says now that it is not ended.

--- a/coordination/admission/wait.go
+++ b/coordination/admission/wait.go
@@ -13,21 +13,49 @@
 	waitMost = 1500 * time.Millisecond
 )
 
+// forgiveAfter is after what time servers that had no room for the rest of an answer are asked
+// again: streams end and leave room in some 100 ms, and callers leave a stream that shows
+// nothing for 2 s.
+const forgiveAfter = 500 * time.Millisecond
+
 // Wait is a request that finds no server.
 type Wait struct {
 	Arrived  time.Time
 	Deadline time.Time // when it must have its final answer
 	// LastEvent is when its caller got the last event of an answer that has begun, zero
-	// for none: a caller waits for the next event as for the first.
+	// for none.
 	LastEvent time.Time
 }
 
 // Until is when the request is turned away if no server has taken it.
+//
+// Guard (begun-answer-cut): an answer that has begun is not ended for want of a server before
+// its caller leaves, who knows better for how long to wait. It was cut after 1.5 s while
+// engines were replaced beside a burst, although room came free a moment later.
 func (w Wait) Until() time.Time {
-	part := time.Duration(waitShare * float64(w.Deadline.Sub(w.Arrived)))
-	from := w.Arrived
 	if !w.LastEvent.IsZero() {
-		from = w.LastEvent
+		return w.Deadline
 	}
-	return from.Add(min(part, waitMost))
+	part := time.Duration(waitShare * float64(w.Deadline.Sub(w.Arrived)))
+	return w.Arrived.Add(min(part, waitMost))
+}
+
+// Turned is how often in a row servers had no room for the rest of an answer that has begun.
+type Turned struct {
+	Count int
+	Last  time.Time
+}
+
+// turnedMost is how many servers in a row are asked for the rest of an answer before the next
+// ones wait: where two had no room the site is full, and each attempt costs a retry.
+const turnedMost = 2
+
+// Rests reports whether no server is to be asked now.
+func (t Turned) Rests(now time.Time) bool {
+	return t.Count >= turnedMost && !t.Forgives(now)
+}
+
+// Forgives reports whether those that had no room may be asked again.
+func (t Turned) Forgives(now time.Time) bool {
+	return t.Count > 0 && !now.Before(t.Last.Add(forgiveAfter))
 }
--- a/coordination/relay/relay.go
+++ b/coordination/relay/relay.go
@@ -46,6 +46,9 @@
 	// the three is set it has to be told that the request failed, or its answer
 	// be cut.
 	Refuse bool
+	// Later: another attempt may follow once the retry budget has room. A caller that has a
+	// part of the answer is not cut off for it; it leaves by itself.
+	Later  bool
 	Reason Reason
 }
 
@@ -117,11 +120,22 @@
 	} else {
 		r.ran(server)
 	}
-	if reason := r.forbids(now, e); reason != ReasonNone {
+	return r.decide(now, e)
+}
+
+// Later decides anew, after a Decision that said so.
+func (r *Relay) Later(now time.Time) Decision { return r.decide(now, Broken) }
+
+func (r *Relay) decide(now time.Time, e End) Decision {
+	switch reason := r.forbids(now, e); {
+	case reason == ReasonNone:
+		r.reserved = false
+		return Decision{Again: true}
+	case reason == ReasonBudget && r.goesOn():
+		return Decision{Later: true, Reason: reason}
+	default:
 		return r.finish(e, reason)
 	}
-	r.reserved = false
-	return Decision{Again: true}
 }
 
 func (r *Relay) ran(server string) {
@@ -142,6 +156,10 @@
 	return exhausted && (r.Repeat != fleet.RunOn || !r.given)
 }
 
+// goesOn reports whether this is a stream whose caller has a part of it already: servers that
+// have no room for the rest do not end it. The caller spaces the attempts.
+func (r *Relay) goesOn() bool { return r.given && r.Repeat == fleet.RunOn }
+
 // forbids returns what speaks against another attempt. The budget is asked last,
 // so that it is spent only on an attempt that follows.
 func (r *Relay) forbids(now time.Time, e End) Reason {
@@ -152,7 +170,7 @@
 		return ReasonRunOnce
 	case r.given && r.Repeat != fleet.RunOn:
 		return ReasonRunOnce
-	case r.spent(), r.proofs > maxProofs:
+	case r.spent(), r.proofs > maxProofs && !r.goesOn():
 		return ReasonAttempts
 	case e != NotSent && !r.reserved && r.Spend != nil && !r.Spend(now):
 		return ReasonBudget
--- a/coordination/relay/relay_test.go
+++ b/coordination/relay/relay_test.go
@@ -45,6 +45,25 @@
 		Expect(d).To(Equal(relay.Decision{Refuse: true, Reason: relay.ReasonAttempts}))
 	})
 
+	// Drafts end in the middle while engines are replaced beside a burst. Order: an engine leaves
+	// with them, the others refuse the rest or the retry budget is used up; both pass within a
+	// second. Cause: what turns a request away that has not begun cut these off.
+	It("does not end a stream that has begun for want of room or of retries", Label("failure:begun-answer-cut"), func() {
+		r.Repeat = fleet.RunOn
+		r.Given()
+		Expect(r.Ended(now, relay.Broken, "a").Again).To(BeTrue())
+		for range 5 {
+			Expect(r.Ended(now, relay.NotRun, "b").Again).To(BeTrue())
+		}
+		budget = 0
+		Expect(r.Ended(now, relay.NotRun, "b")).To(Equal(relay.Decision{Later: true, Reason: relay.ReasonBudget}))
+		Expect(r.Later(now).Later).To(BeTrue())
+		budget = 1
+		Expect(r.Later(now)).To(Equal(relay.Decision{Again: true}))
+		r.Deadline = now
+		Expect(r.Ended(now, relay.NotRun, "b")).To(Equal(relay.Decision{Reason: relay.ReasonDeadline}))
+	})
+
 	It("never refuses after a run, whatever came before", func() {
 		r.Repeat = fleet.RunAgain
 		r.Ended(now, relay.Broken, "a")
--- a/gateway/fake_test.go
+++ b/gateway/fake_test.go
@@ -102,6 +102,15 @@
 	return "", false
 }
 
+// refuseAll has all engines run no request along a path, or run them again.
+func (s *servers) refuseAll(refuse bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := range 4 {
+		s.refuse[fmt.Sprintf("e%d", i)] = refuse
+	}
+}
+
 // reborn has a server say that it is another life.
 func (s *servers) reborn(address string, born int64) {
 	s.mu.Lock()
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -72,6 +72,27 @@
 		Expect(path[0].Domain).To(BeEquivalentTo("a"))
 	})
 
+	// A draft ends in the middle, although engines have room a moment later. Order: its engine
+	// breaks off, and all others refuse the rest for 1.2 s. Cause: it was cut when a request
+	// that has not begun is turned away.
+	It("goes on once an engine has room, however long that takes", Label("failure:begun-answer-cut"), func() {
+		r.fill()
+		var first atomic.Bool
+		r.servers.stream = func(c backend.Call, out *io.PipeWriter) {
+			if first.CompareAndSwap(false, true) {
+				_, _ = io.WriteString(out, whole(2))
+				r.servers.refuseAll(true)
+				time.AfterFunc(1200*time.Millisecond, func() { r.servers.refuseAll(false) })
+				_ = out.CloseWithError(backend.ErrBroken)
+				return
+			}
+			events(out, c.After, 5)
+		}
+		to, res := r.serve("/stream/x")
+		Expect(res.Outcome).To(Equal(gateway.Answered), res.Reason)
+		Expect(to.body.String()).To(Equal(whole(5)))
+	})
+
 	// An engine breaks off in the middle of an event. The caller sees one answer
 	// with each event once. Cause: the engine died; the part of an event is dropped
 	// and the next engine goes on after the last whole one.
--- a/gateway/path.go
+++ b/gateway/path.go
@@ -21,7 +21,7 @@
 	}
 	var path fleet.Path
 	found := r.hold(ctx, func() (ok bool) {
-		if r.view.filling && !r.headed {
+		if r.view.filling && !r.headed || !r.forgive(time.Now()) {
 			return false
 		}
 		path, ok = r.g.book.choose(time.Now(), r.view, r.service, want, r.avoid)
@@ -70,6 +70,8 @@
 		} else {
 			r.refusedBy(path, culprit)
 		}
+		r.turned.Count++
+		r.turned.Last = time.Now()
 		drain(answer.Body)
 		r.g.log.Emit(telemetry.EventPathRefused, telemetry.Request(r.req.ID), telemetry.Address(culprit), telemetry.Count(answer.Status))
 		return relay.NotRun, Result{}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -36,6 +36,7 @@
 	avoid    map[string]bool
 	after    string // id of the last event that the caller has
 	headed   bool   // the head of an answer was given
+	turned   admission.Turned
 	sends    int
 	at       string // address of the server of the attempt under way
 	pauses   pauses
@@ -140,10 +141,10 @@
 		if end == 0 {
 			return result
 		}
+		d := r.afterAttempt(ctx, end)
 		if errors.Is(context.Cause(ctx), context.Canceled) {
 			return Result{Outcome: Gone, Reason: "caller_left"}
 		}
-		d := r.ended(end)
 		switch {
 		case d.Again:
 			r.view = r.g.current.Load()
@@ -159,6 +160,20 @@
 	}
 }
 
+// afterAttempt decides what follows an attempt, for a stream that has begun once the retry
+// budget has room or its caller has left.
+func (r *run) afterAttempt(ctx context.Context, end relay.End) relay.Decision {
+	if errors.Is(context.Cause(ctx), context.Canceled) {
+		return relay.Decision{} // the caller has left: nothing follows
+	}
+	d := r.ended(end)
+	for d.Later && ctx.Err() == nil {
+		pause(ctx, budgetStep)
+		d = r.later()
+	}
+	return d
+}
+
 // ended decides what follows an attempt.
 func (r *run) ended(end relay.End) relay.Decision {
 	r.relayMu.Lock()
@@ -166,6 +181,17 @@
 	return r.relay.Ended(time.Now(), end, r.at)
 }
 
+// budgetStep is how often a stream that waits for the retry budget looks again: callers leave
+// it after 2 s, and the budget regains its share of some 60 requests a second.
+const budgetStep = 50 * time.Millisecond
+
+// later decides anew, where the retry budget had no room.
+func (r *run) later() relay.Decision {
+	r.relayMu.Lock()
+	defer r.relayMu.Unlock()
+	return r.relay.Later(time.Now())
+}
+
 // mayGoOn reports whether another attempt follows if the one under way at a server
 // is given up, and takes it from the budget.
 func (r *run) mayGoOn(server string) bool {
--- a/gateway/wait.go
+++ b/gateway/wait.go
@@ -32,6 +32,18 @@
 	return false
 }
 
+// forgive lets a stream that has begun ask those engines again that had no room for the rest
+// of it, once that can help. It returns false where none is to be asked now.
+func (r *run) forgive(now time.Time) bool {
+	if !r.headed {
+		return true
+	}
+	if r.turned.Forgives(now) {
+		r.avoid, r.turned = nil, admission.Turned{}
+	}
+	return !r.turned.Rests(now)
+}
+
 // awaitStart waits while this daemon has just started and does not know the
 // configuration and the servers. It returns false where the caller is to come back.
 func (r *run) awaitStart(ctx context.Context) bool {
