--- a/coordination/admission/doc.go
+++ b/coordination/admission/doc.go
@@ -10,6 +10,8 @@
 //     it is back before their callers leave.
 //   - All servers of a service fail or are full at once: callers are sent away for as
 //     long as suspects are avoided, so that they do not meet the same ones again.
+//   - Engines leave while all others are full: a stream that has begun is not ended for it. It
+//     asks a few of them now and then, until room comes free or its caller leaves.
 //   - Daemons are stopped one after the other, or all of them: callers are sent to a
 //     daemon that takes them, or until one has started again.
 //   - All daemons start again while entries of servers have lapsed: requests wait while
--- a/coordination/admission/wait.go
+++ b/coordination/admission/wait.go
@@ -30,8 +30,9 @@
 // Until is when the request is turned away if no server has taken it.
 //
 // Guard (begun-answer-cut): an answer that has begun is not ended for want of a server before
-// its caller leaves, who knows better for how long to wait. It was cut after 1.5 s while
-// engines were replaced beside a burst, although room came free a moment later.
+// its caller leaves, who knows better for how long to wait. Turned away as others are, drafts
+// end in the middle while engines are replaced beside a burst, although room comes free a
+// moment later.
 func (w Wait) Until() time.Time {
 	if !w.LastEvent.IsZero() {
 		return w.Deadline
