See which limits backend servers name, and what is sent to them

A server in need names in its answers how many requests a second it takes from all daemons together. No log line said so, and no counter told what a daemon sent to such a server: hypotheses about an incident could not be told apart. Each daemon decodes the limit now and writes backend_limited when it changes; the counter gateway_limited_total counts what it sends to such a server. What can't be read as a finite number of 0 or more says nothing. No decision goes by it yet; there are no figures before and after.

--- a/gateway/book.go
+++ b/gateway/book.go
@@ -26,6 +26,7 @@
 	pipes    pipes
 	waits    map[state.ServiceID]*waits
 	crashes  *crashes.Book
+	limits   map[state.Life]fleet.RateLimit // that servers name
 	states   []pathing.State // of the roster's cards in a choice; kept for the next one
 }
 
@@ -39,6 +40,7 @@
 		pipes:    make(pipes),
 		waits:    make(map[state.ServiceID]*waits),
 		crashes:  crashes.NewBook(),
+		limits:   make(map[state.Life]fleet.RateLimit),
 		budget:   retrybudget.New(budgetConfig(set), time.Now()),
 	}
 }
--- a/gateway/path.go
+++ b/gateway/path.go
@@ -36,6 +36,7 @@
 	}
 	r.at = path[0].Address
 	r.logSent(path.String())
+	r.g.countLimited(path[0].Server)
 	call := r.call(path[0].Server.ID, path[0].Address)
 	call.Path = path
 	ctx, cancel := context.WithCancel(ctx)
@@ -48,6 +49,7 @@
 		return r.sendFailed(ctx, err, path[0].Server, path[0].Address), Result{}
 	}
 	defer func() { _ = answer.Body.Close() }()
+	r.g.heardLimit(path[0].Server, path[0].Address, answer)
 	if !answer.NotRun {
 		// A refusal comes at once: taken for an answer that has begun, it would have
 		// those that refuse look like the fastest.
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -30,6 +30,7 @@
 	defer r.g.book.releaseServer(server.Life())
 	r.at = server.Address
 	r.logSent(string(server.ID))
+	r.g.countLimited(server.Life())
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer stopTimer(r.watchFirst(cancel))
@@ -39,6 +40,7 @@
 		return r.sendFailed(ctx, err, server.Life(), server.Address), Result{}
 	}
 	defer func() { _ = answer.Body.Close() }()
+	r.g.heardLimit(server.Life(), server.Address, answer)
 	r.g.book.tookFirst(time.Now(), r.service.ID, time.Since(sent))
 	return r.takePlain(server.Address, answer)
 }
--- a/protocol/backend/backend.go
+++ b/protocol/backend/backend.go
@@ -53,6 +53,10 @@
 	Stale bool
 	// Culprit is the address of the hop at fault, or "".
 	Culprit string
+	// Limit is the limit of requests that the server names in this answer.
+	Limit fleet.RateLimit
+	// LimitUnreadable: the answer names a limit that can't be read, and Limit says nothing.
+	LimitUnreadable bool
 }
 
 // Order changes what an engine holds.
--- a/telemetry/catalogue.go
+++ b/telemetry/catalogue.go
@@ -81,6 +81,7 @@
 	{EventBackendRefusing, "backend_refusing", logrus.InfoLevel, "A backend server refuses requests although it has room: it is leaving and not listed so; all daemons are told, and avoid it for a while."},
 	{EventNoticeUnreadable, "notice_unreadable", logrus.ErrorLevel, "What one daemon found out of a server or a content can't be written or read by another; each finds it out for itself."},
 	{EventFeedGiven, "feed_given", logrus.InfoLevel, "Another daemon gave this one a feed's rows, which the store had told so long ago; the store was not asked."},
+	{EventBackendLimited, "backend_limited", logrus.InfoLevel, "This daemon learns that a backend server takes so many requests a second from all daemons together, or has no such limit any more."},
 	{EventConnectionSilent, "connection_silent", logrus.WarnLevel, "An open connection went silent; it is replaced, and what was under way on it is asked about."},
 	{EventFrameRefused, "frame_refused", logrus.WarnLevel, "A broken, oversized or unknown frame came; the connection is closed."},
 }
--- a/telemetry/counter.go
+++ b/telemetry/counter.go
@@ -57,6 +57,7 @@
 	GatewayFailedTotal         Name = "gateway_failed_total"
 	GatewayRetriedTotal        Name = "gateway_retried_total"
 	GatewayProbesTotal         Name = "gateway_probes_total"
+	GatewayLimitedTotal        Name = "gateway_limited_total"
 )
 
 // Metrics of the HTTP front, which counts in the scope that Metrics.Scope gives.
@@ -178,6 +179,7 @@
 	{GatewayFailedTotal, KindCounter, byReason, "Requests that a gateway failed, timed out or cut, by reason."},
 	{GatewayRetriedTotal, KindCounter, byReason, "Requests sent to another backend server, by how the attempt before ended."},
 	{GatewayProbesTotal, KindCounter, byReason, "Probes of backend servers on silent streams, by result."},
+	{GatewayLimitedTotal, KindCounter, byReason, "Requests that met a backend server which names a limit: sent to it, or passed over it for want of a permit."},
 	{ControlMicrosecondsTotal, KindCounter, nil, "Processor time of the control goroutine, in microseconds."},
 
 	{ActiveRequests, KindGauge, nil, "Requests under way at this daemon."},
--- a/telemetry/events.go
+++ b/telemetry/events.go
@@ -100,6 +100,7 @@
 	EventBackendRefusing   Event = 1617
 	EventNoticeUnreadable  Event = 1618
 	EventFeedGiven         Event = 1619
+	EventBackendLimited    Event = 1620
 	EventReplicaUp         Event = 1606
 	EventReplicaDown       Event = 1607
 	EventCacheEventsMissed Event = 1608
