Bring about a limit that daemons break together

An engine in need names the requests a second that it takes from all daemons together, and gets as many as before.

--- a/gateway/fake_test.go
+++ b/gateway/fake_test.go
@@ -28,11 +28,13 @@
 	mu     sync.Mutex
 	calls  []backend.Call
 	orders []backend.Order
-	dead   map[string]bool  // by address
-	used   int64            // of 100, what every server's report says
-	refuse map[string]bool  // by address: they run no request along a path
-	born   map[string]int64 // of servers that are another life than listed, by address
-	asked  map[string]int   // reports that were asked for, by address
+	dead   map[string]bool            // by address
+	used   int64                      // of 100, what every server's report says
+	refuse map[string]bool            // by address: they run no request along a path
+	born   map[string]int64           // of servers that are another life than listed, by address
+	asked  map[string]int             // reports that were asked for, by address
+	limits map[string]fleet.RateLimit // that servers name, by address
+	sentAt map[string][]time.Time     // when servers got requests, by address
 	// plain and stream answer calls; a stream writes events with increasing ids.
 	plain  func(c backend.Call) (*backend.Answer, error)
 	stream func(c backend.Call, out *io.PipeWriter)
@@ -43,13 +45,18 @@
 func (s *servers) Send(ctx context.Context, c backend.Call) (*backend.Answer, error) {
 	s.mu.Lock()
 	s.calls = append(s.calls, c)
-	dead := s.dead[c.Address]
+	s.sentAt[c.Address] = append(s.sentAt[c.Address], time.Now())
+	dead, limit := s.dead[c.Address], s.limits[c.Address]
 	s.mu.Unlock()
 	if dead {
 		return nil, errors.Join(backend.ErrNotSent, errors.New("connection refused"))
 	}
 	if c.Path == nil {
-		return s.plain(c)
+		a, err := s.plain(c)
+		if err == nil {
+			a.Limit = limit
+		}
+		return a, err
 	}
 	if culprit, ok := s.refuses(c.Path); ok {
 		a := answer(http.StatusServiceUnavailable, "")
@@ -59,7 +66,28 @@
 	r, w := io.Pipe()
 	context.AfterFunc(ctx, func() { _ = w.CloseWithError(backend.ErrBroken) })
 	go s.stream(c, w)
-	return &backend.Answer{Status: http.StatusOK, Header: http.Header{}, Body: r, Signed: true}, nil
+	return &backend.Answer{Status: http.StatusOK, Header: http.Header{}, Body: r, Signed: true, Limit: limit}, nil
+}
+
+// limit has a server name a limit of requests a second in its answers.
+func (s *servers) limit(address string, perSecond float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limits[address] = fleet.RateLimit{Named: true, PerSecond: perSecond}
+}
+
+// unlimit has a server name no limit any more.
+func (s *servers) unlimit(address string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.limits, address)
+}
+
+// gotAt is when a server got requests.
+func (s *servers) gotAt(address string) []time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]time.Time(nil), s.sentAt[address]...)
 }
 
 // Order implements backend.Client: the engine lists its layers at once.
@@ -193,7 +221,8 @@
 // newRigLogging has gateways that write to a log.
 func newRigLogging(grace time.Duration, log *telemetry.Log) *rig {
 	r := &rig{log: log, grace: grace, configs: newFeed[*fleet.Config](), listed: newFeed[fleet.Server](), members: newTable(), leases: newTable()}
-	r.servers = &servers{dead: make(map[string]bool), refuse: make(map[string]bool), born: make(map[string]int64), asked: make(map[string]int), listed: r.listed}
+	r.servers = &servers{dead: make(map[string]bool), refuse: make(map[string]bool), born: make(map[string]int64), asked: make(map[string]int), listed: r.listed,
+		limits: make(map[string]fleet.RateLimit), sentAt: make(map[string][]time.Time)}
 	r.servers.stream = func(c backend.Call, out *io.PipeWriter) { events(out, c.After, 5) }
 	r.servers.plain = func(backend.Call) (*backend.Answer, error) { return answer(http.StatusOK, "ok"), nil }
 	r.gateway = r.start("g1")
