Have a request want the permits of the next servers too

Where all servers of a service name limits, one of them got no more than a few requests: its limit was not used, and callers were refused. Cause: a request wanted only the permits of the server that suits it best, which is the first of equals, and went to others only if a permit was there by chance. Ruled out: that permits lapse, since the first server's limit was used whole beside it.

A request asks for the permits of up to four servers, one after the other, and waits for the one that is likely to come first.

--- a/coordination/permits/holder.go
+++ b/coordination/permits/holder.go
@@ -185,12 +185,17 @@
 	return ok && !s.holder.answered.Before(since)
 }
 
-// Expect is how long a request takes to get a permit before which some others wait; false where
-// that is not known.
-func (p *Permits) Expect(now time.Time, life state.Life, before int) (time.Duration, bool) {
+// Expect is how long it is likely to take until this daemon gets the next permit of a server; 0
+// where its owner has not answered yet.
+func (p *Permits) Expect(now time.Time, life state.Life) time.Duration {
+	return p.ExpectAfter(now, life, 0)
+}
+
+// ExpectAfter is the same for a request before which some others wait.
+func (p *Permits) ExpectAfter(now time.Time, life state.Life, before int) time.Duration {
 	s, ok := p.servers[life]
 	if !ok || s.holder.first.IsZero() {
-		return 0, false
+		return 0
 	}
-	return max(s.holder.first.Sub(now), 0) + time.Duration(before)*s.holder.each, true
+	return max(s.holder.first.Sub(now), 0) + time.Duration(before)*s.holder.each
 }
--- a/gateway/book.go
+++ b/gateway/book.go
@@ -98,16 +98,21 @@
 
 // pick takes a plain server for a request: the one with the fewest of our requests
 // among those not to be avoided. One for which the request lacks a permit is left, if the
-// request goes elsewhere, for the best one that needs none.
+// request goes elsewhere, for the next one.
 func (b *book) pick(now time.Time, v *view, svc state.ServiceID, domain state.FailureDomain, avoid map[string]bool, lack *lack) (fleet.Server, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	s, ok := b.fewest(now, v.servers[svc], domain, avoid, false)
-	if ok && b.lacks(now, s.Life(), lack) {
-		if !lack.elsewhere(now, b.permits) {
+	var over []state.Life // servers that the request is not sent to for want of a permit
+	s, ok := b.fewest(now, v.servers[svc], domain, avoid, over)
+	for ok && b.lacks(now, s.Life(), lack) {
+		if !lack.elsewhere(now, s.Life(), b.permits) {
 			return fleet.Server{}, false
 		}
-		s, ok = b.fewest(now, v.servers[svc], domain, avoid, true)
+		over = append(over, s.Life())
+		if lack.full() {
+			b.permits.Lacking(now, func(server state.Life) { over = append(over, server) })
+		}
+		s, ok = b.fewest(now, v.servers[svc], domain, avoid, over)
 		lack.stuck = !ok
 	}
 	if ok {
@@ -117,9 +122,9 @@
 	return s, ok
 }
 
-// fewest is the server with the fewest of our requests among those that may be used; permitted
-// leaves out those that no request is to be sent to for want of a permit.
-func (b *book) fewest(now time.Time, servers []fleet.Server, domain state.FailureDomain, avoid map[string]bool, permitted bool) (fleet.Server, bool) {
+// fewest is the server with the fewest of our requests among those that may be used, but for
+// some.
+func (b *book) fewest(now time.Time, servers []fleet.Server, domain state.FailureDomain, avoid map[string]bool, but []state.Life) (fleet.Server, bool) {
 	suspects := b.suspects.Avoided(now)
 	best, bestCost := -1, 0.0
 	for i := range servers {
@@ -127,7 +132,7 @@
 		if s.Draining || avoid[s.Address] || b.buried[s.Address] || b.suspects.Outdated(now, s) {
 			continue
 		}
-		if permitted && b.permits.Lacks(now, s.Life()) {
+		if slices.Contains(but, s.Life()) {
 			continue
 		}
 		cost := b.load(s.Life()).Requests
--- a/gateway/choice.go
+++ b/gateway/choice.go
@@ -11,7 +11,7 @@
 
 // choose takes a path for a request, not over the addresses to avoid, and counts its load
 // until release. A path that begins at a server for which the request lacks a permit is left,
-// if the request goes elsewhere, for the best one that does not.
+// if the request goes elsewhere, for the next one.
 func (b *book) choose(now time.Time, v *view, svc *fleet.Service, r pathing.Request, avoid map[string]bool, lack *lack) (fleet.Path, bool) {
 	roster := v.rosters[svc.ID]
 	if roster == nil {
@@ -26,15 +26,11 @@
 	bar(roster, states, avoid)
 	suspects := b.suspect(now, roster, states)
 	path, ok := cheapest(roster, r, states, suspects)
-	if ok && b.lacks(now, path[0].Server, lack) {
-		if !lack.elsewhere(now, b.permits) {
+	for ok && b.lacks(now, path[0].Server, lack) {
+		if !lack.elsewhere(now, path[0].Server, b.permits) {
 			return nil, false
 		}
-		b.permits.Lacking(now, func(server state.Life) {
-			if i, ok := roster.OfLife(server); ok {
-				states[i].NotFirst = true
-			}
-		})
+		b.passOver(now, roster, states, path[0].Server, lack)
 		path, ok = cheapest(roster, r, states, suspects)
 		lack.stuck = !ok
 	}
@@ -47,6 +43,20 @@
 	return path, ok
 }
 
+// passOver has no path begin at a server for which a request lacks a permit, nor at any such
+// once the request has wanted enough of them.
+func (b *book) passOver(now time.Time, roster *pathing.Roster, states []pathing.State, server state.Life, lack *lack) {
+	not := func(server state.Life) {
+		if i, ok := roster.OfLife(server); ok {
+			states[i].NotFirst = true
+		}
+	}
+	not(server)
+	if lack.full() {
+		b.permits.Lacking(now, not)
+	}
+}
+
 // cheapest is the cheapest path, over suspects where there is no other: a suspect is better than
 // nothing, a dead server is not.
 func cheapest(roster *pathing.Roster, r pathing.Request, states []pathing.State, suspects bool) (fleet.Path, bool) {
--- a/gateway/lack.go
+++ b/gateway/lack.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/hibiscuswick/hibiscuswick/coordination/admission"
@@ -9,29 +11,53 @@
 	"github.com/hibiscuswick/hibiscuswick/telemetry"
 )
 
-// askPatience is how long a request waits for the owner of a server's permits to answer before
-// it goes elsewhere: some round trips.
-const askPatience = 25 * time.Millisecond
+const (
+	// askPatience is how long a request waits for the owner of a server's permits to answer
+	// before it goes elsewhere: some round trips.
+	askPatience = 25 * time.Millisecond
+	// wantsMost is how many servers' permits one request asks for, one after the other.
+	wantsMost = 4
+)
 
-// lack is one attempt's want of a permit for the server that suits it best.
+// lack is one attempt's want of a permit.
 type lack struct {
-	server state.Life // zero for none
+	wants  []want     // of the servers that suit it, the best one first
+	ask    bool       // an owner is to be asked at once
+	stuck  bool       // no server can take the request without a permit
+	joined state.Life // the server for whose permit the request waits; zero for none
+	before int        // requests that waited for it before
+}
+
+// want is a server that lacks a permit for a request.
+type want struct {
+	server state.Life
 	since  time.Time
-	ask    bool // the owner is to be asked at once
-	stuck  bool // no other server can take the request
-	joined bool // the request waits for a permit
-	before int  // requests that waited before it
 }
 
-// elsewhere reports whether a request goes to another server: the owner has answered and gave
-// nothing, or takes too long.
-func (l *lack) elsewhere(now time.Time, p *permits.Permits) bool {
-	return l.joined || now.Sub(l.since) >= askPatience || p.Answered(l.server, l.since)
+// elsewhere reports whether a request passes a server over: the owner of its permits has
+// answered and gave none, or takes too long.
+func (l *lack) elsewhere(now time.Time, server state.Life, p *permits.Permits) bool {
+	i := l.index(server)
+	if i < 0 || l.waits() {
+		return true
+	}
+	since := l.wants[i].since
+	return now.Sub(since) >= askPatience || p.Answered(server, since)
+}
+
+// waits reports whether the request waits for a permit.
+func (l *lack) waits() bool { return l.joined != state.Life{} }
+
+// full reports whether the request asks for no further server's permits.
+func (l *lack) full() bool { return len(l.wants) >= wantsMost }
+
+func (l *lack) index(server state.Life) int {
+	return slices.IndexFunc(l.wants, func(w want) bool { return w.server == server })
 }
 
 // step is when the request looks again.
 func (l *lack) step() time.Duration {
-	if l.server != (state.Life{}) && !l.joined {
+	if len(l.wants) > 0 && !l.waits() {
 		return askStep
 	}
 	return holdStep
@@ -43,9 +69,12 @@
 	if !b.permits.Lacks(now, server) {
 		return false
 	}
-	again := l.server == server
-	if !again && !l.joined {
-		l.server, l.since = server, now
+	again := l.index(server) >= 0
+	if !again {
+		if l.full() {
+			return true
+		}
+		l.wants = append(l.wants, want{server: server, since: now})
 	}
 	l.ask = b.permits.Want(now, server, again) || l.ask
 	return true
@@ -60,42 +89,47 @@
 	l.ask = ask || l.ask
 }
 
-// joinPermits has a request wait for a permit that no other server can take.
+// joinPermits has a request that no server can take wait for the permit that is likely to come
+// first.
 func (b *book) joinPermits(l *lack) {
-	if !l.stuck || l.joined {
+	if !l.stuck || l.waits() {
 		return
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	l.joined, l.before = true, b.permits.Join(l.server)
-	l.ask = b.permits.Want(time.Now(), l.server, true) || l.ask
+	now := time.Now()
+	least := slices.MinFunc(l.wants, func(x, y want) int {
+		return cmp.Compare(b.permits.Expect(now, x.server), b.permits.Expect(now, y.server))
+	})
+	l.joined = least.server
+	l.before = b.permits.Join(l.joined)
+	l.ask = b.permits.Want(now, l.joined, true) || l.ask
 }
 
-// expectPermit is how long a request takes to get a permit; false where that is not known.
-func (b *book) expectPermit(l *lack) (time.Duration, bool) {
+// expectPermit is how long a request that waits takes to get a permit.
+func (b *book) expectPermit(l *lack) time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.permits.Expect(time.Now(), l.server, l.before)
+	return b.permits.ExpectAfter(time.Now(), l.joined, l.before)
 }
 
 // leavePermits ends an attempt's wait for a permit.
 func (g *Gateway) leavePermits(l *lack) {
-	if !l.joined {
+	if !l.waits() {
 		return
 	}
 	g.book.mu.Lock()
 	defer g.book.mu.Unlock()
-	g.book.permits.Leave(l.server)
+	g.book.permits.Leave(l.joined)
 }
 
 // hopeless reports whether a request that only servers with a limit can take won't get a permit
 // while it may wait.
 func (r *run) hopeless(until time.Time) bool {
-	if !r.lack.joined || r.headed {
+	if !r.lack.waits() || r.headed {
 		return false
 	}
-	permit, known := r.g.book.expectPermit(&r.lack)
-	return known && admission.Limited{Permit: permit}.Hopeless(time.Until(until))
+	return admission.Limited{Permit: r.g.book.expectPermit(&r.lack)}.Hopeless(time.Until(until))
 }
 
 // reasonLimited refuses requests that only servers with a limit could take.
@@ -104,6 +138,6 @@
 // refusedLimited is the result of a request for which there was no permit.
 func (r *run) refusedLimited() Result {
 	r.g.metrics.CountReason(telemetry.GatewayLimitedTotal, limitedRefused)
-	permit, _ := r.g.book.expectPermit(&r.lack)
-	return Result{Outcome: Refused, Reason: reasonLimited, RetryAfter: admission.Limited{Permit: permit}.RetryAfter()}
+	limited := admission.Limited{Permit: r.g.book.expectPermit(&r.lack)}
+	return Result{Outcome: Refused, Reason: reasonLimited, RetryAfter: limited.RetryAfter()}
 }
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -245,7 +245,7 @@
 // noServer is the result of a request that no server can take.
 func (r *run) noServer(why admission.Refusal) (relay.End, Result) {
 	if r.relay.Untouched() && !r.headed {
-		if r.lack.joined {
+		if r.lack.waits() {
 			return 0, r.refusedLimited()
 		}
 		return 0, refused(relay.ReasonNoServer, why)
