Share the idle connections to a server among the daemons

The same class of fault as a named limit that daemons break together: a server takes a bounded number of connections from all callers and resets those beyond; the bound is in the configuration, was read and went unused. Each daemon kept up to 32 idle ones to each server, so that nine could hold 288 of the 110 that a plain server takes, and 195 daemons 6,240 of 1,200. Callers would see requests that need a new connection reset, of which those that may not be repeated fail.

Daemons keep half of the bound idle together, in equal parts, one each at least; the other half is for requests. The spec of the pool opens 6 connections twice where 2 may be kept: 10 in all now, 6 before.

--- a/gateway/permits_test.go
+++ b/gateway/permits_test.go
@@ -149,6 +149,26 @@
 		Expect(answered).To(BeNumerically("<=", int(1.5*2*perSecond*took.Seconds()+10)))
 	})
 
+	// The same class of fault: a server bounds the connections of all its callers together, and
+	// daemons each keep idle ones. Those of all daemons leave half of them to requests.
+	It("is left with connections for requests by all daemons together", Label("failure:connections-kept"), func() {
+		const most = 30
+		c := config(2)
+		svc := c.Services["app"]
+		svc.MaxConns = most
+		c.Services["app"] = svc
+		r.configs.set("config", c)
+		Eventually(func() int {
+			kept := 0
+			for _, g := range gateways {
+				before := len(r.servers.sent())
+				g.Serve(context.Background(), request("/again/x"), &reply{})
+				kept += r.servers.sent()[before].Keep
+			}
+			return kept
+		}).WithTimeout(patience).Should(And(BeNumerically(">=", daemons), BeNumerically("<=", most/2)))
+	})
+
 	It("gets as many as before once it names none, also from a daemon that has started since", func() {
 		r.servers.limit("e0", 2)
 		press(gateways, "/stream/x", 50*time.Millisecond, 2*time.Second)
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -277,9 +277,27 @@
 		Left:      r.left(),
 		After:     r.after,
 		Rank:      r.rank(),
+		Keep:      r.keep(),
 	}
 }
 
+// keptShare is the part of the connections that a server takes which all daemons together may
+// keep idle; the rest is for requests.
+const keptShare = 0.5
+
+// keep is how many idle connections to a server this daemon may keep; 0 for no bound.
+//
+// Guard (connections-kept): a server bounds the connections of all callers together and resets
+// those beyond. Were each daemon to keep as many as suit it, bursts would leave a server with
+// idle connections only, and requests that need a new one would be reset.
+func (r *run) keep() int {
+	daemons := max(r.view.sharers.Daemons, r.view.live, 1)
+	if r.service.MaxConns <= 0 {
+		return 0
+	}
+	return max(1, int(keptShare*float64(r.service.MaxConns)/float64(daemons)))
+}
+
 // left is what is left of the request's time, 0 where neither its caller nor its
 // route bounds it.
 func (r *run) left() time.Duration {
--- a/protocol/backend/backend.go
+++ b/protocol/backend/backend.go
@@ -37,6 +37,7 @@
 	Path      fleet.Path       // nil for a plain server
 	After     string           // id of the last event that the caller has, or ""
 	Rank      int              // 0 is the most urgent, 9 the least
+	Keep      int              // idle connections to the server that may be kept; 0 for as many as suits
 }
 
 // Answer is the head of a server's answer. Body must be closed; it ends with
--- a/transport/exchange/body.go
+++ b/transport/exchange/body.go
@@ -15,6 +15,7 @@
 type body struct {
 	ctx  context.Context
 	pool *Pool
+	keep int // of Request
 	conn *conn
 	resp *http.Response
 	stop func() bool
@@ -44,7 +45,7 @@
 	b.once.Do(func() {
 		live := b.stop()
 		if live && b.whole && b.reusable() {
-			b.pool.put(b.conn, b.resp.Header.Get("Keep-Alive"))
+			b.pool.put(b.conn, b.resp.Header.Get("Keep-Alive"), b.keep)
 			return
 		}
 		_ = b.conn.Close()
--- a/transport/exchange/exchange.go
+++ b/transport/exchange/exchange.go
@@ -27,6 +27,9 @@
 	Body    []byte
 	// Mine tells from an answer's header whether it is ours; nil takes any.
 	Mine func(http.Header) bool
+	// Keep is how many idle connections to the server may be kept, this request's included; 0
+	// for the usual number.
+	Keep int
 }
 
 // Response is the head of an answer.
@@ -82,7 +85,7 @@
 		}
 		return nil, broken(ctx, err)
 	}
-	b := &body{pool: p, conn: c, resp: resp, stop: stop, sent: sent, ctx: ctx}
+	b := &body{pool: p, keep: req.Keep, conn: c, resp: resp, stop: stop, sent: sent, ctx: ctx}
 	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: b}, nil
 }
 
--- a/transport/exchange/exchange_test.go
+++ b/transport/exchange/exchange_test.go
@@ -114,6 +114,29 @@
 		Expect(s.accepted.Load()).To(Equal(int32(1)))
 	})
 
+	// A burst comes by, and a server that bounds the connections of all its callers is left
+	// with idle ones of a few. Cause: each caller kept as many as suited it.
+	It("keeps no more idle connections than a request allows", Label("failure:connections-kept"), func() {
+		const burst, kept = 6, 2
+		s := serve(send(ours))
+		for range 2 {
+			var open []io.ReadCloser
+			for range burst {
+				req := request(s)
+				req.Keep = kept
+				resp, err := pool.Do(context.Background(), req)
+				Expect(err).NotTo(HaveOccurred())
+				open = append(open, resp.Body)
+			}
+			for _, b := range open {
+				_, err := io.Copy(io.Discard, b)
+				Expect(err).NotTo(HaveOccurred())
+				Expect(b.Close()).To(Succeed())
+			}
+		}
+		Expect(s.accepted.Load()).To(Equal(int32(2*burst - kept)))
+	})
+
 	// A server sends a second answer after the first. The next caller on that
 	// connection would get another's answer. Cause: the server answered twice.
 	It("uses no connection again on which bytes came that nobody asked for", Label("failure:extra-answer"), func() {
--- a/transport/exchange/pool.go
+++ b/transport/exchange/pool.go
@@ -89,11 +89,14 @@
 	return c
 }
 
-// put keeps a connection for the next request.
-func (p *Pool) put(c *conn, keepAlive string) {
+// put keeps a connection for the next request, up to a number of them; 0 for maxIdle.
+func (p *Pool) put(c *conn, keepAlive string, most int) {
+	if most <= 0 || most > maxIdle {
+		most = maxIdle
+	}
 	c.keepUntil = time.Now().Add(keptFor(keepAlive))
 	p.mu.Lock()
-	full := len(p.idle[c.address]) >= maxIdle
+	full := len(p.idle[c.address]) >= most
 	if !full {
 		p.idle[c.address] = append(p.idle[c.address], c)
 	}
