--- a/coordination/relay/relay.go
+++ b/coordination/relay/relay.go
@@ -34,6 +34,8 @@
 	ReasonRunOnce     Reason = "run_once"
 	ReasonNoServer    Reason = "no_server"
 	ReasonBrokenAgain Reason = "broken"
+	// ReasonLimited: only servers that name a limit could take it, and it got no permit.
+	ReasonLimited Reason = "server_limit"
 )
 
 // Decision is what to do next.
--- a/explain/cause.go
+++ b/explain/cause.go
@@ -52,6 +52,7 @@
 	KindStarting    Kind = "daemon_starts"  // the same, with the store in reach
 	KindNoRoom      Kind = "no_room"        // servers refused it
 	KindUncovered   Kind = "no_server"      // no server, or no path, was there
+	KindLimited     Kind = "server_limit"   // only servers that name a limit were there
 	KindStopping    Kind = "daemon_stops"   // its daemon was about to stop
 	KindCrashes     Kind = "crashes"        // its content has crashed servers
 	KindUsedUp      Kind = "attempts"       // as many servers have run it as its route allows
@@ -125,6 +126,8 @@
 		return Cause{Kind: KindStopping, Summary: "its daemon was about to stop and took no new stream", Next: "who stopped it, and whether callers kept its address for longer than they were told"}
 	case string(relay.ReasonNoServer):
 		return Cause{Kind: KindUncovered, Summary: fmt.Sprintf("no server could take it for %.3f s", end.Seconds), Next: "layers_listed and order_sent of these seconds: which layers nobody held"}
+	case string(relay.ReasonLimited):
+		return Cause{Kind: KindLimited, Summary: fmt.Sprintf("only servers that name a limit could take it, and there was no permit for %.3f s", end.Seconds), Next: "backend_limited of the seconds before: which servers are in need"}
 	}
 	if x := s.first(eventPathRefused); x != nil {
 		return Cause{Kind: KindNoRoom, Summary: fmt.Sprintf("server %s refused it with status %d: no room, or it was giving up its layers", x.Address, x.Count), Next: "layers_listed and backend_leaving of these seconds"}
--- a/gateway/lack.go
+++ b/gateway/lack.go
@@ -7,6 +7,7 @@
 
 	"github.com/hibiscuswick/hibiscuswick/coordination/admission"
 	"github.com/hibiscuswick/hibiscuswick/coordination/permits"
+	"github.com/hibiscuswick/hibiscuswick/coordination/relay"
 	"github.com/hibiscuswick/hibiscuswick/state"
 	"github.com/hibiscuswick/hibiscuswick/telemetry"
 )
@@ -132,12 +133,9 @@
 	return admission.Limited{Permit: r.g.book.expectPermit(&r.lack)}.Hopeless(time.Until(until))
 }
 
-// reasonLimited refuses requests that only servers with a limit could take.
-const reasonLimited = "server_limit"
-
 // refusedLimited is the result of a request for which there was no permit.
 func (r *run) refusedLimited() Result {
 	r.g.metrics.CountReason(telemetry.GatewayLimitedTotal, limitedRefused)
 	limited := admission.Limited{Permit: r.g.book.expectPermit(&r.lack)}
-	return Result{Outcome: Refused, Reason: reasonLimited, RetryAfter: limited.RetryAfter()}
+	return Result{Outcome: Refused, Reason: string(relay.ReasonLimited), RetryAfter: limited.RetryAfter()}
 }
