Bound the probes of a dead server over all daemons

The same class as a named limit that daemons break together: each daemon that had streams across a dead server probes it each 0.5 s for 15 s, so that one that comes back among 300 daemons gets 600 probes a second while it starts. All together probe it 100 times a second at most now; below 50 daemons nothing changes. What it costs: a server that comes back under its old life is used up to 3 s later at 300 daemons; a new life is listed and used at once, as before. By their interval 300 daemons send 600 a second before and 100 after.

--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -26,8 +26,11 @@
 	// for: a death has about ten suspects, and a site that is slow as a whole none.
 	probeRate  = 20 // a second
 	probeBurst = 40
-	// reprobeEvery is how often a dead server is probed again.
+	// reprobeEvery is how often a dead server is probed again, or less often where many daemons
+	// do so.
 	reprobeEvery = 500 * time.Millisecond
+	// reprobesMost is how many such probes a second a server gets from all daemons together.
+	reprobesMost = 100
 	// reprobeFor is how long: a server that stays dead leaves the list sooner.
 	reprobeFor = 15 * time.Second
 )
@@ -142,7 +145,7 @@
 			select {
 			case <-p.g.done:
 				return
-			case <-time.After(reprobeEvery):
+			case <-time.After(reprobeAfter(p.g.current.Load().live)):
 			}
 			if p.alive(h.Server, h.Address) {
 				break
@@ -152,3 +155,12 @@
 		p.g.log.Emit(telemetry.EventBackendRecovered, telemetry.Backend(h.Server.ID), telemetry.Address(h.Address))
 	}()
 }
+
+// reprobeAfter is after what time each of some daemons probes a dead server again.
+//
+// Guard (probes-kept-alone): each daemon that had streams across it probes a server that comes
+// back. Were each to do so as often as one may, hundreds would meet it with as many probes as
+// it takes requests, while it starts.
+func reprobeAfter(daemons int) time.Duration {
+	return max(reprobeEvery, time.Duration(daemons)*time.Second/reprobesMost)
+}
