--- a/coordination/permits/holder.go
+++ b/coordination/permits/holder.go
@@ -32,16 +32,17 @@
 
 // holder is the permits of one server that a daemon holds.
 type holder struct {
-	lapse    []time.Time // when each permit lapses, the next one first
-	demand   float64     // requests that wanted the server, over demandOver
-	at       time.Time   // of demand
-	due      bool        // a question is to be sent
-	answered time.Time   // when the owner answered last
-	lacked   bool        // a request has lacked a permit since the owner's last answer
-	again    time.Time   // when one may be
-	first    time.Time   // when the owner expects to issue the next one; zero for not known
-	each     time.Duration
-	waiting  int // requests that wait for a permit
+	lapse   []time.Time // when each permit lapses, the next one first
+	demand  float64     // requests that wanted the server, over demandOver
+	at      time.Time   // of demand
+	waiting int         // requests that wait for a permit
+	lacked  bool        // a request has lacked a permit since the owner's last answer
+
+	due      bool          // a question is to be sent
+	again    time.Time     // when the next question may be
+	answered time.Time     // when the owner answered last
+	first    time.Time     // when the owner expects to issue the next permit; zero for not known
+	each     time.Duration // how long each further permit takes
 }
 
 // drop takes off the permits that have lapsed.
