Bound the orders that wait for their answers

What callers of the daemon that gives orders saw is the same as of plans at each answer: it serves late for seconds after a start. Cause: 3,000 orders are sent at one moment, each with a goroutine and a connection of its own, and the daemon has 0.4 of a core for them and for its requests.

Change: 256 orders at most wait for their answers; the plan's rest follows as answers come. Dead engines answer nothing for 0.8 s each, so that a third of 3,000 dark ones takes 3 s more, which is why the bound is not lower.

The test was red before: 3,000 orders at a time, bound 256.

--- a/coordination/layering/layering.go
+++ b/coordination/layering/layering.go
@@ -37,6 +37,9 @@
 	// loadSlack is added to the time that a load should take, before the order
 	// counts as lost: lists lag by a heartbeat or two.
 	loadSlack = 4 * time.Second
+	// ordersAtOnce is how many orders may wait for their answers. Each takes a
+	// connection and a goroutine, beside which the holder serves requests.
+	ordersAtOnce = 256
 )
 
 // Event is something that happened.
@@ -327,7 +330,7 @@
 	if !m.Holds(m.now) {
 		return
 	}
-	for len(m.plan) > 0 {
+	for len(m.plan) > 0 && m.pending.unanswered < ordersAtOnce {
 		m.order(m.plan[0])
 		m.plan = m.plan[1:]
 	}
--- a/coordination/layering/plan_test.go
+++ b/coordination/layering/plan_test.go
@@ -50,6 +50,22 @@
 		}
 		Expect(testing.AllocsPerRun(200, answer)).To(BeNumerically("<", 10))
 	})
+
+	// Guards against thousands of connections and goroutines at a time, beside which a holder
+	// serves its requests late.
+	It("has no more than some hundred orders wait for their answers", Label("failure:ordered-all-at-once"), func() {
+		m := settled(large())
+		m.Step(at(2000), layering.Tick{})
+		waiting := orders(hold(m, 2010))
+		ordered := make(map[state.Life]bool)
+		for now := at(2011); len(waiting) > 0; now = now.Add(100 * time.Microsecond) {
+			Expect(len(waiting)).To(BeNumerically("<=", 256))
+			Expect(ordered).NotTo(HaveKey(waiting[0].Server.Life()))
+			ordered[waiting[0].Server.Life()] = true
+			waiting = append(waiting[1:], orders(m.Step(now, layering.Ordered{Server: waiting[0].Server.Life(), End: layering.Begun}))...)
+		}
+		Expect(ordered).To(HaveLen(3000))
+	})
 })
 
 // A plan that is kept must be the one that would be made now: events between which nothing
