Decide anew at once on an order that the end of its lease kept back

Found beside the late configurations: a holder that is busy for longer than its lease drops the orders that it has not sent yet, which is right, and told nobody. The machine held them for under way until the load should have ended twice, and 4 s more: engines stay without layers for 7.5 s where a load takes 1.75 s, and callers are refused for want of them.

Evidence: reading of the code, and a test that was red: after the lease has run out, no lease is asked for and nothing is ordered.

Change: an order that is not sent is told to the machine as expired. It counts as not given, and goes into the next plan.

--- a/coordination/layering/layering.go
+++ b/coordination/layering/layering.go
@@ -78,6 +78,7 @@
 	Lost                         // no answer; it may be carried out late
 	Conflict                     // it does not fit the engine's state
 	Fenced                       // a higher fencing number was seen
+	Expired                      // not sent: Order.Until had passed
 )
 
 // Ordered answers an Order action. Orders is the number of orders that the engine
@@ -282,6 +283,10 @@
 		// It changes nothing of the plan, which counts the engine's new layers already.
 		m.orders[ev.Server] = max(m.orders[ev.Server], p.orders+1)
 		return
+	case Expired:
+		m.stale = true
+		m.pending.remove(ev.Server)
+		return
 	case Fenced:
 		// Another daemon holds a later lease: this one's has ended.
 		m.until = m.now
--- a/coordination/layering/plan_test.go
+++ b/coordination/layering/plan_test.go
@@ -66,6 +66,20 @@
 		}
 		Expect(ordered).To(HaveLen(3000))
 	})
+
+	// Guards against engines that stay without layers until a load that was never ordered
+	// should have ended.
+	It("decides anew at once on an order that the end of its lease kept back", Label("failure:order-kept-back"), func() {
+		m := settled(empty(2))
+		m.Step(at(2000), layering.Tick{})
+		first := orders(hold(m, 2010))
+		late := m.Step(at(5000), layering.Ordered{Server: first[0].Server.Life(), End: layering.Expired})
+		Expect(late).To(ContainElement(layering.Acquire{}))
+		again := orders(m.Step(at(5010), layering.Acquired{Fence: 8, Sent: at(5000)}))
+		Expect(again).To(HaveLen(1))
+		Expect(again[0].Server.Life()).To(Equal(first[0].Server.Life()))
+		Expect(again[0].Orders).To(Equal(first[0].Orders))
+	})
 })
 
 // A plan that is kept must be the one that would be made now: events between which nothing
--- a/gateway/duty.go
+++ b/gateway/duty.go
@@ -152,7 +152,8 @@
 func (p *dutyPart) order(a layering.Order) {
 	g := p.c.g
 	if !time.Now().Before(a.Until) {
-		return // paused since it was decided; the machine decides anew
+		p.c.post(func() { p.step(layering.Ordered{Server: a.Server.Life(), End: layering.Expired}) })
+		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
 	defer cancel()
