Have daemons look at lists as often as their turn to order is near

Cause, one part of it: each daemon laid out all engines at each publication of the list, 16 times a second while layers are loaded, although daemon n tries for the lease n times half a second after the first.

Change: a daemon whose turn comes in n half seconds looks at the newest lists four times in that time, every 5 s at the latest, and before it takes the lease. The first in turn and a holder look at each list at once, as before.

Given up for it: where the first daemons in turn can't reach the store, the next one may try up to a quarter of its turn later; a test bounds that.

--- a/coordination/layering/layering.go
+++ b/coordination/layering/layering.go
@@ -37,6 +37,10 @@
 	// loadSlack is added to the time that a load should take, before the order
 	// counts as lost: lists lag by a heartbeat or two.
 	loadSlack = 4 * time.Second
+	// A daemon that is not next in turn looks at changed lists as many times while it waits
+	// for its turn, and at the latest after lookMost. A look at 3,000 engines takes some ms.
+	looksInTurn = 4
+	lookMost    = 5 * time.Second
 	// ordersAtOnce is how many orders may wait for their answers. Each takes a
 	// connection and a goroutine, beside which the holder serves requests.
 	ordersAtOnce = 256
@@ -127,6 +131,8 @@
 // Machine decides for one daemon. It belongs to one goroutine.
 type Machine struct {
 	services map[state.ServiceID]*service
+	lists    map[state.ServiceID]Listed // that have come since the last look
+	looked   time.Time                  // when that was
 	pending  underWay
 	orders   map[state.Life]uint64 // that each engine has begun, as far as is known
 
@@ -151,6 +157,7 @@
 func New() *Machine {
 	return &Machine{
 		services: make(map[state.ServiceID]*service),
+		lists:    make(map[state.ServiceID]Listed),
 		pending:  newUnderWay(),
 		orders:   make(map[state.Life]uint64),
 	}
@@ -172,7 +179,7 @@
 	m.now, m.out = now, nil
 	switch ev := ev.(type) {
 	case Listed:
-		m.listed(ev)
+		m.lists[ev.Service] = ev
 	case Ranked:
 		m.before = ev.Before
 	case Acquired:
@@ -186,6 +193,9 @@
 		m.ordered(ev)
 	case Tick:
 	}
+	if !now.Before(m.nextLook()) {
+		m.look()
+	}
 	m.decide()
 	return m.out
 }
@@ -198,6 +208,9 @@
 			next = t
 		}
 	}
+	if len(m.lists) > 0 {
+		earlier(m.nextLook())
+	}
 	for _, s := range m.services {
 		earlier(s.changed.Add(m.settle(s)))
 	}
@@ -218,6 +231,28 @@
 	return a
 }
 
+// nextLook is when the lists that have come are to be looked at. The daemon that is next in
+// turn looks at each at once, and so does a holder; of hundreds of daemons the others would
+// spend most of their processors on layouts that they never order.
+func (m *Machine) nextLook() time.Time {
+	if m.before == 0 || m.acquiring || m.Holds(m.now) || m.pending.len() > 0 {
+		return m.now
+	}
+	return m.looked.Add(min(time.Duration(m.before)*rankDelay/looksInTurn, lookMost))
+}
+
+// look takes up the lists that have come since the last look.
+func (m *Machine) look() {
+	if len(m.lists) == 0 {
+		return
+	}
+	m.looked = m.now
+	for _, ev := range m.lists {
+		m.listed(ev)
+	}
+	clear(m.lists)
+}
+
 func (m *Machine) listed(ev Listed) {
 	s, ok := m.services[ev.Service]
 	if !ok {
@@ -359,6 +394,11 @@
 	if m.acquiring || m.now.Before(m.notBefore) || m.now.Before(turn) {
 		return
 	}
+	if len(m.lists) > 0 {
+		m.look() // what it goes by may have been ordered meanwhile
+		m.decide()
+		return
+	}
 	m.acquiring = true
 	m.out = append(m.out, Acquire{})
 }
--- a/coordination/layering/plan_test.go
+++ b/coordination/layering/plan_test.go
@@ -67,6 +67,53 @@
 		Expect(ordered).To(HaveLen(3000))
 	})
 
+	// Guards against hundreds of daemons that spend their processors on layouts which only
+	// one of them orders, while callers wait.
+	It("looks at a list that changes all the time only as often as its turn is near", Label("failure:planned-by-all"), func() {
+		m := layering.New()
+		servers := large()
+		m.Step(at(0), layering.Ranked{Before: 200})
+		m.Step(at(0), layering.Listed{Service: "s", Engine: engine, Servers: servers})
+		now := at(60)
+		allocs := testing.AllocsPerRun(10, func() {
+			m.Step(now, layering.Listed{Service: "s", Engine: engine, Servers: servers})
+		})
+		Expect(allocs).To(BeNumerically("<", 10))
+	})
+
+	// Guards against layers that nobody orders where the daemons that are first in turn can't
+	// reach the store.
+	It("takes its turn a quarter late at the most", Label("failure:first-in-turn-cut-off"), func() {
+		const (
+			before = 6
+			turn   = before * 500 // ms
+		)
+		m := layering.New()
+		m.Step(at(0), layering.Ranked{Before: before})
+		now := 0
+		asks := func(ev layering.Event) bool {
+			return slices.Contains(m.Step(at(now), ev), layering.Action(layering.Acquire{}))
+		}
+		engines := empty(4)
+		for i := range engines {
+			engines[i].Layers = fleet.Range{From: 4 * (i % 2), To: 4*(i%2) + 4}
+		}
+		for ; now < 3000; now += 50 {
+			Expect(asks(layering.Listed{Service: "s", Engine: engine, Servers: slices.Clone(engines)})).To(BeFalse())
+		}
+		engines[0].Layers = fleet.Range{}
+		lost := now
+		Expect(asks(layering.Listed{Service: "s", Engine: engine, Servers: slices.Clone(engines)})).To(BeFalse())
+		for now < lost+turn {
+			Expect(asks(layering.Tick{})).To(BeFalse())
+			now += 10
+		}
+		for !asks(layering.Tick{}) {
+			Expect(now).To(BeNumerically("<=", lost+turn*5/4+200), "with the time that a list must stand still")
+			now += 10
+		}
+	})
+
 	// Guards against engines that stay without layers until a load that was never ordered
 	// should have ended.
 	It("decides anew at once on an order that the end of its lease kept back", Label("failure:order-kept-back"), func() {
