Take changes that come within a moment together

The rest of the cost at a start: a follower makes a call to the store for each of the hundreds of changes a second while 3,000 servers list themselves and their layers, and each is a word with rows that all daemons decode, apply and publish; each publication prepares all engines for the choice of paths, of which a daemon of 300 makes one in seconds; each message of the membership that changes something works its consequences out anew.

Change: a follower asks the store 50 ms after a change at the earliest, so that the first change goes out at once and those behind it together. Rosters are prepared by the first request that needs one. The view of the members is taken once for all messages that came together.

Ruled out: a longer time between two publications. Each would be in force later, and what it costs is what is prepared with it.

The test was red before: 300 calls for 300 changes, bound 22.

--- a/coordination/layering/layering.go
+++ b/coordination/layering/layering.go
@@ -293,6 +293,9 @@
 
 // forgetGone drops what is kept of engines that are no longer listed.
 func (m *Machine) forgetGone() {
+	if m.pending.len() == 0 && len(m.orders) == 0 {
+		return
+	}
 	listed := make(map[state.Life]bool)
 	for _, s := range m.services {
 		for _, srv := range s.servers {
--- a/gateway/choice.go
+++ b/gateway/choice.go
@@ -13,10 +13,11 @@
 // until release. A path that begins at a server for which the request lacks a permit is left,
 // if the request goes elsewhere, for the next one.
 func (b *book) choose(now time.Time, v *view, svc *fleet.Service, r pathing.Request, avoid map[string]bool, lack *lack) (fleet.Path, bool) {
-	roster := v.rosters[svc.ID]
-	if roster == nil {
+	prepared := v.rosters[svc.ID]
+	if prepared == nil {
 		return nil, false
 	}
+	roster := prepared()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	r.Backlog = func(x, y state.FailureDomain) float64 { return b.pipes.backlog(now, x, y) }
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -23,6 +23,10 @@
 	// configuration is to be in force, also where the connections of all followers go
 	// silent at once.
 	followFresh = followWait + following.TellInterval + 200*time.Millisecond
+	// followPace is the least time between a change that the store tells and the next call:
+	// at a start thousands of servers list themselves within seconds, and each word with
+	// rows is worked on by all daemons.
+	followPace = 50 * time.Millisecond
 	// Waits between calls to a store that does not answer.
 	backoffMin = 100 * time.Millisecond
 	backoffMax = 300 * time.Millisecond
@@ -132,6 +136,9 @@
 		known, revision = true, batch.Revision
 		p.c.g.unanswered.Store(false)
 		p.post(ctx, func() { p.answered(batch, how) })
+		if len(batch.Items) > 0 {
+			pause(ctx, followPace)
+		}
 	}
 }
 
--- a/gateway/follow_test.go
+++ b/gateway/follow_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -114,6 +115,24 @@
 	// bound is how late a change may be in force.
 	const bound = 2 * time.Second
 
+	// Guards against a start of thousands of servers at which each change is a call to the store
+	// of its own, and a word that all daemons work on.
+	It("take many changes that come within seconds together", Label("failure:word-for-each-change"), func() {
+		p := newPosts("g1", "g2", "g3")
+		before := p.servers[2].calls.Load()
+		began := time.Now()
+		for i := range 300 {
+			id := fmt.Sprintf("late%d", i)
+			p.listed.set(id, fleet.Server{ID: state.BackendID(id), Service: "app", Address: id, Domain: "a"})
+			time.Sleep(3 * time.Millisecond)
+		}
+		calls := p.servers[2].calls.Load() - before
+		Expect(calls).To(BeNumerically("<=", 2+time.Since(began)/(50*time.Millisecond)))
+		for i := range p.gateways {
+			Eventually(func() state.FailureDomain { return p.domainOf(i, "late299") }).WithTimeout(patience).Should(BeEquivalentTo("a"))
+		}
+	})
+
 	It("ask the store through two of them, and all learn of changes at once", func() {
 		p := newPosts("g1", "g2", "g3", "g4", "g5")
 		p.rig.configs.set("config", withRoute(2, "/two/"))
--- a/gateway/listing.go
+++ b/gateway/listing.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"sync"
 	"time"
 
 	"github.com/hibiscuswick/hibiscuswick/coordination/admission"
@@ -35,6 +36,10 @@
 	first, joined time.Time
 	// bad are entries that can't be read, by the revision that was logged.
 	bad map[state.BackendID]uint64
+	// latest and sizes are regroup's: the later one of the lives at each address, and how
+	// many servers each service has.
+	latest map[string]state.BackendID
+	sizes  map[state.ServiceID]int
 }
 
 const (
@@ -55,6 +60,8 @@
 		missing:   make(map[state.BackendID]time.Time),
 		former:    make(map[state.Life]bool),
 		bad:       make(map[state.BackendID]uint64),
+		latest:    make(map[string]state.BackendID),
+		sizes:     make(map[state.ServiceID]int),
 	}
 }
 
@@ -235,8 +242,9 @@
 // not be reached is listed twice until its first life's entry lapses, and a path over
 // both would name one address twice.
 func (p *listingPart) regroup() {
-	latest := make(map[string]state.BackendID, len(p.servers))
-	sizes := make(map[state.ServiceID]int)
+	latest, sizes := p.latest, p.sizes
+	clear(latest)
+	clear(sizes)
 	for id, s := range p.servers {
 		if !usable(p.c.view.config, &s) {
 			continue
@@ -260,15 +268,17 @@
 	p.c.changed = true
 }
 
-// rosters prepares the engines of each service for the choice of paths.
-func rosters(c *fleet.Config, groups map[state.ServiceID][]fleet.Server) map[state.ServiceID]*pathing.Roster {
+// rosters has the engines of each service prepared for the choice of paths once a request
+// needs them. At a start lists are published many times a second, and a daemon of hundreds
+// chooses few paths.
+func rosters(c *fleet.Config, groups map[state.ServiceID][]fleet.Server) map[state.ServiceID]func() *pathing.Roster {
 	if c == nil {
 		return nil
 	}
-	out := make(map[state.ServiceID]*pathing.Roster)
+	out := make(map[state.ServiceID]func() *pathing.Roster)
 	for id, svc := range c.Services {
 		if svc.Engine != nil {
-			out[id] = pathing.NewRoster(svc.Engine, groups[id])
+			out[id] = sync.OnceValue(func() *pathing.Roster { return pathing.NewRoster(svc.Engine, groups[id]) })
 		}
 	}
 	return out
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -7,8 +7,6 @@
 	"slices"
 	"time"
 
-	"github.com/samber/lo"
-
 	"github.com/hibiscuswick/hibiscuswick/coordination/crashes"
 	"github.com/hibiscuswick/hibiscuswick/coordination/following"
 	"github.com/hibiscuswick/hibiscuswick/coordination/membership"
@@ -79,6 +77,8 @@
 	reading  bool
 	lastSeed time.Time // when the table was last read; zero for never
 
+	viewStale bool // c.view.members is to be taken anew
+
 	rows   int       // daemons in the table when it was read last; 0 for never
 	most   int       // highest number of live daemons of late
 	mostAt time.Time // when that was
@@ -108,6 +108,7 @@
 
 func (p *membersPart) tick() {
 	p.step(membership.Tick{})
+	p.takeView()
 	if n := p.sharers(); n != p.c.view.sharers {
 		p.c.view.sharers = n
 		p.c.changed = true
@@ -205,13 +206,7 @@
 	case membership.Send:
 		_ = g.node.Send(a.Address, a.Msg) // a lost message is a missed probe
 	case membership.ViewChanged:
-		p.c.view.members = p.m.View()
-		p.c.view.live = lo.CountBy(p.c.view.members.Members, membership.Info.Live)
-		p.c.view.near = lo.CountBy(p.c.view.members.Members, func(i membership.Info) bool {
-			return i.Live() && i.Meta.Domain == g.set().Domain
-		})
-		p.c.changed = true
-		p.c.membersChanged()
+		p.viewStale = true
 	case membership.Changed:
 		g.log.Emit(memberEvent(a), telemetry.Peer(a.Member.ID), telemetry.Incarnation(a.Member.Incarnation))
 	case membership.FactLearned:
@@ -223,6 +218,28 @@
 	}
 }
 
+// takeView takes up who takes part, once for all changes that came together.
+func (p *membersPart) takeView() {
+	if !p.viewStale {
+		return
+	}
+	p.viewStale = false
+	domain := p.c.g.set().Domain
+	v := &p.c.view
+	v.members, v.live, v.near = p.m.View(), 0, 0
+	for _, i := range v.members.Members {
+		if !i.Live() {
+			continue
+		}
+		v.live++
+		if i.Meta.Domain == domain {
+			v.near++
+		}
+	}
+	p.c.changed = true
+	p.c.membersChanged()
+}
+
 // memberEvent is the log event of a member's change.
 func memberEvent(a membership.Changed) telemetry.Event {
 	switch {
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -12,7 +12,9 @@
 type view struct {
 	config  *fleet.Config // nil until one is known
 	servers map[state.ServiceID][]fleet.Server
-	rosters map[state.ServiceID]*pathing.Roster // of the services with engines
+	// rosters are the engines of each service that has such, prepared for the choice of
+	// paths by the first request that needs them.
+	rosters map[state.ServiceID]func() *pathing.Roster
 	// listed is whether the servers were read at all.
 	listed bool
 	// filling is whether requests had better wait for more servers to be listed.
