Bring about a configuration that waits behind answers, in virtual time

What callers of 300 daemons saw as configurations 3.3 to 10 s late had no test of ours that shows the time. This one runs the holder of the lease before 3,000 engines on a processor of 0.4 of a core that takes 50 us an event and 2 ms a layout, with answers after 5 ms: a configuration that is told 0.3 s after the first order is taken up within the 2 s of the bound.

For it, and for operators, layouts are counted (gateway_layouts_total), and so are the words of followers, new and repeated (gateway_words_total): from the outside a daemon that was busy with either could not be told from a slow one.

--- a/coordination/layering/layering.go
+++ b/coordination/layering/layering.go
@@ -148,6 +148,7 @@
 	plan    []want
 	stale   bool
 	settles time.Time
+	layouts int
 
 	now time.Time
 	out []Action
@@ -174,6 +175,9 @@
 // UnderWay counts the orders that engines are carrying out, as far as is known.
 func (m *Machine) UnderWay() int { return m.pending.len() }
 
+// Layouts is how many times engines have been laid out.
+func (m *Machine) Layouts() int { return m.layouts }
+
 // Step takes in one event and gives what is to be done about it.
 func (m *Machine) Step(now time.Time, ev Event) []Action {
 	m.now, m.out = now, nil
@@ -390,6 +394,7 @@
 		return
 	}
 	m.plan, m.stale = m.wanted(), false
+	m.layouts++
 }
 
 func (m *Machine) acquire() {
--- a/coordination/layering/plan_test.go
+++ b/coordination/layering/plan_test.go
@@ -15,6 +15,19 @@
 	"github.com/hibiscuswick/hibiscuswick/state/fleet"
 )
 
+// arrival is an event on its way to a machine.
+type arrival struct {
+	at    time.Time
+	event layering.Event
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // large lists 3,000 engines of three failure domains.
 func large() []fleet.Server {
 	servers := empty(3000)
@@ -51,6 +64,41 @@
 		Expect(testing.AllocsPerRun(200, answer)).To(BeNumerically("<", 10))
 	})
 
+	// Guards against a configuration that is in force late at the daemon which gives the orders:
+	// it waits behind the answers to them. In virtual time, on the processor that a daemon has.
+	It("takes up what comes beside the answers to its orders in time", Label("failure:planned-at-each-answer"), func() {
+		const (
+			share      = 0.4                    // of a core
+			eventTime  = 50 * time.Microsecond  // of the processor, without a layout
+			layoutTime = 2 * time.Millisecond   // the same, of 3,000 engines
+			answerTime = 5 * time.Millisecond   // until an engine has answered
+			told       = 300 * time.Millisecond // when a configuration comes, after the first order
+			bound      = 2 * time.Second
+		)
+		m := settled(large())
+		m.Step(at(2000), layering.Tick{})
+		start := at(2010)
+		now := start
+		var answers []arrival
+		step := func(ev layering.Event) {
+			before := m.Layouts()
+			sent := orders(m.Step(now, ev))
+			used := eventTime + time.Duration(m.Layouts()-before)*layoutTime
+			now = now.Add(time.Duration(float64(used) / share))
+			for _, o := range sent {
+				answers = append(answers, arrival{now.Add(answerTime), layering.Ordered{Server: o.Server.Life(), End: layering.Begun}})
+			}
+		}
+		step(layering.Acquired{Fence: 7, Sent: start})
+		for len(answers) > 0 && !answers[0].at.After(start.Add(told)) {
+			now = later(now, answers[0].at)
+			ev := answers[0].event
+			answers = answers[1:]
+			step(ev)
+		}
+		Expect(now.Sub(start.Add(told))).To(BeNumerically("<", bound))
+	})
+
 	// Guards against thousands of connections and goroutines at a time, beside which a holder
 	// serves its requests late.
 	It("has no more than some hundred orders wait for their answers", Label("failure:ordered-all-at-once"), func() {
--- a/gateway/duty.go
+++ b/gateway/duty.go
@@ -85,7 +85,12 @@
 }
 
 func (p *dutyPart) step(ev layering.Event) {
-	for _, a := range p.m.Step(p.c.now, ev) {
+	before := p.m.Layouts()
+	actions := p.m.Step(p.c.now, ev)
+	if n := p.m.Layouts() - before; n > 0 {
+		p.c.g.metrics.Add(telemetry.GatewayLayoutsTotal, int64(n))
+	}
+	for _, a := range actions {
 		switch a := a.(type) {
 		case layering.Acquire:
 			go p.acquire()
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -32,6 +32,12 @@
 	backoffMax = 300 * time.Millisecond
 )
 
+// Reasons of telemetry.GatewayWordsTotal.
+const (
+	wordNew      = "new"
+	wordRepeated = "repeated"
+)
+
 // probeTimeouts bound the calls to a store that does not answer, in turn. A store
 // that is back must be heard well within the bound of a configuration, 2 s; one that
 // is merely slow answers within the longest.
@@ -293,9 +299,12 @@
 
 // heard takes another daemon's word, and passes it on.
 func (p *feedPart[T]) heard(t following.Told) {
+	reason := wordRepeated
 	if p.m.New(t) {
+		reason = wordNew
 		p.send(t)
 	}
+	p.c.g.metrics.CountReason(telemetry.GatewayWordsTotal, reason)
 	if t.Recovered > 0 && !t.Failing {
 		p.recovered(p.c.now.Add(-t.Recovered))
 	}
--- a/telemetry/counter.go
+++ b/telemetry/counter.go
@@ -58,6 +58,8 @@
 	GatewayRetriedTotal        Name = "gateway_retried_total"
 	GatewayProbesTotal         Name = "gateway_probes_total"
 	GatewayLimitedTotal        Name = "gateway_limited_total"
+	GatewayLayoutsTotal        Name = "gateway_layouts_total"
+	GatewayWordsTotal          Name = "gateway_words_total"
 )
 
 // Metrics of the HTTP front, which counts in the scope that Metrics.Scope gives.
@@ -180,6 +182,8 @@
 	{GatewayRetriedTotal, KindCounter, byReason, "Requests sent to another backend server, by how the attempt before ended."},
 	{GatewayProbesTotal, KindCounter, byReason, "Probes of backend servers on silent streams, by result."},
 	{GatewayLimitedTotal, KindCounter, byReason, "Requests that met a backend server which names a limit: sent to it, or passed over it for want of a permit."},
+	{GatewayLayoutsTotal, KindCounter, nil, "Layouts of engines that were worked out. Many at a daemon that gives no orders take processor time from its requests."},
+	{GatewayWordsTotal, KindCounter, byReason, "Words of the daemons that follow the store, by whether they were new or had come before."},
 	{ControlMicrosecondsTotal, KindCounter, nil, "Processor time of the control goroutine, in microseconds."},
 
 	{ActiveRequests, KindGauge, nil, "Requests under way at this daemon."},
