--- a/coordination/admission/limited.go
+++ b/coordination/admission/limited.go
@@ -12,9 +12,9 @@
 	Permit time.Duration
 }
 
-// Hopeless reports whether no permit will come while the request may wait, so that it is turned
+// TooLate reports whether no permit will come while the request may wait, so that it is turned
 // away at once.
-func (l Limited) Hopeless(left time.Duration) bool { return l.Permit > left }
+func (l Limited) TooLate(left time.Duration) bool { return l.Permit > left }
 
 // RetryAfter is when the caller may come back: a permit is there by then.
 func (l Limited) RetryAfter() time.Duration { return max(l.Permit, leastLimited) }
--- a/coordination/permits/doc.go
+++ b/coordination/permits/doc.go
@@ -19,7 +19,7 @@
 //
 // One goroutine at a time. Step takes what happened and returns what is to be done; Tick is due
 // at NextTick and harmless at any time. Before a request is sent to a server the caller asks
-// Lacks. It spends a permit with Take where it sends the request, and says with Want that it
+// Unavailable. It spends a permit with Take where it sends the request, and says with Want that it
 // could not. now is a monotonic clock.
 //
 // # Failures that the guards are for
--- a/coordination/permits/failure_test.go
+++ b/coordination/permits/failure_test.go
@@ -195,8 +195,8 @@
 		p.Step(now, permits.View{Self: "d1", Daemons: []state.DaemonID{"d1", "d2"}, Part: 1})
 		known := permits.Known{Limit: fleet.RateLimit{Named: true, PerSecond: 100}}
 		p.Step(now, permits.Received{From: "d2", Msg: permits.Issue{Server: engine, Permits: 5, Known: known}})
-		Expect(p.Lacks(now, engine)).To(BeFalse())
-		Expect(p.Lacks(now.Add(time.Second), engine)).To(BeTrue())
+		Expect(p.Unavailable(now, engine)).To(BeFalse())
+		Expect(p.Unavailable(now.Add(time.Second), engine)).To(BeTrue())
 	})
 
 	// An engine starts again under its name and names no limit. It gets as much as others.
@@ -205,7 +205,7 @@
 		next := engine
 		next.Born++
 		Expect(w.nodes[0].way.(*issued).p.Limited(engine)).To(BeTrue())
-		Expect(w.nodes[0].way.(*issued).p.Lacks(w.now, next)).To(BeFalse())
+		Expect(w.nodes[0].way.(*issued).p.Unavailable(w.now, next)).To(BeFalse())
 	})
 })
 
--- a/coordination/permits/holder.go
+++ b/coordination/permits/holder.go
@@ -36,7 +36,7 @@
 	demand  float64     // requests that wanted the server, over demandOver
 	at      time.Time   // of demand
 	waiting int         // requests that wait for a permit
-	lacked  bool        // a request has lacked a permit since the owner's last answer
+	denied  bool        // a request was without a permit since the owner's last answer
 
 	due      bool          // a question is to be sent
 	again    time.Time     // when the next question may be
@@ -68,7 +68,7 @@
 func (h *holder) wants(now time.Time, life time.Duration) int {
 	h.drop(now)
 	need := max(h.ahead(min(max(aheadOf, h.again.Sub(now)), life)), h.waiting)
-	if h.lacked {
+	if h.denied {
 		need = max(need, 1)
 	}
 	return need - len(h.lapse)
@@ -95,22 +95,22 @@
 		h.lapse = append(h.lapse, now.Add(life))
 	}
 	slices.SortFunc(h.lapse, time.Time.Compare)
-	h.lacked, h.answered = false, now
+	h.denied, h.answered = false, now
 	h.again = now.Add(m.Again)
 	h.first, h.each = now.Add(m.First), m.Each
 }
 
-// Lacking calls f with each server that no request is to be sent to now, for want of a permit.
-func (p *Permits) Lacking(now time.Time, f func(server state.Life)) {
+// EachUnavailable calls f with each server that no request is to be sent to now, for want of a permit.
+func (p *Permits) EachUnavailable(now time.Time, f func(server state.Life)) {
 	for life := range p.servers {
-		if p.Lacks(now, life) {
+		if p.Unavailable(now, life) {
 			f(life)
 		}
 	}
 }
 
-// Lacks reports whether no request is to be sent to a server now, for want of a permit.
-func (p *Permits) Lacks(now time.Time, life state.Life) bool {
+// Unavailable reports whether no request is to be sent to a server now, for want of a permit.
+func (p *Permits) Unavailable(now time.Time, life state.Life) bool {
 	s, ok := p.servers[life]
 	if !ok || !s.limit.Named {
 		return false
@@ -139,7 +139,7 @@
 	if !p.Limited(life) {
 		return true, false
 	}
-	if p.Lacks(now, life) {
+	if p.Unavailable(now, life) {
 		return false, false
 	}
 	s := p.servers[life]
@@ -149,7 +149,7 @@
 	return true, s.holder.ask(now, p.life(s))
 }
 
-// Want notes that a request would have been sent to a server and lacks a permit; again for one
+// Want notes that a request would have been sent to a server and has no permit; again for one
 // of which that is known. It returns true where a Tick is to follow at once.
 func (p *Permits) Want(now time.Time, life state.Life, again bool) bool {
 	if !p.Limited(life) {
@@ -158,7 +158,7 @@
 	s := p.servers[life]
 	s.touched = now
 	s.holder.wanted(now, again)
-	s.holder.lacked = true
+	s.holder.denied = true
 	return s.holder.ask(now, p.life(s))
 }
 
--- a/gateway/book.go
+++ b/gateway/book.go
@@ -97,26 +97,26 @@
 }
 
 // pick takes a plain server for a request: the one with the fewest of our requests
-// among those not to be avoided. One for which the request lacks a permit is left, if the
+// among those not to be avoided. One for which the request has no permit is left, if the
 // request goes elsewhere, for the next one.
-func (b *book) pick(now time.Time, v *view, svc state.ServiceID, domain state.FailureDomain, avoid map[string]bool, lack *lack) (fleet.Server, bool) {
+func (b *book) pick(now time.Time, v *view, svc state.ServiceID, domain state.FailureDomain, avoid map[string]bool, permit *permitRequest) (fleet.Server, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var over []state.Life // servers that the request is not sent to for want of a permit
 	s, ok := b.fewest(now, v.servers[svc], domain, avoid, over)
-	for ok && b.lacks(now, s.Life(), lack) {
-		if !lack.elsewhere(now, s.Life(), b.permits) {
+	for ok && b.needsPermit(now, s.Life(), permit) {
+		if !permit.elsewhere(now, s.Life(), b.permits) {
 			return fleet.Server{}, false
 		}
 		over = append(over, s.Life())
-		if lack.full() {
-			b.permits.Lacking(now, func(server state.Life) { over = append(over, server) })
+		if permit.full() {
+			b.permits.EachUnavailable(now, func(server state.Life) { over = append(over, server) })
 		}
 		s, ok = b.fewest(now, v.servers[svc], domain, avoid, over)
-		lack.stuck = !ok
+		permit.stuck = !ok
 	}
 	if ok {
-		b.spendPermit(now, s.Life(), lack)
+		b.spendPermit(now, s.Life(), permit)
 		b.add(s.Life(), 1, 0, 0)
 	}
 	return s, ok
--- a/gateway/choice.go
+++ b/gateway/choice.go
@@ -10,9 +10,9 @@
 )
 
 // choose takes a path for a request, not over the addresses to avoid, and counts its load
-// until release. A path that begins at a server for which the request lacks a permit is left,
+// until release. A path that begins at a server for which the request has no permit is left,
 // if the request goes elsewhere, for the next one.
-func (b *book) choose(now time.Time, v *view, svc *fleet.Service, r pathing.Request, avoid map[string]bool, lack *lack) (fleet.Path, bool) {
+func (b *book) choose(now time.Time, v *view, svc *fleet.Service, r pathing.Request, avoid map[string]bool, permit *permitRequest) (fleet.Path, bool) {
 	prepared := v.rosters[svc.ID]
 	if prepared == nil {
 		return nil, false
@@ -27,16 +27,16 @@
 	bar(roster, states, avoid)
 	suspects := b.suspect(now, roster, states)
 	path, ok := cheapest(roster, r, states, suspects)
-	for ok && b.lacks(now, path[0].Server, lack) {
-		if !lack.elsewhere(now, path[0].Server, b.permits) {
+	for ok && b.needsPermit(now, path[0].Server, permit) {
+		if !permit.elsewhere(now, path[0].Server, b.permits) {
 			return nil, false
 		}
-		b.passOver(now, roster, states, path[0].Server, lack)
+		b.passOver(now, roster, states, path[0].Server, permit)
 		path, ok = cheapest(roster, r, states, suspects)
-		lack.stuck = !ok
+		permit.stuck = !ok
 	}
 	if ok {
-		b.spendPermit(now, path[0].Server, lack)
+		b.spendPermit(now, path[0].Server, permit)
 		// Requests are spread over the daemons at random: each stands for as many.
 		b.pipes.add(now, path, pathing.TransferMS(svc.Engine, r.Prompt)*float64(max(v.live, 1)))
 		b.count(path, r.Held(), 1)
@@ -44,17 +44,17 @@
 	return path, ok
 }
 
-// passOver has no path begin at a server for which a request lacks a permit, nor at any such
+// passOver has no path begin at a server for which a request has no permit, nor at any such
 // once the request has wanted enough of them.
-func (b *book) passOver(now time.Time, roster *pathing.Roster, states []pathing.State, server state.Life, lack *lack) {
+func (b *book) passOver(now time.Time, roster *pathing.Roster, states []pathing.State, server state.Life, permit *permitRequest) {
 	not := func(server state.Life) {
 		if i, ok := roster.OfLife(server); ok {
 			states[i].NotFirst = true
 		}
 	}
 	not(server)
-	if lack.full() {
-		b.permits.Lacking(now, not)
+	if permit.full() {
+		b.permits.EachUnavailable(now, not)
 	}
 }
 
--- a/gateway/control_bench_internal_test.go
+++ b/gateway/control_bench_internal_test.go
@@ -78,7 +78,7 @@
 			want := pathing.Request{Domain: "a", Prompt: 760, Longest: 600}
 			now := time.Now()
 			for range 60 {
-				path, ok := book.choose(now, v, &svc, want, nil, &lack{})
+				path, ok := book.choose(now, v, &svc, want, nil, &permitRequest{})
 				if !ok {
 					b.Fatal("no path")
 				}
@@ -86,7 +86,7 @@
 			}
 			b.ReportAllocs()
 			for b.Loop() {
-				path, _ := book.choose(now, v, &svc, want, nil, &lack{})
+				path, _ := book.choose(now, v, &svc, want, nil, &permitRequest{})
 				book.release(path, want.Held())
 			}
 		})
--- a/gateway/path.go
+++ b/gateway/path.go
@@ -24,7 +24,7 @@
 		if r.view.filling && !r.headed || !r.forgive(time.Now()) {
 			return false
 		}
-		path, ok = r.g.book.choose(time.Now(), r.view, r.service, want, r.avoid, &r.lack)
+		path, ok = r.g.book.choose(time.Now(), r.view, r.service, want, r.avoid, &r.permit)
 		return ok
 	})
 	if !found {
--- a/gateway/permits.go
+++ b/gateway/permits.go
@@ -116,11 +116,11 @@
 }
 
 // askPermits has the owner of a server's permits asked, if that is due.
-func (g *Gateway) askPermits(l *lack) {
-	if !l.ask {
+func (g *Gateway) askPermits(q *permitRequest) {
+	if !q.ask {
 		return
 	}
-	l.ask = false
+	q.ask = false
 	g.control.post(func() { g.control.permits.step(permits.Tick{}) })
 }
 
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -21,7 +21,7 @@
 func (r *run) attemptPlain(ctx context.Context) (relay.End, Result) {
 	var server fleet.Server
 	found := r.hold(ctx, func() (ok bool) {
-		server, ok = r.g.book.pick(time.Now(), r.view, r.service.ID, r.g.set().Domain, r.avoid, &r.lack)
+		server, ok = r.g.book.pick(time.Now(), r.view, r.service.ID, r.g.set().Domain, r.avoid, &r.permit)
 		return ok
 	})
 	if !found {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -37,7 +37,7 @@
 	after    string // id of the last event that the caller has
 	headed   bool   // the head of an answer was given
 	turned   admission.Turned
-	lack     lack
+	permit   permitRequest
 	sends    int
 	at       string // address of the server of the attempt under way
 	pauses   pauses
@@ -245,7 +245,7 @@
 // noServer is the result of a request that no server can take.
 func (r *run) noServer(why admission.Refusal) (relay.End, Result) {
 	if r.relay.Untouched() && !r.headed {
-		if r.lack.waits() {
+		if r.permit.waits() {
 			return 0, r.refusedLimited()
 		}
 		return 0, refused(relay.ReasonNoServer, why)
--- a/gateway/wait.go
+++ b/gateway/wait.go
@@ -15,19 +15,19 @@
 	askStep = 3 * time.Millisecond
 )
 
-// hold waits until try succeeds, for as long as the request may wait. One that lacks a permit
+// hold waits until try succeeds, for as long as the request may wait. One without a permit
 // does not wait where none will come in time.
 func (r *run) hold(ctx context.Context, try func() bool) bool {
 	wait := admission.Wait{Arrived: r.req.Arrived, Deadline: r.deadline}
 	if r.headed {
 		wait.LastEvent = r.pauses.last
 	}
-	r.lack = lack{}
-	defer r.g.leavePermits(&r.lack)
+	r.permit = permitRequest{}
+	defer r.g.leavePermits(&r.permit)
 	found := func() bool {
 		ok := try()
-		r.g.book.joinPermits(&r.lack)
-		r.g.askPermits(&r.lack)
+		r.g.book.joinPermits(&r.permit)
+		r.g.askPermits(&r.permit)
 		return ok
 	}
 	if found() {
@@ -36,10 +36,10 @@
 	r.g.waiting.Add(1)
 	defer r.g.waiting.Add(-1)
 	for until := wait.Until(); time.Now().Before(until) && ctx.Err() == nil; {
-		if r.hopeless(until) {
+		if r.permitTooLate(until) {
 			return false
 		}
-		pause(ctx, r.lack.step())
+		pause(ctx, r.permit.step())
 		r.view = r.g.current.Load()
 		if found() {
 			return true
