--- a/coordination/claims/judge.go
+++ b/coordination/claims/decide.go
@@ -7,8 +7,8 @@
 	"github.com/samber/lo"
 )
 
-// judge decides on a row that another claimant wrote last.
-func (c *Claim) judge(rec Record, revision uint64) {
+// decide settles on a row that another claimant wrote last.
+func (c *Claim) decide(rec Record, revision uint64) {
 	if c.intent == intentEnd {
 		c.release(false)
 		return
--- a/coordination/claims/write.go
+++ b/coordination/claims/write.go
@@ -195,7 +195,7 @@
 		return
 	}
 	if rec.Nonce != c.req.Nonce {
-		c.judge(rec, row.Revision)
+		c.decide(rec, row.Revision)
 		return
 	}
 	c.base = row.Revision
--- a/coordination/documents/currency.go
+++ b/coordination/documents/currency.go
@@ -101,11 +101,11 @@
 	return 2*(len(d.live)+1) > d.known
 }
 
-// judgeIsolation guards against a daemon or a region that is cut off: edits go
+// checkIsolation guards against a daemon or a region that is cut off: edits go
 // on elsewhere, and it would keep serving by old documents. Without the store,
 // being in reach of the greater part of the daemons is what shows that gossip
 // still arrives; while the store is down for all, nothing can be edited.
-func (d *Documents) judgeIsolation() {
+func (d *Documents) checkIsolation() {
 	if !d.ready {
 		return
 	}
--- a/coordination/documents/documents.go
+++ b/coordination/documents/documents.go
@@ -226,7 +226,7 @@
 	d.poll()
 	d.boot()
 	d.repull()
-	d.judgeIsolation()
+	d.checkIsolation()
 	return d.out
 }
 
--- a/coordination/home/receive.go
+++ b/coordination/home/receive.go
@@ -161,13 +161,13 @@
 		p.free(g)
 	} else if r := p.replicas[m.Replica]; r != nil {
 		// Another home gave the grant; the word on the replica counts here too.
-		p.judge(now, r, now, m.Use)
+		p.noteUse(now, r, now, m.Use)
 	}
 	p.dispatch(now)
 }
 
 func (p *pool) learnFrom(now time.Time, g *grant, m SlotRelease) {
-	p.judge(now, g.r, g.at, m.Use)
+	p.noteUse(now, g.r, g.at, m.Use)
 	if m.Use != UseDone {
 		return
 	}
@@ -182,8 +182,8 @@
 	}
 }
 
-// judge takes what a release says of its replica.
-func (p *pool) judge(now time.Time, r *replica, granted time.Time, use Use) {
+// noteUse takes what a release says of its replica.
+func (p *pool) noteUse(now time.Time, r *replica, granted time.Time, use Use) {
 	switch use {
 	case UseFailed:
 		if r.suspect(now, granted, p.cfg) {
--- a/coordination/quarantine/turn.go
+++ b/coordination/quarantine/turn.go
@@ -205,13 +205,13 @@
 			m.end(now, t, record{State: stateFree})
 		}
 	case phaseJudging:
-		m.judge(now, t)
+		m.decide(now, t)
 	}
 }
 
-// judge decides on a crash alone once a failure of the whole failure domain
+// decide settles on a crash alone once a failure of the whole failure domain
 // would have shown. Until then the row stays taken.
-func (m *Quarantine) judge(now time.Time, t *turn) {
+func (m *Quarantine) decide(now time.Time, t *turn) {
 	if d, known := m.facts.deaths[t.death]; known && m.facts.burst(t.fp, d) {
 		m.end(now, t, record{State: stateFree})
 		return
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -152,7 +152,7 @@
 	}
 }
 
-// round sends requests, brings the failure about mid-stream, and judges what came
+// round sends requests, brings the failure about mid-stream, and checks what came
 // back.
 func (d *demo) round(ctx context.Context, name string, fail func()) {
 	before := d.report
@@ -167,7 +167,7 @@
 		go func() {
 			defer wg.Done()
 			res, err := call(ctx, seeds, w)
-			d.judge(w, res, err)
+			d.check(w, res, err)
 		}()
 	}
 	sleep(ctx, midStream)
--- a/internal/demo/report.go
+++ b/internal/demo/report.go
@@ -40,8 +40,8 @@
 	}
 }
 
-// judge counts one answer against what the stand-ins ran.
-func (d *demo) judge(w work, res result, err error) {
+// check counts one answer against what the stand-ins ran.
+func (d *demo) check(w work, res result, err error) {
 	runs := d.site.Ledger.Runs(w.prompt)
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -58,7 +58,7 @@
 	}
 	switch res.end.Outcome {
 	case caller.EndCompleted:
-		r.judgeWhole(d, w, res)
+		r.checkWhole(d, w, res)
 	case caller.EndRefused:
 		r.RefusedNotRun++
 		if runs > 0 {
@@ -72,7 +72,7 @@
 	}
 }
 
-func (r *Report) judgeWhole(d *demo, w work, res result) {
+func (r *Report) checkWhole(d *demo, w work, res result) {
 	if whole(w, res) {
 		r.Complete++
 		return
--- a/internal/standin/doc.go
+++ b/internal/standin/doc.go
@@ -6,5 +6,5 @@
 // that the real system shows.
 //
 // A Ledger, shared by the engines and plain services of one site, records what
-// truly ran. Tests judge the router by it and never by the router's own word.
+// truly ran. Tests check the router by it and never by the router's own word.
 package standin
--- a/internal/standin/ledger_test.go
+++ b/internal/standin/ledger_test.go
@@ -8,7 +8,7 @@
 	"github.com/hibiscuswick/hibiscuswick/protocol/engine"
 )
 
-// The ledger judges the router, so it has to see each way in which a router can
+// The ledger checks the router, so it has to see each way in which a router can
 // break the order of layers past engines that each see their own steps only.
 var _ = Describe("the ledger", func() {
 	var c *chain
--- a/measure/figures.go
+++ b/measure/figures.go
@@ -81,8 +81,8 @@
 	ControlShare      float64        `json:"control_share"` // of a core, the busiest daemon's
 }
 
-// judge fills in what the callers saw within a window.
-func (lv *Level) judge(seen []*observed, opened, closed time.Time, bound, meanTokens float64) {
+// evaluate fills in what the callers saw within a window.
+func (lv *Level) evaluate(seen []*observed, opened, closed time.Time, bound, meanTokens float64) {
 	inWindow := func(at time.Time) bool { return !at.Before(opened) && at.Before(closed) }
 	var tokens, good, paced, ended int
 	for _, o := range seen {
--- a/measure/throughput.go
+++ b/measure/throughput.go
@@ -116,7 +116,7 @@
 		return func() { lv.CPUShare, lv.ControlShare = used.end(ctx) }
 	})
 	t.sent += len(seen)
-	lv.judge(seen, opened, closed, bound, t.cfg.Mix.MeanTokens())
+	lv.evaluate(seen, opened, closed, bound, t.cfg.Mix.MeanTokens())
 	lv.prove(seen, t.site.Ledger)
 	lv.Violations = len(t.site.Ledger.Violations()) - violations
 	return lv
--- a/trace/replay.go
+++ b/trace/replay.go
@@ -47,7 +47,7 @@
 	for p.res.Difference == nil {
 		l, err := lines.Next()
 		if errors.Is(err, io.EOF) {
-			p.judge()
+			p.checkOutcomes()
 			break
 		}
 		if err != nil {
@@ -224,8 +224,8 @@
 	p.documents[key] = l.Document.Version
 }
 
-// judge checks the stated outcomes.
-func (p *replay) judge() {
+// checkOutcomes checks the stated outcomes.
+func (p *replay) checkOutcomes() {
 	for _, r := range p.runs {
 		if r.outcome == outcomeUnfinished {
 			p.res.Unfinished++
@@ -233,9 +233,9 @@
 	}
 	for _, s := range p.expects {
 		if s.expect.Version != 0 {
-			p.judgeVersion(s)
+			p.checkVersion(s)
 		} else {
-			p.judgeCount(s)
+			p.checkCount(s)
 		}
 		if p.res.Difference != nil {
 			return
@@ -244,7 +244,7 @@
 	}
 }
 
-func (p *replay) judgeCount(s stated) {
+func (p *replay) checkCount(s stated) {
 	got := 0
 	for _, r := range p.runs {
 		if s.expect.matches(r) {
@@ -256,7 +256,7 @@
 	}
 }
 
-func (p *replay) judgeVersion(s stated) {
+func (p *replay) checkVersion(s stated) {
 	e := s.expect
 	found := false
 	for _, key := range slices.SortedFunc(maps.Keys(p.documents), compareDocuments) {
