Call what a follower tells the others an announcement

following.Told, Tell, Tells and Heard are Announcement, Announce, Announces and Received; Lacks is Overdue; the counter of this series is gateway_announcements_total. Kinds of messages and their fields on the wire are as they were; no change of behaviour.

--- a/coordination/following/doc.go
+++ b/coordination/following/doc.go
@@ -13,7 +13,7 @@
 //
 // # Failures that the guards are for
 //
-//   - A follower dies, is paused or is cut off: nothing is heard of it for HeardFor.
+//   - A follower dies, is paused or is cut off: nothing is heard of it for TrustFor.
 //   - A follower's connection to the store has gone silent: its answers grow old.
 //   - A follower's messages are held up on the way and arrive in time with each
 //     other: they carry the follower's steady clock, and the least delay seen tells
@@ -22,6 +22,6 @@
 //     daemon reads what it lacks.
 //   - The store refuses the followers only: they say so, daemons ask it now and then by
 //     turns, and one that is answered tells the others in their place.
-//   - A daemon hears no words for a while, since others know of other daemons than it
+//   - A daemon hears no announcements for a while, since others know of other daemons than it
 //     does: it asks some what they have heard before it asks the store.
 package following
--- a/coordination/following/following.go
+++ b/coordination/following/following.go
@@ -11,12 +11,12 @@
 const (
 	// Followers is how many daemons follow a feed: one more than may fail at once.
 	Followers = 2
-	// TellInterval is how often a follower tells what it knows where nothing changes.
-	TellInterval = 500 * time.Millisecond
-	// HeardFor is how long a follower's word stands: two that are lost cost a read.
-	HeardFor = 1200 * time.Millisecond
-	// forgetAfter is how long the last word of a follower is kept.
-	forgetAfter = 10 * HeardFor
+	// AnnounceInterval is how often a follower tells what it knows where nothing changes.
+	AnnounceInterval = 500 * time.Millisecond
+	// TrustFor is how long a follower's announcement stands: two that are lost cost a read.
+	TrustFor = 1200 * time.Millisecond
+	// forgetAfter is how long the last announcement of a follower is kept.
+	forgetAfter = 10 * TrustFor
 	// behindFor is how long changes that a follower has told of may be on their way.
 	behindFor = 150 * time.Millisecond
 	// restFor is how long a daemon that follows for nobody goes by what the store has
@@ -46,8 +46,8 @@
 	Resting
 )
 
-// Told is what a follower tells of a feed.
-type Told struct {
+// Announcement is what a follower tells of a feed.
+type Announcement struct {
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
 
 	Root     state.Member  `msgpack:"root"` // the follower
@@ -100,24 +100,24 @@
 	behind   time.Time // since when a higher revision is known of; zero for not
 	wanted   uint64    // that revision
 
-	answered  time.Time // when the store last did, to this daemon or to who told it
-	failing   bool
-	volunteer bool // it follows for others in place of the chosen ones
-	recovered time.Time
-	nextTell  time.Time
+	answered     time.Time // when the store last did, to this daemon or to who told it
+	failing      bool
+	volunteer    bool // it follows for others in place of the chosen ones
+	recovered    time.Time
+	nextAnnounce time.Time
 }
 
-// heard is the last word of one follower.
+// heard is the last announcement of one follower.
 type heard struct {
 	life     state.Incarnation
 	sent     time.Duration // by the follower's steady clock
 	at       time.Time     // when it came
 	shortest time.Duration
-	age      time.Duration // of the store's answer when the word came
+	age      time.Duration // of the store's answer when the announcement came
 	failing  bool
 }
 
-// New returns a machine that knows of no other daemon. A follower's word counts
+// New returns a machine that knows of no other daemon. A follower's announcement counts
 // while the store's last answer to it is no older than fresh, which is more than
 // the store holds a call that has nothing to tell.
 func New(self state.Member, feed string, fresh time.Duration, now time.Time) *Machine {
@@ -162,13 +162,13 @@
 
 // Mode says how this daemon is to learn of changes.
 func (m *Machine) Mode(now time.Time) Mode {
-	if !m.known || m.Tells(now) || m.lacks(now) {
+	if !m.known || m.Announces(now) || m.overdue(now) {
 		return ByStore
 	}
 	failing, old := false, false
 	for id, h := range m.heard {
 		switch {
-		case now.Sub(h.at) > HeardFor:
+		case now.Sub(h.at) > TrustFor:
 		case !h.failing && now.Sub(h.at)+h.age <= m.fresh:
 			return ByPeers
 		case m.isChosen(id):
@@ -177,7 +177,7 @@
 		}
 	}
 	switch {
-	case now.Sub(m.asked.at) <= HeardFor && now.Sub(m.asked.at)+m.asked.age <= m.fresh:
+	case now.Sub(m.asked.at) <= TrustFor && now.Sub(m.asked.at)+m.asked.age <= m.fresh:
 		return ByPeers
 	case failing && !old:
 		return BySeldom // where one merely waits for an answer, the store may be well
@@ -187,15 +187,15 @@
 	return ByStore
 }
 
-// lacks reports whether changes that a follower has told of are overdue.
-func (m *Machine) lacks(now time.Time) bool {
+// overdue reports whether changes that a follower has told of are overdue.
+func (m *Machine) overdue(now time.Time) bool {
 	return !m.behind.IsZero() && now.Sub(m.behind) >= behindFor
 }
 
-// Lacks is the revision that this daemon has been told of and still lacks; false if it
+// Overdue is the revision that this daemon has been told of and still lacks; false if it
 // lacks none.
-func (m *Machine) Lacks(now time.Time) (uint64, bool) {
-	return m.wanted, m.known && m.lacks(now)
+func (m *Machine) Overdue(now time.Time) (uint64, bool) {
+	return m.wanted, m.known && m.overdue(now)
 }
 
 // SeldomWait is the time between two calls of a daemon in the mode BySeldom. It grows
@@ -210,9 +210,9 @@
 	return slices.Contains(m.chosen, id)
 }
 
-// Tells reports whether this daemon follows for others now: it is chosen, or it has
+// Announces reports whether this daemon follows for others now: it is chosen, or it has
 // stood in for the chosen ones and they are still missed.
-func (m *Machine) Tells(now time.Time) bool {
+func (m *Machine) Announces(now time.Time) bool {
 	return m.Follows() || m.volunteer && m.missed(now)
 }
 
@@ -226,7 +226,7 @@
 	failing := false
 	for id, h := range m.heard {
 		switch {
-		case now.Sub(h.at) > HeardFor:
+		case now.Sub(h.at) > TrustFor:
 		case !h.failing && (m.isChosen(id) || id > m.self.ID):
 			return false
 		case h.failing && m.isChosen(id):
@@ -243,11 +243,11 @@
 		if id == m.self.ID {
 			return true
 		}
-		if h, ok := m.heard[id]; ok && !h.failing && now.Sub(h.at) <= HeardFor {
+		if h, ok := m.heard[id]; ok && !h.failing && now.Sub(h.at) <= TrustFor {
 			return false
 		}
 	}
-	return m.Tells(now)
+	return m.Announces(now)
 }
 
 // Answered notes an answer of the store, with all changes up to a revision.
@@ -256,7 +256,7 @@
 		m.recovered = now
 	}
 	if changes || m.failing {
-		m.nextTell = now
+		m.nextAnnounce = now
 	}
 	m.failing = false
 	m.answered = now
@@ -299,7 +299,7 @@
 // Failed notes that the store did not answer this daemon.
 func (m *Machine) Failed(now time.Time) {
 	if !m.failing {
-		m.nextTell = now
+		m.nextAnnounce = now
 	}
 	m.failing = true
 	m.volunteer = false
@@ -316,10 +316,10 @@
 // Changed is the revision after which no row has changed.
 func (m *Machine) Changed() uint64 { return m.changed }
 
-// New reports whether a word is newer than the last one that was heard of its follower, and is to
-// be passed on. Daemons whose views differ, as at a start, have different trees, in which a word
-// may come back to one that has passed it on.
-func (m *Machine) New(t Told) bool {
+// IsNew reports whether an announcement is newer than the last one that was heard of its
+// follower, and is to be passed on. Daemons whose views differ, as at a start, have different
+// trees, in which an announcement may come back to one that has passed it on.
+func (m *Machine) IsNew(t Announcement) bool {
 	if t.Root.ID == m.self.ID {
 		return false
 	}
@@ -330,10 +330,10 @@
 	return t.Root.Incarnation == h.life && t.Sent > h.sent
 }
 
-// Heard takes a follower's word. Where the verdict is not Known, Advanced is to be
+// Received takes a follower's announcement. Where the verdict is not Known, Advanced is to be
 // called with its revision once its rows are applied.
-func (m *Machine) Heard(now time.Time, t Told) Verdict {
-	if m.New(t) {
+func (m *Machine) Received(now time.Time, t Announcement) Verdict {
+	if m.IsNew(t) {
 		m.note(now, t)
 	}
 	switch {
@@ -351,9 +351,9 @@
 	return Known
 }
 
-// note keeps what a word says of its follower. A clock's reading less the other's is
-// least where a word was not held up: what it is more is the time that it took.
-func (m *Machine) note(now time.Time, t Told) {
+// note keeps what an announcement says of its follower. A clock's reading less the other's is
+// least where an announcement was not held up: what it is more is the time that it took.
+func (m *Machine) note(now time.Time, t Announcement) {
 	took := now.Sub(m.born) - t.Sent
 	h, ok := m.heard[t.Root.ID]
 	if !ok || h.life != t.Root.Incarnation {
@@ -387,14 +387,14 @@
 	return age
 }
 
-// Tell returns what this daemon is to tell the others now, if it is to. Rows and
+// Announce returns what this daemon is to tell the others now, if it is to. Rows and
 // After are the caller's.
-func (m *Machine) Tell(now time.Time) (Told, bool) {
-	if !m.known || !m.Tells(now) || len(m.daemons) < 2 || now.Before(m.nextTell) {
-		return Told{}, false
+func (m *Machine) Announce(now time.Time) (Announcement, bool) {
+	if !m.known || !m.Announces(now) || len(m.daemons) < 2 || now.Before(m.nextAnnounce) {
+		return Announcement{}, false
 	}
-	m.nextTell = now.Add(TellInterval)
-	t := Told{
+	m.nextAnnounce = now.Add(AnnounceInterval)
+	t := Announcement{
 		Root: m.self, Feed: m.feed, Sent: now.Sub(m.born), Revision: m.revision, Changed: m.changed,
 		Age: now.Sub(m.answered), Failing: m.failing,
 	}
@@ -404,23 +404,23 @@
 	return t, true
 }
 
-// NextTick is when Tell is due or Mode may change by itself; zero for never.
+// NextTick is when Announce is due or Mode may change by itself; zero for never.
 func (m *Machine) NextTick(now time.Time) time.Time {
 	if !m.known || len(m.daemons) < 2 && m.Mode(now) != Resting {
 		return time.Time{}
 	}
-	if m.Tells(now) {
-		return m.nextTell
+	if m.Announces(now) {
+		return m.nextAnnounce
 	}
 	var next time.Time
 	switch m.Mode(now) {
 	case ByPeers:
 		for _, h := range m.heard {
 			if !h.failing {
-				next = later(next, h.at.Add(min(HeardFor, m.fresh-h.age)))
+				next = later(next, h.at.Add(min(TrustFor, m.fresh-h.age)))
 			}
 		}
-		next = later(next, m.asked.at.Add(min(HeardFor, m.fresh-m.asked.age)))
+		next = later(next, m.asked.at.Add(min(TrustFor, m.fresh-m.asked.age)))
 	case Resting:
 		next = m.answered.Add(restFor)
 	default:
--- a/coordination/following/following_test.go
+++ b/coordination/following/following_test.go
@@ -48,9 +48,9 @@
 	return m
 }
 
-// word is one of g6, whose clock shows what at does.
-func word(d time.Duration, revision, changed uint64) following.Told {
-	return following.Told{
+// announcement is one of g6, whose clock shows what at does.
+func announcement(d time.Duration, revision, changed uint64) following.Announcement {
+	return following.Announcement{
 		Root: state.Member{ID: "g6", Incarnation: 1}, Feed: "servers",
 		Sent: d, Revision: revision, Changed: changed,
 	}
@@ -86,57 +86,57 @@
 
 	It("spares the others their calls", func() {
 		Expect(m.Mode(at(time.Second))).To(Equal(following.ByStore))
-		m.Heard(at(time.Second), word(time.Second, 10, 10))
+		m.Received(at(time.Second), announcement(time.Second, 10, 10))
 		Expect(m.Mode(at(time.Second))).To(Equal(following.ByPeers))
 	})
 
 	It("begins with the store where nothing is known", func() {
 		m = machine("g0")
-		m.Heard(at(time.Second), word(time.Second, 10, 10))
+		m.Received(at(time.Second), announcement(time.Second, 10, 10))
 		Expect(m.Mode(at(time.Second))).To(Equal(following.ByStore))
 	})
 
 	// A configuration is accepted, and one daemon goes on by the old one. Cause: both
-	// followers are gone, and it waits for their word.
+	// followers are gone, and it waits for their announcement.
 	It("asks the store once followers fall silent", Label("failure:follower-silent"), func() {
-		m.Heard(at(0), word(0, 10, 10))
-		Expect(m.Mode(at(following.HeardFor))).To(Equal(following.ByPeers))
-		Expect(m.Mode(at(following.HeardFor + time.Millisecond))).To(Equal(following.ByStore))
+		m.Received(at(0), announcement(0, 10, 10))
+		Expect(m.Mode(at(following.TrustFor))).To(Equal(following.ByPeers))
+		Expect(m.Mode(at(following.TrustFor + time.Millisecond))).To(Equal(following.ByStore))
 	})
 
 	// The same, while a follower is heard: its own connection to the store has gone
 	// silent, and it tells what it knew.
 	It("asks the store once a follower's view is old", Label("failure:follower-stale"), func() {
-		t := word(time.Second, 10, 10)
+		t := announcement(time.Second, 10, 10)
 		t.Age = fresh - 100*time.Millisecond
-		m.Heard(at(time.Second), t)
+		m.Received(at(time.Second), t)
 		Expect(m.Mode(at(1100 * time.Millisecond))).To(Equal(following.ByPeers))
 		Expect(m.Mode(at(1101 * time.Millisecond))).To(Equal(following.ByStore))
 	})
 
-	// The same, while words come that say that they are fresh: the follower's link
+	// The same, while announcements come that say that they are fresh: the follower's link
 	// holds them up for three seconds, all alike.
-	It("asks the store where a follower's words are held up", Label("failure:follower-delayed"), func() {
-		m.Heard(at(0), word(0, 10, 10))
+	It("asks the store where a follower's announcements are held up", Label("failure:follower-delayed"), func() {
+		m.Received(at(0), announcement(0, 10, 10))
 		for i := range 4 {
 			sent := time.Duration(i+1) * time.Second
-			m.Heard(at(sent+3*time.Second), word(sent, 10, 10))
+			m.Received(at(sent+3*time.Second), announcement(sent, 10, 10))
 		}
 		Expect(m.Mode(at(7 * time.Second))).To(Equal(following.ByStore))
 	})
 
 	It("takes a new life of a follower with its own clock", func() {
-		m.Heard(at(0), word(0, 10, 10))
-		t := word(time.Millisecond, 10, 10)
+		m.Received(at(0), announcement(0, 10, 10))
+		t := announcement(time.Millisecond, 10, 10)
 		t.Root.Incarnation = 2
-		m.Heard(at(time.Minute), t)
+		m.Received(at(time.Minute), t)
 		Expect(m.Mode(at(time.Minute))).To(Equal(following.ByPeers))
 	})
 
 	It("asks a store seldom that does not answer followers", func() {
-		t := word(0, 10, 10)
+		t := announcement(0, 10, 10)
 		t.Failing = true
-		m.Heard(at(0), t)
+		m.Received(at(0), t)
 		Expect(m.Mode(at(0))).To(Equal(following.BySeldom))
 	})
 
@@ -144,12 +144,12 @@
 	// has gone silent. A change is in force a second too late. Cause: a daemon waited for
 	// its turn as if the store were known to answer nobody.
 	It("asks the store at once where one follower fails and the other's view is old", Label("failure:follower-stale"), func() {
-		failing, silent := word(0, 10, 10), word(0, 10, 10)
+		failing, silent := announcement(0, 10, 10), announcement(0, 10, 10)
 		failing.Root.ID, failing.Failing = "g5", true
 		silent.Age = fresh - 100*time.Millisecond
-		m.Heard(at(time.Second), failing)
+		m.Received(at(time.Second), failing)
 		silent.Sent = time.Second
-		m.Heard(at(time.Second), silent)
+		m.Received(at(time.Second), silent)
 		Expect(m.Mode(at(1100 * time.Millisecond))).To(Equal(following.ByPeers))
 		Expect(m.Mode(at(1101 * time.Millisecond))).To(Equal(following.ByStore))
 	})
@@ -166,7 +166,7 @@
 		}
 	})
 
-	It("rests for a moment after the store's own word", func() {
+	It("rests for a moment after the store's own answer", func() {
 		Expect(m.Mode(at(500 * time.Millisecond))).To(Equal(following.Resting))
 		Expect(m.NextTick(at(500 * time.Millisecond))).To(Equal(at(700 * time.Millisecond)))
 		Expect(m.Mode(at(700 * time.Millisecond))).To(Equal(following.ByStore))
@@ -184,9 +184,9 @@
 	})
 
 	// After a cut of a third of 195 daemons their views of each other differ for a while,
-	// words reach some of them seldom, and each of these asks the store every 0.7 s. Cause:
+	// announcements reach some of them seldom, and each of these asks the store every 0.7 s. Cause:
 	// what another daemon has heard a moment ago is not asked for.
-	It("goes by what another daemon has heard as by a word", Label("failure:words-pass-by"), func() {
+	It("goes by what another daemon has heard as by an announcement", Label("failure:words-pass-by"), func() {
 		m.Confirmed(at(2*time.Second), 14, fresh-300*time.Millisecond)
 		Expect(m.Mode(at(2300 * time.Millisecond))).To(Equal(following.ByPeers))
 		Expect(m.NextTick(at(2100 * time.Millisecond))).To(Equal(at(2300 * time.Millisecond)))
@@ -200,27 +200,27 @@
 	// and one that was answered kept it to itself.
 	It("tells all where the store answers it and not the followers", Label("failure:followers-refused"), func() {
 		for _, id := range []state.DaemonID{"g6", "g5"} {
-			t := word(0, 10, 10)
+			t := announcement(0, 10, 10)
 			t.Root.ID, t.Failing = id, true
-			m.Heard(at(0), t)
+			m.Received(at(0), t)
 		}
-		_, tells := m.Tell(at(0))
+		_, tells := m.Announce(at(0))
 		Expect(tells).To(BeFalse())
 		m.Answered(at(100*time.Millisecond), 12, true)
-		t, tells := m.Tell(at(100 * time.Millisecond))
+		t, tells := m.Announce(at(100 * time.Millisecond))
 		Expect(tells).To(BeTrue())
 		Expect(t.Revision).To(Equal(uint64(12)))
 		Expect(m.Leads(at(100*time.Millisecond))).To(BeTrue(), "its rows are the only ones")
 		other := machine("g1")
 		other.Answered(at(0), 10, true)
-		other.Heard(at(120*time.Millisecond), t)
+		other.Received(at(120*time.Millisecond), t)
 		Expect(other.Mode(at(300*time.Millisecond))).To(Equal(following.ByStore), "it lacks rows")
-		lacks, _ := other.Lacks(at(300 * time.Millisecond))
+		lacks, _ := other.Overdue(at(300 * time.Millisecond))
 		Expect(lacks).To(Equal(uint64(12)))
 		other.Advanced(12, true)
 		Expect(other.Mode(at(800 * time.Millisecond))).To(Equal(following.ByPeers))
-		m.Heard(at(time.Second), word(time.Second, 12, 12))
-		_, tells = m.Tell(at(2 * time.Second))
+		m.Received(at(time.Second), announcement(time.Second, 12, 12))
+		_, tells = m.Announce(at(2 * time.Second))
 		Expect(tells).To(BeFalse(), "the followers are served again")
 	})
 
@@ -229,44 +229,44 @@
 	// stood in for the followers, since it had heard of nobody else that did.
 	It("leaves it to the last that stands in", Label("failure:all-stand-in"), func() {
 		for _, id := range []state.DaemonID{"g6", "g5"} {
-			t := word(0, 10, 10)
+			t := announcement(0, 10, 10)
 			t.Root.ID, t.Failing = id, true
-			m.Heard(at(0), t)
+			m.Received(at(0), t)
 		}
 		m.Answered(at(100*time.Millisecond), 12, true)
-		other := word(0, 12, 12)
+		other := announcement(0, 12, 12)
 		other.Root.ID = "g3"
-		m.Heard(at(200*time.Millisecond), other)
-		Expect(m.Tells(at(200 * time.Millisecond))).To(BeFalse())
+		m.Received(at(200*time.Millisecond), other)
+		Expect(m.Announces(at(200 * time.Millisecond))).To(BeFalse())
 		first := machine("g4")
 		first.Answered(at(0), 10, true)
 		for _, id := range []state.DaemonID{"g6", "g5"} {
-			t := word(0, 10, 10)
+			t := announcement(0, 10, 10)
 			t.Root.ID, t.Failing = id, true
-			first.Heard(at(0), t)
+			first.Received(at(0), t)
 		}
 		first.Answered(at(100*time.Millisecond), 12, true)
-		first.Heard(at(200*time.Millisecond), other)
-		Expect(first.Tells(at(200 * time.Millisecond))).To(BeTrue())
+		first.Received(at(200*time.Millisecond), other)
+		Expect(first.Announces(at(200 * time.Millisecond))).To(BeTrue())
 	})
 
 	Describe("what a follower tells", func() {
 		It("advances where no row changed", func() {
-			Expect(m.Heard(at(0), word(0, 15, 10))).To(Equal(following.Advance))
+			Expect(m.Received(at(0), announcement(0, 15, 10))).To(Equal(following.Advance))
 		})
 
 		It("is applied where its rows are the next ones", func() {
-			t := word(0, 15, 15)
+			t := announcement(0, 15, 15)
 			t.After, t.Rows = 10, []byte{1}
-			Expect(m.Heard(at(0), t)).To(Equal(following.Apply))
+			Expect(m.Received(at(0), t)).To(Equal(following.Apply))
 			m.Advanced(15, true)
-			Expect(m.Heard(at(0), t)).To(Equal(following.Known))
+			Expect(m.Received(at(0), t)).To(Equal(following.Known))
 		})
 
 		// A server leaves the list, and one daemon goes on sending to it. Cause: the
 		// message with the change was lost; the next one shows that there was one.
 		It("shows what was lost", Label("failure:change-lost"), func() {
-			Expect(m.Heard(at(0), word(0, 15, 15))).To(Equal(following.Known))
+			Expect(m.Received(at(0), announcement(0, 15, 15))).To(Equal(following.Known))
 			Expect(m.Mode(at(100 * time.Millisecond))).To(Equal(following.ByPeers))
 			Expect(m.Mode(at(200 * time.Millisecond))).To(Equal(following.ByStore))
 			m.Answered(at(210*time.Millisecond), 15, true)
@@ -274,9 +274,9 @@
 		})
 
 		It("is not applied after a gap", func() {
-			t := word(0, 15, 15)
+			t := announcement(0, 15, 15)
 			t.After, t.Rows = 12, []byte{1}
-			Expect(m.Heard(at(0), t)).To(Equal(following.Known))
+			Expect(m.Received(at(0), t)).To(Equal(following.Known))
 		})
 	})
 
@@ -287,28 +287,28 @@
 		})
 
 		It("tells at once of a change, and else now and then", func() {
-			t, ok := m.Tell(at(0))
+			t, ok := m.Announce(at(0))
 			Expect(ok).To(BeTrue())
 			Expect([]uint64{t.Revision, t.Changed}).To(Equal([]uint64{10, 10}))
-			_, ok = m.Tell(at(time.Millisecond))
+			_, ok = m.Announce(at(time.Millisecond))
 			Expect(ok).To(BeFalse())
 			m.Answered(at(time.Millisecond), 11, false)
-			_, ok = m.Tell(at(time.Millisecond))
+			_, ok = m.Announce(at(time.Millisecond))
 			Expect(ok).To(BeFalse())
-			t, ok = m.Tell(at(following.TellInterval))
+			t, ok = m.Announce(at(following.AnnounceInterval))
 			Expect(ok).To(BeTrue())
 			Expect([]uint64{t.Revision, t.Changed}).To(Equal([]uint64{11, 10}))
-			Expect(t.Age).To(Equal(following.TellInterval - time.Millisecond))
+			Expect(t.Age).To(Equal(following.AnnounceInterval - time.Millisecond))
 		})
 
 		It("tells at once that the store is lost and that it is back", func() {
-			m.Tell(at(0))
+			m.Announce(at(0))
 			m.Failed(at(100 * time.Millisecond))
-			t, ok := m.Tell(at(100 * time.Millisecond))
+			t, ok := m.Announce(at(100 * time.Millisecond))
 			Expect(ok).To(BeTrue())
 			Expect(t.Failing).To(BeTrue())
 			m.Answered(at(200*time.Millisecond), 10, false)
-			t, ok = m.Tell(at(200 * time.Millisecond))
+			t, ok = m.Announce(at(200 * time.Millisecond))
 			Expect(ok).To(BeTrue())
 			Expect(t.Failing).To(BeFalse())
 		})
@@ -355,9 +355,9 @@
 		Expect(m.Next("stranger")).To(BeEmpty())
 	})
 
-	// Guards against words that go round among daemons until their views are the same, and take
+	// Guards against announcements that go round among daemons until their views are the same, and take
 	// the processors of all: configurations are late, and callers wait after a restart of all.
-	It("passes each word on once where daemons know different ones", Label("failure:words-go-round"), func() {
+	It("passes each announcement on once where daemons know different ones", Label("failure:announcements-go-round"), func() {
 		const n = 300
 		rng := rand.New(rand.NewPCG(1, 2))
 		daemons := many(n)
@@ -374,17 +374,17 @@
 		root := daemons[n-1].ID
 		passed := make(map[state.DaemonID]int)
 		for i := range 3 {
-			t := word(time.Duration(i)*following.TellInterval, 10, 10)
+			t := announcement(time.Duration(i)*following.AnnounceInterval, 10, 10)
 			t.Root.ID = root
 			now := at(t.Sent)
 			for queue := machines[root].Next(root); len(queue) > 0; queue = queue[1:] {
 				m := machines[queue[0]]
 				now = now.Add(10 * time.Microsecond)
-				if m.New(t) {
+				if m.IsNew(t) {
 					passed[queue[0]]++
 					queue = append(queue, m.Next(root)...)
 				}
-				m.Heard(now, t)
+				m.Received(now, t)
 				Expect(passed[queue[0]]).To(BeNumerically("<=", i+1))
 			}
 		}
@@ -393,7 +393,7 @@
 	})
 
 	// One daemon of a domain is paused. The others of it go on by the followers'
-	// words. Cause: both would come through the paused one.
+	// announcements. Cause: both would come through the paused one.
 	It("reaches a domain through different daemons", func() {
 		first, second := machine("g6").Next("g6"), machine("g5").Next("g5")
 		Expect(first).To(ContainElement(state.DaemonID("g1")))
--- a/coordination/following/tree.go
+++ b/coordination/following/tree.go
@@ -6,11 +6,11 @@
 	"github.com/hibiscuswick/hibiscuswick/state"
 )
 
-// Degree is how many daemons of its failure domain each one passes a word on to.
+// Degree is how many daemons of its failure domain each one passes an announcement on to.
 const Degree = 8
 
-// Next lists the daemons that this one passes a follower's word on to, or none if
-// the follower is not known. A word crosses to each other failure domain once, to
+// Next lists the daemons that this one passes a follower's announcement on to, or none if
+// the follower is not known. An announcement crosses to each other failure domain once, to
 // that domain's head, and goes down a tree within each: 18 MB between three domains for 100
 // daemons before 998 servers in 41 s, 70 MB with one tree over all.
 func (m *Machine) Next(root state.DaemonID) []state.DaemonID {
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -140,7 +140,7 @@
 }
 
 // heard takes what a daemon tells of a feed that it follows for others.
-func (c *control) heard(t following.Told) {
+func (c *control) heard(t following.Announcement) {
 	switch t.Feed {
 	case c.configs.name:
 		c.configs.heard(t)
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -19,12 +19,12 @@
 	// connection that has gone silent shows within it and storeTimeout.
 	followWait = time.Second
 	// followFresh is how old the store's last answer to a follower may be: as long as
-	// such a call takes, until the next word. It is less than the 2 s within which a
+	// such a call takes, until the next announcement. It is less than the 2 s within which a
 	// configuration is to be in force, also where the connections of all followers go
 	// silent at once.
-	followFresh = followWait + following.TellInterval + 200*time.Millisecond
+	followFresh = followWait + following.AnnounceInterval + 200*time.Millisecond
 	// followPace is the least time between a change that the store tells and the next call:
-	// at a start thousands of servers list themselves within seconds, and each word with
+	// at a start thousands of servers list themselves within seconds, and each announcement with
 	// rows is worked on by all daemons.
 	followPace = 50 * time.Millisecond
 	// Waits between calls to a store that does not answer.
@@ -32,10 +32,10 @@
 	backoffMax = 300 * time.Millisecond
 )
 
-// Reasons of telemetry.GatewayWordsTotal.
+// Reasons of telemetry.GatewayAnnouncementsTotal.
 const (
-	wordNew      = "new"
-	wordRepeated = "repeated"
+	announcementNew      = "new"
+	announcementRepeated = "repeated"
 )
 
 // probeTimeouts bound the calls to a store that does not answer, in turn. A store
@@ -59,7 +59,7 @@
 	take func(b site.Batch[T], how arrival)
 	// recovered takes when the store answered a follower again.
 	recovered func(at time.Time)
-	rows      encodedRows  // that are to go with the next word
+	rows      encodedRows  // that are to go with the next announcement
 	rowsKnown rowsKnown[T] // for other daemons
 	allRows   encodedRows  // all of them, as they were given last
 	// stale is what another daemon gave, and the store has not confirmed. It belongs to
@@ -67,7 +67,7 @@
 	stale *stale[T]
 
 	mode     atomic.Int32  // a following.Mode
-	lacks    atomic.Uint64 // the revision that is overdue; 0 for none
+	overdue  atomic.Uint64 // the revision that is overdue; 0 for none
 	follows  atomic.Bool   // this daemon follows the feed for others
 	revision atomic.Uint64 // up to which the feed is known
 	seldom   atomic.Int64  // the time between two calls in the mode BySeldom, in ns
@@ -180,7 +180,7 @@
 	case p.follows.Load() || following.Mode(p.mode.Load()) == following.BySeldom:
 		return false
 	}
-	ask := rowsAsked{Least: max(p.lacks.Swap(0), revision), Has: revision}
+	ask := rowsAsked{Least: max(p.overdue.Swap(0), revision), Has: revision}
 	for range overdueRounds {
 		if p.fromPeers(ctx, ask) == taken {
 			return true
@@ -297,23 +297,23 @@
 	return out
 }
 
-// heard takes another daemon's word, and passes it on.
-func (p *feedPart[T]) heard(t following.Told) {
-	reason := wordRepeated
-	if p.m.New(t) {
-		reason = wordNew
+// heard takes another daemon's announcement, and passes it on.
+func (p *feedPart[T]) heard(t following.Announcement) {
+	reason := announcementRepeated
+	if p.m.IsNew(t) {
+		reason = announcementNew
 		p.send(t)
 	}
-	p.c.g.metrics.CountReason(telemetry.GatewayWordsTotal, reason)
+	p.c.g.metrics.CountReason(telemetry.GatewayAnnouncementsTotal, reason)
 	if t.Recovered > 0 && !t.Failing {
 		p.recovered(p.c.now.Add(-t.Recovered))
 	}
-	switch p.m.Heard(p.c.now, t) {
+	switch p.m.Received(p.c.now, t) {
 	case following.Apply:
 		items, err := decode[T](t.Rows)
 		if err != nil {
 			p.c.g.log.Emit(telemetry.EventRowsUnreadable, telemetry.Peer(t.Root.ID), telemetry.Cause(err))
-			return // the next word shows that this one was not taken
+			return // the next announcement shows that this one was not taken
 		}
 		before, _ := p.m.Revision()
 		p.m.Advanced(t.Revision, true)
@@ -331,14 +331,14 @@
 
 // tick tells other daemons what is due, and the run method who is to be asked.
 func (p *feedPart[T]) tick() {
-	if t, ok := p.m.Tell(p.c.now); ok {
+	if t, ok := p.m.Announce(p.c.now); ok {
 		p.rows.attach(&t)
 		p.rows = encodedRows{}
 		p.send(t)
 	}
-	least, _ := p.m.Lacks(p.c.now)
-	p.lacks.Store(least)
-	p.follows.Store(p.m.Tells(p.c.now))
+	least, _ := p.m.Overdue(p.c.now)
+	p.overdue.Store(least)
+	p.follows.Store(p.m.Announces(p.c.now))
 	p.seldom.Store(int64(p.m.SeldomWait()))
 	p.setMode(p.m.Mode(p.c.now))
 }
@@ -364,8 +364,8 @@
 	following.Resting: "resting",
 }
 
-// send passes a word on. One that is lost is made up for by the next.
-func (p *feedPart[T]) send(t following.Told) {
+// send passes an announcement on. One that is lost is made up for by the next.
+func (p *feedPart[T]) send(t following.Announcement) {
 	for _, id := range p.m.Next(t.Root.ID) {
 		if i, ok := p.c.view.members.Lookup(id); ok {
 			_ = p.c.g.node.Send(i.Meta.PeerAddress, t)
--- a/gateway/follow_test.go
+++ b/gateway/follow_test.go
@@ -116,8 +116,8 @@
 	const bound = 2 * time.Second
 
 	// Guards against a start of thousands of servers at which each change is a call to the store
-	// of its own, and a word that all daemons work on.
-	It("take many changes that come within seconds together", Label("failure:word-for-each-change"), func() {
+	// of its own, and an announcement that all daemons work on.
+	It("take many changes that come within seconds together", Label("failure:announcement-for-each-change"), func() {
 		p := newPosts("g1", "g2", "g3")
 		before := p.servers[2].calls.Load()
 		began := time.Now()
--- a/gateway/handover.go
+++ b/gateway/handover.go
@@ -39,7 +39,7 @@
 
 const (
 	// giveTimeout bounds one question: a daemon answers within some ms, one that has
-	// just started knows nothing and says so. A daemon that has heard no word for long asks
+	// just started knows nothing and says so. A daemon that has heard no announcement for long asks
 	// one other before the store, and is still to know a change within 2 s.
 	giveTimeout = 50 * time.Millisecond
 	// giveStep is the time between two rounds of questions by a daemon that starts.
@@ -162,7 +162,7 @@
 	return best
 }
 
-// ask has one daemon give what it knows. What is older than a follower's word may be is
+// ask has one daemon give what it knows. What is older than a follower's announcement may be is
 // taken only where no store says more: that daemon may be cut off by itself.
 func (p *feedPart[T]) ask(ctx context.Context, address string, ask rowsAsked) handover {
 	ctx, cancel := context.WithTimeout(ctx, giveTimeout)
@@ -223,7 +223,7 @@
 // given takes up a feed, or what changed in it, from another daemon, unless more is known.
 func (p *feedPart[T]) given(b site.Batch[T], age time.Duration, whole bool) {
 	before, known := p.m.Revision()
-	// Guard (rows-older): what another daemon gave comes beside its words and the store's
+	// Guard (rows-older): what another daemon gave comes beside its announcements and the store's
 	// answers. Were older rows taken, a server that has left since would be listed again.
 	if known && b.Revision < before || !known && !whole {
 		return
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -52,7 +52,7 @@
 	r := peer.NewRegistry()
 	peer.RegisterMembership(r, kindMembership)
 	peer.Register[crashes.Told](r, kindCrashes)
-	peer.Register[following.Told](r, kindFollowing)
+	peer.Register[following.Announcement](r, kindFollowing)
 	peer.Register[suspect.Outdated](r, kindOutdated)
 	peer.Register[suspect.Refusal](r, kindRefusal)
 	peer.Register[suspect.Leaving](r, kindLeaving)
@@ -263,7 +263,7 @@
 		g.control.post(func() { g.control.members.step(membership.Received{From: from, Msg: m}) })
 	case permits.Message:
 		g.control.post(func() { g.control.permits.step(permits.Received{From: from.ID, Msg: m}) })
-	case following.Told:
+	case following.Announcement:
 		g.control.post(func() { g.control.heard(m) })
 	}
 }
--- a/gateway/rows.go
+++ b/gateway/rows.go
@@ -24,9 +24,9 @@
 	bytes []byte
 }
 
-// attach puts the rows into a word, unless the feed has changed again since they were
-// encoded: who took them for all up to the word's revision would miss that change.
-func (r encodedRows) attach(t *following.Told) {
+// attach puts the rows into an announcement, unless the feed has changed again since they were
+// encoded: who took them for all up to the announcement's revision would miss that change.
+func (r encodedRows) attach(t *following.Announcement) {
 	if len(r.bytes) > 0 && r.upTo == t.Changed {
 		t.After, t.Rows = r.after, r.bytes
 	}
--- a/gateway/rowsknown.go
+++ b/gateway/rowsknown.go
@@ -4,7 +4,7 @@
 
 // mostRemoved bounds the removed rows that are remembered: with 630 restarts of servers a
 // day, or half of a site's replaced in 20 s, they reach back for longer than a daemon
-// misses words.
+// misses announcements.
 const mostRemoved = 512
 
 // rowsKnown are a feed's rows as they are known here, for daemons that lack some.
--- a/telemetry/counter.go
+++ b/telemetry/counter.go
@@ -59,7 +59,7 @@
 	GatewayProbesTotal         Name = "gateway_probes_total"
 	GatewayLimitedTotal        Name = "gateway_limited_total"
 	GatewayLayoutsTotal        Name = "gateway_layouts_total"
-	GatewayWordsTotal          Name = "gateway_words_total"
+	GatewayAnnouncementsTotal  Name = "gateway_announcements_total"
 )
 
 // Metrics of the HTTP front, which counts in the scope that Metrics.Scope gives.
@@ -183,7 +183,7 @@
 	{GatewayProbesTotal, KindCounter, byReason, "Probes of backend servers on silent streams, by result."},
 	{GatewayLimitedTotal, KindCounter, byReason, "Requests that met a backend server which names a limit: sent to it, or passed over it for want of a permit."},
 	{GatewayLayoutsTotal, KindCounter, nil, "Layouts of engines that were worked out. Many at a daemon that gives no orders take processor time from its requests."},
-	{GatewayWordsTotal, KindCounter, byReason, "Words of the daemons that follow the store, by whether they were new or had come before."},
+	{GatewayAnnouncementsTotal, KindCounter, byReason, "Announcements of the daemons that follow the store, by whether they were new or had come before."},
 	{ControlMicrosecondsTotal, KindCounter, nil, "Processor time of the control goroutine, in microseconds."},
 
 	{ActiveRequests, KindGauge, nil, "Requests under way at this daemon."},
