Hear a follower again whose incarnation went back

What was to forget the former life ran only where a new one was heard.

Change: at each announcement followers of which nothing new was heard for 12 s are forgotten. The test was red before.

--- a/coordination/following/following.go
+++ b/coordination/following/following.go
@@ -333,6 +333,7 @@
 // Received takes a follower's announcement. Where the verdict is not Known, Advanced is to be
 // called with its revision once its rows are applied.
 func (m *Machine) Received(now time.Time, t Announcement) Verdict {
+	m.forgetSilent(now)
 	if m.IsNew(t) {
 		m.note(now, t)
 	}
@@ -357,7 +358,6 @@
 	took := now.Sub(m.born) - t.Sent
 	h, ok := m.heard[t.Root.ID]
 	if !ok || h.life != t.Root.Incarnation {
-		m.forgetSilent(now)
 		h = &heard{life: t.Root.Incarnation, shortest: took}
 		m.heard[t.Root.ID] = h
 	}
@@ -365,8 +365,8 @@
 	h.sent, h.at, h.age, h.failing = t.Sent, now, t.Age+took-h.shortest, t.Failing
 }
 
-// forgetSilent drops the followers that have not been heard for long. One whose incarnation
-// went back, since the time of day did, is heard again after that.
+// forgetSilent drops the followers of which nothing new was heard for long. One whose
+// incarnation went back, since the time of day did, is heard again after that.
 func (m *Machine) forgetSilent(now time.Time) {
 	maps.DeleteFunc(m.heard, func(_ state.DaemonID, h *heard) bool { return now.Sub(h.at) > forgetAfter })
 }
--- a/coordination/following/following_test.go
+++ b/coordination/following/following_test.go
@@ -133,6 +133,17 @@
 		Expect(m.Mode(at(time.Minute))).To(Equal(following.ByPeers))
 	})
 
+	// Guards against a follower that is not heard any more once its time of day has gone back.
+	It("takes a life of a follower with a lower number once the former one is silent", Label("failure:follower-clock-back"), func() {
+		former, again := announcement(0, 10, 10), announcement(0, 10, 10)
+		former.Root.Incarnation = 2
+		m.Received(at(0), former)
+		m.Received(at(time.Second), again)
+		Expect(m.IsNew(again)).To(BeFalse(), "it may be an announcement of the former life that went round")
+		m.Received(at(13*time.Second), again)
+		Expect(m.Mode(at(13 * time.Second))).To(Equal(following.ByPeers))
+	})
+
 	It("asks a store seldom that does not answer followers", func() {
 		t := announcement(0, 10, 10)
 		t.Failing = true
