--- a/coordination/following/start.go
+++ b/coordination/following/start.go
@@ -21,9 +21,9 @@
 	Draw    float64 // from 0 to 1, another one at each daemon
 }
 
-// Patience is how long the daemon asks others before it reads the store itself. Answering is
+// ReadAfter is how long the daemon asks others before it reads the store itself. Answering is
 // whether any of them answers.
-func (s Start) Patience(answering bool) time.Duration {
+func (s Start) ReadAfter(answering bool) time.Duration {
 	spread := min(time.Duration(s.Daemons)*aloneEach, aloneMost)
 	if answering {
 		spread = min(time.Duration(s.Daemons)*readersEach, readersMost)
--- a/coordination/following/start_test.go
+++ b/coordination/following/start_test.go
@@ -18,10 +18,10 @@
 	reading bool
 }
 
-// startTogether starts daemons that ask each other, and read the store when their patience
-// ends. It returns how long after its start the last one knows the feed, and how many have
+// startTogether starts daemons that ask each other, and read the store some time after their
+// start. It returns how long after its start the last one knows the feed, and how many have
 // read the store.
-func startTogether(daemons int, patience func(following.Start) time.Duration) (last time.Duration, reads int) {
+func startTogether(daemons int, readAfter func(following.Start) time.Duration) (last time.Duration, reads int) {
 	const (
 		step     = 5 * time.Millisecond
 		round    = 25 * time.Millisecond  // between two questions of a daemon
@@ -40,7 +40,7 @@
 			switch {
 			case now < s.began || s.knows > 0 || (now-s.began)/step%(round/step) != 0:
 			case s.reading:
-			case now-s.began >= patience(s.start):
+			case now-s.began >= readAfter(s.start):
 				s.reading = true
 				reads++
 				link = max(link, now) + transfer
@@ -72,13 +72,13 @@
 	// reads all rows from the store, whose link is full, while others could give them.
 	It("know a large feed before requests are turned away, and few of them read it", Label("failure:all-read-at-once"), func() {
 		for _, n := range []int{7, 30, 100, 300, 420} {
-			last, reads := startTogether(n, func(s following.Start) time.Duration { return s.Patience(true) })
+			last, reads := startTogether(n, func(s following.Start) time.Duration { return s.ReadAfter(true) })
 			Expect(last).To(BeNumerically("<=", waits), "of %d", n)
 			Expect(reads).To(BeNumerically("<=", 40), "of %d", n)
 		}
 	})
 
 	It("do not wait long for others of which none answers", func() {
-		Expect(following.Start{Daemons: 300, Draw: 1}.Patience(false)).To(BeNumerically("<=", waits))
+		Expect(following.Start{Daemons: 300, Draw: 1}.ReadAfter(false)).To(BeNumerically("<=", waits))
 	})
 })
--- a/gateway/handover.go
+++ b/gateway/handover.go
@@ -137,7 +137,7 @@
 		}
 		v := p.c.g.current.Load()
 		start := following.Start{Daemons: max(v.live, v.found), Draw: draw}
-		if time.Since(began) >= start.Patience(answering) {
+		if time.Since(began) >= start.ReadAfter(answering) {
 			return false
 		}
 		pause(ctx, giveStep)
--- a/gateway/permitrequest.go
+++ b/gateway/permitrequest.go
@@ -13,9 +13,9 @@
 )
 
 const (
-	// askPatience is how long a request waits for the owner of a server's permits to answer
+	// askTimeout is how long a request waits for the owner of a server's permits to answer
 	// before it goes elsewhere: some round trips.
-	askPatience = 25 * time.Millisecond
+	askTimeout = 25 * time.Millisecond
 	// wantsMost is how many servers' permits one request asks for, one after the other.
 	wantsMost = 4
 )
@@ -43,7 +43,7 @@
 		return true
 	}
 	since := q.wants[i].since
-	return now.Sub(since) >= askPatience || p.Answered(server, since)
+	return now.Sub(since) >= askTimeout || p.Answered(server, since)
 }
 
 // waits reports whether the request waits for a permit.
@@ -64,8 +64,8 @@
 	return holdStep
 }
 
-// needsPermit reports whether no request is to be sent to a server now, and notes that this one would
-// have been.
+// needsPermit reports whether no request is to be sent to a server now, and notes that this one
+// would have been.
 func (b *book) needsPermit(now time.Time, server state.Life, q *permitRequest) bool {
 	if !b.permits.Unavailable(now, server) {
 		return false
