measure: keep the daemons' log, report streams that are late or not whole

Cause: the recovery measurement ran its daemons with logs discarded, so that a slow or lost stream could not be traced to what it waited for.

Recovery reports each stream that did not complete or whose next token came later than the goal, with its request ID and the time of the fault.

--- a/cmd/hibiscusctl/measure.go
+++ b/cmd/hibiscusctl/measure.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"os"
 	"slices"
 	"time"
 
@@ -9,6 +10,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/hibiscuswick/hibiscuswick/measure"
+	"github.com/hibiscuswick/hibiscuswick/telemetry"
 )
 
 const (
@@ -19,6 +21,7 @@
 	flagRounds  = "rounds"
 	flagFault   = "fault"
 	flagQuick   = "quick"
+	flagLog     = "log"
 )
 
 func measureCommand() *cli.Command {
@@ -36,6 +39,7 @@
 		Usage: "measure tokens and requests per second as a share of the engines' theoretical maximum",
 		Flags: []cli.Flag{
 			&cli.BoolFlag{Name: flagJSON, Usage: "print the result as JSON"},
+			&cli.StringFlag{Name: flagLog, Usage: "write the log of all daemons to this file"},
 			&cli.IntFlag{Name: flagSeconds, Usage: "length of each load's measurement window, in seconds", Value: int(def.Window / time.Second)},
 			&cli.IntFlag{Name: flagDaemons, Usage: "daemons to run", Value: def.Daemons},
 			&cli.FloatSliceFlag{Name: flagOffered, Usage: "loads to offer, as shares of the maximum", Value: def.OfferedLoads},
@@ -57,6 +61,12 @@
 	if cfg.Window <= 0 || cfg.Daemons <= 0 {
 		return exitErrorf(exitBadInput, "--%s and --%s must be above 0", flagSeconds, flagDaemons)
 	}
+	log, closeLog, err := openLog(cmd)
+	if err != nil {
+		return err
+	}
+	defer closeLog()
+	cfg.Log = log
 	res, err := measure.RunThroughput(ctx, cfg, progress(cmd))
 	if err != nil {
 		return exitErrorf(exitFailed, "%v", err)
@@ -71,6 +81,7 @@
 		Usage: "measure the time from a failure to a caller's next token or accepted request",
 		Flags: []cli.Flag{
 			&cli.BoolFlag{Name: flagJSON, Usage: "print the result as JSON"},
+			&cli.StringFlag{Name: flagLog, Usage: "write the log of all daemons to this file"},
 			&cli.IntFlag{Name: flagRounds, Usage: "rounds per failure", Value: def.Rounds},
 			&cli.StringSliceFlag{Name: flagFault, Usage: "failures to inject", Value: lo.Map(def.Faults, func(f measure.Fault, _ int) string { return string(f) })},
 			&cli.BoolFlag{Name: flagQuick, Usage: "use the tests' short timeouts instead of the defaults"},
@@ -96,6 +107,12 @@
 	if cfg.Rounds <= 0 {
 		return exitErrorf(exitBadInput, "--%s must be above 0", flagRounds)
 	}
+	log, closeLog, err := openLog(cmd)
+	if err != nil {
+		return err
+	}
+	defer closeLog()
+	cfg.Log = log
 	res, err := measure.RunRecovery(ctx, cfg, progress(cmd))
 	if err != nil {
 		return exitErrorf(exitFailed, "%v", err)
@@ -103,6 +120,25 @@
 	return printMeasure(cmd, res, res.Goals)
 }
 
+// openLog returns a log that writes to the file of the flag, or nil without one, and a
+// function that closes the file.
+func openLog(cmd *cli.Command) (*telemetry.Log, func(), error) {
+	path := cmd.String(flagLog)
+	if path == "" {
+		return nil, func() {}, nil
+	}
+	f, err := os.Create(path)
+	if err != nil {
+		return nil, nil, exitErrorf(exitBadInput, "--%s: %v", flagLog, err)
+	}
+	closeFile := func() {
+		if err := f.Close(); err != nil {
+			printf(cmd.ErrWriter, "--%s: %v\n", flagLog, err)
+		}
+	}
+	return telemetry.NewLog(telemetry.LogConfig{Level: "debug", Output: f}), closeFile, nil
+}
+
 // progress returns a function that prints each step on standard error.
 func progress(cmd *cli.Command) func(string) {
 	return func(line string) { printf(cmd.ErrWriter, "%s\n", line) }
--- a/measure/cluster.go
+++ b/measure/cluster.go
@@ -31,9 +31,13 @@
 	adjust func(*settings.Settings)
 }
 
-// startCluster starts engines and daemons and waits until all daemons serve.
-func startCluster(ctx context.Context, l Layout, daemons int, change func(*settings.Settings)) (*cluster, error) {
-	s, err := site.New(telemetry.Discard())
+// startCluster starts engines and daemons and waits until all daemons serve. The daemons
+// write to log, or nowhere if it is nil.
+func startCluster(ctx context.Context, log *telemetry.Log, l Layout, daemons int, change func(*settings.Settings)) (*cluster, error) {
+	if log == nil {
+		log = telemetry.Discard()
+	}
+	s, err := site.New(log)
 	if err != nil {
 		return nil, err
 	}
--- a/measure/recovery.go
+++ b/measure/recovery.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/hibiscuswick/hibiscuswick/settings"
+	"github.com/hibiscuswick/hibiscuswick/telemetry"
 )
 
 // RecoveryConfig configures the recovery measurement.
@@ -21,6 +22,7 @@
 	ShortTimeouts bool          // use the short timeouts of the tests instead of the defaults
 	Seed          uint64
 	Faults        []Fault
+	Log           *telemetry.Log // of the daemons; nil discards it
 }
 
 // Fault is a kind of injected failure.
@@ -125,7 +127,7 @@
 	if cfg.ShortTimeouts {
 		change = func(*settings.Settings) {}
 	}
-	f, err := startCluster(ctx, cfg.Layout, cfg.Daemons, func(s *settings.Settings) {
+	f, err := startCluster(ctx, cfg.Log, cfg.Layout, cfg.Daemons, func(s *settings.Settings) {
 		change(s)
 		res.Timeouts = Timeouts{
 			Progress: s.Backends.ProgressTimeout, Connect: s.Backends.ConnectTimeout,
--- a/measure/rounds.go
+++ b/measure/rounds.go
@@ -39,10 +39,14 @@
 	FaultResult
 	latencies     latencies
 	otherOutcomes map[ending]int
+	report        func(string)
 }
 
-func newTally(fault Fault, strategy string) *tally {
-	return &tally{FaultResult: FaultResult{Fault: fault, Strategy: strategy}, latencies: newLatencies(), otherOutcomes: make(map[ending]int)}
+func newTally(fault Fault, strategy string, report func(string)) *tally {
+	return &tally{
+		FaultResult: FaultResult{Fault: fault, Strategy: strategy},
+		latencies:   newLatencies(), otherOutcomes: make(map[ending]int), report: report,
+	}
 }
 
 func (t *tally) result() FaultResult {
@@ -52,7 +56,8 @@
 }
 
 // add adds the streams of a round. affected reports whether the fault affected a
-// stream.
+// stream. Streams that were not completed or recovered late are reported one by one, so
+// that they can be found in the log.
 func (t *tally) add(ss *streams, at time.Time, affected func(*stream) bool) {
 	for _, s := range ss.all {
 		t.Streams++
@@ -63,9 +68,13 @@
 		case !s.complete():
 			t.WrongAnswers++
 		}
-		if d, ok := s.timeToNextToken(at); ok && affected(s) {
+		d, ok := s.timeToNextToken(at)
+		if ok && affected(s) {
 			t.latencies.add(d)
 		}
+		if s.outcome != caller.EndCompleted || affected(s) && d > goalStageRecovery {
+			t.report(s.describe(at, d))
+		}
 	}
 }
 
@@ -83,7 +92,7 @@
 
 // measure runs all rounds of one fault.
 func (r *recovery) measure(ctx context.Context, fault Fault) ([]FaultResult, error) {
-	daemonTally, baselineTally := newTally(fault, StrategyDaemons), newTally(fault, StrategyRestart)
+	daemonTally, baselineTally := newTally(fault, StrategyDaemons, r.report), newTally(fault, StrategyRestart, r.report)
 	violations := len(r.cluster.site.Ledger.Violations())
 	for round := range r.cfg.Rounds {
 		if err := r.runRound(ctx, fault, round, daemonTally, baselineTally); err != nil {
--- a/measure/stream.go
+++ b/measure/stream.go
@@ -68,6 +68,13 @@
 	return s.times[i].Sub(at), true
 }
 
+// describe says how a stream ended that a fault at the given time disturbed, and how
+// long it had no token then.
+func (s *stream) describe(at time.Time, gap time.Duration) string {
+	return fmt.Sprintf("fault at %s: request %s had %d of %d tokens, next token after %d ms, ended as %s %s",
+		at.UTC().Format(time.RFC3339Nano), s.request, len(s.times), s.spec.tokens, gap.Milliseconds(), s.outcome, s.reason)
+}
+
 // runner runs one request and reads its answer into a stream.
 type runner func(ctx context.Context, s *stream)
 
--- a/measure/throughput.go
+++ b/measure/throughput.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/hibiscuswick/hibiscuswick/internal/site"
+	"github.com/hibiscuswick/hibiscuswick/telemetry"
 )
 
 // ThroughputConfig configures the throughput measurement.
@@ -17,6 +18,7 @@
 	Window       time.Duration // measurement window of each load
 	OfferedLoads []float64     // as shares of the bound
 	Seed         uint64
+	Log          *telemetry.Log // of the daemons; nil discards it
 }
 
 // DefaultThroughput returns the configuration of the published results.
@@ -69,7 +71,7 @@
 		Machine: currentMachine(), Layout: cfg.Layout, Mix: cfg.Mix, Daemons: cfg.Daemons, WindowSeconds: cfg.Window.Seconds(),
 		Bound: bound, RequestBound: bound / cfg.Mix.MeanTokens(),
 	}
-	f, err := startCluster(ctx, cfg.Layout, cfg.Daemons, nil)
+	f, err := startCluster(ctx, cfg.Log, cfg.Layout, cfg.Daemons, nil)
 	if err != nil {
 		return res, err
 	}
