Send a first step that a restarted stage declines to its new process

Cause: a daemon that had nothing running on an engine when it died keeps the boot ID of the former process. Its next first step there is declined by the new process, with proof that it has not run. The daemon reported the replica as failed: the home took a live replica out of service for its back-off and a probe of 2 s, and the request used up a retry of both budgets.

Ruled out: suspects that hold a replica for a whole answer (the late ones begin together), the 2 s for which retries exclude a failed replica.

Change: the event of a declined step carries the boot ID of the process that declined it, which the daemon asks for. Later steps have lost their cache and begin a new attempt as before.

Tests, red before: "sends the declined first step to the new process" (stage 0: the slot is kept; true to be false), "needs no retry on servers that restarted while idle" (retried_total{reason="unstarted"} 2).

--- a/coordination/request/event.go
+++ b/coordination/request/event.go
@@ -74,6 +74,9 @@
 		Step StepRef
 		// Superseded is set if another owner fenced the step and may have run it.
 		Superseded bool
+		// BootID is the boot ID of the process that declined the step, or empty if it is
+		// unknown.
+		BootID string
 	}
 
 	// StepFailed answers RunStep: the stage's KV cache must not be used.
--- a/coordination/request/recover.go
+++ b/coordination/request/recover.go
@@ -20,9 +20,26 @@
 		r.superseded()
 		return
 	}
+	if r.declinedBySuccessor(ev.BootID) {
+		r.queries++
+		r.replica.Stages = slices.Clone(r.replica.Stages)
+		r.replica.Stages[r.stage].BootID = ev.BootID
+		r.resend()
+		return
+	}
 	r.abandonAttempt(r.clearUnstarted(state.RetryStageUnknown))
 }
 
+// declinedBySuccessor reports whether the step was declined only because the stage's
+// process has restarted, and can be sent to the new process: with the attempt's first
+// token no cache was lost.
+//
+// Guard (stale-boot-id): a server that restarted earlier would count as failed at its
+// first request from each daemon that had nothing running there when it stopped.
+func (r *Request) declinedBySuccessor(bootID string) bool {
+	return r.firstToken && bootID != "" && bootID != r.replica.Stages[r.stage].BootID && r.queries < maxQueries
+}
+
 // clearUnstarted returns the reason for a retry after a step that was proved not to
 // have run. If the step was the attempt's first, it clears the attempt from the record
 // and returns RetryUnstarted; otherwise it returns reason.
--- /dev/null
+++ b/coordination/request/restart_test.go
@@ -0,0 +1,61 @@
+package request_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hibiscuswick/hibiscuswick/coordination/request"
+)
+
+var _ = Describe("A request on a replica with a restarted stage", func() {
+	// Guards against a live server that is taken for dead: a daemon that knows the boot
+	// ID of the stage's former process sends its first step there, and the new process
+	// declines it.
+	It("sends the declined first step to the new process", Label("failure:stale-boot-id"), func() {
+		for stage := range 2 {
+			now := time.Unix(0, 0)
+			r := request.New(request.Spec{
+				ID: "r", Service: "drafts", Customer: "bank", Class: "draft", Prompt: "p",
+				MaxTokens: 1, Owner: 7, FirstTokenDeadline: now.Add(time.Hour),
+			})
+			slot, _ := last[request.AcquireSlot](r.Step(now, request.Start{}))
+			replica := chain(2)
+			actions := r.Step(now, request.SlotGranted{Grant: slot.Attempt, Replica: replica})
+			for range stage {
+				step, _ := last[request.RunStep](actions)
+				actions = r.Step(now, request.StepDone{Step: step.Step, Output: []byte("activation")})
+			}
+			declined, _ := last[request.RunStep](actions)
+			actions = r.Step(now, request.StepNotRun{Step: declined.Step, BootID: "new"})
+
+			_, released := last[request.ReleaseSlot](actions)
+			Expect(released).To(BeFalse(), "stage %d: the slot is kept", stage)
+			_, retried := last[request.DecideRetry](actions)
+			Expect(retried).To(BeFalse(), "stage %d: no retry is used", stage)
+			again, sent := last[request.RunStep](actions)
+			Expect(sent).To(BeTrue(), "stage %d", stage)
+			Expect(again.Stage.BootID).To(Equal("new"))
+			Expect(again.Input).To(Equal(declined.Input))
+			Expect(again.Prompt).To(Equal(declined.Prompt))
+			Expect(replica.Stages[stage].BootID).To(BeEmpty(), "the granted replica is shared")
+		}
+	})
+
+	It("gives up a stage that keeps declining", func() {
+		now := time.Unix(0, 0)
+		r := request.New(request.Spec{ID: "r", Service: "drafts", MaxTokens: 1, Owner: 7, FirstTokenDeadline: now.Add(time.Hour)})
+		slot, _ := last[request.AcquireSlot](r.Step(now, request.Start{}))
+		actions := r.Step(now, request.SlotGranted{Grant: slot.Attempt, Replica: chain(1)})
+		for i := range 10 {
+			step, sent := last[request.RunStep](actions)
+			if !sent {
+				break
+			}
+			actions = r.Step(now, request.StepNotRun{Step: step.Step, BootID: string(rune('a' + i))})
+		}
+		_, retried := last[request.DecideRetry](actions)
+		Expect(retried).To(BeTrue())
+	})
+})
--- a/coordination/request/world_test.go
+++ b/coordination/request/world_test.go
@@ -199,7 +199,7 @@
 	}
 	c := s.cache(a.Step.Attempt)
 	if a.Stage.BootID != s.incarnationName() || c.canceled {
-		return request.StepNotRun{Step: a.Step}
+		return request.StepNotRun{Step: a.Step, BootID: s.incarnationName()}
 	}
 	if a.Step.Epoch < c.epoch {
 		return request.StepNotRun{Step: a.Step, Superseded: true}
--- a/daemon/failure_test.go
+++ b/daemon/failure_test.go
@@ -9,9 +9,13 @@
 
 	"github.com/hibiscuswick/hibiscuswick/protocol/caller"
 	"github.com/hibiscuswick/hibiscuswick/state"
+	"github.com/hibiscuswick/hibiscuswick/telemetry"
 )
 
-const slowStepTime = 4 * time.Millisecond
+const (
+	slowStepTime        = 4 * time.Millisecond
+	connectionCloseTime = 500 * time.Millisecond // for a daemon to see that an engine closed its connections
+)
 
 var _ = Describe("A request", func() {
 	// Guards against a broken answer when a stage dies. The KV cache of the
@@ -28,6 +32,27 @@
 		h.expectNoViolations()
 	})
 
+	// Guards against a live server that is taken for dead: every stage restarts
+	// while this daemon has nothing running there, and its next first step still
+	// names the former process.
+	It("needs no retry on servers that restarted while idle", Label("failure:stale-boot-id"), func() {
+		h := newHarness(2, time.Millisecond)
+		h.warmUpReplicas(1)
+		for _, e := range h.Engines {
+			e.Kill()
+			Expect(e.Restart()).To(Succeed())
+		}
+		// A first step on a connection to the former process may have run there.
+		time.Sleep(connectionCloseTime)
+		for i := range 2 * chains.Replicas {
+			key := fmt.Sprintf("after-%d", i)
+			tokens, outcome := h.read(h.submit(1, summary(key)), -1)
+			expectComplete(tokens, outcome, key)
+		}
+		Expect(h.metric(1, telemetry.RetriedTotal)).To(BeEmpty())
+		h.expectNoViolations()
+	})
+
 	// Guards against running a never-repeat request twice. A stage dies after
 	// the request has started there, so the request fails and no attempt
 	// follows.
--- a/daemon/rig_test.go
+++ b/daemon/rig_test.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"io"
+	"net/http"
+	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -242,6 +245,40 @@
 	Expect(h.Ledger.Violations()).To(BeEmpty())
 }
 
+// warmUpReplicas lets a daemon run requests until it has used every replica.
+func (h *harness) warmUpReplicas(n int) {
+	GinkgoHelper()
+	used := make(map[int]bool)
+	for i := 0; len(used) < chains.Replicas; i++ {
+		var streams []caller.Stream
+		for j := range chains.Replicas {
+			streams = append(streams, h.submit(n, summary(fmt.Sprintf("warm-replica-%d-%d", i, j))))
+		}
+		for _, s := range streams {
+			h.read(s, -1)
+			used[h.replicaOf(s.ID())] = true
+		}
+	}
+}
+
+// metric returns the lines of a metric with a value above 0 at a daemon.
+func (h *harness) metric(n int, name telemetry.Name) []string {
+	GinkgoHelper()
+	res, err := http.Get("http://" + h.Daemons[n].CallerAddress() + "/metrics")
+	Expect(err).NotTo(HaveOccurred())
+	defer res.Body.Close()
+	text, err := io.ReadAll(res.Body)
+	Expect(err).NotTo(HaveOccurred())
+	var out []string
+	for line := range strings.Lines(string(text)) {
+		line = strings.TrimSpace(line)
+		if !strings.HasPrefix(line, "#") && strings.Contains(line, string(name)) && !strings.HasSuffix(line, " 0") {
+			out = append(out, line)
+		}
+	}
+	return out
+}
+
 // runCount counts the executions of a key's prompt that started.
 func (h *harness) runCount(key string) int {
 	return h.Ledger.Runs(promptOf(key))
--- a/daemon/steps.go
+++ b/daemon/steps.go
@@ -43,7 +43,7 @@
 	case res.Status == engine.StepDone:
 		r.post(request.StepDone{Step: a.Step, Output: res.Output, Value: res.Token, Final: res.Final})
 	case res.Status == engine.StepNotRun:
-		r.post(request.StepNotRun{Step: a.Step})
+		r.post(request.StepNotRun{Step: a.Step, BootID: r.currentBootID(a)})
 	case res.Status == engine.StepSuperseded:
 		r.post(request.StepNotRun{Step: a.Step, Superseded: true})
 	default:
@@ -70,6 +70,23 @@
 	}
 }
 
+// currentBootID returns the boot ID of the process that declined a step, or an empty
+// one if it does not answer. If it is another one than the slot was granted with, later
+// deaths of the stage are those of the new process.
+func (r *runner) currentBootID(a request.RunStep) string {
+	bootID, err := r.d.queryBootID(r.ctx, r.d.clients.engine(a.Stage.Address))
+	if err != nil {
+		return ""
+	}
+	if granted := r.grantedReplica.Load(); granted != nil && bootID != a.Stage.BootID {
+		replica := *granted
+		replica.Stages = slices.Clone(granted.Stages)
+		replica.Stages[a.Step.Stage].BootID = bootID
+		r.grantedReplica.Store(&replica)
+	}
+	return bootID
+}
+
 // stepError posts that a call was not answered.
 func (r *runner) stepError(a request.RunStep, err error) {
 	unresponsive := errors.Is(err, enginehttp.ErrUnresponsive)
--- a/scenario/engine.go
+++ b/scenario/engine.go
@@ -89,7 +89,7 @@
 	c := e.cache(attemptKey{request: id, attempt: a.Step.Attempt})
 	switch {
 	case a.Stage.BootID != e.bootID() || c.canceled:
-		return request.StepNotRun{Step: a.Step}
+		return request.StepNotRun{Step: a.Step, BootID: e.bootID()}
 	case a.Step.Epoch < c.epoch:
 		e.sim.printf("%s rejects a step of token %d: its epoch is stale", e.name, a.Step.Token)
 		return request.StepNotRun{Step: a.Step, Superseded: true}
--- a/trace/event.go
+++ b/trace/event.go
@@ -110,7 +110,7 @@
 			Value: m.value(ev.Value), Text: m.text(ev.Text), Final: ev.Final,
 		}
 	case request.StepNotRun:
-		return &Event{Kind: KindStepNotRun, Step: stepRef(ev.Step), Superseded: ev.Superseded}
+		return &Event{Kind: KindStepNotRun, Step: stepRef(ev.Step), Superseded: ev.Superseded, BootID: ev.BootID}
 	case request.StepFailed:
 		return &Event{Kind: KindStepFailed, Step: stepRef(ev.Step)}
 	case request.StepUnanswered:
--- a/trace/property_test.go
+++ b/trace/property_test.go
@@ -101,7 +101,11 @@
 func (d *driver) step(a request.RunStep, outcome int) {
 	switch outcome {
 	case 6:
-		d.feed(request.StepNotRun{Step: a.Step, Superseded: d.chance("superseded")})
+		bootID := ""
+		if d.chance("restarted") {
+			bootID = "two"
+		}
+		d.feed(request.StepNotRun{Step: a.Step, Superseded: d.chance("superseded"), BootID: bootID})
 	case 7:
 		d.feed(request.StepFailed{Step: a.Step})
 	case 8, 9:
--- a/trace/restore.go
+++ b/trace/restore.go
@@ -34,7 +34,7 @@
 	case KindStepDone:
 		return request.StepDone{Step: step, Output: outputBytes(e.Output), Value: e.Value, Text: e.Text, Final: e.Final}, nil
 	case KindStepNotRun:
-		return request.StepNotRun{Step: step, Superseded: e.Superseded}, nil
+		return request.StepNotRun{Step: step, Superseded: e.Superseded, BootID: e.BootID}, nil
 	case KindStepFailed:
 		return request.StepFailed{Step: step}, nil
 	case KindStepUnanswered:
