gateway: a probe that is not sent proves nothing

What callers would see: a daemon that is cut off from the back ends, with many stalled streams, ends streams over live servers and avoids these servers; a dead server gets requests again half a second after its death.

Cause: the prober answered "alive" where its own rate of probes was used up, and where the process had not run while it waited. checkHops took that for the proof that the daemon is connected, handleDeath for the answer of the dead server, and backend_recovered was logged without an answer.

Evidence: brought about by a gateway whose calls reach nobody. With one probe left checkHops of two hops marked the first one dead (red: 1, to be zero-valued); with none left a dead server was no longer excluded after 0.5 s (red: 0 to equal 1).

Change: outcomes of a probe are alive, dead, unknown and not_sent, also in gateway_probes_total.

Ruled out: treating an unsent probe as dead, which would end streams without evidence; asking for proof from the same path only, which would hide a dead server where a burst of stalls has more hops than probes.

--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -24,7 +24,7 @@
 // implicate checks whether a server died while it ran this request, before the answer had
 // begun, and if so notifies all daemons.
 func (r *requestHandler) implicate(server state.BackendIncarnation, address string) {
-	if r.headSent || r.g.prober.alive(server, address) {
+	if r.headSent || !r.g.prober.isDead(server, address) {
 		return
 	}
 	implication, isNew := r.g.shared.implicate(time.Now(), r.fingerprint(), server)
--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"maps"
-	"slices"
 	"sync"
 	"time"
 
@@ -53,24 +52,32 @@
 	results map[string]probeResult // by address
 }
 
-// probeNames are the results of probes in metrics.
-var probeNames = map[bool]string{true: "alive", false: "dead"}
+// probeOutcome is what a probe shows of a server, and its name in metrics.
+type probeOutcome string
+
+// The values of probeOutcome.
+const (
+	probeAlive   probeOutcome = "alive"
+	probeDead    probeOutcome = "dead"
+	probeUnknown probeOutcome = "unknown"  // this process was not running while it waited
+	probeNotSent probeOutcome = "not_sent" // the rate limit was reached
+)
 
 // probeResult is the result of one probe. took and err say why a server counts as dead.
 type probeResult struct {
-	at    time.Time
-	alive bool
-	took  time.Duration
-	err   error
+	at      time.Time
+	outcome probeOutcome
+	took    time.Duration
+	err     error
 }
 
 func newProber(g *Gateway) *prober {
 	return &prober{g: g, limit: rate.NewLimiter(probeRate, probeBurst), results: make(map[string]probeResult)}
 }
 
-// alive reports whether a server answers.
-func (p *prober) alive(server state.BackendIncarnation, address string) bool {
-	return p.probe(server, address).alive
+// isDead reports whether a probe shows that a server does not answer.
+func (p *prober) isDead(server state.BackendIncarnation, address string) bool {
+	return p.probe(server, address).outcome == probeDead
 }
 
 // probe requests a server's report, unless there is a recent result.
@@ -83,7 +90,8 @@
 	}
 	result, _, _ := p.group.Do(address, func() (any, error) {
 		if !p.limit.Allow() {
-			return probeResult{alive: true}, nil
+			p.g.metrics.CountReason(telemetry.GatewayProbesTotal, string(probeNotSent))
+			return probeResult{outcome: probeNotSent}, nil
 		}
 		return p.sendProbe(server, address), nil
 	})
@@ -99,9 +107,14 @@
 	if err == nil {
 		p.g.checkIncarnation(server, address, report.StartTime)
 	}
-	out := probeResult{at: time.Now(), took: time.Since(began), err: err}
-	out.alive = err == nil || out.took > serverProbeTimeout+probeOverrun
-	p.g.metrics.CountReason(telemetry.GatewayProbesTotal, probeNames[out.alive])
+	out := probeResult{at: time.Now(), outcome: probeDead, took: time.Since(began), err: err}
+	switch {
+	case err == nil:
+		out.outcome = probeAlive
+	case out.took > serverProbeTimeout+probeOverrun:
+		out.outcome = probeUnknown
+	}
+	p.g.metrics.CountReason(telemetry.GatewayProbesTotal, string(out.outcome))
 	p.mu.Lock()
 	maps.DeleteFunc(p.results, func(_ string, old probeResult) bool { return !old.isFresh() }) // addresses come and go
 	p.results[address] = out
@@ -121,13 +134,11 @@
 		all.Go(func() { results[i] = p.probe(h.Server, h.Address) })
 	}
 	all.Wait()
-	// One live server proves that this daemon itself is not cut off.
-	isAlive := func(r probeResult) bool { return r.alive }
-	if !slices.ContainsFunc(results, isAlive) && len(hops) > 1 {
+	if len(hops) > 1 && !p.isConnected() {
 		return
 	}
 	for i, h := range hops {
-		if results[i].alive {
+		if results[i].outcome != probeDead {
 			continue
 		}
 		p.handleDeath(h, results[i])
@@ -137,6 +148,22 @@
 	}
 }
 
+// isConnected reports whether any server has answered a recent probe, which proves that
+// this daemon itself is not cut off.
+//
+// Guard (probe-not-sent): a probe that was not sent proves nothing. A daemon that is cut off
+// and has used up its rate would otherwise mark live servers dead and end their streams.
+func (p *prober) isConnected() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, r := range p.results {
+		if r.outcome == probeAlive && r.isFresh() {
+			return true
+		}
+	}
+	return false
+}
+
 // handleDeath excludes a dead server, and probes it until it answers again or
 // reprobeDuration has passed.
 func (p *prober) handleDeath(h fleet.Hop, result probeResult) {
@@ -153,12 +180,13 @@
 				return
 			case <-time.After(reprobeInterval(p.g.currentView.Load().live)):
 			}
-			if p.alive(h.Server, h.Address) {
-				break
+			if p.probe(h.Server, h.Address).outcome == probeAlive {
+				p.g.shared.clearDead(h.Address)
+				p.g.log.Emit(telemetry.EventBackendRecovered, telemetry.Backend(h.Server.ID), telemetry.Address(h.Address))
+				return
 			}
 		}
 		p.g.shared.clearDead(h.Address)
-		p.g.log.Emit(telemetry.EventBackendRecovered, telemetry.Backend(h.Server.ID), telemetry.Address(h.Address))
 	}()
 }
 
--- a/gateway/probe_internal_test.go
+++ b/gateway/probe_internal_test.go
@@ -1,12 +1,41 @@
 package gateway
 
 import (
+	"context"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"golang.org/x/time/rate"
+
+	"github.com/hibiscuswick/hibiscuswick/protocol/backend"
+	"github.com/hibiscuswick/hibiscuswick/state"
+	"github.com/hibiscuswick/hibiscuswick/state/fleet"
 )
 
+// unreachable is a client whose calls reach no backend server.
+type unreachable struct{ backend.Client }
+
+func (unreachable) Report(ctx context.Context, _ string) (backend.Report, error) {
+	<-ctx.Done()
+	return backend.Report{}, ctx.Err()
+}
+
+// newCutOffGateway returns a gateway that reaches no backend server and may send some
+// more probes.
+func newCutOffGateway(probes int) *Gateway {
+	GinkgoHelper()
+	g := newTestControl(GinkgoTB()).g
+	g.backends = unreachable{}
+	g.prober.limit = rate.NewLimiter(0, probes)
+	DeferCleanup(func() { close(g.done) })
+	return g
+}
+
+func hop(id state.BackendID) fleet.Hop {
+	return fleet.Hop{Server: state.BackendIncarnation{ID: id}, Address: string(id)}
+}
+
 // A dead server comes back, and hundreds of daemons that had streams through it probe it.
 // If each probes as often as one daemon may, the starting server gets more probes than
 // requests: 600 per second from 300 daemons.
@@ -20,3 +49,21 @@
 		Expect(reprobeInterval(9)).To(Equal(minReprobeInterval))
 	})
 })
+
+var _ = Describe("A probe that the rate limit holds back", func() {
+	// Guards against live servers that a cut-off daemon marks dead, which ends their streams.
+	It("does not prove that the daemon is connected", Label("failure:probe-not-sent"), func() {
+		g := newCutOffGateway(1)
+		g.prober.checkHops([]fleet.Hop{hop("e1"), hop("e2")})
+		_, dead := g.shared.counts()
+		Expect(dead).To(BeZero())
+	})
+
+	// Guards against new work for a dead server that nobody has asked again.
+	It("does not prove that a dead server is back", Label("failure:probe-not-sent"), func() {
+		g := newCutOffGateway(0)
+		g.prober.handleDeath(hop("e1"), probeResult{})
+		Consistently(func() int { _, dead := g.shared.counts(); return dead }).
+			WithTimeout(3 * minReprobeInterval).Should(Equal(1))
+	})
+})
