Lend retries between daemons

What callers saw: after a stage's death a few streams ended as retries_exhausted after some tokens, where a caller that begins anew gets a whole answer.

Cause: retry budgets belong to one daemon. The streams that a death cuts may run through one of them, whose floor (10 a service, 3 a customer, in 10 s) is then used up while the others' are not.

Change: a retry that the own budgets deny is asked of up to three random daemons, 100 ms each, and counts in the budgets of the one that lends it. After a refusal by all, 250 ms pass before the next question about that budget; 64 are open at most. Counter retry_loans_total. An older daemon refuses the call.

Ruled out: larger floors and no budget for begun streams (the bound grows), waiting for the own window (up to 10 s late), asking for each retry.

--- a/coordination/retry/doc.go
+++ b/coordination/retry/doc.go
@@ -6,6 +6,10 @@
 // and act on its result: Allow permits exactly one more attempt, Deny ends the request
 // with the given reason.
 //
+// A retry that the budgets deny may be asked of other daemons: Loans.Begin says whether to
+// send a LoanRequest, which Budgets.Lend answers; after a granted one AllowLent returns the
+// decision. The bound on retries is that of all daemons' budgets together.
+//
 // Failures handled here:
 //
 //   - Double execution: an attempt that may have run is repeated only if its request
--- a/coordination/retry/retry.go
+++ b/coordination/retry/retry.go
@@ -99,11 +99,11 @@
 	if d, ok := b.spend(now, f, policy.BudgetRatio); !ok {
 		return Deny{Denial: d}
 	}
-	return Allow{
-		Reason:  f.Cause,
-		After:   b.delay(now, f),
-		Exclude: b.exclude(now, f),
-	}
+	return b.allow(now, f)
+}
+
+func (b *Budgets) allow(now time.Time, f Failure) Allow {
+	return Allow{Reason: f.Cause, After: b.delay(now, f), Exclude: b.exclude(now, f)}
 }
 
 // FailedReplicas returns the replicas of a service that failed recently.
--- a/daemon/failure_test.go
+++ b/daemon/failure_test.go
@@ -32,6 +32,27 @@
 		h.expectNoViolations()
 	})
 
+	// Guards against an answer that is lost because its own daemon has used up the
+	// customer's retries, while the other daemons have not.
+	It("completes the answers that a death cuts beyond its daemon's own retries", Label("failure:floor-used-up-at-one-daemon"), func() {
+		h := newHarness(3, slowStepTime)
+		var streams []caller.Stream
+		first := make(map[state.RequestID][]caller.Token)
+		for i := range 8 {
+			s := h.submit(1, summary(fmt.Sprintf("k%d", i)))
+			streams = append(streams, s)
+		}
+		for _, s := range streams {
+			first[s.ID()], _ = h.read(s, 2)
+		}
+		h.Engines[chains.Engine(1, 2)].Kill()
+		for i, s := range streams {
+			rest, outcome := h.read(s, -1)
+			expectComplete(append(first[s.ID()], rest...), outcome, fmt.Sprintf("k%d", i))
+		}
+		h.expectNoViolations()
+	})
+
 	// Guards against a live server that is taken for dead: every stage restarts
 	// while this daemon has nothing running there, and its next first step still
 	// names the former process.
--- a/daemon/messages.go
+++ b/daemon/messages.go
@@ -14,6 +14,7 @@
 	"github.com/hibiscuswick/hibiscuswick/coordination/membership"
 	"github.com/hibiscuswick/hibiscuswick/coordination/quarantine"
 	"github.com/hibiscuswick/hibiscuswick/coordination/request"
+	"github.com/hibiscuswick/hibiscuswick/coordination/retry"
 	"github.com/hibiscuswick/hibiscuswick/coordination/weights"
 	"github.com/hibiscuswick/hibiscuswick/protocol/peer"
 	"github.com/hibiscuswick/hibiscuswick/protocol/platform"
@@ -34,6 +35,7 @@
 	kindLeases     peer.Kind = 900
 	kindWeights    peer.Kind = 1000
 	kindQuarantine peer.Kind = 1100
+	kindRetries    peer.Kind = 1200
 )
 
 // newRegistry registers every message between daemons. New ones are added at
@@ -82,6 +84,9 @@
 	peer.Register[limit.Report](r, kindLimits)
 	peer.Register[limit.Grant](r, kindLimits+1)
 	registerPlacement(r)
+
+	peer.Register[retry.LoanRequest](r, kindRetries)
+	peer.Register[retry.LoanReply](r, kindRetries+1)
 	return r
 }
 
@@ -155,6 +160,9 @@
 	case platform.InstanceListRequest:
 		reply, _ := callControl(ctx, d.control, func() platform.InstanceListPage { return d.control.instances.listRows(msg.From) })
 		return reply, nil
+	case retry.LoanRequest:
+		reply, _ := callControl(ctx, d.control, func() retry.LoanReply { return d.control.retries.lend(msg) })
+		return reply, nil
 	case streams.Pull:
 		return d.servePull(ctx, msg), nil
 	case streams.CancelRequest:
--- a/daemon/retries.go
+++ b/daemon/retries.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"context"
 	"time"
 
 	"github.com/hibiscuswick/hibiscuswick/coordination/request"
@@ -14,22 +15,28 @@
 type retriesComponent struct {
 	c       *control
 	budgets *retry.Budgets
+	loans   *retry.Loans
 }
 
 func newRetriesComponent(c *control) *retriesComponent {
-	return &retriesComponent{c: c, budgets: retry.New(retry.Config{}, c.now, c.rng)}
+	return &retriesComponent{c: c, budgets: retry.New(retry.Config{}, c.now, c.rng), loans: retry.NewLoans()}
+}
+
+// policy returns the retry policy of a service, or the defaults if its document is not
+// known here.
+func (rc *retriesComponent) policy(id state.ServiceID) service.Retry {
+	if v, ok := rc.c.documents.active[id]; ok {
+		return v.Document.Retry
+	}
+	return service.Retry{}
 }
 
 // decide decides whether a request whose attempt was lost is retried.
 func (rc *retriesComponent) decide(r *runner, a request.DecideRetry) {
-	var policy service.Retry
-	if v, ok := rc.c.documents.active[r.spec.Service]; ok {
-		policy = v.Document.Retry
-	}
 	failure := retry.Failure{
 		Service:    r.spec.Service,
 		Customer:   r.spec.Customer,
-		Policy:     policy,
+		Policy:     rc.policy(r.spec.Service),
 		Cause:      a.Reason,
 		Attempts:   len(a.Tried) + 1,
 		Execution:  a.Execution,
@@ -39,17 +46,85 @@
 	}
 	switch d := rc.budgets.Decide(rc.c.now, failure).(type) {
 	case retry.Allow:
-		rc.c.d.metrics.Retried(d.Reason)
-		rc.c.d.log.Emit(telemetry.EventRequestRetried, telemetry.Request(r.spec.ID),
-			telemetry.RetryReason(d.Reason), telemetry.Replica(a.Replica))
-		at := rc.c.now.Add(d.After)
-		go r.post(request.RetryDecided{Allowed: true, At: at, Exclude: d.Exclude})
+		rc.allow(r, d, a.Replica)
 	case retry.Deny:
-		rc.denied(r, d.Denial)
-		go r.post(request.RetryDecided{Reason: d.Denial.Reason()})
+		if rc.loans.Begin(rc.c.now, d.Denial, failure) {
+			rc.borrow(r, failure, d.Denial)
+			return
+		}
+		rc.deny(r, d.Denial)
 	}
 }
 
+func (rc *retriesComponent) allow(r *runner, d retry.Allow, failed state.ReplicaID) {
+	rc.c.d.metrics.Retried(d.Reason)
+	rc.c.d.log.Emit(telemetry.EventRequestRetried, telemetry.Request(r.spec.ID),
+		telemetry.RetryReason(d.Reason), telemetry.Replica(failed))
+	at := rc.c.now.Add(d.After)
+	go r.post(request.RetryDecided{Allowed: true, At: at, Exclude: d.Exclude})
+}
+
+func (rc *retriesComponent) deny(r *runner, d retry.Denial) {
+	rc.denied(r, d)
+	go r.post(request.RetryDecided{Reason: d.Reason()})
+}
+
+// borrow asks other daemons for the retry that the budgets here deny.
+//
+// Guard (floor-used-up-at-one-daemon): the floors belong to each daemon, and a customer's
+// streams may all run through one. A stream that a death cuts would be lost while the
+// other daemons' retries are unused.
+func (rc *retriesComponent) borrow(r *runner, f retry.Failure, d retry.Denial) {
+	lenders := rc.lenders()
+	go func() {
+		granted := rc.c.d.askForLoan(r.ctx, lenders, retry.LoanRequest{Service: f.Service, Customer: f.Customer})
+		rc.c.post(func() {
+			rc.loans.End(rc.c.now, d, f, granted)
+			rc.c.d.metrics.CountReason(telemetry.RetryLoansTotal, loanResults[granted])
+			if granted {
+				rc.allow(r, rc.budgets.AllowLent(rc.c.now, f), f.Replica)
+				return
+			}
+			rc.deny(r, d)
+		})
+	}()
+}
+
+// loanResults are the results of loans in metrics.
+var loanResults = map[bool]string{true: "granted", false: "refused"}
+
+// lenders returns the addresses of random live daemons, at most MaxLenders of them.
+func (rc *retriesComponent) lenders() []string {
+	var out []string
+	ids := rc.c.members.liveIDs()
+	rc.c.rng.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
+	for _, id := range ids {
+		if id != rc.c.d.self.ID && len(out) < retry.MaxLenders {
+			out = append(out, rc.c.members.address(id))
+		}
+	}
+	return out
+}
+
+// askForLoan asks daemons for one retry, one after another, and reports whether one of
+// them has lent it.
+func (d *Daemon) askForLoan(ctx context.Context, lenders []string, req retry.LoanRequest) bool {
+	for _, address := range lenders {
+		callCtx, cancel := context.WithTimeout(ctx, retry.LoanTimeout)
+		res, err := d.node.Call(callCtx, address, req)
+		cancel()
+		if reply, ok := res.Msg.(retry.LoanReply); err == nil && ok && reply.Granted {
+			return true
+		}
+	}
+	return false
+}
+
+// lend answers another daemon's request for a retry.
+func (rc *retriesComponent) lend(req retry.LoanRequest) retry.LoanReply {
+	return rc.budgets.Lend(rc.c.now, req, rc.policy(req.Service))
+}
+
 // denied counts a lost attempt that is not retried.
 func (rc *retriesComponent) denied(r *runner, d retry.Denial) {
 	rc.c.d.metrics.CountReason(telemetry.RetryDeniedTotal, string(d))
--- a/telemetry/counter.go
+++ b/telemetry/counter.go
@@ -22,6 +22,7 @@
 	UnknownTotal               Name = "unknown_total"
 	RetriedTotal               Name = "retried_total"
 	RetryDeniedTotal           Name = "retry_denied_total"
+	RetryLoansTotal            Name = "retry_loans_total"
 	LimitedTotal               Name = "limited_total"
 	TokensTotal                Name = "tokens_total"
 	ReattachedTotal            Name = "reattached_total"
@@ -147,6 +148,7 @@
 	{UnknownTotal, KindCounter, byReason, "Requests for which it is not known whether they ran, by reason."},
 	{RetriedTotal, KindCounter, byReason, "Attempts after the first, by the reason of the retry."},
 	{RetryDeniedTotal, KindCounter, byReason, "Failed attempts that were not retried, by the reason for not retrying."},
+	{RetryLoansTotal, KindCounter, byReason, "Retries beyond this daemon's own budgets that other daemons were asked for, by whether one lent it."},
 	{LimitedTotal, KindCounter, byReason, "Requests that got no token of their customer's limit, by the reason."},
 	{TokensTotal, KindCounter, nil, "Tokens delivered to callers."},
 	{ReattachedTotal, KindCounter, nil, "Streams that a caller re-attached to."},
