claims: each write of a batch has its own timeout

What callers would see: while the store does not answer, a never-repeat request learns of it up to 0.2 s late, or later where its write repeated another one.

Cause: scheduleRetry compared the timeout with the first write of the batch. Urgent writes stand before lazy ones, and a duplicate is queued again with its old time, so the first write need not be the oldest.

Evidence: a lazy write with an urgent one 199 ms younger, at a store that answers nothing, was answered after 1.099 s of 1 s ("fails each write at its own timeout and sends the others again", red before, for NotSent and Unanswered).

Change: writes whose timeout would pass before the next try fail, and the transaction is sent again with the others. Whether it was committed after all is found as before, by the conflict and the rows. Ruled out: ending the whole batch with its oldest write, which fails young writes early.

Specs and properties of the package hold.

--- a/coordination/claims/inflight.go
+++ b/coordination/claims/inflight.go
@@ -45,12 +45,17 @@
 }
 
 func (b *Batcher) commit(writes []*write, splitHalf bool) {
+	c := &storeCall{writes: writes, txn: txnOf(writes), splitHalf: splitHalf}
+	b.send(c, store.Commit{Txn: c.txn})
+}
+
+func txnOf(writes []*write) store.Txn {
 	var txn store.Txn
 	for _, w := range writes {
 		txn.Conditions = append(txn.Conditions, store.Condition{Table: Table, Key: w.req.Key, Revision: w.req.Base})
 		txn.Writes = append(txn.Writes, store.Write{Table: Table, Key: w.req.Key, Value: w.req.Value})
 	}
-	b.send(&storeCall{writes: writes, txn: txn, splitHalf: splitHalf}, store.Commit{Txn: txn})
+	return txn
 }
 
 func (b *Batcher) send(c *storeCall, req store.Request) {
@@ -164,15 +169,28 @@
 	return store.NotSent
 }
 
-// scheduleRetry schedules the transaction to be sent again, or fails its writes if
-// the write timeout would pass before that.
+// scheduleRetry schedules the transaction to be sent again, without the writes whose
+// timeout would pass before that: these fail. If the transaction was committed after all,
+// the remaining rows conflict, and reading them shows it.
+//
+// Guard (old-write-behind-a-young-one): a write that waited as a lazy one or as a duplicate
+// may be far older than the first of its batch.
 func (b *Batcher) scheduleRetry(id store.CallID, c *storeCall) {
 	c.retryAt = b.now.Add(b.cfg.Retry)
-	if c.retryAt.Before(c.writes[0].receivedAt.Add(b.cfg.WriteTimeout)) {
-		return
-	}
-	b.removeCall(id)
+	var remaining, expired []*write
 	for _, w := range c.writes {
+		if c.retryAt.Before(w.receivedAt.Add(b.cfg.WriteTimeout)) {
+			remaining = append(remaining, w)
+			continue
+		}
+		expired = append(expired, w)
+	}
+	if len(remaining) == 0 {
+		b.removeCall(id)
+	} else if len(expired) > 0 {
+		c.writes, c.txn = remaining, txnOf(remaining)
+	}
+	for _, w := range expired {
 		b.finish(w, b.failureStatus(w), nil)
 	}
 }
