home: only its holder ends a grant's exclusive phase

What callers would see: two suspects of a death begin on one replica; if one ends it, the other, innocent one may be quarantined and its caller refused.

Cause: ExclusiveEnded was accepted from any daemon and any incarnation, where release and cancel compare the holder.

Evidence: "ends an exclusive phase for the grant's holder only", red before: the message of another daemon let the next suspect begin.

Change: the holder is compared. Ruled out: trusting the request's ID, which other daemons know from the registry.

--- a/coordination/home/choose_test.go
+++ b/coordination/home/choose_test.go
@@ -102,6 +102,26 @@
 		Expect(w.granted).To(HaveKey(third))
 	})
 
+	// Guards against a second suspect that starts beside the first, so that a death could
+	// not be attributed: only the holder of a staggered grant ends its exclusive phase.
+	It("ends an exclusive phase for the grant's holder only", Label("failure:request-crashes-servers"), func() {
+		w := newSimulation(home.Config{}, document(100, 1), replicas(1, 5), entry1, entry2)
+		for _, from := range []state.Member{entry1, entry2} {
+			w.step(home.Received{From: from, Msg: home.GrantReport{Pool: poolID}})
+		}
+		staggered := func(m *home.SlotRequest) { m.Exclusive, m.Staggered = true, true }
+		first := w.request(entry1, "draft", 0, staggered)
+		Expect(w.granted).To(HaveKey(first))
+		second := w.request(entry2, "draft", 0, staggered)
+		other := state.Member{ID: entry1.ID, Incarnation: entry1.Incarnation + 1}
+		for _, from := range []state.Member{entry2, other} {
+			w.step(home.Received{From: from, Msg: home.ExclusiveEnded{ID: first, Pool: poolID}})
+			Expect(w.granted).NotTo(HaveKey(second), "%v does not hold the grant", from)
+		}
+		w.step(home.Received{From: entry1, Msg: home.ExclusiveEnded{ID: first, Pool: poolID}})
+		Expect(w.granted).To(HaveKey(second))
+	})
+
 	// A server reports that it is leaving, and restarts under its name before the
 	// platform's list shows either. The report must not outlive the process that it
 	// came from, or the replica is never used again.
--- a/coordination/home/receive.go
+++ b/coordination/home/receive.go
@@ -20,8 +20,8 @@
 			p.release(now, from, m)
 		}
 	case ExclusiveEnded:
-		if p := h.pools[m.Pool]; p != nil && p.grants[m.ID] != nil {
-			p.endExclusive(now, p.grants[m.ID])
+		if p := h.pools[m.Pool]; p != nil {
+			p.exclusiveEnded(now, from, m.ID)
 		}
 	case CancelSlotRequest:
 		if p := h.pools[m.Pool]; p != nil {
@@ -212,6 +212,13 @@
 	p.baseRate += baseSmoothing * (normalized - p.baseRate)
 }
 
+// exclusiveEnded ends the exclusive phase of a grant if its holder reports it.
+func (p *pool) exclusiveEnded(now time.Time, from state.Member, requestID SlotRequestID) {
+	if g := p.grants[requestID]; g != nil && g.holder == from {
+		p.endExclusive(now, g)
+	}
+}
+
 // cancel ends a waiter, or the grant that was sent before the cancel arrived.
 func (p *pool) cancel(now time.Time, from state.Member, requestID SlotRequestID) {
 	if w := p.waiters[requestID]; w != nil && w.from == from {
