limit: refuse customers that a document has dropped

What callers would see: a customer that its document no longer names is served while its key is in use; requests that wait for a token are admitted after the change.

Cause: setLimits deletes the limit, not the entry with its tokens, and acquire took any entry as proof of a limit.

Evidence: "is refused at once" and "has its waiting requests refused", red before (no refusal, to equal limit_unknown).

Change: acquire needs the limit; requests that wait are refused with the change. Ruled out: deleting entry and bucket, whose tokens would be lent a second time if the customer came back.

--- a/coordination/limit/machine.go
+++ b/coordination/limit/machine.go
@@ -158,6 +158,20 @@
 		m.limits[key] = l
 		m.owner.setLimit(now, key, l)
 	}
+	m.refuseRemoved(ev.Service)
+}
+
+// refuseRemoved refuses the waiting requests of customers that a service no longer has.
+func (m *Limiter) refuseRemoved(id state.ServiceID) {
+	for _, e := range m.orderedEntries {
+		if _, ok := m.limits[e.key]; ok || e.key.Service != id {
+			continue
+		}
+		for _, p := range e.pending {
+			m.refuse(p.call, ReasonNoLimit, 0)
+		}
+		e.pending = nil
+	}
 }
 
 func (m *Limiter) members(live []state.Member) {
--- a/coordination/limit/requests.go
+++ b/coordination/limit/requests.go
@@ -10,8 +10,12 @@
 // acquire spends an available token, or makes the request wait for the owner's
 // answer.
 func (m *Limiter) acquire(now time.Time, ev Acquire) {
-	e, ok := m.entry(Key{Service: ev.Service, Customer: ev.Customer})
-	if !ok {
+	key := Key{Service: ev.Service, Customer: ev.Customer}
+	// Guard (removed-customer-served): an entry outlives its customer, since the tokens that
+	// it holds would be lent a second time if the customer came back.
+	_, limited := m.limits[key]
+	e, ok := m.entry(key)
+	if !limited || !ok {
 		m.refuse(ev.Call, ReasonNoLimit, 0)
 		return
 	}
