transport/peer: answer a call before the spec blackholes the connection

Cause: it blackholes the connection as soon as the call has arrived, at times before a byte has come back on it. Such a connection counts as one that never answered, by design ("that never answered makes its address unreachable"), and the third call meets the back-off. The spec named another case than it brought about.

Change: a call is answered first. Every expectation stays; the list of received calls has one more.

Ruled out: a fault of the node, whose rule for connections that never answered has a spec of its own.

--- a/transport/peer/node_test.go
+++ b/transport/peer/node_test.go
@@ -269,9 +269,12 @@
 	It("fails its calls as unanswered and is replaced by one that works", func() {
 		a, b := start("a", shortTimeouts), start("b", nil)
 		p := proxy(b)
+		// A connection that has never answered makes its address unreachable instead.
+		_, err := a.Call(context.Background(), p.Address(), testCall{N: 0})
+		Expect(err).NotTo(HaveOccurred())
 		b.locked(func() { b.release = make(chan struct{}) })
 		first := startCall(a, p.Address(), 1)
-		Eventually(b.receivedCalls, testTimeout).Should(Equal([]int{1}))
+		Eventually(b.receivedCalls, testTimeout).Should(Equal([]int{0, 1}))
 		p.BlackholeConnections()
 		second := startCall(a, p.Address(), 2)
 
@@ -285,7 +288,7 @@
 		r, err := a.Call(context.Background(), p.Address(), testCall{N: 3})
 		Expect(err).NotTo(HaveOccurred())
 		Expect(r.Msg).To(Equal(testAnswer{N: 3}))
-		Expect(b.receivedCalls()).To(Equal([]int{1, 3}))
+		Expect(b.receivedCalls()).To(Equal([]int{0, 1, 3}))
 		Expect(a.lostConnections()).To(HaveLen(1))
 		Expect(a.lostConnections()[0]).To(MatchError(peer.ErrUnresponsive))
 		Expect(a.lostConnections()[0]).NotTo(MatchError(peer.ErrUnreachable))
