request: remove the names of phases, which were wrong and unused

Cause: phase.String had no entry for phaseAwaitingReplica, so that each later name was shifted by one and phaseEnded would have panicked. Nothing calls it: no log, script or error prints a phase.

Change: the method is removed. Ruled out: a table with the missing name, which nothing would read and no spec could see from outside.

--- a/coordination/request/spec.go
+++ b/coordination/request/spec.go
@@ -58,9 +58,3 @@
 	phaseVoiding    // the claim is voided before the refusal
 	phaseEnded
 )
-
-// String returns the name of the phase for logs and scripts.
-func (p phase) String() string {
-	names := [...]string{"new", "queued", "claiming", "running", "asking", "adopting", "retry-wait", "backoff", "voiding", "ended"}
-	return names[p]
-}
