daemon: log a death once, remove unused fields

What operators saw: backend_died twice at one daemon for one death, and a count of deaths that is too high.

Cause: a death is noticed by the streams that it cuts (quarantine) and by queries that are not answered (deathsTracker), and each logged it.

Evidence: "logs a death once at each daemon", red before ([entry-1 entry-2 entry-1], to have length 2).

Change: both log through deathsTracker, which remembers a logged death until the server answers a query. A death of a server that this daemon does not query is logged by the quarantine alone, as before. Ruled out: logging by queries only, where fixed placements have none. slotsComponent.leaving and lock.allowedAt were written, never read, and are gone.

--- a/coordination/quarantine/lock.go
+++ b/coordination/quarantine/lock.go
@@ -37,9 +37,8 @@
 	watchedRevision uint64 // of a lock that another daemon holds
 	watchedSince    time.Time
 
-	runBegan  bool
-	allowedAt time.Time
-	death     uint64 // of the replica of the exclusive run
+	runBegan bool
+	death    uint64 // of the replica of the exclusive run
 }
 
 // acquire starts, or continues, to try to take the lock.
@@ -171,7 +170,6 @@
 		return
 	}
 	lk.phase = phaseHeld
-	lk.allowedAt = now
 	lk.wakeAt = now.Add(m.cfg.LockTTL / 2)
 	m.actions = append(m.actions, Allow{Call: lk.waiting[0], Exclusive: true, Lock: lk.id, Until: lk.wakeAt})
 	lk.waiting = slices.Delete(lk.waiting, 0, 1)
--- a/daemon/deaths.go
+++ b/daemon/deaths.go
@@ -42,7 +42,8 @@
 // answerHistory is how a backend server answered recent queries.
 type answerHistory struct {
 	queriedAt time.Time
-	failures  int // consecutive
+	failures  int  // consecutive
+	logged    bool // its death, since it last answered
 }
 
 func newDeathsTracker(c *control) *deathsTracker {
@@ -58,7 +59,7 @@
 	}
 	hist.queriedAt = dt.c.now
 	if answered {
-		hist.failures = 0
+		hist.failures, hist.logged = 0, false
 		if dt.isDead(id) {
 			dt.c.d.log.Emit(telemetry.EventBackendRecovered, telemetry.Backend(id))
 			dt.c.members.step(membership.ReportBackend{Backend: id, Kind: membership.BackendAvailable})
@@ -70,11 +71,23 @@
 		return
 	}
 	if !dt.isDead(id) {
-		dt.c.d.log.Emit(telemetry.EventBackendDied, telemetry.Backend(id))
+		dt.logDeath(id)
 	}
 	dt.c.members.step(membership.ReportBackend{Backend: id, Kind: membership.BackendFailed})
 }
 
+// logDeath logs a death, once until the server answers a query again: both requests and
+// queries notice it.
+func (dt *deathsTracker) logDeath(id state.BackendID, fields ...telemetry.Field) {
+	if hist, ok := dt.servers[id]; ok {
+		if hist.logged {
+			return
+		}
+		hist.logged = true
+	}
+	dt.c.d.log.Emit(telemetry.EventBackendDied, append(fields, telemetry.Backend(id))...)
+}
+
 // failureLimit returns how many consecutive failures currently count as a
 // death.
 func (dt *deathsTracker) failureLimit() int {
--- a/daemon/placement_test.go
+++ b/daemon/placement_test.go
@@ -19,6 +19,7 @@
 	"github.com/hibiscuswick/hibiscuswick/coordination/lease"
 	"github.com/hibiscuswick/hibiscuswick/internal/site"
 	"github.com/hibiscuswick/hibiscuswick/internal/standin"
+	"github.com/hibiscuswick/hibiscuswick/protocol/caller"
 	"github.com/hibiscuswick/hibiscuswick/protocol/engine"
 	"github.com/hibiscuswick/hibiscuswick/protocol/platform"
 	"github.com/hibiscuswick/hibiscuswick/state"
@@ -142,6 +143,20 @@
 	return n
 }
 
+// lines returns the daemons that wrote an event about a backend server, one for each line.
+func (l *eventLog) lines(event string, id state.BackendID) []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out []string
+	for line := range bytes.Lines(l.text.Bytes()) {
+		var fields struct{ Event, Backend, Daemon string }
+		if json.Unmarshal(line, &fields) == nil && fields.Event == event && fields.Backend == string(id) {
+			out = append(out, fields.Daemon)
+		}
+	}
+	return out
+}
+
 // holder returns the index of the daemon in the drafts lease row, or -1.
 func (h *autoHarness) holder() int {
 	for _, row := range h.Platform.Rows(lease.Table) {
@@ -265,6 +280,34 @@
 		h.expectNoViolations()
 	})
 
+	// Guards against an operator who counts one death as two: a daemon sees it both by a
+	// stream that it cuts and by queries that are not answered.
+	It("logs a death once at each daemon", Label("failure:stage-dies-mid-stream"), func() {
+		h := newAutoHarness(2, 3, 2, 2)
+		h.awaitLimits()
+		var streams []caller.Stream
+		for n := range h.Daemons {
+			streams = append(streams, h.submit(n, summary(fmt.Sprintf("s%d", n))), h.submit(n, summary(fmt.Sprintf("t%d", n))))
+		}
+		for _, s := range streams {
+			h.read(s, 3)
+		}
+		var lost state.BackendID
+		for id, e := range h.Engines {
+			if e.HasStarted(streams[0].ID()) && e.State().Layers.First > 0 {
+				lost = id
+			}
+		}
+		h.Engines[lost].Kill()
+		for _, s := range streams {
+			h.read(s, -1)
+		}
+		h.awaitPlaced("1", 2)
+		deaths := h.log.lines("backend_died", lost)
+		Expect(deaths).NotTo(BeEmpty())
+		Expect(lo.Uniq(deaths)).To(HaveLen(len(deaths)), "%v", deaths)
+	})
+
 	// Guards against failed or repeated requests during a roll-out. There are
 	// too few engines for both versions at once, two more join meanwhile, and
 	// the chains of the old version are replaced while they serve.
--- a/daemon/quarantine.go
+++ b/daemon/quarantine.go
@@ -207,7 +207,7 @@
 		return
 	}
 	qc.reportedDead[s.Backend] = s.BootID
-	qc.c.d.log.Emit(telemetry.EventBackendDied, telemetry.Backend(s.Backend), telemetry.Replica(replica.ID))
+	qc.c.deaths.logDeath(s.Backend, telemetry.Replica(replica.ID))
 	qc.step(quarantine.BackendDied{Replica: replica.ID, Domain: replica.FailureDomain})
 }
 
--- a/daemon/slots.go
+++ b/daemon/slots.go
@@ -25,7 +25,6 @@
 
 	documents map[state.ServiceID]*service.Versioned
 	replicas  map[state.ReplicaID]state.Replica
-	leaving   map[state.ReplicaID]bool
 	pools     []home.PoolSpec // that this daemon is home of
 	waiting   map[home.SlotRequestID]*runner
 	// unreported holds the backend servers of newly assigned pools that have
@@ -51,7 +50,6 @@
 		homes:      home.New(home.Config{}),
 		documents:  make(map[state.ServiceID]*service.Versioned),
 		replicas:   make(map[state.ReplicaID]state.Replica),
-		leaving:    make(map[state.ReplicaID]bool),
 		waiting:    make(map[home.SlotRequestID]*runner),
 		unreported: make(map[state.BackendID]bool),
 		pending:    make(map[home.PoolID]time.Time),
