home: the first token of a probe proves its replica

Replicas that come back together, as after the loss of a rack, serve one request each for 2 s while all others wait.

Cause: a replica that has failed gets one request as a probe. The home learns of its success from the release only, which for a long answer comes after the 2 s that clear a probe by themselves.

"gives a replica other requests at its probe's first token", red before (2 granted of 6 after both probes had a token); "takes a restarted replica for good at its first token", red before (phase ended, to equal running).

Change: SlotGrant says that it is a probe, and its holder reports the first token with ExclusiveEnded; every stage has taken part in it. Older homes ignore the message, older holders send none, and the 2 s remain for them. Ruled out: a shorter probe, which would give never-repeat requests to a replica whose connection is unresponsive; several probes at a time, which prove nothing.

The spec "needs no retry on servers that restarted while idle" reads the counter for twice the interval at which it is reported; it read it once.

--- a/coordination/home/choose_test.go
+++ b/coordination/home/choose_test.go
@@ -102,6 +102,35 @@
 		Expect(w.granted).To(HaveKey(third))
 	})
 
+	// Guards against requests that wait for seconds while replicas that have restarted
+	// together serve one request each: the first token proves a replica.
+	It("gives a replica other requests at its probe's first token", Label("failure:probe-outlasts-its-proof"), func() {
+		w := newSimulation(home.Config{}, document(100, 1), replicas(2, 5), entry1)
+		w.step(home.Received{From: entry1, Msg: home.GrantReport{Pool: poolID}})
+		for range 2 {
+			w.release(entry1, w.request(entry1, "draft", 0), home.OutcomeFailed)
+		}
+		var waiting []home.SlotRequestID
+		for range 6 {
+			waiting = append(waiting, w.request(entry1, "draft", 0))
+		}
+		w.advance(time.Second)
+		Expect(w.granted).To(HaveLen(2), "one probe per replica")
+		for _, id := range waiting {
+			if g, ok := w.granted[id]; ok {
+				Expect(g.Probe).To(BeTrue())
+			}
+		}
+		w.advance(50 * time.Millisecond)
+		for _, id := range waiting {
+			if g, ok := w.granted[id]; ok && g.Probe {
+				w.step(home.Received{From: entry1, Msg: home.ExclusiveEnded{ID: id, Pool: poolID}})
+			}
+		}
+		Expect(w.granted).To(HaveLen(6))
+		Expect(w.suspected).To(BeEmpty())
+	})
+
 	// Guards against a second suspect that starts beside the first, so that a death could
 	// not be attributed: only the holder of a staggered grant ends its exclusive phase.
 	It("ends an exclusive phase for the grant's holder only", Label("failure:request-crashes-servers"), func() {
--- a/coordination/home/dispatch.go
+++ b/coordination/home/dispatch.go
@@ -60,7 +60,11 @@
 	for _, prefix := range w.prefixes {
 		p.cache.insert(now, prefix, r.id)
 	}
-	p.send(w.from.ID, SlotGrant{ID: w.requestID, Pool: p.id, Replica: r.id, Summary: p.summary(now)})
+	p.sendGrant(w.from.ID, w.requestID, r, now)
+}
+
+func (p *pool) sendGrant(to state.DaemonID, requestID SlotRequestID, r *replica, now time.Time) {
+	p.send(to, SlotGrant{ID: requestID, Pool: p.id, Replica: r.id, Summary: p.summary(now), Probe: r.isProbe(requestID)})
 }
 
 // expire refuses the waiters whose time has run out.
--- a/coordination/home/message.go
+++ b/coordination/home/message.go
@@ -67,7 +67,8 @@
 
 // ExclusiveEnded is sent by the entry daemon of a staggered grant when the request is
 // past the point at which it may crash its replica, so that other requests may start
-// there.
+// there. For the grant of a probe it reports the first token, which every stage of the
+// replica has taken part in.
 type ExclusiveEnded struct {
 	ID   SlotRequestID `msgpack:"k"`
 	Pool PoolID        `msgpack:"p"`
@@ -79,6 +80,10 @@
 	Pool    PoolID          `msgpack:"p"`
 	Replica state.ReplicaID `msgpack:"i"`
 	Summary Summary         `msgpack:"s"`
+
+	// Probe asks the holder for ExclusiveEnded at the request's first token: the replica
+	// has failed before, and gets no other request until then.
+	Probe bool `msgpack:"b,omitempty"`
 }
 
 // SlotRefusal ends a slot request without a slot.
--- a/coordination/home/pool.go
+++ b/coordination/home/pool.go
@@ -255,7 +255,7 @@
 	if g.exclusive {
 		g.target.exclusive = false
 	}
-	if g.target.probing && g.target.probe == g.requestID {
+	if g.target.isProbe(g.requestID) {
 		g.target.probing = false
 	}
 	p.count(g, -1)
--- a/coordination/home/receive.go
+++ b/coordination/home/receive.go
@@ -176,7 +176,7 @@
 	if g.rank < len(p.holdTimes) {
 		p.holdTimes[g.rank].add(now.Sub(g.at))
 	}
-	if g.target.probing && g.target.probe == m.ID {
+	if g.target.isProbe(m.ID) {
 		p.markRecovered(g.target)
 	}
 	if m.Tokens >= minSampleTokens && m.DecodeTime > 0 {
@@ -212,11 +212,21 @@
 	p.baseRate += baseSmoothing * (normalized - p.baseRate)
 }
 
-// exclusiveEnded ends the exclusive phase of a grant if its holder reports it.
+// exclusiveEnded ends the exclusive phase of a grant if its holder reports it. The probe
+// of a replica has passed then.
+//
+// Guard (probe-outlasts-its-proof): with only the duration of a probe as proof, replicas
+// that come back together serve one request each for seconds, and all others wait.
 func (p *pool) exclusiveEnded(now time.Time, from state.Member, requestID SlotRequestID) {
-	if g := p.grants[requestID]; g != nil && g.holder == from {
-		p.endExclusive(now, g)
+	g := p.grants[requestID]
+	if g == nil || g.holder != from {
+		return
+	}
+	if g.target.isProbe(requestID) {
+		p.markRecovered(g.target)
 	}
+	p.endExclusive(now, g)
+	p.dispatch(now)
 }
 
 // cancel ends a waiter, or the grant that was sent before the cancel arrived.
--- a/coordination/home/recovery.go
+++ b/coordination/home/recovery.go
@@ -205,7 +205,7 @@
 	if g == nil || g.holder != from {
 		return
 	}
-	p.send(from.ID, SlotGrant{ID: requestID, Pool: p.id, Replica: g.target.id, Summary: p.summary(now)})
+	p.sendGrant(from.ID, requestID, g.target, now)
 }
 
 // dropUnreported drops what the holder does not know of.
--- a/coordination/home/replica.go
+++ b/coordination/home/replica.go
@@ -99,6 +99,11 @@
 	return true
 }
 
+// isProbe reports whether a request is the probe of r.
+func (r *replica) isProbe(requestID SlotRequestID) bool {
+	return r.probing && r.probe == requestID
+}
+
 // probePassed reports whether the running probe has cleared r.
 func (r *replica) probePassed(now time.Time) bool {
 	return r.probing && now.Sub(r.probeAt) >= probeDuration
--- a/coordination/route/event.go
+++ b/coordination/route/event.go
@@ -88,7 +88,7 @@
 }
 
 // ExclusiveEnded reports that a staggered request is past the point at which it may
-// crash its replica.
+// crash its replica, or that a probe has its first token.
 type ExclusiveEnded struct {
 	ID home.SlotRequestID
 }
@@ -126,6 +126,7 @@
 type Granted struct {
 	ID      home.SlotRequestID
 	Replica state.ReplicaID
+	Probe   bool // ExclusiveEnded is due at the first token
 }
 
 // Refused ends an AcquireSlot without a slot.
--- a/coordination/route/requests.go
+++ b/coordination/route/requests.go
@@ -193,7 +193,7 @@
 		p.usage.removeWaiting(m.ID)
 		p.usage.addHeld(m.ID)
 		req.held, req.replica, req.home = true, m.Replica, from.ID
-		r.actions = append(r.actions, Granted{ID: m.ID, Replica: m.Replica})
+		r.actions = append(r.actions, Granted{ID: m.ID, Replica: m.Replica, Probe: m.Probe})
 	}
 }
 
--- a/daemon/failure_test.go
+++ b/daemon/failure_test.go
@@ -15,6 +15,7 @@
 const (
 	slowStepTime        = 4 * time.Millisecond
 	connectionCloseTime = 500 * time.Millisecond // for a daemon to see that an engine closed its connections
+	metricsDelay        = time.Second            // twice the interval at which metrics are reported
 )
 
 var _ = Describe("A request", func() {
@@ -70,7 +71,8 @@
 			tokens, outcome := h.read(h.submit(1, summary(key)), -1)
 			expectComplete(tokens, outcome, key)
 		}
-		Expect(h.metric(1, telemetry.RetriedTotal)).To(BeEmpty())
+		Consistently(func() []string { return h.metric(1, telemetry.RetriedTotal) }).
+			WithTimeout(metricsDelay).WithPolling(100 * time.Millisecond).Should(BeEmpty())
 		h.expectNoViolations()
 	})
 
--- a/daemon/placement_test.go
+++ b/daemon/placement_test.go
@@ -280,6 +280,35 @@
 		h.expectNoViolations()
 	})
 
+	// Guards against a replica that serves one request for seconds after its restart,
+	// although that request is being answered.
+	It("takes a restarted replica for good at its first token", Label("failure:probe-outlasts-its-proof"), func() {
+		log := &eventLog{}
+		s, err := site.New(telemetry.NewLog(telemetry.LogConfig{Output: io.MultiWriter(GinkgoWriter, log)}))
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(s.Close)
+		h := &harness{Site: s, ctx: context.Background()}
+		one := chains
+		one.Replicas = 1
+		Expect(s.AddChains(one, standin.EngineConfig{Service: drafts, Model: site.Model, Version: site.Version, Kind: "large", StepTime: 15 * time.Millisecond})).To(Succeed())
+		h.addDaemon(nil)
+		h.addDaemon(nil)
+		doc := draftsDocument()
+		doc.Placement, doc.Capacity.Replicas = one.Placement(), 1
+		h.apply(0, doc)
+		h.awaitServing(1)
+		h.awaitLimits()
+
+		first := h.submit(0, summary("a"))
+		h.read(first, 3)
+		lost := h.Engines[one.Engine(1, 2)]
+		lost.Kill()
+		Expect(lost.Restart()).To(Succeed())
+		Eventually(func() []string { return log.lines("replica_up", "") }).WithTimeout(testTimeout).ShouldNot(BeEmpty())
+		status, _ := h.Daemons[0].Status(h.ctx, first.ID())
+		Expect(status.Phase).To(Equal(caller.PhaseRunning), "the answer is not needed as proof")
+	})
+
 	// Guards against an operator who counts one death as two: a daemon sees it both by a
 	// stream that it cuts and by queries that are not answered.
 	It("logs a death once at each daemon", Label("failure:stage-dies-mid-stream"), func() {
--- a/daemon/runner.go
+++ b/daemon/runner.go
@@ -47,6 +47,8 @@
 	// suspect is set while the attempt is suspected of crashing its backend
 	// server.
 	suspect atomic.Bool
+	// probe is the attempt that its home waits for to prove the replica, or nil.
+	probe atomic.Pointer[state.Attempt]
 	// joined is set before the end if another request of the same key has the
 	// answer.
 	joined atomic.Pointer[joinedRequest]
@@ -273,9 +275,12 @@
 	}
 	r.tokenCount++
 	r.lastTokenAt = now
-	if r.suspect.Load() {
-		c := r.d.control
+	c := r.d.control
+	switch probe := r.probe.Load(); {
+	case r.suspect.Load():
 		c.post(func() { c.quarantine.tokenEmitted(r, a.Index) })
+	case probe != nil && r.probe.CompareAndSwap(probe, nil):
+		c.post(func() { c.slots.exclusiveEnded(r, *probe) })
 	}
 	m.Tokens(1)
 	if !r.answer.append(caller.Token{Index: a.Index, Value: a.Value, Text: a.Text}) {
--- a/daemon/slots.go
+++ b/daemon/slots.go
@@ -283,7 +283,7 @@
 }
 
 // exclusiveEnded lets other requests start on the replica of an exclusive
-// request.
+// request or of a probe.
 func (sc *slotsComponent) exclusiveEnded(r *runner, attempt state.Attempt) {
 	sc.stepRouter(route.ExclusiveEnded{ID: home.SlotRequestID{Request: r.spec.ID, Attempt: attempt}})
 }
@@ -327,6 +327,10 @@
 	default:
 		sc.c.d.metrics.ObserveClass(telemetry.QueueSeconds, r.spec.Service, r.spec.Class, sc.c.now.Sub(r.arrived))
 		sc.c.quarantine.runStarted(r, replica.ID)
+		r.probe.Store(nil)
+		if a.Probe {
+			r.probe.Store(&a.ID.Attempt)
+		}
 		go r.grantSlot(a.ID.Attempt, replica)
 	}
 }
