daemon: a begun answer waits for its next slot by a deadline of its own

What callers saw: after a stage's death a stream with tokens ends as failed, deadline, although its first token came in time.

Cause: the slot request of every attempt carries the time left until the first token's deadline. For an answer that has begun it runs out, and the home refuses the slot of the next attempt, at once where it has passed. An answer longer than its class's deadline could not outlive any death of a stage.

Ruled out: Request.tick, which ends requests without tokens only.

Change: AcquireSlot says that the caller has tokens; such a request may wait the class's deadline from then on, 10 s at least, which covers back-off and probe of a replica that has failed repeatedly.

--- a/coordination/request/action.go
+++ b/coordination/request/action.go
@@ -13,6 +13,9 @@
 	AcquireSlot struct {
 		Attempt state.Attempt // the attempt that needs the slot; identifies the slot
 		Exclude []state.ReplicaID
+		// Begun is set if the caller has tokens, so that the first token's deadline no
+		// longer applies.
+		Begun bool
 	}
 
 	// CancelSlotRequest cancels AcquireSlot. A grant that was sent meanwhile is
--- a/coordination/request/request.go
+++ b/coordination/request/request.go
@@ -163,7 +163,7 @@
 
 func (r *Request) requestSlot() {
 	r.phase = phaseQueued
-	r.issue(AcquireSlot{Attempt: r.attempt.Next(r.spec.Owner), Exclude: slices.Clone(r.exclude)})
+	r.issue(AcquireSlot{Attempt: r.attempt.Next(r.spec.Owner), Exclude: slices.Clone(r.exclude), Begun: len(r.tokens) > 0})
 }
 
 func (r *Request) tick(now time.Time) {
--- a/coordination/request/restart_test.go
+++ b/coordination/request/restart_test.go
@@ -43,6 +43,22 @@
 		}
 	})
 
+	// Guards against an answer that is refused a slot to go on because its first token's
+	// deadline has passed.
+	It("says that the caller has tokens when it asks for another slot", Label("failure:begun-answer-past-its-deadline"), func() {
+		now := time.Unix(0, 0)
+		r := request.New(request.Spec{ID: "r", Service: "drafts", MaxTokens: 2, Owner: 7, FirstTokenDeadline: now.Add(time.Second)})
+		slot, _ := last[request.AcquireSlot](r.Step(now, request.Start{}))
+		Expect(slot.Begun).To(BeFalse())
+		step, _ := last[request.RunStep](r.Step(now, request.SlotGranted{Grant: slot.Attempt, Replica: chain(1)}))
+		step, _ = last[request.RunStep](r.Step(now, request.StepDone{Step: step.Step}))
+		now = now.Add(time.Minute)
+		r.Step(now, request.StepUnanswered{Step: step.Step, NotSent: true})
+		slot, asked := last[request.AcquireSlot](r.Step(now, request.RetryDecided{Allowed: true, At: now}))
+		Expect(asked).To(BeTrue())
+		Expect(slot.Begun).To(BeTrue())
+	})
+
 	It("gives up a stage that keeps declining", func() {
 		now := time.Unix(0, 0)
 		r := request.New(request.Spec{ID: "r", Service: "drafts", MaxTokens: 1, Owner: 7, FirstTokenDeadline: now.Add(time.Hour)})
--- a/daemon/failure_test.go
+++ b/daemon/failure_test.go
@@ -33,6 +33,22 @@
 		h.expectNoViolations()
 	})
 
+	// Guards against an answer that is lost because a death cuts it after the deadline of
+	// its first token, which it has kept.
+	It("completes an answer that a death cuts after its first token's deadline", Label("failure:begun-answer-past-its-deadline"), func() {
+		h := newHarness(2, 20*time.Millisecond)
+		s := summary("a")
+		s.Deadline = 500 * time.Millisecond
+		sent := time.Now()
+		stream := h.submit(0, s)
+		first, _ := h.read(stream, 1)
+		Eventually(func() bool { return time.Since(sent) > 2*s.Deadline }).Should(BeTrue())
+		h.Engines[chains.Engine(h.replicaOf(stream.ID()), 2)].Kill()
+		rest, outcome := h.read(stream, -1)
+		expectComplete(append(first, rest...), outcome, "a")
+		h.expectNoViolations()
+	})
+
 	// Guards against an answer that is lost because its own daemon has used up the
 	// customer's retries, while the other daemons have not.
 	It("completes the answers that a death cuts beyond its daemon's own retries", Label("failure:floor-used-up-at-one-daemon"), func() {
--- a/daemon/slots.go
+++ b/daemon/slots.go
@@ -273,7 +273,7 @@
 		Service:   r.spec.Service,
 		Class:     r.spec.Class,
 		Customer:  r.spec.Customer,
-		Deadline:  r.spec.FirstTokenDeadline,
+		Deadline:  sc.slotDeadline(r, a.Begun),
 		Cost:      uint32(max(r.spec.MaxTokens, 1)),
 		Prefixes:  prefixes,
 		Exclude:   a.Exclude,
@@ -282,6 +282,21 @@
 	})
 }
 
+// begunSlotTimeout is how long an answer that has begun waits at least for a slot to go
+// on. It covers the back-off and the probe of a replica that has failed repeatedly.
+const begunSlotTimeout = 10 * time.Second
+
+// slotDeadline returns when a request stops waiting for a slot.
+//
+// Guard (begun-answer-past-its-deadline): an answer that a death cuts has kept the deadline
+// of its first token. Measured by it, a long answer would be refused the slot to go on.
+func (sc *slotsComponent) slotDeadline(r *runner, begun bool) time.Time {
+	if !begun {
+		return r.spec.FirstTokenDeadline
+	}
+	return sc.c.now.Add(max(r.spec.FirstTokenDeadline.Sub(r.arrived), begunSlotTimeout))
+}
+
 // exclusiveEnded lets other requests start on the replica of an exclusive
 // request or of a probe.
 func (sc *slotsComponent) exclusiveEnded(r *runner, attempt state.Attempt) {
