daemon: a timeout that spans the daemon's own pause proves no death

What callers saw: a stream with 45 of 60 tokens ended as failed, quarantined; its content has crashed nothing and is refused for 24 hours.

Cause: a step of which no byte was sent counts as proof that no process accepts connections. After a pause of the daemon the timers of the dial and of a call that waits for its connection have run out, whatever the server does.

Change: a failure to connect proves a death if the connection was refused, or if it ended within the connect timeout and 0.3 s. Ruled out: refused connections only; the contents of a machine that loses power have to be implicated.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -40,7 +40,8 @@
 	instances platform.Instances
 	clients   *clients
 
-	queryTimeout time.Duration // of one query to a backend server
+	queryTimeout   time.Duration // of one query to a backend server
+	connectTimeout time.Duration // of one connection to a backend server
 
 	requests *requests
 	control  *control
@@ -68,18 +69,19 @@
 	set := do.MustInvoke[settings.Settings](i)
 	runID := randomID()
 	d := &Daemon{
-		config:       set,
-		self:         state.Member{ID: set.ID, Incarnation: state.Incarnation(time.Now().UnixNano())},
-		ownerNumber:  uint32(xxhash.Sum64String(string(set.ID) + "/" + runID)),
-		log:          do.MustInvoke[*telemetry.Log](i).With(telemetry.Daemon(set.ID)),
-		metrics:      do.MustInvoke[*telemetry.Metrics](i),
-		table:        do.MustInvoke[platform.Table](i),
-		instances:    do.MustInvoke[platform.Instances](i),
-		clients:      do.MustInvoke[*clients](i),
-		queryTimeout: set.Backends.ProgressTimeout.Std(),
-		requests:     newRequests(),
-		kill:         make(chan struct{}),
-		done:         make(chan struct{}),
+		config:         set,
+		self:           state.Member{ID: set.ID, Incarnation: state.Incarnation(time.Now().UnixNano())},
+		ownerNumber:    uint32(xxhash.Sum64String(string(set.ID) + "/" + runID)),
+		log:            do.MustInvoke[*telemetry.Log](i).With(telemetry.Daemon(set.ID)),
+		metrics:        do.MustInvoke[*telemetry.Metrics](i),
+		table:          do.MustInvoke[platform.Table](i),
+		instances:      do.MustInvoke[platform.Instances](i),
+		clients:        do.MustInvoke[*clients](i),
+		queryTimeout:   set.Backends.ProgressTimeout.Std(),
+		connectTimeout: set.Backends.ConnectTimeout.Std(),
+		requests:       newRequests(),
+		kill:           make(chan struct{}),
+		done:           make(chan struct{}),
 	}
 	d.current.Store(&view{})
 	if err := d.listen(); err != nil {
--- a/daemon/steps.go
+++ b/daemon/steps.go
@@ -6,6 +6,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/hibiscuswick/hibiscuswick/coordination/claims"
@@ -39,7 +40,7 @@
 	}
 	switch {
 	case err != nil:
-		r.stepError(a, err)
+		r.stepError(a, err, time.Since(start))
 	case res.Status == engine.StepDone:
 		r.post(request.StepDone{Step: a.Step, Output: res.Output, Value: res.Token, Final: res.Final})
 	case res.Status == engine.StepNotRun:
@@ -87,10 +88,27 @@
 	return bootID
 }
 
+// callOverrun is how far a call may exceed the connect timeout before its failure to
+// connect means nothing, because this process was not running meanwhile.
+const callOverrun = 300 * time.Millisecond
+
+// provesDeath reports whether a call that took some time and failed shows that the backend
+// server is gone.
+//
+// Guard (own-pause-taken-for-a-death): after a pause of this daemon its calls to live
+// servers time out before they have sent a byte. The contents that run there would be
+// implicated, and one of them quarantined.
+func (d *Daemon) provesDeath(err error, took time.Duration) bool {
+	if !engine.NotSent(err) {
+		return false
+	}
+	return errors.Is(err, syscall.ECONNREFUSED) || took <= d.connectTimeout+callOverrun
+}
+
 // stepError posts that a call was not answered.
-func (r *runner) stepError(a request.RunStep, err error) {
+func (r *runner) stepError(a request.RunStep, err error, took time.Duration) {
 	unresponsive := errors.Is(err, enginehttp.ErrUnresponsive)
-	if engine.NotSent(err) && a.Prompt == "" && r.ctx.Err() == nil {
+	if r.d.provesDeath(err, took) && a.Prompt == "" && r.ctx.Err() == nil {
 		// The attempt had started there, and no process accepts connections any
 		// more. First steps are excluded: their content has not reached the
 		// server.
@@ -103,11 +121,12 @@
 }
 
 func (r *runner) callPlain(a request.RunStep) {
+	start := time.Now()
 	call := engine.PlainCall{Request: r.spec.ID, Attempt: a.Step.Attempt, Body: r.spec.Prompt}
 	res, err := r.d.clients.plain(a.Stage.Address).Call(r.ctx, call)
 	switch {
 	case err != nil:
-		r.stepError(a, err)
+		r.stepError(a, err, time.Since(start))
 	case res.Status == engine.PlainDone:
 		r.post(request.StepDone{Step: a.Step, Text: res.Body, Final: true})
 	default:
@@ -121,12 +140,14 @@
 	ctx, cancel := context.WithTimeout(r.ctx, r.d.queryTimeout)
 	defer cancel()
 	e := r.d.clients.engine(a.Stage.Address)
+	start := time.Now()
 	resumed, err := e.Resume(ctx, *r.executionID.Load(), a.Step.Attempt, a.Step.Epoch)
 	if err != nil {
-		if engine.NotSent(err) {
+		dead := r.d.provesDeath(err, time.Since(start))
+		if dead {
 			r.stageDied(a.Step.Stage)
 		}
-		r.backendStateUnknown.Store(!engine.NotSent(err))
+		r.backendStateUnknown.Store(!dead)
 		r.post(request.StageQueryFailed{
 			Step: a.Step, Superseded: errors.Is(err, engine.ErrStaleEpoch), NotSent: engine.NotSent(err),
 		})
@@ -152,11 +173,13 @@
 func (r *runner) checkPlainServer(a request.RunStep) {
 	ctx, cancel := context.WithTimeout(r.ctx, bootIDTimeout)
 	defer cancel()
+	start := time.Now()
 	_, err := r.d.clients.plain(a.Stage.Address).Load(ctx)
-	if engine.NotSent(err) {
+	dead := r.d.provesDeath(err, time.Since(start))
+	if dead {
 		r.stageDied(a.Step.Stage)
 	}
-	r.backendStateUnknown.Store(err != nil && !engine.NotSent(err))
+	r.backendStateUnknown.Store(err != nil && !dead)
 }
 
 // stageDied reports that a stage which had the request accepts no connections
