Observe what backend servers state about unwanted requests

The adapter decodes Retry-After and Server-Leaving now; coordination/availability remembers both by incarnation, and nothing decides by it. backend_retry_after (1621) and backend_departing (1622) say what was stated, request_unwanted (1322) and gateway_retry_after_total{sent} which requests were sent although the daemon knew. Header fields that the adapter can't parse or does not know are counted and each name is logged once, 64 at most.

Before: neither field was read.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -46,12 +46,14 @@
 
 	messages *wire.Registry // message types exchanged between gateways
 
-	shared      *sharedState
-	prober      *prober
-	control     *control
-	currentView atomic.Pointer[view]
-	node        *peer.Node
-	peers       net.Listener
+	shared *sharedState
+	prober *prober
+	// loggedHeaders are the header fields of servers that were logged as unknown or unreadable.
+	loggedHeaders headerLog
+	control       *control
+	currentView   atomic.Pointer[view]
+	node          *peer.Node
+	peers         net.Listener
 
 	// storeUnanswered is set while a read of a feed has failed and no data of that feed is
 	// known yet.
--- a/gateway/path.go
+++ b/gateway/path.go
@@ -36,6 +36,7 @@
 	}
 	r.address = path[0].Address
 	r.logSent(path.String())
+	r.logUnwanted(path[0].Server)
 	call := r.newCall(path[0].Server.ID, path[0].Address)
 	call.Path = path
 	ctx, cancel := context.WithCancel(ctx)
@@ -49,6 +50,7 @@
 	}
 	defer func() { _ = answer.Body.Close() }()
 	r.g.observeLimit(path[0].Server, answer, sent)
+	r.observeStatements(path[0].Server, answer)
 	if !answer.NotRun {
 		// Refusals are excluded: they arrive at once, and would make the refusing engines
 		// look like the fastest ones.
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -30,6 +30,7 @@
 	defer r.g.shared.releaseServer(server.Incarnation())
 	r.address = server.Address
 	r.logSent(string(server.ID))
+	r.logUnwanted(server.Incarnation())
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer stopTimer(r.watchFirstEvent(cancel))
@@ -40,6 +41,7 @@
 	}
 	defer func() { _ = answer.Body.Close() }()
 	r.g.observeLimit(server.Incarnation(), answer, sent)
+	r.observeStatements(server.Incarnation(), answer)
 	r.g.shared.recordFirstEvent(time.Now(), r.service.ID, time.Since(sent))
 	return r.handlePlainAnswer(server.Address, answer)
 }
--- a/gateway/sharedstate.go
+++ b/gateway/sharedstate.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/hibiscuswick/hibiscuswick/coordination/availability"
 	"github.com/hibiscuswick/hibiscuswick/coordination/crashes"
 	"github.com/hibiscuswick/hibiscuswick/coordination/pathing"
 	"github.com/hibiscuswick/hibiscuswick/coordination/permits"
@@ -28,6 +29,7 @@
 	latencies     map[state.ServiceID]*serviceLatency
 	crashes       *crashes.Tracker
 	permits       *permits.Limiter
+	availability  *availability.Tracker
 	serverStates  []pathing.ServerState // scratch space of choosePath, by index in the roster
 }
 
@@ -42,6 +44,7 @@
 		latencies:     make(map[state.ServiceID]*serviceLatency),
 		crashes:       crashes.NewTracker(),
 		permits:       permits.New(),
+		availability:  availability.NewTracker(),
 		budget:        retrybudget.New(budgetConfig(set), time.Now()),
 	}
 }
--- a/protocol/backend/backend.go
+++ b/protocol/backend/backend.go
@@ -60,6 +60,21 @@
 	// LimitUnreadable reports that the answer states a limit that can't be parsed;
 	// Limit is then undefined.
 	LimitUnreadable bool
+	// RetryAfter is how long the server wants no further request from this daemon; 0 if
+	// it states no time.
+	RetryAfter time.Duration
+	// Leaving reports that the server states that it is about to stop.
+	Leaving bool
+	// Unreadable are the names of the statements in this answer that can't be parsed.
+	Unreadable []string
+	// Unknown are the names of the fields of Header that the protocol does not define.
+	Unknown []string
+}
+
+// TurnedAway reports whether the server did not accept the request for lack of capacity or
+// because it is leaving, so that RetryAfter applies.
+func (a *Answer) TurnedAway() bool {
+	return a.Status == http.StatusServiceUnavailable || a.Status == http.StatusTooManyRequests
 }
 
 // Order changes the layers that an engine holds.
--- a/telemetry/catalogue.go
+++ b/telemetry/catalogue.go
@@ -48,6 +48,7 @@
 	{EventStreamSilent, "stream_silent", logrus.InfoLevel, "A stream was stalled for much longer than usual although its hops are alive; it continues on another path."},
 	{EventRequestSent, "request_sent", logrus.InfoLevel, "A gateway sent a request. The fields are the attempt, the address, the hops, the version of the configuration, and the time since its arrival."},
 	{EventRequestAnswered, "request_answered", logrus.InfoLevel, "A request was answered completely by the server at the address, after the given number of attempts and seconds."},
+	{EventRequestUnwanted, "request_unwanted", logrus.WarnLevel, "A request was sent to a backend server that had asked for none for the given seconds more, or that is leaving. The count is the attempt."},
 	{EventStoreUnavailable, "store_unavailable", logrus.WarnLevel, "The table service does not answer; repeatable requests and requests with a claim continue."},
 	{EventStoreRecovered, "store_recovered", logrus.InfoLevel, "The table service answers again."},
 	{EventStoreBudgetSpent, "store_budget_spent", logrus.WarnLevel, "This daemon's share of store writes is exhausted; claims have priority over other writes."},
@@ -82,6 +83,10 @@
 	{EventNoticeUnreadable, "notice_unreadable", logrus.ErrorLevel, "A notice of a daemon about a backend server or a content can't be encoded or decoded; each daemon has to detect the fact itself."},
 	{EventFeedGiven, "feed_given", logrus.InfoLevel, "Another daemon sent the rows of a feed, which were read from the store the given time ago; this daemon did not read the store."},
 	{EventBackendLimited, "backend_limited", logrus.InfoLevel, "This daemon received a rate limit of a backend server, which applies to all daemons together, or the notice that the limit was removed."},
+	{EventBackendRetryAfter, "backend_retry_after", logrus.InfoLevel, "A backend server turned a request away and asked this daemon for no further one for the given seconds."},
+	{EventBackendDeparting, "backend_departing", logrus.InfoLevel, "A backend server stated in an answer that it is leaving; this daemon sends it no new work."},
+	{EventHeaderUnreadable, "header_unreadable", logrus.WarnLevel, "A backend server sent a header field, named in the detail, whose value can't be parsed; the field is ignored."},
+	{EventHeaderUnknown, "header_unknown", logrus.WarnLevel, "A backend server sent a header field, named in the detail, that the adapter does not know. It is logged once per name; check whether the server's protocol has changed."},
 	{EventConnectionSilent, "connection_silent", logrus.WarnLevel, "An open connection became unresponsive; it is replaced, and the state of the requests that were in flight on it is queried."},
 	{EventFrameRefused, "frame_refused", logrus.WarnLevel, "An invalid, oversized or unknown frame was received; the connection is closed."},
 }
--- a/telemetry/counter.go
+++ b/telemetry/counter.go
@@ -59,6 +59,9 @@
 	GatewayRetriedTotal        Name = "gateway_retried_total"
 	GatewayProbesTotal         Name = "gateway_probes_total"
 	GatewayLimitedTotal        Name = "gateway_limited_total"
+	GatewayRetryAfterTotal     Name = "gateway_retry_after_total"
+	GatewayDepartingTotal      Name = "gateway_departing_total"
+	GatewayHeadersTotal        Name = "gateway_headers_total"
 	GatewayLayoutsTotal        Name = "gateway_layouts_total"
 	GatewayAnnouncementsTotal  Name = "gateway_announcements_total"
 )
@@ -184,6 +187,9 @@
 	{GatewayRetriedTotal, KindCounter, byReason, "Requests sent to another backend server, by the result of the previous attempt."},
 	{GatewayProbesTotal, KindCounter, byReason, "Probes of backend servers on the paths of stalled streams, by result."},
 	{GatewayLimitedTotal, KindCounter, byReason, "Requests for which a backend server with a rate limit was considered, by whether they were sent to it or the server was skipped for lack of a permit."},
+	{GatewayRetryAfterTotal, KindCounter, byReason, "Answers with which backend servers asked for no further request for a time (stated), and requests sent in such a time (sent), withdrawn before they were sent (withdrawn), or refused because of it (refused)."},
+	{GatewayDepartingTotal, KindCounter, byReason, "Answers in which backend servers stated that they are leaving (stated), and requests sent to them later (sent)."},
+	{GatewayHeadersTotal, KindCounter, byReason, "Header fields of backend servers that can't be parsed (unreadable) or that the adapter does not know (unknown)."},
 	{GatewayLayoutsTotal, KindCounter, nil, "Computed layer assignments. A high rate on a daemon that sends no orders takes CPU time from its requests."},
 	{GatewayAnnouncementsTotal, KindCounter, byReason, "Announcements received from the daemons that follow the store, by whether they were new or duplicates."},
 	{ControlMicrosecondsTotal, KindCounter, nil, "CPU time of the control goroutine, in microseconds."},
--- a/telemetry/events.go
+++ b/telemetry/events.go
@@ -58,6 +58,7 @@
 	EventStreamSilent       Event = 1319
 	EventRequestSent        Event = 1320
 	EventRequestAnswered    Event = 1321
+	EventRequestUnwanted    Event = 1322
 )
 
 // Events of the store.
@@ -101,6 +102,10 @@
 	EventNoticeUnreadable  Event = 1618
 	EventFeedGiven         Event = 1619
 	EventBackendLimited    Event = 1620
+	EventBackendRetryAfter Event = 1621
+	EventBackendDeparting  Event = 1622
+	EventHeaderUnreadable  Event = 1623
+	EventHeaderUnknown     Event = 1624
 	EventReplicaUp         Event = 1606
 	EventReplicaDown       Event = 1607
 	EventCacheEventsMissed Event = 1608
