--- a/gateway/fake_test.go
+++ b/gateway/fake_test.go
@@ -34,6 +34,9 @@
 	startTimes  map[string]int64           // of servers that are another incarnation than listed, by address
 	reportCalls map[string]int             // number of report requests, by address
 	limits      map[string]fleet.RateLimit // limits that servers name, by address
+	shedding    map[string]shedding        // by address: servers that turn all requests away
+	turnedAway  map[string][]time.Time     // when servers turned requests away, by address
+	leaving     map[string]bool            // by address: servers that state that they are leaving
 	requestsAt  map[string][]time.Time     // when servers received requests, by address
 	// plain and stream answer calls; a stream writes events with increasing ids.
 	plain      func(c backend.Call) (*backend.Answer, error)
@@ -51,10 +54,13 @@
 	if dead {
 		return nil, errors.Join(backend.ErrNotSent, errors.New("connection refused"))
 	}
+	if a, ok := s.shed(c.Address); ok {
+		return a, nil
+	}
 	if c.Path == nil {
 		a, err := s.plain(c)
 		if err == nil {
-			a.Limit = limit
+			a.Limit, a.Leaving = limit, s.isLeaving(c.Address)
 		}
 		return a, err
 	}
@@ -66,7 +72,66 @@
 	r, w := io.Pipe()
 	context.AfterFunc(ctx, func() { _ = w.CloseWithError(backend.ErrIncomplete) })
 	go s.stream(c, w)
-	return &backend.Answer{Status: http.StatusOK, Header: http.Header{}, Body: r, Signed: true, Limit: limit}, nil
+	return &backend.Answer{Status: http.StatusOK, Header: http.Header{}, Body: r, Signed: true, Limit: limit, Leaving: s.isLeaving(c.Address)}, nil
+}
+
+// shedding says until when a server turns all requests away, and what it states then.
+type shedding struct {
+	until      time.Time
+	retryAfter time.Duration
+	faultyHop  string // the hop that it blames, or ""
+}
+
+// startShedding makes a server turn all requests away for a duration. It asks for as long a
+// time without requests.
+func (s *fakeServers) startShedding(address string, duration time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.shedding[address] = shedding{until: time.Now().Add(duration), retryAfter: duration}
+}
+
+// shed answers a request to a server that turns requests away.
+func (s *fakeServers) shed(address string) (*backend.Answer, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now, sh := time.Now(), s.shedding[address]
+	if !now.Before(sh.until) {
+		return nil, false
+	}
+	s.turnedAway[address] = append(s.turnedAway[address], now)
+	a := signedAnswer(http.StatusServiceUnavailable, "")
+	a.NotRun, a.RetryAfter, a.FaultyHop = true, sh.retryAfter, sh.faultyHop
+	return a, true
+}
+
+// unwantedRequests returns how many requests a server got between half a second after it
+// first turned one away and the end of the time that it asked for.
+func (s *fakeServers) unwantedRequests(address string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.turnedAway[address]) == 0 {
+		return 0
+	}
+	first, count := s.turnedAway[address][0], 0
+	for _, at := range s.requestsAt[address] {
+		if after := at.Sub(first); after > settleTime && after < s.shedding[address].retryAfter {
+			count++
+		}
+	}
+	return count
+}
+
+// startLeaving makes a server state in its answers that it is leaving.
+func (s *fakeServers) startLeaving(address string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving[address] = true
+}
+
+func (s *fakeServers) isLeaving(address string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.leaving[address]
 }
 
 // setLimit makes a server name a limit of requests per second in its answers.
@@ -223,7 +288,8 @@
 func newHarnessWithLog(grace time.Duration, log *telemetry.Log) *harness {
 	h := &harness{log: log, grace: grace, configs: newFakeFeed[*fleet.Config](), serverFeed: newFakeFeed[fleet.Server](), members: newMemTable(), leases: newMemTable()}
 	h.servers = &fakeServers{dead: make(map[string]bool), refusing: make(map[string]bool), startTimes: make(map[string]int64), reportCalls: make(map[string]int), serverFeed: h.serverFeed,
-		limits: make(map[string]fleet.RateLimit), requestsAt: make(map[string][]time.Time)}
+		limits: make(map[string]fleet.RateLimit), requestsAt: make(map[string][]time.Time),
+		shedding: make(map[string]shedding), turnedAway: make(map[string][]time.Time), leaving: make(map[string]bool)}
 	h.servers.stream = func(c backend.Call, out *io.PipeWriter) { writeEvents(out, c.LastEventID, 5) }
 	h.servers.plain = func(backend.Call) (*backend.Answer, error) { return signedAnswer(http.StatusOK, "ok"), nil }
 	h.gateway = h.start("g1")
