Send nothing to servers that ask for no requests, or that leave

Cause: Retry-After and Server-Leaving of a backend server were read nowhere. A 503 excluded its server for that one request. Ruled out: a way round a known rest, and a rest that ends too soon.

Change: coordination/availability decides by what servers state, for one incarnation each. A server that asks for no requests gets none until then, on each way: first sends, retries, the rest of streams, and requests that were assigned before, which are withdrawn as not sent when their connection is ready. A first hop that blames another one gets none itself, and the blamed one runs no part of a path. Afterwards a slow start of 1, 2, 4, 8 requests, which begins up to a tenth later than stated, at random. A server that states that it is leaving gets no further request, and other daemons are notified if the list does not say so. Where all servers want none, callers wait if the time ends within their wait, and are refused at once with the time that is left if not. A refused request no longer makes its server a suspect, nor asks for its report, if the server has said when it accepts requests again.

--- a/cmd/hibiscusctl/inspect.go
+++ b/cmd/hibiscusctl/inspect.go
@@ -114,8 +114,10 @@
 	switch {
 	case s.Dead:
 		return "dead"
-	case s.Draining || s.Refusing:
+	case s.Draining || s.Refusing || s.Departing:
 		return "leaving"
+	case s.RetryAfter > 0:
+		return "waiting"
 	case s.Outdated:
 		return "outdated"
 	case s.Avoided:
--- a/coordination/availability/availability.go
+++ b/coordination/availability/availability.go
@@ -1,34 +1,75 @@
 package availability
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"github.com/hibiscuswick/hibiscuswick/state"
 )
 
-// Tracker holds the statements of the servers of one daemon. It is not safe for concurrent use.
+// Use is how a request uses a server.
+type Use uint8
+
+// The values of Use.
+const (
+	// Direct means that this daemon sends the request to the server.
+	Direct Use = iota
+	// Relayed means that another server forwards the request to it.
+	Relayed
+)
+
+const (
+	// spreadShare is the part of a stated time by which a daemon waits longer at most, so that
+	// daemons that were turned away at the same moment do not return at the same moment.
+	spreadShare = 0.1
+	// maxSpread limits this additional time.
+	maxSpread = 500 * time.Millisecond
+	// unlistedTTL is how long the statements of a server outlast its entry in the list. While the
+	// store is unavailable, entries of live servers may expire and return.
+	unlistedTTL = 10 * time.Minute
+)
+
+// Tracker holds the statements of the servers of one daemon. Its size and the time of each method
+// depend on the servers that have made a statement, not on all servers or requests. It is not safe
+// for concurrent use.
 type Tracker struct {
+	random  *rand.Rand
 	servers map[state.BackendIncarnation]*record
 }
 
 // record holds the statements of one incarnation of a server.
 type record struct {
-	until   time.Time // when the server accepts requests again; zero if it has always done so
-	leaving bool
+	until         time.Time // when the server accepts requests again; zero if it has always done so
+	directUntil   time.Time // the same for requests that this daemon sends to it
+	leaving       bool
+	slowStart     slowStart
+	unlistedSince time.Time // zero while the server is listed
 }
 
 // NewTracker returns an empty tracker.
-func NewTracker() *Tracker {
-	return &Tracker{servers: make(map[state.BackendIncarnation]*record)}
+func NewTracker(random *rand.Rand) *Tracker {
+	return &Tracker{random: random, servers: make(map[state.BackendIncarnation]*record)}
 }
 
-// RecordRetryAfter records that a server wants no request for some time. An earlier statement that
-// reaches further stays in force.
-func (t *Tracker) RecordRetryAfter(now time.Time, server state.BackendIncarnation, wait time.Duration) {
+// RecordRetryAfter records that a server wants no request for some time. If use is Direct, other
+// servers may still forward requests to it. An earlier statement that reaches further stays in
+// force.
+func (t *Tracker) RecordRetryAfter(now time.Time, server state.BackendIncarnation, use Use, wait time.Duration) {
 	r := t.record(server)
-	if until := now.Add(wait); until.After(r.until) {
-		r.until = until
+	spread := time.Duration(t.random.Float64() * float64(min(time.Duration(spreadShare*float64(wait)), maxSpread)))
+	until := now.Add(wait + spread)
+	r.directUntil = later(r.directUntil, until)
+	if use == Relayed {
+		r.until = later(r.until, until)
+	}
+	r.slowStart.restart()
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
 	}
+	return b
 }
 
 // RecordLeaving records that a server is leaving. It returns false if that was known.
@@ -48,17 +89,71 @@
 	return r
 }
 
-// IsLeaving reports whether a server has stated that it is leaving.
-func (t *Tracker) IsLeaving(server state.BackendIncarnation) bool {
+// Wanted reports whether a server accepts requests as far as it has stated.
+func (t *Tracker) Wanted(now time.Time, server state.BackendIncarnation) bool {
 	r, ok := t.servers[server]
-	return ok && r.leaving
+	return !ok || r.wanted(now, Direct)
+}
+
+// Accepts reports whether a server may be assigned a request now.
+func (t *Tracker) Accepts(now time.Time, server state.BackendIncarnation) bool {
+	r, ok := t.servers[server]
+	return !ok || r.accepts(now, Direct)
 }
 
-// RetryAfter returns for how much longer a server wants no request.
-func (t *Tracker) RetryAfter(now time.Time, server state.BackendIncarnation) time.Duration {
+// AvailableAt returns when a server may be assigned a request again: not before now, and false if
+// it is leaving.
+func (t *Tracker) AvailableAt(now time.Time, server state.BackendIncarnation, use Use) (time.Time, bool) {
 	r, ok := t.servers[server]
 	if !ok {
-		return 0
+		return now, true
 	}
-	return max(0, r.until.Sub(now))
+	return later(now, r.waitsUntil(use)), !r.leaving
+}
+
+// Leaving reports whether a server has stated that it is leaving.
+func (t *Tracker) Leaving(server state.BackendIncarnation) bool {
+	r, ok := t.servers[server]
+	return ok && r.leaving
+}
+
+// EachUnavailable calls f for each server that must not get requests from this daemon now, with
+// whether other servers may still forward requests to it.
+func (t *Tracker) EachUnavailable(now time.Time, f func(server state.BackendIncarnation, relayed bool)) {
+	for server, r := range t.servers {
+		if !r.accepts(now, Direct) {
+			f(server, r.accepts(now, Relayed))
+		}
+	}
+}
+
+// Prune drops the statements of servers that have not been listed for unlistedTTL.
+func (t *Tracker) Prune(now time.Time, listed func(state.BackendIncarnation) bool) {
+	for server, r := range t.servers {
+		switch {
+		case listed(server):
+			r.unlistedSince = time.Time{}
+		case r.unlistedSince.IsZero():
+			r.unlistedSince = now
+		case now.Sub(r.unlistedSince) >= unlistedTTL:
+			delete(t.servers, server)
+		}
+	}
+}
+
+func (r *record) waitsUntil(use Use) time.Time {
+	if use == Relayed {
+		return r.until
+	}
+	return r.directUntil
+}
+
+func (r *record) wanted(now time.Time, use Use) bool {
+	return !r.leaving && !now.Before(r.waitsUntil(use))
+}
+
+// accepts reports whether the server may be assigned a request. Only requests that this daemon sends
+// to it count for the slow start.
+func (r *record) accepts(now time.Time, use Use) bool {
+	return r.wanted(now, use) && (use == Relayed || !r.slowStart.full(now))
 }
--- a/coordination/relay/relay.go
+++ b/coordination/relay/relay.go
@@ -37,6 +37,8 @@
 	// ReasonLimited means that only servers with a rate limit could take the request, and it got no
 	// permit.
 	ReasonLimited Reason = "server_limit"
+	// ReasonRetryAfter means that the servers that could take the request want none for a while.
+	ReasonRetryAfter Reason = "server_retry_after"
 )
 
 // Decision is what to do next.
--- a/gateway/availability_test.go
+++ b/gateway/availability_test.go
@@ -1,12 +1,19 @@
 package gateway_test
 
 import (
+	"fmt"
+	"io"
+	"net/http"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"github.com/hibiscuswick/hibiscuswick/gateway"
+	"github.com/hibiscuswick/hibiscuswick/protocol/backend"
+	"github.com/hibiscuswick/hibiscuswick/state"
+	"github.com/hibiscuswick/hibiscuswick/state/fleet"
 )
 
 const (
@@ -17,6 +24,9 @@
 	maxUnwanted = 2
 	// drainTime is how long a server that leaves may still get new requests.
 	drainTime = 2 * time.Second
+	// lastSecond is the end of a time without requests in which callers' deadlines allow to
+	// wait for a server.
+	lastSecond = time.Second
 	// requestInterval is the time between two requests of the loads below.
 	requestInterval = 15 * time.Millisecond
 )
@@ -30,8 +40,8 @@
 	})
 
 	// A daemon goes on sending requests to a server that has turned one away and stated for
-	// how long it wants none: nothing reads that time, and the server looks like the best
-	// one to each new request.
+	// how long it wants none: that server answers sooner than all others, and looks like the
+	// best one to each new request.
 	DescribeTable("gets none from a daemon that it has told", Label("failure:retry-after-ignored"), func(address, path string) {
 		const rest = 3 * time.Second
 		h.servers.startShedding(address, rest)
@@ -54,17 +64,20 @@
 			h.servers.startShedding(address, rest)
 		}
 		began := time.Now()
-		results := sendLoad([]*gateway.Gateway{h.gateway}, path, requestInterval, rest-settleTime)
-		for _, address := range addresses {
-			Expect(h.servers.unwantedRequests(address)).To(BeNumerically("<=", maxUnwanted), address)
-		}
+		results := sendLoad([]*gateway.Gateway{h.gateway}, path, requestInterval, rest-lastSecond)
 		for _, res := range results {
 			Expect(res.Outcome).To(Equal(gateway.Refused))
 			Expect(res.RetryAfter).To(And(BeNumerically(">", 0), BeNumerically("<", rest+settleTime)))
 		}
+		sent := time.Now()
 		_, last := h.serve(path)
+		Expect(time.Since(sent)).To(BeNumerically("<", settleTime/2))
 		Expect(last.Reason).To(Equal("server_retry_after"))
-		Expect(last.RetryAfter).To(BeNumerically("~", time.Until(began.Add(rest)), settleTime))
+		Expect(last.RetryAfter).To(BeNumerically("~", began.Add(rest).Sub(sent), settleTime))
+		sendLoad([]*gateway.Gateway{h.gateway}, path, requestInterval, time.Until(began.Add(rest)))
+		for _, address := range addresses {
+			Expect(h.servers.unwantedRequests(address)).To(BeNumerically("<=", maxUnwanted), address)
+		}
 	},
 		Entry("for a plain service", "/again/x", "p0", "p1"),
 		Entry("for streams", "/stream/x", "e0", "e2"),
@@ -94,3 +107,129 @@
 		Entry("as the first hop of streams", "e0", "/stream/x"),
 	)
 })
+
+var _ = Describe("A request for a server that wants none by now", func() {
+	var h *harness
+
+	BeforeEach(func() {
+		h = newHarness()
+		h.populate()
+	})
+
+	// A request was assigned to a server and waits for a connection. Another one is turned away
+	// meanwhile, with a time for which the server wants none. The first one must not reach it.
+	DescribeTable("is withdrawn and answered by another server", Label("failure:assigned-before"), func(path string) {
+		const rest = 3 * time.Second
+		var first atomic.Pointer[string]
+		h.servers.connect = func(c backend.Call) {
+			if !first.CompareAndSwap(nil, &c.Address) {
+				return
+			}
+			h.servers.startShedding(c.Address, rest)
+			until := time.Now().Add(2 * settleTime)
+			for time.Now().Before(until) {
+				sendLoad([]*gateway.Gateway{h.gateway}, path, requestInterval, settleTime)
+			}
+		}
+		_, res := h.serve(path)
+		Expect(res.Outcome).To(Equal(gateway.Answered), res.Reason)
+		Expect(h.servers.turnAways(*first.Load())).To(Equal(1))
+		Expect(h.servers.unwantedRequests(*first.Load())).To(BeZero())
+	},
+		Entry("as a plain request", "/again/x"),
+		Entry("as a stream", "/stream/x"),
+	)
+
+	// A stream breaks off while the engine that could continue it wants no requests. The rest
+	// must wait for it, and the caller gets all events.
+	It("waits for the server as the rest of a stream", Label("failure:retry-after-ignored"), func() {
+		const rest = 1500 * time.Millisecond
+		var first atomic.Bool
+		h.servers.stream = func(c backend.Call, out *io.PipeWriter) {
+			if first.CompareAndSwap(false, true) {
+				_, _ = io.WriteString(out, eventText(2))
+				for i := range 4 {
+					h.servers.startShedding(fmt.Sprintf("e%d", i), rest)
+				}
+				_ = out.CloseWithError(backend.ErrIncomplete)
+				return
+			}
+			writeEvents(out, c.LastEventID, 5)
+		}
+		got, res := h.serve("/stream/x")
+		Expect(res.Outcome).To(Equal(gateway.Answered), res.Reason)
+		Expect(got.body.String()).To(Equal(eventText(5)))
+		for _, address := range []string{"e0", "e2"} {
+			Expect(h.servers.unwantedRequests(address)).To(BeNumerically("<=", maxUnwanted), address)
+		}
+	})
+
+	// Requests wait for the only server, and the time for which it wants none ends. They must
+	// not reach it all at once.
+	It("waits for the answer to the first one after the time is over", Label("failure:return-at-once"), func() {
+		const rest, answerTime, waiting = 400 * time.Millisecond, 100 * time.Millisecond, 40
+		var running, most atomic.Int32
+		h.servers.plain = func(backend.Call) (*backend.Answer, error) {
+			now := running.Add(1)
+			defer running.Add(-1)
+			for old := most.Load(); now > old && !most.CompareAndSwap(old, now); old = most.Load() {
+			}
+			time.Sleep(answerTime)
+			return signedAnswer(http.StatusOK, "ok"), nil
+		}
+		h.servers.startShedding("p0", rest)
+		h.servers.startShedding("p1", time.Hour)
+		Expect(h.serveAt("/again/x", 0).Outcome).To(Equal(gateway.Answered))
+		h.servers.startShedding("p0", rest)
+		go h.serve("/again/x")
+		Eventually(func() int { return h.servers.turnAways("p0") }).WithTimeout(eventuallyTimeout).Should(Equal(2))
+		most.Store(0)
+		results := make(chan gateway.Result, waiting)
+		for range waiting {
+			go func() { _, res := h.serve("/again/x"); results <- res }()
+		}
+		time.Sleep(rest + rest/10 + answerTime/2)
+		Expect(most.Load()).To(BeNumerically("<=", 1))
+		for range waiting {
+			Eventually(results).WithTimeout(eventuallyTimeout).Should(Receive())
+		}
+	})
+
+	// Another process starts at the address of a server that has asked for no requests. It has
+	// asked for nothing.
+	It("reaches another incarnation at its address at once", func() {
+		for _, id := range []string{"p0", "p1"} {
+			h.servers.startShedding(id, time.Hour)
+		}
+		Expect(h.serveAt("/again/x", 0).Outcome).To(Equal(gateway.Refused))
+		for _, id := range []string{"p0", "p1"} {
+			h.servers.startShedding(id, 0)
+			h.serverFeed.remove(id)
+			h.serverFeed.set(id+"-new", fleet.Server{ID: state.BackendID(id + "-new"), Service: "app", Address: id, Domain: "a"})
+		}
+		Eventually(func() gateway.Outcome { return h.serveAt("/again/x", 0).Outcome }).
+			WithTimeout(eventuallyTimeout).Should(Equal(gateway.Answered))
+	})
+})
+
+var _ = Describe("A first hop that passes on another one's wish for no requests", func() {
+	// A hop behind the first one turns a request away. The first hop passes that on, and must
+	// get no request from the daemon either, nor must others forward requests to the blamed
+	// one.
+	It("gets no requests, and the blamed one runs no part of a path", Label("failure:retry-after-ignored"), func() {
+		h := newHarness()
+		h.populate()
+		const rest = 2 * time.Second
+		h.servers.startSheddingFor("e0", "e1", rest)
+		began := time.Now()
+		for _, res := range sendLoad([]*gateway.Gateway{h.gateway}, "/stream/x", requestInterval, rest) {
+			Expect(res.Outcome).To(Equal(gateway.Answered), res.Reason)
+		}
+		Expect(h.servers.unwantedRequests("e0")).To(BeNumerically("<=", maxUnwanted))
+		for _, c := range h.servers.sent() {
+			if c.Path != nil && time.Since(began) > settleTime {
+				Expect(c.Path[len(c.Path)-1].Address == "e1" && c.Address != "e0").To(BeFalse())
+			}
+		}
+	})
+})
--- a/gateway/control_bench_internal_test.go
+++ b/gateway/control_bench_internal_test.go
@@ -79,7 +79,7 @@
 			req := pathing.Request{Domain: "a", PromptTokens: 760, MaxTokens: 600}
 			now := time.Now()
 			for range 60 {
-				path, ok := shared.choosePath(now, v, &svc, req, nil, &permitRequest{})
+				path, ok := shared.choosePath(now, v, &svc, req, nil, &serverSearch{})
 				if !ok {
 					b.Fatal("no path")
 				}
@@ -87,7 +87,7 @@
 			}
 			b.ReportAllocs()
 			for b.Loop() {
-				path, _ := shared.choosePath(now, v, &svc, req, nil, &permitRequest{})
+				path, _ := shared.choosePath(now, v, &svc, req, nil, &serverSearch{})
 				shared.releasePath(path, req.ExpectedTokens())
 			}
 		})
--- a/gateway/fake_test.go
+++ b/gateway/fake_test.go
@@ -38,6 +38,8 @@
 	turnedAway  map[string][]time.Time     // when servers turned requests away, by address
 	leaving     map[string]bool            // by address: servers that state that they are leaving
 	requestsAt  map[string][]time.Time     // when servers received requests, by address
+	// connect is called before a call is admitted, if it is set.
+	connect func(c backend.Call)
 	// plain and stream answer calls; a stream writes events with increasing ids.
 	plain      func(c backend.Call) (*backend.Answer, error)
 	stream     func(c backend.Call, out *io.PipeWriter)
@@ -46,6 +48,12 @@
 
 // Send implements backend.Client.
 func (s *fakeServers) Send(ctx context.Context, c backend.Call) (*backend.Answer, error) {
+	if s.connect != nil {
+		s.connect(c)
+	}
+	if c.Admit != nil && !c.Admit() {
+		return nil, errors.Join(backend.ErrNotSent, backend.ErrWithdrawn)
+	}
 	s.mu.Lock()
 	s.calls = append(s.calls, c)
 	s.requestsAt[c.Address] = append(s.requestsAt[c.Address], time.Now())
@@ -85,9 +93,15 @@
 // startShedding makes a server turn all requests away for a duration. It asks for as long a
 // time without requests.
 func (s *fakeServers) startShedding(address string, duration time.Duration) {
+	s.startSheddingFor(address, "", duration)
+}
+
+// startSheddingFor makes a server turn all requests away as startShedding does, and blame
+// another hop.
+func (s *fakeServers) startSheddingFor(address, faultyHop string, duration time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.shedding[address] = shedding{until: time.Now().Add(duration), retryAfter: duration}
+	s.shedding[address] = shedding{until: time.Now().Add(duration), retryAfter: duration, faultyHop: faultyHop}
 }
 
 // shed answers a request to a server that turns requests away.
@@ -104,6 +118,13 @@
 	return a, true
 }
 
+// turnAways returns how many requests a server has turned away.
+func (s *fakeServers) turnAways(address string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.turnedAway[address])
+}
+
 // unwantedRequests returns how many requests a server got between half a second after it
 // first turned one away and the end of the time that it asked for.
 func (s *fakeServers) unwantedRequests(address string) int {
--- a/gateway/listing.go
+++ b/gateway/listing.go
@@ -264,6 +264,10 @@
 		groups[s.Service] = append(groups[s.Service], s)
 	}
 	l.resetNewIncarnations(latest)
+	l.c.g.shared.pruneAvailability(l.c.now, func(server state.BackendIncarnation) bool {
+		s, ok := l.servers[server.ID]
+		return ok && s.Incarnation() == server
+	})
 	l.c.view.servers = groups
 	l.c.view.rosters = lazyRosters(l.c.view.config, groups)
 	l.c.changed = true
--- a/gateway/path.go
+++ b/gateway/path.go
@@ -24,20 +24,20 @@
 		if r.view.populating && !r.headSent || !r.mayRetryRejected(time.Now()) {
 			return false
 		}
-		path, ok = r.g.shared.choosePath(time.Now(), r.view, r.service, pathReq, r.excluded, &r.permit)
+		path, ok = r.g.shared.choosePath(time.Now(), r.view, r.service, pathReq, r.excluded, &r.search)
 		return ok
 	})
 	if !found {
 		return r.noServerResult(admission.Uncovered)
 	}
 	defer r.g.shared.releasePath(path, pathReq.ExpectedTokens())
+	defer r.endAssignment(false)
 	if !path.Complete(r.service.Engine.Layers) {
 		panic("gateway: path does not contain each layer exactly once")
 	}
 	r.address = path[0].Address
 	r.logSent(path.String())
-	r.logUnwanted(path[0].Server)
-	call := r.newCall(path[0].Server.ID, path[0].Address)
+	call := r.newCall(path[0].Server, path[0].Address)
 	call.Path = path
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -50,7 +50,7 @@
 	}
 	defer func() { _ = answer.Body.Close() }()
 	r.g.observeLimit(path[0].Server, answer, sent)
-	r.observeStatements(path[0].Server, answer)
+	r.observeStatements(path[0].Server, faultyHop(path, answer).Server, answer)
 	if !answer.NotRun {
 		// Refusals are excluded: they arrive at once, and would make the refusing engines
 		// look like the fastest ones.
@@ -63,14 +63,12 @@
 // handlePathAnswer delivers an engine's answer to the caller.
 func (r *requestHandler) handlePathAnswer(cancel context.CancelFunc, path fleet.Path, answer *backend.Answer) (relay.Outcome, Result) {
 	if answer.NotRun {
-		culprit := answer.FaultyHop
-		if culprit == "" {
-			culprit = path[0].Address
-		}
-		if answer.Stale {
+		culprit := faultyHop(path, answer).Address
+		switch {
+		case answer.Stale:
 			r.recordFailure(culprit)
 			r.reportOutdated(culprit)
-		} else {
+		case !answer.StatesRetryAfter():
 			r.handleRefusal(path, culprit)
 		}
 		r.rejections.Count++
@@ -87,6 +85,15 @@
 	return s.forward()
 }
 
+// faultyHop returns the hop that an answer blames, or the first one if it blames none of the
+// path.
+func faultyHop(path fleet.Path, answer *backend.Answer) fleet.Hop {
+	if hop, ok := hopAt(path, answer.FaultyHop); ok {
+		return hop
+	}
+	return path[0]
+}
+
 // handlePathFailure handles an error answer of an engine.
 func (r *requestHandler) handlePathFailure(path fleet.Path, answer *backend.Answer) (relay.Outcome, Result) {
 	body, ok := r.readSigned(path[0].Address, answer)
--- a/gateway/pathchoice.go
+++ b/gateway/pathchoice.go
@@ -12,7 +12,9 @@
 // choosePath chooses a path for a request that does not use the addresses to avoid, and
 // adds its load until releasePath. A path whose first server needs a permit that the
 // request does not have is passed over if the request skips that server.
-func (s *sharedState) choosePath(now time.Time, v *view, svc *fleet.Service, r pathing.Request, avoid map[string]bool, permit *permitRequest) (fleet.Path, bool) {
+func (s *sharedState) choosePath(now time.Time, v *view, svc *fleet.Service, r pathing.Request, avoid map[string]bool, search *serverSearch) (fleet.Path, bool) {
+	search.availableAt = time.Time{}
+	permit := &search.permit
 	newRoster := v.rosters[svc.ID]
 	if newRoster == nil {
 		return nil, false
@@ -26,7 +28,11 @@
 	excludeAddresses(roster, states, s.dead)
 	excludeAddresses(roster, states, avoid)
 	suspects := s.markSuspects(now, roster, states)
+	unwanted := s.excludeUnwanted(now, roster, states)
 	path, ok := cheapestPath(roster, r, states, suspects)
+	if !ok {
+		search.availableAt = s.pathAvailableAt(now, roster, r, states, unwanted)
+	}
 	for ok && s.needsPermit(now, path[0].Server, permit) {
 		if !permit.skips(now, path[0].Server, s.permits) {
 			return nil, false
@@ -37,6 +43,7 @@
 	}
 	if ok {
 		s.spendPermit(now, path[0].Server, permit)
+		search.assignment = s.availability.Begin(now, path[0].Server)
 		// Requests are spread over the daemons at random, so that each request here stands
 		// for one at every daemon.
 		s.linkBacklogs.add(now, path, pathing.TransferMS(svc.Engine, r.PromptTokens)*float64(max(v.live, 1)))
--- a/gateway/permitrequest.go
+++ b/gateway/permitrequest.go
@@ -128,15 +128,15 @@
 // permitWaitExceeds reports whether a request that only rate-limited servers can take won't get
 // a permit before until. It is false once the header of an answer was written to the caller.
 func (r *requestHandler) permitWaitExceeds(until time.Time) bool {
-	if !r.permit.queued() || r.headSent {
+	if !r.search.permit.queued() || r.headSent {
 		return false
 	}
-	return admission.RateLimited{PermitWait: r.g.shared.expectedPermitWait(&r.permit)}.PermitTooLate(time.Until(until))
+	return admission.RateLimited{PermitWait: r.g.shared.expectedPermitWait(&r.search.permit)}.PermitTooLate(time.Until(until))
 }
 
 // rateLimitedResult is the result of a request that got no permit.
 func (r *requestHandler) rateLimitedResult() Result {
 	r.g.metrics.CountReason(telemetry.GatewayLimitedTotal, limitedRefused)
-	limited := admission.RateLimited{PermitWait: r.g.shared.expectedPermitWait(&r.permit)}
+	limited := admission.RateLimited{PermitWait: r.g.shared.expectedPermitWait(&r.search.permit)}
 	return Result{Outcome: Refused, Reason: string(relay.ReasonLimited), RetryAfter: limited.RetryAfter()}
 }
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -21,27 +21,27 @@
 func (r *requestHandler) attemptPlain(ctx context.Context) (relay.Outcome, Result) {
 	var server fleet.Server
 	found := r.waitFor(ctx, func() (ok bool) {
-		server, ok = r.g.shared.pickServer(time.Now(), r.view, r.service.ID, r.g.currentSettings().Domain, r.excluded, &r.permit)
+		server, ok = r.g.shared.pickServer(time.Now(), r.view, r.service.ID, r.g.currentSettings().Domain, r.excluded, &r.search)
 		return ok
 	})
 	if !found {
 		return r.noServerResult(admission.Busy)
 	}
 	defer r.g.shared.releaseServer(server.Incarnation())
+	defer r.endAssignment(false)
 	r.address = server.Address
 	r.logSent(string(server.ID))
-	r.logUnwanted(server.Incarnation())
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer stopTimer(r.watchFirstEvent(cancel))
 	sent := time.Now()
-	answer, err := r.g.backends.Send(ctx, r.newCall(server.ID, server.Address))
+	answer, err := r.g.backends.Send(ctx, r.newCall(server.Incarnation(), server.Address))
 	if err != nil {
 		return r.handleSendError(ctx, err, server.Incarnation(), server.Address), Result{}
 	}
 	defer func() { _ = answer.Body.Close() }()
 	r.g.observeLimit(server.Incarnation(), answer, sent)
-	r.observeStatements(server.Incarnation(), answer)
+	r.observeStatements(server.Incarnation(), server.Incarnation(), answer)
 	r.g.shared.recordFirstEvent(time.Now(), r.service.ID, time.Since(sent))
 	return r.handlePlainAnswer(server.Address, answer)
 }
@@ -49,7 +49,9 @@
 // handlePlainAnswer delivers a plain server's answer to the caller.
 func (r *requestHandler) handlePlainAnswer(address string, answer *backend.Answer) (relay.Outcome, Result) {
 	if answer.NotRun {
-		r.exclude(address)
+		if !answer.StatesRetryAfter() {
+			r.exclude(address)
+		}
 		if answer.Stale {
 			r.reportOutdated(address)
 		}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -37,7 +37,7 @@
 	lastEventID  string // id of the last event that the caller has received
 	headSent     bool   // the header of an answer was written to the caller
 	rejections   admission.Rejections
-	permit       permitRequest
+	search       serverSearch
 	attemptCount int
 	address      string // address of the server of the current attempt
 	gaps         eventGaps
@@ -246,7 +246,10 @@
 // noServerResult is the result of a request for which no server is available.
 func (r *requestHandler) noServerResult(why admission.Refusal) (relay.Outcome, Result) {
 	if r.retrier.NeverRan() && !r.headSent {
-		if r.permit.queued() {
+		if !r.search.availableAt.IsZero() {
+			return 0, r.retryAfterResult()
+		}
+		if r.search.permit.queued() {
 			return 0, r.rateLimitedResult()
 		}
 		return 0, refusedResult(relay.ReasonNoServer, why)
@@ -265,9 +268,9 @@
 }
 
 // newCall builds the call to a server.
-func (r *requestHandler) newCall(s state.BackendID, address string) backend.Call {
+func (r *requestHandler) newCall(s state.BackendIncarnation, address string) backend.Call {
 	return backend.Call{
-		Server:       s,
+		Server:       s.ID,
 		Address:      address,
 		RequestID:    string(r.req.ID),
 		Method:       r.req.Method,
@@ -279,6 +282,7 @@
 		LastEventID:  r.lastEventID,
 		Rank:         r.rank(),
 		MaxIdleConns: r.maxIdleConns(),
+		Admit:        func() bool { return r.g.shared.isWanted(time.Now(), s) },
 	}
 }
 
@@ -328,6 +332,10 @@
 	if errors.Is(err, backend.ErrNotSent) {
 		outcome = relay.NotSent
 	}
+	if errors.Is(err, backend.ErrWithdrawn) {
+		r.logWithdrawn(server)
+		return outcome
+	}
 	if ctx.Err() != nil {
 		r.exclude(address)
 		return outcome
--- a/gateway/sharedstate.go
+++ b/gateway/sharedstate.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -44,7 +45,7 @@
 		latencies:     make(map[state.ServiceID]*serviceLatency),
 		crashes:       crashes.NewTracker(),
 		permits:       permits.New(),
-		availability:  availability.NewTracker(),
+		availability:  availability.NewTracker(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		budget:        retrybudget.New(budgetConfig(set), time.Now()),
 	}
 }
@@ -103,11 +104,16 @@
 // pickServer picks a plain server for a request: the one with the fewest of this daemon's
 // requests among those not to be avoided. A server for which the request has no permit is
 // passed over if the request skips it.
-func (s *sharedState) pickServer(now time.Time, v *view, svc state.ServiceID, domain state.FailureDomain, avoid map[string]bool, permit *permitRequest) (fleet.Server, bool) {
+func (s *sharedState) pickServer(now time.Time, v *view, svc state.ServiceID, domain state.FailureDomain, avoid map[string]bool, search *serverSearch) (fleet.Server, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	permit := &search.permit
 	var limited []state.BackendIncarnation // servers passed over for lack of a permit
 	best, ok := s.leastLoaded(now, v.servers[svc], domain, avoid, limited)
+	search.availableAt = time.Time{}
+	if !ok {
+		search.availableAt = s.serverAvailableAt(now, v.servers[svc], avoid)
+	}
 	for ok && s.needsPermit(now, best.Incarnation(), permit) {
 		if !permit.skips(now, best.Incarnation(), s.permits) {
 			return fleet.Server{}, false
@@ -121,6 +127,7 @@
 	}
 	if ok {
 		s.spendPermit(now, best.Incarnation(), permit)
+		search.assignment = s.availability.Begin(now, best.Incarnation())
 		s.addLoad(best.Incarnation(), 1, 0, 0)
 	}
 	return best, ok
@@ -133,7 +140,7 @@
 	best, bestCost := -1, 0.0
 	for i := range servers {
 		candidate := &servers[i]
-		if candidate.Draining || avoid[candidate.Address] || s.dead[candidate.Address] || s.suspects.IsOutdated(now, candidate) {
+		if !s.isListedUsable(now, candidate, avoid) || !s.availability.Accepts(now, candidate.Incarnation()) {
 			continue
 		}
 		if slices.Contains(except, candidate.Incarnation()) {
@@ -143,7 +150,7 @@
 		if candidate.Domain != domain {
 			cost += crossDomainCost
 		}
-		if suspects[candidate.Address] {
+		if suspects[candidate.Address] || s.suspects.IsLeaving(now, candidate.Incarnation()) {
 			cost += suspectCost
 		}
 		if best < 0 || cost < bestCost {
@@ -156,6 +163,12 @@
 	return servers[best], true
 }
 
+// isListedUsable reports whether a plain server may be used, apart from what it has stated
+// itself.
+func (s *sharedState) isListedUsable(now time.Time, candidate *fleet.Server, avoid map[string]bool) bool {
+	return !candidate.Draining && !avoid[candidate.Address] && !s.dead[candidate.Address] && !s.suspects.IsOutdated(now, candidate)
+}
+
 const (
 	// crossDomainCost prefers a server of the same failure domain among equally loaded
 	// ones.
--- a/gateway/statements.go
+++ b/gateway/statements.go
@@ -4,15 +4,18 @@
 	"sync"
 	"time"
 
+	"github.com/hibiscuswick/hibiscuswick/coordination/availability"
+	"github.com/hibiscuswick/hibiscuswick/coordination/suspect"
 	"github.com/hibiscuswick/hibiscuswick/protocol/backend"
 	"github.com/hibiscuswick/hibiscuswick/state"
 	"github.com/hibiscuswick/hibiscuswick/telemetry"
 )
 
-// Reasons of telemetry.GatewayRetryAfterTotal and telemetry.GatewayDepartingTotal.
+// Reasons of telemetry.GatewayRetryAfterTotal.
 const (
-	statementStated = "stated"
-	statementSent   = "sent"
+	statementStated    = "stated"
+	statementWithdrawn = "withdrawn"
+	statementRefused   = "refused"
 )
 
 // Reasons of telemetry.GatewayHeadersTotal.
@@ -45,39 +48,47 @@
 	return true
 }
 
-// logUnwanted logs and counts a request that is sent although the server wants none.
-func (r *requestHandler) logUnwanted(server state.BackendIncarnation) {
-	left, leaving := r.g.shared.unwanted(time.Now(), server)
-	if left <= 0 && !leaving {
-		return
-	}
-	if left > 0 {
-		r.g.metrics.CountReason(telemetry.GatewayRetryAfterTotal, statementSent)
-	}
-	if leaving {
-		r.g.metrics.CountReason(telemetry.GatewayDepartingTotal, statementSent)
-	}
-	r.g.log.Emit(telemetry.EventRequestUnwanted, telemetry.Request(r.req.ID), telemetry.Count(r.attemptCount),
-		telemetry.Backend(server.ID), telemetry.Address(r.address), telemetry.Duration(left))
-}
-
-// observeStatements records what a server states about itself in an answer.
-func (r *requestHandler) observeStatements(server state.BackendIncarnation, a *backend.Answer) {
+// observeStatements records what a server states about itself in an answer. blamed is the
+// server that turned the request away, if the answering one forwards a request to others.
+func (r *requestHandler) observeStatements(server, blamed state.BackendIncarnation, a *backend.Answer) {
+	r.endAssignment(!a.TurnedAway())
 	r.g.observeHeaders(server, a)
-	if a.TurnedAway() && a.RetryAfter > 0 {
+	if a.StatesRetryAfter() {
 		r.g.metrics.CountReason(telemetry.GatewayRetryAfterTotal, statementStated)
-		r.g.shared.recordRetryAfter(time.Now(), server, a.RetryAfter)
-		r.g.log.Emit(telemetry.EventBackendRetryAfter, telemetry.Request(r.req.ID), telemetry.Backend(server.ID),
+		r.g.shared.recordRetryAfter(time.Now(), server, blamed, a.RetryAfter)
+		r.g.log.Emit(telemetry.EventBackendRetryAfter, telemetry.Request(r.req.ID), telemetry.Backend(blamed.ID),
 			telemetry.Address(r.address), telemetry.Duration(a.RetryAfter))
 	}
 	if a.Leaving {
-		r.g.metrics.CountReason(telemetry.GatewayDepartingTotal, statementStated)
-		if r.g.shared.recordLeaving(server) {
-			r.g.log.Emit(telemetry.EventBackendDeparting, telemetry.Backend(server.ID), telemetry.Address(r.address))
-		}
+		r.handleLeaving(server)
 	}
 }
 
+// handleLeaving excludes a server that states that it is leaving, and notifies the other
+// daemons if the list does not say so yet.
+func (r *requestHandler) handleLeaving(server state.BackendIncarnation) {
+	r.g.metrics.Add(telemetry.GatewayDepartingTotal, 1)
+	if !r.g.shared.recordLeaving(server) {
+		return
+	}
+	r.g.log.Emit(telemetry.EventBackendDeparting, telemetry.Backend(server.ID), telemetry.Address(r.address))
+	if s, ok := r.view.serverAt(r.service.ID, r.address); ok && s.Incarnation() == server && s.Draining {
+		return
+	}
+	notice := suspect.LeavingNotice{Server: server}
+	if r.g.shared.markLeaving(time.Now(), notice) {
+		r.g.broadcast(notice)
+	}
+}
+
+// logWithdrawn logs and counts a request that was not sent, since its server has stated
+// meanwhile that it wants none.
+func (r *requestHandler) logWithdrawn(server state.BackendIncarnation) {
+	r.g.metrics.CountReason(telemetry.GatewayRetryAfterTotal, statementWithdrawn)
+	r.g.log.Emit(telemetry.EventRequestWithdrawn, telemetry.Request(r.req.ID), telemetry.Count(r.attemptCount),
+		telemetry.Backend(server.ID), telemetry.Address(r.address))
+}
+
 // observeHeaders counts the header fields of an answer that say nothing to this daemon, and
 // logs each name once.
 func (g *Gateway) observeHeaders(server state.BackendIncarnation, a *backend.Answer) {
@@ -93,10 +104,16 @@
 	observe(a.Unknown, headerUnknown, telemetry.EventHeaderUnknown)
 }
 
-func (s *sharedState) recordRetryAfter(now time.Time, server state.BackendIncarnation, wait time.Duration) {
+// recordRetryAfter records that a server has turned a request away and wants none for some
+// time. If it blames another one, that one is not used at all in this time, and the answering
+// one gets no requests from this daemon.
+func (s *sharedState) recordRetryAfter(now time.Time, answering, blamed state.BackendIncarnation, wait time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.availability.RecordRetryAfter(now, server, wait)
+	s.availability.RecordRetryAfter(now, blamed, availability.Relayed, wait)
+	if answering != blamed {
+		s.availability.RecordRetryAfter(now, answering, availability.Direct, wait)
+	}
 }
 
 func (s *sharedState) recordLeaving(server state.BackendIncarnation) bool {
@@ -104,11 +121,3 @@
 	defer s.mu.Unlock()
 	return s.availability.RecordLeaving(server)
 }
-
-// unwanted returns for how much longer a server wants no request, and whether it is
-// leaving.
-func (s *sharedState) unwanted(now time.Time, server state.BackendIncarnation) (time.Duration, bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.availability.RetryAfter(now, server), s.availability.IsLeaving(server)
-}
--- a/gateway/status.go
+++ b/gateway/status.go
@@ -10,6 +10,7 @@
 
 	"github.com/samber/lo"
 
+	"github.com/hibiscuswick/hibiscuswick/coordination/availability"
 	"github.com/hibiscuswick/hibiscuswick/coordination/following"
 	"github.com/hibiscuswick/hibiscuswick/state"
 	"github.com/hibiscuswick/hibiscuswick/state/fleet"
@@ -71,11 +72,13 @@
 	Kind           string              `json:"kind,omitempty"`
 	Layers         string              `json:"layers,omitempty"`
 	Draining       bool                `json:"draining"`
-	Dead           bool                `json:"dead"`            // it answers no probe
-	Avoided        bool                `json:"avoided"`         // it failed recently
-	Outdated       bool                `json:"outdated"`        // it has contradicted its list entry
-	Refusing       bool                `json:"refusing"`        // it is leaving, and not listed as such
-	Limit          string              `json:"limit,omitempty"` // the request limit that it names
+	Dead           bool                `json:"dead"`                  // it answers no probe
+	Avoided        bool                `json:"avoided"`               // it failed recently
+	Outdated       bool                `json:"outdated"`              // it has contradicted its list entry
+	Refusing       bool                `json:"refusing"`              // it is leaving, and not listed as such
+	Departing      bool                `json:"departing"`             // it states that it is leaving
+	RetryAfter     float64             `json:"retry_after,omitempty"` // seconds for which it wants no requests of this gateway
+	Limit          string              `json:"limit,omitempty"`       // the request limit that it names
 	Requests       float64             `json:"requests"`
 	ReservedTokens float64             `json:"tokens"`         // reserved for this gateway's requests
 	CapacityTokens int                 `json:"room,omitempty"` // for the tokens of all gateways
@@ -180,8 +183,12 @@
 	out := ServerStatus{
 		ID: srv.ID, Address: srv.Address, Domain: srv.Domain, Kind: srv.Kind, Draining: srv.Draining,
 		Dead: s.dead[srv.Address], Avoided: avoided[srv.Address], Outdated: s.suspects.IsOutdated(now, srv),
-		Refusing: s.suspects.IsLeaving(now, srv.Incarnation()),
-		Requests: load.Requests, ReservedTokens: load.Tokens,
+		Refusing:  s.suspects.IsLeaving(now, srv.Incarnation()),
+		Departing: s.availability.Leaving(srv.Incarnation()),
+		Requests:  load.Requests, ReservedTokens: load.Tokens,
+	}
+	if at, ok := s.availability.AvailableAt(now, srv.Incarnation(), availability.Direct); ok {
+		out.RetryAfter = at.Sub(now).Seconds()
 	}
 	if limit := s.permits.LimitOf(srv.Incarnation()); limit.Named {
 		out.Limit = limit.String()
--- a/gateway/wait.go
+++ b/gateway/wait.go
@@ -16,19 +16,19 @@
 	permitPollInterval = 3 * time.Millisecond
 )
 
-// waitFor repeats try until it succeeds, for as long as the request may wait. A request
-// without a permit does not wait if none will come in time.
+// waitFor repeats try until it succeeds, for as long as the request may wait. It does not wait
+// for a permit that will not come in time, nor for servers that want no request until later.
 func (r *requestHandler) waitFor(ctx context.Context, try func() bool) bool {
 	waiting := admission.WaitingRequest{Arrived: r.req.Arrived, Deadline: r.deadline}
 	if r.headSent {
 		waiting.LastEvent = r.gaps.lastEvent
 	}
-	r.permit = permitRequest{}
-	defer r.g.dequeueForPermit(&r.permit)
+	r.search = serverSearch{}
+	defer r.g.dequeueForPermit(&r.search.permit)
 	tryOnce := func() bool {
 		ok := try()
-		r.g.shared.enqueueForPermit(&r.permit)
-		r.g.requestPermits(&r.permit)
+		r.g.shared.enqueueForPermit(&r.search.permit)
+		r.g.requestPermits(&r.search.permit)
 		return ok
 	}
 	if tryOnce() {
@@ -37,10 +37,10 @@
 	r.g.waitingRequests.Add(1)
 	defer r.g.waitingRequests.Add(-1)
 	for until := waiting.RejectAt(); time.Now().Before(until) && ctx.Err() == nil; {
-		if r.permitWaitExceeds(until) {
+		if r.permitWaitExceeds(until) || r.retryAfterExceeds(until) {
 			return false
 		}
-		sleep(ctx, r.permit.pollInterval())
+		sleep(ctx, r.search.permit.pollInterval())
 		r.view = r.g.currentView.Load()
 		if tryOnce() {
 			return true
--- a/protocol/backend/backend.go
+++ b/protocol/backend/backend.go
@@ -21,6 +21,8 @@
 	// ErrIncomplete: the call was sent, and no complete answer was received. The
 	// request may have run.
 	ErrIncomplete = errors.New("no complete answer")
+	// ErrWithdrawn: Call.Admit has returned false. It is joined with ErrNotSent.
+	ErrWithdrawn = errors.New("withdrawn before it was sent")
 )
 
 // Call is a request to one backend server.
@@ -38,6 +40,9 @@
 	LastEventID  string           // id of the last event that the caller received, or ""
 	Rank         int              // 0 is the most urgent, 9 the least
 	MaxIdleConns int              // maximum number of pooled idle connections to the server; 0 for the default
+	// Admit is called when a connection is ready, immediately before the call is sent. If it
+	// returns false, nothing is sent and Send returns ErrWithdrawn. nil admits each call.
+	Admit func() bool
 }
 
 // Answer is the header of a server's answer together with its body. Body must be
@@ -72,11 +77,15 @@
 }
 
 // TurnedAway reports whether the server did not accept the request for lack of capacity or
-// because it is leaving, so that RetryAfter applies.
+// because it is leaving.
 func (a *Answer) TurnedAway() bool {
 	return a.Status == http.StatusServiceUnavailable || a.Status == http.StatusTooManyRequests
 }
 
+// StatesRetryAfter reports whether the server turned the request away and wants no further
+// one for RetryAfter.
+func (a *Answer) StatesRetryAfter() bool { return a.TurnedAway() && a.RetryAfter > 0 }
+
 // Order changes the layers that an engine holds.
 type Order struct {
 	Server  state.BackendID
--- a/telemetry/catalogue.go
+++ b/telemetry/catalogue.go
@@ -48,7 +48,7 @@
 	{EventStreamSilent, "stream_silent", logrus.InfoLevel, "A stream was stalled for much longer than usual although its hops are alive; it continues on another path."},
 	{EventRequestSent, "request_sent", logrus.InfoLevel, "A gateway sent a request. The fields are the attempt, the address, the hops, the version of the configuration, and the time since its arrival."},
 	{EventRequestAnswered, "request_answered", logrus.InfoLevel, "A request was answered completely by the server at the address, after the given number of attempts and seconds."},
-	{EventRequestUnwanted, "request_unwanted", logrus.WarnLevel, "A request was sent to a backend server that had asked for none for the given seconds more, or that is leaving. The count is the attempt."},
+	{EventRequestWithdrawn, "request_withdrawn", logrus.InfoLevel, "A request that was assigned to a backend server was not sent, because the server has stated meanwhile that it wants none for a while or is leaving. The count is the attempt."},
 	{EventStoreUnavailable, "store_unavailable", logrus.WarnLevel, "The table service does not answer; repeatable requests and requests with a claim continue."},
 	{EventStoreRecovered, "store_recovered", logrus.InfoLevel, "The table service answers again."},
 	{EventStoreBudgetSpent, "store_budget_spent", logrus.WarnLevel, "This daemon's share of store writes is exhausted; claims have priority over other writes."},
--- a/telemetry/events.go
+++ b/telemetry/events.go
@@ -58,7 +58,7 @@
 	EventStreamSilent       Event = 1319
 	EventRequestSent        Event = 1320
 	EventRequestAnswered    Event = 1321
-	EventRequestUnwanted    Event = 1322
+	EventRequestWithdrawn   Event = 1322
 )
 
 // Events of the store.
--- a/transport/exchange/exchange.go
+++ b/transport/exchange/exchange.go
@@ -32,6 +32,9 @@
 	// MaxIdle bounds the idle connections kept to the server, including this request's
 	// own; 0 means the default.
 	MaxIdle int
+	// Admit is called when a connection is ready, immediately before the request is
+	// written. If it returns false, nothing is written. nil admits each request.
+	Admit func() bool
 }
 
 // Response is the head of an answer and its unread body.
@@ -42,14 +45,19 @@
 }
 
 // Do sends a request and reads the head of its answer. Its errors wrap
-// backend.ErrNotSent, backend.ErrIncomplete or the context's error. Canceling ctx
-// closes the connection until Body is closed.
+// backend.ErrNotSent, with backend.ErrWithdrawn if the request was not admitted,
+// backend.ErrIncomplete or the context's error. Canceling ctx closes the connection
+// until Body is closed.
 func (p *Pool) Do(ctx context.Context, req Request) (*Response, error) {
 	for {
 		c, err := p.getConn(ctx, req.Address)
 		if err != nil {
 			return nil, err
 		}
+		if req.Admit != nil && !req.Admit() {
+			_ = c.Close()
+			return nil, errors.Join(backend.ErrNotSent, backend.ErrWithdrawn)
+		}
 		resp, err := p.roundTrip(ctx, c, &req)
 		if err == nil {
 			return resp, nil
