Name the permit as the reason for a request that still waits for its owner

What callers saw: a request that only servers with a limit could take was refused as no_server, with the time of a busy service, instead of server_limit with the time of the next permit.

Cause: noServerResult named the permit only if the request was queued for one. A request whose wait ends while it still waits for the answer of the permits' owner is not queued yet. Ruled out: a request that finds no listed server, since both were listed all the while.

Change: each choice of a server says whether it failed for lack of a permit, queued or not, and the time to return is that of the permit which comes first.

--- a/gateway/pathchoice.go
+++ b/gateway/pathchoice.go
@@ -15,6 +15,7 @@
 func (s *sharedState) choosePath(now time.Time, v *view, svc *fleet.Service, r pathing.Request, avoid map[string]bool, search *serverSearch) (fleet.Path, bool) {
 	search.availableAt = time.Time{}
 	permit := &search.permit
+	permit.lacking = false
 	newRoster := v.rosters[svc.ID]
 	if newRoster == nil {
 		return nil, false
--- a/gateway/permitrequest.go
+++ b/gateway/permitrequest.go
@@ -26,6 +26,7 @@
 	wants       []permitWant             // servers without a permit that suit the request, the best one first
 	queryOwner  bool                     // the owner of a permit has to be queried at once
 	blocked     bool                     // no server can take the request without a permit
+	lacking     bool                     // the last choice of a server failed for lack of a permit
 	queuedFor   state.BackendIncarnation // the server for whose permit the request is queued; zero for none
 	queuedAhead int                      // number of requests queued before it
 }
@@ -71,6 +72,7 @@
 	if !s.permits.Unavailable(now, server) {
 		return false
 	}
+	q.lacking = true
 	repeated := q.index(server) >= 0
 	if !repeated {
 		if q.full() {
@@ -89,6 +91,7 @@
 		panic("gateway: available permit could not be taken")
 	}
 	q.queryOwner = queryOwner || q.queryOwner
+	q.lacking = false
 }
 
 // enqueueForPermit queues a request that no server can take without a permit for the one
@@ -100,19 +103,29 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	soonest := slices.MinFunc(q.wants, func(x, y permitWant) int {
-		return cmp.Compare(s.permits.ExpectedWait(now, x.server), s.permits.ExpectedWait(now, y.server))
-	})
-	q.queuedFor = soonest.server
+	q.queuedFor = q.soonest(now, s.permits)
 	q.queuedAhead = s.permits.Enqueue(q.queuedFor)
 	q.queryOwner = s.permits.RecordDemand(now, q.queuedFor, true) || q.queryOwner
 }
 
-// expectedPermitWait is how long a queued request is expected to wait for its permit.
+// expectedPermitWait is how long a request is expected to wait for its permit: the one that it is
+// queued for, or else the first one of those that it has asked for.
 func (s *sharedState) expectedPermitWait(q *permitRequest) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.permits.ExpectedWaitBehind(time.Now(), q.queuedFor, q.queuedAhead)
+	now := time.Now()
+	if q.queued() {
+		return s.permits.ExpectedWaitBehind(now, q.queuedFor, q.queuedAhead)
+	}
+	return s.permits.ExpectedWait(now, q.soonest(now, s.permits))
+}
+
+// soonest returns the server whose permit is likely to come first, of those that the request has
+// asked for.
+func (q *permitRequest) soonest(now time.Time, p *permits.Limiter) state.BackendIncarnation {
+	return slices.MinFunc(q.wants, func(x, y permitWant) int {
+		return cmp.Compare(p.ExpectedWait(now, x.server), p.ExpectedWait(now, y.server))
+	}).server
 }
 
 // dequeueForPermit ends an attempt's wait for a permit.
--- a/gateway/permits_test.go
+++ b/gateway/permits_test.go
@@ -151,6 +151,27 @@
 		Expect(answered).To(BeNumerically("<=", int(1.5*2*perSecond*took.Seconds()+10)))
 	})
 
+	// Callers' deadlines are so short that their requests' wait ends before the owner of the
+	// permits has answered. They must be told that the limit is the reason, and when to return.
+	It("has requests refused for the limit whose wait ends before the owner of its permits answers", Label("failure:named-limit-broken"), func() {
+		h.servers.setLimit("p0", 1)
+		h.servers.setLimit("p1", 1)
+		sendLoad(gateways, "/again/x", 40*time.Millisecond, limitSettleTime)
+		refused := 0
+		for range 40 {
+			for _, g := range gateways {
+				req := request("/again/x")
+				req.CallerTimeout = 50 * time.Millisecond
+				if res := g.Serve(context.Background(), req, &fakeReply{}); res.Outcome == gateway.Refused {
+					refused++
+					Expect(res.Reason).To(Equal("server_limit"))
+					Expect(res.RetryAfter).To(BeNumerically(">=", 50*time.Millisecond))
+				}
+			}
+		}
+		Expect(refused).To(BeNumerically(">", 100))
+	})
+
 	// The same kind of failure: a server limits the connections of all its callers
 	// together, and each daemon keeps idle ones. The idle connections of all daemons must
 	// leave half of the limit to requests.
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -249,7 +249,7 @@
 		if !r.search.availableAt.IsZero() {
 			return 0, r.retryAfterResult()
 		}
-		if r.search.permit.queued() {
+		if r.search.permit.lacking {
 			return 0, r.rateLimitedResult()
 		}
 		return 0, refusedResult(relay.ReasonNoServer, why)
--- a/gateway/sharedstate.go
+++ b/gateway/sharedstate.go
@@ -108,6 +108,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	permit := &search.permit
+	permit.lacking = false
 	var limited []state.BackendIncarnation // servers passed over for lack of a permit
 	best, ok := s.leastLoaded(now, v.servers[svc], domain, avoid, limited)
 	search.availableAt = time.Time{}
