Deliver a server's own error answer if no other server does better

Cause: the kept answer was passed on only if the last attempt was the one that ended with it; after a refusal, or with no server left, the daemon answered for itself. Ruled out: a stream that has begun, and a request of which nothing ran, which is refused as before.

Change: relay remembers that a server has answered with a failure, and noServerResult delivers it. Before: both specs red (a decision without PassFailure; 502 as no_server after 0.8 s). After: green.

--- a/coordination/relay/relay.go
+++ b/coordination/relay/relay.go
@@ -80,6 +80,7 @@
 	ranOn         map[string]bool // addresses of the servers of these attempts
 	proofs        int             // attempts that ended with a proof that the request did not run
 	partDelivered bool
+	errored       bool // a server has answered with a failure of its own
 	// reserved reports that the budget has already paid for the next retry.
 	reserved bool
 }
@@ -126,6 +127,7 @@
 	} else {
 		r.recordRun(server)
 	}
+	r.errored = r.errored || e == Errored
 	return r.decide(now, e)
 }
 
@@ -140,7 +142,7 @@
 	case reason == ReasonBudget && r.resumable():
 		return Decision{RetryLater: true, Reason: reason}
 	default:
-		return r.finish(e, reason)
+		return r.finish(reason)
 	}
 }
 
@@ -185,9 +187,9 @@
 	return ReasonNone
 }
 
-func (r *Retrier) finish(e Outcome, reason Reason) Decision {
+func (r *Retrier) finish(reason Reason) Decision {
 	return Decision{
-		PassFailure: e == Errored && !r.partDelivered,
+		PassFailure: r.errored && !r.partDelivered,
 		Refuse:      r.runs == 0,
 		Reason:      reason,
 	}
--- a/coordination/relay/relay_test.go
+++ b/coordination/relay/relay_test.go
@@ -30,6 +30,15 @@
 		Expect(d).To(Equal(relay.Decision{Reason: relay.ReasonRunOnce}))
 	})
 
+	// Guards against a ready answer that is replaced by a failure of the daemon: a server answers
+	// with an error, and all others turn the request away.
+	It("passes a server's own failure on if no other server does better", Label("failure:ready-answer-replaced"), func() {
+		r.Repeat = fleet.Idempotent
+		Expect(r.AttemptEnded(now, relay.Errored, "a").Retry).To(BeTrue())
+		budget = 0
+		Expect(r.AttemptEnded(now, relay.NotRun, "b")).To(Equal(relay.Decision{PassFailure: true, Reason: relay.ReasonBudget}))
+	})
+
 	It("tries another server after proof that the request did not run", func() {
 		r.Repeat = fleet.AtMostOnce
 		Expect(r.AttemptEnded(now, relay.NotRun, "a").Retry).To(BeTrue())
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -207,6 +207,25 @@
 		Expect(h.servers.sent()).To(HaveLen(2))
 	})
 
+	// A server answers with an error of its own, and no other server takes the request. The
+	// caller must get that answer, not a failure of the daemon.
+	It("passes a server's failure on if no other server can take the request", Label("failure:ready-answer-replaced"), func() {
+		h.populate()
+		var first atomic.Bool
+		h.servers.plain = func(backend.Call) (*backend.Answer, error) {
+			if first.CompareAndSwap(false, true) {
+				return signedAnswer(http.StatusInternalServerError, "no luck"), nil
+			}
+			a := signedAnswer(http.StatusServiceUnavailable, "")
+			a.NotRun = true
+			return a, nil
+		}
+		got, res := h.serve("/again/x")
+		Expect(res.Outcome).To(Equal(gateway.Answered), res.Reason)
+		Expect(got.status).To(Equal(http.StatusInternalServerError))
+		Expect(got.body.String()).To(Equal("no luck"))
+	})
+
 	It("never forwards a success that no server signed", func() {
 		h.populate()
 		h.servers.plain = func(backend.Call) (*backend.Answer, error) {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -243,8 +243,12 @@
 	return Result{Outcome: Refused, Reason: string(reason), RetryAfter: why.RetryAfter()}
 }
 
-// noServerResult is the result of a request for which no server is available.
+// noServerResult is the result of a request for which no server is available: a server's own
+// failure, if one has answered with it.
 func (r *requestHandler) noServerResult(why admission.Refusal) (relay.Outcome, Result) {
+	if r.failure != nil && !r.headSent {
+		return 0, r.forwardAnswer(r.failure.answer, r.failure.body)
+	}
 	if r.retrier.NeverRan() && !r.headSent {
 		if !r.search.availableAt.IsZero() {
 			return 0, r.retryAfterResult()
