Take a server that refuses to report for alive

What callers would see: streams over a live engine are moved to another path, at the price of a retry, and the engine gets no work until it reports. A report with any status but 200 was an error like a timeout, so that an engine which turns requests away with 503 counted as dead on a stalled stream's path.

--- a/gateway/fake_test.go
+++ b/gateway/fake_test.go
@@ -32,6 +32,7 @@
 	used        int64                      // of a capacity of 100, in the reports of all servers
 	refusing    map[string]bool            // by address: engines that refuse all requests along a path
 	startTimes  map[string]int64           // of servers that are another incarnation than listed, by address
+	reportErr   map[string]error           // errors of report requests, by address
 	reportCalls map[string]int             // number of report requests, by address
 	limits      map[string]fleet.RateLimit // limits that servers name, by address
 	shedding    map[string]shedding        // by address: servers that turn all requests away
@@ -192,13 +193,16 @@
 // Report implements backend.Client.
 func (s *fakeServers) Report(ctx context.Context, address string) (backend.Report, error) {
 	s.mu.Lock()
-	dead := s.dead[address]
+	dead, err := s.dead[address], s.reportErr[address]
 	s.reportCalls[address]++
 	s.mu.Unlock()
 	if dead {
 		<-ctx.Done()
 		return backend.Report{}, ctx.Err()
 	}
+	if err != nil {
+		return backend.Report{}, err
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return backend.Report{StartTime: s.startTimes[address], KVCapacity: 100, KVUsed: s.used}, nil
@@ -308,7 +312,7 @@
 // newHarnessWithLog returns a harness whose gateways write to a log.
 func newHarnessWithLog(grace time.Duration, log *telemetry.Log) *harness {
 	h := &harness{log: log, grace: grace, configs: newFakeFeed[*fleet.Config](), serverFeed: newFakeFeed[fleet.Server](), members: newMemTable(), leases: newMemTable()}
-	h.servers = &fakeServers{dead: make(map[string]bool), refusing: make(map[string]bool), startTimes: make(map[string]int64), reportCalls: make(map[string]int), serverFeed: h.serverFeed,
+	h.servers = &fakeServers{dead: make(map[string]bool), refusing: make(map[string]bool), startTimes: make(map[string]int64), reportCalls: make(map[string]int), reportErr: make(map[string]error), serverFeed: h.serverFeed,
 		limits: make(map[string]fleet.RateLimit), requestsAt: make(map[string][]time.Time),
 		shedding: make(map[string]shedding), turnedAway: make(map[string][]time.Time), leaving: make(map[string]bool)}
 	h.servers.stream = func(c backend.Call, out *io.PipeWriter) { writeEvents(out, c.LastEventID, 5) }
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -130,6 +130,24 @@
 		Expect(len(h.servers.sent())).To(BeNumerically("<=", 4))
 	})
 
+	// A stream pauses, and an engine of its path answers the probe with 503, as one does that
+	// turns requests away. The answer proves that it is alive: the stream must not be ended.
+	It("takes a server that refuses to report for alive", Label("failure:refused-report"), func() {
+		h.populate()
+		h.servers.mu.Lock()
+		h.servers.reportErr["e1"] = backend.ErrNoReport
+		h.servers.mu.Unlock()
+		h.servers.stream = func(c backend.Call, out *io.PipeWriter) {
+			_, _ = io.WriteString(out, eventText(2))
+			time.Sleep(600 * time.Millisecond)
+			writeEvents(out, "2", 5)
+		}
+		_, res := h.serve("/stream/x")
+		Expect(res.Outcome).To(Equal(gateway.Answered), res.Reason)
+		Expect(h.servers.sent()).To(HaveLen(1))
+		Expect(h.servers.reportCount("e1")).To(BeNumerically(">", 0))
+	})
+
 	// A server in the middle of a path loses power: the stream stalls while its connection
 	// stays open. The caller should see a short pause and then the rest.
 	It("detects a dead hop by its stalled streams", Label("failure:hop-dies"), func() {
--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"sync"
 	"time"
@@ -9,6 +10,7 @@
 	"golang.org/x/sync/singleflight"
 	"golang.org/x/time/rate"
 
+	"github.com/hibiscuswick/hibiscuswick/protocol/backend"
 	"github.com/hibiscuswick/hibiscuswick/state"
 	"github.com/hibiscuswick/hibiscuswick/state/fleet"
 	"github.com/hibiscuswick/hibiscuswick/telemetry"
@@ -109,7 +111,7 @@
 	}
 	out := probeResult{at: time.Now(), outcome: probeDead, took: time.Since(began), err: err}
 	switch {
-	case err == nil:
+	case err == nil, errors.Is(err, backend.ErrNoReport):
 		out.outcome = probeAlive
 	case out.took > serverProbeTimeout+probeOverrun:
 		out.outcome = probeUnknown
--- a/protocol/backend/backend.go
+++ b/protocol/backend/backend.go
@@ -21,6 +21,9 @@
 	// ErrIncomplete: the call was sent, and no complete answer was received. The
 	// request may have run.
 	ErrIncomplete = errors.New("no complete answer")
+	// ErrNoReport: the server has answered a request for its report with something else,
+	// which shows that it is alive.
+	ErrNoReport = errors.New("answered without a report")
 	// ErrWithdrawn: Call.Admit has returned false. It is joined with ErrNotSent.
 	ErrWithdrawn = errors.New("withdrawn before it was sent")
 )
