availability: limit requests to a server for as long as some wait for it

Cause: the slow start ended once 16 requests were in flight. Where requests have waited for the only server, all of them were then sent at once, and the server turned them all away again; with a window that grows by one a round of some ms, it was reached again after 0.15 s.

Servers that state no time are not affected: they have no record.

--- a/coordination/availability/availability.go
+++ b/coordination/availability/availability.go
@@ -62,7 +62,7 @@
 	if use == Relayed {
 		r.until = later(r.until, until)
 	}
-	r.slowStart.restart()
+	r.slowStart.restart(r.directUntil)
 }
 
 func later(a, b time.Time) time.Time {
--- a/coordination/availability/availability_test.go
+++ b/coordination/availability/availability_test.go
@@ -37,6 +37,19 @@
 		tracker.RecordRetryAfter(now, server, availability.Relayed, wait)
 	}
 
+	// sendRound assigns as many requests as the server may get, has them accepted, and returns
+	// their number. It stops at twice as many as expected.
+	sendRound := func(expected int) int {
+		var sent []availability.Assignment
+		for tracker.Accepts(now, server) && len(sent) < 2*expected {
+			sent = append(sent, tracker.Begin(now, server))
+		}
+		for i := range sent {
+			tracker.End(now, &sent[i], true)
+		}
+		return len(sent)
+	}
+
 	It("keep requests away for as long as stated, and not for much longer", func() {
 		retryAfter(3 * time.Second)
 		for _, after := range []time.Duration{0, time.Second, 3*time.Second - 1} {
@@ -101,20 +114,36 @@
 	It("are followed by a slow start", Label("failure:return-at-once"), func() {
 		retryAfter(time.Second)
 		now = now.Add(2 * time.Second)
-		total := 0
-		for round, want := range []int{1, 2, 4, 8} {
-			var sent []availability.Assignment
-			for tracker.Accepts(now, server) {
-				sent = append(sent, tracker.Begin(now, server))
-			}
-			Expect(sent).To(HaveLen(want), "round %d", round)
-			for i := range sent {
-				tracker.End(&sent[i], true)
-			}
-			total += len(sent)
+		for _, want := range []int{1, 2, 4, 8} {
+			Expect(sendRound(want)).To(Equal(want))
+		}
+	})
+
+	// Requests keep waiting for a server that accepts as many as it can. If the limit ended
+	// after some rounds, they would all be sent at once, and all be turned away again.
+	It("limit requests for as long as some wait for the server", Label("failure:return-at-once"), func() {
+		retryAfter(time.Second)
+		now = now.Add(2 * time.Second)
+		for _, want := range []int{1, 2, 4, 8} {
+			Expect(sendRound(want)).To(Equal(want))
 		}
+		retryAfter(time.Second) // 16 were too many
+		now = now.Add(2 * time.Second)
+		for _, want := range []int{1, 2, 4, 8, 8, 8} {
+			Expect(sendRound(want)).To(Equal(want))
+		}
+		now = now.Add(time.Second)
+		Expect(sendRound(8)).To(Equal(8))
+		Expect(sendRound(9)).To(Equal(9))
+	})
+
+	It("limit nothing once no request has waited for a while", func() {
+		retryAfter(time.Second)
+		now = now.Add(2 * time.Second)
+		Expect(sendRound(1)).To(Equal(1))
+		now = now.Add(3 * time.Second)
 		last := tracker.Begin(now, server)
-		tracker.End(&last, true)
+		tracker.End(now, &last, true)
 		for range 100 {
 			tracker.Begin(now, server)
 		}
@@ -126,14 +155,14 @@
 		now = now.Add(2 * time.Second)
 		first := tracker.Begin(now, server)
 		retryAfter(time.Second)
-		tracker.End(&first, false)
+		tracker.End(now, &first, false)
 		Expect(tracker.Accepts(now, server)).To(BeFalse())
 		now = now.Add(2 * time.Second)
 		second := tracker.Begin(now, server)
 		Expect(tracker.Accepts(now, server)).To(BeFalse())
-		tracker.End(&first, true) // ended before: counts no more
+		tracker.End(now, &first, true) // ended before: counts no more
 		Expect(tracker.Accepts(now, server)).To(BeFalse())
-		tracker.End(&second, true)
+		tracker.End(now, &second, true)
 		Expect(tracker.Accepts(now, server)).To(BeTrue())
 	})
 
@@ -151,7 +180,7 @@
 	It("count requests that were assigned before for nothing", func() {
 		before := tracker.Begin(now, server)
 		retryAfter(time.Second)
-		tracker.End(&before, true)
+		tracker.End(now, &before, true)
 		Expect(tracker.Accepts(now.Add(2*time.Second), server)).To(BeTrue())
 		tracker.Begin(now.Add(2*time.Second), server)
 		Expect(tracker.Accepts(now.Add(2*time.Second), server)).To(BeFalse())
--- a/coordination/availability/doc.go
+++ b/coordination/availability/doc.go
@@ -4,9 +4,9 @@
 // A server that turns a request away may state for how long it wants no further request from this
 // daemon (Retry-After). It gets none until then: no first attempt, no retry, no rest of a stream,
 // and no request that was assigned to it before. Afterwards requests return by a slow start: one at
-// first, then twice as many with each round of accepted ones. A server that states that it is
-// leaving gets no further request at all. Statements hold for one incarnation of a server: another
-// one at its address has asked for nothing.
+// first, then twice as many with each round of accepted ones, up to half of as many as were too
+// many. A server that states that it is leaving gets no further request at all. Statements hold for
+// one incarnation of a server: another one at its address has asked for nothing.
 //
 // # Contract for the caller
 //
@@ -23,6 +23,8 @@
 //     that the server wants none: it is withdrawn, as not sent.
 //   - Requests wait for the end of the stated time, here and at other daemons that were told at the
 //     same moment: they return by the slow start, and each daemon waits for a random time longer.
+//   - More requests wait for a server than it can take. The slow start limits them until none has
+//     waited for a while; otherwise they would all be sent once it had ended, and be turned away.
 //   - A server along a path blames another one: both statements may be meant. The one that answered
 //     gets no request from this daemon, the blamed one runs no part of a path.
 //   - A paused daemon resumes after the time has passed: it begins with the slow start as well.
--- a/gateway/serversearch.go
+++ b/gateway/serversearch.go
@@ -115,7 +115,7 @@
 	}
 	r.g.shared.mu.Lock()
 	defer r.g.shared.mu.Unlock()
-	r.g.shared.availability.End(&r.search.assignment, accepted)
+	r.g.shared.availability.End(time.Now(), &r.search.assignment, accepted)
 }
 
 // retryAfterExceeds reports whether all servers that could take a request want none before
