gateway tests: take another port if a process has taken the free one

Cause: internal/freeport closes the port that it found, and another test process may listen on it before the gateway does. Change: the harness asks for another free address as long as that is the error; any other error fails as before. No check is changed.

--- a/gateway/fake_test.go
+++ b/gateway/fake_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -328,11 +329,17 @@
 
 // startAt runs a gateway with its own connections to the site's feeds.
 func (h *harness) startAt(id state.DaemonID, configs site.Feed[*fleet.Config], servers site.Feed[fleet.Server]) *gateway.Gateway {
-	g, err := gateway.New(gateway.Settings{
-		ID: id, Domain: "a", CallerAddress: "front-" + string(id), PeerAddress: freeAddress(), DrainTimeout: h.grace,
-		AddressTTL: 5 * time.Second, BudgetRatio: 0.2, BudgetWindow: 10 * time.Second, BudgetSlack: 100,
-	}, gateway.Site{Configs: configs, Servers: servers, Members: h.members, Leases: h.leases},
-		h.servers, h.log, telemetry.NewMetrics())
+	create := func() (*gateway.Gateway, error) {
+		return gateway.New(gateway.Settings{
+			ID: id, Domain: "a", CallerAddress: "front-" + string(id), PeerAddress: freeAddress(), DrainTimeout: h.grace,
+			AddressTTL: 5 * time.Second, BudgetRatio: 0.2, BudgetWindow: 10 * time.Second, BudgetSlack: 100,
+		}, gateway.Site{Configs: configs, Servers: servers, Members: h.members, Leases: h.leases},
+			h.servers, h.log, telemetry.NewMetrics())
+	}
+	g, err := create()
+	for errors.Is(err, syscall.EADDRINUSE) { // another process has taken the free port meanwhile
+		g, err = create()
+	}
 	Expect(err).NotTo(HaveOccurred())
 	g.Run()
 	DeferCleanup(g.Close)
