gateway: a refusal that blames a hop outside its path, and the time to return during a slow start

Found by reading the change as a whole. A request that waits in vain for a server in its slow start was told to return after 50 ms, and would be refused again: it returns after the time of a busy service (0.4 s).

--- a/coordination/admission/admission_test.go
+++ b/coordination/admission/admission_test.go
@@ -138,3 +138,14 @@
 		Expect(why).To(Equal(admission.AllStopping))
 	})
 })
+
+var _ = Describe("A request that only servers could take which want none for a while", func() {
+	// A caller that returns at once would find the servers as they are, and be refused again.
+	DescribeTable("tells its caller when to return", func(availableIn, want time.Duration) {
+		Expect(admission.RetryAfter{AvailableIn: availableIn}.RetryAfter()).To(Equal(want))
+	},
+		Entry("after the time that is left", 2700*time.Millisecond, 2700*time.Millisecond),
+		Entry("not sooner than an answer travels", time.Millisecond, 50*time.Millisecond),
+		Entry("later if the servers already take a few requests", -time.Millisecond, 400*time.Millisecond),
+	)
+})
--- a/coordination/admission/doc.go
+++ b/coordination/admission/doc.go
@@ -15,6 +15,9 @@
 //   - A struggling server takes a few requests per second from all daemons together, and there is
 //     no other server: as many requests wait as get a permit in time, and all others are rejected
 //     at once with the time at which a permit will be available.
+//   - All servers of a service want no requests for a stated time: callers whose deadline allows it
+//     wait, all others are rejected at once with the time that is left, and those that find the
+//     servers still taking few requests return when suspects would be tried again.
 //   - Daemons are stopped one after the other, or all of them: callers are sent to a daemon that
 //     accepts them, or wait until one has restarted.
 //   - All daemons restart after list entries of servers have expired: requests wait while the list
--- a/gateway/path.go
+++ b/gateway/path.go
@@ -9,6 +9,7 @@
 	"github.com/hibiscuswick/hibiscuswick/coordination/pathing"
 	"github.com/hibiscuswick/hibiscuswick/coordination/relay"
 	"github.com/hibiscuswick/hibiscuswick/protocol/backend"
+	"github.com/hibiscuswick/hibiscuswick/state"
 	"github.com/hibiscuswick/hibiscuswick/state/fleet"
 	"github.com/hibiscuswick/hibiscuswick/telemetry"
 )
@@ -50,7 +51,7 @@
 	}
 	defer func() { _ = answer.Body.Close() }()
 	r.g.observeLimit(path[0].Server, answer, sent)
-	r.observeStatements(path[0].Server, faultyHop(path, answer).Server, answer)
+	r.observeStatements(path[0].Server, blamedServer(path, answer), answer)
 	if !answer.NotRun {
 		// Refusals are excluded: they arrive at once, and would make the refusing engines
 		// look like the fastest ones.
@@ -63,7 +64,10 @@
 // handlePathAnswer delivers an engine's answer to the caller.
 func (r *requestHandler) handlePathAnswer(cancel context.CancelFunc, path fleet.Path, answer *backend.Answer) (relay.Outcome, Result) {
 	if answer.NotRun {
-		culprit := faultyHop(path, answer).Address
+		culprit := answer.FaultyHop
+		if culprit == "" {
+			culprit = path[0].Address
+		}
 		switch {
 		case answer.Stale:
 			r.recordFailure(culprit)
@@ -85,13 +89,12 @@
 	return s.forward()
 }
 
-// faultyHop returns the hop that an answer blames, or the first one if it blames none of the
-// path.
-func faultyHop(path fleet.Path, answer *backend.Answer) fleet.Hop {
+// blamedServer returns the server of the path that an answer blames, or the answering one.
+func blamedServer(path fleet.Path, answer *backend.Answer) state.BackendIncarnation {
 	if hop, ok := hopAt(path, answer.FaultyHop); ok {
-		return hop
+		return hop.Server
 	}
-	return path[0]
+	return path[0].Server
 }
 
 // handlePathFailure handles an error answer of an engine.
