daemon tests: loads of one spec do not share idempotency keys

Cause: each of its three loads began again at load-0-0. A never-repeat request of the second load with a key of the first, whose daemon has been replaced meanwhile, has run and its answer is gone, so that "duplicate, unknown" is the true answer. It passed when the load reached the key before that daemon was gone. Shown by a trial that starts each load after the replacement: red at once with the same outcomes (keys load-0-0, load-1-2 ...), green with keys of their own.

Change: each load has its own prefix.

--- a/daemon/operations_test.go
+++ b/daemon/operations_test.go
@@ -19,6 +19,7 @@
 // counts their outcomes.
 type load struct {
 	h    *harness
+	name string // prefix of the idempotency keys
 	stop chan struct{}
 	wg   sync.WaitGroup
 
@@ -31,7 +32,8 @@
 // startLoad starts callers that each send one request after another,
 // alternating between the given daemons.
 func (h *harness) startLoad(callers int, daemons ...*daemon.Daemon) *load {
-	l := &load{h: h, stop: make(chan struct{}), refused: make(map[state.Reason]int)}
+	h.loads++
+	l := &load{h: h, name: fmt.Sprintf("load-%d", h.loads), stop: make(chan struct{}), refused: make(map[state.Reason]int)}
 	for c := range callers {
 		l.wg.Add(1)
 		go func() {
@@ -52,7 +54,7 @@
 			return
 		default:
 		}
-		key := fmt.Sprintf("load-%d-%d", c, i)
+		key := fmt.Sprintf("%s-%d-%d", l.name, c, i)
 		submission := summary(key)
 		if i%2 == 0 {
 			submission = note(key)
--- a/daemon/rig_test.go
+++ b/daemon/rig_test.go
@@ -34,7 +34,8 @@
 // harness is a cluster of daemons with fake backend servers and platform.
 type harness struct {
 	*site.Site
-	ctx context.Context
+	ctx   context.Context
+	loads int // number of started loads, whose requests must not share idempotency keys
 }
 
 // newHarness starts daemons, two replicas of two stages and one plain server,
