availability, gateway: names and comments that a newcomer would stumble over

Read as a newcomer would: engines that accept no requests yet are waiting engines, the choice excludes who is unavailable, and what a use includes is said where it is defined.

--- a/coordination/availability/availability.go
+++ b/coordination/availability/availability.go
@@ -14,7 +14,8 @@
 const (
 	// Direct means that this daemon sends the request to the server.
 	Direct Use = iota
-	// Relayed means that another server forwards the request to it.
+	// Relayed means that another server forwards the request to it. A server that wants no relayed
+	// requests wants no direct ones either.
 	Relayed
 )
 
@@ -51,9 +52,9 @@
 	return &Tracker{random: random, servers: make(map[state.BackendIncarnation]*record)}
 }
 
-// RecordRetryAfter records that a server wants no request for some time. If use is Direct, other
-// servers may still forward requests to it. An earlier statement that reaches further stays in
-// force.
+// RecordRetryAfter records that a server wants no requests of a use for some time. If use is
+// Direct, other servers may still forward requests to it. An earlier statement that reaches further
+// stays in force.
 func (t *Tracker) RecordRetryAfter(now time.Time, server state.BackendIncarnation, use Use, wait time.Duration) {
 	r := t.record(server)
 	spread := time.Duration(t.random.Float64() * float64(min(time.Duration(spreadShare*float64(wait)), maxSpread)))
--- a/gateway/pathchoice.go
+++ b/gateway/pathchoice.go
@@ -29,10 +29,10 @@
 	excludeAddresses(roster, states, s.dead)
 	excludeAddresses(roster, states, avoid)
 	suspects := s.markSuspects(now, roster, states)
-	unwanted := s.excludeUnwanted(now, roster, states)
+	waiting := s.excludeUnavailable(now, roster, states)
 	path, ok := cheapestPath(roster, r, states, suspects)
 	if !ok {
-		search.availableAt = s.pathAvailableAt(now, roster, r, states, unwanted)
+		search.availableAt = s.pathAvailableAt(now, roster, r, states, waiting)
 	}
 	for ok && s.needsPermit(now, path[0].Server, permit) {
 		if !permit.skips(now, path[0].Server, s.permits) {
--- a/gateway/serversearch.go
+++ b/gateway/serversearch.go
@@ -39,24 +39,24 @@
 	return first
 }
 
-// unwantedUse is an engine that was excluded from the choice of a path because of what it has
-// stated, with its state before.
-type unwantedUse struct {
-	index  int // in the roster
-	before pathing.ServerState
+// waitingEngine is an engine that was excluded from the choice of a path because it accepts no
+// requests yet.
+type waitingEngine struct {
+	index  int                 // in the roster
+	before pathing.ServerState // before the exclusion
 }
 
-// excludeUnwanted excludes the engines that want no requests. It returns those that will
+// excludeUnavailable excludes the engines that want no requests. It returns those that will
 // accept them again.
-func (s *sharedState) excludeUnwanted(now time.Time, roster *pathing.Roster, states []pathing.ServerState) []unwantedUse {
-	var waiting []unwantedUse
+func (s *sharedState) excludeUnavailable(now time.Time, roster *pathing.Roster, states []pathing.ServerState) []waitingEngine {
+	var waiting []waitingEngine
 	s.availability.EachUnavailable(now, func(server state.BackendIncarnation, relayed bool) {
 		i, ok := roster.IndexOf(server)
 		if !ok {
 			return
 		}
 		if !s.availability.Leaving(server) {
-			waiting = append(waiting, unwantedUse{index: i, before: states[i]})
+			waiting = append(waiting, waitingEngine{index: i, before: states[i]})
 		}
 		if relayed {
 			states[i].NotFirstHop = true
@@ -69,7 +69,7 @@
 
 // pathAvailableAt returns when there is a path again, or zero if there would be none even if
 // the waiting engines accepted requests.
-func (s *sharedState) pathAvailableAt(now time.Time, roster *pathing.Roster, r pathing.Request, states []pathing.ServerState, waiting []unwantedUse) time.Time {
+func (s *sharedState) pathAvailableAt(now time.Time, roster *pathing.Roster, r pathing.Request, states []pathing.ServerState, waiting []waitingEngine) time.Time {
 	if len(waiting) == 0 {
 		return time.Time{}
 	}
