gateway tests: the spec of leaving servers does not wait for a server that no request chooses

Read in the code: the spec sent requests one after the other until a given server had got one, without a limit; of two idle servers the first of the list is chosen each time, so that the loop runs for ever where the other one is meant, and the calls that the fake records take all memory. Not shown by a trace of that process.

Change: requests overlap, so that each server gets some, and the wait has the limit of all others. The checks are as before.

--- a/gateway/availability_test.go
+++ b/gateway/availability_test.go
@@ -91,9 +91,14 @@
 		h := newHarness()
 		h.populate()
 		h.servers.startLeaving(address)
-		for len(h.servers.requestTimes(address)) == 0 {
-			h.serve(path)
+		h.servers.plain = func(backend.Call) (*backend.Answer, error) {
+			time.Sleep(5 * time.Millisecond) // requests overlap, so that each server gets some
+			return signedAnswer(http.StatusOK, "ok"), nil
 		}
+		Eventually(func() []time.Time {
+			sendLoad([]*gateway.Gateway{h.gateway}, path, time.Millisecond, 50*time.Millisecond)
+			return h.servers.requestTimes(address)
+		}).WithTimeout(eventuallyTimeout).ShouldNot(BeEmpty())
 		told := time.Now()
 		results := sendLoad([]*gateway.Gateway{h.gateway}, path, requestInterval, drainTime+time.Second)
 		for _, at := range h.servers.requestTimes(address) {
