gateway tests: a spec on unwanted requests checks that its server was asked at all

Found by reading: of two idle plain servers the first of the list gets all requests, so that the spec could pass without its server having turned one away. Requests overlap now, and one turn-away at least is required; the other checks are as before. No change of the code.

--- a/gateway/availability_test.go
+++ b/gateway/availability_test.go
@@ -44,8 +44,13 @@
 	// best one to each new request.
 	DescribeTable("gets none from a daemon that it has told", Label("failure:retry-after-ignored"), func(address, path string) {
 		const rest = 3 * time.Second
+		h.servers.plain = func(backend.Call) (*backend.Answer, error) {
+			time.Sleep(2 * requestInterval) // requests overlap, so that each server gets some
+			return signedAnswer(http.StatusOK, "ok"), nil
+		}
 		h.servers.startShedding(address, rest)
 		results := sendLoad([]*gateway.Gateway{h.gateway}, path, requestInterval, rest)
+		Expect(h.servers.turnAways(address)).To(BeNumerically(">", 0))
 		Expect(h.servers.unwantedRequests(address)).To(BeNumerically("<=", maxUnwanted))
 		for _, res := range results {
 			Expect(res.Outcome).To(Equal(gateway.Answered), res.Reason)
