following: an announced change is missing until it is known

What callers saw: a daemon that starts may refuse a route with 404 for over 2 s after its version was acknowledged. A daemon that does not know the feed yet ignored which revision an announcement named, but recorded the follower as fresh. Rows that another daemon gave it afterwards may be up to 1.7 s old and lack that change; the announcement then counted as proof that they are current, for its own mode and for the age that it tells others, until the next one arrived and its changes were overdue. A daemon that knew of a missing change forgot it likewise when anything else advanced it, by a revision in between.

Evidence: in virtual time, with rows 1.65 s old and every announcement received, the change was read 2,250 ms after it was made.

The highest announced change is now remembered whether or not the feed is known, and is missing until that revision is reached. Every answer of the store reaches it, since its revisions never go back.

--- a/coordination/following/following.go
+++ b/coordination/following/following.go
@@ -279,8 +279,8 @@
 	if changes {
 		m.lastChange = max(m.lastChange, revision)
 	}
-	if revision >= m.revision {
-		m.revision = revision
+	m.revision = max(m.revision, revision)
+	if m.revision >= m.missingRevision {
 		m.missingSince = time.Time{}
 	}
 }
@@ -338,6 +338,9 @@
 	if m.IsNew(a) {
 		m.recordPeer(now, a)
 	}
+	if a.LastChange > m.revision {
+		m.recordMissing(now, a.LastChange)
+	}
 	switch {
 	case !m.known || a.Revision <= m.revision:
 		return ResultIgnore
@@ -346,11 +349,16 @@
 	case len(a.Rows) > 0 && m.revision >= a.RowsAfter:
 		return ResultApply
 	}
+	return ResultIgnore
+}
+
+// recordMissing records that a change is announced that is not known here. It is missing until it
+// is known, whatever else is received: otherwise the announcement would confirm a state without it.
+func (m *Machine) recordMissing(now time.Time, revision uint64) {
 	if m.missingSince.IsZero() {
 		m.missingSince = now
 	}
-	m.missingRevision = max(m.missingRevision, a.LastChange)
-	return ResultIgnore
+	m.missingRevision = max(m.missingRevision, revision)
 }
 
 // recordPeer records a follower's announcement. The difference between the two daemons' clocks is
--- a/coordination/following/following_test.go
+++ b/coordination/following/following_test.go
@@ -284,6 +284,47 @@
 			Expect(m.Mode(at(210 * time.Millisecond))).To(Equal(following.ModePeers))
 		})
 
+		// Guards against a configuration that is late by a follower's interval: an announcement that
+		// was sent before the lost one, or a daemon that knows no more, hides that there is a change.
+		It("reveals a lost change until it is known", Label("failure:change-lost"), func() {
+			Expect(m.Receive(at(0), announcement(0, 15, 15))).To(Equal(following.ResultIgnore))
+			earlier := announcement(0, 12, 10)
+			earlier.Origin.ID = "g5"
+			Expect(m.Receive(at(10*time.Millisecond), earlier)).To(Equal(following.ResultAdvance))
+			m.AdvanceTo(12, false)
+			m.ConfirmedByPeer(at(20*time.Millisecond), 13, 600*time.Millisecond)
+			Expect(m.Age(at(30*time.Millisecond))).To(Equal(30*time.Millisecond), "by the store's own answer")
+			Expect(m.Mode(at(150 * time.Millisecond))).To(Equal(following.ModeStore))
+			missing, _ := m.OverdueRevision(at(150 * time.Millisecond))
+			Expect(missing).To(Equal(uint64(15)))
+			m.AdvanceTo(15, true)
+			Expect(m.Mode(at(150 * time.Millisecond))).To(Equal(following.ModePeers))
+		})
+
+		// Guards against a daemon that starts, hears of a change before it knows the feed, loads rows
+		// without that change, and takes the announcement as proof that they are current.
+		It("reveals a change that the rows of another daemon lack", Label("failure:loaded-before-change"), func() {
+			const (
+				storeAgeLimit = 1700 * time.Millisecond
+				bound         = 2 * time.Second // within which a configuration must be active
+				callTime      = 50 * time.Millisecond
+			)
+			m = following.New(state.Member{ID: "g0", Incarnation: 1}, "servers", storeAgeLimit, start)
+			m.SetMembers(sevenDaemons())
+			// The change is made at 0.
+			m.Receive(at(1550*time.Millisecond), announcement(1550*time.Millisecond, 15, 15))
+			m.LoadedFromPeer(at(1600*time.Millisecond), 10, 1650*time.Millisecond)
+			Expect(m.Age(at(1600 * time.Millisecond))).To(Equal(1650 * time.Millisecond))
+			now := 1600 * time.Millisecond
+			for next := 2050 * time.Millisecond; m.Mode(at(now)) != following.ModeStore; now += time.Millisecond {
+				if now == next {
+					m.Receive(at(now), announcement(now, 15, 15))
+					next += following.AnnounceInterval
+				}
+			}
+			Expect(now + callTime).To(BeNumerically("<=", bound))
+		})
+
 		It("is not applied after a gap", func() {
 			t := announcement(0, 15, 15)
 			t.RowsAfter, t.Rows = 12, []byte{1}
