following: a store that has answered others since is not reported as failing

What callers saw: a daemon that starts may be given rows of any age and serve by them until the store answers it. It takes rows older than 1.7 s at once if the other daemon reports that the store answers nobody. A daemon whose own call had failed once reported so from then on, since a daemon that is told by followers makes no call of its own that would end the failure. If it then heard nothing for 7 s, its rows of 7 s before were taken although the store answered.

Evidence: a spec in virtual time, red before: the failure at 1 s was still reported after an announcement of a store that answers at 1.5 s.

A daemon's own failure counts now only until the store is known to have answered another daemon later. Each failed call is recorded, not only the first, so that a failure that lasts is told apart from an earlier one.

--- a/coordination/following/following.go
+++ b/coordination/following/following.go
@@ -103,7 +103,9 @@
 
 	storeAnsweredAt time.Time // when the store last answered, to this daemon or to the one that reported it
 	storeFailing    bool
-	substitute      bool // substitutes for the chosen followers
+	storeFailedAt   time.Time // when the store last did not answer this daemon
+	answeredOtherAt time.Time // when the store is last known to have answered another daemon
+	substitute      bool      // substitutes for the chosen followers
 	recoveredAt     time.Time
 	nextAnnounce    time.Time
 }
@@ -270,6 +272,7 @@
 func (m *Machine) LoadedFromPeer(now time.Time, revision uint64, age time.Duration) {
 	m.lastPeerAnswer = peerState{receivedAt: now, storeAge: age}
 	m.storeAnsweredAt = now.Add(-age)
+	m.answeredOtherAt = later(m.answeredOtherAt, m.storeAnsweredAt)
 	m.AdvanceTo(revision, true)
 }
 
@@ -289,9 +292,8 @@
 // since the local state, as confirmed by the store at the given age.
 func (m *Machine) ConfirmedByPeer(now time.Time, revision uint64, age time.Duration) {
 	m.lastPeerAnswer = peerState{receivedAt: now, storeAge: age}
-	if at := now.Add(-age); at.After(m.storeAnsweredAt) {
-		m.storeAnsweredAt = at
-	}
+	m.storeAnsweredAt = later(m.storeAnsweredAt, now.Add(-age))
+	m.answeredOtherAt = later(m.answeredOtherAt, now.Add(-age))
 	if m.known {
 		m.AdvanceTo(revision, false)
 	}
@@ -303,12 +305,13 @@
 		m.nextAnnounce = now
 	}
 	m.storeFailing = true
+	m.storeFailedAt = now
 	m.substitute = false
 }
 
 // StoreFailing reports whether the store is not known to answer any daemon.
 func (m *Machine) StoreFailing(now time.Time) bool {
-	return m.storeFailing || m.Mode(now) == ModeStoreReduced
+	return m.storeFailing && !m.answeredOtherAt.After(m.storeFailedAt) || m.Mode(now) == ModeStoreReduced
 }
 
 // Revision returns the revision up to which the feed is known; false before the first answer.
@@ -373,6 +376,7 @@
 	}
 	p.minOffset = min(p.minOffset, offset)
 	p.sentAt, p.receivedAt, p.storeAge, p.storeFailing = a.Sent, now, a.StoreAge+offset-p.minOffset, a.StoreFailing
+	m.answeredOtherAt = later(m.answeredOtherAt, now.Add(-p.storeAge))
 }
 
 // forgetUnresponsive drops the followers without a new announcement for a long time. A follower
--- a/coordination/following/following_test.go
+++ b/coordination/following/following_test.go
@@ -177,6 +177,23 @@
 		}
 	})
 
+	// Guards against a starting daemon that uses another one's rows however old they are: the store
+	// failed that one once, and has answered others since.
+	It("does not report its own former failure as the store's", Label("failure:former-failure"), func() {
+		m.StoreFailed(at(time.Second))
+		Expect(m.StoreFailing(at(time.Second))).To(BeTrue())
+		m.Receive(at(1500*time.Millisecond), announcement(1500*time.Millisecond, 10, 10))
+		Expect(m.StoreFailing(at(1500 * time.Millisecond))).To(BeFalse())
+		Expect(m.Age(at(8500*time.Millisecond))).To(Equal(7*time.Second), "no announcement has arrived since")
+		Expect(m.StoreFailing(at(8500 * time.Millisecond))).To(BeFalse())
+		m.StoreFailed(at(9 * time.Second))
+		Expect(m.StoreFailing(at(9 * time.Second))).To(BeTrue())
+		m.ConfirmedByPeer(at(10*time.Second), 10, 1500*time.Millisecond)
+		Expect(m.StoreFailing(at(10*time.Second))).To(BeTrue(), "the answer was before the failure")
+		m.ConfirmedByPeer(at(11*time.Second), 10, 500*time.Millisecond)
+		Expect(m.StoreFailing(at(11 * time.Second))).To(BeFalse())
+	})
+
 	It("has a cooldown after the store's own answer", func() {
 		Expect(m.Mode(at(500 * time.Millisecond))).To(Equal(following.ModeCooldown))
 		Expect(m.NextTick(at(500 * time.Millisecond))).To(Equal(at(700 * time.Millisecond)))
--- a/gateway/feedtracker.go
+++ b/gateway/feedtracker.go
@@ -122,8 +122,8 @@
 			failures++
 			if failures == 1 {
 				log.Emit(telemetry.EventStoreUnavailable, telemetry.Detail(f.name), telemetry.Cause(err))
-				f.c.post(func() { f.machine.StoreFailed(f.c.now) })
 			}
+			f.c.post(func() { f.machine.StoreFailed(f.c.now) })
 			if f.unconfirmed != nil && !known {
 				known = true
 				f.applyUnconfirmed(ctx)
