membership: a daemon can answer probes of daemons that it does not know

Cause: members are learned at different times. A daemon that is probed by one that it does not know has no address to answer to; it asked for the sender's records, at the empty address. Besides, the last members were missing for seconds: broadcasts are limited in bytes, and nobody asked for what was lost before the next exchange with a random daemon.

Ruled out: busy daemons (no time was charged), failed connections (none but those to the empty address), load.

Why tests missed it: the harness of the specs delivered messages without an address by the receiver's ID. It no longer does.

Change: a daemon says where it is in messages to one that has sent it nothing yet, or that may have been replaced.

--- a/coordination/membership/exchange.go
+++ b/coordination/membership/exchange.go
@@ -14,8 +14,11 @@
 
 	// sweepInterval is the time between two removals of expired state.
 	sweepInterval = time.Second
+	// reconcileDelay is how long the members must not have changed before a peer with other
+	// ones is asked for the difference: until then broadcasts may be on their way.
+	reconcileDelay = 500 * time.Millisecond
 	// recordsRequestInterval is the minimum time between two exchange requests for unknown
-	// members.
+	// members or for other ones.
 	recordsRequestInterval = time.Second
 	// initialSeeds is how many addresses a daemon that knows no other tries at once.
 	initialSeeds = 3
@@ -52,17 +55,27 @@
 }
 
 // requestRecords asks a peer for the records that differ, because it sent an update of an
-// unknown member.
+// unknown member. A sender that is itself unknown has no known address.
 func (m *Membership) requestRecords(sender state.DaemonID) {
-	if m.now.Sub(m.lastRecordsRequest) < recordsRequestInterval {
+	e, ok := m.table.get(sender)
+	if !ok || m.now.Sub(m.lastRecordsRequest) < recordsRequestInterval {
 		return
 	}
 	m.lastRecordsRequest = m.now
-	s := Send{To: sender, Msg: m.exchangeRequest()}
-	if e, ok := m.table.get(sender); ok {
-		s.Address = e.meta.PeerAddress
+	m.send(e, m.exchangeRequest())
+}
+
+// reconcile asks a peer whose live members, with their revisions, have another hash for the
+// records that differ.
+//
+// Guard (few-members-missing): broadcasts are limited in bytes, and hundreds of daemons that
+// start together lose some of them. The last members would be missing until the next
+// exchange with a random daemon, and neighbours with different members send each other all
+// that they have queued.
+func (m *Membership) reconcile(peer state.DaemonID, hash uint64) {
+	if hash != 0 && hash != m.membersHash() && m.now.Sub(m.membersChangedAt) >= reconcileDelay {
+		m.requestRecords(peer)
 	}
-	m.emit(s)
 }
 
 // onExchangeRequest answers with the records of the buckets whose hashes differ from the
--- a/coordination/membership/fleet_test.go
+++ b/coordination/membership/fleet_test.go
@@ -164,13 +164,6 @@
 
 func (c *cluster) send(n *node, s membership.Send) {
 	addr := s.Address
-	if addr == "" {
-		for _, t := range c.nodes {
-			if t.id == s.To {
-				addr = t.self.Meta.PeerAddress
-			}
-		}
-	}
 	kind, _ := c.registry.KindOf(s.Msg)
 	frame, err := peer.AppendFrame(nil, peer.Envelope{Role: peer.RoleSend, Kind: kind}, s.Msg, peer.MaxFrame)
 	if err != nil {
--- a/coordination/membership/gossip.go
+++ b/coordination/membership/gossip.go
@@ -144,7 +144,7 @@
 		}
 		e := targets[(i+m.firstTarget(len(targets)))%len(targets)]
 		if payload := m.piggyback(e); len(payload.Updates)+len(payload.Facts) > 0 {
-			m.send(e, Gossip{Self: m.self.update(), Payload: payload})
+			m.send(e, Gossip{Self: m.introduction(e), Payload: payload})
 			sent++
 		}
 	}
--- a/coordination/membership/membership.go
+++ b/coordination/membership/membership.go
@@ -43,6 +43,7 @@
 	actions          []Action
 	changed          bool   // members, states or facts differ from the last view
 	membersHashCache uint64 // hash of the live members; 0 if it has to be recomputed
+	membersChangedAt time.Time
 	view             *View
 }
 
@@ -138,6 +139,7 @@
 	m.handleSender(self)
 	m.applyPayload(from.ID, payload)
 	m.markMembersKnown(from.ID, payload.MembersHash)
+	m.reconcile(from.ID, payload.MembersHash)
 	switch msg := msg.(type) {
 	case Ping:
 		m.onPing(from.ID, msg)
@@ -223,6 +225,7 @@
 func (m *Membership) membersChanged() {
 	m.changed = true
 	m.membersHashCache = 0
+	m.membersChangedAt = m.now
 }
 
 func (m *Membership) emit(a Action) {
--- a/coordination/membership/probe.go
+++ b/coordination/membership/probe.go
@@ -107,7 +107,7 @@
 
 func (m *Membership) ping(e *entry, seq uint32) {
 	msg := Ping{
-		Seq: seq, Self: m.self.update(), Target: e.id,
+		Seq: seq, Self: m.introduction(e), Target: e.id,
 		Digest: m.self.digest, Payload: m.piggyback(e),
 	}
 	if e.state != Alive {
@@ -116,6 +116,20 @@
 	m.send(e, msg)
 }
 
+// introduction returns the local daemon's record for a message to e: with Meta until e has
+// sent something, which shows that it knows this daemon, and while it may have been replaced.
+//
+// Guard (probed-by-a-stranger): a daemon can't answer one whose address it does not know.
+// While hundreds of daemons start, each learns of the others at different times; those that
+// were probed by daemons that they did not know yet were suspected, and all daemons spent
+// seconds on suspicions of live ones.
+func (m *Membership) introduction(e *entry) Update {
+	if e.lastReceived.IsZero() || e.state != Alive {
+		return m.self.fullUpdate()
+	}
+	return m.self.update()
+}
+
 // checkProbe ends the probe or sends indirect probes when their time has come.
 func (m *Membership) checkProbe(p *probe) {
 	e := p.target
@@ -156,7 +170,7 @@
 	})
 	for _, e := range pickAcrossDomains(candidates, m.self.meta.Domain, m.cfg.IndirectProbes) {
 		m.send(e, PingRequest{
-			Seq: p.seq, Self: m.self.update(),
+			Seq: p.seq, Self: m.introduction(e),
 			Target: p.target.id, Address: p.target.meta.PeerAddress,
 		})
 	}
