gateway: a failed attempt to connect starts no probe

Cause: the transport reports a failed dial like a lost connection, and a lost connection has the daemon probed at once. A probe of a dead daemon is a failed dial, at the prober and at each of the three daemons that help it, which then probe it too, and ask three more.

Change: only the loss of a connection that worked starts a probe at once. A death is noticed as before: each neighbour has such a connection. The spec failed before: a failed dial had the daemon probed.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -200,8 +200,13 @@
 	return fleet.Limits{}
 }
 
-// connectionLost triggers a membership probe of the daemon whose connection was lost.
-func (g *Gateway) connectionLost(address string, _ error) {
+// connectionLost triggers a membership probe of the daemon whose connection was lost. A
+// connection that could not be made does not: it was for a message that is itself repeated
+// or part of a probe, and the daemons that help with a probe would start probes of their own.
+func (g *Gateway) connectionLost(address string, err error) {
+	if errors.Is(err, peer.ErrUnreachable) {
+		return
+	}
 	g.control.post(func() {
 		for _, i := range g.control.view.members.Members {
 			if i.Meta.PeerAddress == address && i.Member.ID != g.self.ID {
