--- a/coordination/membership/failure_test.go
+++ b/coordination/membership/failure_test.go
@@ -50,7 +50,7 @@
 	// Guards against daemons that suspect live ones after a start, and all others that handle
 	// these suspicions for seconds: a daemon could not answer the probe of one whose address it
 	// had not learned yet.
-	DescribeTable("suspects no daemon while many start together", Label("failure:probed-by-a-stranger"), func(n int) {
+	DescribeTable("suspects no daemon while many start together", Label("failure:probed-by-a-stranger", "failure:few-members-missing"), func(n int) {
 		c = newCluster(uint64(GinkgoRandomSeed()), membership.Config{
 			ProbeInterval: 400 * time.Millisecond, ProbeTimeout: 150 * time.Millisecond,
 		})
