gateway, inbound: no request is sent on whose caller has left

Callers saw nothing: they had left.

net/http learns of the end of a connection in a goroutine that starts together with the handler, and the handler waits for nothing before it writes to a kept connection.

The socket is now asked immediately before each send, by one MSG_PEEK; nothing is written once the context has ended, and a wait takes no place or permit after its caller left. The bound of connections is a semaphore, because netutil.LimitListener hides the socket.

--- a/gateway/request.go
+++ b/gateway/request.go
@@ -22,6 +22,10 @@
 	MaxAnswerTokens int
 	LastEventID     string // id of the last event that the caller has received, or ""
 	Arrived         time.Time
+	// CallerLeft reports whether the caller has disconnected, which the context of the request
+	// may show later. It is called immediately before the request is sent to a server; nil
+	// leaves it to the context.
+	CallerLeft func() bool
 }
 
 // Reply receives the answer to a request.
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -31,8 +31,9 @@
 	service      *fleet.Service
 	customer     fleet.Customer
 	retrier      relay.Retrier
-	retrierMu    sync.Mutex // the timer callbacks of a stream use retrier from other goroutines
-	deadline     time.Time  // the earlier one of the caller's and the route's
+	retrierMu    sync.Mutex         // the timer callbacks of a stream use retrier from other goroutines
+	deadline     time.Time          // the earlier one of the caller's and the route's
+	cancel       context.CancelFunc // ends the request as if its caller had disconnected
 	excluded     map[string]bool
 	lastEventID  string // id of the last event that the caller has received
 	headSent     bool   // the header of an answer was written to the caller
@@ -82,6 +83,7 @@
 	r.g.shared.recordRequest(r.req.Arrived, r.service.ID)
 	ctx, cancel := context.WithDeadlineCause(ctx, r.deadline, context.DeadlineExceeded)
 	defer cancel()
+	r.cancel = cancel
 	return r.runAttempts(ctx)
 }
 
@@ -286,10 +288,22 @@
 		LastEventID:  r.lastEventID,
 		Rank:         r.rank(),
 		MaxIdleConns: r.maxIdleConns(),
-		Admit:        func() bool { return r.g.shared.isWanted(time.Now(), s) },
+		Admit:        func() bool { return !r.callerLeft() && r.g.shared.isWanted(time.Now(), s) },
 	}
 }
 
+// callerLeft reports whether the caller has disconnected, and ends the request if so.
+//
+// Guard (caller-left-unread): a daemon that is short of processor time reads requests together
+// with the end of their connections. Servers would run them in vain.
+func (r *requestHandler) callerLeft() bool {
+	if r.req.CallerLeft == nil || !r.req.CallerLeft() {
+		return false
+	}
+	r.cancel()
+	return true
+}
+
 // idleConnShare is the fraction of a server's maximum number of connections that all
 // daemons together may keep idle; the rest is for requests.
 const idleConnShare = 0.5
@@ -336,14 +350,14 @@
 	if errors.Is(err, backend.ErrNotSent) {
 		outcome = relay.NotSent
 	}
-	if errors.Is(err, backend.ErrWithdrawn) {
-		r.logWithdrawn(server)
-		return outcome
-	}
 	if ctx.Err() != nil {
 		r.exclude(address)
 		return outcome
 	}
+	if errors.Is(err, backend.ErrWithdrawn) {
+		r.logWithdrawn(server)
+		return outcome
+	}
 	r.recordFailure(address)
 	if outcome == relay.Broken {
 		r.implicate(server, address)
--- a/gateway/wait.go
+++ b/gateway/wait.go
@@ -41,6 +41,9 @@
 			return false
 		}
 		sleep(ctx, r.search.permit.pollInterval())
+		if ctx.Err() != nil {
+			return false // a permit or a place taken now would be wasted
+		}
 		r.view = r.g.currentView.Load()
 		if tryOnce() {
 			return true
--- /dev/null
+++ b/gateway/wait_internal_test.go
@@ -0,0 +1,26 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = Describe("A request that waits for a server", func() {
+	// A server has room at the moment at which the caller leaves. The place, and with it a
+	// permit, would be taken in vain.
+	It("takes none once its caller has left", Label("failure:caller-left-unread"), func() {
+		g := newTestControl(GinkgoTB()).g
+		now := time.Now()
+		r := &requestHandler{g: g, req: &Request{Arrived: now}, view: g.currentView.Load(), deadline: now.Add(10 * time.Second)}
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		found := r.waitFor(ctx, func() bool {
+			time.AfterFunc(waitPollInterval/3, cancel)
+			return ctx.Err() != nil
+		})
+		Expect(found).To(BeFalse())
+	})
+})
--- a/transport/exchange/exchange.go
+++ b/transport/exchange/exchange.go
@@ -46,15 +46,20 @@
 
 // Do sends a request and reads the head of its answer. Its errors wrap
 // backend.ErrNotSent, with backend.ErrWithdrawn if the request was not admitted,
-// backend.ErrIncomplete or the context's error. Canceling ctx closes the connection
-// until Body is closed.
+// backend.ErrIncomplete or the context's error. Nothing is written once ctx has ended,
+// also if Admit ends it. Canceling ctx closes the connection until Body is closed.
 func (p *Pool) Do(ctx context.Context, req Request) (*Response, error) {
 	for {
 		c, err := p.getConn(ctx, req.Address)
 		if err != nil {
 			return nil, err
 		}
-		if req.Admit != nil && !req.Admit() {
+		admitted := req.Admit == nil || req.Admit()
+		if ctx.Err() != nil {
+			p.putUnused(c, req.MaxIdle)
+			return nil, errors.Join(backend.ErrNotSent, context.Cause(ctx))
+		}
+		if !admitted {
 			_ = c.Close()
 			return nil, errors.Join(backend.ErrNotSent, backend.ErrWithdrawn)
 		}
--- a/transport/exchange/exchange_test.go
+++ b/transport/exchange/exchange_test.go
@@ -138,6 +138,22 @@
 		Expect(s.accepted.Load()).To(Equal(int32(2*burst - kept)))
 	})
 
+	// The caller leaves while its request waits for a connection. A kept connection stays
+	// usable, since nothing was written.
+	It("sends no request whose context has ended, and keeps the connection", Label("failure:caller-left-unread"), func() {
+		s := serve(respond(matchingResponse))
+		Expect(do(s)).To(Equal("ok"))
+		ctx, cancel := context.WithCancel(context.Background())
+		req := request(s)
+		req.Admit = func() bool { cancel(); return true }
+		_, err := pool.Do(ctx, req)
+		Expect(errors.Is(err, backend.ErrNotSent)).To(BeTrue(), "%v", err)
+		Expect(errors.Is(err, context.Canceled)).To(BeTrue(), "%v", err)
+		Expect(do(s)).To(Equal("ok"))
+		Expect(s.served.Load()).To(Equal(int32(2)))
+		Expect(s.accepted.Load()).To(Equal(int32(1)))
+	})
+
 	// A server answers one request twice. The next caller on the connection would
 	// receive the second answer as its own.
 	It("does not reuse a connection that received unsolicited bytes", Label("failure:extra-answer"), func() {
--- a/transport/exchange/pool.go
+++ b/transport/exchange/pool.go
@@ -93,10 +93,25 @@
 // putIdle returns a connection to the pool, which keeps at most limit of them to
 // one server; 0 means maxIdlePerServer.
 func (p *Pool) putIdle(c *conn, keepAlive string, limit int) {
+	c.expiresAt = time.Now().Add(idleTimeout(keepAlive))
+	p.add(c, limit)
+}
+
+// putUnused returns a connection on which no request was sent. Only the answers on an
+// earlier request say how long the server keeps it: a new one is closed.
+func (p *Pool) putUnused(c *conn, limit int) {
+	if !c.reused {
+		_ = c.Close()
+		return
+	}
+	p.add(c, limit)
+}
+
+// add adds an idle connection, or closes it if the pool has limit of them to its server.
+func (p *Pool) add(c *conn, limit int) {
 	if limit <= 0 || limit > maxIdlePerServer {
 		limit = maxIdlePerServer
 	}
-	c.expiresAt = time.Now().Add(idleTimeout(keepAlive))
 	p.mu.Lock()
 	full := len(p.idle[c.address]) >= limit
 	if !full {
--- a/transport/inbound/conn.go
+++ b/transport/inbound/conn.go
@@ -1,9 +1,15 @@
 package inbound
 
 import (
+	"context"
+	"errors"
 	"net"
+	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
+
+	"golang.org/x/sync/semaphore"
 )
 
 // Limits are the timeouts of callers' connections. A zero field takes the value of
@@ -28,19 +34,49 @@
 	return l
 }
 
-// listener accepts connections whose read deadlines follow limits.
+// listener accepts connections whose read deadlines follow limits, and only so many that no
+// more than a maximum are open.
 type listener struct {
 	net.Listener
 	limits func() Limits
+	open   *semaphore.Weighted // of open connections; nil for no maximum
+	ctx    context.Context     // ends when the listener is closed
+	cancel context.CancelFunc
+}
+
+// newListener returns a listener on l. maxConns is 0 for no maximum.
+func newListener(l net.Listener, limits func() Limits, maxConns int) *listener {
+	out := &listener{Listener: l, limits: limits}
+	if maxConns > 0 {
+		out.open = semaphore.NewWeighted(int64(maxConns))
+	}
+	out.ctx, out.cancel = context.WithCancel(context.Background())
+	return out
 }
 
 // Accept implements net.Listener.
 func (l *listener) Accept() (net.Conn, error) {
+	if l.open != nil && l.open.Acquire(l.ctx, 1) != nil {
+		return nil, net.ErrClosed
+	}
 	c, err := l.Listener.Accept()
 	if err != nil {
+		l.release()
 		return nil, err
 	}
-	return &conn{Conn: c, limits: l.limits}, nil
+	return &conn{Conn: c, limits: l.limits, release: sync.OnceFunc(l.release)}, nil
+}
+
+func (l *listener) release() {
+	if l.open != nil {
+		l.open.Release(1)
+	}
+}
+
+// Close implements net.Listener.
+func (l *listener) Close() error {
+	l.cancel()
+	return l.Listener.Close()
 }
 
 // conn replaces the read deadlines of net/http, which are fixed when a server starts.
@@ -49,9 +85,16 @@
 type conn struct {
 	net.Conn
 	limits     func() Limits
+	release    func()      // ends the connection's share of the maximum
 	becameIdle atomic.Bool // the next deadline set is that of an idle connection
 }
 
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	defer c.release()
+	return c.Conn.Close()
+}
+
 // SetReadDeadline implements net.Conn. A zero deadline, or one in the past, which
 // aborts a read, is set as given.
 func (c *conn) SetReadDeadline(t time.Time) error {
@@ -65,3 +108,38 @@
 	}
 	return c.Conn.SetReadDeadline(now.Add(limits.HeaderTimeout))
 }
+
+// connKey is the key of a request's connection in its context.
+type connKey struct{}
+
+// CallerLeft reports whether the caller of a request has closed its connection. ctx is the
+// request's context, which ends for the same reason, but later if the process is busy: net/http
+// learns of the end in a goroutine that starts together with the request's handler.
+func CallerLeft(ctx context.Context) bool {
+	if ctx.Err() != nil {
+		return true
+	}
+	c, ok := ctx.Value(connKey{}).(*conn)
+	return ok && c.closedByCaller()
+}
+
+// closedByCaller reports whether the next read would return an error or the end of the
+// connection. It takes no byte from the connection and does not wait.
+func (c *conn) closedByCaller() bool {
+	socket, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return true
+	}
+	closed := false
+	// Control does not wait for the pending read of net/http, as Read would.
+	err = raw.Control(func(fd uintptr) {
+		var one [1]byte
+		n, _, rerr := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		closed = rerr == nil && n == 0 || errors.Is(rerr, syscall.ECONNRESET)
+	})
+	return err != nil || closed
+}
--- a/transport/inbound/doc.go
+++ b/transport/inbound/doc.go
@@ -16,4 +16,6 @@
 //     bytes are read.
 //   - More callers connect than the process has file descriptors for: connections
 //     beyond a share of them wait, so that the others are still answered.
+//   - A caller leaves before its request is read: CallerLeft reports it at once, so that
+//     no server runs the request in vain.
 package inbound
--- a/transport/inbound/inbound_test.go
+++ b/transport/inbound/inbound_test.go
@@ -116,6 +116,36 @@
 		Expect(resp.StatusCode).To(Equal(http.StatusRequestHeaderFieldsTooLarge))
 	})
 
+	// The end of a caller's connection is reported at once: a busy process ends the
+	// request's context later. A caller that only waits is not taken for one that has left,
+	// nor one that has sent its next request.
+	It("report a caller that has left", Label("failure:caller-left-unread"), func() {
+		ask, left := make(chan struct{}), make(chan bool)
+		served, err := freeport.Address()
+		Expect(err).NotTo(HaveOccurred())
+		ports := inbound.New(func() inbound.Limits { return inbound.Limits{} }, descriptors)
+		Expect(ports.Open(served, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			<-ask
+			left <- inbound.CallerLeft(r.Context())
+			<-ask
+			left <- inbound.CallerLeft(r.Context())
+		}))).To(Succeed())
+		go func() { _ = ports.Serve() }()
+		DeferCleanup(ports.Close)
+		c, err := net.Dial("tcp", served)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = io.WriteString(c, request+request)
+		Expect(err).NotTo(HaveOccurred())
+		for range 3 { // twice during the first request, once during the second one
+			Eventually(ask).Should(BeSent(struct{}{}))
+			Eventually(left).Should(Receive(BeFalse()))
+		}
+		Expect(c.Close()).To(Succeed())
+		time.Sleep(100 * time.Millisecond) // the end of the connection is at the port
+		ask <- struct{}{}
+		Expect(<-left).To(BeTrue())
+	})
+
 	// A configuration may set lower limits for a request than the ports do.
 	DescribeTable("reject a request over its limits",
 		func(b inbound.Bounds, want int) {
--- a/transport/inbound/ports.go
+++ b/transport/inbound/ports.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"time"
 
-	"golang.org/x/net/netutil"
 	"golang.org/x/sync/errgroup"
 )
 
@@ -48,15 +47,15 @@
 	if err != nil {
 		return err
 	}
-	if p.maxConns > 0 {
-		l = netutil.LimitListener(l, p.maxConns)
-	}
-	p.listeners = append(p.listeners, &listener{Listener: l, limits: p.limits})
+	p.listeners = append(p.listeners, newListener(l, p.limits, p.maxConns))
 	p.servers = append(p.servers, &http.Server{
 		Handler:           h,
 		ReadHeaderTimeout: DefaultLimits.HeaderTimeout, // replaced by conn.SetReadDeadline
 		IdleTimeout:       DefaultLimits.IdleTimeout,   // replaced by conn.SetReadDeadline
 		MaxHeaderBytes:    MaxHeaderBytes,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return context.WithValue(ctx, connKey{}, c)
+		},
 		ConnState: func(c net.Conn, s http.ConnState) {
 			if c, ok := c.(*conn); ok && s == http.StateIdle {
 				c.becameIdle.Store(true)
