gateway: rows of another daemon are as old as when they were requested

What callers saw: nothing yet. A daemon that starts uses rows that the store confirmed up to 1.7 s ago, and a configuration is to be in force within 2 s. The time between the request for the rows and their use was not counted, so that a busy daemon could use them for longer, by as much as its control goroutine was late; the same held for the confirmation that nothing has changed.

Evidence: in a spec the answer waits 0.3 s for the control goroutine; the daemon took rows for 1.0 s old that were 1.3 s old (red before).

Change: an answer is as old as it said when it was requested, plus all time since.

--- a/gateway/handover_internal_test.go
+++ b/gateway/handover_internal_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/hibiscuswick/hibiscuswick/coordination/following"
 	"github.com/hibiscuswick/hibiscuswick/protocol/site"
 	"github.com/hibiscuswick/hibiscuswick/state"
 	"github.com/hibiscuswick/hibiscuswick/state/fleet"
@@ -53,11 +54,37 @@
 		Expect(resp.Complete).To(BeTrue())
 
 		resp.StoreAge = maxStoreAge + time.Millisecond
-		Expect(c.serverFeed.applyResponse(context.Background(), "peer", rowsRequest{}, resp)).To(BeFalse(), "the store has to be called")
+		Expect(c.serverFeed.applyResponse(context.Background(), "peer", rowsRequest{}, resp, time.Now())).To(BeFalse(), "the store has to be called")
 		Expect(c.serverFeed.revision.Load()).To(BeZero())
 
 		resp.StoreFailing = true
-		Expect(c.serverFeed.applyResponse(context.Background(), "peer", rowsRequest{}, resp)).To(BeTrue(), "nobody has newer rows")
+		Expect(c.serverFeed.applyResponse(context.Background(), "peer", rowsRequest{}, resp, time.Now())).To(BeTrue(), "nobody has newer rows")
 		Expect(c.serverFeed.revision.Load()).To(Equal(uint64(7)))
 	})
+
+	// Guards against a daemon that uses an old configuration for longer the busier it is: the
+	// time between its request and the use of the answer was not counted.
+	It("are as old as when they were requested", Label("failure:rows-aged-in-transit"), func() {
+		c := newTestControl(GinkgoTB())
+		c.serverFeed.machine = following.New(c.g.self, "servers", maxStoreAge, c.now)
+		peer := newTestControl(GinkgoTB())
+		peer.serverFeed.applyStoreAnswer(serverBatch(7, "old"), batchInfo{complete: true})
+		resp := peer.serverFeed.rowsFor(rowsRequest{})
+		resp.StoreAge = time.Second
+		const busy = 300 * time.Millisecond
+		asked := time.Now()
+		applied := make(chan bool)
+		go func() {
+			applied <- c.serverFeed.applyResponse(context.Background(), "peer", rowsRequest{}, resp, asked)
+		}()
+		Eventually(c.inbox).Should(HaveLen(1))
+		time.Sleep(busy)
+		apply := <-c.inbox
+		c.now = time.Now()
+		apply()
+		Expect(<-applied).To(BeTrue())
+		Expect(c.serverFeed.machine.Age(c.now)).To(BeNumerically(">=", time.Second+busy))
+
+		Expect(c.serverFeed.applyResponse(context.Background(), "peer", rowsRequest{}, resp, asked.Add(-time.Second))).To(BeFalse(), "the store has to be called")
+	})
 })
--- a/gateway/peerrows.go
+++ b/gateway/peerrows.go
@@ -172,25 +172,31 @@
 func (f *feedTracker[T]) queryPeer(ctx context.Context, address string, req rowsRequest) queryResult {
 	ctx, cancel := context.WithTimeout(ctx, peerQueryTimeout)
 	defer cancel()
+	asked := time.Now()
 	answer, err := f.c.g.node.Call(ctx, address, req)
 	if err != nil {
 		return queryUnanswered // the peer is stopping or does not listen yet; another peer or the store is queried instead
 	}
 	resp, ok := answer.Msg.(rowsResponse)
-	if ok && f.applyResponse(ctx, address, req, resp) {
+	if ok && f.applyResponse(ctx, address, req, resp, asked) {
 		return queryApplied
 	}
 	return queryNotKnown
 }
 
-// applyResponse applies a daemon's answer. It returns false if another daemon or the store
-// has to be queried.
-func (f *feedTracker[T]) applyResponse(ctx context.Context, address string, req rowsRequest, resp rowsResponse) bool {
+// applyResponse applies the answer to a request that was sent at asked. It returns false if
+// another daemon or the store has to be queried.
+//
+// Guard (rows-aged-in-transit): the age of an answer counts from when it was requested. A busy
+// daemon decodes and applies it much later, and would use an old configuration for as long
+// again.
+func (f *feedTracker[T]) applyResponse(ctx context.Context, address string, req rowsRequest, resp rowsResponse, asked time.Time) bool {
 	if !resp.Known || resp.Revision < req.MinRevision {
 		return false
 	}
+	confirmedAt := asked.Add(-resp.StoreAge)
 	if len(resp.Rows) == 0 {
-		return req.HasRevision > 0 && f.confirmRevision(ctx, resp)
+		return req.HasRevision > 0 && f.confirmRevision(ctx, resp.Revision, confirmedAt)
 	}
 	items, err := decode[T](resp.Rows)
 	if err != nil {
@@ -201,21 +207,21 @@
 	// Guard (follower-stale): a daemon that alone is cut off from the store answers with
 	// its cached rows, and this daemon would use an old configuration although it reaches
 	// the store. Only if the store answers nobody is there nothing newer to get.
-	if resp.StoreAge > maxStoreAge && !resp.StoreFailing {
+	if time.Since(confirmedAt) > maxStoreAge && !resp.StoreFailing {
 		if !resp.Complete {
 			return false
 		}
-		f.unconfirmed = &unconfirmedRows[T]{batch: b, confirmedAt: time.Now().Add(-resp.StoreAge)}
+		f.unconfirmed = &unconfirmedRows[T]{batch: b, confirmedAt: confirmedAt}
 		return false
 	}
-	f.post(ctx, func() { f.applyPeerRows(b, resp.StoreAge, resp.Complete) })
+	f.post(ctx, func() { f.applyPeerRows(b, f.c.now.Sub(confirmedAt), resp.Complete) })
 	return true
 }
 
-// confirmRevision records that the known rows were current in the store a moment ago. It
-// returns false if that is too long ago to skip a call.
-func (f *feedTracker[T]) confirmRevision(ctx context.Context, resp rowsResponse) bool {
-	f.post(ctx, func() { f.machine.ConfirmedByPeer(f.c.now, resp.Revision, resp.StoreAge) })
+// confirmRevision records that the known rows were current in the store at a time. It returns
+// false if that is too long ago to skip a call.
+func (f *feedTracker[T]) confirmRevision(ctx context.Context, revision uint64, confirmedAt time.Time) bool {
+	f.post(ctx, func() { f.machine.ConfirmedByPeer(f.c.now, revision, f.c.now.Sub(confirmedAt)) })
 	return f.skipsStore()
 }
 
