membership: a daemon that probes for another says where it is

What callers saw: nothing known; a live daemon can be suspected although others probed it on request, and then all daemons handle the suspicion.

Cause: the ping on behalf of another daemon was the one ping left without the sender's address. Its target need not know the helping daemon, which is a neighbour of the one that asks, and a daemon can't answer one that it does not know. While many start, and where just one pair is cut, the help failed.

Evidence: the spec, in virtual time: no answer before, an answer at once now. The ping always carries the record with the address; such pings are rare.

--- /dev/null
+++ b/coordination/membership/introduction_test.go
@@ -0,0 +1,48 @@
+package membership_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hibiscuswick/hibiscuswick/coordination/membership"
+)
+
+var _ = Describe("a daemon that another one does not know", func() {
+	var c *cluster
+	full := func(n *node) membership.Update {
+		return membership.Update{ID: n.id, Incarnation: 1, Meta: &n.self.Meta}
+	}
+
+	BeforeEach(func() {
+		c = newCluster(uint64(GinkgoRandomSeed()), membership.Config{})
+	})
+
+	// Guards against a daemon that is suspected although it lives: it can't answer the probe of
+	// one that asks on behalf of another, because it has not learned of that one yet.
+	It("is answered if it probes on behalf of another", Label("failure:helped-by-a-stranger"), func() {
+		asking, helping, probed := c.add(0, 3, 1), c.add(1, 3, 1), c.add(2, 3, 1)
+		c.blocked = func(from, to *node) bool {
+			return from == asking && to == probed || from == probed && to == asking
+		}
+		asking.dead = true
+		answered := false
+		c.onStep = func(n *node, as []membership.Action) {
+			for _, a := range as {
+				s, ok := a.(membership.Send)
+				if !ok {
+					continue
+				}
+				if r, ok := s.Msg.(membership.PingResult); ok && n == helping && r.Answered {
+					answered = true
+				}
+			}
+		}
+		c.step(helping, membership.Received{From: asking.self.Member, Msg: membership.PingRequest{
+			Seq: 1, Self: full(asking), Target: probed.id, Address: probed.self.Meta.PeerAddress,
+		}})
+		c.run(250 * time.Millisecond)
+		Expect(answered).To(BeTrue())
+	})
+})
--- a/coordination/membership/probe.go
+++ b/coordination/membership/probe.go
@@ -239,7 +239,9 @@
 		expires: m.now.Add(m.cfg.ProbeTimeout),
 	}
 	m.probes.relays = append(m.probes.relays, r)
-	ping := Ping{Seq: r.seq, Self: m.self.update(), Target: msg.Target, Digest: m.self.digest}
+	// Guard (helped-by-a-stranger): the target need not know this daemon, of which the origin
+	// is a neighbour, and can answer only if it is told the address.
+	ping := Ping{Seq: r.seq, Self: m.self.fullUpdate(), Target: msg.Target, Digest: m.self.digest}
 	m.emit(Send{To: msg.Target, Address: msg.Address, Msg: ping})
 }
 
