membership: only an answer shows that a daemon is known to its sender

What callers saw: nothing known; a live daemon is suspected, and the others handle the suspicion.

Cause: a daemon left its address out once the other had sent it anything. But a request for records goes to a listed address whose daemon the sender does not know, and a ping may be sent on behalf of another. If the answer to the request is lost, the sender can't answer the probes of the daemon that it asked.

Messages other than these two are sent only to known daemons, so that they show it; until one arrives, the record goes out with the address.

--- a/coordination/membership/apply.go
+++ b/coordination/membership/apply.go
@@ -1,8 +1,6 @@
 package membership
 
 import (
-	"time"
-
 	"github.com/hibiscuswick/hibiscuswick/state"
 )
 
@@ -80,7 +78,7 @@
 		// Guard (daemon-replaced-during-store-outage): the greater incarnation supersedes at
 		// once; suspicions and digests of the earlier process do not apply to it.
 		e.digest, e.digestSeen = Digest{}, false
-		e.lastReceived = time.Time{}
+		e.knowsSelf = false
 	}
 	e.inc, e.rev, e.state, e.draining = u.Incarnation, u.Revision, u.State, u.Draining
 	if u.Meta != nil {
--- a/coordination/membership/introduction_test.go
+++ b/coordination/membership/introduction_test.go
@@ -45,4 +45,34 @@
 		c.run(250 * time.Millisecond)
 		Expect(answered).To(BeTrue())
 	})
+
+	// Guards against the same after a lost message: a daemon that asked a listed address whose
+	// daemon it does not know, and did not get the answer, does not know who probes it.
+	It("is answered by one that asked its address", Label("failure:probed-by-a-stranger"), func() {
+		asking, asked := c.add(0, 2, 1), c.add(1, 2, 1)
+		lost := false
+		c.blocked = func(from, to *node) bool {
+			if from == asked && !lost {
+				lost = true
+				return true
+			}
+			return false
+		}
+		suspicions := 0
+		c.onStep = func(n *node, as []membership.Action) {
+			for _, a := range as {
+				if change, ok := a.(membership.MemberChanged); ok && n == asked && change.To == membership.Suspect {
+					suspicions++
+				}
+			}
+		}
+		c.step(asking, membership.SetDigest{})
+		c.step(asked, membership.Received{From: asking.self.Member, Msg: membership.ExchangeRequest{
+			Self: full(asking), BucketHashes: make([]uint64, 32),
+		}})
+		Expect(lost).To(BeTrue())
+		c.run(3 * time.Second)
+		Expect(suspicions).To(BeZero())
+		Expect(c.converged()).To(BeTrue())
+	})
 })
--- a/coordination/membership/membership.go
+++ b/coordination/membership/membership.go
@@ -136,7 +136,7 @@
 	if self.ID != from.ID || self.ID == m.self.id {
 		return
 	}
-	m.handleSender(self)
+	m.handleSender(self, msg)
 	m.applyPayload(from.ID, payload)
 	m.markMembersKnown(from.ID, payload.MembersHash)
 	m.reconcile(from.ID, payload.MembersHash)
@@ -180,13 +180,24 @@
 }
 
 // handleSender applies what the sender of a message reports about itself.
-func (m *Membership) handleSender(self Update) {
+func (m *Membership) handleSender(self Update, msg Message) {
 	m.apply(self, self.ID, fromGossip)
 	if e, ok := m.table.get(self.ID); ok && e.inc == self.Incarnation {
 		e.lastReceived = m.now
+		e.knowsSelf = e.knowsSelf || provesKnown(msg)
 	}
 }
 
+// provesKnown reports whether msg is sent only to daemons that its sender knows. A Ping may
+// be sent on behalf of another daemon, and an ExchangeRequest to a listed address.
+func provesKnown(msg Message) bool {
+	switch msg.(type) {
+	case Ping, ExchangeRequest:
+		return false
+	}
+	return true
+}
+
 // drain announces that this daemon accepts no new callers.
 func (m *Membership) drain() {
 	if m.self.draining {
--- a/coordination/membership/probe.go
+++ b/coordination/membership/probe.go
@@ -117,14 +117,14 @@
 }
 
 // introduction returns the local daemon's record for a message to e: with Meta until e has
-// sent something, which shows that it knows this daemon, and while it may have been replaced.
+// shown that it knows this daemon, and while it may have been replaced.
 //
 // Guard (probed-by-a-stranger): a daemon can't answer one whose address it does not know.
 // While hundreds of daemons start, each learns of the others at different times; those that
 // were probed by daemons that they did not know yet were suspected, and all daemons spent
 // seconds on suspicions of live ones.
 func (m *Membership) introduction(e *entry) Update {
-	if e.lastReceived.IsZero() || e.state != Alive {
+	if !e.knowsSelf || e.state != Alive {
 		return m.self.fullUpdate()
 	}
 	return m.self.update()
--- a/coordination/membership/table.go
+++ b/coordination/membership/table.go
@@ -18,6 +18,7 @@
 	meta         Meta
 	stateSince   time.Time // when the current state was entered locally
 	lastReceived time.Time // last message received from the daemon itself
+	knowsSelf    bool      // has sent something that shows that it knows the local daemon's address
 	suspicion    suspicion // if Suspect
 	probeSoon    bool      // a peer considers it dead: probe it at the next opportunity
 	digest       Digest
