--- a/coordination/membership/probe.go
+++ b/coordination/membership/probe.go
@@ -117,14 +117,14 @@
 }
 
 // introduction returns the local daemon's record for a message to e: with Meta until e has
-// sent something, which shows that it knows this daemon, and while it may have been replaced.
+// shown that it knows this daemon, and while it may have been replaced.
 //
 // Guard (probed-by-a-stranger): a daemon can't answer one whose address it does not know.
 // While hundreds of daemons start, each learns of the others at different times; those that
 // were probed by daemons that they did not know yet were suspected, and all daemons spent
 // seconds on suspicions of live ones.
 func (m *Membership) introduction(e *entry) Update {
-	if e.lastReceived.IsZero() || e.state != Alive {
+	if !e.knowsSelf || e.state != Alive {
 		return m.self.fullUpdate()
 	}
 	return m.self.update()
@@ -239,7 +239,9 @@
 		expires: m.now.Add(m.cfg.ProbeTimeout),
 	}
 	m.probes.relays = append(m.probes.relays, r)
-	ping := Ping{Seq: r.seq, Self: m.self.update(), Target: msg.Target, Digest: m.self.digest}
+	// Guard (helped-by-a-stranger): the target need not know this daemon, of which the origin
+	// is a neighbour, and can answer only if it is told the address.
+	ping := Ping{Seq: r.seq, Self: m.self.fullUpdate(), Target: msg.Target, Digest: m.self.digest}
 	m.emit(Send{To: msg.Target, Address: msg.Address, Msg: ping})
 }
 
