gateway: a request whose caller has left is logged

The event caller_left names the server, the attempts and the time since arrival, and tells an attempt that was not sent for that reason.

--- a/gateway/explain_test.go
+++ b/gateway/explain_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"strings"
 	"sync"
 	"time"
 
@@ -30,6 +31,19 @@
 	return l.b.Write(b)
 }
 
+// lines returns the lines of an event.
+func (l *logBuffer) lines(event string) []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out []string
+	for line := range strings.Lines(l.b.String()) {
+		if strings.Contains(line, `"event":"`+event+`"`) {
+			out = append(out, line)
+		}
+	}
+	return out
+}
+
 // storyOf returns the story of a request from the collected lines alone.
 func (l *logBuffer) storyOf(request string) explain.Timeline {
 	l.mu.Lock()
--- a/gateway/report.go
+++ b/gateway/report.go
@@ -32,13 +32,17 @@
 	}
 }
 
-// logEnd logs how a request ended, unless its caller left.
+// logEnd logs how a request ended.
 func (r *requestHandler) logEnd(res Result) {
 	var event telemetry.Event
 	switch res.Outcome {
 	case Answered:
 		r.logAnswered()
 		return
+	case CallerLeft:
+		r.g.log.Emit(telemetry.EventCallerLeft, telemetry.Request(r.req.ID), telemetry.Detail(res.Reason),
+			telemetry.Count(r.attemptCount), telemetry.Address(r.address), telemetry.Duration(time.Since(r.req.Arrived)))
+		return
 	case Refused, NoRoute, UnknownKey:
 		event = telemetry.EventRequestRefused
 	case Failed, TimedOut, Truncated:
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -34,6 +34,7 @@
 	retrierMu    sync.Mutex         // the timer callbacks of a stream use retrier from other goroutines
 	deadline     time.Time          // the earlier one of the caller's and the route's
 	cancel       context.CancelFunc // ends the request as if its caller had disconnected
+	leftUnsent   bool               // the caller's leaving showed when an attempt was to be sent
 	excluded     map[string]bool
 	lastEventID  string // id of the last event that the caller has received
 	headSent     bool   // the header of an answer was written to the caller
@@ -146,7 +147,7 @@
 		}
 		d := r.decideNext(ctx, outcome)
 		if errors.Is(context.Cause(ctx), context.Canceled) {
-			return Result{Outcome: CallerLeft, Reason: "caller_left"}
+			return Result{Outcome: CallerLeft, Reason: r.leaveReason()}
 		}
 		switch {
 		case d.Retry:
@@ -300,10 +301,18 @@
 	if r.req.CallerLeft == nil || !r.req.CallerLeft() {
 		return false
 	}
+	r.leftUnsent = true
 	r.cancel()
 	return true
 }
 
+func (r *requestHandler) leaveReason() string {
+	if r.leftUnsent {
+		return "caller_left_unsent"
+	}
+	return "caller_left"
+}
+
 // idleConnShare is the fraction of a server's maximum number of connections that all
 // daemons together may keep idle; the rest is for requests.
 const idleConnShare = 0.5
--- a/telemetry/events.go
+++ b/telemetry/events.go
@@ -59,6 +59,7 @@
 	EventRequestSent        Event = 1320
 	EventRequestAnswered    Event = 1321
 	EventRequestWithdrawn   Event = 1322
+	EventCallerLeft         Event = 1323
 )
 
 // Events of the store.
