home, route: an answer that has begun is refused by no estimate

Cause: a slot request carries one budget, which the home took for the time until a first token in every case. admitToQueue refuses a waiter at once whose estimated first token is later than that, and the estimate is the queue over the slots in use by their mean hold time. After a death few slots are in use, and load makes the hold time longer, so that a few waiters ahead suffice for 10 s. The same held for replicas that are too slow for a first token in time, for a full queue, and for another pool by its last summary.

Evidence: the specs, red before: in virtual time a begun answer with 10 s to wait is refused at once behind one grant of 15 s; with a first token of 20 s at the pool's speed; and for a full queue.

Change: a slot request says that its answer has begun (a new field; an older home ignores it). Then no first token is due, only its own time ends its wait, and it does not count toward the queue's limit, since it held a slot before; if the queue is full, the last waiter that has not begun is refused. The router moves such a request to another pool whatever that pool's load.

Why it works: the estimate protects callers from waiting for a refusal. A caller that has tokens gains nothing by it, and nothing else in the home reads the first token's latency once it is 0.

--- a/coordination/home/message.go
+++ b/coordination/home/message.go
@@ -63,6 +63,10 @@
 	// again after ExclusiveEnded. Since nothing else starts in between, a backend
 	// server's death in that time can still be attributed to this request.
 	Staggered bool `msgpack:"q,omitempty"`
+
+	// Begun is set if the caller has tokens already. No first token is due then: Budget is
+	// how long the request may wait for a slot. An older home ignores it.
+	Begun bool `msgpack:"g,omitempty"`
 }
 
 // ExclusiveEnded is sent by the entry daemon of a staggered grant when the request is
--- a/coordination/home/queue.go
+++ b/coordination/home/queue.go
@@ -18,9 +18,10 @@
 	exclude           []state.ReplicaID
 	exclusive         bool
 	staggered         bool // only together with exclusive
+	begun             bool // the caller has tokens; no first token is due
 	arrived           time.Time
-	firstTokenLatency time.Duration // from slot to first token at speed 1
-	deadline          time.Time     // for the first token
+	firstTokenLatency time.Duration // from slot to first token at speed 1; 0 if begun
+	deadline          time.Time     // for the first token or, if begun, for the slot
 	expires           time.Time     // from then on no replica is fast enough
 
 	flow       *flow
@@ -55,6 +56,7 @@
 	lastSearch uint64  // last search that visited the flow
 	head, tail *waiter
 	count      int
+	begun      int // waiters whose answer has begun
 }
 
 // classQueue holds the waiters of one class. It is work-conserving and shares slots by
@@ -70,6 +72,7 @@
 	busyPeriod uint64
 	searches   uint64
 	count      int
+	begun      int // waiters whose answer has begun
 }
 
 func newClassQueue() *classQueue {
@@ -101,6 +104,10 @@
 	f.tail = w
 	f.count++
 	q.count++
+	if w.begun {
+		f.begun++
+		q.begun++
+	}
 	if f.count == 1 {
 		q.activate(f)
 	}
@@ -140,6 +147,10 @@
 	w.prev, w.next, w.flow = nil, nil, nil
 	f.count--
 	q.count--
+	if w.begun {
+		f.begun--
+		q.begun--
+	}
 	if f.count == 0 {
 		q.deactivate(f)
 	}
@@ -199,7 +210,13 @@
 	return best
 }
 
-// longestFlow returns the flow with the most waiters relative to its weight.
+// refusable returns the number of waiters that count toward the queue's limit: those
+// whose answer has not begun.
+func (q *classQueue) refusable() int {
+	return q.count - q.begun
+}
+
+// longestFlow returns the flow with the most refusable waiters relative to its weight.
 func (q *classQueue) longestFlow() *flow {
 	var best *flow
 	for _, f := range q.active {
@@ -210,9 +227,18 @@
 	return best
 }
 
-// backlog returns the flow's length relative to its weight, with extra more waiters.
+// backlog returns the flow's refusable waiters relative to its weight, with extra more.
 func (f *flow) backlog(extra int) float64 {
-	return float64(f.count+extra) / f.weight
+	return float64(f.count-f.begun+extra) / f.weight
+}
+
+// lastRefusable returns the flow's last waiter whose answer has not begun, or nil.
+func (f *flow) lastRefusable() *waiter {
+	w := f.tail
+	for w != nil && w.begun {
+		w = w.prev
+	}
+	return w
 }
 
 // estimateAhead estimates how many of the class's waiters go before a new one of f.
--- a/coordination/home/receive.go
+++ b/coordination/home/receive.go
@@ -77,7 +77,10 @@
 		requestID: m.ID, from: from, rank: rank, customer: m.Customer,
 		cost: float64(max(m.Cost, 1)), prefixes: m.Prefixes, exclude: m.Exclude,
 		exclusive: m.Exclusive, staggered: m.Exclusive && m.Staggered, arrived: now,
-		firstTokenLatency: m.FirstTokenLatency, deadline: now.Add(m.Budget),
+		firstTokenLatency: m.FirstTokenLatency, deadline: now.Add(m.Budget), begun: m.Begun,
+	}
+	if w.begun {
+		w.firstTokenLatency = 0
 	}
 	w.expires = w.deadline.Add(-w.firstTokenLatencyAt(p.order[0].speed))
 	if !now.Before(w.expires) {
@@ -137,18 +140,26 @@
 // admitToQueue reports whether w may queue. If not, it refuses w or, if the queue is
 // full, the last waiter of the longest flow. A customer that fills a queue therefore
 // cannot lock the others out.
+//
+// Guard (begun-answer-refused-by-an-estimate): an answer that has begun has no first token
+// to be late with, and only its own time ends its wait. After a death few slots are in use,
+// and the estimate would refuse the answers that the death has cut. It does not count toward
+// the queue's limit either: it held a slot before, which bounds the number of such waiters.
 func (p *pool) admitToQueue(f *flow, w *waiter, now time.Time) bool {
+	if w.begun {
+		return true
+	}
 	if estimate, ok := p.estimateFirstToken(w, f); ok && now.Add(estimate).After(w.deadline) {
 		p.refuse(w.from.ID, w.requestID, state.ReasonDeadline, retryAfterSeconds(estimate-w.deadline.Sub(now)), now)
 		return false
 	}
 	q := p.queues[w.rank]
-	if q.count < p.terms.maxQueued {
+	if q.refusable() < p.terms.maxQueued {
 		return true
 	}
 	longest := q.longestFlow()
 	if f.backlog(1) < longest.backlog(0) {
-		p.refuseWaiter(longest.tail, state.ReasonQueueFull, retryAfterSeconds(p.drainTime()), now)
+		p.refuseWaiter(longest.lastRefusable(), state.ReasonQueueFull, retryAfterSeconds(p.drainTime()), now)
 		return true
 	}
 	p.refuse(w.from.ID, w.requestID, state.ReasonQueueFull, retryAfterSeconds(p.drainTime()), now)
--- a/coordination/route/event.go
+++ b/coordination/route/event.go
@@ -70,13 +70,14 @@
 	Service           state.ServiceID
 	Class             state.ClassID
 	Customer          state.CustomerID
-	Deadline          time.Time     // for the first token
+	Deadline          time.Time     // for the first token or, if Begun, for the slot
 	FirstTokenLatency time.Duration // from slot to first token at speed 1; 0 if unknown
 	Cost              uint32        // expected tokens; 0 if unknown
 	Prefixes          []uint64      // hashes of the prompt's prefix blocks, longest first
 	Exclude           []state.ReplicaID
 	Exclusive         bool
 	Staggered         bool // see home.SlotRequest
+	Begun             bool // see home.SlotRequest
 }
 
 // ReleaseSlot ends a grant.
--- a/coordination/route/requests.go
+++ b/coordination/route/requests.go
@@ -39,7 +39,7 @@
 	r.send(p.home, home.SlotRequest{
 		ID: w.ID, Pool: p.spec.ID, Class: w.Class, Customer: w.Customer,
 		Budget: max(w.Deadline.Sub(now)-r.cfg.TransitMargin, 0), FirstTokenLatency: w.FirstTokenLatency, Cost: w.Cost, Prefixes: w.Prefixes,
-		Exclude: w.Exclude, Exclusive: w.Exclusive, Staggered: w.Staggered,
+		Exclude: w.Exclude, Exclusive: w.Exclusive, Staggered: w.Staggered, Begun: w.Begun,
 	})
 }
 
@@ -60,7 +60,8 @@
 }
 
 // tryOtherPool moves a request that its pool cannot serve to another pool that seems to
-// have capacity in time, or ends it with the reason.
+// have capacity in time, or ends it with the reason. An answer that has begun may wait
+// there until its deadline, whatever that pool's load.
 func (r *Router) tryOtherPool(now time.Time, req *slotRequest, reason state.Reason, after state.RetryAfter) {
 	s := r.layout.services[req.acquire.Service]
 	if s == nil || len(req.triedPools) >= r.cfg.MaxPools {
@@ -73,7 +74,7 @@
 		return
 	}
 	wait := time.Duration((p.load.score(now, r.cfg.SummaryTTL) - 1) * float64(time.Second))
-	if now.Add(wait).After(req.acquire.Deadline) {
+	if !req.acquire.Begun && now.Add(wait).After(req.acquire.Deadline) {
 		r.refuse(req, reason, after)
 		return
 	}
--- a/daemon/slots.go
+++ b/daemon/slots.go
@@ -279,6 +279,7 @@
 		Exclude:   a.Exclude,
 		Exclusive: exclusive,
 		Staggered: exclusive,
+		Begun:     a.Begun,
 	})
 }
 
