request: a begun answer asks again after the grant of a replica that is not known yet

What callers see: after a death, a stream whose first token's deadline has passed stalls without an end, if the home grants it a replica that its daemon does not know yet, as while a new one is listed.

Cause: NextTick had the time of the next slot request for such a wait only while it came before the first token's deadline. The runner sets its timer by NextTick, and no event ends that wait.

Evidence: the spec, red before (NextTick is zero).

Change: an answer with tokens waits until that time in either phase, as it did in the back-off of a retry.

--- a/coordination/request/request.go
+++ b/coordination/request/request.go
@@ -116,9 +116,7 @@
 	case r.phase == phaseEnded, r.pending != nil:
 		// A pending outcome waits for its claim to be settled, not for a point in time.
 		return time.Time{}
-	case r.phase == phaseBackoff && len(r.tokens) > 0:
-		return r.retryAt
-	case r.waitsForRetryAt() && r.retryAt.Before(r.spec.FirstTokenDeadline):
+	case r.waitsForRetryAt() && (len(r.tokens) > 0 || r.retryAt.Before(r.spec.FirstTokenDeadline)):
 		return r.retryAt
 	case len(r.tokens) == 0:
 		return r.spec.FirstTokenDeadline
--- a/coordination/request/restart_test.go
+++ b/coordination/request/restart_test.go
@@ -59,6 +59,24 @@
 		Expect(slot.Begun).To(BeTrue())
 	})
 
+	// Guards against an answer that stalls for good: a home grants it a replica that this
+	// daemon does not know yet, after its first token's deadline.
+	It("asks for another slot after the grant of a replica that is not known yet", Label("failure:begun-answer-past-its-deadline"), func() {
+		now := time.Unix(0, 0)
+		r := request.New(request.Spec{ID: "r", Service: "drafts", MaxTokens: 2, Owner: 7, FirstTokenDeadline: now.Add(time.Second)})
+		slot, _ := last[request.AcquireSlot](r.Step(now, request.Start{}))
+		step, _ := last[request.RunStep](r.Step(now, request.SlotGranted{Grant: slot.Attempt, Replica: chain(1)}))
+		step, _ = last[request.RunStep](r.Step(now, request.StepDone{Step: step.Step}))
+		now = now.Add(time.Minute)
+		r.Step(now, request.StepUnanswered{Step: step.Step, NotSent: true})
+		slot, _ = last[request.AcquireSlot](r.Step(now, request.RetryDecided{Allowed: true, At: now}))
+		r.Step(now, request.SlotUnusable{Grant: slot.Attempt, Replica: "new", UnknownReplica: true})
+		next := r.NextTick()
+		Expect(next).To(BeTemporally("~", now, time.Second))
+		_, asked := last[request.AcquireSlot](r.Step(next, request.Tick{}))
+		Expect(asked).To(BeTrue())
+	})
+
 	It("gives up a stage that keeps declining", func() {
 		now := time.Unix(0, 0)
 		r := request.New(request.Spec{ID: "r", Service: "drafts", MaxTokens: 1, Owner: 7, FirstTokenDeadline: now.Add(time.Hour)})
