daemon: a death implicates contents only if a process has ended

What callers saw: a stream ended as failed, quarantined, with 45 of 60 tokens, and its content is refused for 24 hours, although it has crashed nothing: its daemon had been paused while it waited for a connection to a live engine.

Cause: any call of which no byte was sent within the connect timeout and 0.3 s counted as the death of its server, and implicated what ran there. A connection that is refused proves that no process listens. One that nobody answers does not: the link may drop everything, the queue of connections may be full, or either side was paused. Also read in the code: a question to a stage that its caller cancels before it connects counted as a death.

Contents are implicated if the connection is refused or another process answers. If the query is not answered either, the server is logged as unreachable, as before, and the stream goes on elsewhere. provesDeath and its specs are as they were; it decides on the log line only.

Why it works: a crash ends the process, and its port refuses connections or belongs to another process, whichever call finds out.

The price: a content that ends whole instances, so that nothing refuses connections, is not found. A suspect whose run ends while its server's state is unknown is still refused for 10 minutes, as a lost run.

--- a/daemon/quarantine.go
+++ b/daemon/quarantine.go
@@ -23,6 +23,7 @@
 	waiting      map[uint64]quarantineRequest
 	runs         map[*runner]quarantineRun
 	reportedDead map[state.BackendID]string // boot ID last reported dead
+	unreachable  map[state.BackendID]string // boot ID last reported unreachable
 
 	// positions holds, by content, the most tokens that an answer had when its
 	// server died.
@@ -65,6 +66,7 @@
 		waiting:      make(map[uint64]quarantineRequest),
 		runs:         make(map[*runner]quarantineRun),
 		reportedDead: make(map[state.BackendID]string),
+		unreachable:  make(map[state.BackendID]string),
 	}
 }
 
@@ -211,6 +213,17 @@
 	qc.step(quarantine.BackendDied{Replica: replica.ID, Domain: replica.FailureDomain})
 }
 
+// reportUnreachable logs that a backend server can't be reached, once per boot ID. No
+// content is implicated.
+func (qc *quarantineComponent) reportUnreachable(replica state.Replica, stage int) {
+	s := replica.Stages[stage]
+	if last, ok := qc.unreachable[s.Backend]; ok && last == s.BootID {
+		return
+	}
+	qc.unreachable[s.Backend] = s.BootID
+	qc.c.deaths.logDeath(s.Backend, telemetry.Replica(replica.ID))
+}
+
 func (qc *quarantineComponent) membersChanged(live []membership.Info) {
 	qc.step(quarantine.ViewChanged{Live: lo.Map(live, func(i membership.Info, _ int) state.Member { return i.Member })})
 }
--- a/daemon/rig_test.go
+++ b/daemon/rig_test.go
@@ -42,7 +42,12 @@
 // and waits until all serve.
 func newHarness(daemons int, step time.Duration) *harness {
 	GinkgoHelper()
-	s, err := site.New(telemetry.Discard())
+	return newLoggedHarness(daemons, step, telemetry.Discard())
+}
+
+func newLoggedHarness(daemons int, step time.Duration, log *telemetry.Log) *harness {
+	GinkgoHelper()
+	s, err := site.New(log)
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(s.Close)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/daemon/steps.go
+++ b/daemon/steps.go
@@ -93,11 +93,11 @@
 const callOverrun = 300 * time.Millisecond
 
 // provesDeath reports whether a call that took some time and failed shows that the backend
-// server is gone.
+// server can't be reached: its process has ended, or it has lost its power or its link.
+// processEnded tells these apart.
 //
 // Guard (own-pause-taken-for-a-death): after a pause of this daemon its calls to live
-// servers time out before they have sent a byte. The contents that run there would be
-// implicated, and one of them quarantined.
+// servers time out before they have sent a byte, and they would be logged as dead.
 func (d *Daemon) provesDeath(err error, took time.Duration) bool {
 	if !engine.NotSent(err) {
 		return false
@@ -105,14 +105,58 @@
 	return errors.Is(err, syscall.ECONNREFUSED) || took <= d.connectTimeout+callOverrun
 }
 
+// callFailed determines what a failed call says about a stage's process, and reports the
+// end of the process. It returns false if that remains unknown.
+//
+// Guard (unreachable-server-blamed-on-contents): a content can end a process, and the port
+// refuses connections then. A server that answers none has lost its link or its power, or
+// this daemon or the server was paused. The contents that ran there would be implicated, and
+// one of them quarantined, for what no content does.
+func (r *runner) callFailed(stage int, s state.Stage, err error, took time.Duration) bool {
+	if !engine.NotSent(err) {
+		return false
+	}
+	ended, known := r.processEnded(s, err)
+	switch {
+	case ended:
+		r.stageDied(stage)
+	case !known && r.d.provesDeath(err, took):
+		r.logUnreachable(stage)
+	}
+	return known
+}
+
+// processEnded reports whether a stage's process has ended since the slot was granted, if
+// that is known. A call that was not refused is followed by a query on a new connection: the
+// process may answer by now.
+func (r *runner) processEnded(s state.Stage, err error) (ended, known bool) {
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return true, true
+	}
+	ctx, cancel := context.WithTimeout(r.ctx, bootIDTimeout)
+	defer cancel()
+	load, err := r.load(ctx, s.Address)
+	if err != nil {
+		refused := errors.Is(err, syscall.ECONNREFUSED)
+		return refused, refused
+	}
+	return s.BootID != "" && load.BootID != s.BootID, true
+}
+
+func (r *runner) load(ctx context.Context, address string) (engine.Load, error) {
+	if r.spec.Plain {
+		return r.d.clients.plain(address).Load(ctx)
+	}
+	return r.d.clients.engine(address).Load(ctx)
+}
+
 // stepError posts that a call was not answered.
 func (r *runner) stepError(a request.RunStep, err error, took time.Duration) {
 	unresponsive := errors.Is(err, enginehttp.ErrUnresponsive)
-	if r.d.provesDeath(err, took) && a.Prompt == "" && r.ctx.Err() == nil {
-		// The attempt had started there, and no process accepts connections any
-		// more. First steps are excluded: their content has not reached the
-		// server.
-		r.stageDied(a.Step.Stage)
+	if a.Prompt == "" && r.ctx.Err() == nil {
+		// The attempt had started there. First steps are excluded: their content
+		// has not reached the server.
+		r.callFailed(a.Step.Stage, a.Stage, err, took)
 	}
 	if r.spec.Plain && !unresponsive && !engine.NotSent(err) && r.ctx.Err() == nil {
 		r.checkPlainServer(a)
@@ -143,11 +187,8 @@
 	start := time.Now()
 	resumed, err := e.Resume(ctx, *r.executionID.Load(), a.Step.Attempt, a.Step.Epoch)
 	if err != nil {
-		dead := r.d.provesDeath(err, time.Since(start))
-		if dead {
-			r.stageDied(a.Step.Stage)
-		}
-		r.backendStateUnknown.Store(!dead)
+		known := r.callFailed(a.Step.Stage, a.Stage, err, time.Since(start))
+		r.backendStateUnknown.Store(!known)
 		r.post(request.StageQueryFailed{
 			Step: a.Step, Superseded: errors.Is(err, engine.ErrStaleEpoch), NotSent: engine.NotSent(err),
 		})
@@ -175,16 +216,22 @@
 	defer cancel()
 	start := time.Now()
 	_, err := r.d.clients.plain(a.Stage.Address).Load(ctx)
-	dead := r.d.provesDeath(err, time.Since(start))
-	if dead {
-		r.stageDied(a.Step.Stage)
+	known := err == nil || r.callFailed(a.Step.Stage, a.Stage, err, time.Since(start))
+	r.backendStateUnknown.Store(!known)
+}
+
+// logUnreachable logs that a stage accepts no connections, for reasons that are unknown.
+func (r *runner) logUnreachable(stage int) {
+	replica := r.grantedReplica.Load()
+	if replica == nil {
+		return // an attempt that another daemon started
 	}
-	r.backendStateUnknown.Store(err != nil && !dead)
+	c := r.d.control
+	c.post(func() { c.quarantine.reportUnreachable(*replica, stage) })
 }
 
-// stageDied reports that a stage which had the request accepts no connections
-// any more. It is called before the request's own end, so that the death
-// implicates the request.
+// stageDied reports that the process of a stage which had the request has ended. It
+// is called before the request's own end, so that the death implicates the request.
 func (r *runner) stageDied(stage int) {
 	replica := r.grantedReplica.Load()
 	if replica == nil {
--- a/internal/standin/endpoint.go
+++ b/internal/standin/endpoint.go
@@ -38,7 +38,8 @@
 	conns         map[*faultConn]struct{}
 	dead          chan struct{} // closed by Kill
 	thaw          chan struct{} // closed by Freeze(false); nil when not frozen
-	answersToLose int           // number of responses still to be lost
+	link          linkFault
+	answersToLose int // number of responses still to be lost
 	onKill        []func()
 }
 
@@ -65,6 +66,7 @@
 	defer e.mu.Unlock()
 	e.address = ln.Addr().String()
 	e.dead = make(chan struct{})
+	e.link.listener = ln
 	e.server = &http.Server{Handler: e.mux, ReadHeaderTimeout: time.Minute}
 	go func(s *http.Server) { _ = s.Serve(&faultListener{Listener: ln, parent: e}) }(e.server)
 	return nil
@@ -94,6 +96,7 @@
 	for _, f := range hooks {
 		f()
 	}
+	e.restoreLink()
 	_ = server.Close()
 }
 
--- a/internal/standin/faultconn.go
+++ b/internal/standin/faultconn.go
@@ -16,6 +16,7 @@
 	if err != nil {
 		return nil, err
 	}
+	l.parent.awaitLink()
 	fc := &faultConn{Conn: c, parent: l.parent}
 	l.parent.mu.Lock()
 	l.parent.conns[fc] = struct{}{}
