daemon: a stage that can't be reached is queried again for answers that must not be repeated

Cause: a query of the stage's state that was not sent counted as proof that nothing listens there, and the attempt was abandoned, which ends such a request.

Evidence: the spec, red before.

Change: only the known end of the process, by a refused connection or another process's answer, ends the queries early; otherwise there are up to three, as for a query that was sent and not answered.

--- a/coordination/request/event.go
+++ b/coordination/request/event.go
@@ -106,7 +106,7 @@
 	StageQueryFailed struct {
 		Step       StepRef
 		Superseded bool // another daemon owns the stream now
-		NotSent    bool // no byte left this daemon: there is no listener
+		NotSent    bool // there is no listener, so that another query is of no use
 	}
 
 	// RetryDecided answers DecideRetry.
--- a/coordination/request/recover.go
+++ b/coordination/request/recover.go
@@ -138,7 +138,7 @@
 	}
 	if r.spec.NeverRepeat && !ev.NotSent && r.queries < maxQueries {
 		// Abandoning the attempt ends a never-repeat request. A stage that may only be
-		// slow to answer is queried again first.
+		// slow to answer, or out of reach for a moment, is queried again first.
 		r.queries++
 		r.epoch = r.epoch.Next(r.spec.Owner)
 		r.issue(QueryStage{Step: r.stepRef(), Stage: r.replica.Stages[r.stage]})
--- a/daemon/silentlink_test.go
+++ b/daemon/silentlink_test.go
@@ -32,4 +32,21 @@
 		Expect(log.lines("request_quarantined", "")).To(BeEmpty())
 		h.expectNoViolations()
 	})
+
+	// Guards against an answer that may not be repeated and is given up although its stage
+	// lives and can be asked again.
+	It("continues an answer that must not be repeated once the link works again", Label("failure:unreachable-server-taken-for-gone"), func() {
+		log := &eventLog{}
+		h := newLoggedHarness(2, 20*time.Millisecond, telemetry.NewLog(telemetry.LogConfig{Output: io.MultiWriter(GinkgoWriter, log)}))
+		stream := h.submit(0, note("a"))
+		first, _ := h.read(stream, 5)
+		stage := chains.Engine(h.replicaOf(stream.ID()), 2)
+		Expect(h.Engines[stage].DropLink()).To(Succeed())
+		Eventually(func() []string { return log.lines("backend_died", stage) }).WithTimeout(testTimeout).ShouldNot(BeEmpty())
+		Expect(h.Engines[stage].RestoreLink()).To(Succeed())
+		rest, outcome := h.read(stream, -1)
+		expectComplete(append(first, rest...), outcome, "a")
+		Expect(h.runCount("a")).To(Equal(1))
+		h.expectNoViolations()
+	})
 })
--- a/daemon/steps.go
+++ b/daemon/steps.go
@@ -106,24 +106,24 @@
 }
 
 // callFailed determines what a failed call says about a stage's process, and reports the
-// end of the process. It returns false if that remains unknown.
+// end of the process. known is false if that remains unknown.
 //
 // Guard (unreachable-server-blamed-on-contents): a content can end a process, and the port
 // refuses connections then. A server that answers none has lost its link or its power, or
 // this daemon or the server was paused. The contents that ran there would be implicated, and
 // one of them quarantined, for what no content does.
-func (r *runner) callFailed(stage int, s state.Stage, err error, took time.Duration) bool {
+func (r *runner) callFailed(stage int, s state.Stage, err error, took time.Duration) (ended, known bool) {
 	if !engine.NotSent(err) {
-		return false
+		return false, false
 	}
-	ended, known := r.processEnded(s, err)
+	ended, known = r.processEnded(s, err)
 	switch {
 	case ended:
 		r.stageDied(stage)
 	case !known && r.d.provesDeath(err, took):
 		r.logUnreachable(stage)
 	}
-	return known
+	return ended, known
 }
 
 // processEnded reports whether a stage's process has ended since the slot was granted, if
@@ -187,10 +187,12 @@
 	start := time.Now()
 	resumed, err := e.Resume(ctx, *r.executionID.Load(), a.Step.Attempt, a.Step.Epoch)
 	if err != nil {
-		known := r.callFailed(a.Step.Stage, a.Stage, err, time.Since(start))
+		ended, known := r.callFailed(a.Step.Stage, a.Stage, err, time.Since(start))
 		r.backendStateUnknown.Store(!known)
+		// Guard (unreachable-server-taken-for-gone): a query that was not sent says nothing
+		// of the process. An answer that must not be repeated would be given up with it.
 		r.post(request.StageQueryFailed{
-			Step: a.Step, Superseded: errors.Is(err, engine.ErrStaleEpoch), NotSent: engine.NotSent(err),
+			Step: a.Step, Superseded: errors.Is(err, engine.ErrStaleEpoch), NotSent: ended,
 		})
 		return
 	}
@@ -216,7 +218,11 @@
 	defer cancel()
 	start := time.Now()
 	_, err := r.d.clients.plain(a.Stage.Address).Load(ctx)
-	known := err == nil || r.callFailed(a.Step.Stage, a.Stage, err, time.Since(start))
+	if err == nil {
+		r.backendStateUnknown.Store(false)
+		return
+	}
+	_, known := r.callFailed(a.Step.Stage, a.Stage, err, time.Since(start))
 	r.backendStateUnknown.Store(!known)
 }
 
