home: no ticks without pause while a staggered request waits for a full replica

What callers could see: late tokens at a daemon whose home takes all the processor time it can get.

Cause: NextTick named the time at which a staggered request may start on the replica reserved for it, also after that time had passed. Where the replica's slots are full, or another exclusive phase runs there, the request can't start then, and the home asked for a tick at once, again and again, until something was released. After a stage's death each suspect can wait so.

Change: that time is a reason for a tick only until it has come; a release and the end of an exclusive phase dispatch anyway.

Also a property: an answer that has begun is refused only when its own time has run out, whatever requests, releases and failures come.

--- a/coordination/home/begun_test.go
+++ b/coordination/home/begun_test.go
@@ -1,10 +1,14 @@
 package home_test
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
 
 	"github.com/hibiscuswick/hibiscuswick/coordination/home"
 	"github.com/hibiscuswick/hibiscuswick/state"
@@ -74,4 +78,71 @@
 			Expect(w.waiting).To(HaveKey(id))
 		}
 	})
+
+	// Guards against a home that takes all of a processor's time while a staggered request
+	// waits for a full replica: the time at which it could start has passed.
+	It("needs no tick while it waits for a slot of its replica", Label("failure:home-ticks-without-pause"), func() {
+		w := newSimulation(home.Config{}, document(100, 1), replicas(1, 2), entry1)
+		w.step(home.Received{From: entry1, Msg: home.GrantReport{Pool: poolID}})
+		for range 2 {
+			w.request(entry1, "check", 0)
+		}
+		staggered := w.request(entry1, "check", 0, begun, func(m *home.SlotRequest) { m.Exclusive, m.Staggered = true, true })
+		w.now = w.now.Add(500 * time.Millisecond)
+		w.step(home.Tick{})
+		Expect(w.waiting).To(HaveKey(staggered))
+		Expect(w.home.NextTick(w.now)).To(BeTemporally(">", w.now))
+	})
+
+	// Guards against any other way to refuse an answer that has begun: whatever else
+	// requests, releases and failures a home sees, only its own time ends its wait.
+	It("is refused only when its own time has run out", Label("failure:begun-answer-refused-by-an-estimate"), func() {
+		waited := 0
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			w := newSimulation(home.Config{}, document(rapid.IntRange(1, 6).Draw(t, "queue"), 2),
+				replicas(rapid.IntRange(1, 3).Draw(t, "replicas"), rapid.IntRange(1, 3).Draw(t, "slots"), 1, 0.2), entry1)
+			w.step(home.Received{From: entry1, Msg: home.GrantReport{Pool: poolID}})
+			until := map[home.SlotRequestID]time.Time{}
+			var granted []home.SlotRequestID
+			for range rapid.IntRange(1, 100).Draw(t, "events") {
+				switch rapid.SampledFrom([]string{"request", "begun", "release", "fail", "time"}).Draw(t, "event") {
+				case "request":
+					w.request(entry1, "draft", rapid.IntRange(0, 1).Draw(t, "customer"), within(10*time.Second, time.Second))
+				case "begun":
+					exclusive := rapid.Bool().Draw(t, "exclusive")
+					id := w.request(entry1, "draft", rapid.IntRange(0, 1).Draw(t, "customer"), within(10*time.Second, time.Second), begun,
+						func(m *home.SlotRequest) { m.Exclusive, m.Staggered = exclusive, exclusive })
+					until[id] = w.now.Add(10 * time.Second)
+				case "release":
+					granted = w.grantedInOrder()
+					if len(granted) > 0 {
+						w.release(entry1, rapid.SampledFrom(granted).Draw(t, "released"), home.OutcomeServed)
+					}
+				case "fail":
+					granted = w.grantedInOrder()
+					if len(granted) > 0 {
+						w.release(entry1, rapid.SampledFrom(granted).Draw(t, "failed"), home.OutcomeFailed)
+					}
+				case "time":
+					w.advance(time.Duration(rapid.IntRange(1, 4000).Draw(t, "ms")) * time.Millisecond)
+				}
+				for id, end := range until {
+					if refusal, refused := w.refused[id]; refused && w.now.Before(end) {
+						t.Fatalf("%v was refused (%s) %v before its time", id, refusal.Reason, end.Sub(w.now))
+					}
+					if _, waits := w.waiting[id]; waits {
+						waited++
+					}
+				}
+			}
+		})
+		Expect(waited).To(BeNumerically(">", 100))
+	})
 })
+
+// grantedInOrder returns the granted requests by name.
+func (w *simulation) grantedInOrder() []home.SlotRequestID {
+	ids := slices.Collect(maps.Keys(w.granted))
+	slices.SortFunc(ids, func(a, b home.SlotRequestID) int { return cmp.Compare(a.Request, b.Request) })
+	return ids
+}
--- a/coordination/home/dispatch.go
+++ b/coordination/home/dispatch.go
@@ -138,8 +138,12 @@
 	if !p.allLeavingSince.IsZero() && len(p.waiters) > 0 {
 		next = earliest(next, p.allLeavingSince.Add(SuccessorTimeout))
 	}
+	// Guard (home-ticks-without-pause): once the interval has passed, only a release or the
+	// end of an exclusive phase lets the waiter start.
 	if r := p.reserved; r != nil && r.reservedFor.staggered {
-		next = earliest(next, r.lastStart.Add(p.cfg.StaggerInterval))
+		if at := r.lastStart.Add(p.cfg.StaggerInterval); at.After(now) {
+			next = earliest(next, at)
+		}
 	}
 	for _, r := range p.order {
 		if r.inBackoff(now) {
