gateway: specs that removed and restarted servers are published soon

Nothing checked the shorter interval for these two: without it no spec failed, only the one of servers that leave. Each entry fails without its line.

--- a/gateway/publish_internal_test.go
+++ b/gateway/publish_internal_test.go
@@ -85,6 +85,32 @@
 		Expect(c.listing.nextTick().Sub(last)).To(BeNumerically("<=", servers*urgentIntervalPerServer))
 	})
 
+	DescribeTable("is published sooner for servers that are no longer to be used", Label("failure:changes-in-hundreds"),
+		func(change func(c *control, id state.BackendID)) {
+			c := newTestControl(GinkgoTB())
+			const servers = 3000
+			var ids []state.BackendID
+			for i := range servers {
+				ids = append(ids, state.BackendID(fmt.Sprint(i)))
+			}
+			c.serverFeed.applyStoreAnswer(serverBatch(2, ids...), batchInfo{complete: true})
+			c.tick()
+			last := c.listing.publishedAt
+			change(c, ids[0])
+			c.listing.dirty = true
+			Expect(c.listing.nextTick().Sub(last)).To(Equal(servers * urgentIntervalPerServer))
+		},
+		Entry("one that is removed, of one more", func(c *control, id state.BackendID) {
+			c.listing.servers["more"] = fleet.Server{}
+			c.listing.removeServer(id)
+		}),
+		Entry("one that has restarted", func(c *control, id state.BackendID) {
+			s := c.listing.servers[id]
+			s.Born++
+			c.listing.updateServer(s)
+		}),
+	)
+
 	// A configuration names a new service right after a change of the list. If the servers
 	// that it makes usable are published only with the next change, callers of the new
 	// route get no server.
