--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -95,9 +95,9 @@
 	return g, nil
 }
 
-// peerIdleTimeout is how long a connection to another gateway is kept without use. It
-// exceeds the time between two probes of a neighbour, and is below the time after which the
-// other side closes an unused connection.
+// peerIdleTimeout is how long a connection to another gateway is kept without use: about
+// a round of probes of all neighbours, and less than the time after which the other side
+// closes an unused connection.
 const peerIdleTimeout = 8 * time.Second
 
 // peerConfig returns the configuration of the transport between gateways.
