request: a step that was not sent does not end an answer that must not be repeated

Cause: after a pause of the daemon a step's connection times out before a byte is sent. Such an attempt is abandoned, and an attempt that has started ends the request if that must not be repeated. A query that could not be sent was already tried again; a step was not.

--- a/coordination/request/recover.go
+++ b/coordination/request/recover.go
@@ -65,7 +65,7 @@
 		return
 	}
 	switch {
-	case ev.NotSent:
+	case ev.NotSent && !r.queriesUnsent():
 		r.abandonAttempt(r.clearUnstarted(state.RetryStageFailed))
 	case r.spec.Plain && !ev.Silent:
 		// A plain service cannot be queried about the outcome of a call.
@@ -80,6 +80,16 @@
 	}
 }
 
+// queriesUnsent reports whether the stage is queried after a step that was not sent.
+//
+// Guard (unsent-step-ends-the-answer): a step is not sent if its server can't be reached for a
+// moment, or if this daemon was paused while it connected. Abandoning the attempt would end an
+// answer that must not be repeated, although its stage may live and have the rest of it.
+func (r *Request) queriesUnsent() bool {
+	started := !r.firstToken || r.stage > 0
+	return r.spec.NeverRepeat && !r.spec.Plain && started && r.queries < maxQueries
+}
+
 func (r *Request) stageState(ev StageState) {
 	if r.phase == phaseTakingOver {
 		r.takeoverAnswer(ev)
--- a/coordination/request/restart_test.go
+++ b/coordination/request/restart_test.go
@@ -77,6 +77,22 @@
 		Expect(asked).To(BeTrue())
 	})
 
+	// Guards against an answer that must not be repeated and ends as failed because a step
+	// could not be sent: the daemon was paused while it connected, and the stage lives.
+	It("continues an answer that must not be repeated after a step that was not sent", Label("failure:unsent-step-ends-the-answer"), func() {
+		now := time.Unix(0, 0)
+		r := request.New(request.Spec{ID: "r", Service: "drafts", MaxTokens: 2, Owner: 7, NeverRepeat: true, FirstTokenDeadline: now.Add(time.Hour)})
+		slot, _ := last[request.AcquireSlot](r.Step(now, request.Start{}))
+		r.Step(now, request.SlotGranted{Grant: slot.Attempt, Replica: chain(1)})
+		step, _ := last[request.RunStep](r.Step(now, request.ClaimSettled{Result: request.ClaimWon}))
+		step, _ = last[request.RunStep](r.Step(now, request.StepDone{Step: step.Step}))
+		query, queried := last[request.QueryStage](r.Step(now, request.StepUnanswered{Step: step.Step, NotSent: true}))
+		Expect(queried).To(BeTrue())
+		again, sent := last[request.RunStep](r.Step(now, request.StageState{Step: query.Step, Known: true, NextToken: 1}))
+		Expect(sent).To(BeTrue())
+		Expect(again.Step.Token).To(Equal(step.Step.Token))
+	})
+
 	It("gives up a stage that keeps declining", func() {
 		now := time.Unix(0, 0)
 		r := request.New(request.Spec{ID: "r", Service: "drafts", MaxTokens: 1, Owner: 7, FirstTokenDeadline: now.Add(time.Hour)})
