home: a tick for a staggered request whose time came after the last dispatch

Cause: since the time at which a staggered request may start asks for a tick only if it is still to come when NextTick is called. That is later than the last dispatch: a time in between was too late for the tick and too early for the dispatch, and the request waited for some other event. The ticks without pause that ended had hidden this.

The spec was red before.

Change: the time is compared with that of the last dispatch.

--- a/coordination/home/begun_test.go
+++ b/coordination/home/begun_test.go
@@ -94,6 +94,23 @@
 		Expect(w.home.NextTick(w.now)).To(BeTemporally(">", w.now))
 	})
 
+	// Guards against a request that waits for nothing: its replica is free, but the time at
+	// which it may start has come between the last event and the question for the next tick.
+	It("gets a tick if it may start since the last event", Label("failure:home-ticks-without-pause"), func() {
+		w := newSimulation(home.Config{}, document(100, 1), replicas(1, 2), entry1)
+		w.step(home.Received{From: entry1, Msg: home.GrantReport{Pool: poolID}})
+		w.request(entry1, "check", 0)
+		staggered := w.request(entry1, "check", 0, begun, func(m *home.SlotRequest) { m.Exclusive, m.Staggered = true, true })
+		start := w.home.NextTick(w.now)
+		w.now = start.Add(-time.Microsecond)
+		w.step(home.Tick{})
+		Expect(w.waiting).To(HaveKey(staggered))
+		w.now = start.Add(time.Microsecond)
+		Expect(w.home.NextTick(w.now)).To(Equal(start))
+		w.step(home.Tick{})
+		Expect(w.granted).To(HaveKey(staggered))
+	})
+
 	// Guards against any other way to refuse an answer that has begun: whatever else
 	// requests, releases and failures a home sees, only its own time ends its wait.
 	It("is refused only when its own time has run out", Label("failure:begun-answer-refused-by-an-estimate"), func() {
--- a/coordination/home/dispatch.go
+++ b/coordination/home/dispatch.go
@@ -9,6 +9,7 @@
 
 // dispatch grants free slots until no waiter can use one.
 func (p *pool) dispatch(now time.Time) {
+	p.dispatchedAt = now
 	if p.recovery.waiting || len(p.waiters) == 0 {
 		return
 	}
@@ -138,10 +139,11 @@
 	if !p.allLeavingSince.IsZero() && len(p.waiters) > 0 {
 		next = earliest(next, p.allLeavingSince.Add(SuccessorTimeout))
 	}
-	// Guard (home-ticks-without-pause): once the interval has passed, only a release or the
-	// end of an exclusive phase lets the waiter start.
+	// Guard (home-ticks-without-pause): after a dispatch at that time, only a release or the
+	// end of an exclusive phase lets the waiter start. The time may have passed since the
+	// last dispatch, which was then too early.
 	if r := p.reserved; r != nil && r.reservedFor.staggered {
-		if at := r.lastStart.Add(p.cfg.StaggerInterval); at.After(now) {
+		if at := r.lastStart.Add(p.cfg.StaggerInterval); at.After(p.dispatchedAt) {
 			next = earliest(next, at)
 		}
 	}
--- a/coordination/home/pool.go
+++ b/coordination/home/pool.go
@@ -41,6 +41,7 @@
 	holdTimes       []*holdTime   // by class rank
 	expiry          expiryHeap
 	allLeavingSince time.Time // since when all replicas have been leaving; zero if not all are
+	dispatchedAt    time.Time // of the last attempt to grant free slots
 	holders         map[state.Member]*holder
 	cache           *prefixCache
 	recovery        grantRecovery
