--- a/coordination/membership/failure_test.go
+++ b/coordination/membership/failure_test.go
@@ -50,7 +50,7 @@
 	// Guards against daemons that suspect live ones after a start, and all others that handle
 	// these suspicions for seconds: a daemon could not answer the probe of one whose address it
 	// had not learned yet.
-	DescribeTable("suspects no daemon while many start together", Label("failure:probed-by-a-stranger", "failure:few-members-missing"), func(n int) {
+	DescribeTable("suspects no daemon while many start together", Label("failure:unknown-prober", "failure:few-members-missing"), func(n int) {
 		c = newCluster(uint64(GinkgoRandomSeed()), membership.Config{
 			ProbeInterval: 400 * time.Millisecond, ProbeTimeout: 150 * time.Millisecond,
 		})
@@ -72,23 +72,23 @@
 
 	// Guards against a daemon that is suspected although it lives: it does not know the daemon
 	// that probes it, and answers all the same since the probe says where that one is.
-	It("answers a daemon that it does not know", Label("failure:probed-by-a-stranger"), func() {
+	It("answers a daemon that it does not know", Label("failure:unknown-prober"), func() {
 		c.add(0, 3, 1)
 		c.add(1, 3, 1)
-		introduced, stranger := c.add(2, 3, 1), c.nodes[0]
+		introduced, prober := c.add(2, 3, 1), c.nodes[0]
 		introduced.dead = true
 		full := func(n *node) membership.Update {
 			return membership.Update{ID: n.id, Incarnation: 1, Meta: &n.self.Meta}
 		}
-		c.step(stranger, membership.Received{From: introduced.self.Member, Msg: membership.ExchangeRecords{
+		c.step(prober, membership.Received{From: introduced.self.Member, Msg: membership.ExchangeRecords{
 			Self: full(introduced), Updates: []membership.Update{full(c.nodes[1])},
 		}})
 		within(2*time.Second, func() bool {
-			_, known := c.nodes[1].m.View().Lookup(stranger.id)
+			_, known := c.nodes[1].m.View().Lookup(prober.id)
 			return known
 		})
 		c.run(3 * time.Second)
-		i, _ := stranger.m.View().Lookup(c.nodes[1].id)
+		i, _ := prober.m.View().Lookup(c.nodes[1].id)
 		Expect(i.State).To(Equal(membership.Alive))
 	})
 
--- a/coordination/membership/introduction_test.go
+++ b/coordination/membership/introduction_test.go
@@ -21,7 +21,7 @@
 
 	// Guards against a daemon that is suspected although it lives: it can't answer the probe of
 	// one that asks on behalf of another, because it has not learned of that one yet.
-	It("is answered if it probes on behalf of another", Label("failure:helped-by-a-stranger"), func() {
+	It("is answered if it probes on behalf of another", Label("failure:unknown-relay"), func() {
 		asking, helping, probed := c.add(0, 3, 1), c.add(1, 3, 1), c.add(2, 3, 1)
 		c.blocked = func(from, to *node) bool {
 			return from == asking && to == probed || from == probed && to == asking
@@ -48,7 +48,7 @@
 
 	// Guards against the same after a lost message: a daemon that asked a listed address whose
 	// daemon it does not know, and did not get the answer, does not know who probes it.
-	It("is answered by one that asked its address", Label("failure:probed-by-a-stranger"), func() {
+	It("is answered by one that asked its address", Label("failure:unknown-prober"), func() {
 		asking, asked := c.add(0, 2, 1), c.add(1, 2, 1)
 		lost := false
 		c.blocked = func(from, to *node) bool {
--- a/coordination/membership/probe.go
+++ b/coordination/membership/probe.go
@@ -119,7 +119,7 @@
 // introduction returns the local daemon's record for a message to e: with Meta until e has
 // shown that it knows this daemon, and while it may have been replaced.
 //
-// Guard (probed-by-a-stranger): a daemon can't answer one whose address it does not know.
+// Guard (unknown-prober): a daemon can't answer one whose address it does not know.
 // While hundreds of daemons start, each learns of the others at different times; those that
 // were probed by daemons that they did not know yet were suspected, and all daemons spent
 // seconds on suspicions of live ones.
@@ -239,7 +239,7 @@
 		expires: m.now.Add(m.cfg.ProbeTimeout),
 	}
 	m.probes.relays = append(m.probes.relays, r)
-	// Guard (helped-by-a-stranger): the target need not know this daemon, of which the origin
+	// Guard (unknown-relay): the target need not know this daemon, of which the origin
 	// is a neighbour, and can answer only if it is told the address.
 	ping := Ping{Seq: r.seq, Self: m.self.fullUpdate(), Target: msg.Target, Digest: m.self.digest}
 	m.emit(Send{To: msg.Target, Address: msg.Address, Msg: ping})
