gateway: log where a call to a server broke off and what a probe showed of it

call_broken (1324) names the part of the answer that had come, the probe's result and the content's fingerprint, content_cleared (1325) the servers that an answer clears, gateway_broken_calls_total counts the first by both. request_implicated and request_quarantined name the content.

No decision changes. go test of gateway, crashes, telemetry, catalogue and explain: green.

--- a/coordination/crashes/crashes.go
+++ b/coordination/crashes/crashes.go
@@ -74,9 +74,15 @@
 // Empty reports whether no content is implicated.
 func (t *Tracker) Empty() bool { return len(t.contents) == 0 }
 
-// Clear drops the implications of a content because an answer to it has started.
-func (t *Tracker) Clear(fp Fingerprint) {
+// Clear drops the implications of a content because an answer to it has started. It returns the
+// number of servers that they name.
+func (t *Tracker) Clear(fp Fingerprint) int {
+	c, ok := t.contents[fp]
+	if !ok {
+		return 0
+	}
 	delete(t.contents, fp)
+	return len(c.servers)
 }
 
 // IsBlocked reports whether requests with a content are to be refused.
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -24,21 +24,54 @@
 // implicate checks whether a server died while it ran this request, before the answer had
 // begun, and if so notifies all daemons.
 func (r *requestHandler) implicate(server state.BackendIncarnation, address string) {
-	if r.headSent || !r.g.prober.isDead(server, address) {
+	if r.headSent {
+		r.logBrokenCall(brokenBeforeHeader, address, notProbed)
 		return
 	}
-	implication, isNew := r.g.shared.implicate(time.Now(), r.fingerprint(), server)
+	outcome := r.g.prober.probe(server, address).outcome
+	r.logBrokenCall(brokenBeforeHeader, address, outcome)
+	if outcome != probeDead {
+		return
+	}
+	fp := r.fingerprint()
+	implication, isNew := r.g.shared.implicate(time.Now(), fp, server)
 	if !isNew {
 		return
 	}
-	r.g.log.Emit(telemetry.EventRequestImplicated, telemetry.Request(r.req.ID), telemetry.Backend(server.ID))
+	r.g.log.Emit(telemetry.EventRequestImplicated, telemetry.Request(r.req.ID), telemetry.Backend(server.ID),
+		telemetry.Count(len(implication.Servers)), telemetry.Content(uint64(fp)))
 	r.g.broadcast(implication)
 }
 
+// brokenStage says which part of an answer had arrived when a call broke off.
+type brokenStage string
+
+// The values of brokenStage.
+const (
+	brokenBeforeHeader brokenStage = "before_header"
+	brokenInBody       brokenStage = "in_body"
+	brokenBeforeEvent  brokenStage = "before_event"
+	brokenAfterEvent   brokenStage = "after_event"
+)
+
+// notProbed is logged for a call that broke off and whose server was not probed.
+const notProbed probeOutcome = "not_probed"
+
+// logBrokenCall records that a call to a server broke off, and what a probe showed of it.
+func (r *requestHandler) logBrokenCall(stage brokenStage, address string, outcome probeOutcome) {
+	detail := string(stage) + ":" + string(outcome)
+	r.g.metrics.CountReason(telemetry.GatewayBrokenCallsTotal, detail)
+	r.g.log.Emit(telemetry.EventCallBroken, telemetry.Request(r.req.ID), telemetry.Address(address),
+		telemetry.Detail(detail), telemetry.Content(uint64(r.fingerprint())))
+}
+
 // clearImplication records that an answer has begun: the request's content crashes no
 // server.
 func (r *requestHandler) clearImplication() {
-	r.g.shared.clearImplication(r.fingerprint)
+	fp, servers := r.g.shared.clearImplication(r.fingerprint)
+	if servers > 0 {
+		r.g.log.Emit(telemetry.EventContentCleared, telemetry.Request(r.req.ID), telemetry.Count(servers), telemetry.Content(uint64(fp)))
+	}
 }
 
 func (s *sharedState) implicate(now time.Time, fp crashes.Fingerprint, servers ...state.BackendIncarnation) (crashes.Implication, bool) {
@@ -53,12 +86,14 @@
 	return !s.crashes.Empty() && s.crashes.IsBlocked(now, fingerprint())
 }
 
-// clearImplication removes a content's implications. The fingerprint is computed only if
-// there are any.
-func (s *sharedState) clearImplication(fingerprint func() crashes.Fingerprint) {
+// clearImplication removes a content's implications, and returns the number of servers that
+// they name. The fingerprint is computed only if there are any.
+func (s *sharedState) clearImplication(fingerprint func() crashes.Fingerprint) (crashes.Fingerprint, int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.crashes.Empty() {
-		s.crashes.Clear(fingerprint())
+	if s.crashes.Empty() {
+		return 0, 0
 	}
+	fp := fingerprint()
+	return fp, s.crashes.Clear(fp)
 }
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -82,6 +82,7 @@
 		}
 	}
 	r.recordFailure(address)
+	r.logBrokenCall(brokenInBody, address, notProbed)
 	return nil, false
 }
 
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -138,7 +138,7 @@
 func (r *requestHandler) runAttempts(ctx context.Context) Result {
 	for {
 		if r.g.shared.isBlocked(time.Now(), r.fingerprint) {
-			r.g.log.Emit(telemetry.EventRequestQuarantined, telemetry.Request(r.req.ID))
+			r.g.log.Emit(telemetry.EventRequestQuarantined, telemetry.Request(r.req.ID), telemetry.Content(uint64(r.fingerprint())))
 			return r.failedResult(reasonCrashes)
 		}
 		outcome, result := r.attempt(ctx)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -200,6 +200,14 @@
 		// alive, can still give it.
 	case !errors.Is(err, context.Canceled):
 		s.r.g.shared.recordFailure(time.Now(), s.path[0].Address)
+		s.r.logBrokenCall(s.brokenStage(), s.path[0].Address, notProbed)
 	}
 	return relay.Broken, Result{}
 }
+
+func (s *stream) brokenStage() brokenStage {
+	if s.events == 0 {
+		return brokenBeforeEvent
+	}
+	return brokenAfterEvent
+}
--- a/telemetry/catalogue.go
+++ b/telemetry/catalogue.go
@@ -50,6 +50,8 @@
 	{EventRequestAnswered, "request_answered", logrus.InfoLevel, "A request was answered completely by the server at the address, after the given number of attempts and seconds."},
 	{EventRequestWithdrawn, "request_withdrawn", logrus.InfoLevel, "A request that was assigned to a backend server was not sent, because the server has stated meanwhile that it wants none for a while or is leaving. The count is the attempt."},
 	{EventCallerLeft, "caller_left", logrus.InfoLevel, "A caller disconnected from a gateway before its request was answered. The fields are the number of attempts, the address of the last server, and the time since the request arrived. The detail is caller_left_unsent if the last attempt was not sent for that reason: the daemon had been late to read the request, or the end of its connection."},
+	{EventCallBroken, "call_broken", logrus.InfoLevel, "A call to a backend server broke off. The detail says after which part of the answer, and what a probe then showed of the server; the content is the fingerprint of the request's content."},
+	{EventContentCleared, "content_cleared", logrus.InfoLevel, "An answer has cleared a request's content of the backend servers that ended while they ran it; the count is their number."},
 	{EventStoreUnavailable, "store_unavailable", logrus.WarnLevel, "The table service does not answer; repeatable requests and requests with a claim continue."},
 	{EventStoreRecovered, "store_recovered", logrus.InfoLevel, "The table service answers again."},
 	{EventStoreBudgetSpent, "store_budget_spent", logrus.WarnLevel, "This daemon's share of store writes is exhausted; claims have priority over other writes."},
--- a/telemetry/counter.go
+++ b/telemetry/counter.go
@@ -64,6 +64,7 @@
 	GatewayHeadersTotal        Name = "gateway_headers_total"
 	GatewayLayoutsTotal        Name = "gateway_layouts_total"
 	GatewayAnnouncementsTotal  Name = "gateway_announcements_total"
+	GatewayBrokenCallsTotal    Name = "gateway_broken_calls_total"
 )
 
 // Metrics of the HTTP front, which creates them in the scope returned by Metrics.Scope.
@@ -192,6 +193,7 @@
 	{GatewayHeadersTotal, KindCounter, byReason, "Header fields of backend servers that can't be parsed (unreadable) or that the adapter does not know (unknown)."},
 	{GatewayLayoutsTotal, KindCounter, nil, "Computed layer assignments. A high rate on a daemon that sends no orders takes CPU time from its requests."},
 	{GatewayAnnouncementsTotal, KindCounter, byReason, "Announcements received from the daemons that follow the store, by whether they were new or duplicates."},
+	{GatewayBrokenCallsTotal, KindCounter, byReason, "Calls to backend servers that broke off, by the part of the answer that had arrived (before_header, in_body, before_event, after_event) and by what a probe then showed of the server."},
 	{ControlMicrosecondsTotal, KindCounter, nil, "CPU time of the control goroutine, in microseconds."},
 
 	{ActiveRequests, KindGauge, nil, "Requests in flight at this daemon."},
--- a/telemetry/events.go
+++ b/telemetry/events.go
@@ -60,6 +60,8 @@
 	EventRequestAnswered    Event = 1321
 	EventRequestWithdrawn   Event = 1322
 	EventCallerLeft         Event = 1323
+	EventCallBroken         Event = 1324
+	EventContentCleared     Event = 1325
 )
 
 // Events of the store.
--- a/telemetry/field.go
+++ b/telemetry/field.go
@@ -42,6 +42,7 @@
 	KeyDetail       Key = "detail"
 	KeyLayers       Key = "layers"
 	KeyFirstSeconds Key = "first_seconds"
+	KeyContent      Key = "content"
 )
 
 // Keys returns every Key in the order of docs/EVENTS.md.
@@ -51,7 +52,7 @@
 		KeyRequest, KeyAttempt, KeyReplica, KeyBackend, KeyDomain, KeyVersion,
 		KeyEditID, KeyFencing, KeyReason, KeyRetryReason, KeyAddress, KeyCount,
 		KeySeconds, KeyCause, KeyDetail, KeyLayers,
-		KeyFirstSeconds,
+		KeyFirstSeconds, KeyContent,
 	}
 }
 
@@ -135,5 +136,8 @@
 // TimeToFirstEvent is the time to the first event of a stream, written in seconds.
 func TimeToFirstEvent(d time.Duration) Field { return Field{KeyFirstSeconds, d.Seconds()} }
 
+// Content is the fingerprint of a request's content, in hexadecimal digits.
+func Content(fingerprint uint64) Field { return Field{KeyContent, fmt.Sprintf("%016x", fingerprint)} }
+
 // Detail is a short text for human readers.
 func Detail(text string) Field { return Field{KeyDetail, text} }
