--- a/gateway/fake_test.go
+++ b/gateway/fake_test.go
@@ -30,6 +30,7 @@
 	calls       []backend.Call
 	orders      []backend.Order
 	dead        map[string]bool            // by address
+	ended       map[string]bool            // by address: servers whose port refuses connections
 	used        int64                      // of a capacity of 100, in the reports of all servers
 	refusing    map[string]bool            // by address: engines that refuse all requests along a path
 	startTimes  map[string]int64           // of servers that are another incarnation than listed, by address
@@ -43,9 +44,11 @@
 	// connect is called before a call is admitted, if it is set.
 	connect func(c backend.Call)
 	// plain and stream answer calls; a stream writes events with increasing ids.
-	plain      func(c backend.Call) (*backend.Answer, error)
-	stream     func(c backend.Call, out *io.PipeWriter)
-	serverFeed *fakeFeed[fleet.Server]
+	plain  func(c backend.Call) (*backend.Answer, error)
+	stream func(c backend.Call, out *io.PipeWriter)
+	// streamError makes a call along a path fail before its header, if it is set.
+	streamError func(c backend.Call) error
+	serverFeed  *fakeFeed[fleet.Server]
 }
 
 // Send implements backend.Client.
@@ -59,7 +62,7 @@
 	s.mu.Lock()
 	s.calls = append(s.calls, c)
 	s.requestsAt[c.Address] = append(s.requestsAt[c.Address], time.Now())
-	dead, limit := s.dead[c.Address], s.limits[c.Address]
+	dead, limit := s.dead[c.Address] || s.ended[c.Address], s.limits[c.Address]
 	s.mu.Unlock()
 	if dead {
 		return nil, errors.Join(backend.ErrNotSent, errors.New("connection refused"))
@@ -79,6 +82,9 @@
 		a.NotRun, a.FaultyHop = true, culprit
 		return a, nil
 	}
+	if s.streamError != nil {
+		return nil, s.streamError(c)
+	}
 	r, w := io.Pipe()
 	context.AfterFunc(ctx, func() { _ = w.CloseWithError(backend.ErrIncomplete) })
 	go s.stream(c, w)
@@ -195,6 +201,9 @@
 func (s *fakeServers) Report(ctx context.Context, address string) (backend.Report, error) {
 	s.mu.Lock()
 	dead, err := s.dead[address], s.reportErr[address]
+	if s.ended[address] {
+		err = errors.Join(backend.ErrNotSent, syscall.ECONNREFUSED)
+	}
 	s.reportCalls[address]++
 	s.mu.Unlock()
 	if dead {
@@ -250,6 +259,13 @@
 	s.dead[address] = true
 }
 
+// markEnded makes a server's process end: its port refuses connections.
+func (s *fakeServers) markEnded(address string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ended[address] = true
+}
+
 func (s *fakeServers) sent() []backend.Call {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -313,7 +329,7 @@
 // newHarnessWithLog returns a harness whose gateways write to a log.
 func newHarnessWithLog(grace time.Duration, log *telemetry.Log) *harness {
 	h := &harness{log: log, grace: grace, configs: newFakeFeed[*fleet.Config](), serverFeed: newFakeFeed[fleet.Server](), members: newMemTable(), leases: newMemTable()}
-	h.servers = &fakeServers{dead: make(map[string]bool), refusing: make(map[string]bool), startTimes: make(map[string]int64), reportCalls: make(map[string]int), reportErr: make(map[string]error), serverFeed: h.serverFeed,
+	h.servers = &fakeServers{dead: make(map[string]bool), ended: make(map[string]bool), refusing: make(map[string]bool), startTimes: make(map[string]int64), reportCalls: make(map[string]int), reportErr: make(map[string]error), serverFeed: h.serverFeed,
 		limits: make(map[string]fleet.RateLimit), requestsAt: make(map[string][]time.Time),
 		shedding: make(map[string]shedding), turnedAway: make(map[string][]time.Time), leaving: make(map[string]bool)}
 	h.servers.stream = func(c backend.Call, out *io.PipeWriter) { writeEvents(out, c.LastEventID, 5) }
