--- a/coordination/crashes/crashes.go
+++ b/coordination/crashes/crashes.go
@@ -10,102 +10,290 @@
 	// ImplicationTTL is how long an implication counts after the last one: a caller that repeats a
 	// request does so within minutes.
 	ImplicationTTL = 10 * time.Minute
-	// blockThreshold is how many servers must have died while running a content. A single death may
-	// have been caused by another request; two deaths under the same content are no coincidence.
-	blockThreshold = 2
-	// maxContents bounds the contents that are remembered; the oldest are evicted.
-	maxContents = 1024
+	// FreshRun is the age up to which a run has just begun. Contents that end servers mostly do so
+	// as their run begins; runs of other contents are of any age when a server ends.
+	FreshRun = 500 * time.Millisecond
+	// soleThreshold is how many servers must have ended under fresh runs of a content if no other
+	// content ran on all of them.
+	soleThreshold = 2
+	// freshThreshold is the same if other contents did: contents that move together from one server
+	// to the next are told apart by none but a third one.
+	freshThreshold = 3
+	// runThreshold is how many servers must have ended under runs of any age, also in bursts.
+	runThreshold = 5
+	// settleTime is how long after the end of a server other daemons may still report contents that
+	// ran on it.
+	settleTime = 200 * time.Millisecond
+	// A fresh run does not count if burstServers servers that did not run the content ended within
+	// burstWindow of its end: a failure domain or a network has failed.
+	burstServers = 4
+	burstWindow  = 3 * time.Second
+	// maxContents and maxEnds bound the contents and the ends of servers that are remembered.
+	maxContents = 4096
+	maxEnds     = 1024
 )
 
 // Fingerprint identifies a request's content: its path, customer and body.
 type Fingerprint uint64
 
-// Implication is the message to other daemons that servers died while running a content.
-type Implication struct {
-	Fingerprint Fingerprint                `msgpack:"f"`
-	Servers     []state.BackendIncarnation `msgpack:"s"`
+// Run is one execution of a content on a server.
+type Run struct {
+	Content Fingerprint
+	Fresh   bool // it had begun no longer than FreshRun before
 }
 
 // Tracker holds the implicated contents known to one daemon. It is not safe for concurrent use.
 type Tracker struct {
 	contents map[Fingerprint]*content
+	ends     map[state.BackendIncarnation]*end
 }
 
 // content is the state of one content.
 type content struct {
-	servers []state.BackendIncarnation // incarnations that died while running it
-	at      time.Time                  // time of the last implication
+	ends      map[state.BackendIncarnation]bool // servers that ended while running it; true for a fresh run
+	at        time.Time                         // time of the last implication
+	clearedAt time.Time                         // earlier implications don't count
+}
+
+// end is the end of one server.
+type end struct {
+	at       time.Time
+	contents map[Fingerprint]struct{} // contents that ran on it and are not cleared
 }
 
 // NewTracker returns an empty tracker.
 func NewTracker() *Tracker {
-	return &Tracker{contents: make(map[Fingerprint]*content)}
+	return &Tracker{contents: make(map[Fingerprint]*content), ends: make(map[state.BackendIncarnation]*end)}
 }
 
-// Implicate records that servers died while running a content. It returns the message for the other
-// daemons, and false if all of it was known.
-func (t *Tracker) Implicate(now time.Time, fp Fingerprint, servers ...state.BackendIncarnation) (Implication, bool) {
-	c, ok := t.contents[fp]
-	if !ok {
-		t.makeRoom(now)
-		c = &content{}
-		t.contents[fp] = c
-	}
-	isNew := false
-	for _, s := range servers {
-		if !c.has(s) {
-			c.servers = append(c.servers, s)
-			isNew = true
+// Implicate records that a server ended at a time while it ran contents. It returns the runs that
+// were not known, of which the other daemons are to be told.
+func (t *Tracker) Implicate(at time.Time, server state.BackendIncarnation, runs ...Run) []Run {
+	var added []Run
+	for _, run := range runs {
+		if t.add(at, server, run) {
+			added = append(added, run)
 		}
 	}
-	c.at = now
-	return Implication{Fingerprint: fp, Servers: c.servers}, isNew
+	return added
 }
 
-func (c *content) has(s state.BackendIncarnation) bool {
-	for _, have := range c.servers {
-		if have == s {
-			return true
+func (t *Tracker) add(at time.Time, server state.BackendIncarnation, run Run) bool {
+	c, ok := t.contents[run.Content]
+	if !ok {
+		t.makeRoom(at)
+		c = &content{ends: make(map[state.BackendIncarnation]bool)}
+		t.contents[run.Content] = c
+	}
+	fresh, known := c.ends[server]
+	if known && (fresh || !run.Fresh) || !at.After(c.clearedAt) {
+		return false
+	}
+	if !run.Fresh {
+		c.forgetFreshRuns()
+	}
+	c.ends[server] = run.Fresh
+	if at.After(c.at) {
+		c.at = at
+	}
+	t.endOf(at, server).contents[run.Content] = struct{}{}
+	return true
+}
+
+// forgetFreshRuns stops counting the fresh runs of a content of which another run has lasted: a
+// content that ends servers as it begins would not have.
+func (c *content) forgetFreshRuns() {
+	for s := range c.ends {
+		c.ends[s] = false
+	}
+}
+
+// endOf returns the record of a server's end, whose time is that of the first report.
+func (t *Tracker) endOf(at time.Time, server state.BackendIncarnation) *end {
+	if e, ok := t.ends[server]; ok {
+		return e
+	}
+	if len(t.ends) >= maxEnds {
+		t.dropOldestEnd()
+	}
+	e := &end{at: at, contents: make(map[Fingerprint]struct{})}
+	t.ends[server] = e
+	return e
+}
+
+func (t *Tracker) dropOldestEnd() {
+	var oldest state.BackendIncarnation
+	var at time.Time
+	for s, e := range t.ends {
+		if at.IsZero() || e.at.Before(at) {
+			oldest, at = s, e.at
 		}
 	}
-	return false
+	delete(t.ends, oldest)
+}
+
+// EndCount returns how many servers ended while they ran a content.
+func (t *Tracker) EndCount(fp Fingerprint) int {
+	if c, ok := t.contents[fp]; ok {
+		return len(c.ends)
+	}
+	return 0
 }
 
 // Empty reports whether no content is implicated.
 func (t *Tracker) Empty() bool { return len(t.contents) == 0 }
 
-// Clear drops the implications of a content because an answer to it has started. It returns the
-// number of servers that they name.
-func (t *Tracker) Clear(fp Fingerprint) int {
+// Clear drops the implications of a content because a complete answer to it was received. It returns
+// the number of servers that they name.
+func (t *Tracker) Clear(at time.Time, fp Fingerprint) int {
 	c, ok := t.contents[fp]
-	if !ok {
+	if !ok || len(c.ends) == 0 {
 		return 0
 	}
-	delete(t.contents, fp)
-	return len(c.servers)
+	n := len(c.ends)
+	t.unlink(fp, c)
+	c.ends = make(map[state.BackendIncarnation]bool)
+	c.clearedAt = at
+	return n
+}
+
+// unlink removes a content from the ends that name it.
+func (t *Tracker) unlink(fp Fingerprint, c *content) {
+	for s := range c.ends {
+		if e, ok := t.ends[s]; ok {
+			delete(e.contents, fp)
+		}
+	}
 }
 
-// IsBlocked reports whether requests with a content are to be refused.
-func (t *Tracker) IsBlocked(now time.Time, fp Fingerprint) bool {
+// Verdict says whether requests with a content may be sent to a server.
+type Verdict struct {
+	Blocked bool
+	// SettlesAt is when the decision can be made, or zero if it has been: until then, other daemons
+	// may report further contents that ran on the same servers.
+	SettlesAt time.Time
+}
+
+// Judge decides whether requests with a content may be sent to a server.
+func (t *Tracker) Judge(now time.Time, fp Fingerprint) Verdict {
 	c, ok := t.contents[fp]
-	return ok && len(c.servers) >= blockThreshold && now.Sub(c.at) < ImplicationTTL
+	if !ok || len(c.ends) < soleThreshold || now.Sub(c.at) >= ImplicationTTL {
+		return Verdict{}
+	}
+	fresh := t.countFresh(c)
+	if fresh >= freshThreshold || len(c.ends) >= runThreshold {
+		return Verdict{Blocked: true}
+	}
+	if fresh < soleThreshold {
+		return Verdict{}
+	}
+	if settled := c.at.Add(settleTime); now.Before(settled) {
+		return Verdict{SettlesAt: settled}
+	}
+	return Verdict{Blocked: !t.isAccompanied(fp, c)}
+}
+
+// countFresh returns how many servers ended under a fresh run of a content, apart from bursts.
+func (t *Tracker) countFresh(c *content) int {
+	n := 0
+	for s, fresh := range c.ends {
+		if e, ok := t.ends[s]; ok && t.isBurst(c, e.at) {
+			continue
+		}
+		if fresh {
+			n++
+		}
+	}
+	return n
+}
+
+// isBurst reports whether many servers that did not run a content ended at about the same time.
+func (t *Tracker) isBurst(c *content, at time.Time) bool {
+	others := 0
+	for s, e := range t.ends {
+		if _, own := c.ends[s]; !own && e.at.Sub(at).Abs() <= burstWindow {
+			others++
+		}
+	}
+	return others >= burstServers
 }
 
-// makeRoom drops expired contents, or the oldest one if there are none.
+// isAccompanied reports whether another content ran on every server that ended under a content, so
+// that either of them may be the cause.
+func (t *Tracker) isAccompanied(fp Fingerprint, c *content) bool {
+	var candidates map[Fingerprint]struct{}
+	for s := range c.ends {
+		if e, ok := t.ends[s]; ok && (candidates == nil || len(e.contents) < len(candidates)) {
+			candidates = e.contents
+		}
+	}
+	for other := range candidates {
+		if other != fp && t.ranOnAll(other, c) {
+			return true
+		}
+	}
+	return false
+}
+
+func (t *Tracker) ranOnAll(other Fingerprint, c *content) bool {
+	for s := range c.ends {
+		if e, ok := t.ends[s]; ok {
+			if _, ran := e.contents[other]; !ran {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// BlockedNotices returns the messages that tell a daemon which knows nothing of the blocked contents.
+func (t *Tracker) BlockedNotices(now time.Time) []EndNotice {
+	runs := make(map[state.BackendIncarnation][]Run)
+	for fp, c := range t.contents {
+		if !t.Judge(now, fp).Blocked {
+			continue
+		}
+		for s, fresh := range c.ends {
+			runs[s] = append(runs[s], Run{Content: fp, Fresh: fresh})
+		}
+	}
+	var out []EndNotice
+	for s, of := range runs {
+		for _, notice := range EndNotices(s, of) {
+			if e, ok := t.ends[s]; ok {
+				notice.AgeMS = max(now.Sub(e.at), 0).Milliseconds()
+			}
+			out = append(out, notice)
+		}
+	}
+	return out
+}
+
+// makeRoom drops contents that are expired or cleared, or else the oldest one of those that have
+// the fewest ends.
 func (t *Tracker) makeRoom(now time.Time) {
 	if len(t.contents) < maxContents {
 		return
 	}
-	var oldest Fingerprint
-	var at time.Time
 	for fp, c := range t.contents {
-		if now.Sub(c.at) >= ImplicationTTL {
-			delete(t.contents, fp)
-		} else if at.IsZero() || c.at.Before(at) {
-			oldest, at = fp, c.at
+		if now.Sub(c.at) >= ImplicationTTL || len(c.ends) == 0 {
+			t.drop(fp)
 		}
 	}
-	if len(t.contents) >= maxContents {
-		delete(t.contents, oldest)
+	if len(t.contents) < maxContents {
+		return
 	}
+	var victim Fingerprint
+	var least *content
+	for fp, c := range t.contents {
+		if least == nil || len(c.ends) < len(least.ends) || len(c.ends) == len(least.ends) && c.at.Before(least.at) {
+			victim, least = fp, c
+		}
+	}
+	t.drop(victim)
+}
+
+func (t *Tracker) drop(fp Fingerprint) {
+	t.unlink(fp, t.contents[fp])
+	delete(t.contents, fp)
 }
--- a/coordination/crashes/crashes_test.go
+++ b/coordination/crashes/crashes_test.go
@@ -1,6 +1,7 @@
 package crashes_test
 
 import (
+	"fmt"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -10,61 +11,174 @@
 	"github.com/hibiscuswick/hibiscuswick/state"
 )
 
+// settled is longer than notices of the other daemons may take.
+const settled = time.Second
+
+func server(id string) state.BackendIncarnation {
+	return state.BackendIncarnation{ID: state.BackendID(id)}
+}
+
+func fresh(fp crashes.Fingerprint) crashes.Run { return crashes.Run{Content: fp, Fresh: true} }
+
+func running(fp crashes.Fingerprint) crashes.Run { return crashes.Run{Content: fp} }
+
 var _ = Describe("Contents that crash servers", func() {
 	now := time.Unix(1000, 0)
+	var t *crashes.Tracker
+
+	BeforeEach(func() { t = crashes.NewTracker() })
+
+	isBlocked := func(fp crashes.Fingerprint) bool { return t.Judge(now.Add(settled), fp).Blocked }
 
 	// Guards against a crash loop: a request crashes the only server of its service, which restarts
 	// under the same name, and the caller repeats the request. The crashes were counted by the
 	// server's name, so that they counted as one.
 	It("are refused after they crashed two incarnations of one server", Label("failure:request-crashes-servers"), func() {
-		t := crashes.NewTracker()
-		t.Implicate(now, 7, state.BackendIncarnation{ID: "e1", Born: 100})
-		t.Implicate(now, 7, state.BackendIncarnation{ID: "e1", Born: 100})
-		Expect(t.IsBlocked(now, 7)).To(BeFalse())
-		t.Implicate(now, 7, state.BackendIncarnation{ID: "e1", Born: 90})
-		Expect(t.IsBlocked(now, 7)).To(BeTrue())
+		t.Implicate(now, state.BackendIncarnation{ID: "e1", Born: 100}, fresh(7))
+		t.Implicate(now, state.BackendIncarnation{ID: "e1", Born: 100}, fresh(7))
+		Expect(isBlocked(7)).To(BeFalse())
+		t.Implicate(now, state.BackendIncarnation{ID: "e1", Born: 90}, fresh(7))
+		Expect(isBlocked(7)).To(BeTrue())
 	})
 
 	// Guards against a request that crashes each engine that starts it while its caller repeats it
 	// at other daemons: it may crash two engines, but no third.
 	It("are refused by every daemon after they crashed a second server", Label("failure:request-crashes-servers"), func() {
 		here, there := crashes.NewTracker(), crashes.NewTracker()
-		implication, isNew := here.Implicate(now, 7, state.BackendIncarnation{ID: "e1"})
-		Expect(isNew).To(BeTrue())
-		Expect(here.IsBlocked(now, 7)).To(BeFalse())
-		there.Implicate(now, implication.Fingerprint, implication.Servers...)
-		implication, isNew = there.Implicate(now, 7, state.BackendIncarnation{ID: "e2"})
-		Expect(isNew).To(BeTrue())
-		here.Implicate(now, implication.Fingerprint, implication.Servers...)
-		Expect(here.IsBlocked(now, 7)).To(BeTrue())
-		Expect(there.IsBlocked(now, 7)).To(BeTrue())
+		tell := func(to *crashes.Tracker, server state.BackendIncarnation, runs []crashes.Run) {
+			Expect(runs).To(HaveLen(1))
+			for _, notice := range crashes.EndNotices(server, runs) {
+				to.Implicate(now, notice.Server, notice.Runs()...)
+			}
+		}
+		tell(there, server("e1"), here.Implicate(now, server("e1"), fresh(7)))
+		Expect(here.Judge(now.Add(settled), 7).Blocked).To(BeFalse())
+		tell(here, server("e2"), there.Implicate(now, server("e2"), fresh(7)))
+		Expect(here.Judge(now.Add(settled), 7).Blocked).To(BeTrue())
+		Expect(there.Judge(now.Add(settled), 7).Blocked).To(BeTrue())
 	})
 
 	It("are not refused after one crash that several daemons saw", func() {
-		t := crashes.NewTracker()
-		t.Implicate(now, 7, state.BackendIncarnation{ID: "e1"})
-		_, isNew := t.Implicate(now, 7, state.BackendIncarnation{ID: "e1"})
-		Expect(isNew).To(BeFalse())
-		Expect(t.IsBlocked(now, 7)).To(BeFalse())
+		t.Implicate(now, server("e1"), fresh(7))
+		Expect(t.Implicate(now, server("e1"), fresh(7))).To(BeEmpty())
+		Expect(isBlocked(7)).To(BeFalse())
+	})
+
+	It("wait after a second crash until other daemons have reported it", func() {
+		t.Implicate(now, server("e1"), fresh(7))
+		t.Implicate(now, server("e2"), fresh(7))
+		verdict := t.Judge(now, 7)
+		Expect(verdict.Blocked).To(BeFalse())
+		Expect(verdict.SettlesAt).To(BeTemporally(">", now))
+		Expect(t.Judge(verdict.SettlesAt, 7)).To(Equal(crashes.Verdict{Blocked: true}))
+	})
+
+	// Guards against innocent contents that are refused because they moved with a crashing one from
+	// its first server to its second.
+	It("are told apart by a third crash if they ran on the same two servers", Label("failure:innocent-content-refused"), func() {
+		t.Implicate(now, server("e1"), fresh(7), fresh(8))
+		t.Implicate(now, server("e2"), fresh(7), fresh(8))
+		Expect(isBlocked(7)).To(BeFalse())
+		Expect(isBlocked(8)).To(BeFalse())
+		t.Implicate(now, server("e3"), fresh(7))
+		Expect(t.Judge(now, 7).Blocked).To(BeTrue())
+		Expect(isBlocked(8)).To(BeFalse())
+	})
+
+	// Guards against innocent contents that are refused since servers end of themselves one after the
+	// other while answers of some seconds move between them.
+	It("are refused after a fifth crash if their runs had lasted", Label("failure:innocent-content-refused"), func() {
+		for i := range 5 {
+			Expect(isBlocked(7)).To(BeFalse())
+			t.Implicate(now.Add(time.Duration(i)*time.Second), server(fmt.Sprintf("e%d", i)), running(7))
+		}
+		Expect(isBlocked(7)).To(BeTrue())
+	})
+
+	// Guards against innocent contents that are refused since a server ended soon after an answer had
+	// moved there from another one that ended.
+	It("are not refused if one of their runs has lasted", Label("failure:innocent-content-refused"), func() {
+		t.Implicate(now, server("e1"), fresh(7))
+		t.Implicate(now, server("e2"), running(7))
+		t.Implicate(now, server("e3"), fresh(7))
+		Expect(isBlocked(7)).To(BeFalse())
 	})
 
-	It("are cleared when an answer starts, and expire", func() {
-		t := crashes.NewTracker()
-		t.Implicate(now, 7, state.BackendIncarnation{ID: "e1"})
-		t.Clear(7)
-		t.Implicate(now, 7, state.BackendIncarnation{ID: "e2"})
-		Expect(t.IsBlocked(now, 7)).To(BeFalse())
-		t.Implicate(now, 7, state.BackendIncarnation{ID: "e3"})
-		Expect(t.IsBlocked(now, 7)).To(BeTrue())
-		Expect(t.IsBlocked(now.Add(crashes.ImplicationTTL), 7)).To(BeFalse())
+	// Guards against innocent contents that are refused while a failure domain fails.
+	It("are not refused for servers that end among many others", Label("failure:innocent-content-refused"), func() {
+		for i := range 12 {
+			t.Implicate(now, server(fmt.Sprintf("e%d", i)), running(crashes.Fingerprint(100+i)))
+		}
+		t.Implicate(now, server("e0"), fresh(7))
+		t.Implicate(now, server("e1"), fresh(7))
+		t.Implicate(now, server("e2"), fresh(7))
+		Expect(isBlocked(7)).To(BeFalse())
+	})
+
+	// Guards against a crash loop that is overlooked because servers end for other reasons too.
+	It("are refused after five crashes whatever else ends", Label("failure:request-crashes-servers"), func() {
+		for i := range 12 {
+			t.Implicate(now, server(fmt.Sprintf("e%d", i)), running(crashes.Fingerprint(100+i)))
+		}
+		for i := range 5 {
+			Expect(isBlocked(7)).To(BeFalse())
+			t.Implicate(now, server(fmt.Sprintf("e%d", i)), running(7))
+		}
+		Expect(isBlocked(7)).To(BeTrue())
+	})
+
+	It("are cleared by a complete answer, and expire", func() {
+		t.Implicate(now, server("e1"), fresh(7))
+		Expect(t.Clear(now, 7)).To(Equal(1))
+		t.Implicate(now.Add(time.Millisecond), server("e2"), fresh(7))
+		Expect(isBlocked(7)).To(BeFalse())
+		t.Implicate(now.Add(time.Millisecond), server("e3"), fresh(7))
+		Expect(isBlocked(7)).To(BeTrue())
+		Expect(t.Judge(now.Add(time.Millisecond+crashes.ImplicationTTL), 7).Blocked).To(BeFalse())
+	})
+
+	// Guards against innocent contents that are refused since a notice overtakes the one before.
+	It("stay cleared when an older implication arrives later", Label("failure:innocent-content-refused"), func() {
+		t.Implicate(now, server("e1"), fresh(7))
+		t.Clear(now.Add(time.Second), 7)
+		Expect(t.Implicate(now, server("e2"), fresh(7))).To(BeEmpty())
+		Expect(t.EndCount(7)).To(BeZero())
+	})
+
+	// Guards against a crash loop that starts anew at each daemon that starts.
+	It("are told to a daemon that knows nothing of them", Label("failure:request-crashes-servers"), func() {
+		t.Implicate(now, server("e1"), fresh(7), running(8))
+		t.Implicate(now, server("e2"), fresh(7))
+		late := now.Add(time.Minute)
+		newcomer := crashes.NewTracker()
+		for _, notice := range t.BlockedNotices(late) {
+			newcomer.Implicate(late.Add(-notice.Age()), notice.Server, notice.Runs()...)
+		}
+		Expect(newcomer.Judge(late, 7).Blocked).To(BeTrue())
+		Expect(newcomer.EndCount(8)).To(BeZero())
 	})
 
-	It("are remembered up to a bound", func() {
-		t := crashes.NewTracker()
-		for i := range 5000 {
-			t.Implicate(now.Add(time.Duration(i)*time.Millisecond), crashes.Fingerprint(i), state.BackendIncarnation{ID: "e1"}, state.BackendIncarnation{ID: "e2"})
+	It("are remembered up to a bound, those with more crashes for longer", func() {
+		t.Implicate(now, server("e1"), fresh(0))
+		t.Implicate(now, server("e2"), fresh(0))
+		for i := range 10000 {
+			t.Implicate(now.Add(time.Duration(i)*time.Millisecond), server("e1"), running(crashes.Fingerprint(i+1)))
+		}
+		Expect(t.EndCount(1)).To(BeZero())
+		Expect(t.EndCount(10000)).To(Equal(1))
+		Expect(t.EndCount(0)).To(Equal(2))
+	})
+
+	It("are told in notices that fit a gossip message", func() {
+		var runs []crashes.Run
+		for i := range 200 {
+			runs = append(runs, crashes.Run{Content: crashes.Fingerprint(i), Fresh: i%3 == 0})
+		}
+		var told []crashes.Run
+		for _, notice := range crashes.EndNotices(server("e1"), runs) {
+			Expect(len(notice.Fresh) + len(notice.Running)).To(BeNumerically("<=", 64))
+			told = append(told, notice.Runs()...)
 		}
-		Expect(t.IsBlocked(now, 0)).To(BeFalse())
-		Expect(t.IsBlocked(now, 4999)).To(BeTrue())
+		Expect(told).To(ConsistOf(runs))
 	})
 })
--- a/coordination/crashes/doc.go
+++ b/coordination/crashes/doc.go
@@ -1,12 +1,25 @@
 // Package crashes keeps a request whose content crashes backend servers from crashing many of them,
 // whichever daemon its caller repeats it at.
 //
-// A server that died while running a request that had not produced its first event implicates the
-// request's content. A content that is implicated by a second server is refused for ImplicationTTL;
-// a content whose answer starts is cleared. Daemons send each other their implications, so that the
-// count covers the whole site.
+// A server that ended while it ran a content implicates that content. All contents that it ran are
+// implicated, and one of them at most is the cause, so that they are told apart:
+//
+//   - A content that ends servers does so as it begins to run. Servers count that ended under a run
+//     that had just begun; a run that has lasted takes the earlier ones from the count.
+//   - A content is refused for ImplicationTTL after the second such server if it is the only one that
+//     ran on both, and after the third if others did.
+//   - Whatever the age of its runs, it is refused after the fifth server. So is a content that ends
+//     servers late in its answer, or while many others end.
+//   - A complete answer clears a content.
+//
+// Daemons send each other the ends that they see, the answers that clear contents, and what is
+// refused if a daemon joins, so that the count covers the whole site. Before the second server
+// decides, a daemon waits until the others have reported what else ran there.
+//
+// Contract: report each end of a server with Implicate, each complete answer with Clear, and ask Judge
+// before each attempt.
 //
 // Package quarantine guards against the same failure where a replica can be reserved for one
-// request. Here every engine is part of many paths, so a suspect content is tried once more on
-// shared engines: this costs one engine, and no row in the store.
+// request. Here every engine is part of many paths, so that a suspect content is tried again on
+// shared engines: this costs one or two engines, and no row in the store.
 package crashes
--- /dev/null
+++ b/coordination/crashes/notice.go
@@ -0,0 +1,78 @@
+package crashes
+
+import (
+	"time"
+
+	"github.com/hibiscuswick/hibiscuswick/state"
+)
+
+// EndNotice is the message to other daemons that a server ended while it ran contents.
+type EndNotice struct {
+	Server state.BackendIncarnation `msgpack:"s"`
+	// Fresh are the contents whose runs had just begun, Running those of the other runs.
+	Fresh   []Fingerprint `msgpack:"f,omitempty"`
+	Running []Fingerprint `msgpack:"r,omitempty"`
+	AgeMS   int64         `msgpack:"a,omitempty"` // since the server ended, in ms; 0 for just now
+}
+
+// Age is the time since the server ended.
+func (n EndNotice) Age() time.Duration {
+	return time.Duration(min(max(n.AgeMS, 0), ImplicationTTL.Milliseconds())) * time.Millisecond
+}
+
+// ClearNotice is the message to other daemons that complete answers have cleared contents.
+type ClearNotice struct {
+	Contents []Fingerprint `msgpack:"c"`
+}
+
+// maxNoticeContents bounds the contents in one notice, so that it fits a gossip message.
+const maxNoticeContents = 64
+
+// EndNotices returns the messages that tell of runs on a server that ended.
+func EndNotices(server state.BackendIncarnation, runs []Run) []EndNotice {
+	var out []EndNotice
+	for len(runs) > 0 {
+		n := min(len(runs), maxNoticeContents)
+		notice := EndNotice{Server: server}
+		for _, run := range runs[:n] {
+			if run.Fresh {
+				notice.Fresh = append(notice.Fresh, run.Content)
+			} else {
+				notice.Running = append(notice.Running, run.Content)
+			}
+		}
+		out = append(out, notice)
+		runs = runs[n:]
+	}
+	return out
+}
+
+// Runs returns the runs that the notice tells of.
+func (n EndNotice) Runs() []Run {
+	out := make([]Run, 0, len(n.Fresh)+len(n.Running))
+	for _, fp := range n.Fresh {
+		out = append(out, Run{Content: fp, Fresh: true})
+	}
+	for _, fp := range n.Running {
+		out = append(out, Run{Content: fp})
+	}
+	return out
+}
+
+// ClearNotices returns the messages that tell of cleared contents.
+func ClearNotices(contents []Fingerprint) []ClearNotice {
+	var out []ClearNotice
+	for len(contents) > 0 {
+		n := min(len(contents), maxNoticeContents)
+		out = append(out, ClearNotice{Contents: contents[:n]})
+		contents = contents[n:]
+	}
+	return out
+}
+
+// Implication is the message of earlier versions that servers ended while they ran a content. It is
+// received and no longer sent.
+type Implication struct {
+	Fingerprint Fingerprint                `msgpack:"f"`
+	Servers     []state.BackendIncarnation `msgpack:"s"`
+}
--- a/gateway/crashcontent_test.go
+++ b/gateway/crashcontent_test.go
@@ -6,7 +6,9 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -111,8 +113,83 @@
 		Entry("a stream, whose second hop ends", "/stream/x", nil, streamSecondHop),
 		Entry("a stream, whose second hop ends without a sign at the first", "/stream/x", nil, streamSecondHopSilently),
 	)
+
+	// Guards against a crash loop over several daemons, of which each counts its own crashes only.
+	It("is refused by every daemon, and by one that joins later", Label("failure:request-crashes-servers"), func() {
+		h, c := newHarness(), &crashes{ended: make(map[string]bool)}
+		streamAfter(eventText(1))(h, c)
+		h.populateForCrashes()
+		second := h.start("g2")
+		Eventually(second.Ready).WithTimeout(eventuallyTimeout).Should(BeTrue())
+		serve := func(g *gateway.Gateway) gateway.Result {
+			req := request("/stream/x")
+			req.CallerTimeout = 2 * time.Second
+			return g.Serve(context.Background(), req, &fakeReply{})
+		}
+		knows := func(g *gateway.Gateway) func() string {
+			return func() string { return serve(g).Reason }
+		}
+		serve(h.gateway)
+		Eventually(knows(second)).WithTimeout(eventuallyTimeout).Should(Equal("crashes_servers"))
+		Expect(c.count()).To(BeNumerically("<=", 3))
+		before := c.count()
+		third := h.start("g3")
+		Eventually(third.Ready).WithTimeout(eventuallyTimeout).Should(BeTrue())
+		Eventually(knows(third)).WithTimeout(eventuallyTimeout).Should(Equal("crashes_servers"))
+		Expect(c.count()).To(BeNumerically("<=", before+1))
+	})
+
+	// Guards against innocent contents that are refused since their server ended: they run elsewhere,
+	// and a complete answer clears them.
+	It("takes no other content along", Label("failure:innocent-content-refused"), func() {
+		h, c := newHarness(), &crashes{ended: make(map[string]bool)}
+		h.servers.stream = func(call backend.Call, out *io.PipeWriter) {
+			if string(call.Body) == "crash" {
+				c.end(h, call.Path[0].Address)
+				_ = out.CloseWithError(backend.ErrIncomplete)
+				return
+			}
+			writeSlowly(h, call, out)
+		}
+		h.populateForCrashes()
+		var all sync.WaitGroup
+		var answered atomic.Int64
+		for i := range 40 {
+			all.Go(func() {
+				req := request("/stream/x")
+				req.Body = fmt.Appendf(nil, "innocent %d", i)
+				if h.gateway.Serve(context.Background(), req, &fakeReply{}).Reason != "crashes_servers" {
+					answered.Add(1)
+				}
+			})
+		}
+		for range 10 {
+			req := request("/stream/x")
+			req.Body, req.CallerTimeout = []byte("crash"), 2*time.Second
+			h.gateway.Serve(context.Background(), req, &fakeReply{})
+		}
+		all.Wait()
+		Expect(c.count()).To(BeNumerically("<=", 3))
+		Expect(answered.Load()).To(BeEquivalentTo(40))
+	})
 })
 
+// writeSlowly writes five events, 20 ms apart, unless the engine ends meanwhile.
+func writeSlowly(h *harness, call backend.Call, out *io.PipeWriter) {
+	after, _ := strconv.Atoi(call.LastEventID)
+	for id := after + 1; id <= 5; id++ {
+		time.Sleep(20 * time.Millisecond)
+		if h.servers.hasEnded(call.Path[0].Address) {
+			_ = out.CloseWithError(backend.ErrIncomplete)
+			return
+		}
+		if _, err := fmt.Fprintf(out, "id: %d\ndata: %d\n\n", id, id); err != nil {
+			return
+		}
+	}
+	_ = out.Close()
+}
+
 func plainBeforeHeader(h *harness, c *crashes) {
 	h.servers.plain = func(call backend.Call) (*backend.Answer, error) {
 		c.end(h, call.Address)
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -12,8 +13,9 @@
 
 // fingerprint identifies the content of a request.
 func (r *requestHandler) fingerprint() crashes.Fingerprint {
-	h := xxhash.New()
-	for _, part := range []string{r.req.Method, r.req.Target, string(r.customer.ID)} {
+	var h xxhash.Digest
+	h.Reset()
+	for _, part := range [...]string{r.req.Method, r.req.Target, string(r.customer.ID)} {
 		_, _ = h.WriteString(part) // writing to a hash never fails
 		_, _ = h.Write([]byte{0})
 	}
@@ -21,28 +23,6 @@
 	return crashes.Fingerprint(h.Sum64())
 }
 
-// implicate checks whether a server died while it ran this request, before the answer had
-// begun, and if so notifies all daemons.
-func (r *requestHandler) implicate(server state.BackendIncarnation, address string) {
-	if r.headSent {
-		r.logBrokenCall(brokenBeforeHeader, address, notProbed)
-		return
-	}
-	outcome := r.g.prober.probe(server, address).outcome
-	r.logBrokenCall(brokenBeforeHeader, address, outcome)
-	if outcome != probeDead {
-		return
-	}
-	fp := r.fingerprint()
-	implication, isNew := r.g.shared.implicate(time.Now(), fp, server)
-	if !isNew {
-		return
-	}
-	r.g.log.Emit(telemetry.EventRequestImplicated, telemetry.Request(r.req.ID), telemetry.Backend(server.ID),
-		telemetry.Count(len(implication.Servers)), telemetry.Content(uint64(fp)))
-	r.g.broadcast(implication)
-}
-
 // brokenStage says which part of an answer had arrived when a call broke off.
 type brokenStage string
 
@@ -54,46 +34,113 @@
 	brokenAfterEvent   brokenStage = "after_event"
 )
 
-// notProbed is logged for a call that broke off and whose server was not probed.
-const notProbed probeOutcome = "not_probed"
+// handleBrokenCall handles the end of a call whose answer broke off. It finds out which servers
+// of the path have ended, and implicates the request's content for them.
+func (r *requestHandler) handleBrokenCall(stage brokenStage) {
+	now := time.Now()
+	run := crashes.Run{Content: r.fingerprint(), Fresh: r.service.Engine == nil || now.Sub(r.runStart) <= crashes.FreshRun}
+	first := r.path[0]
+	result := r.g.prober.probeSince(now, first.Server, first.Address)
+	r.logBrokenCall(stage, first.Address, result.outcome, run.Content)
+	switch {
+	case result.outcome == probeDead || result.provesEnd(first.Server):
+		r.implicate(first.Server, run)
+	case result.outcome == probeAlive:
+		for _, h := range r.g.prober.checkHops(r.path[1:]) {
+			r.implicate(h.Server, run)
+		}
+	}
+}
 
 // logBrokenCall records that a call to a server broke off, and what a probe showed of it.
-func (r *requestHandler) logBrokenCall(stage brokenStage, address string, outcome probeOutcome) {
+func (r *requestHandler) logBrokenCall(stage brokenStage, address string, outcome probeOutcome, fp crashes.Fingerprint) {
 	detail := string(stage) + ":" + string(outcome)
 	r.g.metrics.CountReason(telemetry.GatewayBrokenCallsTotal, detail)
 	r.g.log.Emit(telemetry.EventCallBroken, telemetry.Request(r.req.ID), telemetry.Address(address),
-		telemetry.Detail(detail), telemetry.Content(uint64(r.fingerprint())))
+		telemetry.Detail(detail), telemetry.Content(uint64(fp)))
+}
+
+// implicate records that a server ended while it ran the request's content, and notifies all
+// daemons if that was not known. Of a request's runs that had lasted, only the first counts: the
+// content has gone on at another server since. Streams call it from several goroutines.
+func (r *requestHandler) implicate(server state.BackendIncarnation, run crashes.Run) {
+	if !run.Fresh && !r.lastingRunEnded.CompareAndSwap(false, true) {
+		return
+	}
+	added, servers := r.g.shared.implicate(time.Now(), server, run)
+	if len(added) == 0 {
+		return
+	}
+	r.g.log.Emit(telemetry.EventRequestImplicated, telemetry.Request(r.req.ID), telemetry.Backend(server.ID),
+		telemetry.Count(servers), telemetry.Content(uint64(run.Content)))
+	r.g.endedRuns.add(endedRun{server: server, run: run})
 }
 
-// clearImplication records that an answer has begun: the request's content crashes no
+// clearImplication records that a request was answered completely: its content crashes no
 // server.
 func (r *requestHandler) clearImplication() {
-	fp, servers := r.g.shared.clearImplication(r.fingerprint)
-	if servers > 0 {
-		r.g.log.Emit(telemetry.EventContentCleared, telemetry.Request(r.req.ID), telemetry.Count(servers), telemetry.Content(uint64(fp)))
+	fp, servers := r.g.shared.clearImplication(time.Now(), r.fingerprint)
+	if servers == 0 {
+		return
+	}
+	r.g.log.Emit(telemetry.EventContentCleared, telemetry.Request(r.req.ID), telemetry.Count(servers), telemetry.Content(uint64(fp)))
+	r.g.clearedContents.add(fp)
+}
+
+// isBlocked reports whether the request's content is not to be sent to a server. It waits until
+// other daemons have reported what else ran on the servers that ended under it.
+func (r *requestHandler) isBlocked(ctx context.Context) bool {
+	for {
+		now := time.Now()
+		verdict := r.g.shared.judge(now, r.fingerprint)
+		if verdict.SettlesAt.IsZero() || ctx.Err() != nil {
+			return verdict.Blocked
+		}
+		sleep(ctx, verdict.SettlesAt.Sub(now))
 	}
 }
 
-func (s *sharedState) implicate(now time.Time, fp crashes.Fingerprint, servers ...state.BackendIncarnation) (crashes.Implication, bool) {
+func (s *sharedState) implicate(at time.Time, server state.BackendIncarnation, runs ...crashes.Run) (added []crashes.Run, servers int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.crashes.Implicate(now, fp, servers...)
+	added = s.crashes.Implicate(at, server, runs...)
+	for _, run := range added {
+		servers = max(servers, s.crashes.EndCount(run.Content))
+	}
+	return added, servers
 }
 
-func (s *sharedState) isBlocked(now time.Time, fingerprint func() crashes.Fingerprint) bool {
+func (s *sharedState) judge(now time.Time, fingerprint func() crashes.Fingerprint) crashes.Verdict {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return !s.crashes.Empty() && s.crashes.IsBlocked(now, fingerprint())
+	if s.crashes.Empty() {
+		return crashes.Verdict{}
+	}
+	return s.crashes.Judge(now, fingerprint())
 }
 
 // clearImplication removes a content's implications, and returns the number of servers that
 // they name. The fingerprint is computed only if there are any.
-func (s *sharedState) clearImplication(fingerprint func() crashes.Fingerprint) (crashes.Fingerprint, int) {
+func (s *sharedState) clearImplication(now time.Time, fingerprint func() crashes.Fingerprint) (crashes.Fingerprint, int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.crashes.Empty() {
 		return 0, 0
 	}
 	fp := fingerprint()
-	return fp, s.crashes.Clear(fp)
+	return fp, s.crashes.Clear(now, fp)
+}
+
+func (s *sharedState) clearContents(at time.Time, contents []crashes.Fingerprint) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, fp := range contents {
+		s.crashes.Clear(at, fp)
+	}
+}
+
+func (s *sharedState) blockedContents(now time.Time) []crashes.EndNotice {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.crashes.BlockedNotices(now)
 }
--- /dev/null
+++ b/gateway/crashes_internal_test.go
@@ -0,0 +1,25 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hibiscuswick/hibiscuswick/coordination/crashes"
+	"github.com/hibiscuswick/hibiscuswick/state"
+)
+
+// Guards against a cost for every request, few of which run beside a server that ends.
+var _ = Describe("A request whose content is not suspected", func() {
+	It("is judged without allocations", func() {
+		s := newSharedState(Settings{BudgetWindow: 10 * time.Second})
+		r := &requestHandler{req: &Request{Method: "POST", Target: "/x", Body: make([]byte, 4096)}}
+		fingerprint := r.fingerprint
+		judge := func() { s.judge(time.Unix(1000, 0), fingerprint) }
+		Expect(testing.AllocsPerRun(100, judge)).To(BeZero())
+		s.implicate(time.Unix(1000, 0), state.BackendIncarnation{ID: "e1"}, crashes.Run{Content: 7, Fresh: true})
+		Expect(testing.AllocsPerRun(100, judge)).To(BeZero())
+	})
+})
--- a/gateway/fake_test.go
+++ b/gateway/fake_test.go
@@ -202,7 +202,7 @@
 	s.mu.Lock()
 	dead, err := s.dead[address], s.reportErr[address]
 	if s.ended[address] {
-		err = errors.Join(backend.ErrNotSent, syscall.ECONNREFUSED)
+		err = errors.Join(backend.ErrNotSent, backend.ErrRefused)
 	}
 	s.reportCalls[address]++
 	s.mu.Unlock()
@@ -266,6 +266,12 @@
 	s.ended[address] = true
 }
 
+func (s *fakeServers) hasEnded(address string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ended[address]
+}
+
 func (s *fakeServers) sent() []backend.Call {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/hibiscuswick/hibiscuswick/coordination/admission"
+	"github.com/hibiscuswick/hibiscuswick/coordination/crashes"
 	"github.com/hibiscuswick/hibiscuswick/coordination/membership"
 	"github.com/hibiscuswick/hibiscuswick/protocol/backend"
 	wire "github.com/hibiscuswick/hibiscuswick/protocol/peer"
@@ -48,6 +49,9 @@
 
 	shared *sharedState
 	prober *prober
+	// endedRuns and clearedContents are to be told to the other daemons.
+	endedRuns       *batch[endedRun]
+	clearedContents *batch[crashes.Fingerprint]
 	// loggedHeaders are the header fields of servers that were logged as unknown or unreadable.
 	loggedHeaders headerLog
 	control       *control
@@ -84,6 +88,8 @@
 	}
 	g.settings.Store(&set)
 	g.prober = newProber(g)
+	g.endedRuns = &batch[endedRun]{delay: endNoticeDelay, flush: g.broadcastEnds}
+	g.clearedContents = &batch[crashes.Fingerprint]{delay: clearNoticeDelay, flush: g.broadcastCleared}
 	listener, err := net.Listen("tcp", set.PeerAddress)
 	if err != nil {
 		return nil, fmt.Errorf("listen for peers on %s: %w", set.PeerAddress, err)
--- a/gateway/incarnations.go
+++ b/gateway/incarnations.go
@@ -56,7 +56,7 @@
 			continue
 		}
 		for _, lost := range l.c.g.shared.resetAddress(s.Address, incarnation) {
-			lost.stream.hopDied(lost.hop)
+			lost.stream.hopDied(lost.hop, true)
 		}
 	}
 	l.newIncarnations = nil
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -36,6 +36,8 @@
 const (
 	kindMembership    peer.Kind = 100
 	kindCrashes       peer.Kind = 1200
+	kindCrashEnd      peer.Kind = 1201
+	kindCrashClear    peer.Kind = 1202
 	kindFollowing     peer.Kind = 1300
 	kindOutdated      peer.Kind = 1400
 	kindRefusal       peer.Kind = 1500
@@ -52,6 +54,8 @@
 	r := peer.NewRegistry()
 	peer.RegisterMembership(r, kindMembership)
 	peer.Register[crashes.Implication](r, kindCrashes)
+	peer.Register[crashes.EndNotice](r, kindCrashEnd)
+	peer.Register[crashes.ClearNotice](r, kindCrashClear)
 	peer.Register[following.Announcement](r, kindFollowing)
 	peer.Register[suspect.OutdatedNotice](r, kindOutdated)
 	peer.Register[suspect.RefusalNotice](r, kindRefusal)
@@ -210,6 +214,9 @@
 		m.viewChanged = true
 	case membership.MemberChanged:
 		g.log.Emit(memberEvent(a), telemetry.Peer(a.Member.ID), telemetry.Incarnation(a.Member.Incarnation))
+		if a.New && a.To == membership.Alive {
+			m.tellBlockedContents(a.Member.ID)
+		}
 	case membership.FactLearned:
 		g.handleFact(m.c.now, a.Fact)
 	case membership.Refuted, membership.PauseDetected:
--- a/gateway/notice.go
+++ b/gateway/notice.go
@@ -17,7 +17,7 @@
 
 // Notices are findings of one daemon about a server or a request's content that all daemons
 // need: suspect.OutdatedNotice, suspect.RefusalNotice, suspect.LeavingNotice,
-// permits.LimitNotice and crashes.Implication. They are spread as facts of the membership:
+// permits.LimitNotice, crashes.EndNotice and crashes.ClearNotice. They are spread as facts of the membership:
 // each daemon sends to a few neighbors, whatever the number of daemons, and a daemon that
 // misses a message gets it from another one.
 
@@ -85,7 +85,13 @@
 		g.shared.markLeaving(at, m)
 	case permits.LimitNotice:
 		g.control.permits.step(permits.LimitReceived{LimitNotice: m, At: at})
+	case crashes.EndNotice:
+		g.shared.implicate(at.Add(-m.Age()), m.Server, m.Runs()...)
+	case crashes.ClearNotice:
+		g.shared.clearContents(at, m.Contents)
 	case crashes.Implication:
-		g.shared.implicate(at, m.Fingerprint, m.Servers...)
+		for _, server := range m.Servers {
+			g.shared.implicate(at, server, crashes.Run{Content: m.Fingerprint, Fresh: true})
+		}
 	}
 }
--- a/gateway/path.go
+++ b/gateway/path.go
@@ -36,7 +36,7 @@
 	if !path.Complete(r.service.Engine.Layers) {
 		panic("gateway: path does not contain each layer exactly once")
 	}
-	r.address = path[0].Address
+	r.address, r.path = path[0].Address, path
 	r.logSent(path.String())
 	call := r.newCall(path[0].Server, path[0].Address)
 	call.Path = path
@@ -44,10 +44,11 @@
 	defer cancel()
 	timer := r.watchFirstEvent(cancel)
 	sent := time.Now()
+	r.runStart = sent
 	answer, err := r.g.backends.Send(ctx, call)
 	stopTimer(timer)
 	if err != nil {
-		return r.handleSendError(ctx, err, path[0].Server, path[0].Address), Result{}
+		return r.handleSendError(ctx, err), Result{}
 	}
 	defer func() { _ = answer.Body.Close() }()
 	r.g.observeLimit(path[0].Server, answer, sent)
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -30,14 +30,16 @@
 	defer r.g.shared.releaseServer(server.Incarnation())
 	defer r.endAssignment(false)
 	r.address = server.Address
+	r.path = fleet.Path{{Server: server.Incarnation(), Address: server.Address}}
 	r.logSent(string(server.ID))
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer stopTimer(r.watchFirstEvent(cancel))
 	sent := time.Now()
+	r.runStart = sent
 	answer, err := r.g.backends.Send(ctx, r.newCall(server.Incarnation(), server.Address))
 	if err != nil {
-		return r.handleSendError(ctx, err, server.Incarnation(), server.Address), Result{}
+		return r.handleSendError(ctx, err), Result{}
 	}
 	defer func() { _ = answer.Body.Close() }()
 	r.g.observeLimit(server.Incarnation(), answer, sent)
@@ -68,8 +70,11 @@
 		return relay.Errored, Result{}
 	}
 	r.g.shared.recordAnswer(time.Now(), address)
-	r.clearImplication()
-	return 0, r.forwardAnswer(answer, body)
+	result := r.forwardAnswer(answer, body)
+	if result.Outcome == Answered {
+		r.clearImplication()
+	}
+	return 0, result
 }
 
 // readSigned reads an answer's body, up to maxHeldBody. If the body breaks off or the
@@ -80,9 +85,9 @@
 		if err == nil {
 			return body, true
 		}
+		r.handleBrokenCall(brokenInBody)
 	}
 	r.recordFailure(address)
-	r.logBrokenCall(brokenInBody, address, notProbed)
 	return nil, false
 }
 
@@ -121,6 +126,8 @@
 			return Result{Outcome: Answered}
 		}
 		if err != nil {
+			r.recordFailure(r.address)
+			r.handleBrokenCall(brokenInBody)
 			return r.failedResult(relay.ReasonBrokenAgain)
 		}
 	}
--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -67,27 +67,36 @@
 
 // probeResult is the result of one probe. took and err say why a server counts as dead.
 type probeResult struct {
-	at      time.Time
-	outcome probeOutcome
-	took    time.Duration
-	err     error
+	at        time.Time
+	outcome   probeOutcome
+	took      time.Duration
+	err       error
+	startTime int64 // of the process that answered, as in state.BackendIncarnation.Born; 0 if unknown
 }
 
-func newProber(g *Gateway) *prober {
-	return &prober{g: g, limit: rate.NewLimiter(probeRate, probeBurst), results: make(map[string]probeResult)}
+// provesEnd reports whether the probe shows that a server's process has ended: no process listens
+// at its address, or another one does. A server that does not answer may be unreachable.
+func (r probeResult) provesEnd(server state.BackendIncarnation) bool {
+	replaced := r.startTime != 0 && server.Born != 0 && r.startTime != server.Born
+	return replaced || errors.Is(r.err, backend.ErrRefused)
 }
 
-// isDead reports whether a probe shows that a server does not answer.
-func (p *prober) isDead(server state.BackendIncarnation, address string) bool {
-	return p.probe(server, address).outcome == probeDead
+func newProber(g *Gateway) *prober {
+	return &prober{g: g, limit: rate.NewLimiter(probeRate, probeBurst), results: make(map[string]probeResult)}
 }
 
 // probe requests a server's report, unless there is a recent result.
 func (p *prober) probe(server state.BackendIncarnation, address string) probeResult {
+	return p.probeSince(time.Time{}, server, address)
+}
+
+// probeSince requests a server's report, unless there is a recent result which shows that the
+// server is dead, or that it was alive after a time.
+func (p *prober) probeSince(since time.Time, server state.BackendIncarnation, address string) probeResult {
 	p.mu.Lock()
 	old, ok := p.results[address]
 	p.mu.Unlock()
-	if ok && old.isFresh() {
+	if ok && old.isFresh() && (old.outcome == probeDead || !old.at.Before(since)) {
 		return old
 	}
 	result, _, _ := p.group.Do(address, func() (any, error) {
@@ -109,7 +118,7 @@
 	if err == nil {
 		p.g.checkIncarnation(server, address, report.StartTime)
 	}
-	out := probeResult{at: time.Now(), outcome: probeDead, took: time.Since(began), err: err}
+	out := probeResult{at: time.Now(), outcome: probeDead, took: time.Since(began), err: err, startTime: report.StartTime}
 	switch {
 	case err == nil, errors.Is(err, backend.ErrNoReport):
 		out.outcome = probeAlive
@@ -128,8 +137,8 @@
 func (r probeResult) isFresh() bool { return time.Since(r.at) < probeResultTTL }
 
 // checkHops probes all hops concurrently. Those that do not answer are avoided until they
-// do, and the streams through them are informed.
-func (p *prober) checkHops(hops []fleet.Hop) {
+// do, and the streams through them are informed. It returns the hops whose process has ended.
+func (p *prober) checkHops(hops []fleet.Hop) (ended []fleet.Hop) {
 	results := make([]probeResult, len(hops))
 	var all sync.WaitGroup
 	for i, h := range hops {
@@ -137,17 +146,21 @@
 	}
 	all.Wait()
 	if len(hops) > 1 && !p.isConnected() {
-		return
+		return nil
 	}
 	for i, h := range hops {
+		if results[i].provesEnd(h.Server) {
+			ended = append(ended, h)
+		}
 		if results[i].outcome != probeDead {
 			continue
 		}
 		p.handleDeath(h, results[i])
 		for _, s := range p.g.shared.streamsThrough(h.Address) {
-			s.hopDied(h)
+			s.hopDied(h, results[i].provesEnd(h.Server))
 		}
 	}
+	return ended
 }
 
 // isConnected reports whether any server has answered a recent probe, which proves that
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hibiscuswick/hibiscuswick/coordination/admission"
@@ -41,9 +42,13 @@
 	rejections   admission.Rejections
 	search       serverSearch
 	attemptCount int
-	address      string // address of the server of the current attempt
+	address      string     // address of the server of the current attempt
+	path         fleet.Path // servers of the current attempt; a plain server is its only hop
+	runStart     time.Time  // when the current attempt was sent, or when its answer began as a stream
 	gaps         eventGaps
-	failure      *serverFailure // the last one, or nil
+	// lastingRunEnded is set once a server has ended under a run of the request that had lasted.
+	lastingRunEnded atomic.Bool
+	failure         *serverFailure // the last one, or nil
 }
 
 // Serve writes the answer to a request to reply, or returns a result from which the caller
@@ -137,7 +142,7 @@
 // runAttempts repeats attempts until the request has a result.
 func (r *requestHandler) runAttempts(ctx context.Context) Result {
 	for {
-		if r.g.shared.isBlocked(time.Now(), r.fingerprint) {
+		if r.isBlocked(ctx) {
 			r.g.log.Emit(telemetry.EventRequestQuarantined, telemetry.Request(r.req.ID), telemetry.Content(uint64(r.fingerprint())))
 			return r.failedResult(reasonCrashes)
 		}
@@ -354,7 +359,8 @@
 
 // handleSendError returns the outcome of an attempt whose call to a server failed. A call
 // that was canceled by this daemon or by its caller does not count against the server.
-func (r *requestHandler) handleSendError(ctx context.Context, err error, server state.BackendIncarnation, address string) relay.Outcome {
+func (r *requestHandler) handleSendError(ctx context.Context, err error) relay.Outcome {
+	server, address := r.path[0].Server, r.path[0].Address
 	outcome := relay.Broken
 	if errors.Is(err, backend.ErrNotSent) {
 		outcome = relay.NotSent
@@ -369,7 +375,7 @@
 	}
 	r.recordFailure(address)
 	if outcome == relay.Broken {
-		r.implicate(server, address)
+		r.handleBrokenCall(brokenBeforeHeader)
 	}
 	return outcome
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/hibiscuswick/hibiscuswick/coordination/crashes"
 	"github.com/hibiscuswick/hibiscuswick/coordination/relay"
 	"github.com/hibiscuswick/hibiscuswick/coordination/suspect"
 	"github.com/hibiscuswick/hibiscuswick/protocol/backend"
@@ -35,6 +36,7 @@
 type stream struct {
 	r      *requestHandler
 	path   fleet.Path
+	began  time.Time // when the header of the answer arrived
 	answer *backend.Answer
 	cancel context.CancelFunc
 
@@ -48,7 +50,8 @@
 }
 
 func newStream(r *requestHandler, path fleet.Path, answer *backend.Answer, cancel context.CancelFunc) *stream {
-	s := &stream{r: r, path: path, answer: answer, cancel: cancel}
+	s := &stream{r: r, path: path, began: time.Now(), answer: answer, cancel: cancel}
+	r.runStart = s.began
 	s.lastEventAt.Store(int64(r.g.sinceStart(time.Now())))
 	s.tracked = r.g.shared.trackStream(time.Now(), path)
 	r.g.shared.addStream(s)
@@ -136,8 +139,13 @@
 // If none may, the current engine can still continue it or end it.
 func (s *stream) reserveRetry() bool { return s.r.reserveRetry(s.path[0].Address) }
 
-// hopDied is called when a server of the path was found dead.
-func (s *stream) hopDied(h fleet.Hop) {
+// hopDied is called when a server of the path was found dead, or when its process is known to have
+// ended.
+func (s *stream) hopDied(h fleet.Hop, ended bool) {
+	if ended {
+		age := time.Since(s.began) - s.sinceLastEvent(time.Now())
+		s.r.implicate(h.Server, crashes.Run{Content: s.r.fingerprint(), Fresh: age <= crashes.FreshRun})
+	}
 	if s.r.route.Repeat != fleet.Resumable || !s.reserveRetry() || !s.ending.CompareAndSwap(false, true) {
 		return
 	}
@@ -154,7 +162,6 @@
 	if !s.r.headSent {
 		s.r.headSent = true
 		s.r.markPartDelivered()
-		s.r.clearImplication()
 		s.r.reply.WriteHeader(s.answer.Status, s.answer.Header)
 	}
 	if err := s.r.reply.Write(complete); err != nil {
@@ -185,6 +192,7 @@
 		return 0, s.r.forwardAnswer(s.answer, nil)
 	}
 	s.r.g.shared.recordAnswer(time.Now(), s.path[0].Address)
+	s.r.clearImplication()
 	return 0, Result{Outcome: Answered}
 }
 
@@ -200,7 +208,7 @@
 		// alive, can still give it.
 	case !errors.Is(err, context.Canceled):
 		s.r.g.shared.recordFailure(time.Now(), s.path[0].Address)
-		s.r.logBrokenCall(s.brokenStage(), s.path[0].Address, notProbed)
+		s.r.handleBrokenCall(s.brokenStage())
 	}
 	return relay.Broken, Result{}
 }
--- a/protocol/backend/backend.go
+++ b/protocol/backend/backend.go
@@ -18,6 +18,9 @@
 	// ErrNotSent: no byte of the call left this process, so the request has not
 	// run and will not run.
 	ErrNotSent = errors.New("not sent")
+	// ErrRefused: the server's instance has refused the connection, since no process listens
+	// there. It is joined with ErrNotSent.
+	ErrRefused = errors.New("connection refused")
 	// ErrIncomplete: the call was sent, and no complete answer was received. The
 	// request may have run.
 	ErrIncomplete = errors.New("no complete answer")
--- a/transport/exchange/pool.go
+++ b/transport/exchange/pool.go
@@ -71,6 +71,9 @@
 		_ = c.Close()
 	}
 	raw, err := p.dialer.DialContext(ctx, "tcp", address)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return nil, errors.Join(backend.ErrNotSent, backend.ErrRefused, err)
+	}
 	if err != nil {
 		return nil, errors.Join(backend.ErrNotSent, err)
 	}
