gateway: log and count what a feed does not apply

No line said whether answers were refused as stale, rows were dropped as old, or announcements were lost.

store_stale (1409) is written when an answer's revision is below what is known, once until a newer one comes; gateway_feed_skipped_total counts such answers and the rows that are dropped as known. No decision changes.

--- a/gateway/feedtracker.go
+++ b/gateway/feedtracker.go
@@ -38,6 +38,12 @@
 	announcementRepeated = "repeated"
 )
 
+// Reasons of telemetry.GatewayFeedSkippedTotal.
+const (
+	skippedRow    = "row"
+	skippedAnswer = "answer"
+)
+
 // storeProbeTimeouts are the timeouts, in rotation, of calls to a store that does not answer.
 // A store that has recovered must be detected well within the 2 s of a configuration
 // change; a store that is only slow answers within the longest timeout.
@@ -89,6 +95,7 @@
 		revision uint64
 		known    bool
 		failures int
+		stale    bool
 		wait     = backoffMin
 		log      = f.c.g.log
 	)
@@ -114,7 +121,12 @@
 		if err == nil && batch.Revision < revision {
 			// A lagging replica of the store would revert the feed to an older state.
 			err = errStaleRead
+			f.c.g.metrics.CountReason(telemetry.GatewayFeedSkippedTotal, skippedAnswer)
+			if !stale {
+				log.Emit(telemetry.EventStoreStale, telemetry.Detail(f.name))
+			}
 		}
+		stale = errors.Is(err, errStaleRead)
 		if ctx.Err() != nil {
 			return // the gateway has ended; that is no failure of the store
 		}
@@ -269,7 +281,7 @@
 		return
 	}
 	if !info.complete {
-		b.Items = itemsAfter(b.Items, before)
+		b.Items = f.itemsAfter(b.Items, before)
 	}
 	changed := info.complete || len(b.Items) > 0
 	if changed && !info.complete && f.machine.SendsRows(f.c.now) {
@@ -285,6 +297,13 @@
 	}
 }
 
+// itemsAfter returns the items that are newer than a revision, and counts the others.
+func (f *feedTracker[T]) itemsAfter(items []site.Item[T], revision uint64) []site.Item[T] {
+	out := itemsAfter(items, revision)
+	f.c.g.metrics.AddReason(telemetry.GatewayFeedSkippedTotal, skippedRow, int64(len(items)-len(out)))
+	return out
+}
+
 // itemsAfter returns the items that are newer than a revision.
 func itemsAfter[T any](items []site.Item[T], revision uint64) []site.Item[T] {
 	var out []site.Item[T]
@@ -316,7 +335,7 @@
 		}
 		before, _ := f.machine.Revision()
 		f.machine.AdvanceTo(ann.Revision, true)
-		b := site.Batch[T]{Items: itemsAfter(items, before), Revision: ann.Revision}
+		b := site.Batch[T]{Items: f.itemsAfter(items, before), Revision: ann.Revision}
 		f.cache.update(b, false)
 		f.apply(b, batchInfo{})
 	case following.ResultAdvance:
--- a/gateway/peerrows.go
+++ b/gateway/peerrows.go
@@ -242,7 +242,7 @@
 		return
 	}
 	if !complete {
-		b.Items = itemsAfter(b.Items, before)
+		b.Items = f.itemsAfter(b.Items, before)
 	}
 	f.machine.LoadedFromPeer(f.c.now, b.Revision, age)
 	f.revision.Store(b.Revision)
--- a/telemetry/catalogue.go
+++ b/telemetry/catalogue.go
@@ -57,6 +57,7 @@
 	{EventStoreBudgetSpent, "store_budget_spent", logrus.WarnLevel, "This daemon's share of store writes is exhausted; claims have priority over other writes."},
 	{EventClaimVoided, "claim_voided", logrus.InfoLevel, "A claim that was abandoned before dispatch was voided, so that a repeated request can run."},
 	{EventInstanceListUnavailable, "instance_list_unavailable", logrus.WarnLevel, "The instance list does not answer; the list that was read last is used."},
+	{EventStoreStale, "store_stale", logrus.WarnLevel, "The table service answers a feed with an older revision than is known, and the answer is not used; the line is written once until a newer answer arrives. The detail is the feed."},
 	{EventLeaseAcquired, "lease_acquired", logrus.InfoLevel, "This daemon controls a service."},
 	{EventLeaseLost, "lease_lost", logrus.WarnLevel, "This daemon no longer controls a service: the lease was not renewed in time, or another daemon holds it."},
 	{EventLeaseReleased, "lease_released", logrus.InfoLevel, "This daemon gave up the control of a service as planned."},
--- a/telemetry/counter.go
+++ b/telemetry/counter.go
@@ -65,6 +65,7 @@
 	GatewayLayoutsTotal        Name = "gateway_layouts_total"
 	GatewayAnnouncementsTotal  Name = "gateway_announcements_total"
 	GatewayBrokenCallsTotal    Name = "gateway_broken_calls_total"
+	GatewayFeedSkippedTotal    Name = "gateway_feed_skipped_total"
 )
 
 // Metrics of the HTTP front, which creates them in the scope returned by Metrics.Scope.
@@ -194,6 +195,7 @@
 	{GatewayLayoutsTotal, KindCounter, nil, "Computed layer assignments. A high rate on a daemon that sends no orders takes CPU time from its requests."},
 	{GatewayAnnouncementsTotal, KindCounter, byReason, "Announcements received from the daemons that follow the store, by whether they were new or duplicates."},
 	{GatewayBrokenCallsTotal, KindCounter, byReason, "Calls to backend servers that broke off, by the part of the answer that had arrived (before_header, in_body, before_event, after_event) and by what a probe then showed of the server."},
+	{GatewayFeedSkippedTotal, KindCounter, byReason, "Rows (row) and answers of the table service (answer) that were not applied because their revision is not newer than what is known of the feed."},
 	{ControlMicrosecondsTotal, KindCounter, nil, "CPU time of the control goroutine, in microseconds."},
 
 	{ActiveRequests, KindGauge, nil, "Requests in flight at this daemon."},
--- a/telemetry/events.go
+++ b/telemetry/events.go
@@ -71,6 +71,7 @@
 	EventStoreBudgetSpent        Event = 1404
 	EventClaimVoided             Event = 1406
 	EventInstanceListUnavailable Event = 1408
+	EventStoreStale              Event = 1409
 )
 
 // Events of leases and orders.
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -171,7 +171,14 @@
 // CountReason increments a counter that has the label "reason". The possible
 // reasons are defined by the package that decides on them.
 func (m *Metrics) CountReason(name Name, reason string) {
-	m.scope.Tagged(map[string]string{string(LabelReason): reason}).Counter(string(name)).Inc(1)
+	m.AddReason(name, reason, 1)
+}
+
+// AddReason adds n to a counter with the reason as a label.
+func (m *Metrics) AddReason(name Name, reason string, n int64) {
+	if n > 0 {
+		m.scope.Tagged(map[string]string{string(LabelReason): reason}).Counter(string(name)).Inc(n)
+	}
 }
 
 // Tokens counts n tokens delivered to callers.
