gateway, platform: revisions hold across a store that comes back from a copy

Cause: the store's versions were taken for an order of all its writes. A store that comes back from a copy gives out again the versions that it has lost. Answers with lower versions were refused as stale until the versions had caught up (the followers log the recovery 4 s after the store answered again), and daemons whose revision was from before dropped announced rows whose version was given out again: four of seven never learned that the server left, while configurations reached them by the same way, which rules out a lost announcement. Nothing read Store-Era. Class: a party states something and nothing reads it; an order that holds within one life of its source only.

Change: a revision has the epoch before the version, so that each comparison, on the wire between daemons too, holds across restores. An answer of a later epoch makes the rows be read again, from daemons first. What is known beyond the copy stays: the operator's highest version, a server that leaves, servers that the copy lacks for 1.8 s; one that had left is held back for 5 s. Daemons write their rows again within 10 s, fencing numbers rise with the epoch, a conditional write on a row that was read before the restore is not sent. Header fields of the store are counted like those of servers.

Not guarded: the own interface's tables in a table service that goes back (docs/FINDINGS.md).

--- a/gateway/assignment.go
+++ b/gateway/assignment.go
@@ -134,16 +134,29 @@
 	if isHolder && old.Until > rows.Now {
 		next.Fence = old.Fence
 	}
+	next.Fence = max(next.Fence, firstFence(rows.Epoch))
 	if change.Value, err = json.Marshal(next); err != nil {
 		return layering.LeaseNotAcquired{}
 	}
-	if _, err := g.site.Leases.Commit(ctx, change); err != nil {
+	revision, err := g.site.Leases.Commit(ctx, change)
+	if err != nil || site.Epoch(revision) != rows.Epoch {
 		// The write may have taken effect nevertheless; the next attempt reads it back.
 		return layering.LeaseNotAcquired{}
 	}
 	return layering.LeaseAcquired{Fence: next.Fence, Sent: sent}
 }
 
+// fencesPerEpoch exceeds the takeovers of the lease between two restores of the store.
+const fencesPerEpoch = 1 << 20
+
+// firstFence is the lowest fencing number of an epoch.
+//
+// Guard (store-restored): a restored store has lost the last takeovers, and their numbers would be
+// given out again, to other holders. Engines that have seen them would refuse or confuse the orders.
+func firstFence(epoch uint64) state.FencingNumber {
+	return state.FencingNumber(epoch * fencesPerEpoch)
+}
+
 func (s *assignmentState) acquired(ev layering.Event) {
 	switch ev := ev.(type) {
 	case layering.LeaseAcquired:
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -6,6 +6,7 @@
 	"github.com/hibiscuswick/hibiscuswick/coordination/following"
 	"github.com/hibiscuswick/hibiscuswick/coordination/membership"
 	"github.com/hibiscuswick/hibiscuswick/state/fleet"
+	"github.com/hibiscuswick/hibiscuswick/telemetry"
 )
 
 // tickInterval is the unit of the control state's timer: it fires at least every 10
@@ -33,6 +34,8 @@
 	assignment *assignmentState
 	permits    *permitsState
 	gauges     gauges
+
+	epoch uint64 // how often the store is known to have been restored from a backup
 }
 
 func newControl(g *Gateway) *control {
@@ -142,6 +145,17 @@
 	c.serverFeed.machine.SetMembers(daemons)
 }
 
+// handleRestore is called when a feed shows that the store was restored from a backup.
+func (c *control) handleRestore(epoch uint64) {
+	if epoch <= c.epoch {
+		return
+	}
+	c.epoch = epoch
+	c.g.log.Emit(telemetry.EventStoreRestored, telemetry.Count(int(epoch)))
+	c.listing.recordRecovery(c.now)
+	c.members.rewriteRow()
+}
+
 // handleAnnouncement handles the announcement of a daemon that follows a feed for others.
 func (c *control) handleAnnouncement(ann following.Announcement) {
 	switch ann.Feed {
--- a/gateway/fakestore_test.go
+++ b/gateway/fakestore_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -95,6 +96,40 @@
 	f.changed = make(chan struct{})
 }
 
+// feedBackup is a backup of a feed.
+type feedBackup[T any] struct {
+	rows      map[string]T
+	revisions map[string]uint64
+	revision  uint64
+}
+
+func (f *fakeFeed[T]) backup() feedBackup[T] {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return feedBackup[T]{rows: maps.Clone(f.rows), revisions: maps.Clone(f.revisions), revision: f.revision}
+}
+
+// restore brings the feed back as of a backup, in the next epoch.
+func (f *fakeFeed[T]) restore(b feedBackup[T]) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	epoch := site.Epoch(f.revision) + 1
+	f.rows, f.revisions, f.history = maps.Clone(b.rows), maps.Clone(b.revisions), []site.Item[T]{}
+	f.revision, f.err = site.NewRevision(epoch, site.Version(b.revision)), nil
+	for key, revision := range f.revisions {
+		f.revisions[key] = site.NewRevision(epoch, site.Version(revision))
+	}
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+// skipVersions gives out versions to rows of other tables.
+func (f *fakeFeed[T]) skipVersions(n uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.revision += n
+}
+
 // Read implements site.Feed.
 func (f *fakeFeed[T]) Read(context.Context) (site.Batch[T], error) {
 	f.mu.Lock()
@@ -125,6 +160,9 @@
 	f.mu.Lock()
 	changed, revision, err, kept := f.changed, f.revision, f.err, f.history != nil
 	f.mu.Unlock()
+	if err == nil && site.Epoch(revision) > site.Epoch(after) {
+		return site.Batch[T]{}, &site.RestoredError{Epoch: site.Epoch(revision)}
+	}
 	if err != nil {
 		f.failures.Add(1)
 		return site.Batch[T]{}, err
@@ -192,6 +230,22 @@
 	rows     map[string]site.Row
 	revision uint64
 	start    time.Time
+	epoch    uint64
+}
+
+// restoreEmpty brings the table back from a backup without rows, in the next epoch.
+func (t *memTable) restoreEmpty() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.epoch++
+	t.rows, t.revision = make(map[string]site.Row), site.NewRevision(t.epoch, 0)
+}
+
+func (t *memTable) row(key string) (site.Row, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r, ok := t.rows[key]
+	return r, ok
 }
 
 func newMemTable() *memTable { return &memTable{rows: make(map[string]site.Row), start: time.Now()} }
@@ -200,7 +254,7 @@
 func (t *memTable) Read(context.Context) (site.Rows, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	out := site.Rows{Now: time.Since(t.start)}
+	out := site.Rows{Now: time.Since(t.start), Epoch: t.epoch}
 	for _, r := range t.rows {
 		out.Rows = append(out.Rows, r)
 	}
--- a/gateway/feedtracker.go
+++ b/gateway/feedtracker.go
@@ -53,6 +53,7 @@
 type batchInfo struct {
 	complete  bool // the batch contains all rows
 	recovered bool // the store did not answer before
+	restored  bool // the store has been restored from a backup since the rows that are known
 }
 
 // feedTracker keeps one feed up to date, from the store or from other daemons. Everything
@@ -89,69 +90,56 @@
 	}
 }
 
+// poller is the state of a feedTracker's run method.
+type poller struct {
+	revision uint64 // up to which the feed is known
+	restored uint64 // lowest revision of the epoch that is to be read; 0 for none
+	known    bool
+	stale    bool // the last answer was older than revision
+	failures int  // calls in a row that failed
+	wait     time.Duration
+}
+
 // run polls the store while no other daemon does that for this one, until ctx ends.
 func (f *feedTracker[T]) run(ctx context.Context) {
-	var (
-		revision uint64
-		known    bool
-		failures int
-		stale    bool
-		wait     = backoffMin
-		log      = f.c.g.log
-	)
+	p := poller{wait: backoffMin}
 	for ctx.Err() == nil {
 		if f.skipsStore() {
-			failures, wait = 0, backoffMin
+			p.failures, p.wait = 0, backoffMin
 			f.awaitWake(ctx)
 			continue
 		}
 		if !f.awaitPollTurn(ctx) {
 			continue
 		}
-		revision = max(revision, f.revision.Load())
-		if f.syncFromPeers(ctx, known, revision) {
-			known = true
+		p.revision = max(p.revision, f.revision.Load())
+		if f.syncFromPeers(ctx, p.known, max(p.revision, p.restored)) {
+			p.known = true
 			continue
 		}
-		batch, complete, err := readFeed(ctx, f.feed, revision, known, failures)
+		batch, complete, err := readFeed(ctx, f.feed, p.revision, p.known, p.failures)
 		if errors.Is(err, site.ErrHistoryGone) {
-			known = false
+			p.known, p.restored = false, restoredRevision(err)
 			continue
 		}
-		if err == nil && batch.Revision < revision {
-			// A lagging replica of the store would revert the feed to an older state.
-			err = errStaleRead
-			f.c.g.metrics.CountReason(telemetry.GatewayFeedSkippedTotal, skippedAnswer)
-			if !stale {
-				log.Emit(telemetry.EventStoreStale, telemetry.Detail(f.name))
-			}
+		if err == nil && batch.Revision < max(p.revision, p.restored) {
+			err = f.rejectStale(&p)
 		}
-		stale = errors.Is(err, errStaleRead)
+		p.stale = errors.Is(err, errStaleRead)
 		if ctx.Err() != nil {
 			return // the gateway has ended; that is no failure of the store
 		}
 		if err != nil {
-			failures++
-			if failures == 1 {
-				log.Emit(telemetry.EventStoreUnavailable, telemetry.Detail(f.name), telemetry.Cause(err))
-			}
-			f.c.post(func() { f.machine.StoreFailed(f.c.now) })
-			if f.unconfirmed != nil && !known {
-				known = true
-				f.applyUnconfirmed(ctx)
-			}
-			f.c.g.storeUnanswered.Store(!known)
-			f.backOff(ctx, wait)
-			wait = min(2*wait, backoffMax)
+			f.handleFailure(ctx, &p, err)
 			continue
 		}
-		info := batchInfo{complete: complete, recovered: failures > 0}
-		if failures > 0 {
-			failures = 0
-			log.Emit(telemetry.EventStoreRecovered, telemetry.Detail(f.name))
+		info := batchInfo{complete: complete, recovered: p.failures > 0}
+		if p.failures > 0 {
+			p.failures = 0
+			f.c.g.log.Emit(telemetry.EventStoreRecovered, telemetry.Detail(f.name))
 		}
-		wait = backoffMin
-		known, revision = true, batch.Revision
+		p.wait = backoffMin
+		p.known, p.revision = true, batch.Revision
 		f.c.g.storeUnanswered.Store(false)
 		f.post(ctx, func() { f.applyStoreAnswer(batch, info) })
 		if len(batch.Items) > 0 {
@@ -160,6 +148,43 @@
 	}
 }
 
+// rejectStale records an answer that is older than what is known: a lagging replica of the store
+// would revert the feed. An epoch that only one answer has stated is not waited for again.
+func (f *feedTracker[T]) rejectStale(p *poller) error {
+	p.restored = 0
+	f.c.g.metrics.CountReason(telemetry.GatewayFeedSkippedTotal, skippedAnswer)
+	if !p.stale {
+		f.c.g.log.Emit(telemetry.EventStoreStale, telemetry.Detail(f.name))
+	}
+	return errStaleRead
+}
+
+// handleFailure records that the store did not answer, and waits until it is to be called again.
+func (f *feedTracker[T]) handleFailure(ctx context.Context, p *poller, err error) {
+	p.failures++
+	if p.failures == 1 {
+		f.c.g.log.Emit(telemetry.EventStoreUnavailable, telemetry.Detail(f.name), telemetry.Cause(err))
+	}
+	f.c.post(func() { f.machine.StoreFailed(f.c.now) })
+	if f.unconfirmed != nil && !p.known {
+		p.known = true
+		f.applyUnconfirmed(ctx)
+	}
+	f.c.g.storeUnanswered.Store(!p.known)
+	f.backOff(ctx, p.wait)
+	p.wait = min(2*p.wait, backoffMax)
+}
+
+// restoredRevision returns a revision that all reads since a restore exceed or equal, if an error
+// reports one, or 0.
+func restoredRevision(err error) uint64 {
+	var restored *site.RestoredError
+	if !errors.As(err, &restored) {
+		return 0
+	}
+	return site.NewRevision(restored.Epoch, 0)
+}
+
 // post runs fn on the control goroutine, and waits until the resulting mode is set.
 func (f *feedTracker[T]) post(ctx context.Context, fn func()) {
 	done := make(chan struct{})
@@ -186,7 +211,7 @@
 	switch {
 	case !known && revision == 0:
 		return f.loadFromPeers(ctx)
-	case !known: // the store no longer has the changes since revision
+	case !known: // the store no longer has the changes since revision, or was restored at it
 		return f.queryPeers(ctx, rowsRequest{MinRevision: revision + 1}) == queryApplied
 	case f.announces.Load() || following.Mode(f.mode.Load()) == following.ModeStoreReduced:
 		return false
@@ -293,10 +318,21 @@
 	f.machine.StoreAnswered(f.c.now, b.Revision, changed)
 	f.revision.Store(b.Revision)
 	if changed || info.recovered {
+		info.restored = known && f.isRestored(before, b.Revision)
 		f.apply(b, info)
 	}
 }
 
+// isRestored reports whether the store was restored from a backup between two revisions, and lets
+// the daemon write again what it may have lost.
+func (f *feedTracker[T]) isRestored(before, after uint64) bool {
+	if site.Epoch(after) <= site.Epoch(before) {
+		return false
+	}
+	f.c.handleRestore(site.Epoch(after))
+	return true
+}
+
 // itemsAfter returns the items that are newer than a revision, and counts the others.
 func (f *feedTracker[T]) itemsAfter(items []site.Item[T], revision uint64) []site.Item[T] {
 	out := itemsAfter(items, revision)
--- a/gateway/listing.go
+++ b/gateway/listing.go
@@ -35,6 +35,12 @@
 	newIncarnations []state.BackendIncarnation
 	// firstRead is when the list was first read, lastAdded when a server was last added.
 	firstRead, lastAdded time.Time
+	// departed are the incarnations that have left the list, and when. A store that was restored from
+	// a backup may list them again.
+	departed map[state.BackendIncarnation]time.Time
+	// held are entries of departed incarnations in a restored list, with the time at which they are
+	// used unless they are removed first.
+	held map[state.BackendID]heldEntry
 	// unreadable are entries that can't be decoded, with the revision that was logged.
 	unreadable map[state.BackendID]uint64
 	// latestByAddress and serviceSizes belong to publishServers: the later one of the
@@ -43,7 +49,20 @@
 	serviceSizes    map[state.ServiceID]int
 }
 
+// heldEntry is an entry that is not used yet.
+type heldEntry struct {
+	server   fleet.Server
+	revision uint64
+	until    time.Time
+}
+
 const (
+	// departedTTL is how long an incarnation that has left is remembered: a backup that is restored
+	// is some seconds old.
+	departedTTL = time.Minute
+	// heldFor is how long the entry of a departed server in a restored list is not used. If the
+	// server is not alive, the store removes its entry sooner.
+	heldFor = 5 * time.Second
 	// expiryWindow is how long after the store's recovery a removed entry may have expired
 	// only because its server could not renew it.
 	expiryWindow = 3 * time.Second
@@ -59,6 +78,8 @@
 		revisions:          make(map[state.BackendID]uint64),
 		missing:            make(map[state.BackendID]time.Time),
 		formerIncarnations: make(map[state.BackendIncarnation]bool),
+		departed:           make(map[state.BackendIncarnation]time.Time),
+		held:               make(map[state.BackendID]heldEntry),
 		unreadable:         make(map[state.BackendID]uint64),
 		latestByAddress:    make(map[string]state.BackendID),
 		serviceSizes:       make(map[state.ServiceID]int),
@@ -92,6 +113,7 @@
 	for _, it := range b.Items {
 		id := state.BackendID(it.Key)
 		present[id] = !it.Removed
+		delete(l.held, id)
 		switch {
 		case it.Removed:
 			delete(l.unreadable, id)
@@ -100,6 +122,8 @@
 			l.handleUnreadable(id, it.Revision, it.Err)
 		case l.formerIncarnations[it.Value.Incarnation()]:
 			// A delayed write of the former incarnation; the new one's follows.
+		case info.restored && l.hasDeparted(it.Value.Incarnation()):
+			l.held[id] = heldEntry{server: it.Value, revision: it.Revision, until: l.c.now.Add(heldFor)}
 		default:
 			delete(l.unreadable, id)
 			l.revisions[id] = it.Revision
@@ -120,6 +144,22 @@
 	l.dirty = true
 }
 
+// hasDeparted reports whether an incarnation has left the list recently.
+func (l *listingState) hasDeparted(incarnation state.BackendIncarnation) bool {
+	at, ok := l.departed[incarnation]
+	return ok && l.c.now.Sub(at) < departedTTL
+}
+
+// recordDeparture remembers an incarnation that has left the list, and forgets older ones.
+func (l *listingState) recordDeparture(incarnation state.BackendIncarnation) {
+	for old, at := range l.departed {
+		if l.c.now.Sub(at) >= departedTTL {
+			delete(l.departed, old)
+		}
+	}
+	l.departed[incarnation] = l.c.now
+}
+
 // recordRecovery records when the store answered again after a failure.
 func (l *listingState) recordRecovery(at time.Time) {
 	if at.After(l.storeRecoveredAt) {
@@ -148,6 +188,14 @@
 			l.dirty = true
 		}
 	}
+	for id, entry := range l.held {
+		if !l.c.now.Before(entry.until) {
+			delete(l.held, id)
+			l.revisions[id] = entry.revision
+			l.updateServer(entry.server)
+			l.dirty = true
+		}
+	}
 	if l.dirty && (l.publishNow || !l.c.now.Before(l.nextPublish())) {
 		l.dirty, l.urgent, l.publishNow = false, false, false
 		l.publishedAt = l.c.now
@@ -188,11 +236,17 @@
 	if l.dirty {
 		next = l.nextPublish()
 	}
-	for _, t := range l.missing {
+	sooner := func(t time.Time) {
 		if next.IsZero() || t.Before(next) {
 			next = t
 		}
 	}
+	for _, t := range l.missing {
+		sooner(t)
+	}
+	for _, entry := range l.held {
+		sooner(entry.until)
+	}
 	return next
 }
 
@@ -218,6 +272,8 @@
 func (l *listingState) updateServer(s fleet.Server) {
 	delete(l.missing, s.ID)
 	old, known := l.servers[s.ID]
+	// Guard (store-restored): a server that leaves does not stay, whatever a restored list says.
+	s.Draining = s.Draining || known && old.Draining && old.Incarnation() == s.Incarnation()
 	l.servers[s.ID] = s
 	if !known {
 		l.lastAdded = l.c.now
@@ -242,9 +298,11 @@
 func (l *listingState) removeServer(id state.BackendID) {
 	delete(l.missing, id)
 	l.forgetIncarnations(id)
-	if _, ok := l.servers[id]; !ok {
+	s, ok := l.servers[id]
+	if !ok {
 		return
 	}
+	l.recordDeparture(s.Incarnation())
 	l.urgent = true
 	delete(l.servers, id)
 	delete(l.revisions, id)
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -38,12 +38,12 @@
 	kindCrashes       peer.Kind = 1200
 	kindCrashEnd      peer.Kind = 1201
 	kindCrashClear    peer.Kind = 1202
-	kindFollowing     peer.Kind = 1300
+	kindFollowing     peer.Kind = 1301 // 1300: revisions without an epoch
 	kindOutdated      peer.Kind = 1400
 	kindRefusal       peer.Kind = 1500
 	kindLeaving       peer.Kind = 1600
-	kindRowsRequest   peer.Kind = 1700
-	kindRowsResponse  peer.Kind = 1701
+	kindRowsRequest   peer.Kind = 1702 // 1700 and 1701: revisions without an epoch
+	kindRowsResponse  peer.Kind = 1703
 	kindPermitRequest peer.Kind = 1800
 	kindPermitGrant   peer.Kind = 1801
 	kindLimitNotice   peer.Kind = 1802
@@ -140,6 +140,13 @@
 	}
 }
 
+// rewriteRow makes this daemon check its row, which the store may have lost, within
+// rowRetryInterval: if all daemons did so at once, they would exceed the store's rates.
+func (m *membersState) rewriteRow() {
+	m.rowWritten = false
+	m.lastSeed = m.c.now.Add(-rand.N(rowRetryInterval))
+}
+
 // seed reads the rows of the other daemons, and writes this daemon's row unless it is
 // current, as it is after a restart: two calls in a daemon's first incarnation and one in
 // each later one.
--- a/gateway/peerrows.go
+++ b/gateway/peerrows.go
@@ -241,14 +241,19 @@
 	if known && b.Revision < before || !known && !complete {
 		return
 	}
+	// Guard (store-restored): changes of a later epoch do not contain what the backup lacks.
+	if known && !complete && site.Epoch(b.Revision) > site.Epoch(before) {
+		return
+	}
 	if !complete {
 		b.Items = f.itemsAfter(b.Items, before)
 	}
+	info := batchInfo{complete: complete, restored: known && f.isRestored(before, b.Revision)}
 	f.machine.LoadedFromPeer(f.c.now, b.Revision, age)
 	f.revision.Store(b.Revision)
 	f.cache.update(b, complete)
 	f.c.g.log.Emit(telemetry.EventFeedGiven, telemetry.Detail(f.name), telemetry.Duration(age))
-	f.apply(b, batchInfo{complete: complete})
+	f.apply(b, info)
 }
 
 // samplePeers returns the addresses of up to n random live daemons, those of this daemon's
--- a/gateway/statements.go
+++ b/gateway/statements.go
@@ -92,16 +92,27 @@
 // observeHeaders counts the header fields of an answer that say nothing to this daemon, and
 // logs each name once.
 func (g *Gateway) observeHeaders(server state.BackendIncarnation, a *backend.Answer) {
-	observe := func(names []string, reason string, event telemetry.Event) {
-		for _, name := range names {
-			g.metrics.CountReason(telemetry.GatewayHeadersTotal, reason)
-			if g.loggedHeaders.first(reason + " " + name) {
-				g.log.Emit(event, telemetry.Detail(name), telemetry.Backend(server.ID))
-			}
+	g.countHeaders(a.Unreadable, headerUnreadable, telemetry.EventHeaderUnreadable, string(server.ID))
+	g.countHeaders(a.Unknown, headerUnknown, telemetry.EventHeaderUnknown, string(server.ID))
+}
+
+// ObserveStoreHeaders counts the header fields of the table service's answers that can't be parsed
+// or that the adapter does not know, and logs each name once.
+func (g *Gateway) ObserveStoreHeaders(unreadable, unknown []string) {
+	g.countHeaders(unreadable, headerUnreadable, telemetry.EventHeaderUnreadable, senderStore)
+	g.countHeaders(unknown, headerUnknown, telemetry.EventHeaderUnknown, senderStore)
+}
+
+// senderStore names the table service as the sender of header fields.
+const senderStore = "store"
+
+func (g *Gateway) countHeaders(names []string, reason string, event telemetry.Event, sender string) {
+	for _, name := range names {
+		g.metrics.CountReason(telemetry.GatewayHeadersTotal, reason)
+		if g.loggedHeaders.first(reason + " " + name) {
+			g.log.Emit(event, telemetry.Detail(name), telemetry.Backend(state.BackendID(sender)))
 		}
 	}
-	observe(a.Unreadable, headerUnreadable, telemetry.EventHeaderUnreadable)
-	observe(a.Unknown, headerUnknown, telemetry.EventHeaderUnknown)
 }
 
 // recordRetryAfter records that a server has turned a request away and wants none for some
--- a/protocol/site/site.go
+++ b/protocol/site/site.go
@@ -25,7 +25,7 @@
 type Item[T any] struct {
 	Key      string
 	Removed  bool
-	Revision uint64 // revision of the row; it increases with each write
+	Revision uint64 // of the row's last write; see NewRevision
 	Value    T      // undefined if Removed or Err is set
 	Err      error  // the error of decoding the row
 }
@@ -41,7 +41,8 @@
 	// Read returns all rows.
 	Read(ctx context.Context) (Batch[T], error)
 	// Follow returns the changes after a revision, as soon as there is one or
-	// after wait. After ErrHistoryGone the caller has to call Read.
+	// after wait. After ErrHistoryGone, which may be a RestoredError, the caller has to call
+	// Read.
 	Follow(ctx context.Context, after uint64, wait time.Duration) (Batch[T], error)
 }
 
@@ -58,6 +59,8 @@
 	// Now is the reading of the service's monotonic clock. Only differences
 	// between two readings are meaningful.
 	Now time.Duration
+	// Epoch is how often the service has been restored from a backup.
+	Epoch uint64
 }
 
 // Change writes one row, or removes it if Value is nil. With Conditional set it
--- a/telemetry/catalogue.go
+++ b/telemetry/catalogue.go
@@ -58,6 +58,7 @@
 	{EventClaimVoided, "claim_voided", logrus.InfoLevel, "A claim that was abandoned before dispatch was voided, so that a repeated request can run."},
 	{EventInstanceListUnavailable, "instance_list_unavailable", logrus.WarnLevel, "The instance list does not answer; the list that was read last is used."},
 	{EventStoreStale, "store_stale", logrus.WarnLevel, "The table service answers a feed with an older revision than is known, and the answer is not used; the line is written once until a newer answer arrives. The detail is the feed."},
+	{EventStoreRestored, "store_restored", logrus.WarnLevel, "The table service has come back from a backup: writes that it had acknowledged may be lost, and its versions go back. The count is how often that has happened. What is known beyond the backup stays in use until it is written again."},
 	{EventLeaseAcquired, "lease_acquired", logrus.InfoLevel, "This daemon controls a service."},
 	{EventLeaseLost, "lease_lost", logrus.WarnLevel, "This daemon no longer controls a service: the lease was not renewed in time, or another daemon holds it."},
 	{EventLeaseReleased, "lease_released", logrus.InfoLevel, "This daemon gave up the control of a service as planned."},
@@ -89,8 +90,8 @@
 	{EventBackendLimited, "backend_limited", logrus.InfoLevel, "This daemon received a rate limit of a backend server, which applies to all daemons together, or the notice that the limit was removed."},
 	{EventBackendRetryAfter, "backend_retry_after", logrus.InfoLevel, "A backend server turned a request away and asked this daemon for no further one for the given seconds."},
 	{EventBackendDeparting, "backend_departing", logrus.InfoLevel, "A backend server stated in an answer that it is leaving; this daemon sends it no new work."},
-	{EventHeaderUnreadable, "header_unreadable", logrus.WarnLevel, "A backend server sent a header field, named in the detail, whose value can't be parsed; the field is ignored."},
-	{EventHeaderUnknown, "header_unknown", logrus.WarnLevel, "A backend server sent a header field, named in the detail, that the adapter does not know. It is logged once per name; check whether the server's protocol has changed."},
+	{EventHeaderUnreadable, "header_unreadable", logrus.WarnLevel, "A backend server, or the table service (store), sent a header field, named in the detail, whose value can't be parsed; the field is ignored."},
+	{EventHeaderUnknown, "header_unknown", logrus.WarnLevel, "A backend server, or the table service (store), sent a header field, named in the detail, that the adapter does not know. It is logged once per name; check whether the sender's protocol has changed."},
 	{EventConnectionSilent, "connection_silent", logrus.WarnLevel, "An open connection became unresponsive; it is replaced, and the state of the requests that were in flight on it is queried."},
 	{EventFrameRefused, "frame_refused", logrus.WarnLevel, "An invalid, oversized or unknown frame was received; the connection is closed."},
 }
--- a/telemetry/counter.go
+++ b/telemetry/counter.go
@@ -191,7 +191,7 @@
 	{GatewayLimitedTotal, KindCounter, byReason, "Requests for which a backend server with a rate limit was considered, by whether they were sent to it or the server was skipped for lack of a permit."},
 	{GatewayRetryAfterTotal, KindCounter, byReason, "Answers with which backend servers asked for no further request for a time (stated), requests withdrawn before they were sent to such a server (withdrawn), and requests refused because all servers that could take them want none (refused)."},
 	{GatewayDepartingTotal, KindCounter, nil, "Answers in which backend servers stated that they are leaving."},
-	{GatewayHeadersTotal, KindCounter, byReason, "Header fields of backend servers that can't be parsed (unreadable) or that the adapter does not know (unknown)."},
+	{GatewayHeadersTotal, KindCounter, byReason, "Header fields of backend servers and of the table service that can't be parsed (unreadable) or that the adapter does not know (unknown)."},
 	{GatewayLayoutsTotal, KindCounter, nil, "Computed layer assignments. A high rate on a daemon that sends no orders takes CPU time from its requests."},
 	{GatewayAnnouncementsTotal, KindCounter, byReason, "Announcements received from the daemons that follow the store, by whether they were new or duplicates."},
 	{GatewayBrokenCallsTotal, KindCounter, byReason, "Calls to backend servers that broke off, by the part of the answer that had arrived (before_header, in_body, before_event, after_event) and by what a probe then showed of the server."},
--- a/telemetry/events.go
+++ b/telemetry/events.go
@@ -72,6 +72,7 @@
 	EventClaimVoided             Event = 1406
 	EventInstanceListUnavailable Event = 1408
 	EventStoreStale              Event = 1409
+	EventStoreRestored           Event = 1410
 )
 
 // Events of leases and orders.
--- a/transport/httpcall/caller.go
+++ b/transport/httpcall/caller.go
@@ -73,6 +73,7 @@
 // Answer is a complete answer.
 type Answer struct {
 	Status int
+	Header http.Header
 	Body   []byte
 }
 
@@ -154,7 +155,7 @@
 	if int64(len(body)) > c.opts.MaxResponse {
 		return Answer{}, ErrTooLong
 	}
-	return Answer{Status: resp.StatusCode, Body: body}, nil
+	return Answer{Status: resp.StatusCode, Header: resp.Header, Body: body}, nil
 }
 
 // classifyError replaces the transport's error by one that says why the call failed
