crashes: a run that waited at its server does not speak for its content

Read in the code of: where callers repeat a content at once, one repeat may wait at the server that another one ends.

A run is fresh, lasting or waiting now; one that waited counts towards the fifth server and clears nothing.

--- a/coordination/crashes/crashes.go
+++ b/coordination/crashes/crashes.go
@@ -36,10 +36,36 @@
 // Fingerprint identifies a request's content: its path, customer and body.
 type Fingerprint uint64
 
-// Run is one execution of a content on a server.
+// Phase is how far a run had come when its server ended.
+type Phase uint8
+
+// The values of Phase.
+const (
+	// Waiting means that the run had been sent longer than FreshRun before, and nothing shows that
+	// it had begun.
+	Waiting Phase = iota
+	// Fresh means that it had begun, or had been sent, no longer than FreshRun before.
+	Fresh
+	// Lasting means that it had begun longer than FreshRun before.
+	Lasting
+)
+
+// PhaseOf returns the phase of a run of a given age, since it began or else since it was sent.
+func PhaseOf(begun bool, age time.Duration) Phase {
+	switch {
+	case age <= FreshRun:
+		return Fresh
+	case begun:
+		return Lasting
+	default:
+		return Waiting
+	}
+}
+
+// Run is one execution of a content on a server that ended.
 type Run struct {
 	Content Fingerprint
-	Fresh   bool // it had begun no longer than FreshRun before
+	Phase   Phase
 }
 
 // Tracker holds the implicated contents known to one daemon. It is not safe for concurrent use.
@@ -50,9 +76,9 @@
 
 // content is the state of one content.
 type content struct {
-	ends      map[state.BackendIncarnation]bool // servers that ended while running it; true for a fresh run
-	at        time.Time                         // time of the last implication
-	clearedAt time.Time                         // earlier implications don't count
+	ends      map[state.BackendIncarnation]Phase // servers that ended while running it
+	at        time.Time                          // time of the last implication
+	clearedAt time.Time                          // earlier implications don't count
 }
 
 // end is the end of one server.
@@ -82,17 +108,17 @@
 	c, ok := t.contents[run.Content]
 	if !ok {
 		t.makeRoom(at)
-		c = &content{ends: make(map[state.BackendIncarnation]bool)}
+		c = &content{ends: make(map[state.BackendIncarnation]Phase)}
 		t.contents[run.Content] = c
 	}
-	fresh, known := c.ends[server]
-	if known && (fresh || !run.Fresh) || !at.After(c.clearedAt) {
+	phase, known := c.ends[server]
+	if known && (phase == Fresh || run.Phase != Fresh) || !at.After(c.clearedAt) {
 		return false
 	}
-	if !run.Fresh {
+	if run.Phase == Lasting {
 		c.forgetFreshRuns()
 	}
-	c.ends[server] = run.Fresh
+	c.ends[server] = run.Phase
 	if at.After(c.at) {
 		c.at = at
 	}
@@ -103,8 +129,10 @@
 // forgetFreshRuns stops counting the fresh runs of a content of which another run has lasted: a
 // content that ends servers as it begins would not have.
 func (c *content) forgetFreshRuns() {
-	for s := range c.ends {
-		c.ends[s] = false
+	for s, phase := range c.ends {
+		if phase == Fresh {
+			c.ends[s] = Waiting
+		}
 	}
 }
 
@@ -152,7 +180,7 @@
 	}
 	n := len(c.ends)
 	t.unlink(fp, c)
-	c.ends = make(map[state.BackendIncarnation]bool)
+	c.ends = make(map[state.BackendIncarnation]Phase)
 	c.clearedAt = at
 	return n
 }
@@ -196,11 +224,11 @@
 // countFresh returns how many servers ended under a fresh run of a content, apart from bursts.
 func (t *Tracker) countFresh(c *content) int {
 	n := 0
-	for s, fresh := range c.ends {
+	for s, phase := range c.ends {
 		if e, ok := t.ends[s]; ok && t.isBurst(c, e.at) {
 			continue
 		}
-		if fresh {
+		if phase == Fresh {
 			n++
 		}
 	}
@@ -253,8 +281,8 @@
 		if !t.Judge(now, fp).Blocked {
 			continue
 		}
-		for s, fresh := range c.ends {
-			runs[s] = append(runs[s], Run{Content: fp, Fresh: fresh})
+		for s, phase := range c.ends {
+			runs[s] = append(runs[s], Run{Content: fp, Phase: phase})
 		}
 	}
 	var out []EndNotice
--- a/coordination/crashes/crashes_test.go
+++ b/coordination/crashes/crashes_test.go
@@ -18,9 +18,15 @@
 	return state.BackendIncarnation{ID: state.BackendID(id)}
 }
 
-func fresh(fp crashes.Fingerprint) crashes.Run { return crashes.Run{Content: fp, Fresh: true} }
+func fresh(fp crashes.Fingerprint) crashes.Run { return crashes.Run{Content: fp, Phase: crashes.Fresh} }
 
-func running(fp crashes.Fingerprint) crashes.Run { return crashes.Run{Content: fp} }
+func lasting(fp crashes.Fingerprint) crashes.Run {
+	return crashes.Run{Content: fp, Phase: crashes.Lasting}
+}
+
+func waiting(fp crashes.Fingerprint) crashes.Run {
+	return crashes.Run{Content: fp, Phase: crashes.Waiting}
+}
 
 var _ = Describe("Contents that crash servers", func() {
 	now := time.Unix(1000, 0)
@@ -90,7 +96,7 @@
 	It("are refused after a fifth crash if their runs had lasted", Label("failure:innocent-content-refused"), func() {
 		for i := range 5 {
 			Expect(isBlocked(7)).To(BeFalse())
-			t.Implicate(now.Add(time.Duration(i)*time.Second), server(fmt.Sprintf("e%d", i)), running(7))
+			t.Implicate(now.Add(time.Duration(i)*time.Second), server(fmt.Sprintf("e%d", i)), lasting(7))
 		}
 		Expect(isBlocked(7)).To(BeTrue())
 	})
@@ -99,15 +105,32 @@
 	// moved there from another one that ended.
 	It("are not refused if one of their runs has lasted", Label("failure:innocent-content-refused"), func() {
 		t.Implicate(now, server("e1"), fresh(7))
-		t.Implicate(now, server("e2"), running(7))
+		t.Implicate(now, server("e2"), lasting(7))
 		t.Implicate(now, server("e3"), fresh(7))
 		Expect(isBlocked(7)).To(BeFalse())
 	})
 
+	// Guards against a crash loop that is overlooked because a repeat of the content waited at a
+	// server that another repeat of it ended.
+	It("are refused although some of their runs had waited", Label("failure:request-crashes-servers"), func() {
+		t.Implicate(now, server("e1"), fresh(7))
+		t.Implicate(now, server("e2"), waiting(7))
+		Expect(isBlocked(7)).To(BeFalse())
+		t.Implicate(now, server("e3"), fresh(7))
+		Expect(isBlocked(7)).To(BeTrue())
+	})
+
+	It("had waited, had just begun or had lasted", func() {
+		Expect(crashes.PhaseOf(false, crashes.FreshRun)).To(Equal(crashes.Fresh))
+		Expect(crashes.PhaseOf(true, crashes.FreshRun)).To(Equal(crashes.Fresh))
+		Expect(crashes.PhaseOf(false, 2*crashes.FreshRun)).To(Equal(crashes.Waiting))
+		Expect(crashes.PhaseOf(true, 2*crashes.FreshRun)).To(Equal(crashes.Lasting))
+	})
+
 	// Guards against innocent contents that are refused while a failure domain fails.
 	It("are not refused for servers that end among many others", Label("failure:innocent-content-refused"), func() {
 		for i := range 12 {
-			t.Implicate(now, server(fmt.Sprintf("e%d", i)), running(crashes.Fingerprint(100+i)))
+			t.Implicate(now, server(fmt.Sprintf("e%d", i)), lasting(crashes.Fingerprint(100+i)))
 		}
 		t.Implicate(now, server("e0"), fresh(7))
 		t.Implicate(now, server("e1"), fresh(7))
@@ -118,11 +141,11 @@
 	// Guards against a crash loop that is overlooked because servers end for other reasons too.
 	It("are refused after five crashes whatever else ends", Label("failure:request-crashes-servers"), func() {
 		for i := range 12 {
-			t.Implicate(now, server(fmt.Sprintf("e%d", i)), running(crashes.Fingerprint(100+i)))
+			t.Implicate(now, server(fmt.Sprintf("e%d", i)), lasting(crashes.Fingerprint(100+i)))
 		}
 		for i := range 5 {
 			Expect(isBlocked(7)).To(BeFalse())
-			t.Implicate(now, server(fmt.Sprintf("e%d", i)), running(7))
+			t.Implicate(now, server(fmt.Sprintf("e%d", i)), lasting(7))
 		}
 		Expect(isBlocked(7)).To(BeTrue())
 	})
@@ -147,7 +170,7 @@
 
 	// Guards against a crash loop that starts anew at each daemon that starts.
 	It("are told to a daemon that knows nothing of them", Label("failure:request-crashes-servers"), func() {
-		t.Implicate(now, server("e1"), fresh(7), running(8))
+		t.Implicate(now, server("e1"), fresh(7), lasting(8))
 		t.Implicate(now, server("e2"), fresh(7))
 		late := now.Add(time.Minute)
 		newcomer := crashes.NewTracker()
@@ -162,7 +185,7 @@
 		t.Implicate(now, server("e1"), fresh(0))
 		t.Implicate(now, server("e2"), fresh(0))
 		for i := range 10000 {
-			t.Implicate(now.Add(time.Duration(i)*time.Millisecond), server("e1"), running(crashes.Fingerprint(i+1)))
+			t.Implicate(now.Add(time.Duration(i)*time.Millisecond), server("e1"), lasting(crashes.Fingerprint(i+1)))
 		}
 		Expect(t.EndCount(1)).To(BeZero())
 		Expect(t.EndCount(10000)).To(Equal(1))
@@ -172,11 +195,11 @@
 	It("are told in notices that fit a gossip message", func() {
 		var runs []crashes.Run
 		for i := range 200 {
-			runs = append(runs, crashes.Run{Content: crashes.Fingerprint(i), Fresh: i%3 == 0})
+			runs = append(runs, crashes.Run{Content: crashes.Fingerprint(i), Phase: crashes.Phase(i % 3)})
 		}
 		var told []crashes.Run
 		for _, notice := range crashes.EndNotices(server("e1"), runs) {
-			Expect(len(notice.Fresh) + len(notice.Running)).To(BeNumerically("<=", 64))
+			Expect(len(notice.Fresh) + len(notice.Lasting) + len(notice.Waiting)).To(BeNumerically("<=", 64))
 			told = append(told, notice.Runs()...)
 		}
 		Expect(told).To(ConsistOf(runs))
--- a/coordination/crashes/doc.go
+++ b/coordination/crashes/doc.go
@@ -5,7 +5,8 @@
 // implicated, and one of them at most is the cause, so that they are told apart:
 //
 //   - A content that ends servers does so as it begins to run. Servers count that ended under a run
-//     that had just begun; a run that has lasted takes the earlier ones from the count.
+//     that had just begun; a run that has lasted takes the earlier ones from the count. One that
+//     waited shows neither.
 //   - A content is refused for ImplicationTTL after the second such server if it is the only one that
 //     ran on both, and after the third if others did.
 //   - Whatever the age of its runs, it is refused after the fifth server. So is a content that ends
--- a/coordination/crashes/notice.go
+++ b/coordination/crashes/notice.go
@@ -6,13 +6,26 @@
 	"github.com/hibiscuswick/hibiscuswick/state"
 )
 
-// EndNotice is the message to other daemons that a server ended while it ran contents.
+// EndNotice is the message to other daemons that a server ended while it ran contents, by the phases
+// of their runs.
 type EndNotice struct {
-	Server state.BackendIncarnation `msgpack:"s"`
-	// Fresh are the contents whose runs had just begun, Running those of the other runs.
-	Fresh   []Fingerprint `msgpack:"f,omitempty"`
-	Running []Fingerprint `msgpack:"r,omitempty"`
-	AgeMS   int64         `msgpack:"a,omitempty"` // since the server ended, in ms; 0 for just now
+	Server  state.BackendIncarnation `msgpack:"s"`
+	Fresh   []Fingerprint            `msgpack:"f,omitempty"`
+	Lasting []Fingerprint            `msgpack:"r,omitempty"`
+	Waiting []Fingerprint            `msgpack:"w,omitempty"`
+	AgeMS   int64                    `msgpack:"a,omitempty"` // since the server ended, in ms; 0 for just now
+}
+
+// ofPhase returns the contents whose runs were in a phase.
+func (n *EndNotice) ofPhase(phase Phase) *[]Fingerprint {
+	switch phase {
+	case Fresh:
+		return &n.Fresh
+	case Lasting:
+		return &n.Lasting
+	default:
+		return &n.Waiting
+	}
 }
 
 // Age is the time since the server ended.
@@ -35,11 +48,8 @@
 		n := min(len(runs), maxNoticeContents)
 		notice := EndNotice{Server: server}
 		for _, run := range runs[:n] {
-			if run.Fresh {
-				notice.Fresh = append(notice.Fresh, run.Content)
-			} else {
-				notice.Running = append(notice.Running, run.Content)
-			}
+			contents := notice.ofPhase(run.Phase)
+			*contents = append(*contents, run.Content)
 		}
 		out = append(out, notice)
 		runs = runs[n:]
@@ -49,12 +59,11 @@
 
 // Runs returns the runs that the notice tells of.
 func (n EndNotice) Runs() []Run {
-	out := make([]Run, 0, len(n.Fresh)+len(n.Running))
-	for _, fp := range n.Fresh {
-		out = append(out, Run{Content: fp, Fresh: true})
-	}
-	for _, fp := range n.Running {
-		out = append(out, Run{Content: fp})
+	var out []Run
+	for _, phase := range []Phase{Fresh, Lasting, Waiting} {
+		for _, fp := range *n.ofPhase(phase) {
+			out = append(out, Run{Content: fp, Phase: phase})
+		}
 	}
 	return out
 }
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -38,7 +38,10 @@
 // of the path have ended, and implicates the request's content for them.
 func (r *requestHandler) handleBrokenCall(stage brokenStage) {
 	now := time.Now()
-	run := crashes.Run{Content: r.fingerprint(), Fresh: r.service.Engine == nil || now.Sub(r.runStart) <= crashes.FreshRun}
+	run := crashes.Run{Content: r.fingerprint(), Phase: crashes.PhaseOf(stage != brokenBeforeHeader, now.Sub(r.runStart))}
+	if r.service.Engine == nil {
+		run.Phase = crashes.Fresh // a plain server does not show when a run begins
+	}
 	first := r.path[0]
 	result := r.g.prober.probeSince(now, first.Server, first.Address)
 	r.logBrokenCall(stage, first.Address, result.outcome, run.Content)
@@ -61,10 +64,10 @@
 }
 
 // implicate records that a server ended while it ran the request's content, and notifies all
-// daemons if that was not known. Of a request's runs that had lasted, only the first counts: the
-// content has gone on at another server since. Streams call it from several goroutines.
+// daemons if that was not known. Of a request's runs that had not just begun, only the first counts:
+// the content has gone on at another server since. Streams call it from several goroutines.
 func (r *requestHandler) implicate(server state.BackendIncarnation, run crashes.Run) {
-	if !run.Fresh && !r.lastingRunEnded.CompareAndSwap(false, true) {
+	if run.Phase != crashes.Fresh && !r.olderRunEnded.CompareAndSwap(false, true) {
 		return
 	}
 	added, servers := r.g.shared.implicate(time.Now(), server, run)
--- a/gateway/crashes_internal_test.go
+++ b/gateway/crashes_internal_test.go
@@ -19,7 +19,7 @@
 		fingerprint := r.fingerprint
 		judge := func() { s.judge(time.Unix(1000, 0), fingerprint) }
 		Expect(testing.AllocsPerRun(100, judge)).To(BeZero())
-		s.implicate(time.Unix(1000, 0), state.BackendIncarnation{ID: "e1"}, crashes.Run{Content: 7, Fresh: true})
+		s.implicate(time.Unix(1000, 0), state.BackendIncarnation{ID: "e1"}, crashes.Run{Content: 7, Phase: crashes.Fresh})
 		Expect(testing.AllocsPerRun(100, judge)).To(BeZero())
 	})
 })
--- a/gateway/notice.go
+++ b/gateway/notice.go
@@ -91,7 +91,7 @@
 		g.shared.clearContents(at, m.Contents)
 	case crashes.Implication:
 		for _, server := range m.Servers {
-			g.shared.implicate(at, server, crashes.Run{Content: m.Fingerprint, Fresh: true})
+			g.shared.implicate(at, server, crashes.Run{Content: m.Fingerprint, Phase: crashes.Fresh})
 		}
 	}
 }
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -46,9 +46,9 @@
 	path         fleet.Path // servers of the current attempt; a plain server is its only hop
 	runStart     time.Time  // when the current attempt was sent, or when its answer began as a stream
 	gaps         eventGaps
-	// lastingRunEnded is set once a server has ended under a run of the request that had lasted.
-	lastingRunEnded atomic.Bool
-	failure         *serverFailure // the last one, or nil
+	// olderRunEnded is set once a server has ended under a run of the request that had not just begun.
+	olderRunEnded atomic.Bool
+	failure       *serverFailure // the last one, or nil
 }
 
 // Serve writes the answer to a request to reply, or returns a result from which the caller
