gateway: log the service of a retried request and each change of the retry share

Hypotheses written down before any change of logic: (1) a process forgets with its end what it has spent, and its successor spends it again; (2) the slack is divided by the daemons that one daemon sees, so that the parts add up to more than the whole beside a cut; (3) servers get arrivals that no retry was paid for. The logs could not tell them apart: request_retried lacked the service, and nothing said by how many daemons the slack is divided. Both are logged now (event 1326 is new).

--- a/gateway/members.go
+++ b/gateway/members.go
@@ -117,6 +117,7 @@
 	if n := m.slackShare(); n != m.c.view.slackShare {
 		m.c.view.slackShare = n
 		m.c.changed = true
+		m.c.g.log.Emit(telemetry.EventRetryShare, telemetry.Count(n.Daemons), telemetry.Detail(startNames[n.Restarted]))
 	}
 	if m.seedDue() {
 		m.lastSeed = m.c.now
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -158,7 +158,7 @@
 		case d.Retry:
 			r.view = r.g.currentView.Load()
 			r.g.metrics.CountReason(telemetry.GatewayRetriedTotal, attemptOutcomeNames[outcome])
-			r.g.log.Emit(telemetry.EventRequestRetried, telemetry.Request(r.req.ID), telemetry.Detail(attemptOutcomeNames[outcome]))
+			r.g.log.Emit(telemetry.EventRequestRetried, telemetry.Request(r.req.ID), telemetry.Service(r.service.ID), telemetry.Detail(attemptOutcomeNames[outcome]))
 		case d.PassFailure && r.failure != nil:
 			return r.forwardAnswer(r.failure.answer, r.failure.body)
 		case d.Refuse:
--- a/gateway/slackshare.go
+++ b/gateway/slackshare.go
@@ -11,6 +11,9 @@
 // shares.
 const maxLiveTTL = 30 * time.Second
 
+// startNames are the values of retrybudget.SlackShare.Restarted in logs.
+var startNames = map[bool]string{false: "running", true: "restarted"}
+
 // slackShare returns how the slack of the retry budget is shared. A daemon that sees no
 // other has lost or not yet found them: it then uses the number of rows in the table of
 // members, which includes departed daemons.
--- a/telemetry/events.go
+++ b/telemetry/events.go
@@ -62,6 +62,7 @@
 	EventCallerLeft         Event = 1323
 	EventCallBroken         Event = 1324
 	EventContentCleared     Event = 1325
+	EventRetryShare         Event = 1326
 )
 
 // Events of the store.
