gateway, retrybudget: a restarted daemon continues from a record of its retries

Cause: each process counted its own retries, and its successor began with none. 0.35 of the slack was kept back for one restart of all daemons within a window, each further restart spent it again, and retries that requests of before a restart had paid for were not kept back at all. Class: an allowance that a process holds in memory, and that its successor has anew.

Change: a daemon's row in the table of members holds what it has used and a number of reserved retries. A retry is granted only if a written record has reserved it, so that a record never understates what was spent, and a process that starts continues from it. Nothing is kept back any more: daemons that run may use all of the slack, one that restarts three quarters of what it had left. While the table does not answer for 100 ms, retries need no record.

The spec "is not spent a second time by restarted daemons" has records now in place of a flag, and asks for more of the slack to be used (.95 instead of .8). The specs of counting alone use a budget without records.

--- a/coordination/retrybudget/budget.go
+++ b/coordination/retrybudget/budget.go
@@ -1,6 +1,7 @@
 package retrybudget
 
 import (
+	"math"
 	"time"
 
 	"github.com/hibiscuswick/hibiscuswick/state"
@@ -11,26 +12,14 @@
 // every interval of one window.
 const sliceCount = 10
 
-// restartReserve is the part of the slack kept for daemons that have just restarted. A
-// daemon that stops loses its count of spent retries, and its successor would spend the
-// same part again within the same window: when all daemons lost power at once, 425
-// retries were sent where 372 were allowed.
-const restartReserve = 0.35
-
 // SlackShare tells which part of the slack a daemon may spend.
 type SlackShare struct {
 	Daemons int // 0 if unknown
-	// Restarted is set for a daemon that started within the last window along with many
-	// others. If only a few restarted, the parts that they spend twice are covered by
-	// the reserve.
-	Restarted bool
+	// Withheld is set while this daemon may spend no slack, since others may have spent all
+	// of it within the last window.
+	Withheld bool
 }
 
-// RestartedFraction is the fraction of daemons above which restarts count as many. At a
-// quarter, the running daemons' 0.65 of the slack plus a quarter of that spent again is
-// 0.81 of it.
-const RestartedFraction = 0.25
-
 // Config is the retry allowance of the site.
 type Config struct {
 	Ratio  float64       // retries per request
@@ -38,11 +27,25 @@
 	Slack  float64       // retries of all daemons together beyond Ratio
 }
 
+// slice returns the length of a slice.
+func (c Config) slice() time.Duration {
+	return max(c.Window/sliceCount, time.Millisecond)
+}
+
 // Budget counts one daemon's requests and retries. It is not safe for concurrent use.
 type Budget struct {
 	cfg      Config
 	start    time.Time // origin of slice numbers; must be a monotonic reading, since wall time may jump
-	services map[state.ServiceID]*window
+	services map[state.ServiceID]*account
+	// unrecorded is set while retries need no reservation.
+	unrecorded bool
+}
+
+// account is what a daemon has used of one service's allowance.
+type account struct {
+	own       window
+	inherited window // of the processes before this one
+	reservation
 }
 
 // window counts requests and retries per slice of Config.Window.
@@ -54,7 +57,7 @@
 
 // New returns an empty budget. Times before start count as start.
 func New(cfg Config, start time.Time) *Budget {
-	return &Budget{cfg: cfg, start: start, services: make(map[state.ServiceID]*window)}
+	return &Budget{cfg: cfg, start: start, services: make(map[state.ServiceID]*account)}
 }
 
 // Configure replaces the allowance. Counts are kept unless the window length changes.
@@ -67,64 +70,80 @@
 
 // Request counts a request of a caller.
 func (b *Budget) Request(now time.Time, svc state.ServiceID) {
-	w := b.window(now, svc)
-	w.requests[w.slice%int64(len(w.requests))]++
+	w := &b.account(now, svc).own
+	w.requests[w.index(0)]++
 }
 
 // Spend takes one retry from the budget of a service and reports whether there was one
-// left.
+// left that a written record covers.
 func (b *Budget) Spend(now time.Time, svc state.ServiceID, by SlackShare) bool {
 	if b.Left(now, svc, by) < 1 {
 		return false
 	}
-	w := b.window(now, svc)
-	w.retries[w.slice%int64(len(w.retries))]++
+	a := b.account(now, svc)
+	if !a.take(b.unrecorded) {
+		return false
+	}
+	a.own.retries[a.own.index(0)]++
 	return true
 }
 
-// Left returns how many retries Spend would still grant now. There is no slack while
-// the number of daemons that share it is unknown.
+// Left returns how many retries the allowance still has now. There is no slack while the
+// number of daemons that share it is unknown.
 func (b *Budget) Left(now time.Time, svc state.ServiceID, by SlackShare) int {
-	w := b.window(now, svc)
-	requests, retries := 0, 0
-	oldest := (w.slice + 1) % int64(len(w.requests))
+	a := b.account(now, svc)
+	requests, retries := a.own.sum()
+	inheritedRequests, inheritedRetries := a.inherited.sum()
+	allowed := b.cfg.Ratio * float64(requests+inheritedRequests)
+	if by.Daemons > 0 && !by.Withheld {
+		allowed += b.cfg.Slack / float64(by.Daemons)
+	}
+	return max(0, int(math.Floor(allowed))-retries-inheritedRetries)
+}
+
+// sum returns the requests and retries that count now.
+func (w *window) sum() (requests, retries int) {
+	oldest := w.index(sliceCount)
 	for i := range w.requests {
 		retries += w.retries[i]
-		if int64(i) != oldest {
+		if i != oldest {
 			requests += w.requests[i]
 		}
 	}
-	allowed := b.cfg.Ratio * float64(requests)
-	if by.Daemons > 0 {
-		allowed += b.cfg.Slack * by.fraction() / float64(by.Daemons)
-	}
-	return max(0, int(allowed)-retries)
+	return requests, retries
 }
 
-// fraction returns the part of the slack that all daemons in the same state as this one
-// may spend together.
-func (s SlackShare) fraction() float64 {
-	if s.Restarted {
-		return restartReserve
-	}
-	return 1 - restartReserve
+// index returns the index of the slice that is the given number of slices old, at most
+// sliceCount.
+func (w *window) index(age int64) int {
+	n := int64(len(w.requests))
+	return int(((w.slice-age)%n + n) % n)
 }
 
-// window returns a service's counts, with the slices that have expired cleared.
-func (b *Budget) window(now time.Time, svc state.ServiceID) *window {
-	w, ok := b.services[svc]
-	length := max(b.cfg.Window/sliceCount, time.Millisecond)
-	slice := max(int64(now.Sub(b.start)/length), 0)
-	if !ok {
-		w = &window{slice: slice}
-		b.services[svc] = w
-		return w
-	}
+// advance clears the slices that have expired when slice becomes the newest one.
+func (w *window) advance(slice int64) {
 	for n := 0; w.slice < slice && n < len(w.requests); n++ {
 		w.slice++
-		i := w.slice % int64(len(w.requests))
-		w.requests[i], w.retries[i] = 0, 0
+		w.requests[w.index(0)], w.retries[w.index(0)] = 0, 0
 	}
 	w.slice = max(w.slice, slice)
-	return w
+}
+
+// account returns a service's account, without the slices that have expired.
+func (b *Budget) account(now time.Time, svc state.ServiceID) *account {
+	slice := b.sliceAt(now)
+	a, ok := b.services[svc]
+	if !ok {
+		a = &account{own: window{slice: slice}, inherited: window{slice: slice}}
+		b.services[svc] = a
+		return a
+	}
+	a.own.advance(slice)
+	a.inherited.advance(slice)
+	return a
+}
+
+// sliceAt returns the number of the slice of a time.
+func (b *Budget) sliceAt(now time.Time) int64 {
+	return max(int64(now.Sub(b.start)/b.cfg.slice()), 0)
 }
--- a/coordination/retrybudget/budget_test.go
+++ b/coordination/retrybudget/budget_test.go
@@ -13,10 +13,17 @@
 
 var cfg = retrybudget.Config{Ratio: 0.2, Window: 10 * time.Second, Slack: 200}
 
+// newUnrecorded returns a budget whose retries need no record.
+func newUnrecorded(now time.Time) *retrybudget.Budget {
+	b := retrybudget.New(cfg, now)
+	b.SetUnrecorded(true)
+	return b
+}
+
 var _ = Describe("The retry budget", func() {
 	It("shares the slack among the daemons", func() {
 		now, n := time.Unix(1000, 0), 0
-		b := retrybudget.New(cfg, now)
+		b := newUnrecorded(now)
 		for b.Spend(now, "s", retrybudget.SlackShare{Daemons: 7}) {
 			n++
 		}
@@ -26,39 +33,84 @@
 
 	It("allows retries again once a window has passed", func() {
 		now := time.Unix(1000, 0)
-		b := retrybudget.New(cfg, now)
+		b := newUnrecorded(now)
 		for b.Spend(now, "s", retrybudget.SlackShare{Daemons: 7}) {
 		}
 		Expect(b.Spend(now.Add(9*time.Second), "s", retrybudget.SlackShare{Daemons: 7})).To(BeFalse())
 		Expect(b.Spend(now.Add(11*time.Second), "s", retrybudget.SlackShare{Daemons: 7})).To(BeTrue())
 	})
 
-	// All daemons lose power at once and restart. The record of spent retries is lost,
-	// so without the reserve each daemon would spend its part of the slack a second
-	// time and backend servers would get more retries than the site allows.
+	// All daemons lose power at once and restart. If the record of spent retries were lost,
+	// each daemon would spend its part of the slack a second time.
 	It("is not spent a second time by restarted daemons within one window", Label("failure:all-lose-power"), func() {
-		const daemons = 7
-		now, n := time.Unix(1000, 0), 0
-		spend := func(anew bool) {
-			for range daemons {
-				b := retrybudget.New(cfg, now)
-				for b.Spend(now, "s", retrybudget.SlackShare{Daemons: daemons, Restarted: anew}) {
-					n++
+		s := newSite(7)
+		for i := range s.daemons {
+			s.spendAll(i)
+		}
+		s.now = s.now.Add(3 * time.Second)
+		for i := range s.daemons {
+			s.restart(i)
+			s.spendAll(i)
+		}
+		Expect(len(s.retries)).To(BeNumerically("<=", cfg.Slack))
+		Expect(len(s.retries)).To(BeNumerically(">", 0.95*cfg.Slack))
+	})
+
+	// Guards against a bound that holds for one restart within a window and not for more.
+	DescribeTable("holds over restarts within a window", Label("failure:retries-after-restarts"),
+		func(rounds int, gap time.Duration, restarts func(round, daemon int) bool) {
+			s := newSite(9)
+			for round := range rounds {
+				for i := range s.daemons {
+					if round > 0 && restarts(round, i) {
+						s.restart(i)
+					}
+				}
+				for range int(gap / (100 * time.Millisecond)) {
+					s.now = s.now.Add(100 * time.Millisecond)
+					for i := range s.daemons {
+						s.request(i)
+						s.spendAll(i)
+					}
 				}
 			}
-		}
-		spend(false)
-		now = now.Add(3 * time.Second)
-		spend(true)
-		Expect(n).To(BeNumerically("<=", cfg.Slack))
-		Expect(n).To(BeNumerically(">", 0.8*cfg.Slack))
+			Expect(s.worstUse()).To(And(BeNumerically("<=", 1), BeNumerically(">", 0.8)))
+		},
+		Entry("without any", 8, 2*time.Second, func(int, int) bool { return false }),
+		Entry("of all daemons, twice", 3, 3*time.Second, func(int, int) bool { return true }),
+		Entry("of all daemons, four times", 5, 2*time.Second, func(int, int) bool { return true }),
+		Entry("of two daemons at a time, in turn", 12, time.Second, func(round, i int) bool { return i/2 == round%5 }),
+		Entry("of three daemons at a time, in turn", 8, time.Second, func(round, i int) bool { return i/3 == round%3 }),
+	)
+
+	It("spends again what a restarted daemon had left", func() {
+		s := newSite(4)
+		s.restart(0)
+		Expect(s.spendAll(0)).To(BeNumerically(">=", int(0.7*cfg.Slack/4)))
+	})
+
+	// Guards against a daemon whose table is away and that retries nothing.
+	It("is spent without records while the table does not answer", Label("failure:retries-after-restarts"), func() {
+		b := retrybudget.New(cfg, time.Unix(1000, 0))
+		now := time.Unix(1001, 0)
+		Expect(b.Spend(now, "s", retrybudget.SlackShare{Daemons: 7})).To(BeFalse())
+		Expect(b.Pending(now, "s", retrybudget.SlackShare{Daemons: 7})).To(BeTrue())
+		b.SetUnrecorded(true)
+		Expect(b.Spend(now, "s", retrybudget.SlackShare{Daemons: 7})).To(BeTrue())
+		Expect(b.Pending(now, "s", retrybudget.SlackShare{Daemons: 7})).To(BeFalse())
+	})
+
+	It("has no slack while it is withheld", func() {
+		s := newSite(1)
+		s.share.Withheld = true
+		Expect(s.spendAll(0)).To(BeZero())
 	})
 
 	// A daemon that has just started knows of no other daemon yet and would take the
 	// whole slack for itself.
 	It("has no slack while the number of daemons is unknown", Label("failure:all-lose-power"), func() {
 		now := time.Unix(1000, 0)
-		b := retrybudget.New(cfg, now)
+		b := newUnrecorded(now)
 		Expect(b.Spend(now, "s", retrybudget.SlackShare{Daemons: 0})).To(BeFalse())
 		for range 10 {
 			b.Request(now, "s")
@@ -68,7 +120,7 @@
 
 	It("counts each service separately", func() {
 		now := time.Unix(1000, 0)
-		b := retrybudget.New(cfg, now)
+		b := newUnrecorded(now)
 		for b.Spend(now, "s", retrybudget.SlackShare{Daemons: 7}) {
 		}
 		Expect(b.Spend(now, "t", retrybudget.SlackShare{Daemons: 7})).To(BeTrue())
@@ -80,7 +132,7 @@
 func TestBudgetHoldsInEverySpan(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		now := time.Unix(1000, 0)
-		b := retrybudget.New(cfg, now)
+		b := newUnrecorded(now)
 		var requests, retries []time.Time
 		for range rapid.IntRange(1, 400).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond)
--- /dev/null
+++ b/coordination/retrybudget/site_test.go
@@ -0,0 +1,126 @@
+package retrybudget_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/hibiscuswick/hibiscuswick/coordination/retrybudget"
+	"github.com/hibiscuswick/hibiscuswick/state"
+)
+
+var services = []state.ServiceID{"s"}
+
+// budgetSite is daemons that share one slack and keep their records in a table.
+type budgetSite struct {
+	now      time.Time
+	began    time.Time
+	share    retrybudget.SlackShare
+	daemons  []*retrybudget.Budget
+	table    []retrybudget.Record
+	requests []time.Time
+	retries  []time.Time
+}
+
+func newSite(daemons int) *budgetSite {
+	s := &budgetSite{now: time.Unix(1000, 0), began: time.Unix(1000, 0), share: retrybudget.SlackShare{Daemons: daemons}}
+	for range daemons {
+		s.daemons = append(s.daemons, retrybudget.New(cfg, s.now))
+		s.table = append(s.table, retrybudget.Record{})
+	}
+	for i := range s.daemons {
+		s.record(i)
+	}
+	return s
+}
+
+func (s *budgetSite) tableNow() time.Duration { return s.now.Sub(s.began) }
+
+// record writes a daemon's record.
+func (s *budgetSite) record(i int) {
+	s.table[i] = s.daemons[i].NewRecord(s.now, s.tableNow(), services, s.share)
+	s.daemons[i].Written("s")
+}
+
+// restart ends a daemon and starts it again.
+func (s *budgetSite) restart(i int) {
+	s.daemons[i] = retrybudget.New(cfg, s.now)
+	s.daemons[i].Inherit(s.now, s.tableNow(), s.table[i])
+	s.record(i)
+}
+
+func (s *budgetSite) request(i int) {
+	s.daemons[i].Request(s.now, "s")
+	s.requests = append(s.requests, s.now)
+}
+
+// spendAll spends all retries that a daemon has left, and returns how many.
+func (s *budgetSite) spendAll(i int) int {
+	n := 0
+	for s.daemons[i].Left(s.now, "s", s.share) > 0 {
+		if s.daemons[i].Spend(s.now, "s", s.share) {
+			s.retries = append(s.retries, s.now)
+			n++
+			continue
+		}
+		before := s.daemons[i].Left(s.now, "s", s.share)
+		s.record(i)
+		if before != s.daemons[i].Left(s.now, "s", s.share) {
+			panic("a record changes what is left")
+		}
+	}
+	return n
+}
+
+// worstUse returns the largest ratio of retries to allowance of any interval of one window.
+func (s *budgetSite) worstUse() float64 {
+	worst := 0.0
+	within := func(list []time.Time, from, to time.Time) float64 {
+		first, _ := slices.BinarySearchFunc(list, from, time.Time.Compare)
+		end, _ := slices.BinarySearchFunc(list, to, time.Time.Compare)
+		return float64(end - first)
+	}
+	for _, last := range s.retries {
+		to := last.Add(1)
+		from := to.Add(-cfg.Window)
+		worst = max(worst, within(s.retries, from, to)/(cfg.Ratio*within(s.requests, from, to)+cfg.Slack))
+	}
+	return worst
+}
+
+// TestBudgetHoldsOverRestarts: no interval of one window contains more retries than the
+// site allows, whenever daemons restart and whenever their records are written.
+func TestBudgetHoldsOverRestarts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSite(3)
+		for range rapid.IntRange(1, 300).Draw(t, "steps") {
+			s.now = s.now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond)
+			i := rapid.IntRange(0, len(s.daemons)-1).Draw(t, "daemon")
+			switch rapid.IntRange(0, 6).Draw(t, "what") {
+			case 0:
+				s.restart(i)
+			case 1:
+				s.spendAll(i)
+			case 2:
+				s.record(i)
+			case 3: // the record is written, and its daemon is not told
+				s.table[i] = s.daemons[i].NewRecord(s.now, s.tableNow(), services, s.share)
+			case 4: // the record is lost
+				s.daemons[i].NewRecord(s.now, s.tableNow(), services, s.share)
+			case 5:
+				if s.daemons[i].Spend(s.now, "s", s.share) {
+					s.retries = append(s.retries, s.now)
+				}
+			default:
+				for range rapid.IntRange(1, 20).Draw(t, "requests") {
+					s.request(i)
+				}
+			}
+		}
+		if use := s.worstUse(); use > 1 {
+			t.Fatalf("%.2f of the allowance", use)
+		}
+	})
+}
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -33,6 +33,7 @@
 	serverFeed *feedTracker[fleet.Server]
 	assignment *assignmentState
 	permits    *permitsState
+	retries    *retryRecords
 	gauges     gauges
 
 	epoch uint64 // how often the store is known to have been restored from a backup
@@ -46,6 +47,7 @@
 	c.serverFeed = newFeedTracker(c, "servers", g.site.Servers, c.listing.applyServers, c.listing.recordRecovery)
 	c.assignment = newAssignmentState(c)
 	c.permits = &permitsState{c: c}
+	c.retries = &retryRecords{c: c}
 	c.gauges.c = c
 	return c
 }
@@ -86,6 +88,7 @@
 	c.serverFeed.tick()
 	c.assignment.tick()
 	c.permits.tick()
+	c.retries.tick()
 	c.gauges.tick()
 	c.publish()
 }
@@ -109,7 +112,7 @@
 	next := c.now.Add(10 * tickInterval)
 	for _, t := range []time.Time{
 		c.members.nextTick(), c.assignment.nextTick(), c.configFeed.machine.NextTick(c.now), c.serverFeed.machine.NextTick(c.now),
-		c.listing.nextTick(), c.permits.nextTick(),
+		c.listing.nextTick(), c.permits.nextTick(), c.retries.nextTick(),
 	} {
 		if !t.IsZero() {
 			next = earlier(next, t)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -64,6 +64,7 @@
 	storeUnanswered atomic.Bool
 
 	activeRequests  atomic.Int64 // requests in flight
+	recordRequested atomic.Bool  // the control goroutine has been asked for a record of retries
 	waitingRequests atomic.Int64 // requests in flight that wait for a server or a path
 	startedAt       time.Time    // reference point of sinceStart
 	drainStarted    atomic.Int64 // when a planned stop began, in ns since start; 0 for none
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/hibiscuswick/hibiscuswick/coordination/crashes"
@@ -70,7 +69,8 @@
 
 // memberRow is a daemon's row in the table of members, with its address for peers.
 type memberRow struct {
-	Peers string `json:"peers"`
+	Peers   string    `json:"peers"`
+	Retries *retryRow `json:"retries,omitempty"`
 }
 
 // membersState tracks the other gateways.
@@ -117,7 +117,7 @@
 	if n := m.slackShare(); n != m.c.view.slackShare {
 		m.c.view.slackShare = n
 		m.c.changed = true
-		m.c.g.log.Emit(telemetry.EventRetryShare, telemetry.Count(n.Daemons), telemetry.Detail(startNames[n.Restarted]))
+		m.c.g.log.Emit(telemetry.EventRetryShare, telemetry.Count(n.Daemons), telemetry.Detail(shareNames[n.Withheld]))
 	}
 	if m.seedDue() {
 		m.lastSeed = m.c.now
@@ -154,54 +154,56 @@
 func (m *membersState) seed(rowWritten bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 	defer cancel()
-	table := m.c.g.site.Members
-	rows, err := table.Read(ctx)
+	read, err := m.c.g.readMembers(ctx)
 	if err == nil && !rowWritten {
-		rowWritten = m.rowIsCurrent(rows) || m.writeRow(ctx)
-		if len(rows.Rows) == 0 { // another first daemon may have written meanwhile
-			rows, err = table.Read(ctx)
+		isFirst := len(read.rows.Rows) == 0
+		rowWritten = read.own.Peers == m.c.g.currentSettings().PeerAddress || m.writeRow(ctx, read)
+		if isFirst { // another first daemon may have written meanwhile
+			var again *tableRead
+			if again, err = m.c.g.readMembers(ctx); err == nil {
+				read.rows = again.rows
+			}
 		}
 	}
-	m.c.post(func() { m.seeded(rowWritten, rows, err) })
+	m.c.post(func() { m.seeded(rowWritten, read, err) })
 }
 
-// rowIsCurrent reports whether the table contains this daemon's current row.
-func (m *membersState) rowIsCurrent(rows site.Rows) bool {
+// writeRow writes this daemon's row to the table and keeps what the row says of the retry
+// budget.
+func (m *membersState) writeRow(ctx context.Context, read *tableRead) bool {
 	g := m.c.g
-	return slices.ContainsFunc(rows.Rows, func(r site.Row) bool {
-		var member memberRow
-		return r.Key == string(g.self.ID) && json.Unmarshal(r.Value, &member) == nil && member.Peers == g.currentSettings().PeerAddress
-	})
-}
-
-// writeRow writes this daemon's row to the table.
-func (m *membersState) writeRow(ctx context.Context) bool {
-	g := m.c.g
-	row, err := json.Marshal(memberRow{Peers: g.currentSettings().PeerAddress})
-	if err == nil {
-		_, err = g.site.Members.Commit(ctx, site.Change{Key: string(g.self.ID), Value: row})
+	next := memberRow{Peers: g.currentSettings().PeerAddress, Retries: read.own.Retries}
+	if read.revision == 0 {
+		next.Retries = &retryRow{Incarnation: g.self.Incarnation, Epoch: read.rows.Epoch, FirstRow: read.rows.Now}
 	}
-	if err != nil {
-		g.log.Emit(telemetry.EventStoreUnavailable, telemetry.Detail("members"), telemetry.Cause(err))
+	row, err := json.Marshal(next)
+	if err == nil {
+		var revision uint64
+		revision, err = g.site.Members.Commit(ctx, site.Change{Key: string(g.self.ID), Value: row, Conditional: true, Revision: read.revision})
+		if err == nil {
+			read.revision = revision
+			return true
+		}
 	}
-	return err == nil
+	g.log.Emit(telemetry.EventStoreUnavailable, telemetry.Detail("members"), telemetry.Cause(err))
+	return false
 }
 
-func (m *membersState) seeded(rowWritten bool, rows site.Rows, err error) {
+func (m *membersState) seeded(rowWritten bool, read *tableRead, err error) {
 	m.reading = false
 	m.rowWritten = rowWritten
 	if err != nil {
 		m.c.g.log.Emit(telemetry.EventStoreUnavailable, telemetry.Detail("members"), telemetry.Cause(err))
 		return
 	}
-	m.rowCount = len(rows.Rows)
+	m.c.retries.loaded(read)
+	m.rowCount = len(read.rows.Rows)
 	m.c.view.memberRows = m.rowCount
 	m.c.changed = true
 	var seeds membership.Seeds
-	for _, r := range rows.Rows {
-		var member memberRow
-		if err := json.Unmarshal(r.Value, &member); err == nil && member.Peers != m.c.g.currentSettings().PeerAddress {
-			seeds.Addresses = append(seeds.Addresses, member.Peers)
+	for _, r := range read.rows.Rows {
+		if address := parseMemberRow(r).Peers; address != "" && address != m.c.g.currentSettings().PeerAddress {
+			seeds.Addresses = append(seeds.Addresses, address)
 		}
 	}
 	m.step(seeds)
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -83,7 +83,7 @@
 		MaxAttempts: r.route.MaxAttempts,
 		Deadline:    r.deadline,
 		SpendRetry: func(now time.Time) bool {
-			return r.g.shared.spendRetry(now, r.service.ID, r.view.slackShare)
+			return r.g.spendRetry(now, r.service.ID, r.view.slackShare)
 		},
 	}
 	r.g.shared.recordRequest(r.req.Arrived, r.service.ID)
@@ -175,6 +175,7 @@
 	if errors.Is(context.Cause(ctx), context.Canceled) {
 		return relay.Decision{} // the caller has disconnected: no further attempt
 	}
+	r.awaitRetryRecord(ctx, outcome)
 	d := r.attemptEnded(outcome)
 	for d.RetryLater && ctx.Err() == nil {
 		sleep(ctx, budgetPollInterval)
--- a/gateway/sharedstate.go
+++ b/gateway/sharedstate.go
@@ -204,12 +204,6 @@
 	latency.abandonBudget = min(latency.abandonBudget+abandonShare, maxAbandons)
 }
 
-func (s *sharedState) spendRetry(now time.Time, svc state.ServiceID, share retrybudget.SlackShare) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.budget.Spend(now, svc, share)
-}
-
 func (s *sharedState) trackStream(now time.Time, path fleet.Path) *suspect.Stream {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/gateway/slackshare.go
+++ b/gateway/slackshare.go
@@ -11,8 +11,8 @@
 // shares.
 const maxLiveTTL = 30 * time.Second
 
-// startNames are the values of retrybudget.SlackShare.Restarted in logs.
-var startNames = map[bool]string{false: "running", true: "restarted"}
+// shareNames are the values of retrybudget.SlackShare.Withheld in logs.
+var shareNames = map[bool]string{false: "granted", true: "withheld"}
 
 // slackShare returns how the slack of the retry budget is shared. A daemon that sees no
 // other has lost or not yet found them: it then uses the number of rows in the table of
@@ -22,27 +22,9 @@
 	if live >= m.maxLive || m.c.now.Sub(m.maxLiveAt) > maxLiveTTL {
 		m.maxLive, m.maxLiveAt = live, m.c.now
 	}
-	out := retrybudget.SlackShare{Daemons: m.rowCount, Restarted: m.restartedTogether()}
+	out := retrybudget.SlackShare{Daemons: m.rowCount, Withheld: m.c.retries.withheld()}
 	if m.maxLive > 1 {
 		out.Daemons = m.maxLive
 	}
 	return out
 }
-
-// restartedTogether reports whether this daemon started within the last window of the
-// budget, together with many others. Incarnations are numbered by the wall clock at their
-// start; a clock that jumps by a few seconds in between makes little difference.
-func (m *membersState) restartedTogether() bool {
-	g := m.c.g
-	window := g.currentSettings().BudgetWindow
-	if g.sinceStart(m.c.now) >= window {
-		return false
-	}
-	recent := 0
-	for _, i := range m.c.view.members.Members {
-		if i.Live() && time.Duration(int64(g.self.Incarnation)-int64(i.Member.Incarnation)).Abs() < window {
-			recent++
-		}
-	}
-	return float64(recent) > retrybudget.RestartedFraction*float64(max(m.maxLive, m.rowCount))
-}
