gateway: the slack of the retry budget is divided by all daemons that may be alive

Cause: a gateway divided the slack by the daemons that it saw, as soon as it saw one other, so that one that started beside a partition and saw one of nine took half of the slack; and it forgot those out of sight after 30 s, so that both sides of a longer partition took all of it.

Change: the table's rows count until 10 min after it was read, dead daemons for as long as the membership keeps them (10 min), those that left for a window. Idle connections and shares of permits are divided as before.

Two specs, both red before: 2 of 10 daemons counted, and 0 of 9 after a minute's partition. Green with the change.

--- a/gateway/members.go
+++ b/gateway/members.go
@@ -84,9 +84,11 @@
 	viewChanged   bool      // c.view.members must be updated
 	viewAppliedAt time.Time // when it was last updated
 
-	rowCount  int       // daemons in the table when it was last read; 0 for never
-	maxLive   int       // highest recent number of live daemons
-	maxLiveAt time.Time // when that number was observed
+	rowCount int       // daemons in the table when it was last read; 0 for never
+	known    int       // daemons that may be alive: live, dead for a short time, or listed and not yet seen
+	seededAt time.Time // when the table was last read
+	maxLive  recentMax
+	maxKnown recentMax
 }
 
 func newMembersState(c *control) *membersState {
@@ -114,6 +116,10 @@
 func (m *membersState) tick() {
 	m.step(membership.Tick{})
 	m.applyView()
+	if n := m.siteSize(); n != m.c.view.siteSize {
+		m.c.view.siteSize = n
+		m.c.changed = true
+	}
 	if n := m.slackShare(); n != m.c.view.slackShare {
 		m.c.view.slackShare = n
 		m.c.changed = true
@@ -207,6 +213,8 @@
 		}
 	}
 	m.step(seeds)
+	m.seededAt = m.c.now
+	m.known = m.knownDaemons(m.machine.View())
 }
 
 func (m *membersState) step(ev membership.Event) {
@@ -266,6 +274,7 @@
 	domain := m.c.g.currentSettings().Domain
 	v := &m.c.view
 	v.members, v.live, v.liveInDomain = m.machine.View(), 0, 0
+	m.known = m.knownDaemons(v.members)
 	for _, i := range v.members.Members {
 		if !i.Live() {
 			continue
--- a/gateway/members_internal_test.go
+++ b/gateway/members_internal_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/hibiscuswick/hibiscuswick/coordination/membership"
+	"github.com/hibiscuswick/hibiscuswick/protocol/site"
 	"github.com/hibiscuswick/hibiscuswick/state"
 )
 
@@ -48,3 +49,39 @@
 		Expect(c.now.Sub(learned)).To(BeNumerically("<=", 301*viewIntervalPerMember))
 	})
 })
+
+var _ = Describe("The slack of the retry budget", func() {
+	// Guards against a daemon that starts beside a network partition, sees one other daemon and
+	// takes half of the slack for itself.
+	It("is divided by all daemons that the table lists, also those out of sight", Label("failure:slack-shared-by-those-in-sight"), func() {
+		c := newTestControl(GinkgoTB())
+		read := &tableRead{asked: c.now, got: c.now}
+		for i := range 9 {
+			row := fmt.Sprintf(`{"peers":"127.0.1.%d:1"}`, i)
+			read.rows.Rows = append(read.rows.Rows, site.Row{Key: fmt.Sprintf("e%03d", i), Value: []byte(row), Revision: uint64(i + 1)})
+		}
+		c.members.seeded(true, read, nil)
+		learn(c, 1)
+		c.now = c.now.Add(time.Second)
+		c.tick()
+		Expect(c.view.live).To(Equal(2))
+		Expect(c.view.slackShare.Daemons).To(Equal(10), "nine listed ones and this one")
+	})
+
+	// Guards against two sides of a partition that each take the slack of the other after a while.
+	It("is divided by daemons that are cut off, for as long as they may be alive", Label("failure:slack-shared-by-those-in-sight"), func() {
+		c := newTestControl(GinkgoTB())
+		for i := range 8 {
+			learn(c, i)
+		}
+		c.now = c.now.Add(time.Second)
+		c.tick()
+		Expect(c.view.slackShare.Daemons).To(Equal(9))
+		for range 600 { // a minute without any answer
+			c.now = c.now.Add(100 * time.Millisecond)
+			c.tick()
+		}
+		Expect(c.view.live).To(Equal(1))
+		Expect(c.view.slackShare.Daemons).To(Equal(9))
+	})
+})
--- a/gateway/permits.go
+++ b/gateway/permits.go
@@ -63,7 +63,7 @@
 // those that it has seen recently or that the table lists. It returns 0 if nothing is known
 // of others.
 func (s *permitsState) liveShare() float64 {
-	all := s.c.view.slackShare.Daemons
+	all := s.c.view.siteSize
 	if all == 0 {
 		return 0
 	}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -331,7 +331,7 @@
 // leave a server with idle connections only, and requests that need a new one would be
 // reset.
 func (r *requestHandler) maxIdleConns() int {
-	daemons := max(r.view.slackShare.Daemons, r.view.live, 1)
+	daemons := max(r.view.siteSize, r.view.live, 1)
 	if r.service.MaxConns <= 0 {
 		return 0
 	}
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -23,6 +23,7 @@
 	live         int // live daemons, including this one
 	liveInDomain int // of those, in this daemon's failure domain
 	memberRows   int // daemons in the table of members when it was read; 0 for never
+	siteSize     int // daemons of the site, also those that were seen last a short time ago; 0 if unknown
 	slackShare   retrybudget.SlackShare
 	draining     bool
 }
