gateway: log requests that wait for a connection to a server

Timeline: 5.000 to 17.000 s six of nine machines are cut off from all servers, 47.000 to 59.000 s four. Requests to them wait until their callers leave after 2 s, or are refused after 0.9 s (plain servers). Hypotheses, before any change of logic: (1) the daemons do not notice: connections hang, and each request waits on its own; (2) they notice, and those that answer address queries are not told; (3) they withdraw, and callers keep old answers and connections.

--- a/gateway/path.go
+++ b/gateway/path.go
@@ -45,7 +45,9 @@
 	timer := r.watchFirstEvent(cancel)
 	sent := time.Now()
 	r.runStart = sent
+	connectTimer := r.watchConnect()
 	answer, err := r.g.backends.Send(ctx, call)
+	stopTimer(connectTimer)
 	stopTimer(timer)
 	if err != nil {
 		return r.handleSendError(ctx, err), Result{}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -46,6 +46,7 @@
 	path         fleet.Path // servers of the current attempt; a plain server is its only hop
 	runStart     time.Time  // when the current attempt was sent, or when its answer began as a stream
 	gaps         eventGaps
+	connected    atomic.Bool // the call of the current attempt has a connection
 	// olderRunEnded is set once a server has ended under a run of the request that had not just begun.
 	olderRunEnded atomic.Bool
 	failure       *serverFailure // the last one, or nil
@@ -295,7 +296,7 @@
 		LastEventID:  r.lastEventID,
 		Rank:         r.rank(),
 		MaxIdleConns: r.maxIdleConns(),
-		Admit:        func() bool { return !r.callerLeft() && r.g.shared.isWanted(time.Now(), s) },
+		Admit:        func() bool { return r.admit(s) },
 	}
 }
 
--- a/telemetry/catalogue.go
+++ b/telemetry/catalogue.go
@@ -53,6 +53,7 @@
 	{EventCallBroken, "call_broken", logrus.InfoLevel, "A call to a backend server broke off. The detail says after which part of the answer, and what a probe then showed of the server; the content is the fingerprint of the request's content."},
 	{EventContentCleared, "content_cleared", logrus.InfoLevel, "An answer has cleared a request's content of the backend servers that ended while they ran it; the count is their number."},
 	{EventRetryShare, "retry_share", logrus.InfoLevel, "The part of the site's retry slack that this gateway may spend has changed. The count is the number of daemons that share the slack; the detail is withheld while the gateway may spend none, since others may have spent all of it within the last window."},
+	{EventConnectSlow, "connect_slow", logrus.InfoLevel, "A request waits for a connection to a backend server for longer than usual: the server or the path to it is in trouble."},
 	{EventStoreUnavailable, "store_unavailable", logrus.WarnLevel, "The table service does not answer; repeatable requests and requests with a claim continue."},
 	{EventStoreRecovered, "store_recovered", logrus.InfoLevel, "The table service answers again."},
 	{EventStoreBudgetSpent, "store_budget_spent", logrus.WarnLevel, "This daemon's share of store writes is exhausted; claims have priority over other writes."},
--- a/telemetry/events.go
+++ b/telemetry/events.go
@@ -63,6 +63,7 @@
 	EventCallBroken         Event = 1324
 	EventContentCleared     Event = 1325
 	EventRetryShare         Event = 1326
+	EventConnectSlow        Event = 1327
 )
 
 // Events of the store.
