gateway: a spec of gateways that are cut off from all servers, red

Six gateways, four of them lose their links to all servers; 40 callers keep address answers for 2 s, every fourth for 6 s, and leave out addresses that have failed them. From 3 s after the cut the four serve none of 80 (connections hang) and 280 (connections are reset) first attempts, the others 65 of 65 and 1,264 of 1,264.

--- a/gateway/fake_test.go
+++ b/gateway/fake_test.go
@@ -349,14 +349,23 @@
 	return h.startAt(id, h.configs, h.serverFeed)
 }
 
+// startWith runs a gateway with its own path to the servers.
+func (h *harness) startWith(id state.DaemonID, backends backend.Client) *gateway.Gateway {
+	return h.startOn(id, h.configs, h.serverFeed, backends)
+}
+
 // startAt runs a gateway with its own connections to the site's feeds.
 func (h *harness) startAt(id state.DaemonID, configs site.Feed[*fleet.Config], servers site.Feed[fleet.Server]) *gateway.Gateway {
+	return h.startOn(id, configs, servers, h.servers)
+}
+
+func (h *harness) startOn(id state.DaemonID, configs site.Feed[*fleet.Config], servers site.Feed[fleet.Server], backends backend.Client) *gateway.Gateway {
 	create := func() (*gateway.Gateway, error) {
 		return gateway.New(gateway.Settings{
 			ID: id, Domain: "a", CallerAddress: "front-" + string(id), PeerAddress: freeAddress(), DrainTimeout: h.grace,
 			AddressTTL: 5 * time.Second, BudgetRatio: 0.2, BudgetWindow: 10 * time.Second, BudgetSlack: 100,
 		}, gateway.Site{Configs: configs, Servers: servers, Members: h.members, Leases: h.leases},
-			h.servers, h.log, telemetry.NewMetrics())
+			backends, h.log, telemetry.NewMetrics())
 	}
 	g, err := create()
 	for errors.Is(err, syscall.EADDRINUSE) { // another process has taken the free port meanwhile
--- /dev/null
+++ b/gateway/reach_test.go
@@ -0,0 +1,213 @@
+package gateway_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hibiscuswick/hibiscuswick/gateway"
+	"github.com/hibiscuswick/hibiscuswick/protocol/backend"
+	"github.com/hibiscuswick/hibiscuswick/state"
+)
+
+// cutMode is how a gateway's connections to servers fail.
+type cutMode int32
+
+// The values of cutMode.
+const (
+	notCut    cutMode = iota
+	cutSilent         // new connections hang
+	cutReset          // new connections are reset
+)
+
+// cuttableServers is one gateway's path to the fake servers.
+type cuttableServers struct {
+	*fakeServers
+	mode atomic.Int32
+}
+
+func (s *cuttableServers) set(mode cutMode) { s.mode.Store(int32(mode)) }
+
+// connectTimeout is how long the transport tries to connect.
+const connectTimeout = 1200 * time.Millisecond
+
+// dial fails while the path is cut.
+func (s *cuttableServers) dial(ctx context.Context) error {
+	switch cutMode(s.mode.Load()) {
+	case cutSilent:
+		select {
+		case <-ctx.Done():
+			return errors.Join(backend.ErrNotSent, ctx.Err())
+		case <-time.After(connectTimeout):
+			return errors.Join(backend.ErrNotSent, errors.New("i/o timeout"))
+		}
+	case cutReset:
+		return errors.Join(backend.ErrNotSent, errors.New("connection reset by peer"))
+	default:
+		return nil
+	}
+}
+
+// Send implements backend.Client.
+func (s *cuttableServers) Send(ctx context.Context, c backend.Call) (*backend.Answer, error) {
+	if err := s.dial(ctx); err != nil {
+		return nil, err
+	}
+	return s.fakeServers.Send(ctx, c)
+}
+
+// Report implements backend.Client.
+func (s *cuttableServers) Report(ctx context.Context, address string) (backend.Report, error) {
+	if err := s.dial(ctx); err != nil {
+		return backend.Report{}, err
+	}
+	return s.fakeServers.Report(ctx, address)
+}
+
+// cuttableSite is gateways that can each be cut off from all servers.
+type cuttableSite struct {
+	*harness
+	gateways map[string]*gateway.Gateway // by the address for callers
+	paths    []*cuttableServers
+}
+
+func newCuttableSite(gateways int) *cuttableSite {
+	s := &cuttableSite{harness: newHarness(), gateways: make(map[string]*gateway.Gateway)}
+	s.gateway.Close()
+	for i := range gateways {
+		path := &cuttableServers{fakeServers: s.servers}
+		id := state.DaemonID(fmt.Sprintf("c%d", i))
+		s.gateways["front-"+string(id)] = s.startWith(id, path)
+		s.paths = append(s.paths, path)
+	}
+	s.gateway = s.gateways["front-c0"]
+	s.populate()
+	for _, g := range s.gateways {
+		Eventually(func() []string { list, _ := g.Addresses("a"); return list }).WithTimeout(eventuallyTimeout).Should(HaveLen(gateways))
+	}
+	return s
+}
+
+// cut cuts the first n gateways off from all servers.
+func (s *cuttableSite) cut(n int, mode cutMode) {
+	for _, p := range s.paths[:n] {
+		p.set(mode)
+	}
+}
+
+func (s *cuttableSite) isCut(address string) bool {
+	var i int
+	_, err := fmt.Sscanf(address, "front-c%d", &i)
+	Expect(err).NotTo(HaveOccurred())
+	return cutMode(s.paths[i].mode.Load()) != notCut
+}
+
+// firstTries counts callers' first attempts, by whether their gateway was cut off.
+type firstTries struct {
+	mu           sync.Mutex
+	sent, served map[bool]int
+}
+
+// record counts one attempt.
+func (f *firstTries) record(cut, served bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.sent[cut]++
+	if served {
+		f.served[cut]++
+	}
+}
+
+// servedFarWorse reports whether gateways that were cut off served first attempts less than two
+// thirds as often as the others, and more than 10 and one in 50 of all failed there.
+func (f *firstTries) servedFarWorse() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	failed := f.sent[true] - f.served[true]
+	lessOften := f.served[true]*f.sent[false]*3 < f.served[false]*f.sent[true]*2
+	return lessOften && failed > 10+(f.sent[true]+f.sent[false])/50
+}
+
+// call makes a caller send requests until ctx ends. It keeps each address answer for keep, uses
+// the addresses at random, and leaves out those that have failed it since.
+func (s *cuttableSite) call(ctx context.Context, keep time.Duration, count func(cut, served bool)) {
+	addresses := slices.Sorted(func(yield func(string) bool) {
+		for a := range s.gateways {
+			if !yield(a) {
+				return
+			}
+		}
+	})
+	var list []string
+	var asked time.Time
+	failed := make(map[string]bool)
+	for ctx.Err() == nil {
+		if time.Since(asked) > keep {
+			list, _ = s.gateways[addresses[rand.IntN(len(addresses))]].Addresses("a")
+			asked = time.Now()
+			clear(failed)
+		}
+		usable := slices.DeleteFunc(slices.Clone(list), func(a string) bool { return failed[a] })
+		if len(usable) == 0 {
+			asked = time.Time{}
+			continue
+		}
+		address := usable[rand.IntN(len(usable))]
+		cut := s.isCut(address)
+		req := request([]string{"/again/", "/stream/", "/once/"}[rand.IntN(3)])
+		req.CallerTimeout = 2 * time.Second
+		result := s.gateways[address].Serve(ctx, req, &fakeReply{})
+		served := result.Outcome == gateway.Answered
+		if ctx.Err() == nil {
+			count(cut, served)
+		}
+		failed[address] = !served
+		time.Sleep(time.Duration(50+rand.IntN(50)) * time.Millisecond)
+	}
+}
+
+// Guards against daemons that keep callers' requests although they have lost their links to all
+// servers, which other daemons reach.
+var _ = Describe("Gateways that are cut off from all servers", Label("failure:gateway-cut-off-from-servers"), func() {
+	DescribeTable("lose callers few first attempts",
+		func(mode cutMode) {
+			s := newCuttableSite(6)
+			ctx, cancel := context.WithCancel(context.Background())
+			var counting atomic.Bool
+			tries := firstTries{sent: make(map[bool]int), served: make(map[bool]int)}
+			var callers sync.WaitGroup
+			for i := range 40 {
+				keep := 2 * time.Second // as the answers allow
+				if i%4 == 0 {
+					keep *= 3
+				}
+				callers.Go(func() {
+					s.call(ctx, keep, func(cut, served bool) {
+						if counting.Load() {
+							tries.record(cut, served)
+						}
+					})
+				})
+			}
+			time.Sleep(time.Second)
+			s.cut(4, mode)
+			time.Sleep(3 * time.Second) // until they count as stable again
+			counting.Store(true)
+			time.Sleep(4 * time.Second)
+			cancel()
+			callers.Wait()
+			GinkgoWriter.Println("sent", tries.sent, "served", tries.served)
+			Expect(tries.servedFarWorse()).To(BeFalse())
+		},
+		Entry("if new connections hang", cutSilent),
+		Entry("if new connections are reset", cutReset),
+	)
+})
