gateway, reach: a gateway that is cut off from servers sends its callers to the others

Cause: each server was judged by itself. Connections hung, each request waited on its own until its deadline, and the addresses named all gateways. Class: a fault of the observer taken for one of the observed. Ruled out: that gateways withdrew and callers kept old addresses.

Change: once new connections to a service fail, the gateway connects to a sample of its servers, and up to four other gateways to those that it does not reach. If nobody reaches the servers, nothing changes.

--- a/coordination/admission/refusal.go
+++ b/coordination/admission/refusal.go
@@ -17,6 +17,8 @@
 	AllStopping
 	// NotReady means that this daemon has no configuration yet.
 	NotReady
+	// CutOff means that this daemon reaches none of the servers, and another daemon does.
+	CutOff
 )
 
 const (
@@ -25,8 +27,8 @@
 	// retryUncovered: it takes about this time to detect a layer that no server holds and to load
 	// it.
 	retryUncovered = 2 * time.Second
-	// retryStopping: any other daemon accepts the request at once.
-	retryStopping = 20 * time.Millisecond
+	// retryElsewhere: any other daemon accepts the request at once.
+	retryElsewhere = 20 * time.Millisecond
 	// retryAllStopping: a stop takes 3 to 7 s, and the daemon that began it first is back within
 	// this time.
 	retryAllStopping = 2 * time.Second
@@ -42,8 +44,8 @@
 		return retryBusy
 	case Uncovered:
 		return retryUncovered
-	case Stopping:
-		return retryStopping
+	case Stopping, CutOff:
+		return retryElsewhere
 	case AllStopping:
 		return retryAllStopping
 	case NotReady:
--- /dev/null
+++ b/coordination/reach/doc.go
@@ -0,0 +1,20 @@
+// Package reach decides whether a daemon has lost its links to the servers of a service, and
+// keeps which other daemons have.
+//
+// Connections that fail say little by themselves: the servers may be gone for everyone. A
+// daemon is cut off from a service if new connections to most of its servers fail, and another
+// daemon reaches at least half of the same servers. Connections that are already open are no
+// evidence: they may live on while new ones fail.
+//
+// # The caller's contract
+//
+// The caller reports each new connection, established or failed, and runs a check when
+// CheckDue reports true: it connects to a sample of the service's servers, asks other daemons
+// whether they reach those that it does not, and reports the result with Checked. While CutOff reports true it
+// repeats the check every RecheckInterval, and tells the other daemons every NoticeInterval.
+//
+// # Failures that the package guards against
+//
+//   - gateway-cut-off-from-servers: a daemon whose links to the servers are lost keeps
+//     attracting requests that the others could serve.
+package reach
--- /dev/null
+++ b/coordination/reach/reach.go
@@ -0,0 +1,171 @@
+package reach
+
+import (
+	"time"
+
+	"github.com/hibiscuswick/hibiscuswick/state"
+)
+
+const (
+	// CheckInterval is the time between two checks of a service.
+	CheckInterval = 250 * time.Millisecond
+	// RecheckInterval is the time between two checks while this daemon is cut off.
+	RecheckInterval = 300 * time.Millisecond
+	// NoticeInterval is how often a daemon tells the others that it is cut off.
+	NoticeInterval = time.Second
+	// noticeTTL is how long such a notice holds: one may be lost.
+	noticeTTL = 2500 * time.Millisecond
+	// minFailing is how many servers new connections have to fail at before a check.
+	minFailing = 2
+)
+
+// Notice tells other daemons whether the sender is cut off from servers of a service.
+type Notice struct {
+	Daemon state.DaemonID `msgpack:"daemon"`
+	CutOff bool           `msgpack:"cut"`
+}
+
+// CheckResult is the result of a check of a service.
+type CheckResult uint8
+
+// The values of CheckResult.
+const (
+	// Unknown means that the check shows nothing: this process did not run, the service has no
+	// servers, or some are reached and many are not.
+	Unknown CheckResult = iota
+	// Reached means that most servers are reached.
+	Reached
+	// ReachedByOthers means that few servers are reached, and another daemon reaches the others.
+	ReachedByOthers
+	// ReachedByNone means that few servers are reached, and no other daemon is known to reach the
+	// others.
+	ReachedByNone
+)
+
+// minFailedShare is the fraction of servers from which on few of them are reached.
+const minFailedShare = 0.75
+
+// ResultOf returns the result of a check that did not reach some of the servers, before other
+// daemons are asked.
+func ResultOf(servers, failed int) CheckResult {
+	switch {
+	case servers == 0:
+		return Unknown
+	case float64(failed) >= minFailedShare*float64(servers):
+		return ReachedByNone
+	case 2*failed < servers:
+		return Reached
+	default:
+		return Unknown
+	}
+}
+
+// service is what is known of the connections to one service.
+type service struct {
+	failing   map[string]struct{} // addresses at which new connections failed since the last success
+	checkedAt time.Time
+	cutOff    bool
+}
+
+// daemonState is the last notice of another daemon.
+type daemonState struct {
+	at     time.Time
+	cutOff bool
+}
+
+// Tracker is the state of one daemon. It is not safe for concurrent use.
+type Tracker struct {
+	services map[state.ServiceID]*service
+	daemons  map[state.DaemonID]daemonState
+}
+
+// NewTracker returns an empty Tracker.
+func NewTracker() *Tracker {
+	return &Tracker{services: make(map[state.ServiceID]*service), daemons: make(map[state.DaemonID]daemonState)}
+}
+
+func (t *Tracker) service(id state.ServiceID) *service {
+	s, ok := t.services[id]
+	if !ok {
+		s = &service{failing: make(map[string]struct{})}
+		t.services[id] = s
+	}
+	return s
+}
+
+// Connected reports a new connection to a server of a service.
+func (t *Tracker) Connected(id state.ServiceID) {
+	clear(t.service(id).failing)
+}
+
+// ConnectFailed reports that a new connection to a server failed or takes too long.
+func (t *Tracker) ConnectFailed(id state.ServiceID, address string) {
+	t.service(id).failing[address] = struct{}{}
+}
+
+// CheckDue reports whether the service should be checked now, given the number of its
+// servers, and if so begins the check.
+func (t *Tracker) CheckDue(now time.Time, id state.ServiceID, servers int) bool {
+	s := t.service(id)
+	if len(s.failing) < min(minFailing, servers) || now.Sub(s.checkedAt) < CheckInterval {
+		return false
+	}
+	s.checkedAt = now
+	return true
+}
+
+// Checked reports the result of a check. It returns whether CutOff of the service has changed.
+func (t *Tracker) Checked(id state.ServiceID, result CheckResult) (changed bool) {
+	s := t.service(id)
+	before := s.cutOff
+	switch result {
+	case Reached:
+		t.Connected(id)
+		s.cutOff = false
+	case ReachedByOthers:
+		s.cutOff = true
+	case ReachedByNone:
+		s.cutOff = false
+	case Unknown:
+	}
+	return s.cutOff != before
+}
+
+// CutOff reports whether this daemon is cut off from the servers of a service.
+func (t *Tracker) CutOff(id state.ServiceID) bool {
+	s, ok := t.services[id]
+	return ok && s.cutOff
+}
+
+// CutOffFromAny reports whether this daemon is cut off from the servers of any service.
+func (t *Tracker) CutOffFromAny() bool {
+	for _, s := range t.services {
+		if s.cutOff {
+			return true
+		}
+	}
+	return false
+}
+
+// Keep drops the services that are not listed.
+func (t *Tracker) Keep(listed func(state.ServiceID) bool) {
+	for id := range t.services {
+		if !listed(id) {
+			delete(t.services, id)
+		}
+	}
+}
+
+// Receive applies another daemon's notice, as of the time at which it was sent.
+func (t *Tracker) Receive(at time.Time, n Notice) {
+	if old, ok := t.daemons[n.Daemon]; ok && at.Before(old.at) {
+		return
+	}
+	t.daemons[n.Daemon] = daemonState{at: at, cutOff: n.CutOff}
+}
+
+// OtherCutOff reports whether another daemon is cut off, as far as it has told.
+func (t *Tracker) OtherCutOff(now time.Time, id state.DaemonID) bool {
+	d, ok := t.daemons[id]
+	return ok && d.cutOff && now.Sub(d.at) < noticeTTL
+}
--- /dev/null
+++ b/coordination/reach/reach_test.go
@@ -0,0 +1,85 @@
+package reach_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hibiscuswick/hibiscuswick/coordination/reach"
+	"github.com/hibiscuswick/hibiscuswick/state"
+)
+
+func TestReach(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Reach")
+}
+
+var _ = Describe("A daemon", func() {
+	var t *reach.Tracker
+	now := time.Unix(1000, 0)
+	BeforeEach(func() { t = reach.NewTracker() })
+
+	// Guards against checks of a service at each server that ends.
+	It("checks a service only if several servers fail since the last connection", Label("failure:gateway-cut-off-from-servers"), func() {
+		t.ConnectFailed("s", "a")
+		t.ConnectFailed("s", "a")
+		Expect(t.CheckDue(now, "s", 9)).To(BeFalse())
+		Expect(t.CheckDue(now, "s", 1)).To(BeTrue(), "the only server fails")
+		t.ConnectFailed("s", "b")
+		later := now.Add(reach.CheckInterval)
+		Expect(t.CheckDue(later, "s", 9)).To(BeTrue())
+		Expect(t.CheckDue(later, "s", 9)).To(BeFalse(), "the check has begun")
+		t.Connected("s")
+		Expect(t.CheckDue(later.Add(reach.CheckInterval), "s", 9)).To(BeFalse())
+	})
+
+	DescribeTable("is cut off only if others reach what it does not", Label("failure:gateway-cut-off-from-servers"),
+		func(result reach.CheckResult, cutOff bool) {
+			Expect(t.Checked("s", result)).To(Equal(cutOff))
+			Expect(t.CutOff("s")).To(Equal(cutOff))
+			Expect(t.CutOffFromAny()).To(Equal(cutOff))
+			Expect(t.CutOff("t")).To(BeFalse())
+		},
+		Entry("a server is reached", reach.Reached, false),
+		Entry("others reach one", reach.ReachedByOthers, true),
+		Entry("nobody reaches any", reach.ReachedByNone, false),
+		Entry("the check shows nothing", reach.Unknown, false),
+	)
+
+	DescribeTable("asks others about servers if it reaches few", func(servers, failed int, result reach.CheckResult) {
+		Expect(reach.ResultOf(servers, failed)).To(Equal(result))
+	},
+		Entry("none are listed", 0, 0, reach.Unknown),
+		Entry("the only one fails", 1, 1, reach.ReachedByNone),
+		Entry("one of three fails", 3, 1, reach.Reached),
+		Entry("half fail", 8, 4, reach.Unknown),
+		Entry("all but two fail", 8, 6, reach.ReachedByNone),
+		Entry("all fail", 8, 8, reach.ReachedByNone),
+	)
+
+	It("is no longer cut off once it reaches a server", func() {
+		t.Checked("s", reach.ReachedByOthers)
+		Expect(t.Checked("s", reach.Unknown)).To(BeFalse())
+		Expect(t.CutOff("s")).To(BeTrue())
+		Expect(t.Checked("s", reach.Reached)).To(BeTrue())
+		Expect(t.CutOff("s")).To(BeFalse())
+	})
+
+	It("forgets services that are no longer listed", func() {
+		t.Checked("s", reach.ReachedByOthers)
+		t.Keep(func(state.ServiceID) bool { return false })
+		Expect(t.CutOffFromAny()).To(BeFalse())
+	})
+
+	// Guards against a daemon that stays out of the addresses because its last notice was lost.
+	It("believes notices for a while, and the newest one of a daemon", func() {
+		t.Receive(now, reach.Notice{Daemon: "d", CutOff: true})
+		Expect(t.OtherCutOff(now.Add(2*time.Second), "d")).To(BeTrue())
+		Expect(t.OtherCutOff(now.Add(3*time.Second), "d")).To(BeFalse())
+		t.Receive(now.Add(time.Second), reach.Notice{Daemon: "d"})
+		t.Receive(now, reach.Notice{Daemon: "d", CutOff: true})
+		Expect(t.OtherCutOff(now.Add(time.Second), "d")).To(BeFalse())
+	})
+})
--- a/coordination/relay/relay.go
+++ b/coordination/relay/relay.go
@@ -27,12 +27,14 @@
 
 // The values of Reason.
 const (
-	ReasonNone        Reason = ""
-	ReasonDeadline    Reason = "deadline"
-	ReasonAttempts    Reason = "attempts"
-	ReasonBudget      Reason = "retry_budget"
-	ReasonRunOnce     Reason = "run_once"
-	ReasonNoServer    Reason = "no_server"
+	ReasonNone     Reason = ""
+	ReasonDeadline Reason = "deadline"
+	ReasonAttempts Reason = "attempts"
+	ReasonBudget   Reason = "retry_budget"
+	ReasonRunOnce  Reason = "run_once"
+	ReasonNoServer Reason = "no_server"
+	// ReasonCutOff means that this daemon reaches none of the servers, and another daemon does.
+	ReasonCutOff      Reason = "cut_off"
 	ReasonBrokenAgain Reason = "broken"
 	// ReasonLimited means that only servers with a rate limit could take the request, and it got no
 	// permit.
--- a/gateway/addresses.go
+++ b/gateway/addresses.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/samber/lo"
+
 	"github.com/hibiscuswick/hibiscuswick/coordination/membership"
 	"github.com/hibiscuswick/hibiscuswick/state"
 )
@@ -18,13 +20,13 @@
 // the answer.
 func (g *Gateway) Addresses(_ state.FailureDomain) ([]string, time.Duration) {
 	v := g.currentView.Load()
-	var out []string
+	var accepting []membership.Info
 	for _, i := range v.members.Members {
-		if i.State != membership.Alive || i.Draining || i.Meta.CallerAddress == "" {
-			continue
+		if i.State == membership.Alive && !i.Draining && i.Meta.CallerAddress != "" {
+			accepting = append(accepting, i)
 		}
-		out = append(out, i.Meta.CallerAddress)
 	}
+	out := lo.Map(g.reach.listedForCallers(accepting), func(i membership.Info, _ int) string { return i.Meta.CallerAddress })
 	if len(out) == 0 {
 		out = append(out, g.currentSettings().CallerAddress)
 	}
--- a/gateway/connect.go
+++ b/gateway/connect.go
@@ -1,9 +1,13 @@
 package gateway
 
 import (
+	"context"
 	"time"
 
+	"github.com/hibiscuswick/hibiscuswick/coordination/admission"
+	"github.com/hibiscuswick/hibiscuswick/coordination/relay"
 	"github.com/hibiscuswick/hibiscuswick/state"
+	"github.com/hibiscuswick/hibiscuswick/state/fleet"
 	"github.com/hibiscuswick/hibiscuswick/telemetry"
 )
 
@@ -11,23 +15,45 @@
 // the server or the path to it: a round trip takes 1 to 40 ms.
 const slowConnect = 150 * time.Millisecond
 
-// watchConnect reports if the call of the current attempt has no connection after slowConnect.
-// The caller stops the timer once the call has ended.
-func (r *requestHandler) watchConnect() *time.Timer {
+// watchConnect checks whether this daemon is cut off if the call of the current attempt has no
+// connection after slowConnect, and cancels the call if so. The caller stops the timer once the
+// call has ended.
+func (r *requestHandler) watchConnect(cancel context.CancelFunc) *time.Timer {
 	r.connected.Store(false)
-	server, address := r.path[0].Server, r.address
+	svc, server, address := r.service.ID, r.path[0].Server, r.address
 	return time.AfterFunc(slowConnect, func() {
 		if r.connected.Load() {
 			return
 		}
-		r.g.log.Emit(telemetry.EventConnectSlow, telemetry.Request(r.req.ID), telemetry.Service(r.service.ID),
+		r.g.log.Emit(telemetry.EventConnectSlow, telemetry.Request(r.req.ID), telemetry.Service(svc),
 			telemetry.Backend(server.ID), telemetry.Address(address))
+		r.g.reach.connectFailed(svc, address)
+		if r.g.reach.cutOffFrom(svc) && !r.connected.Load() {
+			cancel()
+		}
 	})
 }
 
 // admit is called when the connection for the current attempt is ready. It reports whether the
 // request may be sent to the server.
-func (r *requestHandler) admit(server state.BackendIncarnation) bool {
+func (r *requestHandler) admit(server state.BackendIncarnation, reused bool) bool {
 	r.connected.Store(true)
+	if !reused {
+		r.g.reach.connected(r.service.ID)
+	}
 	return !r.callerLeft() && r.g.shared.isWanted(time.Now(), server)
 }
+
+// mayGoElsewhere reports whether the caller may have the request, or the rest of its answer, from
+// another daemon.
+func (r *requestHandler) mayGoElsewhere() bool {
+	return !r.headSent || r.route.Repeat == fleet.Resumable
+}
+
+// cutOffResult is the result of a request that other daemons can serve and this one can't.
+func (r *requestHandler) cutOffResult() Result {
+	if r.retrier.NeverRan() && !r.headSent {
+		return refusedResult(relay.ReasonCutOff, admission.CutOff)
+	}
+	return r.failedResult(relay.ReasonCutOff)
+}
--- a/gateway/fake_test.go
+++ b/gateway/fake_test.go
@@ -56,7 +56,7 @@
 	if s.connect != nil {
 		s.connect(c)
 	}
-	if c.Admit != nil && !c.Admit() {
+	if c.Admit != nil && !c.Admit(false) {
 		return nil, errors.Join(backend.ErrNotSent, backend.ErrWithdrawn)
 	}
 	s.mu.Lock()
@@ -184,6 +184,16 @@
 	return append([]time.Time(nil), s.requestsAt[address]...)
 }
 
+// Connect implements backend.Client.
+func (s *fakeServers) Connect(_ context.Context, address string) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.dead[address] || s.ended[address] {
+		return errors.Join(backend.ErrNotSent, errors.New("connection refused"))
+	}
+	return nil
+}
+
 // Order implements backend.Client: the engine lists its layers at once.
 func (s *fakeServers) Order(_ context.Context, o backend.Order) (backend.OrderAnswer, error) {
 	s.mu.Lock()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -49,6 +49,7 @@
 
 	shared *sharedState
 	prober *prober
+	reach  *reachChecker
 	// endedRuns and clearedContents are to be told to the other daemons.
 	endedRuns       *batch[endedRun]
 	clearedContents *batch[crashes.Fingerprint]
@@ -89,6 +90,7 @@
 	}
 	g.settings.Store(&set)
 	g.prober = newProber(g)
+	g.reach = newReachChecker(g)
 	g.endedRuns = &batch[endedRun]{delay: endNoticeDelay, flush: g.broadcastEnds}
 	g.clearedContents = &batch[crashes.Fingerprint]{delay: clearNoticeDelay, flush: g.broadcastCleared}
 	listener, err := net.Listen("tcp", set.PeerAddress)
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -10,6 +10,7 @@
 	"github.com/hibiscuswick/hibiscuswick/coordination/following"
 	"github.com/hibiscuswick/hibiscuswick/coordination/membership"
 	"github.com/hibiscuswick/hibiscuswick/coordination/permits"
+	"github.com/hibiscuswick/hibiscuswick/coordination/reach"
 	"github.com/hibiscuswick/hibiscuswick/coordination/suspect"
 	"github.com/hibiscuswick/hibiscuswick/protocol/peer"
 	"github.com/hibiscuswick/hibiscuswick/protocol/site"
@@ -46,6 +47,9 @@
 	kindPermitRequest peer.Kind = 1800
 	kindPermitGrant   peer.Kind = 1801
 	kindLimitNotice   peer.Kind = 1802
+	kindReachNotice   peer.Kind = 1900
+	kindReachRequest  peer.Kind = 1901
+	kindReachResponse peer.Kind = 1902
 )
 
 // newRegistry registers every message between gateways.
@@ -64,6 +68,9 @@
 	peer.Register[permits.PermitRequest](r, kindPermitRequest)
 	peer.Register[permits.PermitGrant](r, kindPermitGrant)
 	peer.Register[permits.LimitNotice](r, kindLimitNotice)
+	peer.Register[reach.Notice](r, kindReachNotice)
+	peer.Register[reachRequest](r, kindReachRequest)
+	peer.Register[reachResponse](r, kindReachResponse)
 	return r
 }
 
--- a/gateway/notice.go
+++ b/gateway/notice.go
@@ -10,6 +10,7 @@
 	"github.com/hibiscuswick/hibiscuswick/coordination/crashes"
 	"github.com/hibiscuswick/hibiscuswick/coordination/membership"
 	"github.com/hibiscuswick/hibiscuswick/coordination/permits"
+	"github.com/hibiscuswick/hibiscuswick/coordination/reach"
 	"github.com/hibiscuswick/hibiscuswick/coordination/suspect"
 	"github.com/hibiscuswick/hibiscuswick/protocol/peer"
 	"github.com/hibiscuswick/hibiscuswick/telemetry"
@@ -17,9 +18,9 @@
 
 // Notices are findings of one daemon about a server or a request's content that all daemons
 // need: suspect.OutdatedNotice, suspect.RefusalNotice, suspect.LeavingNotice,
-// permits.LimitNotice, crashes.EndNotice and crashes.ClearNotice. They are spread as facts of the membership:
-// each daemon sends to a few neighbors, whatever the number of daemons, and a daemon that
-// misses a message gets it from another one.
+// permits.LimitNotice, reach.Notice, crashes.EndNotice and crashes.ClearNotice. They are spread as
+// facts of the membership: each daemon sends to a few neighbors, whatever the number of daemons,
+// and a daemon that misses a message gets it from another one.
 
 var errNoNotice = errors.New("not a notice")
 
@@ -85,6 +86,8 @@
 		g.shared.markLeaving(at, m)
 	case permits.LimitNotice:
 		g.control.permits.step(permits.LimitReceived{LimitNotice: m, At: at})
+	case reach.Notice:
+		g.reach.receive(at, m)
 	case crashes.EndNotice:
 		g.shared.implicate(at.Add(-m.Age()), m.Server, m.Runs()...)
 	case crashes.ClearNotice:
--- a/gateway/path.go
+++ b/gateway/path.go
@@ -45,7 +45,7 @@
 	timer := r.watchFirstEvent(cancel)
 	sent := time.Now()
 	r.runStart = sent
-	connectTimer := r.watchConnect()
+	connectTimer := r.watchConnect(cancel)
 	answer, err := r.g.backends.Send(ctx, call)
 	stopTimer(connectTimer)
 	stopTimer(timer)
--- a/gateway/peerrows.go
+++ b/gateway/peerrows.go
@@ -66,6 +66,9 @@
 
 // handleCall answers other daemons' calls.
 func (g *Gateway) handleCall(ctx context.Context, _ state.Member, msg any) (any, error) {
+	if req, ok := msg.(reachRequest); ok {
+		return g.reach.answer(req), nil
+	}
 	req, ok := msg.(rowsRequest)
 	if !ok {
 		return nil, errUnknownCall
--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -136,10 +136,11 @@
 // isFresh reports whether the result may still be reused.
 func (r probeResult) isFresh() bool { return time.Since(r.at) < probeResultTTL }
 
-// checkHops probes all hops concurrently. Those that do not answer are avoided until they
-// do, and the streams through them are informed.
-func (p *prober) checkHops(hops []fleet.Hop) {
+// checkHops probes hops of a service concurrently. Those that do not answer are avoided until
+// they do, and the streams through them are informed.
+func (p *prober) checkHops(svc state.ServiceID, hops []fleet.Hop) {
 	results := p.probeAll(hops)
+	p.reportUnreached(svc, hops, results)
 	if len(hops) > 1 && !p.isConnected() {
 		return
 	}
@@ -154,6 +155,16 @@
 	}
 }
 
+// reportUnreached reports the servers that did not answer, to which this daemon may have lost its
+// links.
+func (p *prober) reportUnreached(svc state.ServiceID, hops []fleet.Hop, results []probeResult) {
+	for i, result := range results {
+		if result.outcome == probeDead && !result.provesEnd(hops[i].Server) {
+			go p.g.reach.connectFailed(svc, hops[i].Address)
+		}
+	}
+}
+
 // endedHops probes all hops concurrently, and returns those whose process has ended. Whether they
 // are to be avoided is left to the streams that they stall.
 func (p *prober) endedHops(hops []fleet.Hop) []fleet.Hop {
--- a/gateway/probe_internal_test.go
+++ b/gateway/probe_internal_test.go
@@ -54,7 +54,7 @@
 	// Guards against live servers that a cut-off daemon marks dead, which ends their streams.
 	It("does not prove that the daemon is connected", Label("failure:probe-not-sent"), func() {
 		g := newCutOffGateway(1)
-		g.prober.checkHops([]fleet.Hop{hop("e1"), hop("e2")})
+		g.prober.checkHops("llm", []fleet.Hop{hop("e1"), hop("e2")})
 		_, dead := g.shared.counts()
 		Expect(dead).To(BeZero())
 	})
--- /dev/null
+++ b/gateway/reach.go
@@ -0,0 +1,274 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/samber/lo"
+	"golang.org/x/sync/singleflight"
+
+	"github.com/hibiscuswick/hibiscuswick/coordination/membership"
+	"github.com/hibiscuswick/hibiscuswick/coordination/reach"
+	"github.com/hibiscuswick/hibiscuswick/protocol/backend"
+	"github.com/hibiscuswick/hibiscuswick/state"
+	"github.com/hibiscuswick/hibiscuswick/state/fleet"
+	"github.com/hibiscuswick/hibiscuswick/telemetry"
+)
+
+const (
+	// connectProbeTimeout is how long a connection of a check may take: a round trip to the
+	// farthest region takes 40 ms.
+	connectProbeTimeout = 150 * time.Millisecond
+	// checkedServers is how many servers of a service a check connects to, and recheckedServers
+	// the same while this daemon is cut off.
+	checkedServers   = 8
+	recheckedServers = 4
+	// askedPeers is how many daemons a check asks whether they reach the servers.
+	askedPeers = 4
+	// askTimeout is how long their answers may take: they connect to the servers themselves.
+	askTimeout = connectProbeTimeout + 100*time.Millisecond
+)
+
+// reachRequest asks a daemon how many of some servers of a service it reaches.
+type reachRequest struct {
+	Service   state.ServiceID `msgpack:"service"`
+	Addresses []string        `msgpack:"addresses"`
+}
+
+// reachResponse answers a reachRequest.
+type reachResponse struct {
+	Reached int `msgpack:"reached"`
+}
+
+// reachChecker finds out whether this daemon is cut off from the servers of a service that
+// others reach.
+type reachChecker struct {
+	g      *Gateway
+	checks singleflight.Group // by service
+	cutOff atomic.Bool        // from any service
+
+	mu      sync.Mutex
+	tracker *reach.Tracker
+}
+
+func newReachChecker(g *Gateway) *reachChecker {
+	return &reachChecker{g: g, tracker: reach.NewTracker()}
+}
+
+// CutOff reports whether this gateway is cut off from all servers of a service that other
+// gateways reach: callers should use those.
+func (g *Gateway) CutOff() bool { return g.reach.cutOff.Load() }
+
+func (c *reachChecker) connected(svc state.ServiceID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.tracker.Connected(svc)
+}
+
+// cutOffFrom reports whether this daemon is cut off from a service.
+func (c *reachChecker) cutOffFrom(svc state.ServiceID) bool {
+	if !c.cutOff.Load() {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.tracker.CutOff(svc)
+}
+
+// otherCutOff reports whether another daemon has told that it is cut off.
+func (c *reachChecker) otherCutOff(id state.DaemonID) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.tracker.OtherCutOff(time.Now(), id)
+}
+
+func (c *reachChecker) receive(at time.Time, n reach.Notice) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.tracker.Receive(at, n)
+}
+
+// connectFailed handles a new connection that failed or takes too long, and returns once it is
+// known whether this daemon is cut off from the service.
+func (c *reachChecker) connectFailed(svc state.ServiceID, address string) {
+	servers := len(c.g.currentView.Load().servers[svc])
+	c.mu.Lock()
+	c.tracker.ConnectFailed(svc, address)
+	due := c.tracker.CheckDue(time.Now(), svc, servers)
+	c.mu.Unlock()
+	if !due {
+		return
+	}
+	_, _, _ = c.checks.Do(string(svc), func() (any, error) {
+		if c.check(svc, checkedServers) {
+			go c.whileCutOff(svc)
+		}
+		return nil, nil
+	})
+}
+
+// check checks a service and reports whether this daemon has just turned out to be cut off.
+func (c *reachChecker) check(svc state.ServiceID, servers int) bool {
+	result := c.checkServers(svc, c.sample(svc, servers))
+	c.mu.Lock()
+	changed := c.tracker.Checked(svc, result)
+	cutOff := c.tracker.CutOff(svc)
+	c.cutOff.Store(c.tracker.CutOffFromAny())
+	c.mu.Unlock()
+	c.g.metrics.CountReason(telemetry.GatewayReachChecksTotal, checkResultNames[result])
+	if changed {
+		event := lo.Ternary(cutOff, telemetry.EventCutOffBegan, telemetry.EventCutOffEnded)
+		c.g.log.Emit(event, telemetry.Service(svc), telemetry.Count(servers), telemetry.Detail(checkResultNames[result]))
+		c.notify()
+	}
+	return changed && cutOff
+}
+
+// checkServers connects to servers of a service, and lets other daemons connect to those that are
+// not reached.
+func (c *reachChecker) checkServers(svc state.ServiceID, addresses []string) reach.CheckResult {
+	failed, ok := c.unreached(addresses)
+	result := reach.ResultOf(len(addresses), len(failed))
+	switch {
+	case !ok && result != reach.Reached:
+		return reach.Unknown
+	case result == reach.ReachedByNone && c.reachedByPeers(svc, failed):
+		return reach.ReachedByOthers
+	default:
+		return result
+	}
+}
+
+// checkResultNames are the results of checks in metrics.
+var checkResultNames = map[reach.CheckResult]string{
+	reach.Unknown: "unknown", reach.Reached: "reached", reach.ReachedByOthers: "reached_by_others", reach.ReachedByNone: "reached_by_none",
+}
+
+// notify tells the other daemons whether this one is cut off.
+func (c *reachChecker) notify() {
+	c.g.broadcast(reach.Notice{Daemon: c.g.self.ID, CutOff: c.cutOff.Load()})
+}
+
+// whileCutOff repeats the check of a service until this daemon is no longer cut off from it.
+func (c *reachChecker) whileCutOff(svc state.ServiceID) {
+	notified := time.Now()
+	for c.cutOffFrom(svc) {
+		select {
+		case <-c.g.done:
+			return
+		case <-time.After(reach.RecheckInterval):
+		}
+		c.dropUnlisted()
+		c.check(svc, recheckedServers)
+		if time.Since(notified) >= reach.NoticeInterval && c.cutOffFrom(svc) {
+			notified = time.Now()
+			c.notify()
+		}
+	}
+}
+
+// dropUnlisted drops the services that the configuration no longer has.
+func (c *reachChecker) dropUnlisted() {
+	config := c.g.currentView.Load().config
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.tracker.Keep(func(id state.ServiceID) bool { _, ok := config.Services[id]; return ok })
+	c.cutOff.Store(c.tracker.CutOffFromAny())
+}
+
+// sample returns the addresses of some servers of a service.
+func (c *reachChecker) sample(svc state.ServiceID, n int) []string {
+	servers := lo.Filter(c.g.currentView.Load().servers[svc], func(s fleet.Server, _ int) bool { return !s.Draining })
+	return lo.Map(lo.Samples(servers, n), func(s fleet.Server, _ int) string { return s.Address })
+}
+
+// unreached connects to servers at the same time and returns those that are not reached. It
+// returns false if that shows nothing.
+//
+// Guard (own-pause): a check during which this process was not running shows nothing.
+func (c *reachChecker) unreached(addresses []string) ([]string, bool) {
+	began := time.Now()
+	ctx, cancel := context.WithTimeout(context.Background(), connectProbeTimeout)
+	defer cancel()
+	reached := make([]bool, len(addresses))
+	var all sync.WaitGroup
+	for i, address := range addresses {
+		all.Go(func() { reached[i] = c.g.backends.Connect(ctx, address) == nil })
+	}
+	all.Wait()
+	failed := lo.Filter(addresses, func(_ string, i int) bool { return !reached[i] })
+	return failed, time.Since(began) <= connectProbeTimeout+probeOverrun
+}
+
+// reachedByPeers reports whether another daemon reaches at least half of the servers.
+func (c *reachChecker) reachedByPeers(svc state.ServiceID, addresses []string) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+	defer cancel()
+	peers := c.peersToAsk()
+	answers := make(chan int, len(peers))
+	for _, address := range peers {
+		go func() {
+			answer, err := c.g.node.Call(ctx, address, reachRequest{Service: svc, Addresses: addresses})
+			if err != nil {
+				answers <- 0 // not every daemon is reached, and older versions do not know the call
+				return
+			}
+			resp, _ := answer.Msg.(reachResponse)
+			answers <- resp.Reached
+		}()
+	}
+	for range peers {
+		if reached := <-answers; reached > 0 && 2*reached >= len(addresses) {
+			return true
+		}
+	}
+	return false
+}
+
+// peersToAsk returns the addresses of daemons that may reach servers which this one does not.
+func (c *reachChecker) peersToAsk() []string {
+	var usable []string
+	for _, i := range c.g.currentView.Load().members.Members {
+		if i.Member.ID != c.g.self.ID && i.State == membership.Alive && !c.otherCutOff(i.Member.ID) {
+			usable = append(usable, i.Meta.PeerAddress)
+		}
+	}
+	return lo.Samples(usable, askedPeers)
+}
+
+// answer answers a reachRequest.
+func (c *reachChecker) answer(req reachRequest) reachResponse {
+	listed := c.g.currentView.Load().servers[req.Service]
+	addresses := lo.Filter(req.Addresses, func(address string, _ int) bool {
+		return slices.ContainsFunc(listed, func(s fleet.Server) bool { return s.Address == address })
+	})
+	addresses = addresses[:min(len(addresses), checkedServers)]
+	failed, ok := c.unreached(addresses)
+	if !ok {
+		return reachResponse{}
+	}
+	return reachResponse{Reached: len(addresses) - len(failed)}
+}
+
+// isConnectFailure reports whether a call failed because no connection was established.
+func isConnectFailure(ctx context.Context, err error) bool {
+	return ctx.Err() == nil && errors.Is(err, backend.ErrNotSent) && !errors.Is(err, backend.ErrWithdrawn)
+}
+
+// listedForCallers returns the daemons that callers should use of those that accept requests.
+func (c *reachChecker) listedForCallers(accepting []membership.Info) []membership.Info {
+	connected := slices.DeleteFunc(slices.Clone(accepting), func(i membership.Info) bool {
+		if i.Member.ID == c.g.self.ID {
+			return c.cutOff.Load()
+		}
+		return c.otherCutOff(i.Member.ID)
+	})
+	if len(connected) == 0 {
+		return accepting
+	}
+	return connected
+}
--- a/gateway/reach_test.go
+++ b/gateway/reach_test.go
@@ -64,6 +64,14 @@
 	return s.fakeServers.Send(ctx, c)
 }
 
+// Connect implements backend.Client.
+func (s *cuttableServers) Connect(ctx context.Context, address string) error {
+	if err := s.dial(ctx); err != nil {
+		return err
+	}
+	return s.fakeServers.Connect(ctx, address)
+}
+
 // Report implements backend.Client.
 func (s *cuttableServers) Report(ctx context.Context, address string) (backend.Report, error) {
 	if err := s.dial(ctx); err != nil {
@@ -176,8 +184,8 @@
 
 // Guards against daemons that keep callers' requests although they have lost their links to all
 // servers, which other daemons reach.
-var _ = Describe("Gateways that are cut off from all servers", Label("failure:gateway-cut-off-from-servers"), func() {
-	DescribeTable("lose callers few first attempts",
+var _ = Describe("Gateways that are cut off from all servers", func() {
+	DescribeTable("lose callers few first attempts", Label("failure:gateway-cut-off-from-servers"),
 		func(mode cutMode) {
 			s := newCuttableSite(6)
 			ctx, cancel := context.WithCancel(context.Background())
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -147,6 +147,9 @@
 			r.g.log.Emit(telemetry.EventRequestQuarantined, telemetry.Request(r.req.ID), telemetry.Content(uint64(r.fingerprint())))
 			return r.failedResult(reasonCrashes)
 		}
+		if r.g.reach.cutOffFrom(r.service.ID) && r.mayGoElsewhere() {
+			return r.cutOffResult()
+		}
 		outcome, result := r.attempt(ctx)
 		if outcome == 0 {
 			return result
@@ -296,7 +299,7 @@
 		LastEventID:  r.lastEventID,
 		Rank:         r.rank(),
 		MaxIdleConns: r.maxIdleConns(),
-		Admit:        func() bool { return r.admit(s) },
+		Admit:        func(reused bool) bool { return r.admit(s, reused) },
 	}
 }
 
@@ -376,6 +379,9 @@
 		return outcome
 	}
 	r.recordFailure(address)
+	if isConnectFailure(ctx, err) {
+		r.g.reach.connectFailed(r.service.ID, address)
+	}
 	if outcome == relay.Broken {
 		r.handleBrokenCall(brokenBeforeHeader)
 	}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -129,7 +129,7 @@
 		return
 	}
 	hops := g.shared.silentHops(now, s.tracked, gap/minSilenceDivisor, gap/maxSilenceDivisor)
-	g.prober.checkHops(hops)
+	g.prober.checkHops(s.r.service.ID, hops)
 	if !s.ending.Load() {
 		s.timer.Reset(gap / recheckDivisor)
 	}
--- a/protocol/backend/backend.go
+++ b/protocol/backend/backend.go
@@ -46,9 +46,10 @@
 	LastEventID  string           // id of the last event that the caller received, or ""
 	Rank         int              // 0 is the most urgent, 9 the least
 	MaxIdleConns int              // maximum number of pooled idle connections to the server; 0 for the default
-	// Admit is called when a connection is ready, immediately before the call is sent. If it
-	// returns false, nothing is sent and Send returns ErrWithdrawn. nil admits each call.
-	Admit func() bool
+	// Admit is called when a connection is ready, immediately before the call is sent; reused is
+	// set if the connection has carried a call before. If Admit returns false, nothing is sent and
+	// Send returns ErrWithdrawn. nil admits each call.
+	Admit func(reused bool) bool
 }
 
 // Answer is the header of a server's answer together with its body. Body must be
@@ -143,4 +144,7 @@
 	Send(ctx context.Context, c Call) (*Answer, error)
 	Order(ctx context.Context, o Order) (OrderAnswer, error)
 	Report(ctx context.Context, address string) (Report, error)
+	// Connect establishes a new connection to a server and closes it. It shows whether the server
+	// is reached, which a call on an open connection may not.
+	Connect(ctx context.Context, address string) error
 }
--- a/telemetry/catalogue.go
+++ b/telemetry/catalogue.go
@@ -54,6 +54,8 @@
 	{EventContentCleared, "content_cleared", logrus.InfoLevel, "An answer has cleared a request's content of the backend servers that ended while they ran it; the count is their number."},
 	{EventRetryShare, "retry_share", logrus.InfoLevel, "The part of the site's retry slack that this gateway may spend has changed. The count is the number of daemons that share the slack; the detail is withheld while the gateway may spend none, since others may have spent all of it within the last window."},
 	{EventConnectSlow, "connect_slow", logrus.InfoLevel, "A request waits for a connection to a backend server for longer than usual: the server or the path to it is in trouble."},
+	{EventCutOffBegan, "cut_off_began", logrus.WarnLevel, "This gateway reaches none of the counted servers of a service, and another gateway does: callers are sent to the others, and requests for the service are refused at once."},
+	{EventCutOffEnded, "cut_off_ended", logrus.InfoLevel, "This gateway reaches a server of the service again, or no gateway does; the detail says which."},
 	{EventStoreUnavailable, "store_unavailable", logrus.WarnLevel, "The table service does not answer; repeatable requests and requests with a claim continue."},
 	{EventStoreRecovered, "store_recovered", logrus.InfoLevel, "The table service answers again."},
 	{EventStoreBudgetSpent, "store_budget_spent", logrus.WarnLevel, "This daemon's share of store writes is exhausted; claims have priority over other writes."},
--- a/telemetry/events.go
+++ b/telemetry/events.go
@@ -64,6 +64,8 @@
 	EventContentCleared     Event = 1325
 	EventRetryShare         Event = 1326
 	EventConnectSlow        Event = 1327
+	EventCutOffBegan        Event = 1328
+	EventCutOffEnded        Event = 1329
 )
 
 // Events of the store.
--- a/transport/exchange/exchange.go
+++ b/transport/exchange/exchange.go
@@ -33,8 +33,8 @@
 	// own; 0 means the default.
 	MaxIdle int
 	// Admit is called when a connection is ready, immediately before the request is
-	// written. If it returns false, nothing is written. nil admits each request.
-	Admit func() bool
+	// written; reused is set if the connection has carried a request before. If it returns false, nothing is written. nil admits each request.
+	Admit func(reused bool) bool
 }
 
 // Response is the head of an answer and its unread body.
@@ -54,7 +54,7 @@
 		if err != nil {
 			return nil, err
 		}
-		admitted := req.Admit == nil || req.Admit()
+		admitted := req.Admit == nil || req.Admit(c.reused)
 		if ctx.Err() != nil {
 			p.putUnused(c, req.MaxIdle)
 			return nil, errors.Join(backend.ErrNotSent, context.Cause(ctx))
--- a/transport/exchange/exchange_test.go
+++ b/transport/exchange/exchange_test.go
@@ -145,7 +145,7 @@
 		Expect(do(s)).To(Equal("ok"))
 		ctx, cancel := context.WithCancel(context.Background())
 		req := request(s)
-		req.Admit = func() bool { cancel(); return true }
+		req.Admit = func(bool) bool { cancel(); return true }
 		_, err := pool.Do(ctx, req)
 		Expect(errors.Is(err, backend.ErrNotSent)).To(BeTrue(), "%v", err)
 		Expect(errors.Is(err, context.Canceled)).To(BeTrue(), "%v", err)
--- a/transport/exchange/pool.go
+++ b/transport/exchange/pool.go
@@ -70,6 +70,11 @@
 		}
 		_ = c.Close()
 	}
+	return p.dial(ctx, address)
+}
+
+// dial establishes a new connection. Its error wraps backend.ErrNotSent.
+func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
 	raw, err := p.dialer.DialContext(ctx, "tcp", address)
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		return nil, errors.Join(backend.ErrNotSent, backend.ErrRefused, err)
@@ -80,6 +85,15 @@
 	return newConn(raw, address), nil
 }
 
+// Connect establishes a new connection to a server and closes it.
+func (p *Pool) Connect(ctx context.Context, address string) error {
+	c, err := p.dial(ctx, address)
+	if err != nil {
+		return err
+	}
+	return c.Close()
+}
+
 // popIdle removes and returns the most recently used idle connection, or nil.
 func (p *Pool) popIdle(address string) *conn {
 	p.mu.Lock()
