gateway: a gateway that is cut off leaves the assignment of layers to others

It does not acquire or renew the lease while it is cut off, so that another one takes over when the lease lapses, 3 s at most. Two more specs of the matter: gateways are named again once they reach servers, and stay named if no gateway reaches any.

--- a/gateway/assignment.go
+++ b/gateway/assignment.go
@@ -43,10 +43,11 @@
 	return &assignmentState{c: c, machine: layering.New()}
 }
 
-// active reports whether this daemon may assign layers.
+// active reports whether this daemon may assign layers: one that is cut off could not send its
+// orders.
 func (s *assignmentState) active() bool {
 	v := &s.c.view
-	return v.config != nil && v.serversKnown && !v.draining
+	return v.config != nil && v.serversKnown && !v.draining && !s.c.g.CutOff()
 }
 
 func (s *assignmentState) nextTick() time.Time {
--- a/gateway/reach_test.go
+++ b/gateway/reach_test.go
@@ -218,4 +218,48 @@
 		Entry("if new connections hang", cutSilent),
 		Entry("if new connections are reset", cutReset),
 	)
+
+	// named returns the addresses that a gateway names to callers.
+	named := func(s *cuttableSite, address string) []string {
+		list, _ := s.gateways[address].Addresses("a")
+		return list
+	}
+
+	It("are named to callers again once they reach servers", Label("failure:gateway-cut-off-from-servers"), func() {
+		s := newCuttableSite(3)
+		s.cut(1, cutReset)
+		ctx, cancel := context.WithCancel(context.Background())
+		DeferCleanup(cancel)
+		go s.call(ctx, 100*time.Millisecond, func(bool, bool) {})
+		for address := range s.gateways {
+			Eventually(named).WithArguments(s, address).WithTimeout(eventuallyTimeout).Should(ConsistOf("front-c1", "front-c2"))
+		}
+		Expect(s.gateways["front-c0"].CutOff()).To(BeTrue())
+		began := time.Now()
+		result := s.gateways["front-c0"].Serve(context.Background(), request("/once/"), &fakeReply{})
+		Expect(result.Outcome).To(Equal(gateway.Refused))
+		Expect(result.Reason).To(Equal("cut_off"))
+		Expect(time.Since(began)).To(BeNumerically("<", 100*time.Millisecond))
+		s.cut(1, notCut)
+		for address := range s.gateways {
+			Eventually(named).WithArguments(s, address).WithTimeout(2 * time.Second).Should(HaveLen(3))
+		}
+	})
+
+	// Guards against gateways that blame their own links for servers that are gone for everyone.
+	It("stay named to callers if no gateway reaches the servers", Label("failure:gateway-cut-off-from-servers"), func() {
+		s := newCuttableSite(3)
+		s.cut(3, cutReset)
+		ctx, cancel := context.WithCancel(context.Background())
+		DeferCleanup(cancel)
+		for range 5 {
+			go s.call(ctx, 100*time.Millisecond, func(bool, bool) {})
+		}
+		Consistently(func(g Gomega) {
+			for address, gw := range s.gateways {
+				g.Expect(named(s, address)).To(HaveLen(3))
+				g.Expect(gw.CutOff()).To(BeFalse())
+			}
+		}).WithTimeout(3 * time.Second).Should(Succeed())
+	})
 })
