retrybudget: fewer records of retries

A record reserves five retries at least and three times of what was spent, and is written anew once three quarters are used.

--- a/coordination/retrybudget/record.go
+++ b/coordination/retrybudget/record.go
@@ -7,9 +7,18 @@
 	"github.com/hibiscuswick/hibiscuswick/state"
 )
 
-// reserveShare is the part of what is left that a record reserves. A daemon that restarts
-// loses what it had reserved, and one with small reservations writes more records.
-const reserveShare = 0.25
+// A daemon that restarts loses what it had reserved, and one with small reservations writes
+// more records.
+const (
+	// reserveShare is the part of what is left that a record reserves, minReserve the same in
+	// retries.
+	reserveShare = 0.25
+	minReserve   = 5
+	// reserveOfSpent is what a record reserves, as a multiple of the retries since the last one.
+	reserveOfSpent = 3
+	// renewShare is the part of a reservation below which a new record is needed.
+	renewShare = 0.25
+)
 
 // Record is what a daemon has used of its allowance. Times are readings of the clock of
 // the table that keeps the record.
@@ -65,12 +74,12 @@
 func (b *Budget) NeedsRecord(now time.Time, svc state.ServiceID, by SlackShare) bool {
 	a := b.account(now, svc)
 	left := b.Left(now, svc, by)
-	return left > a.granted && (a.needed || a.granted <= b.reserve(a, left)/2)
+	return left > a.granted && (a.needed || float64(a.granted) <= renewShare*float64(b.reserve(a, left)))
 }
 
 // reserve returns how many retries a new record reserves of those that are left.
 func (b *Budget) reserve(a *account, left int) int {
-	return min(left, max(int(math.Ceil(reserveShare*float64(left))), 2*a.spent))
+	return min(left, max(int(math.Ceil(reserveShare*float64(left))), minReserve, reserveOfSpent*a.spent))
 }
 
 // NewRecord returns the record to be written for the given services. tableNow is the time
