--- a/gateway/reach.go
+++ b/gateway/reach.go
@@ -59,7 +59,7 @@
 	return &reachChecker{g: g, tracker: reach.NewTracker()}
 }
 
-// CutOff reports whether this gateway is cut off from all servers of a service that other
+// CutOff reports whether this gateway is cut off from the servers of a service that other
 // gateways reach: callers should use those.
 func (g *Gateway) CutOff() bool { return g.reach.cutOff.Load() }
 
@@ -164,7 +164,7 @@
 		}
 		c.dropUnlisted()
 		c.check(svc, recheckedServers)
-		if time.Since(notified) >= reach.NoticeInterval && c.cutOffFrom(svc) {
+		if c.cutOffFrom(svc) && time.Since(notified) >= reach.NoticeInterval {
 			notified = time.Now()
 			c.notify()
 		}
