gateway: a table of ways to repeat a request, each with the retries spent for it; one is red

Six ways in which an attempt ends, through a whole gateway. Five spend one retry for each arrival beyond the first.

--- a/gateway/retrybudget_test.go
+++ b/gateway/retrybudget_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"sync"
 	"time"
@@ -112,4 +113,64 @@
 		Expect(time.Since(began)).To(BeNumerically("<", 10*time.Second), "all requests lie within one window")
 		Expect(s.repeats()).To(BeNumerically("<=", s.allowed()))
 	})
+
+	// retriesLeft returns what a gateway may still spend for a service.
+	retriesLeft := func(g *gateway.Gateway, svc state.ServiceID) int {
+		status, err := g.Status(context.Background())
+		Expect(err).NotTo(HaveOccurred())
+		for _, s := range status.Services {
+			if s.ID == svc {
+				return s.RetriesLeft
+			}
+		}
+		return 0
+	}
+
+	// Guards against ways of repeating a request that no retry is spent for.
+	DescribeTable("pays for each arrival beyond the first of a request", Label("failure:retries-after-restarts"),
+		func(path string, svc state.ServiceID, fail func(h *harness)) {
+			h := newHarness()
+			h.populate()
+			fail(h)
+			Eventually(retriesLeft).WithArguments(h.gateway, svc).WithTimeout(eventuallyTimeout).Should(Equal(budgetSlack))
+			h.serve(path)
+			arrivals := 0
+			for _, c := range h.servers.sent() {
+				if !h.servers.hasEnded(c.Address) {
+					arrivals++
+				}
+			}
+			Expect(arrivals).To(BeNumerically(">", 0))
+			Expect(budgetSlack - retriesLeft(h.gateway, svc)).To(Equal(arrivals - 1))
+		},
+		Entry("a plain server that proves that it has not run it", "/again/", state.ServiceID("app"), func(h *harness) {
+			h.servers.plain = func(backend.Call) (*backend.Answer, error) {
+				a := signedAnswer(http.StatusServiceUnavailable, "")
+				a.NotRun = true
+				return a, nil
+			}
+		}),
+		Entry("a plain server that breaks off", "/again/", state.ServiceID("app"), func(h *harness) {
+			h.servers.plain = func(backend.Call) (*backend.Answer, error) { return nil, backend.ErrIncomplete }
+		}),
+		Entry("a plain server's own failure", "/again/", state.ServiceID("app"), func(h *harness) {
+			h.servers.plain = func(backend.Call) (*backend.Answer, error) {
+				return signedAnswer(http.StatusInternalServerError, "no"), nil
+			}
+		}),
+		Entry("a plain server that refuses the connection", "/again/", state.ServiceID("app"), func(h *harness) { h.servers.markEnded("p0") }),
+		Entry("an engine that breaks off before its header", "/stream/", state.ServiceID("llm"), func(h *harness) {
+			h.servers.streamError = func(backend.Call) error { return backend.ErrIncomplete }
+		}),
+		Entry("an engine that breaks off after an event", "/stream/", state.ServiceID("llm"), func(h *harness) {
+			h.servers.stream = func(c backend.Call, out *io.PipeWriter) {
+				if c.LastEventID == "" {
+					_, _ = fmt.Fprint(out, "id: 1\ndata: 1\n\n")
+					_ = out.CloseWithError(backend.ErrIncomplete)
+					return
+				}
+				writeEvents(out, c.LastEventID, 5)
+			}
+		}),
+	)
 })
