--- a/coordination/crashes/crashes_test.go
+++ b/coordination/crashes/crashes_test.go
@@ -138,6 +138,22 @@
 		Expect(isBlocked(7)).To(BeFalse())
 	})
 
+	// Guards against contents that hide each other: several of them end servers at the same time, and
+	// the ends of the others look like a burst.
+	It("are refused after three crashes each if several of them end servers at once", Label("failure:request-crashes-servers"), func() {
+		const contents = 6
+		at := now
+		for round := range 3 {
+			for fp := range crashes.Fingerprint(contents) {
+				at = at.Add(50 * time.Millisecond)
+				t.Implicate(at, server(fmt.Sprintf("e%d-%d", round, fp)), fresh(fp))
+			}
+		}
+		for fp := range crashes.Fingerprint(contents) {
+			Expect(t.Judge(at.Add(settled), fp).Blocked).To(BeTrue())
+		}
+	})
+
 	// Guards against a crash loop that is overlooked because servers end for other reasons too.
 	It("are refused after five crashes whatever else ends", Label("failure:request-crashes-servers"), func() {
 		for i := range 12 {
