gateway: the verdict on a content is asked again immediately before each send

Cause: runAttempts asked whether a content is refused, and the attempt then waited up to 1.4 s for a path, a permit or a connection without asking again. What became known meanwhile did not hold for the copies that waited. Class: a decision that is taken before a wait and used after it. The record fits: its second request waits 1.06 s between its arrival and the engine that it ends.

Change: the check that stands between a ready connection and the first byte also asks for the verdict; a copy that may not be sent is withdrawn, goes back to the loop of attempts and ends there as refused or waits until the ends are settled. It counts as not sent, costs no retry and nothing against its server.

--- a/gateway/connect.go
+++ b/gateway/connect.go
@@ -41,7 +41,8 @@
 	if !reused {
 		r.g.reach.connected(r.service.ID)
 	}
-	return !r.callerLeft() && r.g.shared.isWanted(time.Now(), server)
+	now := time.Now()
+	return !r.callerLeft() && r.g.shared.isWanted(now, server) && r.mayRunNow(now)
 }
 
 // mayGoElsewhere reports whether the caller may have the request, or the rest of its answer, from
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -103,6 +103,14 @@
 	}
 }
 
+// mayRunNow reports whether the request's content may be sent to a server at once. It is asked
+// immediately before each send: a content may have been implicated while the request waited.
+func (r *requestHandler) mayRunNow(now time.Time) bool {
+	verdict := r.g.shared.judge(now, r.fingerprint)
+	r.heldBack = verdict.Blocked || !verdict.SettlesAt.IsZero()
+	return !r.heldBack
+}
+
 func (s *sharedState) implicate(at time.Time, server state.BackendIncarnation, runs ...crashes.Run) (added []crashes.Run, servers int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -49,6 +49,7 @@
 	connected    atomic.Bool // the call of the current attempt has a connection
 	// olderRunEnded is set once a server has ended under a run of the request that had not just begun.
 	olderRunEnded atomic.Bool
+	heldBack      bool           // the current attempt was not sent because of what its content has done
 	failure       *serverFailure // the last one, or nil
 }
 
@@ -375,7 +376,9 @@
 		return outcome
 	}
 	if errors.Is(err, backend.ErrWithdrawn) {
-		r.logWithdrawn(server)
+		if !r.heldBack {
+			r.logWithdrawn(server)
+		}
 		return outcome
 	}
 	r.recordFailure(address)
