gateway, crashes: one request of the site runs a suspect content at a time

Cause: the thresholds count servers, one after the other, and nothing limited how many copies of a content that had already ended a server ran at the same time. All copies of its callers wait together while the first layers are away and reach the next server together. Class: a limit that counts servers where runs count, and a wait that lets all who wait go at once.

Ruled out: slots by the daemons' ranks after an end need no messages, but the wait for a server is longer than any slot. Forwarding copies to one daemon would be proxying. Refusing all copies but one daemon's would refuse a sound content whose caller is elsewhere.

Change: from the first server that ends under a fresh run of a content, a request needs the content's turn before it is sent. The daemon that owns the content by the members' weights grants it to one request at a time, refuses it while the ends are being settled or once the content is refused, and tells what it knows of the ends. A copy that has not got its turn in the time that it may wait is refused as not run.

--- a/coordination/crashes/crashes.go
+++ b/coordination/crashes/crashes.go
@@ -200,12 +200,15 @@
 	// SettlesAt is when the decision can be made, or zero if it has been: until then, other daemons
 	// may report further contents that ran on the same servers.
 	SettlesAt time.Time
+	// Exclusive is set if a server has ended as the content began to run: until the content is
+	// refused or cleared, one request of the site runs it at a time.
+	Exclusive bool
 }
 
 // Judge decides whether requests with a content may be sent to a server.
 func (t *Tracker) Judge(now time.Time, fp Fingerprint) Verdict {
 	c, ok := t.contents[fp]
-	if !ok || len(c.ends) < soleThreshold || now.Sub(c.at) >= ImplicationTTL {
+	if !ok || now.Sub(c.at) >= ImplicationTTL {
 		return Verdict{}
 	}
 	fresh := t.countFresh(c)
@@ -213,12 +216,25 @@
 		return Verdict{Blocked: true}
 	}
 	if fresh < soleThreshold {
-		return Verdict{}
+		return Verdict{Exclusive: c.hasFresh()}
 	}
 	if settled := c.at.Add(settleTime); now.Before(settled) {
 		return Verdict{SettlesAt: settled}
 	}
-	return Verdict{Blocked: !t.isAccompanied(fp, c)}
+	if !t.isAccompanied(fp, c) {
+		return Verdict{Blocked: true}
+	}
+	return Verdict{Exclusive: true}
+}
+
+// hasFresh reports whether a server has ended under a fresh run of a content, also in a burst.
+func (c *content) hasFresh() bool {
+	for _, phase := range c.ends {
+		if phase == Fresh {
+			return true
+		}
+	}
+	return false
 }
 
 // countFresh returns how many servers ended under a fresh run of a content, apart from bursts.
@@ -276,15 +292,37 @@
 
 // BlockedNotices returns the messages that tell a daemon which knows nothing of the blocked contents.
 func (t *Tracker) BlockedNotices(now time.Time) []EndNotice {
+	return t.notices(now, func(fp Fingerprint) bool { return t.Judge(now, fp).Blocked })
+}
+
+// NoticesOf returns the messages that tell of the ends under one content.
+func (t *Tracker) NoticesOf(now time.Time, fp Fingerprint) []EndNotice {
+	c, ok := t.contents[fp]
+	if !ok {
+		return nil
+	}
+	runs := make(map[state.BackendIncarnation][]Run, len(c.ends))
+	for s, phase := range c.ends {
+		runs[s] = []Run{{Content: fp, Phase: phase}}
+	}
+	return t.noticesOfRuns(now, runs)
+}
+
+// notices returns the messages that tell of the ends under some contents.
+func (t *Tracker) notices(now time.Time, of func(Fingerprint) bool) []EndNotice {
 	runs := make(map[state.BackendIncarnation][]Run)
 	for fp, c := range t.contents {
-		if !t.Judge(now, fp).Blocked {
+		if !of(fp) {
 			continue
 		}
 		for s, phase := range c.ends {
 			runs[s] = append(runs[s], Run{Content: fp, Phase: phase})
 		}
 	}
+	return t.noticesOfRuns(now, runs)
+}
+
+func (t *Tracker) noticesOfRuns(now time.Time, runs map[state.BackendIncarnation][]Run) []EndNotice {
 	var out []EndNotice
 	for s, of := range runs {
 		for _, notice := range EndNotices(s, of) {
--- a/gateway/connect.go
+++ b/gateway/connect.go
@@ -38,6 +38,7 @@
 // request may be sent to the server.
 func (r *requestHandler) admit(server state.BackendIncarnation, reused bool) bool {
 	r.connected.Store(true)
+	r.heldBack = false
 	if !reused {
 		r.g.reach.connected(r.service.ID)
 	}
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -90,24 +89,11 @@
 	r.g.clearedContents.add(fp)
 }
 
-// isBlocked reports whether the request's content is not to be sent to a server. It waits until
-// other daemons have reported what else ran on the servers that ended under it.
-func (r *requestHandler) isBlocked(ctx context.Context) bool {
-	for {
-		now := time.Now()
-		verdict := r.g.shared.judge(now, r.fingerprint)
-		if verdict.SettlesAt.IsZero() || ctx.Err() != nil {
-			return verdict.Blocked
-		}
-		sleep(ctx, verdict.SettlesAt.Sub(now))
-	}
-}
-
 // mayRunNow reports whether the request's content may be sent to a server at once. It is asked
 // immediately before each send: a content may have been implicated while the request waited.
 func (r *requestHandler) mayRunNow(now time.Time) bool {
 	verdict := r.g.shared.judge(now, r.fingerprint)
-	r.heldBack = verdict.Blocked || !verdict.SettlesAt.IsZero()
+	r.heldBack = verdict.Blocked || !verdict.SettlesAt.IsZero() || verdict.Exclusive && !r.turn.held
 	return !r.heldBack
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -64,11 +64,12 @@
 	// known yet.
 	storeUnanswered atomic.Bool
 
-	activeRequests  atomic.Int64 // requests in flight
-	recordRequested atomic.Bool  // the control goroutine has been asked for a record of retries
-	waitingRequests atomic.Int64 // requests in flight that wait for a server or a path
-	startedAt       time.Time    // reference point of sinceStart
-	drainStarted    atomic.Int64 // when a planned stop began, in ns since start; 0 for none
+	activeRequests  atomic.Int64  // requests in flight
+	lastTurn        atomic.Uint64 // number of the last request that asked for a turn
+	recordRequested atomic.Bool   // the control goroutine has been asked for a record of retries
+	waitingRequests atomic.Int64  // requests in flight that wait for a server or a path
+	startedAt       time.Time     // reference point of sinceStart
+	drainStarted    atomic.Int64  // when a planned stop began, in ns since start; 0 for none
 	stopFeeds       context.CancelFunc
 	closeOnce       sync.Once
 	done            chan struct{}
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -38,6 +38,9 @@
 	kindCrashes       peer.Kind = 1200
 	kindCrashEnd      peer.Kind = 1201
 	kindCrashClear    peer.Kind = 1202
+	kindTurnRequest   peer.Kind = 1203
+	kindTurnResponse  peer.Kind = 1204
+	kindTurnRelease   peer.Kind = 1205
 	kindFollowing     peer.Kind = 1301 // 1300: revisions without an epoch
 	kindOutdated      peer.Kind = 1400
 	kindRefusal       peer.Kind = 1500
@@ -59,6 +62,9 @@
 	peer.Register[crashes.Implication](r, kindCrashes)
 	peer.Register[crashes.EndNotice](r, kindCrashEnd)
 	peer.Register[crashes.ClearNotice](r, kindCrashClear)
+	peer.Register[crashes.TurnRequest](r, kindTurnRequest)
+	peer.Register[crashes.TurnResponse](r, kindTurnResponse)
+	peer.Register[crashes.TurnRelease](r, kindTurnRelease)
 	peer.Register[following.Announcement](r, kindFollowing)
 	peer.Register[suspect.OutdatedNotice](r, kindOutdated)
 	peer.Register[suspect.RefusalNotice](r, kindRefusal)
@@ -320,5 +326,7 @@
 		g.control.post(func() { g.control.permits.step(permits.MessageReceived{From: from.ID, Msg: m}) })
 	case following.Announcement:
 		g.control.post(func() { g.control.handleAnnouncement(m) })
+	case crashes.TurnRelease:
+		g.shared.endTurn(time.Now(), from.ID, m)
 	}
 }
--- a/gateway/peerrows.go
+++ b/gateway/peerrows.go
@@ -8,6 +8,7 @@
 
 	"github.com/samber/lo"
 
+	"github.com/hibiscuswick/hibiscuswick/coordination/crashes"
 	"github.com/hibiscuswick/hibiscuswick/coordination/following"
 	"github.com/hibiscuswick/hibiscuswick/coordination/membership"
 	"github.com/hibiscuswick/hibiscuswick/protocol/site"
@@ -65,9 +66,12 @@
 )
 
 // handleCall answers other daemons' calls.
-func (g *Gateway) handleCall(ctx context.Context, _ state.Member, msg any) (any, error) {
-	if req, ok := msg.(reachRequest); ok {
+func (g *Gateway) handleCall(ctx context.Context, from state.Member, msg any) (any, error) {
+	switch req := msg.(type) {
+	case reachRequest:
 		return g.reach.answer(req), nil
+	case crashes.TurnRequest:
+		return g.shared.grantTurn(time.Now(), from.ID, req), nil
 	}
 	req, ok := msg.(rowsRequest)
 	if !ok {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -49,6 +49,7 @@
 	connected    atomic.Bool // the call of the current attempt has a connection
 	// olderRunEnded is set once a server has ended under a run of the request that had not just begun.
 	olderRunEnded atomic.Bool
+	turn          turnState
 	heldBack      bool           // the current attempt was not sent because of what its content has done
 	failure       *serverFailure // the last one, or nil
 }
@@ -143,15 +144,16 @@
 
 // runAttempts repeats attempts until the request has a result.
 func (r *requestHandler) runAttempts(ctx context.Context) Result {
+	defer r.releaseTurn()
 	for {
-		if r.isBlocked(ctx) {
-			r.g.log.Emit(telemetry.EventRequestQuarantined, telemetry.Request(r.req.ID), telemetry.Content(uint64(r.fingerprint())))
-			return r.failedResult(reasonCrashes)
+		if result, ok := r.checkContent(ctx); !ok {
+			return result
 		}
 		if r.g.reach.cutOffFrom(r.service.ID) && r.mayGoElsewhere() {
 			return r.cutOffResult()
 		}
 		outcome, result := r.attempt(ctx)
+		r.releaseTurn()
 		if outcome == 0 {
 			return result
 		}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -178,6 +178,9 @@
 		s.r.lastEventID = id
 	}
 	s.r.g.shared.recordProgress(now, s)
+	if now.Sub(s.began) > crashes.FreshRun {
+		s.r.releaseTurn()
+	}
 	s.resetTimer()
 	return nil
 }
--- a/telemetry/events.go
+++ b/telemetry/events.go
@@ -66,6 +66,7 @@
 	EventConnectSlow        Event = 1327
 	EventCutOffBegan        Event = 1328
 	EventCutOffEnded        Event = 1329
+	EventTurnAwaited        Event = 1330
 )
 
 // Events of the store.
