crashes: contents that end servers at once do not hide each other as a burst

Cause: ends of four servers within 3 s that did not run a content count as a failure that the servers share, and take the content's fresh runs from its count. With several such contents each sees the others' ends, so that only the fifth server decided. Class: evidence that is discarded for a cause that the same evidence refutes.

Change: a server that ended under a fresh run of a content which has ended another one too does not count towards a burst. A failure domain or a power loss ends servers whose contents ran on one of them only, and counts as before.

--- a/coordination/crashes/crashes.go
+++ b/coordination/crashes/crashes.go
@@ -24,8 +24,9 @@
 	// settleTime is how long after the end of a server other daemons may still report contents that
 	// ran on it.
 	settleTime = 200 * time.Millisecond
-	// A fresh run does not count if burstServers servers that did not run the content ended within
-	// burstWindow of its end: a failure domain or a network has failed.
+	// A fresh run does not count if burstServers servers that did not run the content, and that no
+	// other content explains, ended within burstWindow of its end: a failure domain or a network has
+	// failed.
 	burstServers = 4
 	burstWindow  = 3 * time.Second
 	// maxContents and maxEnds bound the contents and the ends of servers that are remembered.
@@ -85,6 +86,7 @@
 type end struct {
 	at       time.Time
 	contents map[Fingerprint]struct{} // contents that ran on it and are not cleared
+	repeated int                      // of those, contents under whose fresh runs other servers have ended too
 }
 
 // NewTracker returns an empty tracker.
@@ -115,6 +117,7 @@
 	if known && (phase == Fresh || run.Phase != Fresh) || !at.After(c.clearedAt) {
 		return false
 	}
+	t.countRepeated(c, -1)
 	if run.Phase == Lasting {
 		c.forgetFreshRuns()
 	}
@@ -123,9 +126,33 @@
 		c.at = at
 	}
 	t.endOf(at, server).contents[run.Content] = struct{}{}
+	t.countRepeated(c, 1)
 	return true
 }
 
+// countRepeated adds a content to the counts of the servers that ended under its fresh runs, if
+// there are several, or subtracts it if sign is -1.
+func (t *Tracker) countRepeated(c *content, sign int) {
+	if c.freshCount() < soleThreshold {
+		return
+	}
+	for s, phase := range c.ends {
+		if e, ok := t.ends[s]; ok && phase == Fresh {
+			e.repeated += sign
+		}
+	}
+}
+
+func (c *content) freshCount() int {
+	n := 0
+	for _, phase := range c.ends {
+		if phase == Fresh {
+			n++
+		}
+	}
+	return n
+}
+
 // forgetFreshRuns stops counting the fresh runs of a content of which another run has lasted: a
 // content that ends servers as it begins would not have.
 func (c *content) forgetFreshRuns() {
@@ -179,6 +206,7 @@
 		return 0
 	}
 	n := len(c.ends)
+	t.countRepeated(c, -1)
 	t.unlink(fp, c)
 	c.ends = make(map[state.BackendIncarnation]Phase)
 	c.clearedAt = at
@@ -216,7 +244,7 @@
 		return Verdict{Blocked: true}
 	}
 	if fresh < soleThreshold {
-		return Verdict{Exclusive: c.hasFresh()}
+		return Verdict{Exclusive: c.freshCount() > 0}
 	}
 	if settled := c.at.Add(settleTime); now.Before(settled) {
 		return Verdict{SettlesAt: settled}
@@ -227,16 +255,6 @@
 	return Verdict{Exclusive: true}
 }
 
-// hasFresh reports whether a server has ended under a fresh run of a content, also in a burst.
-func (c *content) hasFresh() bool {
-	for _, phase := range c.ends {
-		if phase == Fresh {
-			return true
-		}
-	}
-	return false
-}
-
 // countFresh returns how many servers ended under a fresh run of a content, apart from bursts.
 func (t *Tracker) countFresh(c *content) int {
 	n := 0
@@ -252,10 +270,12 @@
 }
 
 // isBurst reports whether many servers that did not run a content ended at about the same time.
+// Servers that ended under a content which has ended others too do not count: that content is a
+// better explanation than a failure that they share.
 func (t *Tracker) isBurst(c *content, at time.Time) bool {
 	others := 0
 	for s, e := range t.ends {
-		if _, own := c.ends[s]; !own && e.at.Sub(at).Abs() <= burstWindow {
+		if _, own := c.ends[s]; !own && e.repeated <= 0 && e.at.Sub(at).Abs() <= burstWindow {
 			others++
 		}
 	}
@@ -360,6 +380,7 @@
 }
 
 func (t *Tracker) drop(fp Fingerprint) {
+	t.countRepeated(t.contents[fp], -1)
 	t.unlink(fp, t.contents[fp])
 	delete(t.contents, fp)
 }
