gateway, crashes: what ended servers is kept in the daemons' rows

Cause: what is known of contents ended with the processes. After a restart of all daemons a content that had ended two servers was counted from one again. Class: state that a successor has anew.

Ruled out: a table of its own means one more call at each start; a row for each content is a write for each innocent that ran on a server when it ended. Telling only what is refused, as daemons that join are told, needs a daemon that lives.

Change: a daemon's row in the table of members also holds the contents under whose fresh runs servers ended there, up to 64, the ones with most ends first, with the servers and the time by the table's clock. It is written with the records of retries, under the same rate (45 ms a daemon on nine), when such a content is added or one with two ends is cleared. A daemon that starts reads all rows in the call that it makes anyway, and applies them.

--- a/coordination/crashes/crashes.go
+++ b/coordination/crashes/crashes.go
@@ -73,6 +73,8 @@
 type Tracker struct {
 	contents map[Fingerprint]*content
 	ends     map[state.BackendIncarnation]*end
+	// unrecorded is set if the contents to be kept have changed since the last record.
+	unrecorded bool
 }
 
 // content is the state of one content.
@@ -80,6 +82,7 @@
 	ends      map[state.BackendIncarnation]Phase // servers that ended while running it
 	at        time.Time                          // time of the last implication
 	clearedAt time.Time                          // earlier implications don't count
+	kept      bool                               // part of this daemon's records
 }
 
 // end is the end of one server.
@@ -206,6 +209,7 @@
 		return 0
 	}
 	n := len(c.ends)
+	t.unrecorded = t.unrecorded || c.kept && n >= soleThreshold
 	t.countRepeated(c, -1)
 	t.unlink(fp, c)
 	c.ends = make(map[state.BackendIncarnation]Phase)
--- a/coordination/crashes/crashes_test.go
+++ b/coordination/crashes/crashes_test.go
@@ -197,6 +197,30 @@
 		Expect(newcomer.EndCount(8)).To(BeZero())
 	})
 
+	// Guards against a successor that counts anew: what a daemon has seen is kept in its row.
+	It("are counted on by the processes after this one", Label("failure:request-crashes-servers"), func() {
+		t.Implicate(now, server("e1"), fresh(7), fresh(8), lasting(9))
+		for fp := range crashes.Fingerprint(10) {
+			t.Keep(fp)
+		}
+		t.Implicate(now, server("e2"), fresh(8))
+		Expect(t.Clear(now.Add(1), 8)).To(Equal(2))
+		Expect(t.NeedsRecord()).To(BeTrue())
+		record := t.NewRecord(now.Add(time.Minute), time.Hour)
+		Expect(t.NeedsRecord()).To(BeFalse())
+		Expect(record.Ends).To(HaveLen(1))
+
+		after := crashes.NewTracker()
+		after.Restore(now.Add(2*time.Minute), time.Hour+time.Minute, record, true)
+		after.Restore(now.Add(2*time.Minute), time.Hour+time.Minute, record, true)
+		Expect(after.EndCount(7)).To(Equal(1))
+		Expect(after.EndCount(8)).To(BeZero())
+		Expect(after.NewRecord(now.Add(2*time.Minute), time.Hour+time.Minute)).To(Equal(record))
+		after.Implicate(now.Add(2*time.Minute), server("e2"), fresh(7))
+		Expect(after.Judge(now.Add(3*time.Minute), 7).Blocked).To(BeTrue())
+		Expect(after.Judge(now.Add(2*time.Minute+crashes.ImplicationTTL), 7).Blocked).To(BeFalse())
+	})
+
 	It("are remembered up to a bound, those with more crashes for longer", func() {
 		t.Implicate(now, server("e1"), fresh(0))
 		t.Implicate(now, server("e2"), fresh(0))
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -76,6 +76,9 @@
 	r.g.log.Emit(telemetry.EventRequestImplicated, telemetry.Request(r.req.ID), telemetry.Backend(server.ID),
 		telemetry.Count(servers), telemetry.Content(uint64(run.Content)))
 	r.g.endedRuns.add(endedRun{server: server, run: run})
+	if r.g.shared.keepCrash(run.Content) {
+		r.g.requestRetryRecord()
+	}
 }
 
 // clearImplication records that a request was answered completely: its content crashes no
@@ -141,3 +144,40 @@
 	defer s.mu.Unlock()
 	return s.crashes.BlockedNotices(now)
 }
+
+// keepCrash includes a content in this daemon's records and reports whether a record is due.
+func (s *sharedState) keepCrash(fp crashes.Fingerprint) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.crashes.Keep(fp)
+	return s.crashes.NeedsRecord()
+}
+
+func (s *sharedState) needsCrashRecord() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.crashes.NeedsRecord()
+}
+
+// newCrashRecord returns the record to be written, or nil if there is nothing to record.
+func (s *sharedState) newCrashRecord(now time.Time, tableNow time.Duration) *crashes.Record {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	record := s.crashes.NewRecord(now, tableNow)
+	if len(record.Ends) == 0 {
+		return nil
+	}
+	return &record
+}
+
+func (s *sharedState) setCrashesUnrecorded() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.crashes.SetUnrecorded()
+}
+
+func (s *sharedState) restoreCrashes(now time.Time, tableNow time.Duration, record crashes.Record, own bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.crashes.Restore(now, tableNow, record, own)
+}
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -80,10 +80,12 @@
 	return r
 }
 
-// memberRow is a daemon's row in the table of members, with its address for peers.
+// memberRow is a daemon's row in the table of members, with its address for peers and what the
+// processes after it continue from.
 type memberRow struct {
-	Peers   string    `json:"peers"`
-	Retries *retryRow `json:"retries,omitempty"`
+	Peers   string          `json:"peers"`
+	Retries *retryRow       `json:"retries,omitempty"`
+	Crashes *crashes.Record `json:"crashes,omitempty"`
 }
 
 // membersState tracks the other gateways.
@@ -187,11 +189,11 @@
 	m.c.post(func() { m.seeded(rowWritten, read, err) })
 }
 
-// writeRow writes this daemon's row to the table and keeps what the row says of the retry
-// budget.
+// writeRow writes this daemon's row to the table and keeps what the row says of the process
+// before this one.
 func (m *membersState) writeRow(ctx context.Context, read *tableRead) bool {
 	g := m.c.g
-	next := memberRow{Peers: g.currentSettings().PeerAddress, Retries: read.own.Retries}
+	next := memberRow{Peers: g.currentSettings().PeerAddress, Retries: read.own.Retries, Crashes: read.own.Crashes}
 	if read.revision == 0 {
 		next.Retries = &retryRow{Incarnation: g.self.Incarnation, Epoch: read.rows.Epoch, FirstRow: read.rows.Now}
 	}
--- a/gateway/retryrecord.go
+++ b/gateway/retryrecord.go
@@ -31,7 +31,8 @@
 )
 
 // retryRecords keeps this daemon's use of the retry budget in its row of the table of
-// members, so that a process that starts again continues from there.
+// members, so that a process that starts again continues from there. The row also keeps the
+// contents that ended servers here, which all daemons that start read.
 type retryRecords struct {
 	c *control
 
@@ -81,6 +82,7 @@
 	unchanged := r.known && read.revision == r.revision
 	r.tableTime, r.tableTimeAt = read.rows.Now, read.asked
 	r.revision, r.epoch = read.revision, read.rows.Epoch
+	r.restoreCrashes(read)
 	row := read.own.Retries
 	ofThisProcess := r.known && row != nil && row.Incarnation == r.c.g.self.Incarnation
 	if unchanged || ofThisProcess {
@@ -96,6 +98,21 @@
 	}
 }
 
+// restoreCrashes applies what the table says of contents that ended servers.
+func (r *retryRecords) restoreCrashes(read *tableRead) {
+	tableNow := read.rows.Now + r.c.now.Sub(read.got)
+	for _, other := range read.rows.Rows {
+		row := parseMemberRow(other)
+		if row.Crashes == nil || row.Retries == nil || row.Retries.Epoch != read.rows.Epoch {
+			continue
+		}
+		r.c.g.shared.restoreCrashes(r.c.now, tableNow, *row.Crashes, other.Key == string(r.c.g.self.ID))
+	}
+	if read.own.Crashes == nil {
+		r.c.g.shared.setCrashesUnrecorded()
+	}
+}
+
 // siteIsOlder reports whether another daemon has been on the site for a window, so that the
 // slack of the last window may be spent.
 func (r *retryRecords) siteIsOlder(rows site.Rows) bool {
@@ -127,7 +144,11 @@
 	r.writing, r.writtenAt = true, r.c.now
 	row := &retryRow{Incarnation: r.c.g.self.Incarnation, Epoch: r.epoch, FirstRow: r.firstRow}
 	row.Use = r.c.g.shared.newRetryRecord(r.c.now, r.tableNow(), r.services(), r.c.view.slackShare)
-	go r.write(row, r.revision)
+	go r.write(memberRow{
+		Peers:   r.c.g.currentSettings().PeerAddress,
+		Retries: row,
+		Crashes: r.c.g.shared.newCrashRecord(r.c.now, r.tableNow()),
+	}, r.revision)
 }
 
 // tableNow returns the time of the table's clock, or a later one.
@@ -143,7 +164,7 @@
 	if !r.known || r.writing || r.c.view.config == nil || r.c.now.Before(r.writableAt()) {
 		return false
 	}
-	return r.c.g.shared.needsRetryRecord(r.c.now, r.services(), r.c.view.slackShare)
+	return r.c.g.shared.needsCrashRecord() || r.c.g.shared.needsRetryRecord(r.c.now, r.services(), r.c.view.slackShare)
 }
 
 // writableAt returns when the next record may be written.
@@ -171,11 +192,11 @@
 }
 
 // write writes this daemon's row on the condition that it has a revision.
-func (r *retryRecords) write(row *retryRow, revision uint64) {
+func (r *retryRecords) write(row memberRow, revision uint64) {
 	g := r.c.g
 	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 	defer cancel()
-	value, err := json.Marshal(memberRow{Peers: g.currentSettings().PeerAddress, Retries: row})
+	value, err := json.Marshal(row)
 	if err == nil {
 		revision, err = g.site.Members.Commit(ctx, site.Change{Key: string(g.self.ID), Value: value, Conditional: true, Revision: revision})
 	}
@@ -204,15 +225,18 @@
 
 // written applies the result of a write. A conflict means that a write whose answer was lost
 // has taken effect since, of this process or of the one before it; read is then the table.
-func (r *retryRecords) written(row *retryRow, revision uint64, err error, read *tableRead) {
+func (r *retryRecords) written(row memberRow, revision uint64, err error, read *tableRead) {
 	r.writing = false
+	if err != nil || read != nil {
+		r.c.g.shared.setCrashesUnrecorded()
+	}
 	switch {
 	case read != nil:
 		r.loaded(read)
 	case err == nil:
 		r.revision, r.failedAt = revision, time.Time{}
 		r.c.members.rowWritten = true
-		r.c.g.shared.retryRecordWritten(slices.Collect(maps.Keys(row.Use.Services)))
+		r.c.g.shared.retryRecordWritten(slices.Collect(maps.Keys(row.Retries.Use.Services)))
 	default:
 		// All daemons would repeat their writes at the same time when the table is back.
 		r.failedAt = r.c.now.Add(rand.N(recordRetryInterval))
