crashes: of the contents that moved along, those that were not starting are no explanation

Cause: a content that ran on two ended servers is refused after the second only if no other content ran on both. Class: evidence that is recorded coarser than it is seen.

Change: a fresh run that had begun and not answered is told apart as starting. Another content explains two ends only if it was starting wherever the judged one was. Notices name the starting ones beside the fresh ones, so that earlier versions count as before.

Evidence: the spec; with the phase that was recorded before, fresh, content 7 of it is not refused after two ends.

--- a/coordination/crashes/crashes.go
+++ b/coordination/crashes/crashes.go
@@ -49,20 +49,41 @@
 	Fresh
 	// Lasting means that it had begun longer than FreshRun before.
 	Lasting
+	// Starting is Fresh, and the run had begun and not answered yet. Of the runs on a server that
+	// ended as one of them began, these are the likely ones.
+	Starting
+)
+
+// Progress is how far the answer of a run had come when its server ended.
+type Progress uint8
+
+// The values of Progress.
+const (
+	// NotBegun means that nothing of the answer had arrived.
+	NotBegun Progress = iota
+	// Begun means that its header had arrived.
+	Begun
+	// Answering means that a part of its body had arrived.
+	Answering
 )
 
 // PhaseOf returns the phase of a run of a given age, since it began or else since it was sent.
-func PhaseOf(begun bool, age time.Duration) Phase {
+func PhaseOf(progress Progress, age time.Duration) Phase {
 	switch {
+	case age <= FreshRun && progress == Begun:
+		return Starting
 	case age <= FreshRun:
 		return Fresh
-	case begun:
+	case progress != NotBegun:
 		return Lasting
 	default:
 		return Waiting
 	}
 }
 
+// fresh reports whether the run had just begun, or had just been sent.
+func (p Phase) fresh() bool { return p == Fresh || p == Starting }
+
 // Run is one execution of a content on a server that ended.
 type Run struct {
 	Content Fingerprint
@@ -117,7 +138,7 @@
 		t.contents[run.Content] = c
 	}
 	phase, known := c.ends[server]
-	if known && (phase == Fresh || run.Phase != Fresh) || !at.After(c.clearedAt) {
+	if known && (phase.fresh() || !run.Phase.fresh()) || !at.After(c.clearedAt) {
 		return false
 	}
 	t.countRepeated(c, -1)
@@ -140,7 +161,7 @@
 		return
 	}
 	for s, phase := range c.ends {
-		if e, ok := t.ends[s]; ok && phase == Fresh {
+		if e, ok := t.ends[s]; ok && phase.fresh() {
 			e.repeated += sign
 		}
 	}
@@ -149,7 +170,7 @@
 func (c *content) freshCount() int {
 	n := 0
 	for _, phase := range c.ends {
-		if phase == Fresh {
+		if phase.fresh() {
 			n++
 		}
 	}
@@ -160,7 +181,7 @@
 // content that ends servers as it begins would not have.
 func (c *content) forgetFreshRuns() {
 	for s, phase := range c.ends {
-		if phase == Fresh {
+		if phase.fresh() {
 			c.ends[s] = Waiting
 		}
 	}
@@ -266,7 +287,7 @@
 		if e, ok := t.ends[s]; ok && t.isBurst(c, e.at) {
 			continue
 		}
-		if phase == Fresh {
+		if phase.fresh() {
 			n++
 		}
 	}
@@ -286,8 +307,8 @@
 	return others >= burstServers
 }
 
-// isAccompanied reports whether another content ran on every server that ended under a content, so
-// that either of them may be the cause.
+// isAccompanied reports whether another content is as likely the cause of every end under a
+// content: it ran there, and was starting wherever that one was.
 func (t *Tracker) isAccompanied(fp Fingerprint, c *content) bool {
 	var candidates map[Fingerprint]struct{}
 	for s := range c.ends {
@@ -296,19 +317,22 @@
 		}
 	}
 	for other := range candidates {
-		if other != fp && t.ranOnAll(other, c) {
+		if other != fp && t.isAsLikely(other, c) {
 			return true
 		}
 	}
 	return false
 }
 
-func (t *Tracker) ranOnAll(other Fingerprint, c *content) bool {
-	for s := range c.ends {
-		if e, ok := t.ends[s]; ok {
-			if _, ran := e.contents[other]; !ran {
-				return false
-			}
+func (t *Tracker) isAsLikely(other Fingerprint, c *content) bool {
+	o := t.contents[other]
+	for s, phase := range c.ends {
+		if _, ok := t.ends[s]; !ok {
+			continue
+		}
+		its, ran := o.ends[s]
+		if !ran || phase == Starting && its != Starting {
+			return false
 		}
 	}
 	return true
--- a/coordination/crashes/crashes_test.go
+++ b/coordination/crashes/crashes_test.go
@@ -20,6 +20,10 @@
 
 func fresh(fp crashes.Fingerprint) crashes.Run { return crashes.Run{Content: fp, Phase: crashes.Fresh} }
 
+func starting(fp crashes.Fingerprint) crashes.Run {
+	return crashes.Run{Content: fp, Phase: crashes.Starting}
+}
+
 func lasting(fp crashes.Fingerprint) crashes.Run {
 	return crashes.Run{Content: fp, Phase: crashes.Lasting}
 }
@@ -91,6 +95,17 @@
 		Expect(isBlocked(8)).To(BeFalse())
 	})
 
+	// Guards against a third crash that tells nothing new: of the contents that moved along, only one
+	// was starting on both servers.
+	It("are told apart by two crashes if only one of them was starting on both", Label("failure:request-crashes-servers"), func() {
+		t.Implicate(now, server("e1"), starting(7), fresh(8), starting(9))
+		t.Implicate(now.Add(settled), server("e2"), starting(7), starting(8), fresh(9))
+		now = now.Add(settled)
+		Expect(isBlocked(7)).To(BeTrue())
+		Expect(isBlocked(8)).To(BeFalse())
+		Expect(isBlocked(9)).To(BeFalse())
+	})
+
 	// Guards against innocent contents that are refused since servers end of themselves one after the
 	// other while answers of some seconds move between them.
 	It("are refused after a fifth crash if their runs had lasted", Label("failure:innocent-content-refused"), func() {
@@ -121,10 +136,12 @@
 	})
 
 	It("had waited, had just begun or had lasted", func() {
-		Expect(crashes.PhaseOf(false, crashes.FreshRun)).To(Equal(crashes.Fresh))
-		Expect(crashes.PhaseOf(true, crashes.FreshRun)).To(Equal(crashes.Fresh))
-		Expect(crashes.PhaseOf(false, 2*crashes.FreshRun)).To(Equal(crashes.Waiting))
-		Expect(crashes.PhaseOf(true, 2*crashes.FreshRun)).To(Equal(crashes.Lasting))
+		Expect(crashes.PhaseOf(crashes.NotBegun, crashes.FreshRun)).To(Equal(crashes.Fresh))
+		Expect(crashes.PhaseOf(crashes.Begun, crashes.FreshRun)).To(Equal(crashes.Starting))
+		Expect(crashes.PhaseOf(crashes.Answering, crashes.FreshRun)).To(Equal(crashes.Fresh))
+		Expect(crashes.PhaseOf(crashes.NotBegun, 2*crashes.FreshRun)).To(Equal(crashes.Waiting))
+		Expect(crashes.PhaseOf(crashes.Begun, 2*crashes.FreshRun)).To(Equal(crashes.Lasting))
+		Expect(crashes.PhaseOf(crashes.Answering, 2*crashes.FreshRun)).To(Equal(crashes.Lasting))
 	})
 
 	// Guards against innocent contents that are refused while a failure domain fails.
@@ -235,11 +252,11 @@
 	It("are told in notices that fit a gossip message", func() {
 		var runs []crashes.Run
 		for i := range 200 {
-			runs = append(runs, crashes.Run{Content: crashes.Fingerprint(i), Phase: crashes.Phase(i % 3)})
+			runs = append(runs, crashes.Run{Content: crashes.Fingerprint(i), Phase: crashes.Phase(i % 4)})
 		}
 		var told []crashes.Run
 		for _, notice := range crashes.EndNotices(server("e1"), runs) {
-			Expect(len(notice.Fresh) + len(notice.Lasting) + len(notice.Waiting)).To(BeNumerically("<=", 64))
+			Expect(len(notice.Fresh) + len(notice.Starting) + len(notice.Lasting) + len(notice.Waiting)).To(BeNumerically("<=", 64))
 			told = append(told, notice.Runs()...)
 		}
 		Expect(told).To(ConsistOf(runs))
--- a/coordination/crashes/notice.go
+++ b/coordination/crashes/notice.go
@@ -1,6 +1,7 @@
 package crashes
 
 import (
+	"slices"
 	"time"
 
 	"github.com/hibiscuswick/hibiscuswick/state"
@@ -13,13 +14,15 @@
 	Fresh   []Fingerprint            `msgpack:"f,omitempty"`
 	Lasting []Fingerprint            `msgpack:"r,omitempty"`
 	Waiting []Fingerprint            `msgpack:"w,omitempty"`
-	AgeMS   int64                    `msgpack:"a,omitempty"` // since the server ended, in ms; 0 for just now
+	// Starting are those of Fresh whose runs were starting. Earlier versions do not know the field.
+	Starting []Fingerprint `msgpack:"b,omitempty"`
+	AgeMS    int64         `msgpack:"a,omitempty"` // since the server ended, in ms; 0 for just now
 }
 
 // ofPhase returns the contents whose runs were in a phase.
 func (n *EndNotice) ofPhase(phase Phase) *[]Fingerprint {
 	switch phase {
-	case Fresh:
+	case Fresh, Starting:
 		return &n.Fresh
 	case Lasting:
 		return &n.Lasting
@@ -38,31 +41,45 @@
 	Contents []Fingerprint `msgpack:"c"`
 }
 
-// maxNoticeContents bounds the contents in one notice, so that it fits a gossip message.
+// maxNoticeContents bounds the fingerprints in one notice, so that it fits a gossip message.
 const maxNoticeContents = 64
 
 // EndNotices returns the messages that tell of runs on a server that ended.
 func EndNotices(server state.BackendIncarnation, runs []Run) []EndNotice {
 	var out []EndNotice
-	for len(runs) > 0 {
-		n := min(len(runs), maxNoticeContents)
-		notice := EndNotice{Server: server}
-		for _, run := range runs[:n] {
-			contents := notice.ofPhase(run.Phase)
-			*contents = append(*contents, run.Content)
+	size := maxNoticeContents // of the last notice
+	for _, run := range runs {
+		n := 1
+		if run.Phase == Starting {
+			n = 2
 		}
-		out = append(out, notice)
-		runs = runs[n:]
+		if size+n > maxNoticeContents {
+			out, size = append(out, EndNotice{Server: server}), 0
+		}
+		out[len(out)-1].add(run)
+		size += n
 	}
 	return out
 }
 
+func (n *EndNotice) add(run Run) {
+	contents := n.ofPhase(run.Phase)
+	*contents = append(*contents, run.Content)
+	if run.Phase == Starting {
+		n.Starting = append(n.Starting, run.Content)
+	}
+}
+
 // Runs returns the runs that the notice tells of.
 func (n EndNotice) Runs() []Run {
 	var out []Run
 	for _, phase := range []Phase{Fresh, Lasting, Waiting} {
 		for _, fp := range *n.ofPhase(phase) {
-			out = append(out, Run{Content: fp, Phase: phase})
+			run := Run{Content: fp, Phase: phase}
+			if phase == Fresh && slices.Contains(n.Starting, fp) {
+				run.Phase = Starting
+			}
+			out = append(out, run)
 		}
 	}
 	return out
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -33,11 +33,23 @@
 	brokenAfterEvent   brokenStage = "after_event"
 )
 
+// progress returns how far an answer that broke off had come.
+func (s brokenStage) progress() crashes.Progress {
+	switch s {
+	case brokenBeforeHeader:
+		return crashes.NotBegun
+	case brokenBeforeEvent:
+		return crashes.Begun
+	default:
+		return crashes.Answering
+	}
+}
+
 // handleBrokenCall handles the end of a call whose answer broke off. It finds out which servers
 // of the path have ended, and implicates the request's content for them.
 func (r *requestHandler) handleBrokenCall(stage brokenStage) {
 	now := time.Now()
-	run := crashes.Run{Content: r.fingerprint(), Phase: crashes.PhaseOf(stage != brokenBeforeHeader, now.Sub(r.runStart))}
+	run := crashes.Run{Content: r.fingerprint(), Phase: crashes.PhaseOf(stage.progress(), now.Sub(r.runStart))}
 	if r.service.Engine == nil {
 		run.Phase = crashes.Fresh // a plain server does not show when a run begins
 	}
@@ -66,7 +78,7 @@
 // daemons if that was not known. Of a request's runs that had not just begun, only the first counts:
 // the content has gone on at another server since. Streams call it from several goroutines.
 func (r *requestHandler) implicate(server state.BackendIncarnation, run crashes.Run) {
-	if run.Phase != crashes.Fresh && !r.olderRunEnded.CompareAndSwap(false, true) {
+	if (run.Phase == crashes.Waiting || run.Phase == crashes.Lasting) && !r.olderRunEnded.CompareAndSwap(false, true) {
 		return
 	}
 	added, servers := r.g.shared.implicate(time.Now(), server, run)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -144,7 +144,7 @@
 func (s *stream) hopDied(h fleet.Hop, ended bool) {
 	if ended {
 		age := time.Since(s.began) - s.sinceLastEvent(time.Now())
-		s.r.implicate(h.Server, crashes.Run{Content: s.r.fingerprint(), Phase: crashes.PhaseOf(true, age)})
+		s.r.implicate(h.Server, crashes.Run{Content: s.r.fingerprint(), Phase: crashes.PhaseOf(crashes.Answering, age)})
 	}
 	if s.r.route.Repeat != fleet.Resumable || !s.reserveRetry() || !s.ending.CompareAndSwap(false, true) {
 		return
