gateway: a request takes its turn once a server is chosen, not before it waits for one

A content that is refused while a copy waits ends the copy's wait at once. What is asked of the content in front of each attempt is only whether it is refused or about to be decided.

Evidence: the specs of copies, of contents and of no allocation for a request that is not suspected are green (the latter now asks the whole verdict).

--- a/coordination/crashes/crashes.go
+++ b/coordination/crashes/crashes.go
@@ -81,8 +81,8 @@
 	}
 }
 
-// fresh reports whether the run had just begun, or had just been sent.
-func (p Phase) fresh() bool { return p == Fresh || p == Starting }
+// IsFresh reports whether the run had just begun, or had just been sent.
+func (p Phase) IsFresh() bool { return p == Fresh || p == Starting }
 
 // Run is one execution of a content on a server that ended.
 type Run struct {
@@ -138,7 +138,7 @@
 		t.contents[run.Content] = c
 	}
 	phase, known := c.ends[server]
-	if known && (phase.fresh() || !run.Phase.fresh()) || !at.After(c.clearedAt) {
+	if known && (phase.IsFresh() || !run.Phase.IsFresh()) || !at.After(c.clearedAt) {
 		return false
 	}
 	t.countRepeated(c, -1)
@@ -161,7 +161,7 @@
 		return
 	}
 	for s, phase := range c.ends {
-		if e, ok := t.ends[s]; ok && phase.fresh() {
+		if e, ok := t.ends[s]; ok && phase.IsFresh() {
 			e.repeated += sign
 		}
 	}
@@ -170,7 +170,7 @@
 func (c *content) freshCount() int {
 	n := 0
 	for _, phase := range c.ends {
-		if phase.fresh() {
+		if phase.IsFresh() {
 			n++
 		}
 	}
@@ -181,7 +181,7 @@
 // content that ends servers as it begins would not have.
 func (c *content) forgetFreshRuns() {
 	for s, phase := range c.ends {
-		if phase.fresh() {
+		if phase.IsFresh() {
 			c.ends[s] = Waiting
 		}
 	}
@@ -287,7 +287,7 @@
 		if e, ok := t.ends[s]; ok && t.isBurst(c, e.at) {
 			continue
 		}
-		if phase.fresh() {
+		if phase.IsFresh() {
 			n++
 		}
 	}
--- a/coordination/crashes/record.go
+++ b/coordination/crashes/record.go
@@ -46,7 +46,7 @@
 	contents := make(map[state.BackendIncarnation][]Fingerprint)
 	for _, fp := range t.keptContents(now) {
 		for s, phase := range t.contents[fp].ends {
-			if phase.fresh() {
+			if phase.IsFresh() {
 				contents[s] = append(contents[s], fp)
 			}
 		}
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -78,7 +78,7 @@
 // daemons if that was not known. Of a request's runs that had not just begun, only the first counts:
 // the content has gone on at another server since. Streams call it from several goroutines.
 func (r *requestHandler) implicate(server state.BackendIncarnation, run crashes.Run) {
-	if (run.Phase == crashes.Waiting || run.Phase == crashes.Lasting) && !r.olderRunEnded.CompareAndSwap(false, true) {
+	if !run.Phase.IsFresh() && !r.olderRunEnded.CompareAndSwap(false, true) {
 		return
 	}
 	added, servers := r.g.shared.implicate(time.Now(), server, run)
@@ -107,28 +107,44 @@
 // mayRunNow reports whether the request's content may be sent to a server at once. It is asked
 // immediately before each send: a content may have been implicated while the request waited.
 func (r *requestHandler) mayRunNow(now time.Time) bool {
-	verdict := r.g.shared.judge(now, r.fingerprint)
-	r.heldBack = verdict.Blocked || !verdict.SettlesAt.IsZero() || verdict.Exclusive && !r.turn.held
+	verdict := r.judge(now)
+	r.heldBack = verdict.blocked || !verdict.settlesAt.IsZero() || !r.turn.holds(verdict.turns)
 	return !r.heldBack
 }
 
-func (s *sharedState) implicate(at time.Time, server state.BackendIncarnation, runs ...crashes.Run) (added []crashes.Run, servers int) {
+// requestVerdict says whether a request may be sent to a server.
+type requestVerdict struct {
+	blocked   bool
+	settlesAt time.Time // when it can be decided, or zero if it is
+	turns     []crashes.Fingerprint
+}
+
+// judge decides whether the request may be sent to a server. The fingerprint is computed only if
+// servers have ended.
+func (r *requestHandler) judge(now time.Time) requestVerdict {
+	s := r.g.shared
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	added = s.crashes.Implicate(at, server, runs...)
-	for _, run := range added {
-		servers = max(servers, s.crashes.EndCount(run.Content))
+	if s.crashes.Empty() {
+		return requestVerdict{}
 	}
-	return added, servers
+	fp := r.fingerprint()
+	of := s.crashes.Judge(now, fp)
+	v := requestVerdict{blocked: of.Blocked, settlesAt: of.SettlesAt}
+	if of.Exclusive {
+		v.turns = []crashes.Fingerprint{fp}
+	}
+	return v
 }
 
-func (s *sharedState) judge(now time.Time, fingerprint func() crashes.Fingerprint) crashes.Verdict {
+func (s *sharedState) implicate(at time.Time, server state.BackendIncarnation, runs ...crashes.Run) (added []crashes.Run, servers int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.crashes.Empty() {
-		return crashes.Verdict{}
+	added = s.crashes.Implicate(at, server, runs...)
+	for _, run := range added {
+		servers = max(servers, s.crashes.EndCount(run.Content))
 	}
-	return s.crashes.Judge(now, fingerprint())
+	return added, servers
 }
 
 // clearImplication removes a content's implications, and returns the number of servers that
--- a/gateway/crashes_internal_test.go
+++ b/gateway/crashes_internal_test.go
@@ -15,9 +15,8 @@
 var _ = Describe("A request whose content is not suspected", func() {
 	It("is judged without allocations", func() {
 		s := newSharedState(Settings{BudgetWindow: 10 * time.Second})
-		r := &requestHandler{req: &Request{Method: "POST", Target: "/x", Body: make([]byte, 4096)}}
-		fingerprint := r.fingerprint
-		judge := func() { s.judge(time.Unix(1000, 0), fingerprint) }
+		r := &requestHandler{g: &Gateway{shared: s}, req: &Request{Method: "POST", Target: "/x", Body: make([]byte, 4096)}}
+		judge := func() { r.judge(time.Unix(1000, 0)) }
 		Expect(testing.AllocsPerRun(100, judge)).To(BeZero())
 		s.implicate(time.Unix(1000, 0), state.BackendIncarnation{ID: "e1"}, crashes.Run{Content: 7, Phase: crashes.Fresh})
 		Expect(testing.AllocsPerRun(100, judge)).To(BeZero())
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -329,6 +329,6 @@
 	case following.Announcement:
 		g.control.post(func() { g.control.handleAnnouncement(m) })
 	case crashes.TurnRelease:
-		g.shared.endTurn(time.Now(), from.ID, m)
+		g.endTurn(time.Now(), from.ID, m)
 	}
 }
--- a/gateway/path.go
+++ b/gateway/path.go
@@ -25,11 +25,13 @@
 		if r.view.populating && !r.headSent || !r.mayRetryRejected(time.Now()) {
 			return false
 		}
-		path, ok = r.g.shared.choosePath(time.Now(), r.view, r.service, pathReq, r.excluded, &r.search)
-		return ok
+		return r.chooseWithTurns(ctx, func() bool {
+			path, ok = r.g.shared.choosePath(time.Now(), r.view, r.service, pathReq, r.excluded, &r.search)
+			return ok
+		}, func() { r.g.shared.releasePath(path, pathReq.ExpectedTokens()) })
 	})
 	if !found {
-		return r.noServerResult(admission.Uncovered)
+		return r.notChosenResult(admission.Uncovered)
 	}
 	defer r.g.shared.releasePath(path, pathReq.ExpectedTokens())
 	defer r.endAssignment(false)
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -21,11 +21,13 @@
 func (r *requestHandler) attemptPlain(ctx context.Context) (relay.Outcome, Result) {
 	var server fleet.Server
 	found := r.waitFor(ctx, func() (ok bool) {
-		server, ok = r.g.shared.pickServer(time.Now(), r.view, r.service.ID, r.g.currentSettings().Domain, r.excluded, &r.search)
-		return ok
+		return r.chooseWithTurns(ctx, func() bool {
+			server, ok = r.g.shared.pickServer(time.Now(), r.view, r.service.ID, r.g.currentSettings().Domain, r.excluded, &r.search)
+			return ok
+		}, func() { r.g.shared.releaseServer(server.Incarnation()) })
 	})
 	if !found {
-		return r.noServerResult(admission.Busy)
+		return r.notChosenResult(admission.Busy)
 	}
 	defer r.g.shared.releaseServer(server.Incarnation())
 	defer r.endAssignment(false)
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -49,6 +49,7 @@
 	connected    atomic.Bool // the call of the current attempt has a connection
 	// olderRunEnded is set once a server has ended under a run of the request that had not just begun.
 	olderRunEnded atomic.Bool
+	verdict       requestVerdict // the last one while the current attempt waits for a server
 	turn          turnState
 	heldBack      bool           // the current attempt was not sent because of what its content has done
 	failure       *serverFailure // the last one, or nil
@@ -144,7 +145,7 @@
 
 // runAttempts repeats attempts until the request has a result.
 func (r *requestHandler) runAttempts(ctx context.Context) Result {
-	defer r.releaseTurn()
+	defer r.releaseTurns()
 	for {
 		if result, ok := r.checkContent(ctx); !ok {
 			return result
@@ -153,7 +154,7 @@
 			return r.cutOffResult()
 		}
 		outcome, result := r.attempt(ctx)
-		r.releaseTurn()
+		r.releaseTurns()
 		if outcome == 0 {
 			return result
 		}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -179,7 +179,7 @@
 	}
 	s.r.g.shared.recordProgress(now, s)
 	if now.Sub(s.began) > crashes.FreshRun {
-		s.r.releaseTurn()
+		s.r.releaseTurns()
 	}
 	s.resetTimer()
 	return nil
--- a/gateway/turns.go
+++ b/gateway/turns.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"time"
 
@@ -24,44 +25,93 @@
 // by another request.
 const reasonTurn relay.Reason = "suspect_running"
 
-// turnState is a request's turn to run its content.
+// turnState is a request's turns to run what is suspect of it.
 type turnState struct {
-	holder crashes.TurnHolder
-	owner  string // address of the daemon that has granted the turn; empty for this one
-	held   bool
-	waited bool // the wait for a turn has been logged
+	number  uint64 // of the request among those of this daemon that have asked; 0 if it has not
+	held    []heldTurn
+	askedAt time.Time // when the owner was last asked
+	waited  bool      // the wait for a turn has been logged
 }
 
-// checkContent waits until the request's content may be sent to a server. It returns false with the
-// result of the request if it may not.
-func (r *requestHandler) checkContent(ctx context.Context) (Result, bool) {
-	waiting := admission.WaitingRequest{Arrived: r.req.Arrived, Deadline: r.deadline}
-	if r.headSent {
-		waiting.LastEvent = r.gaps.lastEvent
+// heldTurn is a turn that a request holds.
+type heldTurn struct {
+	of    crashes.Fingerprint
+	owner string // address of the daemon that has granted it; empty for this one
+}
+
+// holds reports whether the request holds all of some turns.
+func (t *turnState) holds(turns []crashes.Fingerprint) bool {
+	return len(t.heldOf(turns)) == len(turns)
+}
+
+// heldOf returns those of some turns that the request holds.
+func (t *turnState) heldOf(turns []crashes.Fingerprint) []crashes.Fingerprint {
+	var out []crashes.Fingerprint
+	for _, fp := range turns {
+		if slices.ContainsFunc(t.held, func(h heldTurn) bool { return h.of == fp }) {
+			out = append(out, fp)
+		}
 	}
+	return out
+}
+
+// checkContent waits until it is decided whether the request's content may be sent to a server. It
+// returns false with the result of the request if it may not.
+func (r *requestHandler) checkContent(ctx context.Context) (Result, bool) {
 	for {
 		now := time.Now()
-		verdict := r.g.shared.judge(now, r.fingerprint)
+		verdict := r.judge(now)
 		switch {
-		case verdict.Blocked:
-			r.g.log.Emit(telemetry.EventRequestQuarantined, telemetry.Request(r.req.ID), telemetry.Content(uint64(r.fingerprint())))
-			return r.failedResult(reasonCrashes), false
-		case ctx.Err() != nil:
-			return Result{}, true
-		case !verdict.SettlesAt.IsZero():
-			sleep(ctx, verdict.SettlesAt.Sub(now))
-		case !verdict.Exclusive || r.turn.held:
+		case verdict.blocked:
+			return r.blockedResult(), false
+		case verdict.settlesAt.IsZero() || ctx.Err() != nil:
 			return Result{}, true
-		case r.takeTurn(ctx): // the owner may have told of further ends
-		case !now.Before(waiting.RejectAt()):
-			return r.turnTakenResult(), false
-		default:
-			r.logTurnTaken()
-			sleep(ctx, turnPollInterval)
 		}
+		sleep(ctx, verdict.settlesAt.Sub(now))
 	}
 }
 
+// chooseWithTurns chooses a server if the request has the turns that it needs, or gets them once the
+// server is chosen: a request that waits for a server holds none. release undoes the choice.
+func (r *requestHandler) chooseWithTurns(ctx context.Context, choose func() bool, release func()) bool {
+	now := time.Now()
+	r.verdict = r.judge(now)
+	waits := !r.turn.holds(r.verdict.turns) && now.Sub(r.turn.askedAt) < turnPollInterval
+	if r.verdict.blocked || !r.verdict.settlesAt.IsZero() || waits || !choose() {
+		return false
+	}
+	if r.turn.holds(r.verdict.turns) {
+		return true
+	}
+	r.turn.askedAt = now
+	if r.takeTurns(ctx, r.verdict.turns) {
+		return true
+	}
+	r.logTurnTaken(r.verdict.turns)
+	release()
+	r.endAssignment(false)
+	return false
+}
+
+// notChosenResult is the result of a request that has not got a server in the time that it may wait,
+// or a server but not its turn.
+func (r *requestHandler) notChosenResult(why admission.Refusal) (relay.Outcome, Result) {
+	switch {
+	case r.verdict.blocked:
+		return 0, r.blockedResult()
+	case !r.turn.holds(r.verdict.turns):
+		return 0, r.turnTakenResult()
+	default:
+		return r.noServerResult(why)
+	}
+}
+
+// blockedResult is the result of a request that may not be sent to any server.
+func (r *requestHandler) blockedResult() Result {
+	r.g.log.Emit(telemetry.EventRequestQuarantined, telemetry.Request(r.req.ID), telemetry.Content(uint64(r.fingerprint())))
+	return r.failedResult(reasonCrashes)
+}
+
 // turnTakenResult is the result of a request that has not got its turn in time.
 func (r *requestHandler) turnTakenResult() Result {
 	if r.retrier.NeverRan() && !r.headSent {
@@ -70,39 +120,51 @@
 	return r.failedResult(reasonTurn)
 }
 
-func (r *requestHandler) logTurnTaken() {
+func (r *requestHandler) logTurnTaken(turns []crashes.Fingerprint) {
 	if r.turn.waited {
 		return
 	}
 	r.turn.waited = true
-	r.g.log.Emit(telemetry.EventTurnAwaited, telemetry.Request(r.req.ID), telemetry.Content(uint64(r.fingerprint())))
+	r.g.log.Emit(telemetry.EventTurnAwaited, telemetry.Request(r.req.ID), telemetry.Content(uint64(turns[0])))
 }
 
-// takeTurn asks for the turn to run the request's content and reports whether it was granted. If the
-// content's owner does not answer, this daemon grants it.
-func (r *requestHandler) takeTurn(ctx context.Context) bool {
-	fp := r.fingerprint()
-	if r.turn.holder.Number == 0 {
-		r.turn.holder = crashes.TurnHolder{Daemon: r.g.self.ID, Number: r.g.lastTurn.Add(1)}
+// takeTurns asks for the turns that the request does not hold and reports whether it has got all of
+// them. If it has not, it holds none, so that it does not keep others waiting.
+func (r *requestHandler) takeTurns(ctx context.Context, turns []crashes.Fingerprint) bool {
+	if r.turn.number == 0 {
+		r.turn.number = r.g.lastTurn.Add(1)
+	}
+	for _, fp := range turns {
+		if r.turn.holds([]crashes.Fingerprint{fp}) {
+			continue
+		}
+		owner, granted := r.takeTurn(ctx, fp)
+		if !granted {
+			r.releaseTurns()
+			return false
+		}
+		r.turn.held = append(r.turn.held, heldTurn{of: fp, owner: owner})
 	}
-	r.turn.owner = r.turnOwner(fp)
-	if r.turn.owner != "" {
-		if granted, ok := r.askForTurn(ctx, fp); ok {
-			r.turn.held = granted
-			return granted
+	return true
+}
+
+// takeTurn asks for one turn. It returns the address of the daemon that granted it. If the owner
+// does not answer, this daemon grants it.
+func (r *requestHandler) takeTurn(ctx context.Context, fp crashes.Fingerprint) (owner string, granted bool) {
+	if owner = r.turnOwner(fp); owner != "" {
+		if granted, ok := r.askForTurn(ctx, owner, fp); ok {
+			return owner, granted
 		}
-		r.turn.owner = ""
 	}
-	r.turn.held = r.g.shared.takeTurn(time.Now(), fp, r.turn.holder)
-	return r.turn.held
+	return "", r.g.shared.takeTurn(time.Now(), fp, crashes.TurnHolder{Daemon: r.g.self.ID, Number: r.turn.number})
 }
 
 // askForTurn asks another daemon for the turn. It returns false as ok if there is no answer.
-func (r *requestHandler) askForTurn(ctx context.Context, fp crashes.Fingerprint) (granted, ok bool) {
+func (r *requestHandler) askForTurn(ctx context.Context, owner string, fp crashes.Fingerprint) (granted, ok bool) {
 	ctx, cancel := context.WithTimeout(ctx, turnCallTimeout)
 	defer cancel()
-	req := crashes.TurnRequest{Content: fp, Number: r.turn.holder.Number, Ends: r.g.shared.endCount(fp)}
-	answer, err := r.g.node.Call(ctx, r.turn.owner, req)
+	req := crashes.TurnRequest{Content: fp, Number: r.turn.number, Ends: r.g.shared.endCount(fp)}
+	answer, err := r.g.node.Call(ctx, owner, req)
 	if err != nil {
 		return false, false
 	}
@@ -128,19 +190,25 @@
 	return addresses[owner]
 }
 
-// releaseTurn ends the request's turn, if it holds one.
-func (r *requestHandler) releaseTurn() {
-	if !r.turn.held {
-		return
-	}
-	r.turn.held = false
-	fp := r.fingerprint()
-	release := crashes.TurnRelease{Content: fp, Number: r.turn.holder.Number, Ends: r.g.shared.endsOf(time.Now(), fp)}
-	if r.turn.owner == "" {
-		r.g.shared.endTurn(time.Now(), r.g.self.ID, release)
-		return
+// releaseTurns ends the request's turns.
+func (r *requestHandler) releaseTurns() {
+	held := r.turn.held
+	r.turn.held = nil
+	for _, h := range held {
+		release := r.g.shared.turnRelease(time.Now(), h.of)
+		release.Number = r.turn.number
+		if h.owner == "" {
+			r.g.endTurn(time.Now(), r.g.self.ID, release)
+			continue
+		}
+		_ = r.g.node.Send(h.owner, release) // the turn expires if the message is lost
 	}
-	_ = r.g.node.Send(r.turn.owner, release) // the turn expires if the message is lost
+}
+
+// endTurn ends a turn of a daemon's request.
+func (g *Gateway) endTurn(now time.Time, from state.DaemonID, m crashes.TurnRelease) {
+	g.shared.applyEnds(now, m.Ends)
+	g.shared.releaseTurn(m.Content, crashes.TurnHolder{Daemon: from, Number: m.Number})
 }
 
 func (s *sharedState) takeTurn(now time.Time, fp crashes.Fingerprint, holder crashes.TurnHolder) bool {
@@ -149,6 +217,19 @@
 	return s.turns.Take(now, fp, holder)
 }
 
+func (s *sharedState) releaseTurn(fp crashes.Fingerprint, holder crashes.TurnHolder) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.turns.Release(fp, holder)
+}
+
+// turnRelease returns the message that ends a turn, with the ends that are known here.
+func (s *sharedState) turnRelease(now time.Time, fp crashes.Fingerprint) crashes.TurnRelease {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return crashes.TurnRelease{Content: fp, Ends: s.crashes.NoticesOf(now, fp)}
+}
+
 // grantTurn answers another daemon that asks for a turn.
 func (s *sharedState) grantTurn(now time.Time, from state.DaemonID, req crashes.TurnRequest) crashes.TurnResponse {
 	s.mu.Lock()
@@ -164,14 +245,6 @@
 	return resp
 }
 
-// endTurn ends a turn of a daemon's request.
-func (s *sharedState) endTurn(now time.Time, from state.DaemonID, m crashes.TurnRelease) {
-	s.applyEnds(now, m.Ends)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.turns.Release(m.Content, crashes.TurnHolder{Daemon: from, Number: m.Number})
-}
-
 // applyEnds applies ends of servers that another daemon has told of.
 func (s *sharedState) applyEnds(now time.Time, ends []crashes.EndNotice) {
 	for _, n := range ends {
@@ -179,12 +252,6 @@
 	}
 }
 
-func (s *sharedState) endsOf(now time.Time, fp crashes.Fingerprint) []crashes.EndNotice {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.crashes.NoticesOf(now, fp)
-}
-
 func (s *sharedState) endCount(fp crashes.Fingerprint) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/gateway/wait.go
+++ b/gateway/wait.go
@@ -23,7 +23,7 @@
 	if r.headSent {
 		waiting.LastEvent = r.gaps.lastEvent
 	}
-	r.search = serverSearch{}
+	r.search, r.verdict = serverSearch{}, requestVerdict{}
 	defer r.g.dequeueForPermit(&r.search.permit)
 	tryOnce := func() bool {
 		ok := try()
@@ -37,7 +37,7 @@
 	r.g.waitingRequests.Add(1)
 	defer r.g.waitingRequests.Add(-1)
 	for until := waiting.RejectAt(); time.Now().Before(until) && ctx.Err() == nil; {
-		if r.permitWaitExceeds(until) || r.retryAfterExceeds(until) {
+		if r.verdict.blocked || r.permitWaitExceeds(until) || r.retryAfterExceeds(until) {
 			return false
 		}
 		sleep(ctx, r.search.permit.pollInterval())
