crashes: contents that move along together do not account for ends

Streams that move from one ended engine to the next had just begun on both, so that each end counted as accounted for and the burst rule protected nobody.

Change: an end is accounted for by a content that was starting there and where another server ended, or by the only content that had just begun on both.

The spec of contents that end servers at once is unchanged and green.

--- a/coordination/crashes/crashes.go
+++ b/coordination/crashes/crashes.go
@@ -25,7 +25,7 @@
 	// ran on it.
 	settleTime = 200 * time.Millisecond
 	// A fresh run does not count if burstServers servers that did not run the content, and that no
-	// other content explains, ended within burstWindow of its end: a failure domain or a network has
+	// other content accounts for, ended within burstWindow of its end: a failure domain or a network has
 	// failed.
 	burstServers = 4
 	burstWindow  = 3 * time.Second
@@ -110,9 +110,15 @@
 type end struct {
 	at       time.Time
 	contents map[Fingerprint]struct{} // contents that ran on it and are not cleared
-	repeated int                      // of those, contents under whose fresh runs other servers have ended too
+	// Of those, the contents under whose fresh, or starting, runs other servers have ended too.
+	repeated, repeatedStarting int
 }
 
+// isAccounted reports whether a content is a better explanation of the end than a failure that
+// several servers share: it was starting there and where another server ended, or it is the only one
+// that had just begun on both. Contents that move along from one server to the next are several.
+func (e *end) isAccounted() bool { return e.repeatedStarting > 0 || e.repeated == 1 }
+
 // NewTracker returns an empty tracker.
 func NewTracker() *Tracker {
 	return &Tracker{contents: make(map[Fingerprint]*content), ends: make(map[state.BackendIncarnation]*end)}
@@ -157,20 +163,32 @@
 // countRepeated adds a content to the counts of the servers that ended under its fresh runs, if
 // there are several, or subtracts it if sign is -1.
 func (t *Tracker) countRepeated(c *content, sign int) {
-	if c.freshCount() < soleThreshold {
+	fresh, starting := c.freshCount(), c.startingCount()
+	if fresh < soleThreshold {
 		return
 	}
 	for s, phase := range c.ends {
-		if e, ok := t.ends[s]; ok && phase.IsFresh() {
-			e.repeated += sign
+		e, ok := t.ends[s]
+		if !ok || !phase.IsFresh() {
+			continue
+		}
+		e.repeated += sign
+		if starting >= soleThreshold && phase == Starting {
+			e.repeatedStarting += sign
 		}
 	}
 }
 
-func (c *content) freshCount() int {
+func (c *content) freshCount() int { return c.count(Phase.IsFresh) }
+
+func (c *content) startingCount() int {
+	return c.count(func(p Phase) bool { return p == Starting })
+}
+
+func (c *content) count(is func(Phase) bool) int {
 	n := 0
 	for _, phase := range c.ends {
-		if phase.IsFresh() {
+		if is(phase) {
 			n++
 		}
 	}
@@ -295,12 +313,11 @@
 }
 
 // isBurst reports whether many servers that did not run a content ended at about the same time.
-// Servers that ended under a content which has ended others too do not count: that content is a
-// better explanation than a failure that they share.
+// Ends that a content accounts for do not count.
 func (t *Tracker) isBurst(c *content, at time.Time) bool {
 	others := 0
 	for s, e := range t.ends {
-		if _, own := c.ends[s]; !own && e.repeated <= 0 && e.at.Sub(at).Abs() <= burstWindow {
+		if _, own := c.ends[s]; !own && !e.isAccounted() && e.at.Sub(at).Abs() <= burstWindow {
 			others++
 		}
 	}
