gateway, crashes: parts of prompts that end servers are found, run in turns and refused

Cause: contents are told apart as a whole, and nothing read the parts of a prompt. Requests of which no two are alike are each the first of their content, so that each may end two servers. Class: evidence that is keyed by more than what causes the failure.

Each fresh run on a server that ends implicates its parts, with its content, at every daemon. Three ends that not one content accounts for make a part suspected, of several that ran along the one that the fewest contents share; its requests then take turns on the whole site, as copies of a content do. Two contents that ran alone with it and ended servers make it refused, 503 with the time of the next trial. Rows keep what is suspected, daemons that join are told.

--- a/coordination/crashes/crashes.go
+++ b/coordination/crashes/crashes.go
@@ -274,6 +274,8 @@
 	// Exclusive is set if a server has ended as the content began to run: until the content is
 	// refused or cleared, one request of the site runs it at a time.
 	Exclusive bool
+	// TrialAt is when one blocked request may be tried again, or zero for never.
+	TrialAt time.Time
 }
 
 // Judge decides whether requests with a content may be sent to a server.
--- a/coordination/crashes/doc.go
+++ b/coordination/crashes/doc.go
@@ -17,8 +17,15 @@
 // refused if a daemon joins, so that the count covers the whole site. Before the second server
 // decides, a daemon waits until the others have reported what else ran there.
 //
-// Contract: report each end of a server with Implicate, each complete answer with Clear, and ask Judge
-// before each attempt.
+// Until a content that has ended a server is refused or cleared, one request of the site runs it at a
+// time: Turns holds the turns at the daemon that owns the content.
+//
+// Parts does the same for the parts of prompts that many contents share. A part is suspected after
+// three servers that no rarer part and no single content accounts for, and then run in turns; it is
+// refused after two contents that ran alone with it, until its next trial.
+//
+// Contract: report each end of a server with Implicate and Ended, each complete answer with Clear and
+// Answered, and ask both Judge methods immediately before each send.
 //
 // Package quarantine guards against the same failure where a replica can be reserved for one
 // request. Here every engine is part of many paths, so that a suspect content is tried again on
--- a/coordination/crashes/record.go
+++ b/coordination/crashes/record.go
@@ -14,7 +14,8 @@
 // Record is what a daemon keeps in a table of the contents that ended servers as they began to run
 // there, for the processes after it. Times are readings of the table's clock.
 type Record struct {
-	Ends []RecordedEnd `json:"ends"`
+	Ends  []RecordedEnd     `json:"ends"`
+	Parts []RecordedPartEnd `json:"parts,omitempty"`
 }
 
 // RecordedEnd is the end of one server under fresh runs of some contents.
--- a/coordination/crashes/turns.go
+++ b/coordination/crashes/turns.go
@@ -19,8 +19,8 @@
 	Number uint64 // unique at the daemon
 }
 
-// Turns holds the turns to run suspect contents at the daemon that owns them: of all requests of the
-// site with such a content, one runs at a time. It is not safe for concurrent use.
+// Turns holds the turns to run suspect contents and parts at the daemon that owns them: of all
+// requests of the site with such a content or part, one runs at a time. It is not safe for concurrent use.
 type Turns struct {
 	held map[Fingerprint]turn
 }
@@ -63,7 +63,7 @@
 	}
 }
 
-// TurnRequest asks the owner of a content for the turn to run it.
+// TurnRequest asks the owner of a content or part for the turn to run it.
 type TurnRequest struct {
 	Content Fingerprint `msgpack:"c"`
 	Number  uint64      `msgpack:"n"` // of the request at its daemon
@@ -77,10 +77,13 @@
 	Ends []EndNotice `msgpack:"e,omitempty"`
 }
 
-// TurnRelease tells the owner of a content that a request does not need its turn any longer, and
-// which servers have ended under the content.
+// TurnRelease tells the owner of a content or part that a request does not need its turn any longer,
+// and which servers have ended under it.
 type TurnRelease struct {
-	Content Fingerprint `msgpack:"c"`
-	Number  uint64      `msgpack:"n"`
-	Ends    []EndNotice `msgpack:"e,omitempty"`
+	Content Fingerprint   `msgpack:"c"`
+	Number  uint64        `msgpack:"n"`
+	Ends    []EndNotice   `msgpack:"e,omitempty"`
+	Parts   []PartsNotice `msgpack:"p,omitempty"`
+	// Answered is set if an answer to the request goes on long after it began, or is complete.
+	Answered bool `msgpack:"a,omitempty"`
 }
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -78,7 +78,9 @@
 // daemons if that was not known. Of a request's runs that had not just begun, only the first counts:
 // the content has gone on at another server since. Streams call it from several goroutines.
 func (r *requestHandler) implicate(server state.BackendIncarnation, run crashes.Run) {
-	if !run.Phase.IsFresh() && !r.olderRunEnded.CompareAndSwap(false, true) {
+	if run.Phase.IsFresh() {
+		r.implicateParts(server, run.Content)
+	} else if !r.olderRunEnded.CompareAndSwap(false, true) {
 		return
 	}
 	added, servers := r.g.shared.implicate(time.Now(), server, run)
@@ -96,6 +98,7 @@
 // clearImplication records that a request was answered completely: its content crashes no
 // server.
 func (r *requestHandler) clearImplication() {
+	r.markPartsAnswered()
 	fp, servers := r.g.shared.clearImplication(time.Now(), r.fingerprint)
 	if servers == 0 {
 		return
@@ -104,35 +107,52 @@
 	r.g.clearedContents.add(fp)
 }
 
-// mayRunNow reports whether the request's content may be sent to a server at once. It is asked
-// immediately before each send: a content may have been implicated while the request waited.
+// mayRunNow reports whether the request's content and parts may be sent to a server at once. It is
+// asked immediately before each send: they may have been implicated while the request waited.
 func (r *requestHandler) mayRunNow(now time.Time) bool {
 	verdict := r.judge(now)
 	r.heldBack = verdict.blocked || !verdict.settlesAt.IsZero() || !r.turn.holds(verdict.turns)
 	return !r.heldBack
 }
 
-// requestVerdict says whether a request may be sent to a server.
+// requestVerdict says whether a request may be sent to a server, after its content and the parts of
+// its prompt.
 type requestVerdict struct {
 	blocked   bool
-	settlesAt time.Time // when it can be decided, or zero if it is
+	part      crashes.Fingerprint // the part that is blocked, or 0 if the content is
+	trialAt   time.Time           // when the blocked part may be tried again
+	settlesAt time.Time           // when it can be decided, or zero if it is
 	turns     []crashes.Fingerprint
 }
 
-// judge decides whether the request may be sent to a server. The fingerprint is computed only if
+// include adds the verdict on the request's content, or on a part.
+func (v *requestVerdict) include(of crashes.Verdict, fp, part crashes.Fingerprint) {
+	if of.Blocked && !v.blocked {
+		v.blocked, v.part, v.trialAt = true, part, of.TrialAt
+	}
+	if of.SettlesAt.After(v.settlesAt) {
+		v.settlesAt = of.SettlesAt
+	}
+	if of.Exclusive {
+		v.turns = append(v.turns, fp)
+	}
+}
+
+// judge decides whether the request may be sent to a server. Fingerprints are computed only if
 // servers have ended.
 func (r *requestHandler) judge(now time.Time) requestVerdict {
 	s := r.g.shared
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.crashes.Empty() {
-		return requestVerdict{}
+	var v requestVerdict
+	if !s.crashes.Empty() {
+		fp := r.fingerprint()
+		v.include(s.crashes.Judge(now, fp), fp, 0)
 	}
-	fp := r.fingerprint()
-	of := s.crashes.Judge(now, fp)
-	v := requestVerdict{blocked: of.Blocked, settlesAt: of.SettlesAt}
-	if of.Exclusive {
-		v.turns = []crashes.Fingerprint{fp}
+	if !s.parts.Empty() {
+		for _, part := range r.partFingerprints() {
+			v.include(s.parts.Judge(now, part), part, part)
+		}
 	}
 	return v
 }
@@ -164,6 +184,7 @@
 	defer s.mu.Unlock()
 	for _, fp := range contents {
 		s.crashes.Clear(at, fp)
+		s.parts.Cleared(at, fp)
 	}
 }
 
@@ -178,13 +199,13 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.crashes.Keep(fp)
-	return s.crashes.NeedsRecord()
+	return s.crashes.NeedsRecord() || s.parts.NeedsRecord()
 }
 
 func (s *sharedState) needsCrashRecord() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.crashes.NeedsRecord()
+	return s.crashes.NeedsRecord() || s.parts.NeedsRecord()
 }
 
 // newCrashRecord returns the record to be written, or nil if there is nothing to record.
@@ -192,7 +213,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	record := s.crashes.NewRecord(now, tableNow)
-	if len(record.Ends) == 0 {
+	record.Parts = s.parts.NewRecord(now, tableNow)
+	if len(record.Ends) == 0 && len(record.Parts) == 0 {
 		return nil
 	}
 	return &record
@@ -202,10 +224,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.crashes.SetUnrecorded()
+	s.parts.SetUnrecorded()
 }
 
 func (s *sharedState) restoreCrashes(now time.Time, tableNow time.Duration, record crashes.Record, own bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.crashes.Restore(now, tableNow, record, own)
+	s.parts.Restore(now, tableNow, record.Parts, own)
 }
--- a/gateway/crashnotices.go
+++ b/gateway/crashnotices.go
@@ -23,6 +23,12 @@
 	run    crashes.Run
 }
 
+// endedPartRun is a fresh run with parts of a prompt on a server that ended.
+type endedPartRun struct {
+	server state.BackendIncarnation
+	run    crashes.PartRun
+}
+
 // batch collects items for some time before it passes them on together.
 type batch[T any] struct {
 	delay time.Duration
@@ -62,13 +68,26 @@
 	}
 }
 
+// broadcastParts tells all daemons of fresh runs with parts of prompts on servers that ended.
+func (g *Gateway) broadcastParts(ended []endedPartRun) {
+	runs := make(map[state.BackendIncarnation][]crashes.PartRun)
+	for _, e := range ended {
+		runs[e.server] = append(runs[e.server], e.run)
+	}
+	for server, of := range runs {
+		for _, notice := range crashes.PartsNotices(server, of) {
+			g.broadcast(notice)
+		}
+	}
+}
+
 func (g *Gateway) broadcastCleared(contents []crashes.Fingerprint) {
 	for _, notice := range crashes.ClearNotices(contents) {
 		g.broadcast(notice)
 	}
 }
 
-// tellBlockedContents tells all daemons of the blocked contents if a new daemon has joined, which
+// tellBlockedContents tells all daemons of the blocked contents and suspected parts if a new daemon has joined, which
 // does not know them. Of the others, the one with the lowest id does so.
 func (m *membersState) tellBlockedContents(joined state.DaemonID) {
 	self := m.c.g.self.ID
@@ -80,4 +99,7 @@
 	for _, notice := range m.c.g.shared.blockedContents(m.c.now) {
 		m.broadcast(notice)
 	}
+	for _, notice := range m.c.g.shared.suspectParts(m.c.now) {
+		m.broadcast(notice)
+	}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -50,8 +50,9 @@
 	shared *sharedState
 	prober *prober
 	reach  *reachChecker
-	// endedRuns and clearedContents are to be told to the other daemons.
+	// endedRuns, endedParts and clearedContents are to be told to the other daemons.
 	endedRuns       *batch[endedRun]
+	endedParts      *batch[endedPartRun]
 	clearedContents *batch[crashes.Fingerprint]
 	// loggedHeaders are the header fields of servers that were logged as unknown or unreadable.
 	loggedHeaders headerLog
@@ -93,6 +94,7 @@
 	g.prober = newProber(g)
 	g.reach = newReachChecker(g)
 	g.endedRuns = &batch[endedRun]{delay: endNoticeDelay, flush: g.broadcastEnds}
+	g.endedParts = &batch[endedPartRun]{delay: endNoticeDelay, flush: g.broadcastParts}
 	g.clearedContents = &batch[crashes.Fingerprint]{delay: clearNoticeDelay, flush: g.broadcastCleared}
 	listener, err := net.Listen("tcp", set.PeerAddress)
 	if err != nil {
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -41,6 +41,7 @@
 	kindTurnRequest   peer.Kind = 1203
 	kindTurnResponse  peer.Kind = 1204
 	kindTurnRelease   peer.Kind = 1205
+	kindPartsEnd      peer.Kind = 1206
 	kindFollowing     peer.Kind = 1301 // 1300: revisions without an epoch
 	kindOutdated      peer.Kind = 1400
 	kindRefusal       peer.Kind = 1500
@@ -65,6 +66,7 @@
 	peer.Register[crashes.TurnRequest](r, kindTurnRequest)
 	peer.Register[crashes.TurnResponse](r, kindTurnResponse)
 	peer.Register[crashes.TurnRelease](r, kindTurnRelease)
+	peer.Register[crashes.PartsNotice](r, kindPartsEnd)
 	peer.Register[following.Announcement](r, kindFollowing)
 	peer.Register[suspect.OutdatedNotice](r, kindOutdated)
 	peer.Register[suspect.RefusalNotice](r, kindRefusal)
--- a/gateway/notice.go
+++ b/gateway/notice.go
@@ -18,7 +18,7 @@
 
 // Notices are findings of one daemon about a server or a request's content that all daemons
 // need: suspect.OutdatedNotice, suspect.RefusalNotice, suspect.LeavingNotice,
-// permits.LimitNotice, reach.Notice, crashes.EndNotice and crashes.ClearNotice. They are spread as
+// permits.LimitNotice, reach.Notice, crashes.EndNotice, crashes.PartsNotice and crashes.ClearNotice. They are spread as
 // facts of the membership: each daemon sends to a few neighbors, whatever the number of daemons,
 // and a daemon that misses a message gets it from another one.
 
@@ -92,6 +92,8 @@
 		g.shared.implicate(at.Add(-m.Age()), m.Server, m.Runs()...)
 	case crashes.ClearNotice:
 		g.shared.clearContents(at, m.Contents)
+	case crashes.PartsNotice:
+		g.applyParts(at, m)
 	case crashes.Implication:
 		for _, server := range m.Servers {
 			g.shared.implicate(at, server, crashes.Run{Content: m.Fingerprint, Phase: crashes.Fresh})
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -20,8 +20,10 @@
 	CallerTimeout   time.Duration // how long the caller waits, from Arrived on; 0 if not stated
 	PromptTokens    int
 	MaxAnswerTokens int
-	LastEventID     string // id of the last event that the caller has received, or ""
-	Arrived         time.Time
+	// PromptParts are the ids of the parts of the prompt that other requests may share, in order.
+	PromptParts []string
+	LastEventID string // id of the last event that the caller has received, or ""
+	Arrived     time.Time
 	// CallerLeft reports whether the caller has disconnected, which the context of the request
 	// may show later. It is called immediately before the request is sent to a server; nil
 	// leaves it to the context.
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/hibiscuswick/hibiscuswick/coordination/admission"
+	"github.com/hibiscuswick/hibiscuswick/coordination/crashes"
 	"github.com/hibiscuswick/hibiscuswick/coordination/relay"
 	"github.com/hibiscuswick/hibiscuswick/protocol/backend"
 	"github.com/hibiscuswick/hibiscuswick/state"
@@ -49,7 +50,8 @@
 	connected    atomic.Bool // the call of the current attempt has a connection
 	// olderRunEnded is set once a server has ended under a run of the request that had not just begun.
 	olderRunEnded atomic.Bool
-	verdict       requestVerdict // the last one while the current attempt waits for a server
+	parts         []crashes.Fingerprint // see partFingerprints
+	verdict       requestVerdict        // the last one while the current attempt waits for a server
 	turn          turnState
 	heldBack      bool           // the current attempt was not sent because of what its content has done
 	failure       *serverFailure // the last one, or nil
@@ -145,7 +147,7 @@
 
 // runAttempts repeats attempts until the request has a result.
 func (r *requestHandler) runAttempts(ctx context.Context) Result {
-	defer r.releaseTurns()
+	defer r.releaseTurns(false)
 	for {
 		if result, ok := r.checkContent(ctx); !ok {
 			return result
@@ -154,7 +156,7 @@
 			return r.cutOffResult()
 		}
 		outcome, result := r.attempt(ctx)
-		r.releaseTurns()
+		r.releaseTurns(false)
 		if outcome == 0 {
 			return result
 		}
--- a/gateway/sharedstate.go
+++ b/gateway/sharedstate.go
@@ -29,7 +29,8 @@
 	linkBacklogs  linkBacklogs
 	latencies     map[state.ServiceID]*serviceLatency
 	crashes       *crashes.Tracker
-	turns         *crashes.Turns // of the contents that this daemon owns
+	parts         *crashes.Parts
+	turns         *crashes.Turns // of the contents and parts that this daemon owns
 	permits       *permits.Limiter
 	availability  *availability.Tracker
 	serverStates  []pathing.ServerState // scratch space of choosePath, by index in the roster
@@ -45,6 +46,7 @@
 		linkBacklogs:  make(linkBacklogs),
 		latencies:     make(map[state.ServiceID]*serviceLatency),
 		crashes:       crashes.NewTracker(),
+		parts:         crashes.NewParts(),
 		turns:         crashes.NewTurns(),
 		permits:       permits.New(),
 		availability:  availability.NewTracker(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -44,6 +44,7 @@
 	timer       *time.Timer
 	buffer      eventBuffer
 	events      int
+	answeredAt  time.Time    // when the answer was last taken as evidence for the request's parts
 	lastEventAt atomic.Int64 // when the last event arrived, in ns since start
 	answerLost  atomic.Bool  // the answer was abandoned although all hops are alive
 	ending      atomic.Bool  // the answer was abandoned or has ended
@@ -178,8 +179,10 @@
 		s.r.lastEventID = id
 	}
 	s.r.g.shared.recordProgress(now, s)
-	if now.Sub(s.began) > crashes.FreshRun {
-		s.r.releaseTurns()
+	if now.Sub(s.began) > crashes.FreshRun && now.Sub(s.answeredAt) >= answeredInterval {
+		s.answeredAt = now
+		s.r.markPartsAnswered()
+		s.r.releaseTurns(true)
 	}
 	s.resetTimer()
 	return nil
--- a/gateway/turns.go
+++ b/gateway/turns.go
@@ -21,11 +21,11 @@
 	turnCallTimeout = 100 * time.Millisecond
 )
 
-// reasonTurn is the reason for refusing requests whose content has ended a server, and is being run
-// by another request.
+// reasonTurn is the reason for refusing requests whose content or part has ended a server, and is
+// being run by another request.
 const reasonTurn relay.Reason = "suspect_running"
 
-// turnState is a request's turns to run what is suspect of it.
+// turnState is a request's turns to run its content and the parts of its prompt.
 type turnState struct {
 	number  uint64 // of the request among those of this daemon that have asked; 0 if it has not
 	held    []heldTurn
@@ -56,14 +56,14 @@
 }
 
 // checkContent waits until it is decided whether the request's content may be sent to a server. It
-// returns false with the result of the request if it may not.
+// returns false with the result of the request if the content or a part may not.
 func (r *requestHandler) checkContent(ctx context.Context) (Result, bool) {
 	for {
 		now := time.Now()
 		verdict := r.judge(now)
 		switch {
 		case verdict.blocked:
-			return r.blockedResult(), false
+			return r.blockedResult(verdict), false
 		case verdict.settlesAt.IsZero() || ctx.Err() != nil:
 			return Result{}, true
 		}
@@ -98,7 +98,7 @@
 func (r *requestHandler) notChosenResult(why admission.Refusal) (relay.Outcome, Result) {
 	switch {
 	case r.verdict.blocked:
-		return 0, r.blockedResult()
+		return 0, r.blockedResult(r.verdict)
 	case !r.turn.holds(r.verdict.turns):
 		return 0, r.turnTakenResult()
 	default:
@@ -107,7 +107,10 @@
 }
 
 // blockedResult is the result of a request that may not be sent to any server.
-func (r *requestHandler) blockedResult() Result {
+func (r *requestHandler) blockedResult(verdict requestVerdict) Result {
+	if verdict.part != 0 {
+		return r.refusedPartResult(verdict)
+	}
 	r.g.log.Emit(telemetry.EventRequestQuarantined, telemetry.Request(r.req.ID), telemetry.Content(uint64(r.fingerprint())))
 	return r.failedResult(reasonCrashes)
 }
@@ -140,7 +143,7 @@
 		}
 		owner, granted := r.takeTurn(ctx, fp)
 		if !granted {
-			r.releaseTurns()
+			r.releaseTurns(false)
 			return false
 		}
 		r.turn.held = append(r.turn.held, heldTurn{of: fp, owner: owner})
@@ -173,7 +176,7 @@
 	return resp.Granted, ok
 }
 
-// turnOwner returns the peer address of the daemon that owns a content, or "" for this one.
+// turnOwner returns the peer address of the daemon that owns a content or part, or "" for this one.
 func (r *requestHandler) turnOwner(fp crashes.Fingerprint) string {
 	var owners []state.DaemonID
 	addresses := make(map[state.DaemonID]string)
@@ -190,13 +193,14 @@
 	return addresses[owner]
 }
 
-// releaseTurns ends the request's turns.
-func (r *requestHandler) releaseTurns() {
+// releaseTurns ends the request's turns. answered is set if an answer goes on long after it began, or
+// is complete.
+func (r *requestHandler) releaseTurns(answered bool) {
 	held := r.turn.held
 	r.turn.held = nil
 	for _, h := range held {
 		release := r.g.shared.turnRelease(time.Now(), h.of)
-		release.Number = r.turn.number
+		release.Number, release.Answered = r.turn.number, answered
 		if h.owner == "" {
 			r.g.endTurn(time.Now(), r.g.self.ID, release)
 			continue
@@ -208,6 +212,12 @@
 // endTurn ends a turn of a daemon's request.
 func (g *Gateway) endTurn(now time.Time, from state.DaemonID, m crashes.TurnRelease) {
 	g.shared.applyEnds(now, m.Ends)
+	for _, notice := range m.Parts {
+		g.applyParts(now, notice)
+	}
+	if m.Answered {
+		g.tellAnswered(g.shared.partsAnswered(now, []crashes.Fingerprint{m.Content}))
+	}
 	g.shared.releaseTurn(m.Content, crashes.TurnHolder{Daemon: from, Number: m.Number})
 }
 
@@ -227,7 +237,7 @@
 func (s *sharedState) turnRelease(now time.Time, fp crashes.Fingerprint) crashes.TurnRelease {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return crashes.TurnRelease{Content: fp, Ends: s.crashes.NoticesOf(now, fp)}
+	return crashes.TurnRelease{Content: fp, Ends: s.crashes.NoticesOf(now, fp), Parts: s.parts.NoticesOf(now, fp)}
 }
 
 // grantTurn answers another daemon that asks for a turn.
@@ -238,8 +248,12 @@
 	if s.crashes.EndCount(req.Content) > req.Ends {
 		resp.Ends = s.crashes.NoticesOf(now, req.Content)
 	}
+	if s.parts.AnsweredRecently(now, req.Content) {
+		resp.Granted = true
+		return resp
+	}
 	verdict := s.crashes.Judge(now, req.Content)
-	if !verdict.Blocked && verdict.SettlesAt.IsZero() {
+	if !verdict.Blocked && verdict.SettlesAt.IsZero() && !s.parts.Judge(now, req.Content).Blocked {
 		resp.Granted = s.turns.Take(now, req.Content, crashes.TurnHolder{Daemon: from, Number: req.Number})
 	}
 	return resp
--- a/telemetry/catalogue.go
+++ b/telemetry/catalogue.go
@@ -57,6 +57,7 @@
 	{EventCutOffBegan, "cut_off_began", logrus.WarnLevel, "This gateway reaches none of the counted servers of a service, and another gateway does: callers are sent to the others, and requests for the service are refused at once."},
 	{EventCutOffEnded, "cut_off_ended", logrus.InfoLevel, "This gateway reaches a server of the service again, or no gateway does; the detail says which."},
 	{EventTurnAwaited, "turn_awaited", logrus.InfoLevel, "A request waits because a server has ended under its content and another request is running that content; one request of the site runs it at a time."},
+	{EventPartRefused, "part_refused", logrus.WarnLevel, "A request is refused because a part of its prompt ends the servers that begin to answer it; the content field identifies the part at its service."},
 	{EventStoreUnavailable, "store_unavailable", logrus.WarnLevel, "The table service does not answer; repeatable requests and requests with a claim continue."},
 	{EventStoreRecovered, "store_recovered", logrus.InfoLevel, "The table service answers again."},
 	{EventStoreBudgetSpent, "store_budget_spent", logrus.WarnLevel, "This daemon's share of store writes is exhausted; claims have priority over other writes."},
--- a/telemetry/events.go
+++ b/telemetry/events.go
@@ -67,6 +67,7 @@
 	EventCutOffBegan        Event = 1328
 	EventCutOffEnded        Event = 1329
 	EventTurnAwaited        Event = 1330
+	EventPartRefused        Event = 1331
 )
 
 // Events of the store.
