gateway: a probe that was under way when a call broke off does not show that its server lives

Cause: probes of one server are shared. A call that broke off joined one that had been sent before, whose answer says that the server lived then; its end implicated nothing, and an answer could count as complete. Class: an answer that is older than the question.

It holds for contents as well, wherever other requests cause probes at the moment.

Change: a result counts as alive only if the probe was sent after the time in question; one that was under way is followed by another.

--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -91,14 +91,24 @@
 }
 
 // probeSince requests a server's report, unless there is a recent result which shows that the
-// server is dead, or that it was alive after a time.
+// server is dead, or that it was alive after a time. A probe that was under way at that time shows
+// nothing: the server may have answered it before.
 func (p *prober) probeSince(since time.Time, server state.BackendIncarnation, address string) probeResult {
 	p.mu.Lock()
 	old, ok := p.results[address]
 	p.mu.Unlock()
-	if ok && old.isFresh() && (old.outcome == probeDead || !old.at.Before(since)) {
+	if ok && old.isFresh() && (old.outcome == probeDead || !old.began().Before(since)) {
 		return old
 	}
+	result := p.sendShared(server, address)
+	if result.outcome == probeAlive && result.began().Before(since) {
+		result = p.sendShared(server, address)
+	}
+	return result
+}
+
+// sendShared sends one probe, or waits for the one that is under way.
+func (p *prober) sendShared(server state.BackendIncarnation, address string) probeResult {
 	result, _, _ := p.group.Do(address, func() (any, error) {
 		if !p.limit.Allow() {
 			p.g.metrics.CountReason(telemetry.GatewayProbesTotal, string(probeNotSent))
@@ -133,6 +143,9 @@
 	return out
 }
 
+// began is when the probe was sent.
+func (r probeResult) began() time.Time { return r.at.Add(-r.took) }
+
 // isFresh reports whether the result may still be reused.
 func (r probeResult) isFresh() bool { return time.Since(r.at) < probeResultTTL }
 
--- a/gateway/probe_internal_test.go
+++ b/gateway/probe_internal_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -32,6 +33,23 @@
 	return g
 }
 
+// endingServer is a client of a server that answers the first probe slowly and ends then.
+type endingServer struct {
+	backend.Client
+	asked  chan struct{}
+	answer chan struct{}
+	probes atomic.Int64
+}
+
+func (e *endingServer) Report(context.Context, string) (backend.Report, error) {
+	if e.probes.Add(1) > 1 {
+		return backend.Report{}, backend.ErrRefused
+	}
+	close(e.asked)
+	<-e.answer
+	return backend.Report{}, nil
+}
+
 func hop(id state.BackendID) fleet.Hop {
 	return fleet.Hop{Server: state.BackendIncarnation{ID: id}, Address: string(id)}
 }
@@ -67,3 +85,19 @@
 			WithTimeout(3 * minReprobeInterval).Should(Equal(1))
 	})
 })
+
+var _ = Describe("A probe that is under way when a server ends", func() {
+	// Guards against ends that implicate no content since an earlier probe was answered just before.
+	It("does not show that the server is alive", Label("failure:request-crashes-servers"), func() {
+		server := &endingServer{asked: make(chan struct{}), answer: make(chan struct{})}
+		g := newCutOffGateway(10)
+		g.backends = server
+		go g.prober.probeSince(time.Time{}, hop("e1").Server, "e1")
+		<-server.asked
+		after := make(chan probeResult)
+		go func() { after <- g.prober.probeSince(time.Now(), hop("e1").Server, "e1") }()
+		time.Sleep(10 * time.Millisecond)
+		close(server.answer)
+		Expect((<-after).outcome).To(Equal(probeDead))
+	})
+})
