--- a/protocol/backend/backend.go
+++ b/protocol/backend/backend.go
@@ -58,6 +58,9 @@
 	Status int
 	Header http.Header
 	Body   io.ReadCloser
+	// Unframed reports that the body has neither a length nor chunks: it ends with its connection,
+	// which also ends if the server does.
+	Unframed bool
 	// Signed reports whether the answer carries the server's signature.
 	Signed bool
 	// NotRun proves that the request has not run and will not run.
--- a/transport/exchange/body.go
+++ b/transport/exchange/body.go
@@ -57,7 +57,7 @@
 // directions: the next request can't be read as the rest of this one, nor the rest
 // of this answer as the next one.
 func (b *body) reusable() bool {
-	if b.resp.Close || b.resp.ContentLength < 0 && len(b.resp.TransferEncoding) == 0 {
+	if b.resp.Close || isUnframed(b.resp) {
 		return false
 	}
 	select {
@@ -67,3 +67,8 @@
 		return false
 	}
 }
+
+// isUnframed reports whether an answer's body ends with its connection.
+func isUnframed(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+}
--- a/transport/exchange/exchange.go
+++ b/transport/exchange/exchange.go
@@ -42,6 +42,8 @@
 	Status int
 	Header http.Header
 	Body   io.ReadCloser
+	// Unframed is set if the body has neither a length nor chunks, and ends with its connection.
+	Unframed bool
 }
 
 // Do sends a request and reads the head of its answer. Its errors wrap
@@ -101,7 +103,7 @@
 		return nil, incompleteError(ctx, err)
 	}
 	b := &body{pool: p, maxIdle: req.MaxIdle, conn: c, resp: resp, stopCancel: stop, writeErr: writeErr, ctx: ctx}
-	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: b}, nil
+	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: b, Unframed: isUnframed(resp)}, nil
 }
 
 // incompleteError marks a failure after bytes of the request were sent.
