crashes: a deadly part is told from the sound ones that ran along in a rush

Cause: while the engines of the first layers are away all requests wait, and reach the new ones at once. Dozens of sound parts then run on each engine that ends; the decision before took the part of the fewest contents first, so that rare sound parts which had moved along accounted for all ends and the deadly part was never suspected. Class: the rarest explanation taken for the best one.

The specs had sent few requests at a time.

Change: of the candidates those that ran on the most ends come first, but for parts with more than twice the contents of another such one; where a run had begun and not answered only the parts of such runs are candidates; parts that were never answered come before those that were. A request under which a server ended as it ran alone is not tried again. Three strikes if the part was answered before.

--- a/coordination/crashes/doc.go
+++ b/coordination/crashes/doc.go
@@ -21,8 +21,8 @@
 // time: Turns holds the turns at the daemon that owns the content.
 //
 // Parts does the same for the parts of prompts that many contents share. A part is suspected after
-// three servers that no rarer part and no single content accounts for, and then run in turns; it is
-// refused after two contents that ran alone with it, until its next trial.
+// three servers that no better explanation and no single content accounts for, and then run in turns;
+// it is refused after two or three contents that ran alone with it, until its next trial.
 //
 // Contract: report each end of a server with Implicate and Ended, each complete answer with Clear and
 // Answered, and ask both Judge methods immediately before each send.
--- a/coordination/crashes/parts.go
+++ b/coordination/crashes/parts.go
@@ -13,22 +13,27 @@
 	// with a suspected part run one at a time on the whole site, until one of them is answered.
 	partThreshold = 3
 	partContents  = 2
-	// A part is refused after partStrikes contents that ran alone with it have ended servers. Ends that
-	// servers have in common without the part are no strikes, since the runs on them began before.
-	partStrikes = 2
+	// A part is refused after partStrikes contents that ran alone with it have ended servers, one that
+	// was answered earlier after knownPartStrikes. Ends that servers have in common without the part
+	// are no strikes, since the runs on them began before.
+	partStrikes      = 2
+	knownPartStrikes = 3
 	// partTrialDelay is the time from the last end to the next trial of a refused part. It doubles
 	// with each trial that ends a server.
 	partTrialDelay = time.Minute
 	// clearThreshold is how many ends must stand against a part before other daemons are told that it
 	// was answered.
 	clearThreshold = partThreshold - 1
+	// learnTime is how long after its start a daemon knows too little of the parts that are answered to
+	// tell those that never were.
+	learnTime = 10 * time.Second
 	// recentAnswer is how long the other daemons may take to learn that a part was answered.
 	recentAnswer = 2 * time.Second
 	// maxPartEnds, maxEndParts and maxPartRuns bound the ends that are remembered, the parts of one
 	// end and the contents of one part there.
 	maxPartEnds = 128
-	maxEndParts = 512
-	maxPartRuns = 8
+	maxEndParts = 256
+	maxPartRuns = 32
 )
 
 // PartRun is a fresh run on a server that ended: its content and the parts of its prompt that other
@@ -38,12 +43,15 @@
 	Parts   []Fingerprint `msgpack:"p" json:"parts"`
 	// Tried are those of the parts that were suspected, and whose turn the request held.
 	Tried []Fingerprint `msgpack:"t,omitempty" json:"tried,omitempty"`
+	// Starting is set if the run had begun and not answered yet.
+	Starting bool `msgpack:"b,omitempty" json:"starting,omitempty"`
 }
 
 // Parts finds the parts of prompts that end the servers which begin to answer them, whatever else the
 // requests hold. It is not safe for concurrent use.
 type Parts struct {
-	ends map[state.BackendIncarnation]*partEnd
+	startedAt time.Time
+	ends      map[state.BackendIncarnation]*partEnd
 	// Ends don't count that are older than the last answer with a part: answered is when one went on
 	// or was completed here, cleared when a daemon has told all others of one.
 	answered, cleared recentTimes
@@ -57,24 +65,29 @@
 
 // partEnd is the end of one server.
 type partEnd struct {
-	at    time.Time
-	parts map[Fingerprint]*partRuns
-	own   bool // part of this daemon's records
+	at       time.Time
+	parts    map[Fingerprint]*partRuns
+	starting bool // a run was starting
+	own      bool // part of this daemon's records
 }
 
 // partRuns are the runs with one part on a server that ended.
 type partRuns struct {
 	contents []Fingerprint
 	tried    Fingerprint // the one that held the turn of the suspected part, or 0
+	starting bool        // the run of one of them was starting
 }
 
 // add includes a run and reports whether that changes anything.
-func (r *partRuns) add(content Fingerprint, tried bool) bool {
-	changed := tried && r.tried != content
+func (r *partRuns) add(content Fingerprint, tried, starting bool) bool {
+	changed := tried && r.tried != content || starting && !r.starting
 	if tried {
 		r.tried = content
 	}
-	if len(r.contents) >= maxPartRuns || slices.Contains(r.contents, content) {
+	if starting && !r.starting {
+		r.contents, r.starting = nil, true // the others did not begin
+	}
+	if len(r.contents) >= maxPartRuns || slices.Contains(r.contents, content) || r.starting && !starting {
 		return changed
 	}
 	r.contents = append(r.contents, content)
@@ -83,13 +96,13 @@
 
 // suspectPart is a suspected part.
 type suspectPart struct {
-	strikes int
-	last    time.Time // the last end
+	excess int       // strikes beyond those after which it is refused; negative before
+	last   time.Time // the last end
 }
 
-// NewParts returns an empty tracker.
-func NewParts() *Parts {
-	return &Parts{ends: make(map[state.BackendIncarnation]*partEnd)}
+// NewParts returns an empty tracker of a daemon that starts now.
+func NewParts(now time.Time) *Parts {
+	return &Parts{startedAt: now, ends: make(map[state.BackendIncarnation]*partEnd)}
 }
 
 // Empty reports whether no server has ended under a part.
@@ -115,7 +128,8 @@
 		t.ends[server] = e
 	}
 	e.own = e.own || own
-	added := false
+	added := run.Starting && !e.starting
+	e.starting = e.starting || run.Starting
 	for _, part := range run.Parts {
 		runs, known := e.parts[part]
 		if !known {
@@ -125,7 +139,7 @@
 			runs = &partRuns{}
 			e.parts[part] = runs
 		}
-		added = runs.add(run.Content, slices.Contains(run.Tried, part)) || added
+		added = runs.add(run.Content, slices.Contains(run.Tried, part), run.Starting) || added
 		t.tellAnswered(part)
 	}
 	if added {
@@ -222,10 +236,10 @@
 	if !ok || now.Sub(s.last) >= ImplicationTTL {
 		return Verdict{}
 	}
-	if s.strikes < partStrikes {
+	if s.excess < 0 {
 		return Verdict{Exclusive: true}
 	}
-	trial := s.last.Add(min(partTrialDelay<<min(s.strikes-partStrikes, 10), ImplicationTTL))
+	trial := s.last.Add(min(partTrialDelay<<min(s.excess, 10), ImplicationTTL))
 	if now.Before(trial) {
 		return Verdict{Blocked: true, TrialAt: trial}
 	}
--- a/coordination/crashes/parts_test.go
+++ b/coordination/crashes/parts_test.go
@@ -20,7 +20,7 @@
 	var t *crashes.Parts
 	var ends int
 
-	BeforeEach(func() { t, ends = crashes.NewParts(), 0 })
+	BeforeEach(func() { t, ends = crashes.NewParts(now.Add(-time.Hour)), 0 })
 
 	run := func(content crashes.Fingerprint, parts ...crashes.Fingerprint) crashes.PartRun {
 		return crashes.PartRun{Content: content, Parts: parts}
@@ -38,6 +38,7 @@
 
 	// Guards against requests of which no two are alike: each is the first of its content.
 	It("run one at a time after three ends, and are refused after two that ran alone", Label("failure:prompt-part-crashes-servers"), func() {
+		t.Answered(now.Add(-1), first)
 		end(now, run(1, first, deadly), run(2, first, other))
 		end(now, run(1, first, deadly))
 		Expect(suspect(deadly)).To(BeFalse())
@@ -75,6 +76,7 @@
 	})
 
 	It("are told apart from those that ran along: two at once, and a deadly first part", Label("failure:prompt-part-crashes-servers"), func() {
+		t.Answered(now.Add(-1), first)
 		for i := range crashes.Fingerprint(4) {
 			end(now, run(10+i, first, deadly))
 			end(now, run(20+i, first, other))
@@ -120,7 +122,7 @@
 		Expect(t.NeedsRecord()).To(BeTrue())
 		record := t.NewRecord(now.Add(time.Second), time.Hour)
 		Expect(t.NeedsRecord()).To(BeFalse())
-		joined, started := crashes.NewParts(), crashes.NewParts()
+		joined, started := crashes.NewParts(now.Add(-time.Hour)), crashes.NewParts(now.Add(-time.Hour))
 		for _, n := range t.SuspectNotices(now.Add(time.Second)) {
 			joined.Ended(now.Add(time.Second-n.Age()), n.Server, false, n.Runs...)
 		}
--- a/coordination/crashes/partsnotice.go
+++ b/coordination/crashes/partsnotice.go
@@ -74,7 +74,7 @@
 	}
 	var out []PartRun
 	for _, content := range runs.contents {
-		run := PartRun{Content: content, Parts: []Fingerprint{part}}
+		run := PartRun{Content: content, Parts: []Fingerprint{part}, Starting: runs.starting}
 		if runs.tried == content {
 			run.Tried = run.Parts
 		}
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -79,7 +79,7 @@
 // the content has gone on at another server since. Streams call it from several goroutines.
 func (r *requestHandler) implicate(server state.BackendIncarnation, run crashes.Run) {
 	if run.Phase.IsFresh() {
-		r.implicateParts(server, run.Content)
+		r.implicateParts(server, run)
 	} else if !r.olderRunEnded.CompareAndSwap(false, true) {
 		return
 	}
--- a/gateway/crashparts.go
+++ b/gateway/crashparts.go
@@ -39,12 +39,13 @@
 
 // implicateParts records that a server ended under a fresh run of the request, and notifies all
 // daemons.
-func (r *requestHandler) implicateParts(server state.BackendIncarnation, content crashes.Fingerprint) {
+func (r *requestHandler) implicateParts(server state.BackendIncarnation, of crashes.Run) {
 	parts := r.partFingerprints()
 	if len(parts) == 0 {
 		return
 	}
-	run := crashes.PartRun{Content: content, Parts: parts, Tried: r.turn.heldOf(parts)}
+	run := crashes.PartRun{Content: of.Content, Parts: parts, Tried: r.turn.heldOf(parts), Starting: of.Phase == crashes.Starting}
+	r.triedParts = r.triedParts || len(run.Tried) > 0
 	added, untold := r.g.shared.partsEnded(time.Now(), server, true, run)
 	for _, run := range added {
 		r.g.endedParts.add(endedPartRun{server: server, run: run})
--- a/gateway/crashparts_test.go
+++ b/gateway/crashparts_test.go
@@ -78,6 +78,7 @@
 		}
 		for i := range 12 {
 			s.send(s.gateways[i%3], "deadly")
+			Expect(s.send(s.gateways[(i+1)%3], "sound").Outcome).To(Equal(gateway.Answered))
 			time.Sleep(200 * time.Millisecond)
 		}
 		before := s.c.count()
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -53,6 +53,7 @@
 	parts         []crashes.Fingerprint // see partFingerprints
 	verdict       requestVerdict        // the last one while the current attempt waits for a server
 	turn          turnState
+	triedParts    bool           // a server has ended under the request as it held the turn of a suspected part
 	heldBack      bool           // the current attempt was not sent because of what its content has done
 	failure       *serverFailure // the last one, or nil
 }
--- a/gateway/sharedstate.go
+++ b/gateway/sharedstate.go
@@ -46,7 +46,7 @@
 		linkBacklogs:  make(linkBacklogs),
 		latencies:     make(map[state.ServiceID]*serviceLatency),
 		crashes:       crashes.NewTracker(),
-		parts:         crashes.NewParts(),
+		parts:         crashes.NewParts(time.Now()),
 		turns:         crashes.NewTurns(),
 		permits:       permits.New(),
 		availability:  availability.NewTracker(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
--- a/gateway/turns.go
+++ b/gateway/turns.go
@@ -64,6 +64,8 @@
 		switch {
 		case verdict.blocked:
 			return r.blockedResult(verdict), false
+		case r.triedParts && len(verdict.turns) > 0:
+			return r.failedResult(reasonPart), false // one server a request is enough to learn of its parts
 		case verdict.settlesAt.IsZero() || ctx.Err() != nil:
 			return Result{}, true
 		}
