gateway: what a request holds may be asked by other goroutines

Change: the fingerprints of parts are computed once the route is known, and only read afterwards; the held turns have a mutex; whether the request was tried is atomic. The decisions are the same.

Evidence: the specs of contents, copies and parts under the race detector, green.

--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -138,8 +138,8 @@
 	}
 }
 
-// judge decides whether the request may be sent to a server. Fingerprints are computed only if
-// servers have ended.
+// judge decides whether the request may be sent to a server. The fingerprint of its content is computed
+// only if servers have ended.
 func (r *requestHandler) judge(now time.Time) requestVerdict {
 	s := r.g.shared
 	s.mu.Lock()
@@ -150,7 +150,7 @@
 		v.include(s.crashes.Judge(now, fp), fp, 0)
 	}
 	if !s.parts.Empty() {
-		for _, part := range r.partFingerprints() {
+		for _, part := range r.parts {
 			v.include(s.parts.Judge(now, part), part, part)
 		}
 	}
--- a/gateway/crashparts.go
+++ b/gateway/crashparts.go
@@ -18,34 +18,34 @@
 // answeredInterval is how often an answer that goes on is taken as evidence for its parts.
 const answeredInterval = 250 * time.Millisecond
 
-// partFingerprints identifies the parts of the request's prompt that other requests may share, for
-// the service that the request is sent to.
-func (r *requestHandler) partFingerprints() []crashes.Fingerprint {
-	if r.parts != nil || len(r.req.PromptParts) == 0 {
-		return r.parts
+// partFingerprints identifies parts of prompts at a service.
+func partFingerprints(svc state.ServiceID, ids []string) []crashes.Fingerprint {
+	if len(ids) == 0 {
+		return nil
 	}
-	r.parts = make([]crashes.Fingerprint, 0, len(r.req.PromptParts))
-	for _, id := range r.req.PromptParts {
+	parts := make([]crashes.Fingerprint, 0, len(ids))
+	for _, id := range ids {
 		var h xxhash.Digest
 		h.Reset()
-		for _, text := range [...]string{"part", string(r.service.ID), id} {
+		for _, text := range [...]string{"part", string(svc), id} {
 			_, _ = h.WriteString(text) // writing to a hash never fails
 			_, _ = h.Write([]byte{0})
 		}
-		r.parts = append(r.parts, crashes.Fingerprint(h.Sum64()))
+		parts = append(parts, crashes.Fingerprint(h.Sum64()))
 	}
-	return r.parts
+	return parts
 }
 
 // implicateParts records that a server ended under a fresh run of the request, and notifies all
-// daemons.
+// daemons. Streams call it from several goroutines.
 func (r *requestHandler) implicateParts(server state.BackendIncarnation, of crashes.Run) {
-	parts := r.partFingerprints()
-	if len(parts) == 0 {
+	if len(r.parts) == 0 {
 		return
 	}
-	run := crashes.PartRun{Content: of.Content, Parts: parts, Tried: r.turn.heldOf(parts), Starting: of.Phase == crashes.Starting}
-	r.triedParts = r.triedParts || len(run.Tried) > 0
+	run := crashes.PartRun{Content: of.Content, Parts: r.parts, Tried: r.turn.heldOf(r.parts), Starting: of.Phase == crashes.Starting}
+	if len(run.Tried) > 0 {
+		r.triedParts.Store(true)
+	}
 	added, untold := r.g.shared.partsEnded(time.Now(), server, true, run)
 	for _, run := range added {
 		r.g.endedParts.add(endedPartRun{server: server, run: run})
@@ -56,8 +56,8 @@
 // markPartsAnswered records that an answer to the request goes on long after it began, or is
 // complete: no part of its prompt ends the servers that begin to answer it.
 func (r *requestHandler) markPartsAnswered() {
-	if len(r.req.PromptParts) > 0 {
-		r.g.tellAnswered(r.g.shared.partsAnswered(time.Now(), r.partFingerprints()))
+	if len(r.parts) > 0 {
+		r.g.tellAnswered(r.g.shared.partsAnswered(time.Now(), r.parts))
 	}
 }
 
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -50,10 +50,10 @@
 	connected    atomic.Bool // the call of the current attempt has a connection
 	// olderRunEnded is set once a server has ended under a run of the request that had not just begun.
 	olderRunEnded atomic.Bool
-	parts         []crashes.Fingerprint // see partFingerprints
+	parts         []crashes.Fingerprint // of the prompt, those that other requests may share
 	verdict       requestVerdict        // the last one while the current attempt waits for a server
 	turn          turnState
-	triedParts    bool           // a server has ended under the request as it held the turn of a suspected part
+	triedParts    atomic.Bool    // a server has ended under the request as it held the turn of a suspected part
 	heldBack      bool           // the current attempt was not sent because of what its content has done
 	failure       *serverFailure // the last one, or nil
 }
@@ -111,6 +111,7 @@
 		return Result{Outcome: NoRoute, Reason: "no_service"}, false
 	}
 	r.route, r.service = route, &svc
+	r.parts = partFingerprints(svc.ID, r.req.PromptParts)
 	return Result{}, true
 }
 
--- a/gateway/turns.go
+++ b/gateway/turns.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/hibiscuswick/hibiscuswick/coordination/admission"
@@ -27,10 +28,12 @@
 
 // turnState is a request's turns to run its content and the parts of its prompt.
 type turnState struct {
-	number  uint64 // of the request among those of this daemon that have asked; 0 if it has not
-	held    []heldTurn
+	number  uint64    // of the request among those of this daemon that have asked; 0 if it has not
 	askedAt time.Time // when the owner was last asked
 	waited  bool      // the wait for a turn has been logged
+
+	mu   sync.Mutex // a stream's server may be found to have ended by other goroutines
+	held []heldTurn
 }
 
 // heldTurn is a turn that a request holds.
@@ -46,6 +49,11 @@
 
 // heldOf returns those of some turns that the request holds.
 func (t *turnState) heldOf(turns []crashes.Fingerprint) []crashes.Fingerprint {
+	if len(turns) == 0 {
+		return nil
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	var out []crashes.Fingerprint
 	for _, fp := range turns {
 		if slices.ContainsFunc(t.held, func(h heldTurn) bool { return h.of == fp }) {
@@ -55,6 +63,21 @@
 	return out
 }
 
+func (t *turnState) add(h heldTurn) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.held = append(t.held, h)
+}
+
+// takeAll returns the turns that the request holds, and leaves it none.
+func (t *turnState) takeAll() []heldTurn {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	held := t.held
+	t.held = nil
+	return held
+}
+
 // checkContent waits until it is decided whether the request's content may be sent to a server. It
 // returns false with the result of the request if the content or a part may not.
 func (r *requestHandler) checkContent(ctx context.Context) (Result, bool) {
@@ -64,7 +87,7 @@
 		switch {
 		case verdict.blocked:
 			return r.blockedResult(verdict), false
-		case r.triedParts && len(verdict.turns) > 0:
+		case r.triedParts.Load() && len(verdict.turns) > 0:
 			return r.failedResult(reasonPart), false // one server a request is enough to learn of its parts
 		case verdict.settlesAt.IsZero() || ctx.Err() != nil:
 			return Result{}, true
@@ -148,7 +171,7 @@
 			r.releaseTurns(false)
 			return false
 		}
-		r.turn.held = append(r.turn.held, heldTurn{of: fp, owner: owner})
+		r.turn.add(heldTurn{of: fp, owner: owner})
 	}
 	return true
 }
@@ -198,9 +221,7 @@
 // releaseTurns ends the request's turns. answered is set if an answer goes on long after it began, or
 // is complete.
 func (r *requestHandler) releaseTurns(answered bool) {
-	held := r.turn.held
-	r.turn.held = nil
-	for _, h := range held {
+	for _, h := range r.turn.takeAll() {
 		release := r.g.shared.turnRelease(time.Now(), h.of)
 		release.Number, release.Answered = r.turn.number, answered
 		if h.owner == "" {
