gateway: say how late a cut-off gateway learns of it, and which refused requests it should not have got

The record can't tell its hypotheses apart: event 1328 did not say for how long connections had failed before, and refusals as cut_off looked the same for callers with old addresses and for requests that come to a gateway that nobody names any more.

Event 1328 has the time since the first failed connection and what led to the check; the counter gateway_cut_off_total has the refused requests by whether an address answer from before can explain them. No change of behaviour.

--- a/coordination/reach/reach.go
+++ b/coordination/reach/reach.go
@@ -63,6 +63,7 @@
 // service is what is known of the connections to one service.
 type service struct {
 	failing   map[string]struct{} // addresses at which new connections failed since the last success
+	failedAt  time.Time           // when the first of them failed
 	checkedAt time.Time
 	cutOff    bool
 }
@@ -99,8 +100,22 @@
 }
 
 // ConnectFailed reports that a new connection to a server failed or takes too long.
-func (t *Tracker) ConnectFailed(id state.ServiceID, address string) {
-	t.service(id).failing[address] = struct{}{}
+func (t *Tracker) ConnectFailed(now time.Time, id state.ServiceID, address string) {
+	s := t.service(id)
+	if len(s.failing) == 0 {
+		s.failedAt = now
+	}
+	s.failing[address] = struct{}{}
+}
+
+// FailingFor returns for how long new connections to a service have failed with no success in
+// between, and 0 if the last one was established.
+func (t *Tracker) FailingFor(now time.Time, id state.ServiceID) time.Duration {
+	s := t.service(id)
+	if len(s.failing) == 0 {
+		return 0
+	}
+	return now.Sub(s.failedAt)
 }
 
 // CheckDue reports whether the service should be checked now, given the number of its
--- a/coordination/reach/reach_test.go
+++ b/coordination/reach/reach_test.go
@@ -23,11 +23,11 @@
 
 	// Guards against checks of a service at each server that ends.
 	It("checks a service only if several servers fail since the last connection", Label("failure:gateway-cut-off-from-servers"), func() {
-		t.ConnectFailed("s", "a")
-		t.ConnectFailed("s", "a")
+		t.ConnectFailed(now, "s", "a")
+		t.ConnectFailed(now, "s", "a")
 		Expect(t.CheckDue(now, "s", 9)).To(BeFalse())
 		Expect(t.CheckDue(now, "s", 1)).To(BeTrue(), "the only server fails")
-		t.ConnectFailed("s", "b")
+		t.ConnectFailed(now, "s", "b")
 		later := now.Add(reach.CheckInterval)
 		Expect(t.CheckDue(later, "s", 9)).To(BeTrue())
 		Expect(t.CheckDue(later, "s", 9)).To(BeFalse(), "the check has begun")
@@ -35,6 +35,14 @@
 		Expect(t.CheckDue(later.Add(reach.CheckInterval), "s", 9)).To(BeFalse())
 	})
 
+	It("says for how long connections have failed", func() {
+		t.ConnectFailed(now, "s", "a")
+		t.ConnectFailed(now.Add(time.Second), "s", "b")
+		Expect(t.FailingFor(now.Add(2*time.Second), "s")).To(Equal(2 * time.Second))
+		t.Connected("s")
+		Expect(t.FailingFor(now.Add(2*time.Second), "s")).To(BeZero())
+	})
+
 	DescribeTable("is cut off only if others reach what it does not", Label("failure:gateway-cut-off-from-servers"),
 		func(result reach.CheckResult, cutOff bool) {
 			Expect(t.Checked("s", result)).To(Equal(cutOff))
--- a/gateway/connect.go
+++ b/gateway/connect.go
@@ -54,6 +54,7 @@
 
 // cutOffResult is the result of a request that other daemons can serve and this one can't.
 func (r *requestHandler) cutOffResult() Result {
+	r.g.reach.countRefused()
 	if r.retrier.NeverRan() && !r.headSent {
 		return refusedResult(relay.ReasonCutOff, admission.CutOff)
 	}
--- a/gateway/reach.go
+++ b/gateway/reach.go
@@ -53,6 +53,7 @@
 
 	mu      sync.Mutex
 	tracker *reach.Tracker
+	since   time.Time // when this daemon last began to be cut off from a service
 }
 
 func newReachChecker(g *Gateway) *reachChecker {
@@ -97,7 +98,7 @@
 func (c *reachChecker) connectFailed(svc state.ServiceID, address string) {
 	servers := len(c.g.currentView.Load().servers[svc])
 	c.mu.Lock()
-	c.tracker.ConnectFailed(svc, address)
+	c.tracker.ConnectFailed(time.Now(), svc, address)
 	due := c.tracker.CheckDue(time.Now(), svc, servers)
 	c.mu.Unlock()
 	if !due {
@@ -121,13 +122,37 @@
 	c.mu.Unlock()
 	c.g.metrics.CountReason(telemetry.GatewayReachChecksTotal, checkResultNames[result])
 	if changed {
-		event := lo.Ternary(cutOff, telemetry.EventCutOffBegan, telemetry.EventCutOffEnded)
-		c.g.log.Emit(event, telemetry.Service(svc), telemetry.Count(servers), telemetry.Detail(checkResultNames[result]))
+		c.logChange(svc, servers, cutOff, result)
 		c.notify()
 	}
 	return changed && cutOff
 }
 
+// logChange logs that this daemon is cut off from a service, or no longer.
+func (c *reachChecker) logChange(svc state.ServiceID, servers int, cutOff bool, result reach.CheckResult) {
+	if !cutOff {
+		c.g.log.Emit(telemetry.EventCutOffEnded, telemetry.Service(svc), telemetry.Count(servers), telemetry.Detail(checkResultNames[result]))
+		return
+	}
+	now := time.Now()
+	c.mu.Lock()
+	c.since = now
+	failing := c.tracker.FailingFor(now, svc)
+	c.mu.Unlock()
+	c.g.log.Emit(telemetry.EventCutOffBegan, telemetry.Service(svc), telemetry.Count(servers), telemetry.Duration(failing), telemetry.Detail("connections_failed"))
+}
+
+// addressSpread is how long after a gateway is cut off the others may name it to callers.
+const addressSpread = 500 * time.Millisecond
+
+// countRefused counts a request that is not served since this daemon is cut off.
+func (c *reachChecker) countRefused() {
+	c.mu.Lock()
+	named := time.Since(c.since) < maxAddressTTL+addressSpread
+	c.mu.Unlock()
+	c.g.metrics.CountReason(telemetry.GatewayCutOffTotal, lo.Ternary(named, "cached_address", "not_named"))
+}
+
 // checkServers connects to servers of a service, and lets other daemons connect to those that are
 // not reached.
 func (c *reachChecker) checkServers(svc state.ServiceID, addresses []string) reach.CheckResult {
