gateway: a check of a lost service asks more than four gateways before it concludes that none reaches it

Callers of a gateway that is cut off were kept by it: six of ten gateways of the grown site lose the servers together, and with .6^4 all four that one of them asked were cut off too and had not told yet.

Ruled out: that the gateways asked were too slow; in the spec they answer within milliseconds.

Up to eight further gateways are asked if the first four reach nothing, for four servers each instead of eight. While no gateway reaches a service, it is checked once a second, not four times, so that servers that are gone for everyone get fewer connections than before.

--- a/coordination/reach/reach.go
+++ b/coordination/reach/reach.go
@@ -9,6 +9,8 @@
 const (
 	// CheckInterval is the time between two checks of a service.
 	CheckInterval = 250 * time.Millisecond
+	// NoneInterval is the same after a check by which no daemon reaches the servers.
+	NoneInterval = time.Second
 	// RecheckInterval is the time between two checks while this daemon is cut off.
 	RecheckInterval = 300 * time.Millisecond
 	// NoticeInterval is how often a daemon tells the others that it is cut off.
@@ -65,6 +67,7 @@
 	failing   map[string]struct{} // addresses at which new connections failed since the last success
 	failedAt  time.Time           // when the first of them failed
 	checkedAt time.Time
+	noneFound bool // by the last check no daemon reaches the servers
 	cutOff    bool
 }
 
@@ -118,11 +121,19 @@
 	return now.Sub(s.failedAt)
 }
 
+// checkInterval is the time between two checks because of connections that fail.
+func (s *service) checkInterval() time.Duration {
+	if s.noneFound {
+		return NoneInterval
+	}
+	return CheckInterval
+}
+
 // CheckDue reports whether the service should be checked now, given the number of its
 // servers, and if so begins the check.
 func (t *Tracker) CheckDue(now time.Time, id state.ServiceID, servers int) bool {
 	s := t.service(id)
-	if len(s.failing) < min(minFailing, servers) || now.Sub(s.checkedAt) < CheckInterval {
+	if len(s.failing) < min(minFailing, servers) || now.Sub(s.checkedAt) < s.checkInterval() {
 		return false
 	}
 	s.checkedAt = now
@@ -133,6 +144,7 @@
 func (t *Tracker) Checked(id state.ServiceID, result CheckResult) (changed bool) {
 	s := t.service(id)
 	before := s.cutOff
+	s.noneFound = result == ReachedByNone
 	switch result {
 	case Reached:
 		t.Connected(id)
--- a/coordination/reach/reach_test.go
+++ b/coordination/reach/reach_test.go
@@ -35,6 +35,17 @@
 		Expect(t.CheckDue(later.Add(reach.CheckInterval), "s", 9)).To(BeFalse())
 	})
 
+	// Guards against servers that all daemons connect to all the time while none of them answers.
+	It("checks a service less often while no daemon reaches it", Label("failure:cut-off-peers-asked"), func() {
+		t.ConnectFailed(now, "s", "a")
+		Expect(t.CheckDue(now, "s", 1)).To(BeTrue())
+		t.Checked("s", reach.ReachedByNone)
+		Expect(t.CheckDue(now.Add(reach.CheckInterval), "s", 1)).To(BeFalse())
+		Expect(t.CheckDue(now.Add(reach.NoneInterval), "s", 1)).To(BeTrue())
+		t.Checked("s", reach.Unknown)
+		Expect(t.CheckDue(now.Add(reach.NoneInterval+reach.CheckInterval), "s", 1)).To(BeTrue())
+	})
+
 	It("says for how long connections have failed", func() {
 		t.ConnectFailed(now, "s", "a")
 		t.ConnectFailed(now.Add(time.Second), "s", "b")
--- a/gateway/reach.go
+++ b/gateway/reach.go
@@ -27,8 +27,12 @@
 	// the same while this daemon is cut off.
 	checkedServers   = 8
 	recheckedServers = 4
-	// askedPeers is how many daemons a check asks whether they reach the servers.
-	askedPeers = 4
+	// askedPeers is how many daemons a check asks whether they reach the servers, and furtherPeers
+	// how many more if none of them does: they may be cut off together with this one.
+	askedPeers   = 4
+	furtherPeers = 8
+	// askedServers is how many of the servers that are not reached they are asked for.
+	askedServers = 4
 	// askTimeout is how long their answers may take: they connect to the servers themselves.
 	askTimeout = connectProbeTimeout + 100*time.Millisecond
 )
@@ -161,7 +165,7 @@
 	switch {
 	case !ok && result != reach.Reached:
 		return reach.Unknown
-	case result == reach.ReachedByNone && c.reachedByPeers(svc, failed):
+	case result == reach.ReachedByNone && c.reachedByPeers(svc, failed[:min(len(failed), askedServers)]):
 		return reach.ReachedByOthers
 	default:
 		return result
@@ -230,10 +234,20 @@
 }
 
 // reachedByPeers reports whether another daemon reaches at least half of the servers.
+//
+// Guard (cut-off-peers-asked): where most daemons are cut off together, all of a few that are
+// asked are likely to be among them.
 func (c *reachChecker) reachedByPeers(svc state.ServiceID, addresses []string) bool {
+	peers := lo.Shuffle(c.peersToAsk())
+	first := min(len(peers), askedPeers)
+	return c.reachedByAny(svc, addresses, peers[:first]) ||
+		c.reachedByAny(svc, addresses, peers[first:min(len(peers), first+furtherPeers)])
+}
+
+// reachedByAny asks daemons at the same time whether they reach at least half of the servers.
+func (c *reachChecker) reachedByAny(svc state.ServiceID, addresses, peers []string) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
 	defer cancel()
-	peers := c.peersToAsk()
 	answers := make(chan int, len(peers))
 	for _, address := range peers {
 		go func() {
@@ -262,7 +276,7 @@
 			usable = append(usable, i.Meta.PeerAddress)
 		}
 	}
-	return lo.Samples(usable, askedPeers)
+	return usable
 }
 
 // answer answers a reachRequest.
