gateway: gateways that are cut off together learn of it from each other

Cause: two of its own callers' connections had to fail before a gateway checked, at each gateway and for each service. The price grows with gateways times services, and 79 gateways that are asked for a service 0.3 times a second each pay it slowly; nine hide it. Class: each process learns alone, at the price of a request, what another one has told already. Ruled out: that the verdict is slow once a check runs (event 1328: 0.8 s after the first failure by the median), and that the notices are late (all neighbours have them within 0.3 s).

Change: a notice names the services. Who receives it connects to one server of each, at most once a second, and checks in full only if that fails; so does a gateway at the first connection that fails, and for the other services once it is cut off from one. The old spec that wants two failing servers before a check holds for full checks; one failure may cost one connection.

--- a/coordination/reach/reach.go
+++ b/coordination/reach/reach.go
@@ -1,6 +1,7 @@
 package reach
 
 import (
+	"slices"
 	"time"
 
 	"github.com/hibiscuswick/hibiscuswick/state"
@@ -17,14 +18,32 @@
 	NoticeInterval = time.Second
 	// noticeTTL is how long such a notice holds: one may be lost.
 	noticeTTL = 2500 * time.Millisecond
-	// minFailing is how many servers new connections have to fail at before a check.
+	// ToldInterval is the time between two checks of a service because other daemons are cut off
+	// from it.
+	ToldInterval = time.Second
+	// minFailing is how many servers new connections have to fail at before a full check.
 	minFailing = 2
 )
 
+// Check is a kind of check of a service.
+type Check uint8
+
+// The values of Check.
+const (
+	// NoCheck means that no check is due.
+	NoCheck Check = iota
+	// QuickCheck connects to one server, and makes a full check only if that fails.
+	QuickCheck
+	// FullCheck connects to a sample of the servers.
+	FullCheck
+)
+
 // Notice tells other daemons whether the sender is cut off from servers of a service.
 type Notice struct {
 	Daemon state.DaemonID `msgpack:"daemon"`
 	CutOff bool           `msgpack:"cut"`
+	// Services are those from which it is cut off.
+	Services []state.ServiceID `msgpack:"services,omitempty"`
 }
 
 // CheckResult is the result of a check of a service.
@@ -129,15 +148,36 @@
 	return CheckInterval
 }
 
-// CheckDue reports whether the service should be checked now, given the number of its
-// servers, and if so begins the check.
-func (t *Tracker) CheckDue(now time.Time, id state.ServiceID, servers int) bool {
+// CheckDue returns the check of a service that is due, given the number of its servers, and
+// begins it.
+func (t *Tracker) CheckDue(now time.Time, id state.ServiceID, servers int) Check {
 	s := t.service(id)
-	if len(s.failing) < min(minFailing, servers) || now.Sub(s.checkedAt) < s.checkInterval() {
-		return false
+	if len(s.failing) == 0 || now.Sub(s.checkedAt) < s.checkInterval() {
+		return NoCheck
 	}
 	s.checkedAt = now
-	return true
+	if len(s.failing) < min(minFailing, servers) {
+		return QuickCheck
+	}
+	return FullCheck
+}
+
+// CheckTold returns the check of a service that is due because another daemon has told that it
+// is cut off from it, and begins it.
+func (t *Tracker) CheckTold(now time.Time, id state.ServiceID) Check {
+	s := t.service(id)
+	if s.cutOff || now.Sub(s.checkedAt) < ToldInterval {
+		return NoCheck
+	}
+	s.checkedAt = now
+	return QuickCheck
+}
+
+// Failing reports whether the last new connection to a server failed, and none to another
+// server of the service was established since.
+func (t *Tracker) Failing(id state.ServiceID, address string) bool {
+	_, ok := t.service(id).failing[address]
+	return ok
 }
 
 // Checked reports the result of a check. It returns whether CutOff of the service has changed.
@@ -164,16 +204,21 @@
 	return ok && s.cutOff
 }
 
-// CutOffFromAny reports whether this daemon is cut off from the servers of any service.
-func (t *Tracker) CutOffFromAny() bool {
-	for _, s := range t.services {
+// Lost returns the services from whose servers this daemon is cut off.
+func (t *Tracker) Lost() []state.ServiceID {
+	var lost []state.ServiceID
+	for id, s := range t.services {
 		if s.cutOff {
-			return true
+			lost = append(lost, id)
 		}
 	}
-	return false
+	slices.Sort(lost)
+	return lost
 }
 
+// CutOffFromAny reports whether this daemon is cut off from the servers of any service.
+func (t *Tracker) CutOffFromAny() bool { return len(t.Lost()) > 0 }
+
 // Keep drops the services that are not listed.
 func (t *Tracker) Keep(listed func(state.ServiceID) bool) {
 	for id := range t.services {
--- a/coordination/reach/reach_test.go
+++ b/coordination/reach/reach_test.go
@@ -22,28 +22,42 @@
 	BeforeEach(func() { t = reach.NewTracker() })
 
 	// Guards against checks of a service at each server that ends.
-	It("checks a service only if several servers fail since the last connection", Label("failure:gateway-cut-off-from-servers"), func() {
+	It("checks a service in full only if several servers fail since the last connection", Label("failure:gateway-cut-off-from-servers"), func() {
+		Expect(t.CheckDue(now, "s", 9)).To(Equal(reach.NoCheck))
 		t.ConnectFailed(now, "s", "a")
 		t.ConnectFailed(now, "s", "a")
-		Expect(t.CheckDue(now, "s", 9)).To(BeFalse())
-		Expect(t.CheckDue(now, "s", 1)).To(BeTrue(), "the only server fails")
+		Expect(t.CheckDue(now, "s", 9)).To(Equal(reach.QuickCheck))
+		now := now.Add(reach.CheckInterval)
+		Expect(t.CheckDue(now, "s", 1)).To(Equal(reach.FullCheck), "the only server fails")
 		t.ConnectFailed(now, "s", "b")
 		later := now.Add(reach.CheckInterval)
-		Expect(t.CheckDue(later, "s", 9)).To(BeTrue())
-		Expect(t.CheckDue(later, "s", 9)).To(BeFalse(), "the check has begun")
+		Expect(t.CheckDue(later, "s", 9)).To(Equal(reach.FullCheck))
+		Expect(t.CheckDue(later, "s", 9)).To(Equal(reach.NoCheck), "the check has begun")
 		t.Connected("s")
-		Expect(t.CheckDue(later.Add(reach.CheckInterval), "s", 9)).To(BeFalse())
+		Expect(t.CheckDue(later.Add(reach.CheckInterval), "s", 9)).To(Equal(reach.NoCheck))
+	})
+
+	// Guards against daemons that learn only from failures of their own callers what others have
+	// told, and against checks at each notice of each daemon.
+	It("checks a service from which others are cut off, one server at a time", Label("failure:cut-off-learned-alone"), func() {
+		Expect(t.CheckTold(now, "s")).To(Equal(reach.QuickCheck))
+		Expect(t.CheckTold(now, "s")).To(Equal(reach.NoCheck))
+		Expect(t.CheckTold(now, "t")).To(Equal(reach.QuickCheck), "another service")
+		t.Checked("s", reach.ReachedByOthers)
+		Expect(t.CheckTold(now.Add(reach.ToldInterval), "s")).To(Equal(reach.NoCheck), "it knows that it is cut off")
+		Expect(t.CheckTold(now.Add(reach.ToldInterval), "t")).To(Equal(reach.QuickCheck))
+		Expect(t.Lost()).To(ConsistOf(state.ServiceID("s")))
 	})
 
 	// Guards against servers that all daemons connect to all the time while none of them answers.
 	It("checks a service less often while no daemon reaches it", Label("failure:cut-off-peers-asked"), func() {
 		t.ConnectFailed(now, "s", "a")
-		Expect(t.CheckDue(now, "s", 1)).To(BeTrue())
+		Expect(t.CheckDue(now, "s", 1)).To(Equal(reach.FullCheck))
 		t.Checked("s", reach.ReachedByNone)
-		Expect(t.CheckDue(now.Add(reach.CheckInterval), "s", 1)).To(BeFalse())
-		Expect(t.CheckDue(now.Add(reach.NoneInterval), "s", 1)).To(BeTrue())
+		Expect(t.CheckDue(now.Add(reach.CheckInterval), "s", 1)).To(Equal(reach.NoCheck))
+		Expect(t.CheckDue(now.Add(reach.NoneInterval), "s", 1)).To(Equal(reach.FullCheck))
 		t.Checked("s", reach.Unknown)
-		Expect(t.CheckDue(now.Add(reach.NoneInterval+reach.CheckInterval), "s", 1)).To(BeTrue())
+		Expect(t.CheckDue(now.Add(reach.NoneInterval+reach.CheckInterval), "s", 1)).To(Equal(reach.FullCheck))
 	})
 
 	It("says for how long connections have failed", func() {
--- a/gateway/reach.go
+++ b/gateway/reach.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -23,6 +24,9 @@
 	// connectProbeTimeout is how long a connection of a check may take: a round trip to the
 	// farthest region takes 40 ms.
 	connectProbeTimeout = 150 * time.Millisecond
+	// quickProbeTimeout is how long the connection of a quick check may take before a full check
+	// follows.
+	quickProbeTimeout = 50 * time.Millisecond
 	// checkedServers is how many servers of a service a check connects to, and recheckedServers
 	// the same while this daemon is cut off.
 	checkedServers   = 8
@@ -37,6 +41,19 @@
 	askTimeout = connectProbeTimeout + 100*time.Millisecond
 )
 
+// toldCheckSpread is the time over which daemons spread the checks that a notice leads to.
+const toldCheckSpread = 200 * time.Millisecond
+
+// trigger is what led to a check, in logs.
+type trigger string
+
+// The values of trigger.
+const (
+	triggerConnection   trigger = "connection_failed"
+	triggerNotice       trigger = "notice"
+	triggerOtherService trigger = "other_service"
+)
+
 // reachRequest asks a daemon how many of some servers of a service it reaches.
 type reachRequest struct {
 	Service   state.ServiceID `msgpack:"service"`
@@ -91,10 +108,26 @@
 	return c.tracker.OtherCutOff(time.Now(), id)
 }
 
+// receive applies another daemon's notice, and checks the services that it is cut off from.
+//
+// Guard (cut-off-learned-alone): a daemon that is asked seldom for a service would learn from its
+// own callers' failures, seconds later, what another one has found out already.
 func (c *reachChecker) receive(at time.Time, n reach.Notice) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	c.tracker.Receive(at, n)
+	c.mu.Unlock()
+	if !c.g.currentView.Load().known() {
+		return
+	}
+	for _, svc := range n.Services {
+		c.mu.Lock()
+		due := c.tracker.CheckTold(time.Now(), svc)
+		c.mu.Unlock()
+		if due != reach.NoCheck {
+			// All daemons receive the notice at about the same time.
+			time.AfterFunc(rand.N(toldCheckSpread), func() { c.run(svc, due, triggerNotice) })
+		}
+	}
 }
 
 // connectFailed handles a new connection that failed or takes too long, and returns once it is
@@ -105,20 +138,52 @@
 	c.tracker.ConnectFailed(time.Now(), svc, address)
 	due := c.tracker.CheckDue(time.Now(), svc, servers)
 	c.mu.Unlock()
-	if !due {
+	c.run(svc, due, triggerConnection)
+}
+
+// run runs a check of a service unless one is running.
+func (c *reachChecker) run(svc state.ServiceID, kind reach.Check, why trigger) {
+	if kind == reach.NoCheck {
 		return
 	}
 	_, _, _ = c.checks.Do(string(svc), func() (any, error) {
-		if c.check(svc, checkedServers) {
+		if kind == reach.QuickCheck && c.reachesOne(svc) {
+			return nil, nil
+		}
+		if c.check(svc, checkedServers, why) {
 			go c.whileCutOff(svc)
+			go c.checkOthers(svc)
 		}
 		return nil, nil
 	})
 }
 
+// reachesOne connects to one server of a service, and to none at which connections fail
+// already. It reports whether that shows that the service is reached or has no such server.
+func (c *reachChecker) reachesOne(svc state.ServiceID) bool {
+	c.mu.Lock()
+	untried := lo.Reject(c.listed(svc), func(address string, _ int) bool { return c.tracker.Failing(svc, address) })
+	c.mu.Unlock()
+	failed, ok := c.unreached(lo.Samples(untried, 1), quickProbeTimeout)
+	if len(untried) == 0 || !ok || len(failed) > 0 {
+		return false
+	}
+	c.connected(svc)
+	return true
+}
+
+// checkOthers checks the other services once this daemon is cut off from one.
+func (c *reachChecker) checkOthers(lost state.ServiceID) {
+	for svc := range c.g.currentView.Load().config.Services {
+		if svc != lost && !c.cutOffFrom(svc) {
+			go c.run(svc, reach.QuickCheck, triggerOtherService)
+		}
+	}
+}
+
 // check checks a service and reports whether this daemon has just turned out to be cut off.
-func (c *reachChecker) check(svc state.ServiceID, servers int) bool {
-	result := c.checkServers(svc, c.sample(svc, servers))
+func (c *reachChecker) check(svc state.ServiceID, servers int, why trigger) bool {
+	result := c.checkServers(svc, lo.Samples(c.listed(svc), servers))
 	c.mu.Lock()
 	changed := c.tracker.Checked(svc, result)
 	cutOff := c.tracker.CutOff(svc)
@@ -126,24 +191,23 @@
 	c.mu.Unlock()
 	c.g.metrics.CountReason(telemetry.GatewayReachChecksTotal, checkResultNames[result])
 	if changed {
-		c.logChange(svc, servers, cutOff, result)
+		c.logChange(svc, servers, lo.Ternary(cutOff, string(why), checkResultNames[result]))
 		c.notify()
 	}
 	return changed && cutOff
 }
 
 // logChange logs that this daemon is cut off from a service, or no longer.
-func (c *reachChecker) logChange(svc state.ServiceID, servers int, cutOff bool, result reach.CheckResult) {
-	if !cutOff {
-		c.g.log.Emit(telemetry.EventCutOffEnded, telemetry.Service(svc), telemetry.Count(servers), telemetry.Detail(checkResultNames[result]))
-		return
-	}
+func (c *reachChecker) logChange(svc state.ServiceID, servers int, detail string) {
 	now := time.Now()
 	c.mu.Lock()
-	c.since = now
-	failing := c.tracker.FailingFor(now, svc)
+	cutOff, failing := c.tracker.CutOff(svc), c.tracker.FailingFor(now, svc)
+	if cutOff {
+		c.since = now
+	}
 	c.mu.Unlock()
-	c.g.log.Emit(telemetry.EventCutOffBegan, telemetry.Service(svc), telemetry.Count(servers), telemetry.Duration(failing), telemetry.Detail("connections_failed"))
+	event := lo.Ternary(cutOff, telemetry.EventCutOffBegan, telemetry.EventCutOffEnded)
+	c.g.log.Emit(event, telemetry.Service(svc), telemetry.Count(servers), telemetry.Duration(failing), telemetry.Detail(detail))
 }
 
 // addressSpread is how long after a gateway is cut off the others may name it to callers.
@@ -160,7 +224,7 @@
 // checkServers connects to servers of a service, and lets other daemons connect to those that are
 // not reached.
 func (c *reachChecker) checkServers(svc state.ServiceID, addresses []string) reach.CheckResult {
-	failed, ok := c.unreached(addresses)
+	failed, ok := c.unreached(addresses, connectProbeTimeout)
 	result := reach.ResultOf(len(addresses), len(failed))
 	switch {
 	case !ok && result != reach.Reached:
@@ -179,7 +243,10 @@
 
 // notify tells the other daemons whether this one is cut off.
 func (c *reachChecker) notify() {
-	c.g.broadcast(reach.Notice{Daemon: c.g.self.ID, CutOff: c.cutOff.Load()})
+	c.mu.Lock()
+	lost := c.tracker.Lost()
+	c.mu.Unlock()
+	c.g.broadcast(reach.Notice{Daemon: c.g.self.ID, CutOff: len(lost) > 0, Services: lost})
 }
 
 // whileCutOff repeats the check of a service until this daemon is no longer cut off from it.
@@ -192,7 +259,7 @@
 		case <-time.After(reach.RecheckInterval):
 		}
 		c.dropUnlisted()
-		c.check(svc, recheckedServers)
+		c.check(svc, recheckedServers, triggerConnection)
 		if c.cutOffFrom(svc) && time.Since(notified) >= reach.NoticeInterval {
 			notified = time.Now()
 			c.notify()
@@ -209,19 +276,18 @@
 	c.cutOff.Store(c.tracker.CutOffFromAny())
 }
 
-// sample returns the addresses of some servers of a service.
-func (c *reachChecker) sample(svc state.ServiceID, n int) []string {
-	servers := lo.Filter(c.g.currentView.Load().servers[svc], func(s fleet.Server, _ int) bool { return !s.Draining })
-	return lo.Map(lo.Samples(servers, n), func(s fleet.Server, _ int) string { return s.Address })
+// listed returns the addresses of the servers of a service that are not leaving.
+func (c *reachChecker) listed(svc state.ServiceID) []string {
+	return lo.FilterMap(c.g.currentView.Load().servers[svc], func(s fleet.Server, _ int) (string, bool) { return s.Address, !s.Draining })
 }
 
-// unreached connects to servers at the same time and returns those that are not reached. It
-// returns false if that shows nothing.
+// unreached connects to servers at the same time and returns those that are not reached within a
+// time. It returns false if that shows nothing.
 //
 // Guard (own-pause): a check during which this process was not running shows nothing.
-func (c *reachChecker) unreached(addresses []string) ([]string, bool) {
+func (c *reachChecker) unreached(addresses []string, timeout time.Duration) ([]string, bool) {
 	began := time.Now()
-	ctx, cancel := context.WithTimeout(context.Background(), connectProbeTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	reached := make([]bool, len(addresses))
 	var all sync.WaitGroup
@@ -230,7 +296,7 @@
 	}
 	all.Wait()
 	failed := lo.Filter(addresses, func(_ string, i int) bool { return !reached[i] })
-	return failed, time.Since(began) <= connectProbeTimeout+probeOverrun
+	return failed, time.Since(began) <= timeout+probeOverrun
 }
 
 // reachedByPeers reports whether another daemon reaches at least half of the servers.
@@ -286,7 +352,7 @@
 		return slices.ContainsFunc(listed, func(s fleet.Server) bool { return s.Address == address })
 	})
 	addresses = addresses[:min(len(addresses), checkedServers)]
-	failed, ok := c.unreached(addresses)
+	failed, ok := c.unreached(addresses, connectProbeTimeout)
 	if !ok {
 		return reachResponse{}
 	}
--- a/gateway/reach_test.go
+++ b/gateway/reach_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -23,25 +24,49 @@
 
 // The values of cutMode.
 const (
-	notCut    cutMode = iota
-	cutSilent         // new connections hang
-	cutReset          // new connections are reset
+	notCut     cutMode = iota
+	cutSilent          // new connections hang
+	cutReset           // new connections are reset
+	cutEndless         // new connections hang until the call is canceled
 )
 
 // cuttableServers is one gateway's path to the fake servers.
 type cuttableServers struct {
 	*fakeServers
 	mode atomic.Int32
+	// only is the first letter of the servers that are cut off, or empty for all: p for plain
+	// servers, e for engines.
+	only atomic.Value
+	// refusals is how many new connections are reset although the path is not cut.
+	refusals atomic.Int64
+	sends    atomic.Int64 // calls of Send
 }
 
 func (s *cuttableServers) set(mode cutMode) { s.mode.Store(int32(mode)) }
 
+// setFor cuts the servers whose address begins with a letter.
+func (s *cuttableServers) setFor(mode cutMode, only string) {
+	s.only.Store(only)
+	s.set(mode)
+}
+
 // connectTimeout is how long the transport tries to connect.
 const connectTimeout = 1200 * time.Millisecond
 
+var errReset = errors.New("connection reset by peer")
+
 // dial fails while the path is cut.
-func (s *cuttableServers) dial(ctx context.Context) error {
+func (s *cuttableServers) dial(ctx context.Context, address string) error {
+	if s.refusals.Add(-1) >= 0 {
+		return errors.Join(backend.ErrNotSent, errReset)
+	}
+	if only, ok := s.only.Load().(string); ok && !strings.HasPrefix(address, only) {
+		return nil
+	}
 	switch cutMode(s.mode.Load()) {
+	case cutEndless:
+		<-ctx.Done()
+		return errors.Join(backend.ErrNotSent, ctx.Err())
 	case cutSilent:
 		select {
 		case <-ctx.Done():
@@ -50,7 +75,7 @@
 			return errors.Join(backend.ErrNotSent, errors.New("i/o timeout"))
 		}
 	case cutReset:
-		return errors.Join(backend.ErrNotSent, errors.New("connection reset by peer"))
+		return errors.Join(backend.ErrNotSent, errReset)
 	default:
 		return nil
 	}
@@ -58,7 +83,8 @@
 
 // Send implements backend.Client.
 func (s *cuttableServers) Send(ctx context.Context, c backend.Call) (*backend.Answer, error) {
-	if err := s.dial(ctx); err != nil {
+	s.sends.Add(1)
+	if err := s.dial(ctx, c.Address); err != nil {
 		return nil, err
 	}
 	return s.fakeServers.Send(ctx, c)
@@ -66,7 +92,7 @@
 
 // Connect implements backend.Client.
 func (s *cuttableServers) Connect(ctx context.Context, address string) error {
-	if err := s.dial(ctx); err != nil {
+	if err := s.dial(ctx, address); err != nil {
 		return err
 	}
 	return s.fakeServers.Connect(ctx, address)
@@ -74,7 +100,7 @@
 
 // Report implements backend.Client.
 func (s *cuttableServers) Report(ctx context.Context, address string) (backend.Report, error) {
-	if err := s.dial(ctx); err != nil {
+	if err := s.dial(ctx, address); err != nil {
 		return backend.Report{}, err
 	}
 	return s.fakeServers.Report(ctx, address)
@@ -92,9 +118,7 @@
 	s.gateway.Close()
 	for i := range gateways {
 		path := &cuttableServers{fakeServers: s.servers}
-		id := state.DaemonID(fmt.Sprintf("c%d", i))
-		s.gateways["front-"+string(id)] = s.startWith(id, path)
-		s.paths = append(s.paths, path)
+		s.add(i, path)
 	}
 	s.gateway = s.gateways["front-c0"]
 	s.populate()
@@ -104,6 +128,13 @@
 	return s
 }
 
+// add starts a gateway with its path to the servers.
+func (s *cuttableSite) add(i int, path *cuttableServers) {
+	id := state.DaemonID(fmt.Sprintf("c%d", i))
+	s.gateways["front-"+string(id)] = s.startWith(id, path)
+	s.paths = append(s.paths, path)
+}
+
 // cut cuts the first n gateways off from all servers.
 func (s *cuttableSite) cut(n int, mode cutMode) {
 	for _, p := range s.paths[:n] {
--- a/gateway/reachshared_test.go
+++ b/gateway/reachshared_test.go
@@ -36,7 +36,44 @@
 	return count
 }
 
+// Guards against gateways that each learn from failures of their own callers what another one
+// has told already, so that the failures grow with the number of gateways and of services.
 var _ = Describe("Gateways that lose the servers together", func() {
+	DescribeTable("learn of it by one failed request", Label("failure:cut-off-learned-alone"),
+		func(mode cutMode, path string) {
+			s := newCuttableSite(8)
+			s.cut(6, mode)
+			go s.serveOne(0, path, learnTime)
+			Eventually(s.cutOffCount).WithArguments(6).WithTimeout(learnTime).Should(Equal(6))
+			Expect(s.at(6).CutOff()).To(BeFalse())
+			Expect(s.at(7).CutOff()).To(BeFalse())
+		},
+		Entry("for a plain server, connections hang", cutSilent, "/once/"),
+		Entry("for a plain server, connections are reset", cutReset, "/once/"),
+		Entry("for an engine, connections hang", cutSilent, "/stream/"),
+	)
+
+	It("learn of the other services too", Label("failure:cut-off-learned-alone"), func() {
+		s := newCuttableSite(3)
+		s.cut(1, cutReset)
+		s.serveOne(0, "/once/", learnTime)
+		Eventually(func() string { return s.serveOne(0, "/once/", learnTime).Reason }).WithTimeout(learnTime).Should(Equal("cut_off"))
+		time.Sleep(500 * time.Millisecond) // for the check of the other service
+		before := s.paths[0].sends.Load()
+		res := s.serveOne(0, "/stream/", learnTime)
+		Expect(res.Outcome).To(Equal(gateway.Refused))
+		Expect(res.Reason).To(Equal("cut_off"))
+		Expect(s.paths[0].sends.Load()).To(Equal(before), "it tries no engine")
+	})
+
+	It("serve requests for the services that they reach", Label("failure:cut-off-learned-alone"), func() {
+		s := newCuttableSite(3)
+		s.paths[0].setFor(cutReset, "p")
+		s.serveOne(0, "/once/", learnTime)
+		Eventually(s.at(0).CutOff).WithTimeout(learnTime).Should(BeTrue())
+		Expect(s.serveOne(0, "/stream/", learnTime).Outcome).To(Equal(gateway.Answered))
+	})
+
 	// Guards against the conclusion that no gateway reaches the servers from the answers of a few
 	// that are cut off themselves.
 	It("ask further gateways if those that they ask reach no server", Label("failure:cut-off-peers-asked"), func() {
