gateway: requests that wait for a connection are refused once another request's check shows that there will be none

What callers saw: on the grown site, with the plain servers cut off, up to 17 requests a second waited until their deadline at gateways that knew meanwhile that they are cut off (refused as deadline).

Cause: only the request whose failure led to the check was told of its result. The others had seen that a check was running or had just begun, and went on waiting for their connections. Class: a finding that is told only to who asked for it.

Each request whose connection is slow now waits for the verdict too, whoever asked for the check. The spec (six requests, connections that hang without end) was red before (8.0 s, their deadline; it wants under half of it), green with this, also under the race detector.

--- a/gateway/connect.go
+++ b/gateway/connect.go
@@ -16,9 +16,10 @@
 const slowConnect = 150 * time.Millisecond
 
 // watchConnect checks whether this daemon is cut off if the call of the current attempt has no
-// connection after slowConnect, and cancels the call if so. The caller stops the timer once the
+// connection after slowConnect, and cancels the call once it turns out to be, also by the check
+// of another request. ctx is that of the call. The caller stops the timer and ends ctx once the
 // call has ended.
-func (r *requestHandler) watchConnect(cancel context.CancelFunc) *time.Timer {
+func (r *requestHandler) watchConnect(ctx context.Context, cancel context.CancelFunc) *time.Timer {
 	r.connected.Store(false)
 	svc, server, address := r.service.ID, r.path[0].Server, r.address
 	return time.AfterFunc(slowConnect, func() {
@@ -28,7 +29,11 @@
 		r.g.log.Emit(telemetry.EventConnectSlow, telemetry.Request(r.req.ID), telemetry.Service(svc),
 			telemetry.Backend(server.ID), telemetry.Address(address))
 		r.g.reach.connectFailed(svc, address)
-		if r.g.reach.cutOffFrom(svc) && !r.connected.Load() {
+		select {
+		case <-r.g.reach.whenCutOff(svc):
+		case <-ctx.Done():
+		}
+		if !r.connected.Load() {
 			cancel()
 		}
 	})
--- a/gateway/path.go
+++ b/gateway/path.go
@@ -47,7 +47,7 @@
 	timer := r.watchFirstEvent(cancel)
 	sent := time.Now()
 	r.runStart = sent
-	connectTimer := r.watchConnect(cancel)
+	connectTimer := r.watchConnect(ctx, cancel)
 	answer, err := r.g.backends.Send(ctx, call)
 	stopTimer(connectTimer)
 	stopTimer(timer)
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -37,7 +37,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer stopTimer(r.watchFirstEvent(cancel))
-	defer stopTimer(r.watchConnect(cancel))
+	defer stopTimer(r.watchConnect(ctx, cancel))
 	sent := time.Now()
 	r.runStart = sent
 	answer, err := r.g.backends.Send(ctx, r.newCall(server.Incarnation(), server.Address))
--- a/gateway/reach.go
+++ b/gateway/reach.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -75,10 +76,12 @@
 	mu      sync.Mutex
 	tracker *reach.Tracker
 	since   time.Time // when this daemon last began to be cut off from a service
+	// began is closed for each service that this daemon is cut off from.
+	began map[state.ServiceID]chan struct{}
 }
 
 func newReachChecker(g *Gateway) *reachChecker {
-	return &reachChecker{g: g, tracker: reach.NewTracker()}
+	return &reachChecker{g: g, tracker: reach.NewTracker(), began: make(map[state.ServiceID]chan struct{})}
 }
 
 // CutOff reports whether this gateway is cut off from the servers of a service that other
@@ -101,6 +104,20 @@
 	return c.tracker.CutOff(svc)
 }
 
+// whenCutOff returns a channel that is closed once this daemon is cut off from a service.
+func (c *reachChecker) whenCutOff(svc state.ServiceID) <-chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.beganChannel(svc)
+}
+
+func (c *reachChecker) beganChannel(svc state.ServiceID) chan struct{} {
+	if c.began[svc] == nil {
+		c.began[svc] = make(chan struct{})
+	}
+	return c.began[svc]
+}
+
 // otherCutOff reports whether another daemon has told that it is cut off.
 func (c *reachChecker) otherCutOff(id state.DaemonID) bool {
 	c.mu.Lock()
@@ -188,6 +205,12 @@
 	changed := c.tracker.Checked(svc, result)
 	cutOff := c.tracker.CutOff(svc)
 	c.cutOff.Store(c.tracker.CutOffFromAny())
+	switch {
+	case changed && cutOff:
+		close(c.beganChannel(svc))
+	case changed:
+		delete(c.began, svc)
+	}
 	c.mu.Unlock()
 	c.g.metrics.CountReason(telemetry.GatewayReachChecksTotal, checkResultNames[result])
 	if changed {
@@ -272,7 +295,9 @@
 	config := c.g.currentView.Load().config
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.tracker.Keep(func(id state.ServiceID) bool { _, ok := config.Services[id]; return ok })
+	listed := func(id state.ServiceID) bool { _, ok := config.Services[id]; return ok }
+	c.tracker.Keep(listed)
+	maps.DeleteFunc(c.began, func(id state.ServiceID, _ chan struct{}) bool { return !listed(id) })
 	c.cutOff.Store(c.tracker.CutOffFromAny())
 }
 
--- a/gateway/reachshared_test.go
+++ b/gateway/reachshared_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -74,6 +75,26 @@
 		Expect(s.serveOne(0, "/stream/", learnTime).Outcome).To(Equal(gateway.Answered))
 	})
 
+	// Guards against requests that wait for a connection until their deadline after the check of
+	// another request has shown that there will be none.
+	It("refuse the requests that wait for a connection", Label("failure:cut-off-request-waits"), func() {
+		const callerTimeout = 8 * time.Second
+		s := newCuttableSite(3)
+		s.cut(1, cutEndless)
+		results := make([]gateway.Result, 6)
+		began := time.Now()
+		var all sync.WaitGroup
+		for i := range results {
+			all.Go(func() { results[i] = s.serveOne(0, "/once/", callerTimeout) })
+		}
+		all.Wait()
+		Expect(time.Since(began)).To(BeNumerically("<", callerTimeout/2))
+		for _, r := range results {
+			Expect(r.Outcome).To(Equal(gateway.Refused))
+			Expect(r.Reason).To(Equal("cut_off"))
+		}
+	})
+
 	// Guards against the conclusion that no gateway reaches the servers from the answers of a few
 	// that are cut off themselves.
 	It("ask further gateways if those that they ask reach no server", Label("failure:cut-off-peers-asked"), func() {
