gateway: servers that return during a check do not make a gateway leave

What callers would see: a gateway that leaves the addresses for 0.3 s or more although its links are sound, since servers that restarted answered the other gateways a few milliseconds after they had refused its own connections. A release of a service with few servers does that.

Cause: the verdict compared connections at different times: this gateway's first, then the others'. It now connects once more after another gateway has reached the servers, and is cut off only if that fails as well. Class: two observations of different moments compared as one.

--- a/gateway/reach.go
+++ b/gateway/reach.go
@@ -245,18 +245,34 @@
 }
 
 // checkServers connects to servers of a service, and lets other daemons connect to those that are
-// not reached.
+// not reached. If they reach them, it tries again.
+//
+// Guard (cut-off-stale-check): servers that return after this daemon's connections and before the
+// other daemons' would be reached by others only.
 func (c *reachChecker) checkServers(svc state.ServiceID, addresses []string) reach.CheckResult {
+	failed, result := c.connectTo(addresses)
+	if result != reach.ReachedByNone {
+		return result
+	}
+	asked := failed[:min(len(failed), askedServers)]
+	if !c.reachedByPeers(svc, asked) {
+		return reach.ReachedByNone
+	}
+	if _, again := c.connectTo(asked); again != reach.ReachedByNone {
+		return reach.Unknown
+	}
+	return reach.ReachedByOthers
+}
+
+// connectTo connects to servers and returns those that are not reached, and what that shows
+// before other daemons are asked.
+func (c *reachChecker) connectTo(addresses []string) ([]string, reach.CheckResult) {
 	failed, ok := c.unreached(addresses, connectProbeTimeout)
 	result := reach.ResultOf(len(addresses), len(failed))
-	switch {
-	case !ok && result != reach.Reached:
-		return reach.Unknown
-	case result == reach.ReachedByNone && c.reachedByPeers(svc, failed[:min(len(failed), askedServers)]):
-		return reach.ReachedByOthers
-	default:
-		return result
+	if !ok && result != reach.Reached {
+		return failed, reach.Unknown
 	}
+	return failed, result
 }
 
 // checkResultNames are the results of checks in metrics.
--- a/gateway/reachshared_test.go
+++ b/gateway/reachshared_test.go
@@ -105,4 +105,15 @@
 		}
 		Eventually(s.cutOffCount).WithArguments(8).WithTimeout(learnTime).Should(Equal(8))
 	})
+
+	// Guards against gateways that leave because servers came back between their own connections
+	// and those of the gateways that they ask.
+	It("are not cut off if the servers return during the check", Label("failure:cut-off-stale-check"), func() {
+		for attempt := range 2 {
+			s := newCuttableSite(3)
+			s.paths[0].refusals.Store(int64(4 + attempt)) // of the request and of the check
+			s.serveOne(0, "/again/", learnTime)
+			Consistently(s.at(0).CutOff).WithTimeout(500 * time.Millisecond).Should(BeFalse())
+		}
+	})
 })
