gateway: gateways that are cut off from one service are asked about another

What callers saw: where gateways had lost different services, one took its servers for gone for everyone and kept its callers, since all gateways that reach them were cut off from something else.

Cause: a notice said only that its sender is cut off, not from what, so that a check left out each gateway that had told anything. The notice names services since; a check leaves out only those that are cut off from the same service. Ruled out: that a cut-off gateway answers such calls wrongly; it connects to the servers that it is asked for.

--- a/coordination/reach/reach.go
+++ b/coordination/reach/reach.go
@@ -94,6 +94,7 @@
 type daemonState struct {
 	at     time.Time
 	cutOff bool
+	lost   []state.ServiceID // empty if it did not tell which
 }
 
 // Tracker is the state of one daemon. It is not safe for concurrent use.
@@ -233,7 +234,7 @@
 	if old, ok := t.daemons[n.Daemon]; ok && at.Before(old.at) {
 		return
 	}
-	t.daemons[n.Daemon] = daemonState{at: at, cutOff: n.CutOff}
+	t.daemons[n.Daemon] = daemonState{at: at, cutOff: n.CutOff, lost: n.Services}
 }
 
 // OtherCutOff reports whether another daemon is cut off, as far as it has told.
@@ -241,3 +242,9 @@
 	d, ok := t.daemons[id]
 	return ok && d.cutOff && now.Sub(d.at) < noticeTTL
 }
+
+// OtherCutOffFrom reports whether another daemon is cut off from a service, as far as it has told.
+func (t *Tracker) OtherCutOffFrom(now time.Time, id state.DaemonID, svc state.ServiceID) bool {
+	lost := t.daemons[id].lost
+	return t.OtherCutOff(now, id) && (len(lost) == 0 || slices.Contains(lost, svc))
+}
--- a/coordination/reach/reach_test.go
+++ b/coordination/reach/reach_test.go
@@ -115,4 +115,13 @@
 		t.Receive(now, reach.Notice{Daemon: "d", CutOff: true})
 		Expect(t.OtherCutOff(now.Add(time.Second), "d")).To(BeFalse())
 	})
+
+	It("tells services from each other, and expects all of a daemon that names none", func() {
+		t.Receive(now, reach.Notice{Daemon: "d", CutOff: true, Services: []state.ServiceID{"s"}})
+		t.Receive(now, reach.Notice{Daemon: "e", CutOff: true})
+		Expect(t.OtherCutOffFrom(now, "d", "s")).To(BeTrue())
+		Expect(t.OtherCutOffFrom(now, "d", "t")).To(BeFalse())
+		Expect(t.OtherCutOffFrom(now, "e", "t")).To(BeTrue())
+		Expect(t.OtherCutOffFrom(now, "f", "s")).To(BeFalse())
+	})
 })
--- a/gateway/reach.go
+++ b/gateway/reach.go
@@ -345,7 +345,7 @@
 // Guard (cut-off-peers-asked): where most daemons are cut off together, all of a few that are
 // asked are likely to be among them.
 func (c *reachChecker) reachedByPeers(svc state.ServiceID, addresses []string) bool {
-	peers := lo.Shuffle(c.peersToAsk())
+	peers := lo.Shuffle(c.peersToAsk(svc))
 	first := min(len(peers), askedPeers)
 	return c.reachedByAny(svc, addresses, peers[:first]) ||
 		c.reachedByAny(svc, addresses, peers[first:min(len(peers), first+furtherPeers)])
@@ -376,10 +376,13 @@
 }
 
 // peersToAsk returns the addresses of daemons that may reach servers which this one does not.
-func (c *reachChecker) peersToAsk() []string {
+func (c *reachChecker) peersToAsk(svc state.ServiceID) []string {
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	var usable []string
 	for _, i := range c.g.currentView.Load().members.Members {
-		if i.Member.ID != c.g.self.ID && i.State == membership.Alive && !c.otherCutOff(i.Member.ID) {
+		if i.Member.ID != c.g.self.ID && i.State == membership.Alive && !c.tracker.OtherCutOffFrom(now, i.Member.ID, svc) {
 			usable = append(usable, i.Meta.PeerAddress)
 		}
 	}
--- a/gateway/reach_test.go
+++ b/gateway/reach_test.go
@@ -124,6 +124,7 @@
 	s.populate()
 	for _, g := range s.gateways {
 		Eventually(func() []string { list, _ := g.Addresses("a"); return list }).WithTimeout(eventuallyTimeout).Should(HaveLen(gateways))
+		Eventually(g.Ready).WithTimeout(eventuallyTimeout).Should(BeTrue())
 	}
 	return s
 }
--- a/gateway/reachshared_test.go
+++ b/gateway/reachshared_test.go
@@ -116,4 +116,19 @@
 			Consistently(s.at(0).CutOff).WithTimeout(500 * time.Millisecond).Should(BeFalse())
 		}
 	})
+
+	// Guards against the conclusion that no gateway reaches a service since those that do are cut off
+	// from another one.
+	It("ask gateways that are cut off from another service", Label("failure:cut-off-peers-asked"), func() {
+		s := newCuttableSite(2)
+		s.paths[0].setFor(cutReset, "p")
+		s.paths[1].setFor(cutReset, "e")
+		s.serveOne(0, "/once/", learnTime)
+		Eventually(s.at(0).CutOff).WithTimeout(learnTime).Should(BeTrue())
+		time.Sleep(500 * time.Millisecond) // for the notice
+		s.serveOne(1, "/stream/", learnTime)
+		Eventually(s.at(1).CutOff).WithTimeout(learnTime).Should(BeTrue())
+		Expect(s.serveOne(0, "/stream/", learnTime).Outcome).To(Equal(gateway.Answered))
+		Expect(s.serveOne(1, "/once/", learnTime).Outcome).To(Equal(gateway.Answered))
+	})
 })
