gateway, reach: notices of gateways that are cut off stay within the rate of gossip

What callers saw: on the grown site with all servers of both services cut off from 62 of 79 gateways, callers were sent to gateways that were cut off all the time: 7 to 44 of their first attempts for engines were refused in each 3 s from 6 s after the cut on, growing with time.

Cause: each gateway that is cut off told all others so every second, and a notice held for 2.5 s. 62 notices a second of some 100 bytes, each sent about ten times by each gateway, are ten times the 6,000 bytes a second that gossip may use. Once the burst allowance is spent they arrive late, lapse, and other gateways name the cut-off ones again.

Change: a notice says how long it holds. It is repeated every 5 s, and the less often the more gateways are cut off (4 a second of all together); the end is told at once, as before, and repaired by exchanges. Notices of an earlier process of a gateway no longer count for its successor.

--- a/coordination/reach/doc.go
+++ b/coordination/reach/doc.go
@@ -11,7 +11,7 @@
 // The caller reports each new connection, established or failed, and runs the check that CheckDue
 // returns: it connects to a sample of the service's servers, asks other daemons whether they
 // reach those that it does not, and reports the result with Checked. While CutOff reports true it
-// repeats the check every RecheckInterval, and tells the other daemons every NoticeInterval. It
+// repeats the check every RecheckInterval, and tells the other daemons as often as Notice says. It
 // runs the check that CheckTold returns for each service that another daemon's notice names, and
 // checks the other services once it is cut off from one.
 //
@@ -19,6 +19,8 @@
 //
 //   - gateway-cut-off-from-servers: a daemon whose links to the servers are lost keeps
 //     attracting requests that the others could serve.
+//   - cut-off-notices-crowd: notices of many daemons that are cut off together exceed the rate of
+//     gossip, and lapse before they arrive.
 //   - cut-off-learned-alone: each of many daemons that are cut off together learns it only from
 //     failures of its own callers.
 package reach
--- a/coordination/reach/reach.go
+++ b/coordination/reach/reach.go
@@ -14,10 +14,15 @@
 	NoneInterval = time.Second
 	// RecheckInterval is the time between two checks while this daemon is cut off.
 	RecheckInterval = 300 * time.Millisecond
-	// NoticeInterval is how often a daemon tells the others that it is cut off.
-	NoticeInterval = time.Second
-	// noticeTTL is how long such a notice holds: one may be lost.
-	noticeTTL = 2500 * time.Millisecond
+	// minNoticeInterval is how often a daemon that is cut off repeats that, at most.
+	minNoticeInterval = 5 * time.Second
+	// noticeSpacing is the mean time between two repeated notices of all daemons together: each of
+	// them reaches every daemon several times, and gossip is limited to 6,000 bytes a second.
+	noticeSpacing = 250 * time.Millisecond
+	// noticeHold is how long a notice holds, in intervals: one may be late or lost.
+	noticeHold = 2.5
+	// defaultHold is how long a notice holds that does not say so.
+	defaultHold = 2500 * time.Millisecond
 	// ToldInterval is the time between two checks of a service because other daemons are cut off
 	// from it.
 	ToldInterval = time.Second
@@ -44,6 +49,15 @@
 	CutOff bool           `msgpack:"cut"`
 	// Services are those from which it is cut off.
 	Services []state.ServiceID `msgpack:"services,omitempty"`
+	// HoldMS is how long it holds, in milliseconds, unless another one follows.
+	HoldMS int64 `msgpack:"hold_ms,omitempty"`
+}
+
+func (n Notice) hold() time.Duration {
+	if n.HoldMS <= 0 {
+		return defaultHold
+	}
+	return time.Duration(n.HoldMS) * time.Millisecond
 }
 
 // CheckResult is the result of a check of a service.
@@ -92,9 +106,10 @@
 
 // daemonState is the last notice of another daemon.
 type daemonState struct {
-	at     time.Time
-	cutOff bool
-	lost   []state.ServiceID // empty if it did not tell which
+	at          time.Time
+	incarnation state.Incarnation
+	until       time.Time         // when its notice lapses; zero if it is not cut off
+	lost        []state.ServiceID // empty if it did not tell which
 }
 
 // Tracker is the state of one daemon. It is not safe for concurrent use.
@@ -229,22 +244,43 @@
 	}
 }
 
+// Notice returns what this daemon tells the others, and when it repeats that. The more daemons
+// are cut off, the less often each repeats it, so that their notices together stay few.
+func (t *Tracker) Notice(now time.Time, self state.DaemonID) (Notice, time.Duration) {
+	cutOff := 1
+	for _, d := range t.daemons {
+		if now.Before(d.until) {
+			cutOff++
+		}
+	}
+	interval := max(minNoticeInterval, time.Duration(cutOff)*noticeSpacing)
+	lost := t.Lost()
+	hold := time.Duration(noticeHold * float64(interval))
+	return Notice{Daemon: self, CutOff: len(lost) > 0, Services: lost, HoldMS: hold.Milliseconds()}, interval
+}
+
 // Receive applies another daemon's notice, as of the time at which it was sent.
-func (t *Tracker) Receive(at time.Time, n Notice) {
-	if old, ok := t.daemons[n.Daemon]; ok && at.Before(old.at) {
+func (t *Tracker) Receive(at time.Time, from state.Member, n Notice) {
+	old := t.daemons[from.ID]
+	if from.Incarnation < old.incarnation || from.Incarnation == old.incarnation && at.Before(old.at) {
 		return
 	}
-	t.daemons[n.Daemon] = daemonState{at: at, cutOff: n.CutOff, lost: n.Services}
+	d := daemonState{at: at, incarnation: from.Incarnation, lost: n.Services}
+	if n.CutOff {
+		d.until = at.Add(n.hold())
+	}
+	t.daemons[from.ID] = d
 }
 
-// OtherCutOff reports whether another daemon is cut off, as far as it has told.
-func (t *Tracker) OtherCutOff(now time.Time, id state.DaemonID) bool {
-	d, ok := t.daemons[id]
-	return ok && d.cutOff && now.Sub(d.at) < noticeTTL
+// OtherCutOff reports whether another daemon is cut off, as far as this incarnation has told.
+func (t *Tracker) OtherCutOff(now time.Time, other state.Member) bool {
+	d, ok := t.daemons[other.ID]
+	return ok && d.incarnation == other.Incarnation && now.Before(d.until)
 }
 
-// OtherCutOffFrom reports whether another daemon is cut off from a service, as far as it has told.
-func (t *Tracker) OtherCutOffFrom(now time.Time, id state.DaemonID, svc state.ServiceID) bool {
-	lost := t.daemons[id].lost
-	return t.OtherCutOff(now, id) && (len(lost) == 0 || slices.Contains(lost, svc))
+// OtherCutOffFrom reports whether another daemon is cut off from a service, as far as this
+// incarnation has told.
+func (t *Tracker) OtherCutOffFrom(now time.Time, other state.Member, svc state.ServiceID) bool {
+	lost := t.daemons[other.ID].lost
+	return t.OtherCutOff(now, other) && (len(lost) == 0 || slices.Contains(lost, svc))
 }
--- a/coordination/reach/reach_test.go
+++ b/coordination/reach/reach_test.go
@@ -1,6 +1,7 @@
 package reach_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -107,21 +108,48 @@
 	})
 
 	// Guards against a daemon that stays out of the addresses because its last notice was lost.
-	It("believes notices for a while, and the newest one of a daemon", func() {
-		t.Receive(now, reach.Notice{Daemon: "d", CutOff: true})
-		Expect(t.OtherCutOff(now.Add(2*time.Second), "d")).To(BeTrue())
-		Expect(t.OtherCutOff(now.Add(3*time.Second), "d")).To(BeFalse())
-		t.Receive(now.Add(time.Second), reach.Notice{Daemon: "d"})
-		t.Receive(now, reach.Notice{Daemon: "d", CutOff: true})
-		Expect(t.OtherCutOff(now.Add(time.Second), "d")).To(BeFalse())
+	It("believes notices for as long as they hold, and the newest one of a daemon", Label("failure:gateway-cut-off-from-servers"), func() {
+		d := state.Member{ID: "d", Incarnation: 1}
+		t.Receive(now, d, reach.Notice{Daemon: "d", CutOff: true, HoldMS: 5000})
+		Expect(t.OtherCutOff(now.Add(4*time.Second), d)).To(BeTrue())
+		Expect(t.OtherCutOff(now.Add(5*time.Second), d)).To(BeFalse())
+		t.Receive(now.Add(time.Second), d, reach.Notice{Daemon: "d"})
+		t.Receive(now, d, reach.Notice{Daemon: "d", CutOff: true, HoldMS: 5000})
+		Expect(t.OtherCutOff(now.Add(time.Second), d)).To(BeFalse())
+		t.Receive(now.Add(time.Second), d, reach.Notice{Daemon: "d", CutOff: true})
+		Expect(t.OtherCutOff(now.Add(3*time.Second), d)).To(BeTrue(), "it does not say for how long")
+		Expect(t.OtherCutOff(now.Add(4*time.Second), d)).To(BeFalse())
+	})
+
+	It("does not believe notices of an earlier process", Label("failure:gateway-cut-off-from-servers"), func() {
+		t.Receive(now, state.Member{ID: "d", Incarnation: 1}, reach.Notice{Daemon: "d", CutOff: true, HoldMS: 5000})
+		Expect(t.OtherCutOff(now, state.Member{ID: "d", Incarnation: 2})).To(BeFalse())
+		t.Receive(now, state.Member{ID: "d", Incarnation: 2}, reach.Notice{Daemon: "d"})
+		t.Receive(now.Add(time.Second), state.Member{ID: "d", Incarnation: 1}, reach.Notice{Daemon: "d", CutOff: true, HoldMS: 5000})
+		Expect(t.OtherCutOff(now.Add(time.Second), state.Member{ID: "d", Incarnation: 2})).To(BeFalse())
+	})
+
+	// Guards against notices that exceed the rate of gossip where many daemons are cut off together,
+	// so that they lapse before they arrive.
+	It("repeats notices the less often the more daemons are cut off", Label("failure:cut-off-notices-crowd"), func() {
+		const maxPerSecond = 4.0 // of 6,000 bytes of gossip a second: each is sent some ten times, in 100 bytes
+		t.Checked("s", reach.ReachedByOthers)
+		for cutOff := 1; cutOff <= 400; cutOff++ {
+			n, interval := t.Notice(now, "self")
+			Expect(n.Services).To(ConsistOf(state.ServiceID("s")))
+			Expect(float64(cutOff) / interval.Seconds()).To(BeNumerically("<=", maxPerSecond))
+			Expect(n.HoldMS).To(BeNumerically(">", 2*interval.Milliseconds()), "one may be lost")
+			t.Receive(now, state.Member{ID: state.DaemonID(fmt.Sprint(cutOff))}, reach.Notice{CutOff: true, HoldMS: n.HoldMS})
+		}
 	})
 
 	It("tells services from each other, and expects all of a daemon that names none", func() {
-		t.Receive(now, reach.Notice{Daemon: "d", CutOff: true, Services: []state.ServiceID{"s"}})
-		t.Receive(now, reach.Notice{Daemon: "e", CutOff: true})
-		Expect(t.OtherCutOffFrom(now, "d", "s")).To(BeTrue())
-		Expect(t.OtherCutOffFrom(now, "d", "t")).To(BeFalse())
-		Expect(t.OtherCutOffFrom(now, "e", "t")).To(BeTrue())
-		Expect(t.OtherCutOffFrom(now, "f", "s")).To(BeFalse())
+		d, e, f := state.Member{ID: "d"}, state.Member{ID: "e"}, state.Member{ID: "f"}
+		t.Receive(now, d, reach.Notice{Daemon: "d", CutOff: true, Services: []state.ServiceID{"s"}})
+		t.Receive(now, e, reach.Notice{Daemon: "e", CutOff: true})
+		Expect(t.OtherCutOffFrom(now, d, "s")).To(BeTrue())
+		Expect(t.OtherCutOffFrom(now, d, "t")).To(BeFalse())
+		Expect(t.OtherCutOffFrom(now, e, "t")).To(BeTrue())
+		Expect(t.OtherCutOffFrom(now, f, "s")).To(BeFalse())
 	})
 })
--- a/gateway/notice.go
+++ b/gateway/notice.go
@@ -87,7 +87,7 @@
 	case permits.LimitNotice:
 		g.control.permits.step(permits.LimitReceived{LimitNotice: m, At: at})
 	case reach.Notice:
-		g.reach.receive(at, m)
+		g.reach.receive(at, f.Reporter, m)
 	case crashes.EndNotice:
 		g.shared.implicate(at.Add(-m.Age()), m.Server, m.Runs()...)
 	case crashes.ClearNotice:
--- a/gateway/reach.go
+++ b/gateway/reach.go
@@ -76,6 +76,8 @@
 	mu      sync.Mutex
 	tracker *reach.Tracker
 	since   time.Time // when this daemon last began to be cut off from a service
+	// nextNotice is when this daemon tells the others again that it is cut off.
+	nextNotice time.Time
 	// began is closed for each service that this daemon is cut off from.
 	began map[state.ServiceID]chan struct{}
 }
@@ -119,19 +121,19 @@
 }
 
 // otherCutOff reports whether another daemon has told that it is cut off.
-func (c *reachChecker) otherCutOff(id state.DaemonID) bool {
+func (c *reachChecker) otherCutOff(other state.Member) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.tracker.OtherCutOff(time.Now(), id)
+	return c.tracker.OtherCutOff(time.Now(), other)
 }
 
 // receive applies another daemon's notice, and checks the services that it is cut off from.
 //
 // Guard (cut-off-learned-alone): a daemon that is asked seldom for a service would learn from its
 // own callers' failures, seconds later, what another one has found out already.
-func (c *reachChecker) receive(at time.Time, n reach.Notice) {
+func (c *reachChecker) receive(at time.Time, from state.Member, n reach.Notice) {
 	c.mu.Lock()
-	c.tracker.Receive(at, n)
+	c.tracker.Receive(at, from, n)
 	c.mu.Unlock()
 	if !c.g.currentView.Load().known() {
 		return
@@ -215,7 +217,9 @@
 	c.g.metrics.CountReason(telemetry.GatewayReachChecksTotal, checkResultNames[result])
 	if changed {
 		c.logChange(svc, servers, lo.Ternary(cutOff, string(why), checkResultNames[result]))
-		c.notify()
+		if !cutOff {
+			c.notify()
+		}
 	}
 	return changed && cutOff
 }
@@ -282,15 +286,27 @@
 
 // notify tells the other daemons whether this one is cut off.
 func (c *reachChecker) notify() {
+	now := time.Now()
 	c.mu.Lock()
-	lost := c.tracker.Lost()
+	notice, interval := c.tracker.Notice(now, c.g.self.ID)
+	c.nextNotice = now.Add(interval)
 	c.mu.Unlock()
-	c.g.broadcast(reach.Notice{Daemon: c.g.self.ID, CutOff: len(lost) > 0, Services: lost})
+	c.g.broadcast(notice)
+}
+
+// repeatNotice tells the other daemons again that this one is cut off if that is due.
+func (c *reachChecker) repeatNotice() {
+	c.mu.Lock()
+	due := time.Now().After(c.nextNotice)
+	c.mu.Unlock()
+	if due {
+		c.notify()
+	}
 }
 
 // whileCutOff repeats the check of a service until this daemon is no longer cut off from it.
 func (c *reachChecker) whileCutOff(svc state.ServiceID) {
-	notified := time.Now()
+	c.notify()
 	for c.cutOffFrom(svc) {
 		select {
 		case <-c.g.done:
@@ -299,9 +315,8 @@
 		}
 		c.dropUnlisted()
 		c.check(svc, recheckedServers, triggerConnection)
-		if c.cutOffFrom(svc) && time.Since(notified) >= reach.NoticeInterval {
-			notified = time.Now()
-			c.notify()
+		if c.cutOffFrom(svc) {
+			c.repeatNotice()
 		}
 	}
 }
@@ -382,7 +397,7 @@
 	defer c.mu.Unlock()
 	var usable []string
 	for _, i := range c.g.currentView.Load().members.Members {
-		if i.Member.ID != c.g.self.ID && i.State == membership.Alive && !c.tracker.OtherCutOffFrom(now, i.Member.ID, svc) {
+		if i.Member.ID != c.g.self.ID && i.State == membership.Alive && !c.tracker.OtherCutOffFrom(now, i.Member, svc) {
 			usable = append(usable, i.Meta.PeerAddress)
 		}
 	}
@@ -414,7 +429,7 @@
 		if i.Member.ID == c.g.self.ID {
 			return c.cutOff.Load()
 		}
-		return c.otherCutOff(i.Member.ID)
+		return c.otherCutOff(i.Member)
 	})
 	if len(connected) == 0 {
 		return accepting
