gateway: a gateway that is cut off from servers is not ready while others reach them

Cause: readiness knew only of the configuration, the server list and a planned stop. What the addresses and the readiness say of a gateway were two answers to one question, and only one was told of the cut. They are one now: a gateway that callers should not use is not ready. Where all are cut off, or none reaches the servers, all stay ready, as all are named.

--- a/gateway/addresses.go
+++ b/gateway/addresses.go
@@ -19,14 +19,7 @@
 // Addresses returns where a caller of a domain may connect, and for how long it may cache
 // the answer.
 func (g *Gateway) Addresses(_ state.FailureDomain) ([]string, time.Duration) {
-	v := g.currentView.Load()
-	var accepting []membership.Info
-	for _, i := range v.members.Members {
-		if i.State == membership.Alive && !i.Draining && i.Meta.CallerAddress != "" {
-			accepting = append(accepting, i)
-		}
-	}
-	out := lo.Map(g.reach.listedForCallers(accepting), func(i membership.Info, _ int) string { return i.Meta.CallerAddress })
+	out := lo.Map(g.namedDaemons(g.currentView.Load()), func(i membership.Info, _ int) string { return i.Meta.CallerAddress })
 	if len(out) == 0 {
 		out = append(out, g.currentSettings().CallerAddress)
 	}
@@ -35,3 +28,14 @@
 	}
 	return out, min(maxAddressTTL, g.currentSettings().AddressTTL)
 }
+
+// namedDaemons returns the daemons that callers should use.
+func (g *Gateway) namedDaemons(v *view) []membership.Info {
+	var accepting []membership.Info
+	for _, i := range v.members.Members {
+		if i.State == membership.Alive && !i.Draining && i.Meta.CallerAddress != "" {
+			accepting = append(accepting, i)
+		}
+	}
+	return g.reach.listedForCallers(accepting)
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/samber/lo"
+
 	"github.com/hibiscuswick/hibiscuswick/coordination/admission"
 	"github.com/hibiscuswick/hibiscuswick/coordination/crashes"
 	"github.com/hibiscuswick/hibiscuswick/coordination/membership"
@@ -199,9 +201,14 @@
 	})
 }
 
-// Ready reports whether this gateway can serve requests.
+// Ready reports whether this gateway can serve requests, and callers should use it.
+//
+// Guard (cut-off-gateway-ready): platforms send requests to each gateway that is ready, whatever
+// the addresses are that callers are given. A gateway that is cut off from servers which others
+// reach would refuse them.
 func (g *Gateway) Ready() bool {
-	return g.currentView.Load().ready()
+	v := g.currentView.Load()
+	return v.ready() && (!g.CutOff() || lo.ContainsBy(g.namedDaemons(v), func(i membership.Info) bool { return i.Member.ID == g.self.ID }))
 }
 
 // Limits returns the limits on callers' requests in the active configuration.
--- a/gateway/reach_test.go
+++ b/gateway/reach_test.go
@@ -291,6 +291,7 @@
 			for address, gw := range s.gateways {
 				g.Expect(named(s, address)).To(HaveLen(3))
 				g.Expect(gw.CutOff()).To(BeFalse())
+				g.Expect(gw.Ready()).To(BeTrue())
 			}
 		}).WithTimeout(3 * time.Second).Should(Succeed())
 	})
--- a/gateway/reachshared_test.go
+++ b/gateway/reachshared_test.go
@@ -132,3 +132,35 @@
 		Expect(s.serveOne(1, "/once/", learnTime).Outcome).To(Equal(gateway.Answered))
 	})
 })
+
+// Guards against requests that platforms send to each gateway that is ready, and that a gateway
+// without links to the servers refuses although others could serve them.
+var _ = Describe("A gateway that is cut off", func() {
+	It("is not ready until it reaches servers again", Label("failure:cut-off-gateway-ready"), func() {
+		s := newCuttableSite(3)
+		s.cut(1, cutReset)
+		s.serveOne(0, "/once/", learnTime)
+		Eventually(s.at(0).Ready).WithTimeout(learnTime).Should(BeFalse())
+		Consistently(s.at(0).Ready).WithTimeout(time.Second).Should(BeFalse())
+		Expect(s.at(1).Ready()).To(BeTrue())
+		Expect(s.at(2).Ready()).To(BeTrue())
+		s.cut(1, notCut)
+		Eventually(s.at(0).Ready).WithTimeout(learnTime).Should(BeTrue())
+	})
+
+	// Guards against a site without any gateway that is ready.
+	It("stays ready if each gateway is cut off from a service", Label("failure:cut-off-gateway-ready"), func() {
+		s := newCuttableSite(2)
+		s.paths[0].setFor(cutReset, "p")
+		s.paths[1].setFor(cutReset, "e")
+		s.serveOne(0, "/once/", learnTime)
+		s.serveOne(1, "/stream/", learnTime)
+		Eventually(s.cutOffCount).WithArguments(2).WithTimeout(learnTime).Should(Equal(2))
+		for i := range 2 {
+			Eventually(s.at(i).Ready).WithTimeout(learnTime).Should(BeTrue())
+			Consistently(s.at(i).Ready).WithTimeout(time.Second).Should(BeTrue())
+		}
+		Expect(s.serveOne(0, "/stream/", learnTime).Outcome).To(Equal(gateway.Answered))
+		Expect(s.serveOne(1, "/once/", learnTime).Outcome).To(Equal(gateway.Answered))
+	})
+})
