gateway: a gateway that starts is named to callers once it has had time to find out that it is cut off

What callers saw: engines cut off from 42 of 79 gateways for 16 s, 47 gateways killed 3 s into the cut.

Cause: what a process has learned of its links ends with it, and to know nothing counted as being connected. Class: what a successor has anew. Ruled out: that the predecessor's notice could stand in for it: the links of a process that starts may be sound.

Change: a gateway checks each service that has servers when it knows them, one connection each (a full check if that fails), and is ready after that. Other gateways name it a second after they have first seen the process, by when its notice has arrived; if they have just started themselves, or nobody else is left, at once. No message is added.

--- a/coordination/reach/doc.go
+++ b/coordination/reach/doc.go
@@ -19,6 +19,8 @@
 //
 //   - gateway-cut-off-from-servers: a daemon whose links to the servers are lost keeps
 //     attracting requests that the others could serve.
+//   - cut-off-at-start: a daemon that starts while it is cut off attracts requests until it has
+//     learned that from its own callers' failures.
 //   - cut-off-notices-crowd: notices of many daemons that are cut off together exceed the rate of
 //     gossip, and lapse before they arrive.
 //   - cut-off-learned-alone: each of many daemons that are cut off together learns it only from
--- a/coordination/reach/reach.go
+++ b/coordination/reach/reach.go
@@ -26,6 +26,9 @@
 	// ToldInterval is the time between two checks of a service because other daemons are cut off
 	// from it.
 	ToldInterval = time.Second
+	// startTime is how long a daemon that starts may take to find out that it is cut off, and to
+	// tell the others.
+	startTime = time.Second
 	// minFailing is how many servers new connections have to fail at before a full check.
 	minFailing = 2
 )
@@ -112,15 +115,26 @@
 	lost        []state.ServiceID // empty if it did not tell which
 }
 
+// joined is when an incarnation of another daemon was first seen.
+type joined struct {
+	incarnation state.Incarnation
+	at          time.Time
+}
+
 // Tracker is the state of one daemon. It is not safe for concurrent use.
 type Tracker struct {
-	services map[state.ServiceID]*service
-	daemons  map[state.DaemonID]daemonState
+	startedAt time.Time
+	services  map[state.ServiceID]*service
+	daemons   map[state.DaemonID]daemonState
+	joined    map[state.DaemonID]joined
 }
 
-// NewTracker returns an empty Tracker.
-func NewTracker() *Tracker {
-	return &Tracker{services: make(map[state.ServiceID]*service), daemons: make(map[state.DaemonID]daemonState)}
+// NewTracker returns the Tracker of a daemon that starts now.
+func NewTracker(now time.Time) *Tracker {
+	return &Tracker{
+		startedAt: now, services: make(map[state.ServiceID]*service),
+		daemons: make(map[state.DaemonID]daemonState), joined: make(map[state.DaemonID]joined),
+	}
 }
 
 func (t *Tracker) service(id state.ServiceID) *service {
@@ -284,3 +298,23 @@
 	lost := t.daemons[other.ID].lost
 	return t.OtherCutOff(now, other) && (len(lost) == 0 || slices.Contains(lost, svc))
 }
+
+// Joined reports that another daemon was seen alive.
+func (t *Tracker) Joined(now time.Time, other state.Member) {
+	if old, ok := t.joined[other.ID]; !ok || other.Incarnation > old.incarnation {
+		t.joined[other.ID] = joined{incarnation: other.Incarnation, at: now}
+	}
+}
+
+// Left reports that another daemon has ended.
+func (t *Tracker) Left(id state.DaemonID) {
+	delete(t.joined, id)
+	delete(t.daemons, id)
+}
+
+// Starting reports whether another daemon may not have found out yet whether it is cut off. A
+// daemon that has itself just started can't tell which of the others have.
+func (t *Tracker) Starting(now time.Time, other state.Member) bool {
+	j, ok := t.joined[other.ID]
+	return ok && j.incarnation == other.Incarnation && j.at.Sub(t.startedAt) > startTime && now.Sub(j.at) < startTime
+}
--- a/coordination/reach/reach_test.go
+++ b/coordination/reach/reach_test.go
@@ -20,7 +20,7 @@
 var _ = Describe("A daemon", func() {
 	var t *reach.Tracker
 	now := time.Unix(1000, 0)
-	BeforeEach(func() { t = reach.NewTracker() })
+	BeforeEach(func() { t = reach.NewTracker(now) })
 
 	// Guards against checks of a service at each server that ends.
 	It("checks a service in full only if several servers fail since the last connection", Label("failure:gateway-cut-off-from-servers"), func() {
@@ -143,6 +143,22 @@
 		}
 	})
 
+	// Guards against a daemon that starts without links to the servers and is named to callers.
+	It("gives daemons that start time to find out whether they are cut off", Label("failure:cut-off-at-start"), func() {
+		early, late := state.Member{ID: "d", Incarnation: 1}, state.Member{ID: "d", Incarnation: 2}
+		t.Joined(now.Add(time.Second), early)
+		Expect(t.Starting(now.Add(time.Second), early)).To(BeFalse(), "this daemon has just started itself")
+		seen := now.Add(time.Minute)
+		t.Joined(seen, early)
+		Expect(t.Starting(seen, early)).To(BeFalse(), "it is the same process")
+		t.Joined(seen, late)
+		Expect(t.Starting(seen.Add(900*time.Millisecond), late)).To(BeTrue())
+		Expect(t.Starting(seen.Add(time.Second), late)).To(BeFalse())
+		Expect(t.Starting(seen, state.Member{ID: "e"})).To(BeFalse(), "it is not known")
+		t.Left("d")
+		Expect(t.Starting(seen, late)).To(BeFalse())
+	})
+
 	It("tells services from each other, and expects all of a daemon that names none", func() {
 		d, e, f := state.Member{ID: "d"}, state.Member{ID: "e"}, state.Member{ID: "f"}
 		t.Receive(now, d, reach.Notice{Daemon: "d", CutOff: true, Services: []state.ServiceID{"s"}})
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"sync"
 	"time"
 
 	"github.com/hibiscuswick/hibiscuswick/coordination/following"
@@ -36,11 +37,14 @@
 	retries    *retryRecords
 	gauges     gauges
 
+	known     chan struct{} // closed once the configuration and the servers are known
+	knownOnce sync.Once
+
 	epoch uint64 // how often the store is known to have been restored from a backup
 }
 
 func newControl(g *Gateway) *control {
-	c := &control{g: g, inbox: make(chan func(), 256), now: time.Now()}
+	c := &control{g: g, inbox: make(chan func(), 256), now: time.Now(), known: make(chan struct{})}
 	c.members = newMembersState(c)
 	c.listing = newListingState(c)
 	c.configFeed = newFeedTracker(c, "configuration", g.site.Configs, c.listing.applyConfig, c.listing.recordRecovery)
@@ -132,6 +136,9 @@
 	c.changed = false
 	v := c.view
 	c.g.currentView.Store(&v)
+	if v.known() {
+		c.knownOnce.Do(func() { close(c.known) })
+	}
 }
 
 // updateMembers passes the live daemons to the feeds.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -159,6 +159,7 @@
 	g.stopFeeds = cancel
 	g.node.Serve(g.peers)
 	go g.control.run()
+	go g.reach.checkAtStart()
 	go g.control.configFeed.run(ctx)
 	go g.control.serverFeed.run(ctx)
 	g.log.Emit(telemetry.EventDaemonStarted, telemetry.Address(g.currentSettings().CallerAddress))
@@ -208,7 +209,7 @@
 // reach would refuse them.
 func (g *Gateway) Ready() bool {
 	v := g.currentView.Load()
-	return v.ready() && (!g.CutOff() || lo.ContainsBy(g.namedDaemons(v), func(i membership.Info) bool { return i.Member.ID == g.self.ID }))
+	return v.ready() && g.reach.checked.Load() && (!g.CutOff() || lo.ContainsBy(g.namedDaemons(v), func(i membership.Info) bool { return i.Member.ID == g.self.ID }))
 }
 
 // Limits returns the limits on callers' requests in the active configuration.
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -249,6 +249,7 @@
 		m.viewChanged = true
 	case membership.MemberChanged:
 		g.log.Emit(memberEvent(a), telemetry.Peer(a.Member.ID), telemetry.Incarnation(a.Member.Incarnation))
+		m.updateReach(a)
 		if a.New && a.To == membership.Alive {
 			m.tellBlockedContents(a.Member.ID)
 		}
@@ -305,6 +306,17 @@
 	m.c.updateMembers()
 }
 
+// updateReach tells the checks of lost links of a member's change.
+func (m *membersState) updateReach(a membership.MemberChanged) {
+	switch a.To {
+	case membership.Alive:
+		m.c.g.reach.joined(m.c.now, a.Member)
+	case membership.Dead, membership.Left:
+		m.c.g.reach.left(a.Member.ID)
+	case membership.Suspect:
+	}
+}
+
 // memberEvent returns the log event of a member's change.
 func memberEvent(a membership.MemberChanged) telemetry.Event {
 	switch {
--- a/gateway/reach.go
+++ b/gateway/reach.go
@@ -53,6 +53,7 @@
 	triggerConnection   trigger = "connection_failed"
 	triggerNotice       trigger = "notice"
 	triggerOtherService trigger = "other_service"
+	triggerStart        trigger = "start"
 )
 
 // reachRequest asks a daemon how many of some servers of a service it reaches.
@@ -72,6 +73,8 @@
 	g      *Gateway
 	checks singleflight.Group // by service
 	cutOff atomic.Bool        // from any service
+	// checked is set once this daemon has checked the services after its start.
+	checked atomic.Bool
 
 	mu      sync.Mutex
 	tracker *reach.Tracker
@@ -83,7 +86,7 @@
 }
 
 func newReachChecker(g *Gateway) *reachChecker {
-	return &reachChecker{g: g, tracker: reach.NewTracker(), began: make(map[state.ServiceID]chan struct{})}
+	return &reachChecker{g: g, tracker: reach.NewTracker(g.startedAt), began: make(map[state.ServiceID]chan struct{})}
 }
 
 // CutOff reports whether this gateway is cut off from the servers of a service that other
@@ -120,13 +123,6 @@
 	return c.began[svc]
 }
 
-// otherCutOff reports whether another daemon has told that it is cut off.
-func (c *reachChecker) otherCutOff(other state.Member) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.tracker.OtherCutOff(time.Now(), other)
-}
-
 // receive applies another daemon's notice, and checks the services that it is cut off from.
 //
 // Guard (cut-off-learned-alone): a daemon that is asked seldom for a service would learn from its
@@ -200,6 +196,38 @@
 	}
 }
 
+// checkAtStart checks all services once they are known.
+//
+// Guard (cut-off-at-start): the successor of a process that was cut off knows nothing of that.
+func (c *reachChecker) checkAtStart() {
+	defer c.checked.Store(true)
+	select {
+	case <-c.g.control.known:
+	case <-c.g.done:
+		return
+	}
+	var all sync.WaitGroup
+	for svc := range c.g.currentView.Load().config.Services {
+		if len(c.listed(svc)) > 0 {
+			all.Go(func() { c.run(svc, reach.QuickCheck, triggerStart) })
+		}
+	}
+	all.Wait()
+}
+
+// joined handles a member that was seen alive, and left one that has ended.
+func (c *reachChecker) joined(now time.Time, other state.Member) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.tracker.Joined(now, other)
+}
+
+func (c *reachChecker) left(id state.DaemonID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.tracker.Left(id)
+}
+
 // check checks a service and reports whether this daemon has just turned out to be cut off.
 func (c *reachChecker) check(svc state.ServiceID, servers int, why trigger) bool {
 	result := c.checkServers(svc, lo.Samples(c.listed(svc), servers))
@@ -423,16 +451,29 @@
 	return ctx.Err() == nil && errors.Is(err, backend.ErrNotSent) && !errors.Is(err, backend.ErrWithdrawn)
 }
 
-// listedForCallers returns the daemons that callers should use of those that accept requests.
+// listedForCallers returns the daemons that callers should use of those that accept requests: those
+// that are not cut off, of these those that have not just started, if there are any.
 func (c *reachChecker) listedForCallers(accepting []membership.Info) []membership.Info {
-	connected := slices.DeleteFunc(slices.Clone(accepting), func(i membership.Info) bool {
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	connected := lo.Reject(accepting, func(i membership.Info, _ int) bool {
 		if i.Member.ID == c.g.self.ID {
 			return c.cutOff.Load()
 		}
-		return c.otherCutOff(i.Member)
+		return c.tracker.OtherCutOff(now, i.Member)
 	})
 	if len(connected) == 0 {
-		return accepting
+		connected = accepting
+	}
+	settled := lo.Reject(connected, func(i membership.Info, _ int) bool {
+		if i.Member.ID == c.g.self.ID {
+			return !c.checked.Load()
+		}
+		return c.tracker.Starting(now, i.Member)
+	})
+	if len(settled) == 0 {
+		return connected
 	}
-	return connected
+	return settled
 }
--- a/gateway/reachshared_test.go
+++ b/gateway/reachshared_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/hibiscuswick/hibiscuswick/gateway"
+	"github.com/hibiscuswick/hibiscuswick/state/fleet"
 )
 
 // learnTime is how long gateways may take to learn that they are cut off: callers may keep an
@@ -164,3 +165,51 @@
 		Expect(s.serveOne(1, "/once/", learnTime).Outcome).To(Equal(gateway.Answered))
 	})
 })
+
+// Guards against a gateway that starts while it is cut off and is sent requests until its own
+// callers' failures have told it.
+var _ = Describe("A gateway that starts while it is cut off", func() {
+	// started starts a gateway whose path to the servers is cut, in a site that runs for a while.
+	started := func(s *cuttableSite) *cuttableServers {
+		time.Sleep(learnTime)
+		path := &cuttableServers{fakeServers: s.servers}
+		path.set(cutSilent)
+		s.add(len(s.paths), path)
+		return path
+	}
+
+	It("is neither ready nor named to callers before it reaches the servers", Label("failure:cut-off-at-start"), func() {
+		s := newCuttableSite(3)
+		path := started(s)
+		Consistently(func(g Gomega) {
+			g.Expect(s.at(3).Ready()).To(BeFalse())
+			for i := range 3 {
+				list, _ := s.at(i).Addresses("a")
+				g.Expect(list).NotTo(ContainElement("front-c3"))
+			}
+		}).WithTimeout(3 * time.Second).WithPolling(5 * time.Millisecond).Should(Succeed())
+		path.set(notCut)
+		for i := range 4 {
+			Eventually(func() []string { list, _ := s.at(i).Addresses("a"); return list }).WithTimeout(learnTime).Should(ContainElement("front-c3"))
+		}
+		Eventually(s.at(3).Ready).WithTimeout(learnTime).Should(BeTrue())
+	})
+
+	// Guards against a site that is not ready since its servers are gone.
+	It("is ready if no gateway reaches the servers", Label("failure:cut-off-at-start"), func() {
+		s := newCuttableSite(2)
+		s.cut(2, cutSilent)
+		started(s)
+		Eventually(s.at(2).Ready).WithTimeout(learnTime).Should(BeTrue())
+		for i := range 3 {
+			Eventually(func() []string { list, _ := s.at(i).Addresses("a"); return list }).WithTimeout(learnTime).Should(HaveLen(3))
+		}
+	})
+
+	It("is ready if a service has no servers", Label("failure:cut-off-at-start"), func() {
+		h := newHarness()
+		h.configs.set("config", config(1))
+		h.serverFeed.set("p0", fleet.Server{ID: "p0", Service: "app", Address: "p0", Domain: "a"})
+		Eventually(h.gateway.Ready).WithTimeout(learnTime).Should(BeTrue())
+	})
+})
