gateway: a gateway that was cut off from a removed service tells the others that it is not any more

What callers would see: since notices hold for 12.5 s and more, a gateway that was cut off from a service which the configuration then drops stays out of the addresses for as long, though it serves all others. Class: an end that is told only on one of its ways.

The spec (the plain service is removed while a gateway is cut off from it) was red before, green with this.

--- a/gateway/reach.go
+++ b/gateway/reach.go
@@ -349,15 +349,21 @@
 	}
 }
 
-// dropUnlisted drops the services that the configuration no longer has.
+// dropUnlisted drops the services that the configuration no longer has, and tells the other
+// daemons if this one was cut off from one of them.
 func (c *reachChecker) dropUnlisted() {
 	config := c.g.currentView.Load().config
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	listed := func(id state.ServiceID) bool { _, ok := config.Services[id]; return ok }
+	c.mu.Lock()
+	before := len(c.tracker.Lost())
 	c.tracker.Keep(listed)
 	maps.DeleteFunc(c.began, func(id state.ServiceID, _ chan struct{}) bool { return !listed(id) })
-	c.cutOff.Store(c.tracker.CutOffFromAny())
+	lost := len(c.tracker.Lost())
+	c.cutOff.Store(lost > 0)
+	c.mu.Unlock()
+	if lost < before {
+		c.notify()
+	}
 }
 
 // listed returns the addresses of the servers of a service that are not leaving.
--- a/gateway/reachshared_test.go
+++ b/gateway/reachshared_test.go
@@ -27,6 +27,12 @@
 	return s.at(i).Serve(context.Background(), req, &fakeReply{})
 }
 
+// named returns the addresses that the i-th gateway names to callers.
+func named(s *cuttableSite, i int) []string {
+	list, _ := s.at(i).Addresses("a")
+	return list
+}
+
 // cutOffCount returns how many of the first n gateways know that they are cut off.
 func (s *cuttableSite) cutOffCount(n int) int {
 	count := 0
@@ -149,6 +155,20 @@
 		Eventually(s.at(0).Ready).WithTimeout(learnTime).Should(BeTrue())
 	})
 
+	// Guards against a gateway that stays out of the addresses because of a service that is gone.
+	It("is named again once the service is removed", Label("failure:cut-off-gateway-ready"), func() {
+		s := newCuttableSite(3)
+		s.paths[0].setFor(cutReset, "p")
+		s.serveOne(0, "/once/", learnTime)
+		Eventually(named).WithArguments(s, 1).WithTimeout(learnTime).ShouldNot(ContainElement("front-c0"))
+		without := config(2)
+		without.Hosts["h"] = without.Hosts["h"][:1]
+		delete(without.Services, "app")
+		s.configs.set("config", without)
+		Eventually(named).WithArguments(s, 1).WithTimeout(learnTime).Should(ContainElement("front-c0"))
+		Eventually(s.at(0).Ready).WithTimeout(learnTime).Should(BeTrue())
+	})
+
 	// Guards against a site without any gateway that is ready.
 	It("stays ready if each gateway is cut off from a service", Label("failure:cut-off-gateway-ready"), func() {
 		s := newCuttableSite(2)
@@ -184,13 +204,12 @@
 		Consistently(func(g Gomega) {
 			g.Expect(s.at(3).Ready()).To(BeFalse())
 			for i := range 3 {
-				list, _ := s.at(i).Addresses("a")
-				g.Expect(list).NotTo(ContainElement("front-c3"))
+				g.Expect(named(s, i)).NotTo(ContainElement("front-c3"))
 			}
 		}).WithTimeout(3 * time.Second).WithPolling(5 * time.Millisecond).Should(Succeed())
 		path.set(notCut)
 		for i := range 4 {
-			Eventually(func() []string { list, _ := s.at(i).Addresses("a"); return list }).WithTimeout(learnTime).Should(ContainElement("front-c3"))
+			Eventually(named).WithArguments(s, i).WithTimeout(learnTime).Should(ContainElement("front-c3"))
 		}
 		Eventually(s.at(3).Ready).WithTimeout(learnTime).Should(BeTrue())
 	})
@@ -202,7 +221,7 @@
 		started(s)
 		Eventually(s.at(2).Ready).WithTimeout(learnTime).Should(BeTrue())
 		for i := range 3 {
-			Eventually(func() []string { list, _ := s.at(i).Addresses("a"); return list }).WithTimeout(learnTime).Should(HaveLen(3))
+			Eventually(named).WithArguments(s, i).WithTimeout(learnTime).Should(HaveLen(3))
 		}
 	})
 
