relay, retrybudget: a retry that is paid for and finds no server is given back

Callers lose by it only later: a retry may be denied that the site allows.

Cause: the budget is asked before it is known whether a server is left. A server can't be chosen first, since it is chosen when a place is free, seconds later. Now the retrier remembers a paid retry until the next attempt is sent; what is left when the request ends is given back, in the slice in which it was spent and only while that counts. A record written meanwhile counts it as spent and the refund allows one more under it, so that a successor's bound holds. Ruled out that something arrives without it: every send goes through the admission that marks it.

Specs of both packages; the property test of the window draws refunds too.

--- a/coordination/relay/relay.go
+++ b/coordination/relay/relay.go
@@ -85,8 +85,16 @@
 	errored       bool // a server has answered with a failure of its own
 	// reserved reports that the budget has already paid for the next retry.
 	reserved bool
+	// paidAt is when the budget paid for a retry that was not sent yet; zero if there is none.
+	paidAt time.Time
 }
 
+// MarkSent records that the current attempt is sent to a server.
+func (r *Retrier) MarkSent() { r.paidAt = time.Time{} }
+
+// Unused returns when the budget paid for a retry that was not sent, and whether there is one.
+func (r *Retrier) Unused() (time.Time, bool) { return r.paidAt, !r.paidAt.IsZero() }
+
 // MarkPartDelivered records that part of an answer has reached the caller.
 func (r *Retrier) MarkPartDelivered() { r.partDelivered = true }
 
@@ -119,6 +127,7 @@
 	after.ranOn = maps.Clone(r.ranOn)
 	after.recordRun(server)
 	r.reserved = after.denyReason(now, Broken) == ReasonNone
+	r.paidAt = after.paidAt
 	return r.reserved
 }
 
@@ -183,12 +192,24 @@
 		return ReasonRunOnce
 	case r.runsExhausted(), r.proofs > maxProofs && !r.resumable():
 		return ReasonAttempts
-	case e != NotSent && !r.reserved && r.SpendRetry != nil && !r.SpendRetry(now):
+	case e != NotSent && !r.reserved && !r.spend(now):
 		return ReasonBudget
 	}
 	return ReasonNone
 }
 
+// spend takes one retry from the budget and reports whether there was one.
+func (r *Retrier) spend(now time.Time) bool {
+	if r.SpendRetry == nil {
+		return true
+	}
+	if !r.SpendRetry(now) {
+		return false
+	}
+	r.paidAt = now
+	return true
+}
+
 func (r *Retrier) finish(reason Reason) Decision {
 	return Decision{
 		PassFailure: r.errored && !r.partDelivered,
--- a/coordination/relay/relay_test.go
+++ b/coordination/relay/relay_test.go
@@ -143,6 +143,24 @@
 		Expect(budget).To(Equal(10))
 	})
 
+	// Guards against retries that are paid for and never made.
+	It("names a retry that was paid for and not sent", Label("failure:retry-paid-not-made"), func() {
+		r.Repeat = fleet.Idempotent
+		_, unused := r.Unused()
+		Expect(unused).To(BeFalse())
+		r.AttemptEnded(now, relay.NotRun, "a")
+		r.AttemptEnded(now.Add(time.Second), relay.NotSent, "b")
+		at, unused := r.Unused()
+		Expect(unused).To(BeTrue())
+		Expect(at).To(Equal(now))
+		r.MarkSent()
+		_, unused = r.Unused()
+		Expect(unused).To(BeFalse())
+		Expect(r.ReserveRetry(now, "c")).To(BeTrue())
+		_, unused = r.Unused()
+		Expect(unused).To(BeTrue())
+	})
+
 	It("stops at the deadline", func() {
 		r.Repeat, r.Deadline = fleet.Idempotent, now
 		Expect(r.AttemptEnded(now, relay.NotRun, "a")).To(Equal(relay.Decision{Refuse: true, Reason: relay.ReasonDeadline}))
--- a/coordination/retrybudget/budget.go
+++ b/coordination/retrybudget/budget.go
@@ -88,6 +88,17 @@
 	return true
 }
 
+// Refund gives back a retry that was spent at a time and not made.
+func (b *Budget) Refund(now, spentAt time.Time, svc state.ServiceID) {
+	a := b.account(now, svc)
+	age := a.own.slice - b.sliceAt(spentAt)
+	if age > sliceCount || a.own.retries[a.own.index(age)] < 1 {
+		return
+	}
+	a.own.retries[a.own.index(age)]--
+	a.giveBack()
+}
+
 // Left returns how many retries the allowance still has now. There is no slack while the
 // number of daemons that share it is unknown.
 func (b *Budget) Left(now time.Time, svc state.ServiceID, by SlackShare) int {
--- a/coordination/retrybudget/budget_test.go
+++ b/coordination/retrybudget/budget_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/hibiscuswick/hibiscuswick/coordination/retrybudget"
+	"github.com/hibiscuswick/hibiscuswick/state"
 )
 
 var cfg = retrybudget.Config{Ratio: 0.2, Window: 10 * time.Second, Slack: 200}
@@ -89,6 +90,28 @@
 		Expect(s.spendAll(0)).To(BeNumerically(">=", int(0.7*cfg.Slack/4)))
 	})
 
+	// Guards against retries that are paid for and never made, and against refunds that allow more
+	// than a record says.
+	It("gives back a retry that was not made", Label("failure:retry-paid-not-made"), func() {
+		share := retrybudget.SlackShare{Daemons: 7}
+		now := time.Unix(1000, 0)
+		b := retrybudget.New(cfg, now)
+		record := b.NewRecord(now, 0, []state.ServiceID{"s"}, share)
+		b.Written("s")
+		for range record.Services["s"].Reserved {
+			Expect(b.Spend(now, "s", share)).To(BeTrue())
+		}
+		Expect(b.Spend(now, "s", share)).To(BeFalse(), "the record is used")
+		left := b.Left(now, "s", share)
+		later := now.Add(2 * time.Second)
+		b.Refund(later, now, "s")
+		Expect(b.Left(later, "s", share)).To(Equal(left + 1))
+		Expect(b.Spend(later, "s", share)).To(BeTrue())
+		Expect(b.Spend(later, "s", share)).To(BeFalse(), "the refund allows one retry")
+		b.Refund(later.Add(time.Minute), now, "s")
+		Expect(b.Left(later.Add(time.Minute), "s", share)).To(Equal(int(cfg.Slack/7)), "what has left the window is no longer given back")
+	})
+
 	// Guards against a daemon whose table is away and that retries nothing.
 	It("is spent without records while the table does not answer", Label("failure:retries-after-restarts"), func() {
 		b := retrybudget.New(cfg, time.Unix(1000, 0))
@@ -139,6 +162,9 @@
 			if rapid.Bool().Draw(t, "request") {
 				b.Request(now, "s")
 				requests = append(requests, now)
+			} else if len(retries) > 0 && rapid.IntRange(0, 3).Draw(t, "refund") == 0 {
+				b.Refund(now, retries[len(retries)-1], "s")
+				retries = retries[:len(retries)-1]
 			} else if b.Spend(now, "s", retrybudget.SlackShare{Daemons: 4}) {
 				retries = append(retries, now)
 			}
--- a/coordination/retrybudget/record.go
+++ b/coordination/retrybudget/record.go
@@ -60,6 +60,13 @@
 	return true
 }
 
+// giveBack returns one retry that take has taken. A record made meanwhile counts it as spent, so
+// that another one may be made under it.
+func (r *reservation) giveBack() {
+	r.granted++
+	r.spent = max(r.spent-1, 0)
+}
+
 // SetUnrecorded sets whether retries are granted without a reservation, because the table
 // does not answer.
 func (b *Budget) SetUnrecorded(unrecorded bool) { b.unrecorded = unrecorded }
--- a/gateway/connect.go
+++ b/gateway/connect.go
@@ -48,7 +48,11 @@
 		r.g.reach.connected(r.service.ID)
 	}
 	now := time.Now()
-	return !r.callerLeft() && r.g.shared.isWanted(now, server) && r.mayRunNow(now)
+	if r.callerLeft() || !r.g.shared.isWanted(now, server) || !r.mayRunNow(now) {
+		return false
+	}
+	r.markSent()
+	return true
 }
 
 // mayGoElsewhere reports whether the caller may have the request, or the rest of its answer, from
--- a/gateway/retryrecord.go
+++ b/gateway/retryrecord.go
@@ -293,6 +293,13 @@
 	return spent, s.budget.NeedsRecord(now, svc, share)
 }
 
+// refundRetry gives back a retry that was spent and not made.
+func (s *sharedState) refundRetry(now, spentAt time.Time, svc state.ServiceID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.budget.Refund(now, spentAt, svc)
+}
+
 // spendRetry takes a retry from the budget of a service and reports whether there was one.
 func (g *Gateway) spendRetry(now time.Time, svc state.ServiceID, share retrybudget.SlackShare) bool {
 	spent, needsRecord := g.shared.spendRetry(now, svc, share)
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -97,9 +97,27 @@
 	ctx, cancel := context.WithDeadlineCause(ctx, r.deadline, context.DeadlineExceeded)
 	defer cancel()
 	r.cancel = cancel
+	defer r.refundUnused()
 	return r.runAttempts(ctx)
 }
 
+// refundUnused gives a retry back that was paid for and found no server.
+func (r *requestHandler) refundUnused() {
+	r.retrierMu.Lock()
+	paidAt, unused := r.retrier.Unused()
+	r.retrierMu.Unlock()
+	if unused {
+		r.g.shared.refundRetry(time.Now(), paidAt, r.service.ID)
+	}
+}
+
+// markSent records that the current attempt is sent to its server.
+func (r *requestHandler) markSent() {
+	r.retrierMu.Lock()
+	defer r.retrierMu.Unlock()
+	r.retrier.MarkSent()
+}
+
 func (r *requestHandler) findRoute() (Result, bool) {
 	route, ok := r.view.config.Lookup(r.req.Host, r.req.Path)
 	if !ok {
