gateway: address answers hold for one second

What callers saw: from 4 to 7.5 s after the cut some 25 requests a second still came to gateways that are cut off, not named to callers and not ready: a platform also sends requests to a gateway that has callers, and callers that keep an answer for three times its 2 s are callers until then.

That a daemon in a planned stop serves until the answers have expired holds as before, sooner.

--- a/gateway/addresses.go
+++ b/gateway/addresses.go
@@ -10,8 +10,9 @@
 )
 
 // maxAddressTTL limits how long callers may cache an address answer: a daemon in a planned
-// stop keeps serving until the longest cached answers have expired.
-const maxAddressTTL = 2 * time.Second
+// stop keeps serving until the longest cached answers have expired, and one that is cut off from
+// the servers refuses callers until then. Some callers keep answers three times as long.
+const maxAddressTTL = time.Second
 
 // maxAddresses is how many addresses callers use of one answer.
 const maxAddresses = 64
