--- a/coordination/reach/reach.go
+++ b/coordination/reach/reach.go
@@ -306,7 +306,8 @@
 	}
 }
 
-// Left reports that another daemon has ended.
+// Left reports that another daemon has left. One that is only believed to be dead may return as
+// the same process.
 func (t *Tracker) Left(id state.DaemonID) {
 	delete(t.joined, id)
 	delete(t.daemons, id)
--- a/coordination/reach/reach_test.go
+++ b/coordination/reach/reach_test.go
@@ -155,6 +155,8 @@
 		Expect(t.Starting(seen.Add(900*time.Millisecond), late)).To(BeTrue())
 		Expect(t.Starting(seen.Add(time.Second), late)).To(BeFalse())
 		Expect(t.Starting(seen, state.Member{ID: "e"})).To(BeFalse(), "it is not known")
+		t.Joined(seen.Add(time.Minute), late)
+		Expect(t.Starting(seen.Add(time.Minute), late)).To(BeFalse(), "it was believed to be dead")
 		t.Left("d")
 		Expect(t.Starting(seen, late)).To(BeFalse())
 	})
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -209,7 +209,7 @@
 // reach would refuse them.
 func (g *Gateway) Ready() bool {
 	v := g.currentView.Load()
-	return v.ready() && g.reach.checked.Load() && (!g.CutOff() || lo.ContainsBy(g.namedDaemons(v), func(i membership.Info) bool { return i.Member.ID == g.self.ID }))
+	return v.ready() && g.reach.startChecked.Load() && (!g.CutOff() || lo.ContainsBy(g.namedDaemons(v), func(i membership.Info) bool { return i.Member.ID == g.self.ID }))
 }
 
 // Limits returns the limits on callers' requests in the active configuration.
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -311,9 +311,9 @@
 	switch a.To {
 	case membership.Alive:
 		m.c.g.reach.joined(m.c.now, a.Member)
-	case membership.Dead, membership.Left:
+	case membership.Left:
 		m.c.g.reach.left(a.Member.ID)
-	case membership.Suspect:
+	case membership.Suspect, membership.Dead:
 	}
 }
 
--- a/gateway/reach.go
+++ b/gateway/reach.go
@@ -5,7 +5,6 @@
 	"errors"
 	"maps"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -17,31 +16,9 @@
 	"github.com/hibiscuswick/hibiscuswick/coordination/reach"
 	"github.com/hibiscuswick/hibiscuswick/protocol/backend"
 	"github.com/hibiscuswick/hibiscuswick/state"
-	"github.com/hibiscuswick/hibiscuswick/state/fleet"
 	"github.com/hibiscuswick/hibiscuswick/telemetry"
 )
 
-const (
-	// connectProbeTimeout is how long a connection of a check may take: a round trip to the
-	// farthest region takes 40 ms.
-	connectProbeTimeout = 150 * time.Millisecond
-	// quickProbeTimeout is how long the connection of a quick check may take before a full check
-	// follows.
-	quickProbeTimeout = 50 * time.Millisecond
-	// checkedServers is how many servers of a service a check connects to, and recheckedServers
-	// the same while this daemon is cut off.
-	checkedServers   = 8
-	recheckedServers = 4
-	// askedPeers is how many daemons a check asks whether they reach the servers, and furtherPeers
-	// how many more if none of them does: they may be cut off together with this one.
-	askedPeers   = 4
-	furtherPeers = 8
-	// askedServers is how many of the servers that are not reached they are asked for.
-	askedServers = 4
-	// askTimeout is how long their answers may take: they connect to the servers themselves.
-	askTimeout = connectProbeTimeout + 100*time.Millisecond
-)
-
 // toldCheckSpread is the time over which daemons spread the checks that a notice leads to.
 const toldCheckSpread = 200 * time.Millisecond
 
@@ -56,25 +33,14 @@
 	triggerStart        trigger = "start"
 )
 
-// reachRequest asks a daemon how many of some servers of a service it reaches.
-type reachRequest struct {
-	Service   state.ServiceID `msgpack:"service"`
-	Addresses []string        `msgpack:"addresses"`
-}
-
-// reachResponse answers a reachRequest.
-type reachResponse struct {
-	Reached int `msgpack:"reached"`
-}
-
 // reachChecker finds out whether this daemon is cut off from the servers of a service that
 // others reach.
 type reachChecker struct {
 	g      *Gateway
 	checks singleflight.Group // by service
 	cutOff atomic.Bool        // from any service
-	// checked is set once this daemon has checked the services after its start.
-	checked atomic.Bool
+	// startChecked is set once this daemon has checked the services after its start.
+	startChecked atomic.Bool
 
 	mu      sync.Mutex
 	tracker *reach.Tracker
@@ -200,7 +166,7 @@
 //
 // Guard (cut-off-at-start): the successor of a process that was cut off knows nothing of that.
 func (c *reachChecker) checkAtStart() {
-	defer c.checked.Store(true)
+	defer c.startChecked.Store(true)
 	select {
 	case <-c.g.control.known:
 	case <-c.g.done:
@@ -215,7 +181,7 @@
 	all.Wait()
 }
 
-// joined handles a member that was seen alive, and left one that has ended.
+// joined handles a member that was seen alive, and left one that has left.
 func (c *reachChecker) joined(now time.Time, other state.Member) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -239,7 +205,10 @@
 func (c *reachChecker) recheck(svc state.ServiceID, askPeers bool) {
 	addresses := lo.Samples(c.listed(svc), recheckedServers)
 	failed, result := c.connectTo(addresses)
-	if result == reach.ReachedByNone && (!askPeers || c.reachedByPeers(svc, failed)) {
+	switch {
+	case len(addresses) == 0: // the service has no servers any more
+		result = reach.ReachedByNone
+	case result == reach.ReachedByNone && (!askPeers || c.reachedByPeers(svc, failed)):
 		result = reach.ReachedByOthers
 	}
 	c.apply(svc, len(addresses), result, triggerConnection)
@@ -293,37 +262,6 @@
 	c.g.metrics.CountReason(telemetry.GatewayCutOffTotal, lo.Ternary(named, "cached_address", "not_named"))
 }
 
-// checkServers connects to servers of a service, and lets other daemons connect to those that are
-// not reached. If they reach them, it tries again.
-//
-// Guard (cut-off-stale-check): servers that return after this daemon's connections and before the
-// other daemons' would be reached by others only.
-func (c *reachChecker) checkServers(svc state.ServiceID, addresses []string) reach.CheckResult {
-	failed, result := c.connectTo(addresses)
-	if result != reach.ReachedByNone {
-		return result
-	}
-	asked := failed[:min(len(failed), askedServers)]
-	if !c.reachedByPeers(svc, asked) {
-		return reach.ReachedByNone
-	}
-	if _, again := c.connectTo(asked); again != reach.ReachedByNone {
-		return reach.Unknown
-	}
-	return reach.ReachedByOthers
-}
-
-// connectTo connects to servers and returns those that are not reached, and what that shows
-// before other daemons are asked.
-func (c *reachChecker) connectTo(addresses []string) ([]string, reach.CheckResult) {
-	failed, ok := c.unreached(addresses, connectProbeTimeout)
-	result := reach.ResultOf(len(addresses), len(failed))
-	if !ok && result != reach.Reached {
-		return failed, reach.Unknown
-	}
-	return failed, result
-}
-
 // checkResultNames are the results of checks in metrics.
 var checkResultNames = map[reach.CheckResult]string{
 	reach.Unknown: "unknown", reach.Reached: "reached", reach.ReachedByOthers: "reached_by_others", reach.ReachedByNone: "reached_by_none",
@@ -388,92 +326,6 @@
 	}
 }
 
-// listed returns the addresses of the servers of a service that are not leaving.
-func (c *reachChecker) listed(svc state.ServiceID) []string {
-	return lo.FilterMap(c.g.currentView.Load().servers[svc], func(s fleet.Server, _ int) (string, bool) { return s.Address, !s.Draining })
-}
-
-// unreached connects to servers at the same time and returns those that are not reached within a
-// time. It returns false if that shows nothing.
-//
-// Guard (own-pause): a check during which this process was not running shows nothing.
-func (c *reachChecker) unreached(addresses []string, timeout time.Duration) ([]string, bool) {
-	began := time.Now()
-	ctx, cancel := context.WithTimeout(context.Background(), timeout)
-	defer cancel()
-	reached := make([]bool, len(addresses))
-	var all sync.WaitGroup
-	for i, address := range addresses {
-		all.Go(func() { reached[i] = c.g.backends.Connect(ctx, address) == nil })
-	}
-	all.Wait()
-	failed := lo.Filter(addresses, func(_ string, i int) bool { return !reached[i] })
-	return failed, time.Since(began) <= timeout+probeOverrun
-}
-
-// reachedByPeers reports whether another daemon reaches at least half of the servers.
-//
-// Guard (cut-off-peers-asked): where most daemons are cut off together, all of a few that are
-// asked are likely to be among them.
-func (c *reachChecker) reachedByPeers(svc state.ServiceID, addresses []string) bool {
-	peers := lo.Shuffle(c.peersToAsk(svc))
-	first := min(len(peers), askedPeers)
-	return c.reachedByAny(svc, addresses, peers[:first]) ||
-		c.reachedByAny(svc, addresses, peers[first:min(len(peers), first+furtherPeers)])
-}
-
-// reachedByAny asks daemons at the same time whether they reach at least half of the servers.
-func (c *reachChecker) reachedByAny(svc state.ServiceID, addresses, peers []string) bool {
-	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
-	defer cancel()
-	answers := make(chan int, len(peers))
-	for _, address := range peers {
-		go func() {
-			answer, err := c.g.node.Call(ctx, address, reachRequest{Service: svc, Addresses: addresses})
-			if err != nil {
-				answers <- 0 // not every daemon is reached, and older versions do not know the call
-				return
-			}
-			resp, _ := answer.Msg.(reachResponse)
-			answers <- resp.Reached
-		}()
-	}
-	for range peers {
-		if reached := <-answers; reached > 0 && 2*reached >= len(addresses) {
-			return true
-		}
-	}
-	return false
-}
-
-// peersToAsk returns the addresses of daemons that may reach servers which this one does not.
-func (c *reachChecker) peersToAsk(svc state.ServiceID) []string {
-	now := time.Now()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	var usable []string
-	for _, i := range c.g.currentView.Load().members.Members {
-		if i.Member.ID != c.g.self.ID && i.State == membership.Alive && !c.tracker.OtherCutOffFrom(now, i.Member, svc) {
-			usable = append(usable, i.Meta.PeerAddress)
-		}
-	}
-	return usable
-}
-
-// answer answers a reachRequest.
-func (c *reachChecker) answer(req reachRequest) reachResponse {
-	listed := c.g.currentView.Load().servers[req.Service]
-	addresses := lo.Filter(req.Addresses, func(address string, _ int) bool {
-		return slices.ContainsFunc(listed, func(s fleet.Server) bool { return s.Address == address })
-	})
-	addresses = addresses[:min(len(addresses), checkedServers)]
-	failed, ok := c.unreached(addresses, connectProbeTimeout)
-	if !ok {
-		return reachResponse{}
-	}
-	return reachResponse{Reached: len(addresses) - len(failed)}
-}
-
 // isConnectFailure reports whether a call failed because no connection was established.
 func isConnectFailure(ctx context.Context, err error) bool {
 	return ctx.Err() == nil && errors.Is(err, backend.ErrNotSent) && !errors.Is(err, backend.ErrWithdrawn)
@@ -496,7 +348,7 @@
 	}
 	settled := lo.Reject(connected, func(i membership.Info, _ int) bool {
 		if i.Member.ID == c.g.self.ID {
-			return !c.checked.Load()
+			return !c.startChecked.Load()
 		}
 		return c.tracker.Starting(now, i.Member)
 	})
--- a/gateway/reachshared_test.go
+++ b/gateway/reachshared_test.go
@@ -169,6 +169,17 @@
 		Eventually(s.at(0).Ready).WithTimeout(learnTime).Should(BeTrue())
 	})
 
+	// Guards against a gateway that stays away from callers because of a service without servers.
+	It("is ready again once the service has no servers", Label("failure:cut-off-gateway-ready"), func() {
+		s := newCuttableSite(3)
+		s.paths[0].setFor(cutReset, "p")
+		s.serveOne(0, "/once/", learnTime)
+		Eventually(s.at(0).Ready).WithTimeout(learnTime).Should(BeFalse())
+		s.serverFeed.remove("p0")
+		s.serverFeed.remove("p1")
+		Eventually(s.at(0).Ready).WithTimeout(eventuallyTimeout).Should(BeTrue())
+	})
+
 	// Guards against a site without any gateway that is ready.
 	It("stays ready if each gateway is cut off from a service", Label("failure:cut-off-gateway-ready"), func() {
 		s := newCuttableSite(2)
