--- a/coordination/retrybudget/budget_test.go
+++ b/coordination/retrybudget/budget_test.go
@@ -159,13 +159,14 @@
 		var requests, retries []time.Time
 		for range rapid.IntRange(1, 400).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond)
-			if rapid.Bool().Draw(t, "request") {
+			switch {
+			case rapid.Bool().Draw(t, "request"):
 				b.Request(now, "s")
 				requests = append(requests, now)
-			} else if len(retries) > 0 && rapid.IntRange(0, 3).Draw(t, "refund") == 0 {
+			case len(retries) > 0 && rapid.IntRange(0, 3).Draw(t, "refund") == 0:
 				b.Refund(now, retries[len(retries)-1], "s")
 				retries = retries[:len(retries)-1]
-			} else if b.Spend(now, "s", retrybudget.SlackShare{Daemons: 4}) {
+			case b.Spend(now, "s", retrybudget.SlackShare{Daemons: 4}):
 				retries = append(retries, now)
 			}
 		}
--- a/gateway/reachcheck.go
+++ b/gateway/reachcheck.go
@@ -105,10 +105,9 @@
 // Guard (cut-off-peers-asked): where most daemons are cut off together, all of a few that are
 // asked are likely to be among them.
 func (c *reachChecker) reachedByPeers(svc state.ServiceID, addresses []string) bool {
-	peers := lo.Shuffle(c.peersToAsk(svc))
+	peers := lo.Samples(c.peersToAsk(svc), askedPeers+furtherPeers)
 	first := min(len(peers), askedPeers)
-	return c.reachedByAny(svc, addresses, peers[:first]) ||
-		c.reachedByAny(svc, addresses, peers[first:min(len(peers), first+furtherPeers)])
+	return c.reachedByAny(svc, addresses, peers[:first]) || c.reachedByAny(svc, addresses, peers[first:])
 }
 
 // reachedByAny asks daemons at the same time whether they reach at least half of the servers.
