telemetry, gateway: log retries that are sent late, unrecorded ones, and standstills of the daemon

Events 1332 retry_late, 1333 retry_records, 1016 stood_still; counter gateway_retry_grants_total by whether a record reserves the retry. No decision changes; suites of gateway, telemetry and retrybudget green.

--- a/coordination/retrybudget/record.go
+++ b/coordination/retrybudget/record.go
@@ -71,6 +71,9 @@
 // does not answer.
 func (b *Budget) SetUnrecorded(unrecorded bool) { b.unrecorded = unrecorded }
 
+// Reserved returns how many retries of a service the written record still reserves.
+func (b *Budget) Reserved(now time.Time, svc state.ServiceID) int { return b.account(now, svc).granted }
+
 // Pending reports whether a retry of a service is left that waits for a record to be
 // written.
 func (b *Budget) Pending(now time.Time, svc state.ServiceID, by SlackShare) bool {
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -71,6 +71,7 @@
 	for {
 		select {
 		case fn := <-c.inbox:
+			c.g.observeRunning(time.Now())
 			c.now = time.Now()
 			fn()
 			c.drainInbox()
@@ -79,8 +80,11 @@
 			return
 		}
 		c.now = time.Now()
+		c.g.observeRunning(c.now)
 		c.tick()
-		timer.Reset(max(time.Until(c.nextTick()), minTickInterval))
+		next := c.nextTick()
+		c.g.running.expect(time.Now(), next)
+		timer.Reset(max(time.Until(next), minTickInterval))
 	}
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -58,6 +58,7 @@
 	clearedContents *batch[crashes.Fingerprint]
 	// loggedHeaders are the header fields of servers that were logged as unknown or unreadable.
 	loggedHeaders headerLog
+	running       runClock
 	control       *control
 	currentView   atomic.Pointer[view]
 	node          *peer.Node
--- a/gateway/retryrecord.go
+++ b/gateway/retryrecord.go
@@ -49,6 +49,7 @@
 	writing   bool
 	writtenAt time.Time // when the last write began
 	failedAt  time.Time // when a write last failed; zero if the last one succeeded
+	away      bool      // the table does not keep records in time
 }
 
 // retryRow is the part of a member's row that is about the retry budget.
@@ -137,7 +138,7 @@
 
 // tick writes a record if a service needs one.
 func (r *retryRecords) tick() {
-	r.c.g.shared.setRetriesUnrecorded(r.tableIsAway())
+	r.observeTable()
 	if !r.due() {
 		return
 	}
@@ -151,6 +152,19 @@
 	}, r.revision)
 }
 
+// tableStates are the values of tableIsAway in logs.
+var tableStates = map[bool]string{true: "away", false: "back"}
+
+// observeTable applies whether the table keeps records in time.
+func (r *retryRecords) observeTable() {
+	away := r.tableIsAway()
+	r.c.g.shared.setRetriesUnrecorded(away)
+	if away != r.away {
+		r.away = away
+		r.c.g.log.Emit(telemetry.EventRetryRecords, telemetry.Detail(tableStates[away]))
+	}
+}
+
 // tableNow returns the time of the table's clock, or a later one.
 func (r *retryRecords) tableNow() time.Duration { return r.tableTime + r.c.now.Sub(r.tableTimeAt) }
 
@@ -285,12 +299,19 @@
 	return s.budget.Pending(now, svc, share)
 }
 
-// spendRetry takes a retry from the budget, and reports whether a new record is needed.
-func (s *sharedState) spendRetry(now time.Time, svc state.ServiceID, share retrybudget.SlackShare) (spent, needsRecord bool) {
+// retryGrant is the result of taking a retry from the budget.
+type retryGrant struct {
+	spent       bool
+	recorded    bool // a written record reserves it
+	needsRecord bool // a new record is needed
+}
+
+// spendRetry takes a retry from the budget.
+func (s *sharedState) spendRetry(now time.Time, svc state.ServiceID, share retrybudget.SlackShare) retryGrant {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	spent = s.budget.Spend(now, svc, share)
-	return spent, s.budget.NeedsRecord(now, svc, share)
+	recorded := s.budget.Reserved(now, svc) > 0
+	return retryGrant{spent: s.budget.Spend(now, svc, share), recorded: recorded, needsRecord: s.budget.NeedsRecord(now, svc, share)}
 }
 
 // refundRetry gives back a retry that was spent and not made.
@@ -300,13 +321,19 @@
 	s.budget.Refund(now, spentAt, svc)
 }
 
+// grantNames are the values of retryGrant.recorded in metrics.
+var grantNames = map[bool]string{true: "recorded", false: "unrecorded"}
+
 // spendRetry takes a retry from the budget of a service and reports whether there was one.
 func (g *Gateway) spendRetry(now time.Time, svc state.ServiceID, share retrybudget.SlackShare) bool {
-	spent, needsRecord := g.shared.spendRetry(now, svc, share)
-	if needsRecord {
+	grant := g.shared.spendRetry(now, svc, share)
+	if grant.needsRecord {
 		g.requestRetryRecord()
 	}
-	return spent
+	if grant.spent {
+		g.metrics.CountReason(telemetry.GatewayRetryGrantsTotal, grantNames[grant.recorded])
+	}
+	return grant.spent
 }
 
 // requestRetryRecord wakes the control goroutine, which writes a record if one is due.
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -93,6 +93,7 @@
 			return r.g.spendRetry(now, r.service.ID, r.view.slackShare)
 		},
 	}
+	r.g.observeRunning(r.req.Arrived)
 	r.g.shared.recordRequest(r.req.Arrived, r.service.ID)
 	ctx, cancel := context.WithDeadlineCause(ctx, r.deadline, context.DeadlineExceeded)
 	defer cancel()
@@ -111,10 +112,16 @@
 	}
 }
 
+// lateRetry is after which time a retry that was paid for counts as sent late in logs.
+const lateRetry = 500 * time.Millisecond
+
 // markSent records that the current attempt is sent to its server.
 func (r *requestHandler) markSent() {
 	r.retrierMu.Lock()
 	defer r.retrierMu.Unlock()
+	if paidAt, paid := r.retrier.Unused(); paid && time.Since(paidAt) > lateRetry {
+		r.g.log.Emit(telemetry.EventRetryLate, telemetry.Request(r.req.ID), telemetry.Service(r.service.ID), telemetry.Duration(time.Since(paidAt)))
+	}
 	r.retrier.MarkSent()
 }
 
--- a/telemetry/events.go
+++ b/telemetry/events.go
@@ -14,6 +14,7 @@
 	EventSettingsReloaded    Event = 1013
 	EventSettingsRefused     Event = 1014
 	EventLinesLeftOut        Event = 1015
+	EventStoodStill          Event = 1016
 )
 
 // Events of the membership.
@@ -68,6 +69,8 @@
 	EventCutOffEnded        Event = 1329
 	EventTurnAwaited        Event = 1330
 	EventPartRefused        Event = 1331
+	EventRetryLate          Event = 1332
+	EventRetryRecords       Event = 1333
 )
 
 // Events of the store.
