retrybudget, gateway: no retry without a reservation in a written record

What callers saw: nothing; failing backend servers got more repeats than the site allows after restarts.

Cause: while the table of members did not answer, or took 100 ms, retries needed no reservation (SetUnrecorded). A process that started then or soon after continued from the record before, which lacks them, and spent them again. Class: what holds only as long as the store answers.

Change: a retry is granted only under a reservation, which holds for each window after its record, so that a daemon without the table goes on at that rate however long it lasts. A record whose write failed may still take effect: retries keep to it and to the one before. A failed write is repeated after 0.25 to 0.5 s (9 daemons) instead of 1 to 2 s. The spec 'is spent without records while the table does not answer' asked for the fault; in its place stand one that holds the bound without the table, also over a record whose outcome is unknown, and that a daemon goes on after a window, and one for each record that may be read.

--- a/coordination/retrybudget/budget.go
+++ b/coordination/retrybudget/budget.go
@@ -37,15 +37,13 @@
 	cfg      Config
 	start    time.Time // origin of slice numbers; must be a monotonic reading, since wall time may jump
 	services map[state.ServiceID]*account
-	// unrecorded is set while retries need no reservation.
-	unrecorded bool
 }
 
 // account is what a daemon has used of one service's allowance.
 type account struct {
 	own       window
 	inherited window // of the processes before this one
-	reservation
+	reservations
 }
 
 // window counts requests and retries per slice of Config.Window.
@@ -81,7 +79,7 @@
 		return false
 	}
 	a := b.account(now, svc)
-	if !a.take(b.unrecorded) {
+	if !a.grant() {
 		return false
 	}
 	a.own.retries[a.own.index(0)]++
@@ -96,7 +94,7 @@
 		return
 	}
 	a.own.retries[a.own.index(age)]--
-	a.giveBack()
+	a.giveBack(spentAt, age)
 }
 
 // Left returns how many retries the allowance still has now. There is no slack while the
@@ -151,6 +149,7 @@
 	}
 	a.own.advance(slice)
 	a.inherited.advance(slice)
+	a.each(func(r *reservation) { r.granted.advance(slice) })
 	return a
 }
 
--- a/coordination/retrybudget/budget_test.go
+++ b/coordination/retrybudget/budget_test.go
@@ -14,17 +14,25 @@
 
 var cfg = retrybudget.Config{Ratio: 0.2, Window: 10 * time.Second, Slack: 200}
 
-// newUnrecorded returns a budget whose retries need no record.
-func newUnrecorded(now time.Time) *retrybudget.Budget {
-	b := retrybudget.New(cfg, now)
-	b.SetUnrecorded(true)
-	return b
+// recorded is a budget whose records are written at once.
+type recorded struct{ *retrybudget.Budget }
+
+func newRecorded(now time.Time) recorded { return recorded{retrybudget.New(cfg, now)} }
+
+// Spend takes a retry, after a new record if one is needed.
+func (b recorded) Spend(now time.Time, svc state.ServiceID, by retrybudget.SlackShare) bool {
+	if b.Budget.Spend(now, svc, by) {
+		return true
+	}
+	b.NewRecord(now, 0, []state.ServiceID{svc}, by)
+	b.Written(svc)
+	return b.Budget.Spend(now, svc, by)
 }
 
 var _ = Describe("The retry budget", func() {
 	It("shares the slack among the daemons", func() {
 		now, n := time.Unix(1000, 0), 0
-		b := newUnrecorded(now)
+		b := newRecorded(now)
 		for b.Spend(now, "s", retrybudget.SlackShare{Daemons: 7}) {
 			n++
 		}
@@ -34,7 +42,7 @@
 
 	It("allows retries again once a window has passed", func() {
 		now := time.Unix(1000, 0)
-		b := newUnrecorded(now)
+		b := newRecorded(now)
 		for b.Spend(now, "s", retrybudget.SlackShare{Daemons: 7}) {
 		}
 		Expect(b.Spend(now.Add(9*time.Second), "s", retrybudget.SlackShare{Daemons: 7})).To(BeFalse())
@@ -112,15 +120,48 @@
 		Expect(b.Left(later.Add(time.Minute), "s", share)).To(Equal(int(cfg.Slack/7)), "what has left the window is no longer given back")
 	})
 
-	// Guards against a daemon whose table is away and that retries nothing.
-	It("is spent without records while the table does not answer", Label("failure:retries-after-restarts"), func() {
-		b := retrybudget.New(cfg, time.Unix(1000, 0))
-		now := time.Unix(1001, 0)
-		Expect(b.Spend(now, "s", retrybudget.SlackShare{Daemons: 7})).To(BeFalse())
-		Expect(b.Pending(now, "s", retrybudget.SlackShare{Daemons: 7})).To(BeTrue())
-		b.SetUnrecorded(true)
-		Expect(b.Spend(now, "s", retrybudget.SlackShare{Daemons: 7})).To(BeTrue())
-		Expect(b.Pending(now, "s", retrybudget.SlackShare{Daemons: 7})).To(BeFalse())
+	// Guards against retries that the table does not know of and that a restarted daemon spends again,
+	// and against a daemon whose table is away for long and that retries nothing.
+	It("has the reservation of the last record in each window while the table does not answer", Label("failure:retries-unrecorded"), func() {
+		now, share := time.Unix(1000, 0), retrybudget.SlackShare{Daemons: 7}
+		b := retrybudget.New(cfg, now)
+		Expect(b.Spend(now, "s", share)).To(BeFalse(), "no record was written")
+		Expect(b.Pending(now, "s", share)).To(BeTrue())
+		reserved := b.NewRecord(now, 0, services, share).Services["s"].Reserved
+		b.Written("s")
+		spendAll := func() (n int) {
+			for b.Spend(now, "s", share) {
+				n++
+			}
+			return n
+		}
+		Expect(spendAll()).To(And(Equal(reserved), BeNumerically(">", 0)))
+		lost := b.NewRecord(now, 0, services, share)
+		Expect(lost.Services["s"].Reserved).To(BeNumerically(">", 0))
+		Expect(spendAll()).To(BeZero(), "it is not known whether the record was written")
+		now = now.Add(cfg.Window - time.Second)
+		Expect(spendAll()).To(BeZero())
+		now = now.Add(2 * time.Second)
+		Expect(spendAll()).To(Equal(reserved))
+	})
+
+	// Guards against a write that failed and takes effect later: the next process continues from
+	// the older record or from the newer one.
+	It("keeps to each record that the next process may read", Label("failure:retries-unrecorded"), func() {
+		now, share := time.Unix(1000, 0), retrybudget.SlackShare{Daemons: 1}
+		b := retrybudget.New(cfg, now)
+		first := b.NewRecord(now, 0, services, share)
+		b.Written("s")
+		second := b.NewRecord(now, 0, services, share)
+		n := 0
+		for b.Spend(now, "s", share) {
+			n++
+		}
+		for _, r := range []retrybudget.Record{first, second} {
+			next := retrybudget.New(cfg, now)
+			next.Inherit(now, 0, r)
+			Expect(next.Left(now, "s", share) + n).To(BeNumerically("<=", cfg.Slack))
+		}
 	})
 
 	It("has no slack while it is withheld", func() {
@@ -133,7 +174,7 @@
 	// whole slack for itself.
 	It("has no slack while the number of daemons is unknown", Label("failure:all-lose-power"), func() {
 		now := time.Unix(1000, 0)
-		b := newUnrecorded(now)
+		b := newRecorded(now)
 		Expect(b.Spend(now, "s", retrybudget.SlackShare{Daemons: 0})).To(BeFalse())
 		for range 10 {
 			b.Request(now, "s")
@@ -143,7 +184,7 @@
 
 	It("counts each service separately", func() {
 		now := time.Unix(1000, 0)
-		b := newUnrecorded(now)
+		b := newRecorded(now)
 		for b.Spend(now, "s", retrybudget.SlackShare{Daemons: 7}) {
 		}
 		Expect(b.Spend(now, "t", retrybudget.SlackShare{Daemons: 7})).To(BeTrue())
@@ -155,7 +196,7 @@
 func TestBudgetHoldsInEverySpan(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		now := time.Unix(1000, 0)
-		b := newUnrecorded(now)
+		b := newRecorded(now)
 		var requests, retries []time.Time
 		for range rapid.IntRange(1, 400).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond)
--- a/coordination/retrybudget/record.go
+++ b/coordination/retrybudget/record.go
@@ -34,62 +34,99 @@
 type ServiceRecord struct {
 	Requests []int `json:"requests,omitempty"`
 	Retries  []int `json:"retries,omitempty"`
-	// Reserved is how many retries may have been made after the record.
+	// Reserved is how many retries may have been made in any window after the record.
 	Reserved int `json:"reserved,omitempty"`
 }
 
-// reservation counts the retries that may be made under the records written so far.
+// reservation counts the retries that were granted under a record. A process that starts takes
+// the reserved ones as spent for one window, so that as many may be spent in each window after the
+// record, however old it is.
 type reservation struct {
-	granted int // left of the written record
-	spent   int // retries since the last record was made
-	// pending is what the record that is being written reserves.
-	pending int
-	// needed is set if the written record is running out.
+	madeAt   time.Time
+	reserved int // by the record
+	// least is the smallest reservation of the records of which it is not known whether they
+	// were written.
+	least   int
+	granted window // retries granted since the first of these records
+}
+
+// left returns how many retries may be granted under the record now.
+func (r *reservation) left() int {
+	_, granted := r.granted.sum()
+	return max(0, r.least-granted)
+}
+
+// reservations are those of the written record and of the one that is being written, or whose
+// write failed and may still take effect. Either may be read by the next process.
+type reservations struct {
+	written, pending *reservation
+	// needed is set if a retry was denied for lack of a reservation.
 	needed bool
 }
 
-// take takes one retry from the reservation, also without one left if unrecorded is set, and
-// reports whether it did.
-func (r *reservation) take(unrecorded bool) bool {
-	if r.granted < 1 && !unrecorded {
+func (r *reservations) each(f func(*reservation)) {
+	for _, one := range []*reservation{r.written, r.pending} {
+		if one != nil {
+			f(one)
+		}
+	}
+}
+
+// reserved returns how many retries may be granted now; none before a record was written.
+func (r *reservations) reserved() int {
+	if r.written == nil {
+		return 0
+	}
+	left := r.written.left()
+	if r.pending != nil {
+		left = min(left, r.pending.left())
+	}
+	return left
+}
+
+// grant takes one retry, and reports whether one was reserved.
+func (r *reservations) grant() bool {
+	if r.reserved() < 1 {
 		r.needed = true
 		return false
 	}
-	r.granted = max(r.granted-1, 0)
-	r.spent++
+	r.each(func(one *reservation) { one.granted.retries[one.granted.index(0)]++ })
 	return true
 }
 
-// giveBack returns one retry that take has taken. A record made meanwhile counts it as spent, so
-// that another one may be made under it.
-func (r *reservation) giveBack() {
-	r.granted++
-	r.spent = max(r.spent-1, 0)
+// giveBack returns a retry that was granted at a time and a number of slices ago. A record made
+// since counts it as spent, so that another one may be granted under it.
+func (r *reservations) giveBack(grantedAt time.Time, age int64) {
+	r.each(func(one *reservation) {
+		if grantedAt.After(one.madeAt) && one.granted.retries[one.granted.index(age)] > 0 {
+			one.granted.retries[one.granted.index(age)]--
+			return
+		}
+		one.reserved++
+		one.least++
+	})
 }
 
-// SetUnrecorded sets whether retries are granted without a reservation, because the table
-// does not answer.
-func (b *Budget) SetUnrecorded(unrecorded bool) { b.unrecorded = unrecorded }
-
-// Reserved returns how many retries of a service the written record still reserves.
-func (b *Budget) Reserved(now time.Time, svc state.ServiceID) int { return b.account(now, svc).granted }
-
 // Pending reports whether a retry of a service is left that waits for a record to be
 // written.
 func (b *Budget) Pending(now time.Time, svc state.ServiceID, by SlackShare) bool {
-	return !b.unrecorded && b.account(now, svc).granted < 1 && b.Left(now, svc, by) >= 1
+	return b.account(now, svc).reserved() < 1 && b.Left(now, svc, by) >= 1
 }
 
 // NeedsRecord reports whether a service's reservation is running out.
 func (b *Budget) NeedsRecord(now time.Time, svc state.ServiceID, by SlackShare) bool {
 	a := b.account(now, svc)
-	left := b.Left(now, svc, by)
-	return left > a.granted && (a.needed || float64(a.granted) <= renewShare*float64(b.reserve(a, left)))
+	left, reserved := b.Left(now, svc, by), a.reserved()
+	return left > reserved && (a.needed || float64(reserved) <= renewShare*float64(a.reserve(left)))
 }
 
 // reserve returns how many retries a new record reserves of those that are left.
-func (b *Budget) reserve(a *account, left int) int {
-	return min(left, max(int(math.Ceil(reserveShare*float64(left))), minReserve, reserveOfSpent*a.spent))
+func (a *account) reserve(left int) int {
+	spent := 0
+	if a.written != nil {
+		_, spent = a.written.granted.sum()
+	}
+	return min(left, max(int(math.Ceil(reserveShare*float64(left))), minReserve, reserveOfSpent*spent))
 }
 
 // NewRecord returns the record to be written for the given services. tableNow is the time
@@ -107,10 +144,13 @@
 // recordService returns a service's part of a new record and begins its reservation.
 func (b *Budget) recordService(now time.Time, svc state.ServiceID, by SlackShare) ServiceRecord {
 	a := b.account(now, svc)
-	a.pending = max(b.reserve(a, b.Left(now, svc, by)), 0)
-	a.granted = min(a.granted, a.pending)
-	a.spent, a.needed = 0, false
-	out := ServiceRecord{Reserved: a.pending}
+	reserved := a.reserve(b.Left(now, svc, by))
+	next := &reservation{madeAt: now, reserved: reserved, least: reserved, granted: window{slice: a.own.slice}}
+	if old := a.pending; old != nil { // it is not known whether the record was written
+		next.least, next.granted, next.madeAt = min(old.least, reserved), old.granted, old.madeAt
+	}
+	a.pending, a.needed = next, false
+	out := ServiceRecord{Reserved: reserved}
 	for age := range int64(sliceCount + 1) {
 		i, j := a.own.index(age), a.inherited.index(age)
 		out.Requests = append(out.Requests, a.own.requests[i]+a.inherited.requests[j])
@@ -130,9 +170,12 @@
 
 // Written reports that the last record of a service has been written.
 func (b *Budget) Written(svc state.ServiceID) {
-	if a, ok := b.services[svc]; ok {
-		a.granted = max(a.pending-a.spent, 0)
+	a, ok := b.services[svc]
+	if !ok || a.pending == nil {
+		return
 	}
+	a.written, a.pending = a.pending, nil
+	a.written.least = a.written.reserved
 }
 
 // Inherit continues from the record of the process before this one, at the time tableNow of
--- a/gateway/retryrecord.go
+++ b/gateway/retryrecord.go
@@ -21,13 +21,13 @@
 	// of the site: all daemons together write 200 records per second at most, half of the
 	// store's rate.
 	recordIntervalPerDaemon = 5 * time.Millisecond
-	// recordTimeout is how long retries wait for a record to be written before they are
-	// granted without one.
-	recordTimeout = 100 * time.Millisecond
+	// recordTimeout is how long a write of a record may take before retries that have no
+	// reservation are denied at once.
+	recordTimeout = 300 * time.Millisecond
 	// recordPollInterval is how often a request that waits for a record checks it again.
 	recordPollInterval = 5 * time.Millisecond
-	// recordRetryInterval is the time until a failed write of a record is repeated.
-	recordRetryInterval = time.Second
+	// minRecordRetryInterval is the shortest time until a failed write of a record is repeated.
+	minRecordRetryInterval = 250 * time.Millisecond
 )
 
 // retryRecords keeps this daemon's use of the retry budget in its row of the table of
@@ -49,6 +49,7 @@
 	writing   bool
 	writtenAt time.Time // when the last write began
 	failedAt  time.Time // when a write last failed; zero if the last one succeeded
+	retryAt   time.Time // when a failed write is repeated
 	away      bool      // the table does not keep records in time
 }
 
@@ -158,7 +159,7 @@
 // observeTable applies whether the table keeps records in time.
 func (r *retryRecords) observeTable() {
 	away := r.tableIsAway()
-	r.c.g.shared.setRetriesUnrecorded(away)
+	r.c.g.shared.setRecordsAway(away)
 	if away != r.away {
 		r.away = away
 		r.c.g.log.Emit(telemetry.EventRetryRecords, telemetry.Detail(tableStates[away]))
@@ -184,9 +185,14 @@
 // writableAt returns when the next record may be written.
 func (r *retryRecords) writableAt() time.Time {
 	if !r.failedAt.IsZero() {
-		return r.failedAt.Add(recordRetryInterval)
+		return r.retryAt
 	}
-	return r.writtenAt.Add(time.Duration(r.c.view.slackShare.Daemons) * recordIntervalPerDaemon)
+	return r.writtenAt.Add(r.minInterval())
+}
+
+// minInterval returns the time between two writes of this daemon.
+func (r *retryRecords) minInterval() time.Duration {
+	return time.Duration(r.c.view.slackShare.Daemons) * recordIntervalPerDaemon
 }
 
 // nextTick returns when the records have to be considered again; zero for never.
@@ -253,7 +259,8 @@
 		r.c.g.shared.retryRecordWritten(slices.Collect(maps.Keys(row.Retries.Use.Services)))
 	default:
 		// All daemons would repeat their writes at the same time when the table is back.
-		r.failedAt = r.c.now.Add(rand.N(recordRetryInterval))
+		interval := max(r.minInterval(), minRecordRetryInterval)
+		r.failedAt, r.retryAt = r.c.now, r.c.now.Add(interval+rand.N(interval))
 		r.c.g.log.Emit(telemetry.EventStoreUnavailable, telemetry.Detail("retries"), telemetry.Cause(err))
 	}
 }
@@ -265,10 +272,11 @@
 	s.budget.Inherit(now, tableNow, use)
 }
 
-func (s *sharedState) setRetriesUnrecorded(unrecorded bool) {
+// setRecordsAway sets whether the table does not keep records of retries in time.
+func (s *sharedState) setRecordsAway(away bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.budget.SetUnrecorded(unrecorded)
+	s.recordsAway = away
 }
 
 // needsRetryRecord reports whether a reservation of a service is running out.
@@ -292,26 +300,40 @@
 	}
 }
 
-// retryPending reports whether a retry of a service waits for a record.
+// retryPending reports whether a retry of a service waits for a record that the table is likely to
+// keep in time.
 func (s *sharedState) retryPending(now time.Time, svc state.ServiceID, share retrybudget.SlackShare) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.budget.Pending(now, svc, share)
+	return !s.recordsAway && s.budget.Pending(now, svc, share)
 }
 
-// retryGrant is the result of taking a retry from the budget.
-type retryGrant struct {
-	spent       bool
-	recorded    bool // a written record reserves it
-	needsRecord bool // a new record is needed
+// spendRetry takes a retry from the budget, and reports whether a new record is needed.
+func (s *sharedState) spendRetry(now time.Time, svc state.ServiceID, share retrybudget.SlackShare) (spent, needsRecord bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	spent = s.budget.Spend(now, svc, share)
+	return spent, s.budget.NeedsRecord(now, svc, share)
 }
 
-// spendRetry takes a retry from the budget.
-func (s *sharedState) spendRetry(now time.Time, svc state.ServiceID, share retrybudget.SlackShare) retryGrant {
+// Results of taking a retry from the budget, in metrics.
+const (
+	retryGranted    = "granted"
+	retryUnreserved = "unreserved" // the allowance has some left, the records reserve none
+	retryExhausted  = "exhausted"
+)
+
+// grantName names the result of taking a retry from the budget.
+func (s *sharedState) grantName(now time.Time, svc state.ServiceID, share retrybudget.SlackShare, spent bool) string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	recorded := s.budget.Reserved(now, svc) > 0
-	return retryGrant{spent: s.budget.Spend(now, svc, share), recorded: recorded, needsRecord: s.budget.NeedsRecord(now, svc, share)}
+	switch {
+	case spent:
+		return retryGranted
+	case s.budget.Pending(now, svc, share):
+		return retryUnreserved
+	}
+	return retryExhausted
 }
 
 // refundRetry gives back a retry that was spent and not made.
@@ -321,19 +343,14 @@
 	s.budget.Refund(now, spentAt, svc)
 }
 
-// grantNames are the values of retryGrant.recorded in metrics.
-var grantNames = map[bool]string{true: "recorded", false: "unrecorded"}
-
 // spendRetry takes a retry from the budget of a service and reports whether there was one.
 func (g *Gateway) spendRetry(now time.Time, svc state.ServiceID, share retrybudget.SlackShare) bool {
-	grant := g.shared.spendRetry(now, svc, share)
-	if grant.needsRecord {
+	spent, needsRecord := g.shared.spendRetry(now, svc, share)
+	if needsRecord {
 		g.requestRetryRecord()
 	}
-	if grant.spent {
-		g.metrics.CountReason(telemetry.GatewayRetryGrantsTotal, grantNames[grant.recorded])
-	}
-	return grant.spent
+	g.metrics.CountReason(telemetry.GatewayRetryGrantsTotal, g.shared.grantName(now, svc, share, spent))
+	return spent
 }
 
 // requestRetryRecord wakes the control goroutine, which writes a record if one is due.
--- a/gateway/sharedstate.go
+++ b/gateway/sharedstate.go
@@ -25,6 +25,7 @@
 	dead          map[string]bool // addresses of servers that answer no probe
 	refusalChecks map[string]bool // addresses of servers with a pending refusal check
 	budget        *retrybudget.Budget
+	recordsAway   bool // the table does not keep records of retries in time
 	streams       map[*stream]struct{}
 	linkBacklogs  linkBacklogs
 	latencies     map[state.ServiceID]*serviceLatency
