retrybudget, gateway: a retry counts until it can arrive no more

What callers saw: nothing; backend servers got the retries of two windows within one.

Cause: a retry was counted from when it was decided. It arrives after waits for a server, a permit, a record and a connection, after standstills of the daemon, and when a server or a link that stood still goes on; of a call that was given up and the one that replaced it, the late one is the repeat. Class: what is counted where it is decided, and judged where it arrives.

Ruled out: retries that nothing is paid for (a table of specs, with three ways more now: a later hop that refuses, a break before the first event, a silent server).

Change: Spend returns a grant that is open until Settle or Refund; open ones count in each window. A request settles its grants when an answer begins, all but as many as calls were given up without one. Those stay open after the request, until the server at that address answers something sent later, a probe shows that it has ended, or a minute has passed; then they count for one window more. Reservations of records count the same way.

--- a/coordination/retrybudget/budget.go
+++ b/coordination/retrybudget/budget.go
@@ -43,9 +43,19 @@
 type account struct {
 	own       window
 	inherited window // of the processes before this one
+	// open is how many retries were spent and may still arrive at a server.
+	open int
+	// records is how many records have been made.
+	records int
 	reservations
 }
 
+// Grant is a retry that was spent and may still arrive at a server.
+type Grant struct {
+	Service state.ServiceID
+	records int // made before it
+}
+
 // window counts requests and retries per slice of Config.Window.
 type window struct {
 	slice    int64 // number of the newest slice
@@ -72,29 +82,40 @@
 	w.requests[w.index(0)]++
 }
 
-// Spend takes one retry from the budget of a service and reports whether there was one
-// left that a written record covers.
-func (b *Budget) Spend(now time.Time, svc state.ServiceID, by SlackShare) bool {
+// Spend takes one retry from the budget of a service and reports whether there was one left that
+// a written record covers. The retry is open until Settle or Refund.
+func (b *Budget) Spend(now time.Time, svc state.ServiceID, by SlackShare) (Grant, bool) {
 	if b.Left(now, svc, by) < 1 {
-		return false
+		return Grant{}, false
 	}
 	a := b.account(now, svc)
 	if !a.grant() {
-		return false
+		return Grant{}, false
+	}
+	a.open++
+	return Grant{Service: svc, records: a.records}, true
+}
+
+// Settle ends an open retry that can arrive at a server no more: it counts for one window from
+// now on.
+func (b *Budget) Settle(now time.Time, g Grant) {
+	a := b.account(now, g.Service)
+	if a.open < 1 {
+		return // the window was changed meanwhile
 	}
+	a.open--
 	a.own.retries[a.own.index(0)]++
-	return true
+	a.settle(g)
 }
 
-// Refund gives back a retry that was spent at a time and not made.
-func (b *Budget) Refund(now, spentAt time.Time, svc state.ServiceID) {
-	a := b.account(now, svc)
-	age := a.own.slice - b.sliceAt(spentAt)
-	if age > sliceCount || a.own.retries[a.own.index(age)] < 1 {
-		return
+// Refund gives back an open retry that was not made.
+func (b *Budget) Refund(now time.Time, g Grant) {
+	a := b.account(now, g.Service)
+	if a.open < 1 {
+		return // the window was changed meanwhile
 	}
-	a.own.retries[a.own.index(age)]--
-	a.giveBack(spentAt, age)
+	a.open--
+	a.giveBack(g)
 }
 
 // Left returns how many retries the allowance still has now. There is no slack while the
@@ -107,7 +128,7 @@
 	if by.Daemons > 0 && !by.Withheld {
 		allowed += b.cfg.Slack / float64(by.Daemons)
 	}
-	return max(0, int(math.Floor(allowed))-retries-inheritedRetries)
+	return max(0, int(math.Floor(allowed))-a.open-retries-inheritedRetries)
 }
 
 // sum returns the requests and retries that count now.
@@ -149,7 +170,7 @@
 	}
 	a.own.advance(slice)
 	a.inherited.advance(slice)
-	a.each(func(r *reservation) { r.granted.advance(slice) })
+	a.each(func(r *reservation) { r.settled.advance(slice) })
 	return a
 }
 
--- a/coordination/retrybudget/doc.go
+++ b/coordination/retrybudget/doc.go
@@ -2,28 +2,33 @@
 // backend server, summed over all daemons: each daemon may spend a share of its own
 // requests plus an equal part of the slack configured for the site.
 //
-// Requests and retries both count for one Window after they were made, so no interval
-// of one Window contains more retries than allowed.
+// Requests count for one Window after they were made. Retries count from when they are
+// granted until one Window after the last moment at which they may arrive at a server, so no
+// interval of one Window contains more arrivals than the slack and the ratio of the requests
+// of that interval allow, extended back by the longest time between a grant and its arrival.
 //
 // # Restarts
 //
 // A process that ends takes its counts with it. A daemon therefore keeps a Record of its
 // counts in a table that outlives it, and a restarted daemon continues from there (see
 // Inherit). A Record covers the retries made before it and a number of reserved ones that
-// may follow. Spend grants a retry only if it is reserved in a record that has been
-// written, so the record never understates the retries of a process that ends. What was
-// reserved and not spent counts as spent after a restart.
+// may follow in each window. Spend grants a retry only if it is reserved in a record that has
+// been written, and in those that may have been, so that whichever record the next process
+// reads does not understate what was spent. What was reserved counts as spent after a restart.
+// While the table does not answer, the reservation of the last record is all that a daemon has
+// in a window.
 //
 // # The caller's contract
 //
 // One goroutine writes the records: it calls NewRecord when NeedsRecord reports true, and
-// Written or NotWritten with the outcome before the next one. While the table does not
-// answer, SetUnrecorded lets retries through without a reservation: the bound then holds
-// only as long as no daemon restarts.
+// Written once it is known to be written. A record whose outcome is unknown needs no call.
+// Each Grant of Spend is ended by Settle or Refund.
 //
 // # Failures that the package guards against
 //
 //   - all-lose-power: all daemons lose their counts at once, and spend the allowance of the
 //     window a second time.
 //   - retries-after-restarts: daemons restart several times within one window.
+//   - retries-unrecorded: daemons restart after the table did not answer.
+//   - repeats-arrive-late: retries that were granted over two windows arrive in one.
 package retrybudget
--- a/coordination/retrybudget/record.go
+++ b/coordination/retrybudget/record.go
@@ -42,20 +42,30 @@
 // the reserved ones as spent for one window, so that as many may be spent in each window after the
 // record, however old it is.
 type reservation struct {
-	madeAt   time.Time
+	number   int // of the first of these records
 	reserved int // by the record
 	// least is the smallest reservation of the records of which it is not known whether they
 	// were written.
-	least   int
-	granted window // retries granted since the first of these records
+	least int
+	// open and settled are the retries granted since the first of these records.
+	open    int
+	settled window
 }
 
 // left returns how many retries may be granted under the record now.
 func (r *reservation) left() int {
-	_, granted := r.granted.sum()
-	return max(0, r.least-granted)
+	return max(0, r.least-r.spent())
 }
 
+// spent returns how many of the retries that were granted under the record count now.
+func (r *reservation) spent() int {
+	_, settled := r.settled.sum()
+	return r.open + settled
+}
+
+// covers reports whether a retry was granted under the record.
+func (r *reservation) covers(g Grant) bool { return g.records >= r.number }
+
 // reservations are those of the written record and of the one that is being written, or whose
 // write failed and may still take effect. Either may be read by the next process.
 type reservations struct {
@@ -90,16 +100,26 @@
 		r.needed = true
 		return false
 	}
-	r.each(func(one *reservation) { one.granted.retries[one.granted.index(0)]++ })
+	r.each(func(one *reservation) { one.open++ })
 	return true
 }
 
-// giveBack returns a retry that was granted at a time and a number of slices ago. A record made
-// since counts it as spent, so that another one may be granted under it.
-func (r *reservations) giveBack(grantedAt time.Time, age int64) {
+// settle ends an open retry.
+func (r *reservations) settle(g Grant) {
+	r.each(func(one *reservation) {
+		if one.covers(g) {
+			one.open--
+			one.settled.retries[one.settled.index(0)]++
+		}
+	})
+}
+
+// giveBack returns an open retry. A record made since it was granted counts it as spent, so that
+// another one may be granted under that record.
+func (r *reservations) giveBack(g Grant) {
 	r.each(func(one *reservation) {
-		if grantedAt.After(one.madeAt) && one.granted.retries[one.granted.index(age)] > 0 {
-			one.granted.retries[one.granted.index(age)]--
+		if one.covers(g) {
+			one.open--
 			return
 		}
 		one.reserved++
@@ -124,7 +144,7 @@
 func (a *account) reserve(left int) int {
 	spent := 0
 	if a.written != nil {
-		_, spent = a.written.granted.sum()
+		spent = a.written.spent()
 	}
 	return min(left, max(int(math.Ceil(reserveShare*float64(left))), minReserve, reserveOfSpent*spent))
 }
@@ -145,9 +165,10 @@
 func (b *Budget) recordService(now time.Time, svc state.ServiceID, by SlackShare) ServiceRecord {
 	a := b.account(now, svc)
 	reserved := a.reserve(b.Left(now, svc, by))
-	next := &reservation{madeAt: now, reserved: reserved, least: reserved, granted: window{slice: a.own.slice}}
+	a.records++
+	next := &reservation{number: a.records, reserved: reserved, least: reserved, settled: window{slice: a.own.slice}}
 	if old := a.pending; old != nil { // it is not known whether the record was written
-		next.least, next.granted, next.madeAt = min(old.least, reserved), old.granted, old.madeAt
+		next.number, next.least, next.open, next.settled = old.number, min(old.least, reserved), old.open, old.settled
 	}
 	a.pending, a.needed = next, false
 	out := ServiceRecord{Reserved: reserved}
@@ -156,6 +177,7 @@
 		out.Requests = append(out.Requests, a.own.requests[i]+a.inherited.requests[j])
 		out.Retries = append(out.Retries, a.own.retries[i]+a.inherited.retries[j])
 	}
+	out.Retries[0] += a.open
 	out.Requests, out.Retries = trim(out.Requests), trim(out.Retries)
 	return out
 }
--- /dev/null
+++ b/gateway/latecalls.go
@@ -0,0 +1,165 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net"
+	"slices"
+	"time"
+
+	"github.com/samber/lo"
+
+	"github.com/hibiscuswick/hibiscuswick/coordination/retrybudget"
+)
+
+// lateCallTTL is how long a call that was given up may still arrive, if its server shows no sign
+// of life.
+const lateCallTTL = time.Minute
+
+// openRetries are the retries of a request that may still arrive at a server.
+//
+// Guard (repeats-arrive-late): a retry counts from when it is granted until one window after the
+// last moment at which it may arrive. Between lie waits for a server, a permit and a connection,
+// standstills of this daemon, and servers and links that are late. An attempt that was given up
+// may arrive after the one that replaced it, and is the repeat then.
+type openRetries struct {
+	grants     []retrybudget.Grant
+	unanswered []lateCall // attempts that were given up and may still arrive
+}
+
+// lateCall is a call that was given up after it was sent, without an answer.
+type lateCall struct {
+	address string
+	endedAt time.Time
+	request *lateRequest
+}
+
+// lateRequest is a request that has ended and of which calls may still arrive. Each of them may
+// be the repeat, so that a retry ends only once fewer calls are left than retries.
+type lateRequest struct {
+	grants []retrybudget.Grant
+	calls  int // that may still arrive
+}
+
+// spendRetry takes a retry from the budget and reports whether there was one. It is called with
+// retrierMu held.
+func (r *requestHandler) spendRetry(now time.Time) bool {
+	grant, ok := r.g.spendRetry(now, r.service.ID, r.view.slackShare)
+	if ok {
+		r.retries.grants = append(r.retries.grants, grant)
+	}
+	return ok
+}
+
+// mayArriveLater reports whether a call that failed after it was sent may still arrive: this
+// daemon gave it up, or its connection timed out.
+func mayArriveLater(ctx context.Context, err error) bool {
+	var timeout net.Error
+	return ctx.Err() != nil || errors.As(err, &timeout) && timeout.Timeout()
+}
+
+// recordUnanswered records that the current attempt ended and may still arrive.
+func (r *requestHandler) recordUnanswered(address string) {
+	r.retrierMu.Lock()
+	defer r.retrierMu.Unlock()
+	r.retries.unanswered = append(r.retries.unanswered, lateCall{address: address, endedAt: time.Now()})
+}
+
+// recordArrival records that an attempt sent at a time has been answered.
+func (r *requestHandler) recordArrival(address string, sentAt time.Time) {
+	r.g.shared.settleLateCalls(time.Now(), address, sentAt)
+	r.retrierMu.Lock()
+	defer r.retrierMu.Unlock()
+	r.settleRetries()
+}
+
+// settleRetries ends the retries that can arrive no more, while no attempt is under way.
+func (r *requestHandler) settleRetries() {
+	n := max(0, len(r.retries.grants)-len(r.retries.unanswered))
+	r.g.shared.settleRetries(time.Now(), r.retries.grants[:n])
+	r.retries.grants = r.retries.grants[n:]
+}
+
+// endRetries is called when the request ends. It gives back a retry that was paid for and not
+// sent, and leaves those that may still arrive to the shared state.
+func (r *requestHandler) endRetries() {
+	r.retrierMu.Lock()
+	defer r.retrierMu.Unlock()
+	open := &r.retries
+	if _, unused := r.retrier.Unused(); unused && len(open.grants) > 0 {
+		last := len(open.grants) - 1
+		r.g.shared.refundRetry(time.Now(), open.grants[last])
+		open.grants = open.grants[:last]
+	}
+	r.settleRetries()
+	if len(open.grants) > 0 {
+		r.g.shared.holdLateCalls(&lateRequest{grants: open.grants, calls: len(open.unanswered)}, open.unanswered)
+	}
+}
+
+func (s *sharedState) settleRetries(now time.Time, grants []retrybudget.Grant) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, grant := range grants {
+		s.budget.Settle(now, grant)
+	}
+}
+
+// refundRetry gives back a retry that was not made.
+func (s *sharedState) refundRetry(now time.Time, grant retrybudget.Grant) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.budget.Refund(now, grant)
+}
+
+// holdLateCalls keeps the retries of calls open that may still arrive.
+func (s *sharedState) holdLateCalls(request *lateRequest, calls []lateCall) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, call := range calls {
+		call.request = request
+		s.lateCalls[call.address] = append(s.lateCalls[call.address], call)
+	}
+}
+
+// settleLateCalls is called when the server at an address has answered something that was sent at
+// a time, or no process listens there any more: calls that were given up before have arrived, or
+// never will.
+func (s *sharedState) settleLateCalls(now time.Time, address string, sentAt time.Time) {
+	s.settleLateCallsIf(now, address, func(call lateCall) bool { return call.endedAt.Before(sentAt) })
+}
+
+// expireLateCalls settles calls that were given up long ago.
+func (s *sharedState) expireLateCalls(now time.Time) {
+	s.mu.Lock()
+	addresses := lo.Keys(s.lateCalls)
+	s.mu.Unlock()
+	for _, address := range addresses {
+		s.settleLateCallsIf(now, address, func(call lateCall) bool { return now.Sub(call.endedAt) > lateCallTTL })
+	}
+}
+
+func (s *sharedState) settleLateCallsIf(now time.Time, address string, settled func(lateCall) bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	calls, ok := s.lateCalls[address]
+	if !ok {
+		return
+	}
+	calls = slices.DeleteFunc(calls, func(call lateCall) bool {
+		if !settled(call) {
+			return false
+		}
+		call.request.calls--
+		for len(call.request.grants) > call.request.calls {
+			s.budget.Settle(now, call.request.grants[0])
+			call.request.grants = call.request.grants[1:]
+		}
+		return true
+	})
+	if len(calls) > 0 {
+		s.lateCalls[address] = calls
+		return
+	}
+	delete(s.lateCalls, address)
+}
--- a/gateway/path.go
+++ b/gateway/path.go
@@ -55,6 +55,7 @@
 		return r.handleSendError(ctx, err), Result{}
 	}
 	defer func() { _ = answer.Body.Close() }()
+	r.recordArrival(path[0].Address, sent)
 	r.g.observeLimit(path[0].Server, answer, sent)
 	r.observeStatements(path[0].Server, blamedServer(path, answer), answer)
 	if !answer.NotRun {
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -45,6 +45,7 @@
 		return r.handleSendError(ctx, err), Result{}
 	}
 	defer func() { _ = answer.Body.Close() }()
+	r.recordArrival(server.Address, sent)
 	r.g.observeLimit(server.Incarnation(), answer, sent)
 	r.observeStatements(server.Incarnation(), server.Incarnation(), answer)
 	r.g.shared.recordFirstEvent(time.Now(), r.service.ID, time.Since(sent))
--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -132,9 +132,13 @@
 	switch {
 	case err == nil, errors.Is(err, backend.ErrNoReport):
 		out.outcome = probeAlive
+		p.g.shared.settleLateCalls(out.at, address, began)
 	case out.took > serverProbeTimeout+probeOverrun:
 		out.outcome = probeUnknown
 	}
+	if errors.Is(err, backend.ErrRefused) {
+		p.g.shared.settleLateCalls(out.at, address, began)
+	}
 	p.g.metrics.CountReason(telemetry.GatewayProbesTotal, string(out.outcome))
 	p.mu.Lock()
 	maps.DeleteFunc(p.results, func(_ string, old probeResult) bool { return !old.isFresh() }) // addresses come and go
--- a/gateway/retrybudget_test.go
+++ b/gateway/retrybudget_test.go
@@ -162,6 +162,12 @@
 		Entry("an engine that breaks off before its header", "/stream/", state.ServiceID("llm"), func(h *harness) {
 			h.servers.streamError = func(backend.Call) error { return backend.ErrIncomplete }
 		}),
+		Entry("an engine whose later hop refuses", "/stream/", state.ServiceID("llm"), func(h *harness) {
+			h.servers.refusing["e1"], h.servers.refusing["e3"] = true, true
+		}),
+		Entry("an engine that breaks off before an event", "/stream/", state.ServiceID("llm"), func(h *harness) {
+			h.servers.stream = func(_ backend.Call, out *io.PipeWriter) { _ = out.CloseWithError(backend.ErrIncomplete) }
+		}),
 		Entry("an engine that breaks off after an event", "/stream/", state.ServiceID("llm"), func(h *harness) {
 			h.servers.stream = func(c backend.Call, out *io.PipeWriter) {
 				if c.LastEventID == "" {
@@ -173,4 +179,30 @@
 			}
 		}),
 	)
+
+	// Guards against a silent attempt that nothing is spent for when it arrives after the one that
+	// replaced it.
+	It("pays for a request that is given up and sent elsewhere", Label("failure:repeats-arrive-late"), func() {
+		const sound = 200 // requests, which earn a whole number of retries together with the next one
+		h := newHarness()
+		h.populate()
+		for range sound {
+			Expect(h.serveAt("/again/", 0).Outcome).To(Equal(gateway.Answered))
+		}
+		before := retriesLeft(h.gateway, "app")
+		silent := make(chan struct{}, 1)
+		silent <- struct{}{}
+		h.servers.plain = func(backend.Call) (*backend.Answer, error) {
+			select {
+			case <-silent:
+				time.Sleep(time.Second)
+				return nil, backend.ErrIncomplete
+			default:
+				return signedAnswer(http.StatusOK, "ok"), nil
+			}
+		}
+		Expect(h.serveAt("/again/", 0).Outcome).To(Equal(gateway.Answered))
+		Expect(h.servers.sent()).To(HaveLen(sound + 2))
+		Expect(retriesLeft(h.gateway, "app")).To(Equal(before - 1))
+	})
 })
--- a/gateway/retryrecord.go
+++ b/gateway/retryrecord.go
@@ -140,6 +140,7 @@
 // tick writes a record if a service needs one.
 func (r *retryRecords) tick() {
 	r.observeTable()
+	r.c.g.shared.expireLateCalls(r.c.now)
 	if !r.due() {
 		return
 	}
@@ -309,11 +310,11 @@
 }
 
 // spendRetry takes a retry from the budget, and reports whether a new record is needed.
-func (s *sharedState) spendRetry(now time.Time, svc state.ServiceID, share retrybudget.SlackShare) (spent, needsRecord bool) {
+func (s *sharedState) spendRetry(now time.Time, svc state.ServiceID, share retrybudget.SlackShare) (grant retrybudget.Grant, spent, needsRecord bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	spent = s.budget.Spend(now, svc, share)
-	return spent, s.budget.NeedsRecord(now, svc, share)
+	grant, spent = s.budget.Spend(now, svc, share)
+	return grant, spent, s.budget.NeedsRecord(now, svc, share)
 }
 
 // Results of taking a retry from the budget, in metrics.
@@ -336,21 +337,14 @@
 	return retryExhausted
 }
 
-// refundRetry gives back a retry that was spent and not made.
-func (s *sharedState) refundRetry(now, spentAt time.Time, svc state.ServiceID) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.budget.Refund(now, spentAt, svc)
-}
-
 // spendRetry takes a retry from the budget of a service and reports whether there was one.
-func (g *Gateway) spendRetry(now time.Time, svc state.ServiceID, share retrybudget.SlackShare) bool {
-	spent, needsRecord := g.shared.spendRetry(now, svc, share)
+func (g *Gateway) spendRetry(now time.Time, svc state.ServiceID, share retrybudget.SlackShare) (retrybudget.Grant, bool) {
+	grant, spent, needsRecord := g.shared.spendRetry(now, svc, share)
 	if needsRecord {
 		g.requestRetryRecord()
 	}
 	g.metrics.CountReason(telemetry.GatewayRetryGrantsTotal, g.shared.grantName(now, svc, share, spent))
-	return spent
+	return grant, spent
 }
 
 // requestRetryRecord wakes the control goroutine, which writes a record if one is due.
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -33,7 +33,8 @@
 	service      *fleet.Service
 	customer     fleet.Customer
 	retrier      relay.Retrier
-	retrierMu    sync.Mutex         // the timer callbacks of a stream use retrier from other goroutines
+	retrierMu    sync.Mutex // the timer callbacks of a stream use retrier and retries from other goroutines
+	retries      openRetries
 	deadline     time.Time          // the earlier one of the caller's and the route's
 	cancel       context.CancelFunc // ends the request as if its caller had disconnected
 	leftUnsent   bool               // the caller's leaving showed when an attempt was to be sent
@@ -90,7 +91,7 @@
 		MaxAttempts: r.route.MaxAttempts,
 		Deadline:    r.deadline,
 		SpendRetry: func(now time.Time) bool {
-			return r.g.spendRetry(now, r.service.ID, r.view.slackShare)
+			return r.spendRetry(now)
 		},
 	}
 	r.g.observeRunning(r.req.Arrived)
@@ -98,20 +99,10 @@
 	ctx, cancel := context.WithDeadlineCause(ctx, r.deadline, context.DeadlineExceeded)
 	defer cancel()
 	r.cancel = cancel
-	defer r.refundUnused()
+	defer r.endRetries()
 	return r.runAttempts(ctx)
 }
 
-// refundUnused gives a retry back that was paid for and found no server.
-func (r *requestHandler) refundUnused() {
-	r.retrierMu.Lock()
-	paidAt, unused := r.retrier.Unused()
-	r.retrierMu.Unlock()
-	if unused {
-		r.g.shared.refundRetry(time.Now(), paidAt, r.service.ID)
-	}
-}
-
 // lateRetry is after which time a retry that was paid for counts as sent late in logs.
 const lateRetry = 500 * time.Millisecond
 
@@ -403,6 +394,9 @@
 	if errors.Is(err, backend.ErrNotSent) {
 		outcome = relay.NotSent
 	}
+	if outcome == relay.Broken && mayArriveLater(ctx, err) {
+		r.recordUnanswered(address)
+	}
 	if ctx.Err() != nil {
 		r.exclude(address)
 		return outcome
--- a/gateway/sharedstate.go
+++ b/gateway/sharedstate.go
@@ -25,7 +25,8 @@
 	dead          map[string]bool // addresses of servers that answer no probe
 	refusalChecks map[string]bool // addresses of servers with a pending refusal check
 	budget        *retrybudget.Budget
-	recordsAway   bool // the table does not keep records of retries in time
+	recordsAway   bool                  // the table does not keep records of retries in time
+	lateCalls     map[string][]lateCall // by address of the server
 	streams       map[*stream]struct{}
 	linkBacklogs  linkBacklogs
 	latencies     map[state.ServiceID]*serviceLatency
@@ -46,6 +47,7 @@
 		streams:       make(map[*stream]struct{}),
 		linkBacklogs:  make(linkBacklogs),
 		latencies:     make(map[state.ServiceID]*serviceLatency),
+		lateCalls:     make(map[string][]lateCall),
 		crashes:       crashes.NewTracker(),
 		parts:         crashes.NewParts(time.Now()),
 		turns:         crashes.NewTurns(),
