gateway, retrybudget: requests that are read after a standstill earn retries from when they may have been sent

What callers saw: nothing; after all daemons had stood still, backend servers got far more repeats than allowed.

Class: what is counted where it is read, and judged when it was sent. Ruled out: retries sent late (the soak's daemons grant them after they go on; event 1332 is not seen), records (the table answers).

Change: the control goroutine says when it is to run again; whoever finds that it did not, by half a second, by the monotonic clock or the time of day (a suspended instance), has found a standstill. For half of its length the requests that are read count as sent when it began.

--- a/coordination/retrybudget/budget.go
+++ b/coordination/retrybudget/budget.go
@@ -76,10 +76,11 @@
 	b.cfg = cfg
 }
 
-// Request counts a request of a caller.
-func (b *Budget) Request(now time.Time, svc state.ServiceID) {
+// Request counts a request of a caller, which may have been sent as early as sentSince. It earns
+// retries for one window from then on.
+func (b *Budget) Request(now, sentSince time.Time, svc state.ServiceID) {
 	w := &b.account(now, svc).own
-	w.requests[w.index(0)]++
+	w.addRequests(max(0, w.slice-b.sliceAt(sentSince)), 1)
 }
 
 // Spend takes one retry from the budget of a service and reports whether there was one left that
--- a/coordination/retrybudget/budget_test.go
+++ b/coordination/retrybudget/budget_test.go
@@ -209,6 +209,24 @@
 		}
 	})
 
+	// Guards against a daemon that stood still and earns the retries for many seconds of requests in
+	// one window.
+	It("counts requests from when callers may have sent them", Label("failure:requests-read-late"), func() {
+		now, share := time.Unix(1000, 0), retrybudget.SlackShare{Daemons: 1}
+		b := newRecorded(now)
+		now = now.Add(5 * cfg.Window)
+		left := b.Left(now, "s", share)
+		for range 100 {
+			b.Request(now, now.Add(-2*cfg.Window), "s")
+		}
+		Expect(b.Left(now, "s", share)).To(Equal(left), "they were sent in an earlier window")
+		for range 100 {
+			b.Request(now, now.Add(-cfg.Window/2), "s")
+		}
+		Expect(b.Left(now, "s", share)).To(Equal(left + 20))
+		Expect(b.Left(now.Add(cfg.Window/2), "s", share)).To(Equal(left))
+	})
+
 	It("has no slack while it is withheld", func() {
 		s := newSite(1)
 		s.share.Withheld = true
@@ -222,7 +240,7 @@
 		b := newRecorded(now)
 		Expect(b.spend(now, "s", retrybudget.SlackShare{Daemons: 0})).To(BeFalse())
 		for range 10 {
-			b.Request(now, "s")
+			b.Request(now, now, "s")
 		}
 		Expect(b.spend(now, "s", retrybudget.SlackShare{Daemons: 0})).To(BeTrue(), "the ratio of its own requests needs no other daemon")
 	})
@@ -248,7 +266,7 @@
 			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond)
 			switch {
 			case rapid.Bool().Draw(t, "request"):
-				b.Request(now, "s")
+				b.Request(now, now, "s")
 				requests = append(requests, now)
 			case len(open) > 0 && rapid.IntRange(0, 3).Draw(t, "refund") == 0:
 				b.Refund(now, open[len(open)-1])
--- a/coordination/retrybudget/doc.go
+++ b/coordination/retrybudget/doc.go
@@ -2,7 +2,7 @@
 // backend server, summed over all daemons: each daemon may spend a share of its own
 // requests plus an equal part of the slack configured for the site.
 //
-// Requests count for one Window after they were made. Retries count from when they are
+// Requests count for one Window after callers may have sent them. Retries count from when they are
 // granted until one Window after the last moment at which they may arrive at a server, so no
 // interval of one Window contains more arrivals than the slack and the ratio of the requests
 // of that interval allow, extended back by the longest time between a grant and its arrival.
@@ -29,6 +29,7 @@
 //   - all-lose-power: all daemons lose their counts at once, and spend the allowance of the
 //     window a second time.
 //   - retries-after-restarts: daemons restart several times within one window.
+//   - requests-read-late: a daemon that stood still reads the requests of a longer time at once.
 //   - retries-unrecorded: daemons restart after the table did not answer.
 //   - repeats-arrive-late: retries that were granted over two windows arrive in one.
 package retrybudget
--- a/coordination/retrybudget/site_test.go
+++ b/coordination/retrybudget/site_test.go
@@ -85,7 +85,7 @@
 }
 
 func (s *budgetSite) request(i int) {
-	s.daemons[i].Request(s.now, "s")
+	s.daemons[i].Request(s.now, s.now, "s")
 	s.requests = append(s.requests, s.now)
 }
 
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -95,7 +95,7 @@
 		},
 	}
 	r.g.observeRunning(r.req.Arrived)
-	r.g.shared.recordRequest(r.req.Arrived, r.service.ID)
+	r.g.shared.recordRequest(r.req.Arrived, r.g.running.sentSince(r.req.Arrived), r.service.ID)
 	ctx, cancel := context.WithDeadlineCause(ctx, r.deadline, context.DeadlineExceeded)
 	defer cancel()
 	r.cancel = cancel
--- a/gateway/sharedstate.go
+++ b/gateway/sharedstate.go
@@ -203,10 +203,11 @@
 	s.suspects.RecordAnswer(now, address)
 }
 
-func (s *sharedState) recordRequest(now time.Time, svc state.ServiceID) {
+// recordRequest records a request that was read now and may have been sent earlier.
+func (s *sharedState) recordRequest(now, sentSince time.Time, svc state.ServiceID) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.budget.Request(now, svc)
+	s.budget.Request(now, sentSince, svc)
 	latency := s.latencyOf(svc)
 	latency.abandonBudget = min(latency.abandonBudget+abandonShare, maxAbandons)
 }
