retrybudget: retries hold in each interval that the servers' side judges, not only in the last window

Logs: no standstill, no write that was not recorded.

Cause: a retry was weighed against the requests of the window before it. An interval that ends later holds the same retries and, if fewer callers come, fewer requests. The fault has stood since the budget exists; unused retries hid it.

Kept: the allowance is weighed for each interval that may still come, against the requests of that interval, the one before it and the one half a window earlier, as the rule reads; slices that an interval may cut count as spent and not as requests. Callers who keep coming lose nothing by it. Requests are kept for two windows, in the records too.

TestBudgetHoldsWhenRequestsEnd: red before, green after; the older properties hold unchanged.

--- a/coordination/retrybudget/budget.go
+++ b/coordination/retrybudget/budget.go
@@ -7,11 +7,15 @@
 	"github.com/hibiscuswick/hibiscuswick/state"
 )
 
-// sliceCount is the number of slices that a window is divided into. Retries in the
-// oldest slice count in full and requests in it not at all, so the bound holds for
-// every interval of one window.
+// sliceCount is the number of slices that a window is divided into. Retries in the oldest slice
+// of an interval count in full and requests in it not at all, so the bound holds for every
+// interval of one window.
 const sliceCount = 10
 
+// requestSlices is how many slices requests are kept for: an interval may be judged by the
+// requests of the one before it.
+const requestSlices = 2*sliceCount + 1
+
 // SlackShare tells which part of the slack a daemon may spend.
 type SlackShare struct {
 	Daemons int // 0 if unknown
@@ -59,8 +63,8 @@
 // window counts requests and retries per slice of Config.Window.
 type window struct {
 	slice    int64 // number of the newest slice
-	requests [sliceCount + 1]int
-	retries  [sliceCount + 1]int
+	requests [requestSlices]int
+	retries  [requestSlices]int
 }
 
 // New returns an empty budget. Times before start count as start.
@@ -80,7 +84,7 @@
 // retries for one window from then on.
 func (b *Budget) Request(now, sentSince time.Time, svc state.ServiceID) {
 	w := &b.account(now, svc).own
-	w.addRequests(max(0, w.slice-b.sliceAt(sentSince)), 1)
+	w.addRequests(int(max(0, w.slice-b.sliceAt(sentSince))), 1)
 }
 
 // Spend takes one retry from the budget of a service and reports whether there was one left that
@@ -123,32 +127,56 @@
 // number of daemons that share it is unknown.
 func (b *Budget) Left(now time.Time, svc state.ServiceID, by SlackShare) int {
 	a := b.account(now, svc)
-	requests, retries := a.own.sum()
-	inheritedRequests, inheritedRetries := a.inherited.sum()
-	allowed := b.cfg.Ratio * float64(requests+inheritedRequests)
+	slack := 0.0
 	if by.Daemons > 0 && !by.Withheld {
-		allowed += b.cfg.Slack / float64(by.Daemons)
+		slack = b.cfg.Slack / float64(by.Daemons)
+	}
+	left, spent := math.MaxInt, a.open
+	for age := range sliceCount + 1 {
+		spent += a.own.retries[a.own.index(age)] + a.inherited.retries[a.inherited.index(age)]
+		allowed := slack + b.cfg.Ratio*float64(a.creditedSince(age))
+		left = min(left, int(math.Floor(allowed))-spent)
+	}
+	return max(0, left)
+}
+
+// creditedSince returns how many requests count for the retries of an interval of one window that
+// begins in the slice of an age and may end now: those of the interval, of the one before it, or
+// of the one that begins half a window earlier, whichever has most. Slices that the interval may
+// cut are left out. An interval that ends later may hold the same retries and fewer requests than
+// the last window.
+func (a *account) creditedSince(age int) int {
+	within := a.requestsBetween(0, age-1)
+	if age == sliceCount {
+		return within
+	}
+	halfBefore := a.requestsBetween(max(0, age-sliceCount/2+1), age+sliceCount/2-1)
+	before := a.requestsBetween(age+1, age+sliceCount-1)
+	return max(within, halfBefore, before)
+}
+
+// requestsBetween returns the requests in the slices of some ages.
+func (a *account) requestsBetween(newest, oldest int) int {
+	n := 0
+	for age := newest; age <= oldest; age++ {
+		n += a.own.requests[a.own.index(age)] + a.inherited.requests[a.inherited.index(age)]
 	}
-	return max(0, int(math.Floor(allowed))-a.open-retries-inheritedRetries)
+	return n
 }
 
-// sum returns the requests and retries that count now.
-func (w *window) sum() (requests, retries int) {
-	oldest := w.index(sliceCount)
-	for i := range w.requests {
-		retries += w.retries[i]
-		if i != oldest {
-			requests += w.requests[i]
-		}
+// retriesInWindow returns the retries that count now.
+func (w *window) retriesInWindow() int {
+	n := 0
+	for age := range sliceCount + 1 {
+		n += w.retries[w.index(age)]
 	}
-	return requests, retries
+	return n
 }
 
-// index returns the index of the slice that is the given number of slices old, at most
-// sliceCount.
-func (w *window) index(age int64) int {
-	n := int64(len(w.requests))
-	return int(((w.slice-age)%n + n) % n)
+// index returns the index of the slice that is the given number of slices old, below
+// requestSlices.
+func (w *window) index(age int) int {
+	return int(((w.slice-int64(age))%requestSlices + requestSlices) % requestSlices)
 }
 
 // advance clears the slices that have expired when slice becomes the newest one.
--- a/coordination/retrybudget/doc.go
+++ b/coordination/retrybudget/doc.go
@@ -2,10 +2,12 @@
 // backend server, summed over all daemons: each daemon may spend a share of its own
 // requests plus an equal part of the slack configured for the site.
 //
-// Requests count for one Window after callers may have sent them. Retries count from when they are
-// granted until one Window after the last moment at which they may arrive at a server, so no
-// interval of one Window contains more arrivals than the slack and the ratio of the requests
-// of that interval allow, extended back by the longest time between a grant and its arrival.
+// Retries count from when they are granted until one Window after the last moment at which
+// they may arrive at a server, requests from when callers may have sent them. An interval of
+// one Window holds no more arrivals of retries than the slack and the ratio allow of the
+// requests of that interval, of the one before it or of the one that begins half a Window
+// earlier, whichever has most. Retries that arrive much later than they were granted may
+// arrive in an interval with fewer requests than that: they count there, but are not undone.
 //
 // # Restarts
 //
--- a/coordination/retrybudget/record.go
+++ b/coordination/retrybudget/record.go
@@ -59,8 +59,7 @@
 
 // spent returns how many of the retries that were granted under the record count now.
 func (r *reservation) spent() int {
-	_, settled := r.settled.sum()
-	return r.open + settled
+	return r.open + r.settled.retriesInWindow()
 }
 
 // covers reports whether a retry was granted under the record.
@@ -172,11 +171,12 @@
 	}
 	a.pending, a.needed = next, false
 	out := ServiceRecord{Reserved: reserved}
-	for age := range int64(sliceCount + 1) {
+	for age := range requestSlices {
 		i, j := a.own.index(age), a.inherited.index(age)
 		out.Requests = append(out.Requests, a.own.requests[i]+a.inherited.requests[j])
 		out.Retries = append(out.Retries, a.own.retries[i]+a.inherited.retries[j])
 	}
+	out.Retries = out.Retries[:sliceCount+1]
 	out.Retries[0] += a.open
 	out.Requests, out.Retries = trim(out.Requests), trim(out.Retries)
 	return out
@@ -217,25 +217,25 @@
 }
 
 // retryAge returns how many slices old the retries of a record's k-th slice are at least.
-func (b *Budget) retryAge(tableNow time.Duration, r Record, k int) int64 {
+func (b *Budget) retryAge(tableNow time.Duration, r Record, k int) int {
 	age := tableNow - (r.NewestEnd - time.Duration(k)*r.Slice)
-	return max(0, int64(age/b.cfg.slice()))
+	return int(max(0, age/b.cfg.slice()))
 }
 
 // requestAge returns how many slices old the requests of a record's k-th slice are at most.
-func (b *Budget) requestAge(tableNow time.Duration, r Record, k int) int64 {
+func (b *Budget) requestAge(tableNow time.Duration, r Record, k int) int {
 	age := tableNow - (r.NewestEnd - time.Duration(k+1)*r.Slice)
-	return max(0, int64(age/b.cfg.slice())+1)
+	return int(max(0, age/b.cfg.slice()+1))
 }
 
-func (w *window) addRetries(age int64, n int) {
-	if age <= sliceCount {
+func (w *window) addRetries(age, n int) {
+	if age < requestSlices {
 		w.retries[w.index(age)] += n
 	}
 }
 
-func (w *window) addRequests(age int64, n int) {
-	if age <= sliceCount {
+func (w *window) addRequests(age, n int) {
+	if age < requestSlices {
 		w.requests[w.index(age)] += n
 	}
 }
--- a/coordination/retrybudget/site_test.go
+++ b/coordination/retrybudget/site_test.go
@@ -161,3 +161,48 @@
 		}
 	})
 }
+
+// ruleUse returns the largest ratio of retries to allowance of any interval of one window, as the
+// servers' side judges it: the requests are those of the interval, of the one before it or of the
+// one that begins half a window earlier, whichever has most.
+func (s *budgetSite) ruleUse() float64 {
+	within := func(list []time.Time, from time.Time) float64 {
+		first, _ := slices.BinarySearchFunc(list, from, time.Time.Compare)
+		end, _ := slices.BinarySearchFunc(list, from.Add(cfg.Window), time.Time.Compare)
+		return float64(end - first)
+	}
+	worst := 0.0
+	for _, from := range s.retries {
+		requests := max(within(s.requests, from), within(s.requests, from.Add(-cfg.Window/2)), within(s.requests, from.Add(-cfg.Window)))
+		worst = max(worst, within(s.retries, from)/(cfg.Ratio*requests+cfg.Slack))
+	}
+	return worst
+}
+
+// TestBudgetHoldsWhenRequestsEnd guards against retries that earlier requests have earned and that
+// arrive in an interval with fewer requests.
+func TestBudgetHoldsWhenRequestsEnd(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSite(2)
+		const tick = 200 * time.Millisecond
+		perTick := rapid.IntRange(0, 200).Draw(t, "requests")
+		begin, end := rapid.IntRange(0, 60).Draw(t, "begin"), rapid.IntRange(0, 120).Draw(t, "end")
+		failing := rapid.IntRange(0, 100).Draw(t, "failing")
+		for k := range 180 {
+			s.now = s.now.Add(tick)
+			for i := range s.daemons {
+				for range perTick {
+					if k >= begin && k < end {
+						s.request(i)
+					}
+				}
+				if k >= failing {
+					s.spendAll(i)
+				}
+			}
+		}
+		if use := s.ruleUse(); use > 1 {
+			t.Fatalf("%.3f of the allowance", use)
+		}
+	})
+}
