gateway: specs of gateways that are cut off begin once each gateway knows the servers

The reading is refuted. Prints in a copy show that in the red plays no connection was tried at all: the one request of the spec ended as no_server, because gateway 0 was ready (the configuration and an empty list of servers are known) before it knew the servers that the harness lists one after the other, so that there was no failure to learn from. A gateway without servers that others have not either is ready on purpose.

What the specs ask, their bounds and counts are unchanged; the wait has the suite's usual bound.

--- a/gateway/reach_test.go
+++ b/gateway/reach_test.go
@@ -125,10 +125,26 @@
 	for _, g := range s.gateways {
 		Eventually(func() []string { list, _ := g.Addresses("a"); return list }).WithTimeout(eventuallyTimeout).Should(HaveLen(gateways))
 		Eventually(g.Ready).WithTimeout(eventuallyTimeout).Should(BeTrue())
+		Eventually(listedServers).WithArguments(g).WithTimeout(eventuallyTimeout).Should(Equal(populatedServers))
 	}
 	return s
 }
 
+// populatedServers is how many servers populate lists.
+const populatedServers = 6
+
+// listedServers returns how many servers a gateway knows. It is ready before it knows those that are
+// listed later.
+func listedServers(g *gateway.Gateway) int {
+	status, err := g.Status(context.Background())
+	Expect(err).NotTo(HaveOccurred())
+	n := 0
+	for _, svc := range status.Services {
+		n += len(svc.Servers)
+	}
+	return n
+}
+
 // add starts a gateway with its path to the servers.
 func (s *cuttableSite) add(i int, path *cuttableServers) {
 	id := state.DaemonID(fmt.Sprintf("c%d", i))
