retrybudget: a record reserves the retries that are open when it is made

Found on reading: a retry that was open when a record was made stood in it with the time of the record, and may arrive much later. A process that started continued from that time and spent it again before a window had passed since the arrival.

Change: what a record reserves includes what is open, and each retry that is settled after a record is charged to it. Open retries are then in every reservation, so that grants need no number and Refund no time; a grant knows its account, so that one from before a change of the window is settled where it was taken.

--- a/coordination/retrybudget/budget.go
+++ b/coordination/retrybudget/budget.go
@@ -49,15 +49,12 @@
 	inherited window // of the processes before this one
 	// open is how many retries were spent and may still arrive at a server.
 	open int
-	// records is how many records have been made.
-	records int
 	reservations
 }
 
 // Grant is a retry that was spent and may still arrive at a server.
 type Grant struct {
-	Service state.ServiceID
-	records int // made before it
+	account *account
 }
 
 // window counts requests and retries per slice of Config.Window.
@@ -94,34 +91,26 @@
 		return Grant{}, false
 	}
 	a := b.account(now, svc)
-	if !a.grant() {
+	if a.reserved() < 1 {
+		a.needed = true
 		return Grant{}, false
 	}
 	a.open++
-	return Grant{Service: svc, records: a.records}, true
+	return Grant{account: a}, true
 }
 
 // Settle ends an open retry that can arrive at a server no more: it counts for one window from
 // now on.
 func (b *Budget) Settle(now time.Time, g Grant) {
-	a := b.account(now, g.Service)
-	if a.open < 1 {
-		return // the window was changed meanwhile
-	}
+	a := g.account
+	b.advance(now, a)
 	a.open--
 	a.own.retries[a.own.index(0)]++
-	a.settle(g)
+	a.each(func(r *reservation) { r.settled.retries[r.settled.index(0)]++ })
 }
 
 // Refund gives back an open retry that was not made.
-func (b *Budget) Refund(now time.Time, g Grant) {
-	a := b.account(now, g.Service)
-	if a.open < 1 {
-		return // the window was changed meanwhile
-	}
-	a.open--
-	a.giveBack(g)
-}
+func (b *Budget) Refund(g Grant) { g.account.open-- }
 
 // Left returns how many retries the allowance still has now. There is no slack while the
 // number of daemons that share it is unknown.
@@ -190,17 +179,23 @@
 
 // account returns a service's account, without the slices that have expired.
 func (b *Budget) account(now time.Time, svc state.ServiceID) *account {
-	slice := b.sliceAt(now)
 	a, ok := b.services[svc]
 	if !ok {
+		slice := b.sliceAt(now)
 		a = &account{own: window{slice: slice}, inherited: window{slice: slice}}
 		b.services[svc] = a
 		return a
 	}
+	b.advance(now, a)
+	return a
+}
+
+// advance clears the slices of an account that have expired.
+func (b *Budget) advance(now time.Time, a *account) {
+	slice := b.sliceAt(now)
 	a.own.advance(slice)
 	a.inherited.advance(slice)
 	a.each(func(r *reservation) { r.settled.advance(slice) })
-	return a
 }
 
 // sliceAt returns the number of the slice of a time.
--- a/coordination/retrybudget/budget_test.go
+++ b/coordination/retrybudget/budget_test.go
@@ -128,7 +128,7 @@
 		Expect(spent(now)).To(BeFalse(), "the record is used")
 		left := b.Left(now, "s", share)
 		later := now.Add(2 * time.Second)
-		b.Refund(later, last)
+		b.Refund(last)
 		Expect(b.Left(later, "s", share)).To(Equal(left + 1))
 		Expect(spent(later)).To(BeTrue())
 		Expect(spent(later)).To(BeFalse(), "the refund allows one retry")
@@ -227,6 +227,27 @@
 		Expect(b.Left(now.Add(cfg.Window/2), "s", share)).To(Equal(left))
 	})
 
+	// Guards against retries that a record dates by when it was made, and that arrive later.
+	It("counts retries that were open when a record was made from the next process's start on", Label("failure:repeats-arrive-late"), func() {
+		s := newSite(1)
+		for {
+			if s.spend(0) {
+				continue
+			}
+			before := s.daemons[0].Left(s.now, "s", s.share)
+			if before == 0 {
+				break
+			}
+			s.record(0)
+		}
+		s.record(0)
+		s.now = s.now.Add(8 * time.Second)
+		s.restart(0) // what was open arrives now
+		s.now = s.now.Add(5 * time.Second)
+		s.spendAll(0)
+		Expect(s.worstUse()).To(BeNumerically("<=", 1))
+	})
+
 	It("has no slack while it is withheld", func() {
 		s := newSite(1)
 		s.share.Withheld = true
@@ -269,7 +290,7 @@
 				b.Request(now, now, "s")
 				requests = append(requests, now)
 			case len(open) > 0 && rapid.IntRange(0, 3).Draw(t, "refund") == 0:
-				b.Refund(now, open[len(open)-1])
+				b.Refund(open[len(open)-1])
 				open = open[:len(open)-1]
 			case len(open) > 0 && rapid.Bool().Draw(t, "arrive"):
 				b.Settle(now, open[0])
--- a/coordination/retrybudget/record.go
+++ b/coordination/retrybudget/record.go
@@ -34,37 +34,21 @@
 type ServiceRecord struct {
 	Requests []int `json:"requests,omitempty"`
 	Retries  []int `json:"retries,omitempty"`
-	// Reserved is how many retries may have been made in any window after the record.
+	// Reserved is how many retries may have arrived in any window after the record.
 	Reserved int `json:"reserved,omitempty"`
 }
 
-// reservation counts the retries that were granted under a record. A process that starts takes
-// the reserved ones as spent for one window, so that as many may be spent in each window after the
-// record, however old it is.
+// reservation is what a record reserves: retries that may arrive after it, also those that were
+// open when it was made. A process that starts takes them as spent for one window, so that as many
+// may arrive in each window after the record, however old it is.
 type reservation struct {
-	number   int // of the first of these records
 	reserved int // by the record
 	// least is the smallest reservation of the records of which it is not known whether they
 	// were written.
-	least int
-	// open and settled are the retries granted since the first of these records.
-	open    int
-	settled window
+	least   int
+	settled window // retries settled since the first of these records
 }
 
-// left returns how many retries may be granted under the record now.
-func (r *reservation) left() int {
-	return max(0, r.least-r.spent())
-}
-
-// spent returns how many of the retries that were granted under the record count now.
-func (r *reservation) spent() int {
-	return r.open + r.settled.retriesInWindow()
-}
-
-// covers reports whether a retry was granted under the record.
-func (r *reservation) covers(g Grant) bool { return g.records >= r.number }
-
 // reservations are those of the written record and of the one that is being written, or whose
 // write failed and may still take effect. Either may be read by the next process.
 type reservations struct {
@@ -82,48 +66,13 @@
 }
 
 // reserved returns how many retries may be granted now; none before a record was written.
-func (r *reservations) reserved() int {
-	if r.written == nil {
+func (a *account) reserved() int {
+	if a.written == nil {
 		return 0
 	}
-	left := r.written.left()
-	if r.pending != nil {
-		left = min(left, r.pending.left())
-	}
-	return left
-}
-
-// grant takes one retry, and reports whether one was reserved.
-func (r *reservations) grant() bool {
-	if r.reserved() < 1 {
-		r.needed = true
-		return false
-	}
-	r.each(func(one *reservation) { one.open++ })
-	return true
-}
-
-// settle ends an open retry.
-func (r *reservations) settle(g Grant) {
-	r.each(func(one *reservation) {
-		if one.covers(g) {
-			one.open--
-			one.settled.retries[one.settled.index(0)]++
-		}
-	})
-}
-
-// giveBack returns an open retry. A record made since it was granted counts it as spent, so that
-// another one may be granted under that record.
-func (r *reservations) giveBack(g Grant) {
-	r.each(func(one *reservation) {
-		if one.covers(g) {
-			one.open--
-			return
-		}
-		one.reserved++
-		one.least++
-	})
+	left := math.MaxInt
+	a.each(func(r *reservation) { left = min(left, r.least-a.open-r.settled.retriesInWindow()) })
+	return max(0, left)
 }
 
 // Pending reports whether a retry of a service is left that waits for a record to be
@@ -143,7 +92,7 @@
 func (a *account) reserve(left int) int {
 	spent := 0
 	if a.written != nil {
-		spent = a.written.spent()
+		spent = a.open + a.written.settled.retriesInWindow()
 	}
 	return min(left, max(int(math.Ceil(reserveShare*float64(left))), minReserve, reserveOfSpent*spent))
 }
@@ -163,11 +112,10 @@
 // recordService returns a service's part of a new record and begins its reservation.
 func (b *Budget) recordService(now time.Time, svc state.ServiceID, by SlackShare) ServiceRecord {
 	a := b.account(now, svc)
-	reserved := a.reserve(b.Left(now, svc, by))
-	a.records++
-	next := &reservation{number: a.records, reserved: reserved, least: reserved, settled: window{slice: a.own.slice}}
+	reserved := a.reserve(b.Left(now, svc, by)) + a.open
+	next := &reservation{reserved: reserved, least: reserved, settled: window{slice: a.own.slice}}
 	if old := a.pending; old != nil { // it is not known whether the record was written
-		next.number, next.least, next.open, next.settled = old.number, min(old.least, reserved), old.open, old.settled
+		next.least, next.settled = min(old.least, reserved), old.settled
 	}
 	a.pending, a.needed = next, false
 	out := ServiceRecord{Reserved: reserved}
@@ -176,9 +124,7 @@
 		out.Requests = append(out.Requests, a.own.requests[i]+a.inherited.requests[j])
 		out.Retries = append(out.Retries, a.own.retries[i]+a.inherited.retries[j])
 	}
-	out.Retries = out.Retries[:sliceCount+1]
-	out.Retries[0] += a.open
-	out.Requests, out.Retries = trim(out.Requests), trim(out.Retries)
+	out.Requests, out.Retries = trim(out.Requests), trim(out.Retries[:sliceCount+1])
 	return out
 }
 
--- a/gateway/latecalls.go
+++ b/gateway/latecalls.go
@@ -88,7 +88,7 @@
 	open := &r.retries
 	if _, unused := r.retrier.Unused(); unused && len(open.grants) > 0 {
 		last := len(open.grants) - 1
-		r.g.shared.refundRetry(time.Now(), open.grants[last])
+		r.g.shared.refundRetry(open.grants[last])
 		open.grants = open.grants[:last]
 	}
 	r.settleRetries()
@@ -106,10 +106,10 @@
 }
 
 // refundRetry gives back a retry that was not made.
-func (s *sharedState) refundRetry(now time.Time, grant retrybudget.Grant) {
+func (s *sharedState) refundRetry(grant retrybudget.Grant) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.budget.Refund(now, grant)
+	s.budget.Refund(grant)
 }
 
 // holdLateCalls keeps the retries of calls open that may still arrive.
