gateway, reach: a check that shows nothing is repeated, at a start before the gateway is ready

What callers saw: a gateway that starts while it is cut off was ready, and refused requests that others could have served, if it got no processor during its first check.

A check whose connections take longer than they may, since the process does not run, shows nothing; nothing repeated it before the next connection that failed. Likewise gateways that did not answer, or could not find out, counted as reaching no server.

Change: such checks are inconclusive.

'is not ready before a check shows whether it reaches the servers' (connections that end late, no load needed): red before after 0.63 s, green after.

--- a/coordination/reach/reach.go
+++ b/coordination/reach/reach.go
@@ -68,9 +68,12 @@
 
 // The values of CheckResult.
 const (
-	// Unknown means that the check shows nothing: this process did not run, the service has no
-	// servers, or some are reached and many are not.
+	// Unknown means that the check shows nothing: the service has no servers, or some are reached
+	// and many are not.
 	Unknown CheckResult = iota
+	// Inconclusive means that the check shows nothing, since this process did not run, or other
+	// daemons did not answer in time.
+	Inconclusive
 	// Reached means that most servers are reached.
 	Reached
 	// ReachedByOthers means that few servers are reached, and another daemon reaches the others.
@@ -223,7 +226,7 @@
 		s.cutOff = true
 	case ReachedByNone:
 		s.cutOff = false
-	case Unknown:
+	case Unknown, Inconclusive:
 	}
 	return s.cutOff != before
 }
--- a/coordination/reach/reach_test.go
+++ b/coordination/reach/reach_test.go
@@ -80,6 +80,7 @@
 		Entry("others reach one", reach.ReachedByOthers, true),
 		Entry("nobody reaches any", reach.ReachedByNone, false),
 		Entry("the check shows nothing", reach.Unknown, false),
+		Entry("others do not answer", reach.Inconclusive, false),
 	)
 
 	DescribeTable("asks others about servers if it reaches few", func(servers, failed int, result reach.CheckResult) {
--- a/gateway/reach.go
+++ b/gateway/reach.go
@@ -47,12 +47,14 @@
 	since   time.Time // when this daemon last began to be cut off from a service
 	// nextNotice is when this daemon tells the others again that it is cut off.
 	nextNotice time.Time
+	// inconclusive counts the checks in a row that showed nothing.
+	inconclusive map[state.ServiceID]int
 	// began is closed for each service that this daemon is cut off from.
 	began map[state.ServiceID]chan struct{}
 }
 
 func newReachChecker(g *Gateway) *reachChecker {
-	return &reachChecker{g: g, tracker: reach.NewTracker(g.startedAt), began: make(map[state.ServiceID]chan struct{})}
+	return &reachChecker{g: g, tracker: reach.NewTracker(g.startedAt), began: make(map[state.ServiceID]chan struct{}), inconclusive: make(map[state.ServiceID]int)}
 }
 
 // CutOff reports whether this gateway is cut off from the servers of a service that other
@@ -139,6 +141,23 @@
 	})
 }
 
+// maxInconclusive is how many checks of a service in a row are repeated because they showed
+// nothing.
+const maxInconclusive = 8
+
+// repeatInconclusive repeats a check that showed nothing, without waiting for another connection
+// that fails.
+func (c *reachChecker) repeatInconclusive(svc state.ServiceID, result reach.CheckResult, why trigger) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if result != reach.Inconclusive || c.inconclusive[svc] >= maxInconclusive {
+		delete(c.inconclusive, svc)
+		return
+	}
+	c.inconclusive[svc]++
+	time.AfterFunc(reach.CheckInterval, func() { c.run(svc, reach.FullCheck, why) })
+}
+
 // reachesOne connects to one server of a service, and to none at which connections fail
 // already. It reports whether that shows that the service is reached or has no such server.
 func (c *reachChecker) reachesOne(svc state.ServiceID) bool {
@@ -179,6 +198,20 @@
 		}
 	}
 	all.Wait()
+	for c.anyInconclusive() {
+		select {
+		case <-time.After(reach.CheckInterval):
+		case <-c.g.done:
+			return
+		}
+	}
+}
+
+// anyInconclusive reports whether a check is to be repeated because it showed nothing.
+func (c *reachChecker) anyInconclusive() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.inconclusive) > 0
 }
 
 // joined handles a member that was seen alive, and left one that has left.
@@ -197,7 +230,9 @@
 // check checks a service and reports whether this daemon has just turned out to be cut off.
 func (c *reachChecker) check(svc state.ServiceID, why trigger) bool {
 	addresses := lo.Samples(c.listed(svc), checkedServers)
-	return c.apply(svc, len(addresses), c.checkServers(svc, addresses), why)
+	result := c.checkServers(svc, addresses)
+	c.repeatInconclusive(svc, result, why)
+	return c.apply(svc, len(addresses), result, why)
 }
 
 // recheck checks a service that this daemon is cut off from. Other daemons are asked only if
@@ -208,7 +243,7 @@
 	switch {
 	case len(addresses) == 0: // the service has no servers any more
 		result = reach.ReachedByNone
-	case result == reach.ReachedByNone && (!askPeers || c.reachedByPeers(svc, failed)):
+	case result == reach.ReachedByNone && (!askPeers || c.askPeers(svc, failed) != reach.ReachedByNone):
 		result = reach.ReachedByOthers
 	}
 	c.apply(svc, len(addresses), result, triggerConnection)
@@ -264,7 +299,7 @@
 
 // checkResultNames are the results of checks in metrics.
 var checkResultNames = map[reach.CheckResult]string{
-	reach.Unknown: "unknown", reach.Reached: "reached", reach.ReachedByOthers: "reached_by_others", reach.ReachedByNone: "reached_by_none",
+	reach.Unknown: "unknown", reach.Inconclusive: "inconclusive", reach.Reached: "reached", reach.ReachedByOthers: "reached_by_others", reach.ReachedByNone: "reached_by_none",
 }
 
 // notify tells the other daemons whether this one is cut off.
--- a/gateway/reach_test.go
+++ b/gateway/reach_test.go
@@ -39,9 +39,14 @@
 	only atomic.Value
 	// refusals is how many new connections are reset although the path is not cut.
 	refusals atomic.Int64
-	sends    atomic.Int64 // calls of Send
+	// late is how many new connections fail only after lateDial, as when the process does not run.
+	late  atomic.Int64
+	sends atomic.Int64 // calls of Send
 }
 
+// lateDial is longer than a check waits for a connection.
+const lateDial = 300 * time.Millisecond
+
 func (s *cuttableServers) set(mode cutMode) { s.mode.Store(int32(mode)) }
 
 // setFor cuts the servers whose address begins with a letter.
@@ -57,6 +62,10 @@
 
 // dial fails while the path is cut.
 func (s *cuttableServers) dial(ctx context.Context, address string) error {
+	if s.late.Add(-1) >= 0 {
+		time.Sleep(lateDial)
+		return errors.Join(backend.ErrNotSent, errReset)
+	}
 	if s.refusals.Add(-1) >= 0 {
 		return errors.Join(backend.ErrNotSent, errReset)
 	}
--- a/gateway/reachcheck.go
+++ b/gateway/reachcheck.go
@@ -44,6 +44,8 @@
 // reachResponse answers a reachRequest.
 type reachResponse struct {
 	Reached int `msgpack:"reached"`
+	// Unknown is set if the daemon could not find out.
+	Unknown bool `msgpack:"unknown,omitempty"`
 }
 
 // checkServers connects to servers of a service, and lets other daemons connect to those that are
@@ -57,8 +59,8 @@
 		return result
 	}
 	asked := failed[:min(len(failed), askedServers)]
-	if !c.reachedByPeers(svc, asked) {
-		return reach.ReachedByNone
+	if result = c.askPeers(svc, asked); result != reach.ReachedByOthers {
+		return result
 	}
 	if _, again := c.connectTo(asked); again != reach.ReachedByNone {
 		return reach.Unknown
@@ -72,7 +74,7 @@
 	failed, ok := c.unreached(addresses, connectProbeTimeout)
 	result := reach.ResultOf(len(addresses), len(failed))
 	if !ok && result != reach.Reached {
-		return failed, reach.Unknown
+		return failed, reach.Inconclusive
 	}
 	return failed, result
 }
@@ -100,38 +102,54 @@
 	return failed, time.Since(began) <= timeout+probeOverrun
 }
 
-// reachedByPeers reports whether another daemon reaches at least half of the servers.
+// askPeers asks other daemons whether they reach at least half of the servers.
 //
 // Guard (cut-off-peers-asked): where most daemons are cut off together, all of a few that are
 // asked are likely to be among them.
-func (c *reachChecker) reachedByPeers(svc state.ServiceID, addresses []string) bool {
+// A daemon that does not answer in time shows nothing.
+func (c *reachChecker) askPeers(svc state.ServiceID, addresses []string) reach.CheckResult {
 	peers := lo.Samples(c.peersToAsk(svc), askedPeers+furtherPeers)
 	first := min(len(peers), askedPeers)
-	return c.reachedByAny(svc, addresses, peers[:first]) || c.reachedByAny(svc, addresses, peers[first:])
+	result := c.ask(svc, addresses, peers[:first])
+	if result == reach.ReachedByOthers {
+		return result
+	}
+	if further := c.ask(svc, addresses, peers[first:]); further != reach.ReachedByNone {
+		return further
+	}
+	return result
 }
 
-// reachedByAny asks daemons at the same time whether they reach at least half of the servers.
-func (c *reachChecker) reachedByAny(svc state.ServiceID, addresses, peers []string) bool {
+// ask asks daemons at the same time whether they reach at least half of the servers.
+func (c *reachChecker) ask(svc state.ServiceID, addresses, peers []string) reach.CheckResult {
 	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
 	defer cancel()
-	answers := make(chan int, len(peers))
+	answers := make(chan reach.CheckResult, len(peers))
 	for _, address := range peers {
 		go func() {
 			answer, err := c.g.node.Call(ctx, address, reachRequest{Service: svc, Addresses: addresses})
-			if err != nil {
-				answers <- 0 // not every daemon is reached, and older versions do not know the call
-				return
-			}
 			resp, _ := answer.Msg.(reachResponse)
-			answers <- resp.Reached
+			switch {
+			case err != nil || resp.Unknown:
+				answers <- reach.Inconclusive
+			case resp.Reached > 0 && 2*resp.Reached >= len(addresses):
+				answers <- reach.ReachedByOthers
+			default:
+				answers <- reach.ReachedByNone
+			}
 		}()
 	}
+	result := reach.ReachedByNone
 	for range peers {
-		if reached := <-answers; reached > 0 && 2*reached >= len(addresses) {
-			return true
+		switch <-answers {
+		case reach.ReachedByOthers:
+			return reach.ReachedByOthers
+		case reach.Inconclusive:
+			result = reach.Inconclusive
+		default:
 		}
 	}
-	return false
+	return result
 }
 
 // peersToAsk returns the addresses of daemons that may reach servers which this one does not.
@@ -157,7 +175,7 @@
 	addresses = addresses[:min(len(addresses), checkedServers)]
 	failed, ok := c.unreached(addresses, connectProbeTimeout)
 	if !ok {
-		return reachResponse{}
+		return reachResponse{Unknown: true}
 	}
 	return reachResponse{Reached: len(addresses) - len(failed)}
 }
--- a/gateway/reachshared_test.go
+++ b/gateway/reachshared_test.go
@@ -225,6 +225,20 @@
 		Eventually(s.at(3).Ready).WithTimeout(learnTime).Should(BeTrue())
 	})
 
+	// Guards against a gateway that is ready after a check which shows nothing, since its process got no
+	// processor meanwhile.
+	It("is not ready before a check shows whether it reaches the servers", Label("failure:cut-off-at-start"), func() {
+		const twoChecks = 14 // connections, to one server of each service and to all of them twice
+		s := newCuttableSite(3)
+		time.Sleep(learnTime)
+		path := &cuttableServers{fakeServers: s.servers}
+		path.set(cutSilent)
+		path.late.Store(twoChecks)
+		s.add(3, path)
+		Consistently(s.at(3).Ready).WithTimeout(3 * time.Second).WithPolling(5 * time.Millisecond).Should(BeFalse())
+		Expect(s.at(3).CutOff()).To(BeTrue())
+	})
+
 	// Guards against a site that is not ready since its servers are gone.
 	It("is ready if no gateway reaches the servers", Label("failure:cut-off-at-start"), func() {
 		s := newCuttableSite(2)
