--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -90,9 +90,7 @@
 		Repeat:      r.route.Repeat,
 		MaxAttempts: r.route.MaxAttempts,
 		Deadline:    r.deadline,
-		SpendRetry: func(now time.Time) bool {
-			return r.spendRetry(now)
-		},
+		SpendRetry:  r.spendRetry,
 	}
 	r.g.observeRunning(r.req.Arrived)
 	r.g.shared.recordRequest(r.req.Arrived, r.g.running.sentSince(r.req.Arrived), r.service.ID)
