urgency: one order of requests, the customer's rank first, then the route's; settings of contention

Ruled out: passing the route's rank alone (the customer's goes first). Change: coordination/urgency orders classes and numbers them for servers' ten ranks; the deploy file has settings for each part of contention, which are off without them. Services whose routes have one rank are served as before. Conclusion: the order that queue, admission and shares build on.

--- a/gateway/listing.go
+++ b/gateway/listing.go
@@ -98,6 +98,7 @@
 			continue
 		}
 		l.c.view.config = it.Value
+		l.c.view.scales = lazyScales(it.Value)
 		l.c.changed = true
 		l.dirty, l.publishNow = true, true // which entries are usable depends on the configuration
 		l.c.g.log.Emit(telemetry.EventDocumentApplied, telemetry.Version(state.DocumentVersion(it.Value.Version)))
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -11,6 +11,7 @@
 	"github.com/hibiscuswick/hibiscuswick/coordination/admission"
 	"github.com/hibiscuswick/hibiscuswick/coordination/crashes"
 	"github.com/hibiscuswick/hibiscuswick/coordination/relay"
+	"github.com/hibiscuswick/hibiscuswick/coordination/urgency"
 	"github.com/hibiscuswick/hibiscuswick/protocol/backend"
 	"github.com/hibiscuswick/hibiscuswick/state"
 	"github.com/hibiscuswick/hibiscuswick/state/fleet"
@@ -373,17 +374,21 @@
 	return time.Until(r.deadline)
 }
 
-// maxRank is the least urgent rank that servers accept.
-const maxRank = 9
+// class returns the urgency of the request.
+func (r *requestHandler) class() urgency.Class { return urgency.Of(r.route, r.customer) }
 
-func (r *requestHandler) rank() int {
-	rank := r.route.Rank
-	if r.customer.Ranked {
-		rank = r.customer.Rank
+// scale returns the order of the service's requests by urgency; without Contention.Urgency the
+// customer's rank replaces the route's.
+func (r *requestHandler) scale() urgency.Scale {
+	if !r.g.currentSettings().Contention.Urgency {
+		return urgency.Scale{}
 	}
-	return min(max(rank, 0), maxRank)
+	return r.view.scaleOf(r.service.ID)
 }
 
+// rank returns the rank of the request for backend servers.
+func (r *requestHandler) rank() int { return r.scale().ServerRank(r.class()) }
+
 // handleSendError returns the outcome of an attempt whose call to a server failed. A call
 // that was canceled by this daemon or by its caller does not count against the server.
 func (r *requestHandler) handleSendError(ctx context.Context, err error) relay.Outcome {
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -1,9 +1,12 @@
 package gateway
 
 import (
+	"sync"
+
 	"github.com/hibiscuswick/hibiscuswick/coordination/membership"
 	"github.com/hibiscuswick/hibiscuswick/coordination/pathing"
 	"github.com/hibiscuswick/hibiscuswick/coordination/retrybudget"
+	"github.com/hibiscuswick/hibiscuswick/coordination/urgency"
 	"github.com/hibiscuswick/hibiscuswick/state"
 	"github.com/hibiscuswick/hibiscuswick/state/fleet"
 )
@@ -15,6 +18,9 @@
 	// rosters are the engines of each service that has any, prepared for path choice by the
 	// first request that needs them.
 	rosters map[state.ServiceID]func() *pathing.Roster
+	// scales order the requests of each service by urgency; the first request that needs one
+	// computes it.
+	scales map[state.ServiceID]func() urgency.Scale
 	// serversKnown is set once the server list has been read.
 	serversKnown bool
 	// populating is set while requests should wait for more servers to be listed.
@@ -33,3 +39,21 @@
 
 // ready reports whether requests can be served.
 func (v *view) ready() bool { return v.known() && !v.draining }
+
+// scaleOf returns the order of a service's requests by urgency.
+func (v *view) scaleOf(service state.ServiceID) urgency.Scale {
+	scale := v.scales[service]
+	if scale == nil {
+		return urgency.Scale{}
+	}
+	return scale()
+}
+
+// lazyScales defers the computation of each service's order until a request needs it.
+func lazyScales(c *fleet.Config) map[state.ServiceID]func() urgency.Scale {
+	out := make(map[state.ServiceID]func() urgency.Scale, len(c.Services))
+	for id := range c.Services {
+		out[id] = sync.OnceValue(func() urgency.Scale { return urgency.ScaleOf(c, id) })
+	}
+	return out
+}
