overload: streams that would be late, or make more urgent ones late, are refused before they run

Cause: engines that are full step slowly for all of their streams and preempt the newest; nothing said no before; each of 67 daemons saw about a dozen of some 800 streams. Change: coordination/overload holds the prediction of a path, corrected by the pauses of the last second, against the route's targets, less what more urgent demand needs; coordination/siteload adds up what the streams of all daemons hold, by group of engines, for the prediction of memory; coordination/urgency puts the rest of begun answers before new ones of their customer's rank. Only for services whose routes differ in rank, with the switches of contention.

--- a/coordination/pathing/roster.go
+++ b/coordination/pathing/roster.go
@@ -36,6 +36,8 @@
 type group struct {
 	layers     fleet.Range
 	domain     int // index of the failure domain
+	kind       string
+	capacity   float64 // KV-cache tokens of all its candidates
 	candidates []int
 }
 
@@ -68,8 +70,9 @@
 		if !ok {
 			g = len(r.groups)
 			index[key] = g
-			r.groups = append(r.groups, group{layers: s.Layers, domain: r.estimateInputs[at].domain})
+			r.groups = append(r.groups, group{layers: s.Layers, domain: r.estimateInputs[at].domain, kind: s.Kind})
 		}
+		r.groups[g].capacity += float64(c.KVCapacity)
 		r.groups[g].candidates = append(r.groups[g].candidates, at)
 	}
 	sort.SliceStable(r.groups, func(a, b int) bool { return r.groups[a].layers.To < r.groups[b].layers.To })
--- a/coordination/relay/relay.go
+++ b/coordination/relay/relay.go
@@ -39,6 +39,8 @@
 	// ReasonLimited means that only servers with a rate limit could take the request, and it got no
 	// permit.
 	ReasonLimited Reason = "server_limit"
+	// ReasonOverload means that the stream, or more urgent ones, would be late.
+	ReasonOverload Reason = "overload"
 	// ReasonRetryAfter means that the servers that could take the request want none for a while.
 	ReasonRetryAfter Reason = "server_retry_after"
 )
--- a/coordination/urgency/doc.go
+++ b/coordination/urgency/doc.go
@@ -9,5 +9,7 @@
 //   - Routes of different ranks share engines that are overloaded: the more urgent one is served
 //     first, also where all of its customers have a rank of their own (Of).
 //   - A backend server knows only ten ranks: the classes of a service are numbered without gaps, so
-//     that no two of them are merged as long as there are at most ten (Scale).
+//     that no two of them are merged while there are few (Scale).
+//   - Engines die under many streams, which all go on elsewhere at once: their prompts are read before
+//     those of new streams (ServerRank).
 package urgency
--- a/coordination/urgency/urgency.go
+++ b/coordination/urgency/urgency.go
@@ -42,38 +42,47 @@
 	contend bool
 }
 
-// NewScale returns the scale of a service that is shared by routes of the given ranks. customers are
-// the ranks of the customers that have one.
-func NewScale(routes, customers []int) Scale {
-	var s Scale
-	for _, route := range lo.Uniq(routes) {
-		s.classes = append(s.classes, Class{Customer: route, Route: route})
-		for _, customer := range lo.Uniq(customers) {
+// Users are the ranks of those who use a service.
+type Users struct {
+	Routes    []int // ranks of the routes that lead to it
+	Customers []int // ranks of the customers that have one
+	Unranked  bool  // there are requests of customers without a rank
+}
+
+// NewScale returns the scale of a service.
+func NewScale(u Users) Scale {
+	s := Scale{contend: len(lo.Uniq(u.Routes)) > 1}
+	for _, route := range lo.Uniq(u.Routes) {
+		if u.Unranked {
+			s.classes = append(s.classes, Class{Customer: route, Route: route})
+		}
+		for _, customer := range lo.Uniq(u.Customers) {
 			s.classes = append(s.classes, Class{Customer: customer, Route: route})
 		}
 	}
 	slices.SortFunc(s.classes, Class.Compare)
 	s.classes = slices.Compact(s.classes)
-	s.contend = len(lo.Uniq(routes)) > 1
 	return s
 }
 
 // ScaleOf returns the scale of a service in a configuration.
 func ScaleOf(c *fleet.Config, service state.ServiceID) Scale {
-	var routes, customers []int
+	u := Users{Unranked: c.Keys == nil}
 	for _, list := range c.Hosts {
 		for i := range list {
 			if lo.ContainsBy(list[i].Split, func(s fleet.Share) bool { return s.Service == service }) {
-				routes = append(routes, list[i].Rank)
+				u.Routes = append(u.Routes, list[i].Rank)
+				u.Unranked = u.Unranked || list[i].Anonymous
 			}
 		}
 	}
 	for _, customer := range c.Keys {
 		if customer.Ranked {
-			customers = append(customers, customer.Rank)
+			u.Customers = append(u.Customers, customer.Rank)
 		}
+		u.Unranked = u.Unranked || !customer.Ranked
 	}
-	return NewScale(routes, customers)
+	return NewScale(u)
 }
 
 // Contended reports whether routes of different ranks share the service.
@@ -88,17 +97,31 @@
 	return float64(s.position(c)) / float64(len(s.classes)-1)
 }
 
-// ServerRank returns the rank of a class for a backend server, from 0 to 9. Without routes of
-// different ranks it is the rank of the customer, or of the route.
-func (s Scale) ServerRank(c Class) int {
+// ServerRank returns the rank of a request for a backend server, from 0 to 9. Among the requests of
+// one customer rank, the rest of answers that have begun goes before new ones: their callers wait for
+// the next event, which is due sooner than the first event of another answer. Without routes of different
+// ranks it is the rank of the customer alone, or of the route.
+func (s Scale) ServerRank(c Class, begun bool) int {
 	if !s.contend {
 		return min(max(c.Customer, 0), serverRanks-1)
 	}
-	position := s.position(c)
-	if len(s.classes) > serverRanks {
-		return position * serverRanks / len(s.classes)
+	// Each customer rank takes a number for its begun answers, then one for each of its classes.
+	customerRanks, before := 0, 0
+	for i, other := range s.classes {
+		if i == 0 || other.Customer != s.classes[i-1].Customer {
+			customerRanks++
+			if other.Customer < c.Customer {
+				before++
+			}
+		}
+		if other.Customer < c.Customer || other.Customer == c.Customer && !begun && other.Route <= c.Route {
+			before++
+		}
+	}
+	if all := customerRanks + len(s.classes); all > serverRanks {
+		return min(before*serverRanks/all, serverRanks-1)
 	}
-	return position
+	return min(before, serverRanks-1)
 }
 
 // position returns the number of classes that are more urgent than c, at most the index of the last
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -161,6 +161,7 @@
 	g.node.Serve(g.peers)
 	go g.control.run()
 	go g.reach.checkAtStart()
+	go (&loadExchange{g: g}).run()
 	go g.control.configFeed.run(ctx)
 	go g.control.serverFeed.run(ctx)
 	g.log.Emit(telemetry.EventDaemonStarted, telemetry.Address(g.currentSettings().CallerAddress))
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -11,6 +11,7 @@
 	"github.com/hibiscuswick/hibiscuswick/coordination/membership"
 	"github.com/hibiscuswick/hibiscuswick/coordination/permits"
 	"github.com/hibiscuswick/hibiscuswick/coordination/reach"
+	"github.com/hibiscuswick/hibiscuswick/coordination/siteload"
 	"github.com/hibiscuswick/hibiscuswick/coordination/suspect"
 	"github.com/hibiscuswick/hibiscuswick/protocol/peer"
 	"github.com/hibiscuswick/hibiscuswick/protocol/site"
@@ -54,6 +55,8 @@
 	kindReachNotice   peer.Kind = 1900
 	kindReachRequest  peer.Kind = 1901
 	kindReachResponse peer.Kind = 1902
+	kindLoadReport    peer.Kind = 2000
+	kindLoadTotals    peer.Kind = 2001
 )
 
 // newRegistry registers every message between gateways.
@@ -79,6 +82,8 @@
 	peer.Register[reach.Notice](r, kindReachNotice)
 	peer.Register[reachRequest](r, kindReachRequest)
 	peer.Register[reachResponse](r, kindReachResponse)
+	peer.Register[siteload.Report](r, kindLoadReport)
+	peer.Register[siteload.Totals](r, kindLoadTotals)
 	return r
 }
 
--- a/gateway/path.go
+++ b/gateway/path.go
@@ -20,11 +20,13 @@
 	if hops, exhausted := r.retrier.Exhausted(); exhausted {
 		pathReq.FirstHops = hops
 	}
+	decision := r.newStreamAdmission()
 	var path fleet.Path
 	found := r.waitFor(ctx, func() (ok bool) {
 		if r.view.populating && !r.headSent || !r.mayRetryRejected(time.Now()) {
 			return false
 		}
+		r.search.admission = decision
 		return r.chooseWithTurns(ctx, func() bool {
 			path, ok = r.g.shared.choosePath(time.Now(), r.view, r.service, pathReq, r.excluded, &r.search)
 			return ok
@@ -38,6 +40,7 @@
 	if !path.Complete(r.service.Engine.Layers) {
 		panic("gateway: path does not contain each layer exactly once")
 	}
+	r.admission = decision
 	r.address, r.path = path[0].Address, path
 	r.logSent(path.String())
 	call := r.newCall(path[0].Server, path[0].Address)
--- a/gateway/pathchoice.go
+++ b/gateway/pathchoice.go
@@ -25,7 +25,9 @@
 	defer s.mu.Unlock()
 	r.LinkBacklog = func(x, y state.FailureDomain) float64 { return s.linkBacklogs.backlog(now, x, y) }
 	states := s.resetServerStates(roster)
-	roster.Estimate(states, pathing.DaemonCounts{Domain: r.Domain, InDomain: max(v.liveInDomain, 1), Total: max(v.live, 1)})
+	counts := pathing.DaemonCounts{Domain: r.Domain, InDomain: max(v.liveInDomain, 1), Total: max(v.live, 1)}
+	s.keepOwnTokens(search.admission, states)
+	roster.Estimate(states, counts)
 	excludeAddresses(roster, states, s.dead)
 	excludeAddresses(roster, states, avoid)
 	suspects := s.markSuspects(now, roster, states)
@@ -42,6 +44,10 @@
 		path, ok = cheapestPath(roster, r, states, suspects)
 		permit.blocked = !ok
 	}
+	if ok && search.admission != nil {
+		s.applySiteLoad(now, svc.ID, roster, states, counts)
+		ok = s.admitStream(now, search.admission, roster, r, states, path)
+	}
 	if ok {
 		s.spendPermit(now, path[0].Server, permit)
 		search.assignment = s.availability.Begin(now, path[0].Server)
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -49,7 +49,8 @@
 	path         fleet.Path // servers of the current attempt; a plain server is its only hop
 	runStart     time.Time  // when the current attempt was sent, or when its answer began as a stream
 	gaps         eventGaps
-	connected    atomic.Bool // the call of the current attempt has a connection
+	admission    *streamAdmission // of the current attempt, if one was made
+	connected    atomic.Bool      // the call of the current attempt has a connection
 	// olderRunEnded is set once a server has ended under a run of the request that had not just begun.
 	olderRunEnded atomic.Bool
 	parts         []crashes.Fingerprint // of the prompt, those that other requests may share
@@ -387,7 +388,7 @@
 }
 
 // rank returns the rank of the request for backend servers.
-func (r *requestHandler) rank() int { return r.scale().ServerRank(r.class()) }
+func (r *requestHandler) rank() int { return r.scale().ServerRank(r.class(), r.headSent) }
 
 // handleSendError returns the outcome of an attempt whose call to a server failed. A call
 // that was canceled by this daemon or by its caller does not count against the server.
--- a/gateway/serversearch.go
+++ b/gateway/serversearch.go
@@ -15,6 +15,9 @@
 // serverSearch is the state of one attempt's search for a server.
 type serverSearch struct {
 	permit permitRequest
+	// admission decides whether the stream may start along the path that is chosen; nil for no
+	// such decision.
+	admission *streamAdmission
 	// assignment is the request's part in the slow start of the server that was found.
 	assignment availability.Assignment
 	// availableAt is when a server can take the request, if all that could do so want no
--- a/gateway/sharedstate.go
+++ b/gateway/sharedstate.go
@@ -8,9 +8,11 @@
 
 	"github.com/hibiscuswick/hibiscuswick/coordination/availability"
 	"github.com/hibiscuswick/hibiscuswick/coordination/crashes"
+	"github.com/hibiscuswick/hibiscuswick/coordination/overload"
 	"github.com/hibiscuswick/hibiscuswick/coordination/pathing"
 	"github.com/hibiscuswick/hibiscuswick/coordination/permits"
 	"github.com/hibiscuswick/hibiscuswick/coordination/retrybudget"
+	"github.com/hibiscuswick/hibiscuswick/coordination/siteload"
 	"github.com/hibiscuswick/hibiscuswick/coordination/suspect"
 	"github.com/hibiscuswick/hibiscuswick/state"
 	"github.com/hibiscuswick/hibiscuswick/state/fleet"
@@ -35,10 +37,17 @@
 	turns         *crashes.Turns // of the contents and parts that this daemon owns
 	permits       *permits.Limiter
 	availability  *availability.Tracker
+	overload      map[state.ServiceID]*overload.Model
+	demand        map[state.ServiceID]*overload.Demand
+	loadSums      *siteload.Aggregator // of the parts that this daemon adds up for all
+	siteLoad      *siteload.View
+	ownTokens     []float64 // scratch space of choosePath, by index in the roster
+	rng           *rand.Rand
 	serverStates  []pathing.ServerState // scratch space of choosePath, by index in the roster
 }
 
 func newSharedState(set Settings) *sharedState {
+	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	return &sharedState{
 		loads:         make(map[state.BackendIncarnation]*pathing.Load),
 		suspects:      suspect.NewTracker(),
@@ -52,7 +61,12 @@
 		parts:         crashes.NewParts(time.Now()),
 		turns:         crashes.NewTurns(),
 		permits:       permits.New(),
-		availability:  availability.NewTracker(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+		availability:  availability.NewTracker(rng),
+		overload:      make(map[state.ServiceID]*overload.Model),
+		demand:        make(map[state.ServiceID]*overload.Demand),
+		loadSums:      siteload.NewAggregator(),
+		siteLoad:      siteload.NewView(),
+		rng:           rng,
 		budget:        retrybudget.New(budgetConfig(set), time.Now()),
 	}
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -172,6 +172,7 @@
 	now := time.Now()
 	if s.events > 1 {
 		s.r.g.shared.recordEventGap(now, s.r.service.ID, s.sinceLastEvent(now))
+		s.r.g.shared.observePause(now, s.r.admission, s.sinceLastEvent(now))
 	}
 	s.lastEventAt.Store(int64(s.r.g.sinceStart(now)))
 	s.r.gaps.record(now, s.r.req.Arrived, s.path[0].Address)
@@ -199,6 +200,7 @@
 		return 0, s.r.forwardAnswer(s.answer, nil)
 	}
 	s.r.g.shared.recordAnswer(time.Now(), s.path[0].Address)
+	s.r.g.shared.observeStreamEnd(s.r.admission, time.Since(s.began))
 	if server == probeAlive {
 		s.r.clearImplication()
 	}
--- a/gateway/turns.go
+++ b/gateway/turns.go
@@ -124,6 +124,8 @@
 	switch {
 	case r.verdict.blocked:
 		return 0, r.blockedResult(r.verdict)
+	case r.search.admission.turnedAway():
+		return 0, r.overloadResult()
 	case !r.turn.holds(r.verdict.turns):
 		return 0, r.turnTakenResult()
 	default:
--- a/gateway/wait.go
+++ b/gateway/wait.go
@@ -37,7 +37,7 @@
 	r.g.waitingRequests.Add(1)
 	defer r.g.waitingRequests.Add(-1)
 	for until := waiting.RejectAt(); time.Now().Before(until) && ctx.Err() == nil; {
-		if r.verdict.blocked || r.permitWaitExceeds(until) || r.retryAfterExceeds(until) {
+		if r.verdict.blocked || r.search.admission.turnedAway() || r.permitWaitExceeds(until) || r.retryAfterExceeds(until) {
 			return false
 		}
 		sleep(ctx, r.search.permit.pollInterval())
--- a/state/fleet/config.go
+++ b/state/fleet/config.go
@@ -125,10 +125,14 @@
 	SeqMS      float64 // time that each running stream adds to a decode step
 	ContextMS  float64 // time that each 1,000 tokens of context add to a decode step
 	ReadPerS   float64 // prefill rate in prompt tokens per second through all layers at pace 1
+	Stride     int     // tokens per event of a stream; 0 counts as 1
 	LoadTime   time.Duration
 	Kinds      map[string]AcceleratorKind
 }
 
+// TokensPerEvent returns the number of tokens in one event of a stream.
+func (e *Engine) TokensPerEvent() int { return max(e.Stride, 1) }
+
 // AcceleratorKind describes one kind of accelerator.
 type AcceleratorKind struct {
 	MemoryMB float64
--- a/telemetry/counter.go
+++ b/telemetry/counter.go
@@ -61,6 +61,7 @@
 	GatewayProbesTotal         Name = "gateway_probes_total"
 	GatewayReachChecksTotal    Name = "gateway_reach_checks_total"
 	GatewayCutOffTotal         Name = "gateway_cut_off_total"
+	GatewayTurnedAwayTotal     Name = "gateway_turned_away_total"
 	GatewayLimitedTotal        Name = "gateway_limited_total"
 	GatewayRetryAfterTotal     Name = "gateway_retry_after_total"
 	GatewayDepartingTotal      Name = "gateway_departing_total"
@@ -194,6 +195,7 @@
 	{GatewayProbesTotal, KindCounter, byReason, "Probes of backend servers on the paths of stalled streams, by result."},
 	{GatewayReachChecksTotal, KindCounter, byReason, "Checks whether this gateway is cut off from the servers of a service that other gateways reach, by result."},
 	{GatewayCutOffTotal, KindCounter, byReason, "Requests that a gateway did not serve since it is cut off from the servers, by whether their callers may still have used an address answer from before (cached_address) or came although no gateway has named this one for longer than such answers are valid (not_named)."},
+	{GatewayTurnedAwayTotal, KindCounter, byReason, "Streams that were refused before they ran because of overload, by what was predicted to fail: the first event (first_event_late), the pauses (pauses_too_long), or the memory that is kept for more urgent streams (memory_reserved)."},
 	{GatewayLimitedTotal, KindCounter, byReason, "Requests for which a backend server with a rate limit was considered, by whether they were sent to it or the server was skipped for lack of a permit."},
 	{GatewayRetryAfterTotal, KindCounter, byReason, "Answers with which backend servers asked for no further request for a time (stated), requests withdrawn before they were sent to such a server (withdrawn), and requests refused because all servers that could take them want none (refused)."},
 	{GatewayDepartingTotal, KindCounter, nil, "Answers in which backend servers stated that they are leaving."},
