gateway: paths avoid engines by the pace that they report, and daemons tell each other

Cause: a report's pace was decoded and not read; the delay of a path's first event is shared by all of its hops and does not tell which one is slow. Change: a probe of a stalled stream records the reported pace for three seconds, raises the engine's cost by it, and tells the other daemons by a notice; a pace of 1, or no news, ends it. Switch: reported_pace. Streams that run on an engine when it turns slow stay there.

--- a/coordination/pathing/cost.go
+++ b/coordination/pathing/cost.go
@@ -69,7 +69,7 @@
 		prefill := c.Kind.ReadPace * float64(r.PromptTokens) / e.ReadPerS * 1000
 		ms += prefill * (1 + streams) / r.ExpectedOutput()
 	}
-	return ms / float64(e.Layers)
+	return st.pace() * ms / float64(e.Layers)
 }
 
 // fixedCost returns the cost of one use of an engine that does not depend on its layers.
--- a/coordination/pathing/pathing.go
+++ b/coordination/pathing/pathing.go
@@ -15,6 +15,7 @@
 // ServerState is the state of a candidate that affects its cost at one moment.
 type ServerState struct {
 	Load     Load
+	Pace     float64 // duration of its work relative to the usual one of its kind, as it reported; 0 for 1
 	DelayMS  float64 // its share of the recent times to the first event of answers, in ms
 	Excluded bool    // may not be used
 	Suspect  bool    // used only if there is no other path
@@ -22,6 +23,14 @@
 	NotFirstHop bool
 }
 
+// pace returns the reported pace, 1 if there is none.
+func (st *ServerState) pace() float64 {
+	if st.Pace <= 0 {
+		return 1
+	}
+	return st.Pace
+}
+
 // Load is the load of a server.
 type Load struct {
 	Requests         float64 // as any hop
--- a/coordination/pathing/predict.go
+++ b/coordination/pathing/predict.go
@@ -37,13 +37,13 @@
 		if !ok {
 			continue
 		}
-		c, load := &r.candidates[i], states[i].Load
+		c, load, pace := &r.candidates[i], states[i].Load, states[i].pace()
 		share := float64(h.Layers.Len()) / float64(max(r.engine.Layers, 1))
 		prefill := 0.0
 		if r.engine.ReadPerS > 0 {
-			prefill = share * c.Kind.ReadPace * float64(req.PromptTokens) / r.engine.ReadPerS * 1000
+			prefill = pace * share * c.Kind.ReadPace * float64(req.PromptTokens) / r.engine.ReadPerS * 1000
 		}
-		step := share * c.Kind.Pace * (r.engine.StepMS + r.engine.SeqMS*(load.Tokens/streamTokens+1) + r.engine.ContextMS*load.Tokens/1000)
+		step := pace * share * c.Kind.Pace * (r.engine.StepMS + r.engine.SeqMS*(load.Tokens/streamTokens+1) + r.engine.ContextMS*load.Tokens/1000)
 		out.Hops = append(out.Hops, HopPrediction{Kind: c.Server.Kind, PauseMS: float64(r.engine.TokensPerEvent())*step + hopMS})
 		out.FirstMS += prefill + step + hopMS
 		if c.KVCapacity > 0 {
--- a/coordination/suspect/suspect.go
+++ b/coordination/suspect/suspect.go
@@ -25,6 +25,8 @@
 	outdated map[OutdatedNotice]time.Time
 	// leaving holds servers that refuse requests, with the expiry of each.
 	leaving map[state.BackendIncarnation]time.Time
+	// paces holds servers that have reported to be slow.
+	paces map[state.BackendIncarnation]reportedPace
 }
 
 // record holds the observations of one server.
@@ -46,7 +48,7 @@
 
 // NewTracker returns an empty tracker.
 func NewTracker() *Tracker {
-	return &Tracker{servers: make(map[string]*record), outdated: make(map[OutdatedNotice]time.Time), leaving: make(map[state.BackendIncarnation]time.Time)}
+	return &Tracker{servers: make(map[string]*record), outdated: make(map[OutdatedNotice]time.Time), leaving: make(map[state.BackendIncarnation]time.Time), paces: make(map[state.BackendIncarnation]reportedPace)}
 }
 
 func (t *Tracker) record(now time.Time, address string) *record {
--- a/gateway/fake_test.go
+++ b/gateway/fake_test.go
@@ -36,6 +36,7 @@
 	startTimes  map[string]int64           // of servers that are another incarnation than listed, by address
 	reportErr   map[string]error           // errors of report requests, by address
 	reportCalls map[string]int             // number of report requests, by address
+	paces       map[string]float64         // in the reports of slow servers, by address
 	limits      map[string]fleet.RateLimit // limits that servers name, by address
 	shedding    map[string]shedding        // by address: servers that turn all requests away
 	turnedAway  map[string][]time.Time     // when servers turned requests away, by address
@@ -163,6 +164,13 @@
 	return s.leaving[address]
 }
 
+// setPace makes a server report to be slow.
+func (s *fakeServers) setPace(address string, pace float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.paces[address] = pace
+}
+
 // setLimit makes a server name a limit of requests per second in its answers.
 func (s *fakeServers) setLimit(address string, perSecond float64) {
 	s.mu.Lock()
@@ -225,7 +233,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return backend.Report{StartTime: s.startTimes[address], KVCapacity: 100, KVUsed: s.used}, nil
+	return backend.Report{StartTime: s.startTimes[address], Pace: s.paces[address], KVCapacity: 100, KVUsed: s.used}, nil
 }
 
 // refusingHop returns a hop of a path that refuses requests.
@@ -347,7 +355,7 @@
 func newHarnessWithLog(grace time.Duration, log *telemetry.Log) *harness {
 	h := &harness{log: log, grace: grace, configs: newFakeFeed[*fleet.Config](), serverFeed: newFakeFeed[fleet.Server](), members: newMemTable(), leases: newMemTable()}
 	h.servers = &fakeServers{dead: make(map[string]bool), ended: make(map[string]bool), refusing: make(map[string]bool), startTimes: make(map[string]int64), reportCalls: make(map[string]int), reportErr: make(map[string]error), serverFeed: h.serverFeed,
-		limits: make(map[string]fleet.RateLimit), requestsAt: make(map[string][]time.Time),
+		paces: make(map[string]float64), limits: make(map[string]fleet.RateLimit), requestsAt: make(map[string][]time.Time),
 		shedding: make(map[string]shedding), turnedAway: make(map[string][]time.Time), leaving: make(map[string]bool)}
 	h.servers.stream = func(c backend.Call, out *io.PipeWriter) { writeEvents(out, c.LastEventID, 5) }
 	h.servers.plain = func(backend.Call) (*backend.Answer, error) { return signedAnswer(http.StatusOK, "ok"), nil }
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -55,6 +55,7 @@
 	kindReachNotice   peer.Kind = 1900
 	kindReachRequest  peer.Kind = 1901
 	kindReachResponse peer.Kind = 1902
+	kindPace          peer.Kind = 1601
 	kindLoadReport    peer.Kind = 2000
 	kindLoadTotals    peer.Kind = 2001
 )
@@ -74,6 +75,7 @@
 	peer.Register[suspect.OutdatedNotice](r, kindOutdated)
 	peer.Register[suspect.RefusalNotice](r, kindRefusal)
 	peer.Register[suspect.LeavingNotice](r, kindLeaving)
+	peer.Register[suspect.PaceNotice](r, kindPace)
 	peer.Register[rowsRequest](r, kindRowsRequest)
 	peer.Register[rowsResponse](r, kindRowsResponse)
 	peer.Register[permits.PermitRequest](r, kindPermitRequest)
--- a/gateway/notice.go
+++ b/gateway/notice.go
@@ -17,7 +17,7 @@
 )
 
 // Notices are findings of one daemon about a server or a request's content that all daemons
-// need: suspect.OutdatedNotice, suspect.RefusalNotice, suspect.LeavingNotice,
+// need: suspect.OutdatedNotice, suspect.RefusalNotice, suspect.LeavingNotice, suspect.PaceNotice,
 // permits.LimitNotice, reach.Notice, crashes.EndNotice, crashes.PartsNotice and crashes.ClearNotice. They are spread as
 // facts of the membership: each daemon sends to a few neighbors, whatever the number of daemons,
 // and a daemon that misses a message gets it from another one.
@@ -84,6 +84,8 @@
 		g.shared.recordRefusal(at, m.Address)
 	case suspect.LeavingNotice:
 		g.shared.markLeaving(at, m)
+	case suspect.PaceNotice:
+		g.shared.recordPace(at, m)
 	case permits.LimitNotice:
 		g.control.permits.step(permits.LimitReceived{LimitNotice: m, At: at})
 	case reach.Notice:
--- a/gateway/pathchoice.go
+++ b/gateway/pathchoice.go
@@ -118,6 +118,11 @@
 			found = found || avoided
 		}
 	})
+	s.suspects.EachSlow(now, func(server state.BackendIncarnation, pace float64) {
+		if i, ok := roster.IndexOf(server); ok {
+			states[i].Pace = pace
+		}
+	})
 	s.suspects.EachLeaving(now, func(server state.BackendIncarnation) {
 		if i, ok := roster.IndexOf(server); ok {
 			states[i].Suspect, found = true, true
--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -127,6 +127,7 @@
 	report, err := p.g.backends.Report(ctx, address)
 	if err == nil {
 		p.g.checkIncarnation(server, address, report.StartTime)
+		p.g.observePace(server, report)
 	}
 	out := probeResult{at: time.Now(), outcome: probeDead, took: time.Since(began), err: err, startTime: report.StartTime}
 	switch {
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -48,6 +48,8 @@
 	Shares bool `json:"shares"`
 	// AnswerSize estimates the length of answers from callers' hints and from earlier answers.
 	AnswerSize bool `json:"answer_size"`
+	// ReportedPace avoids engines by how slow they report to be.
+	ReportedPace bool `json:"reported_pace"`
 	// ProbeByTraffic omits probes of servers that recent traffic shows to be alive.
 	ProbeByTraffic bool `json:"probe_by_traffic"`
 }
--- a/telemetry/catalogue.go
+++ b/telemetry/catalogue.go
@@ -98,6 +98,7 @@
 	{EventNoticeUnreadable, "notice_unreadable", logrus.ErrorLevel, "A notice of a daemon about a backend server or a content can't be encoded or decoded; each daemon has to detect the fact itself."},
 	{EventFeedGiven, "feed_given", logrus.InfoLevel, "Another daemon sent the rows of a feed, which were read from the store the given time ago; this daemon did not read the store."},
 	{EventBackendLimited, "backend_limited", logrus.InfoLevel, "This daemon received a rate limit of a backend server, which applies to all daemons together, or the notice that the limit was removed."},
+	{EventBackendPace, "backend_pace", logrus.InfoLevel, "A backend server reports to be slow, or not to be slow any more; the detail is the duration of its work relative to the usual one of its kind. Paths avoid it accordingly, and all gateways are told."},
 	{EventBackendRetryAfter, "backend_retry_after", logrus.InfoLevel, "A backend server turned a request away and asked this daemon for no further one for the given seconds."},
 	{EventBackendDeparting, "backend_departing", logrus.InfoLevel, "A backend server stated in an answer that it is leaving; this daemon sends it no new work."},
 	{EventHeaderUnreadable, "header_unreadable", logrus.WarnLevel, "A backend server, or the table service (store), sent a header field, named in the detail, whose value can't be parsed; the field is ignored."},
--- a/telemetry/events.go
+++ b/telemetry/events.go
@@ -117,6 +117,7 @@
 	EventNoticeUnreadable  Event = 1618
 	EventFeedGiven         Event = 1619
 	EventBackendLimited    Event = 1620
+	EventBackendPace       Event = 1625
 	EventBackendRetryAfter Event = 1621
 	EventBackendDeparting  Event = 1622
 	EventHeaderUnreadable  Event = 1623
