--- a/telemetry/events.go
+++ b/telemetry/events.go
@@ -117,11 +117,11 @@
 	EventNoticeUnreadable  Event = 1618
 	EventFeedGiven         Event = 1619
 	EventBackendLimited    Event = 1620
-	EventBackendPace       Event = 1625
 	EventBackendRetryAfter Event = 1621
 	EventBackendDeparting  Event = 1622
 	EventHeaderUnreadable  Event = 1623
 	EventHeaderUnknown     Event = 1624
+	EventBackendPace       Event = 1625
 	EventReplicaUp         Event = 1606
 	EventReplicaDown       Event = 1607
 	EventCacheEventsMissed Event = 1608
