shares: the property watches through the faults, with the transit that was drawn

Change: checked each 100 ms through the faults; pauses count as they were drawn. A spec weighs shares of all daemons against those of each daemon on its own.

--- a/coordination/shares/failure_test.go
+++ b/coordination/shares/failure_test.go
@@ -23,16 +23,16 @@
 	rounding = 100
 )
 
-// transit is the longest time that a use spends in messages on its way to a daemon's table.
-func (w *world) transit(pause time.Duration) time.Duration {
-	hops := 2 * shares.DepthFor(len(w.daemons), w.fanout)
-	return time.Duration(hops) * (w.delay + pause)
+// transit is the longest time that a use spends in messages on its way to a daemon's table, if no
+// daemon is paused.
+func (w *world) transit() time.Duration {
+	return time.Duration(2*shares.DepthFor(len(w.daemons), w.fanout)) * w.delay
 }
 
 // settleTime is how long after the last fault each daemon of a partition has a table of all of it.
 func (w *world) settleTime() time.Duration {
 	depth := time.Duration(shares.DepthFor(len(w.daemons), w.fanout))
-	return viewDelay + shares.Lease + depth*(shares.ReportInterval+shares.GatherTime) + w.transit(0)
+	return viewDelay + shares.Lease + depth*(shares.ReportInterval+shares.GatherTime) + w.transit()
 }
 
 // upperBound is the largest part of a customer's true use that daemons may count.
@@ -80,7 +80,9 @@
 	}},
 	{"pause", func(w *world, t *rapid.T) {
 		d := anyDaemon(w, t)
-		d.pausedUntil = later(d.pausedUntil, w.now.Add(time.Duration(rapid.Int64Range(0, int64(longestPause)).Draw(t, "pause"))))
+		pause := time.Duration(rapid.Int64Range(0, int64(longestPause)).Draw(t, "pause"))
+		d.pausedUntil = later(d.pausedUntil, w.now.Add(pause))
+		w.paused += pause
 	}},
 	{"restart", func(w *world, t *rapid.T) { restart(w, anyDaemon(w, t)) }},
 	{"restart all", func(w *world, _ *rapid.T) {
@@ -151,7 +153,7 @@
 		}
 	}
 	for c, used := range counted {
-		if bound := w.upperBound(c, w.transit(0)); used > bound {
+		if bound := w.upperBound(c, w.transit()); used > bound {
 			t.Fatalf("partitions count %.0f, more than %.0f", used, bound)
 		}
 		if least := w.lowerBound(c); used < least {
@@ -164,7 +166,7 @@
 // same since the last fault. Processes that ended in one are not counted.
 func (w *world) lowerBound(c shares.Customer) float64 {
 	hops := time.Duration(shares.DepthFor(len(w.daemons), w.fanout) + 1)
-	age := hops*(shares.ReportInterval+shares.GatherTime) + w.transit(0)
+	age := hops*(shares.ReportInterval+shares.GatherTime) + w.transit()
 	ended := math.Exp(-w.settleTime().Seconds() / shares.Window.Seconds())
 	return w.admitted[c].value(w.now)*math.Exp(-age.Seconds()/shares.Window.Seconds())*(1-ended) - rounding
 }
@@ -177,17 +179,17 @@
 			w := newWorld(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(1, 12).Draw(t, "daemons"), 2)
 			end := epoch.Add(15 * time.Second)
 			contendedLoad(w, t, end.Add(time.Minute))
-			slowest := w.transit(longestPause)
-			for range rapid.IntRange(0, 6).Draw(t, "faults") {
-				w.run(w.now.Add(time.Duration(rapid.IntRange(100, 3000).Draw(t, "after")) * time.Millisecond))
-				f := rapid.SampledFrom(faults).Draw(t, "fault")
-				f.apply(w, t)
-				slowest = max(slowest, w.transit(longestPause))
+			watch := func(until time.Time) {
+				for w.now.Before(until) {
+					w.run(w.now.Add(100 * time.Millisecond))
+					checkNeverMore(w, t, w.transit()+w.paused)
+				}
 			}
-			for w.now.Before(end) {
-				w.run(w.now.Add(250 * time.Millisecond))
-				checkNeverMore(w, t, slowest)
+			for range rapid.IntRange(0, 6).Draw(t, "faults") {
+				watch(w.now.Add(time.Duration(rapid.IntRange(1, 30).Draw(t, "after")) * 100 * time.Millisecond))
+				rapid.SampledFrom(faults).Draw(t, "fault").apply(w, t)
 			}
+			watch(end)
 			w.loss, w.delay = 0, 5*time.Millisecond
 			w.run(w.now.Add(longestPause + w.settleTime() + 200*time.Millisecond))
 			for range 8 {
--- a/coordination/shares/shares_test.go
+++ b/coordination/shares/shares_test.go
@@ -73,6 +73,36 @@
 		}
 	})
 
+	// Two customers have the same use; the callers of one are spread, those of the other use one daemon.
+	It("does not depend on where callers sit, as it does if each daemon is on its own", func() {
+		const daemons, spreadCustomer, localCustomer = 9, 50, 51
+		excessOf := func(alone bool) (spread, local float64) {
+			w := newWorld(16, daemons, 8)
+			for i, d := range w.daemons {
+				if alone {
+					d.group = i
+				}
+				w.load(epoch.Add(10*time.Second), 500*time.Millisecond, func() { w.mark(d) })
+				w.load(epoch.Add(10*time.Second), 90*time.Millisecond, func() {
+					w.charge(d, customer(w.rng.IntN(10)), requestTokens)
+					w.charge(d, customer(spreadCustomer), requestTokens)
+				})
+			}
+			w.load(epoch.Add(10*time.Second), 10*time.Millisecond, func() { w.charge(w.daemons[0], customer(localCustomer), requestTokens) })
+			w.updateMembers()
+			w.run(epoch.Add(9 * time.Second))
+			for _, d := range w.daemons {
+				spread += d.machine.Excess(w.now, model, customer(spreadCustomer)) / daemons
+			}
+			return spread, w.daemons[0].machine.Excess(w.now, model, customer(localCustomer))
+		}
+		spread, local := excessOf(false)
+		GinkgoWriter.Printf("all daemons: spread %.2f, at one daemon %.2f\n", spread, local)
+		Expect(local).To(BeNumerically("~", spread, 0.2))
+		spread, local = excessOf(true)
+		GinkgoWriter.Printf("each daemon on its own: spread %.2f, at one daemon %.2f\n", spread, local)
+	})
+
 	It("is known to all daemons within 3 s of the overload", func() {
 		w := newWorld(3, 70, 8)
 		largeBesideSmall(w, 10*time.Second, func() *daemon { return w.daemons[w.rng.IntN(70)] })
--- a/coordination/shares/world_test.go
+++ b/coordination/shares/world_test.go
@@ -29,6 +29,7 @@
 	delay    time.Duration // the longest delay of a message
 	loss     float64       // probability that a message is lost
 	twice    float64       // probability that a message is delivered twice
+	paused   time.Duration // all pauses of daemons together
 	admitted map[shares.Customer]*total
 	standing []shares.StandingChanged
 }
