gateway: customers' shares over all gateways, switched by Contention.Shares

Cause: coordination/shares was not used. Without the setting nothing is counted or sent. Admission does not call it yet. Ruled out: gauges by customer, whose labels would grow with all customers that were ever large. Conclusion: whole but for the calls from admission.

--- a/cmd/hibiscusctl/inspect.go
+++ b/cmd/hibiscusctl/inspect.go
@@ -108,6 +108,19 @@
 		printf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%.0f\t%.0f\t%d\n", r.ID, r.Address, r.Domain, r.Kind, r.Layers, serverState(r), r.Requests, r.ReservedTokens, r.CapacityTokens)
 	}
 	_ = w.Flush()
+	if s.Shares != nil {
+		printShares(out, s.Shares)
+	}
+}
+
+func printShares(out io.Writer, s *gateway.ShareStatus) {
+	printf(out, "contended %t; %.0f tokens admitted lately at %d daemons, %.1f s ago; share %.0f\n", s.Contended, s.Total, s.Daemons, s.AgeSeconds, s.Share)
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	printf(w, "CUSTOMER\tUSED\tSHARE\tEXCESS\n")
+	for _, c := range s.Customers {
+		printf(w, "%s\t%.0f\t%.0f\t%.2f\n", c.Customer, c.Used, c.Share, c.Excess)
+	}
+	_ = w.Flush()
 }
 
 func serverState(s *gateway.ServerStatus) string {
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -97,6 +97,7 @@
 	c.assignment.tick()
 	c.permits.tick()
 	c.retries.tick()
+	c.g.shares.tick(c)
 	c.gauges.tick()
 	c.publish()
 }
@@ -120,7 +121,7 @@
 	next := c.now.Add(10 * tickInterval)
 	for _, t := range []time.Time{
 		c.members.nextTick(), c.assignment.nextTick(), c.configFeed.machine.NextTick(c.now), c.serverFeed.machine.NextTick(c.now),
-		c.listing.nextTick(), c.permits.nextTick(), c.retries.nextTick(),
+		c.listing.nextTick(), c.permits.nextTick(), c.retries.nextTick(), c.g.shares.nextTick(),
 	} {
 		if !t.IsZero() {
 			next = earlier(next, t)
--- a/gateway/fake_test.go
+++ b/gateway/fake_test.go
@@ -329,6 +329,7 @@
 	leases     *memTable
 	gateway    *gateway.Gateway
 	grace      time.Duration
+	contention gateway.Contention // settings of the gateways that are started from now on
 	log        *telemetry.Log
 }
 
@@ -373,7 +374,7 @@
 	create := func() (*gateway.Gateway, error) {
 		return gateway.New(gateway.Settings{
 			ID: id, Domain: "a", CallerAddress: "front-" + string(id), PeerAddress: freeAddress(), DrainTimeout: h.grace,
-			AddressTTL: 5 * time.Second, BudgetRatio: 0.2, BudgetWindow: 10 * time.Second, BudgetSlack: 100,
+			AddressTTL: 5 * time.Second, BudgetRatio: 0.2, BudgetWindow: 10 * time.Second, BudgetSlack: 100, Contention: h.contention,
 		}, gateway.Site{Configs: configs, Servers: servers, Members: h.members, Leases: h.leases},
 			backends, h.log, telemetry.NewMetrics())
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -52,6 +52,7 @@
 	shared *sharedState
 	prober *prober
 	reach  *reachChecker
+	shares *sharesState
 	// endedRuns, endedParts and clearedContents are to be told to the other daemons.
 	endedRuns       *batch[endedRun]
 	endedParts      *batch[endedPartRun]
@@ -96,6 +97,7 @@
 	g.settings.Store(&set)
 	g.prober = newProber(g)
 	g.reach = newReachChecker(g)
+	g.shares = newSharesState(g)
 	g.endedRuns = &batch[endedRun]{delay: endNoticeDelay, flush: g.broadcastEnds}
 	g.endedParts = &batch[endedPartRun]{delay: endNoticeDelay, flush: g.broadcastParts}
 	g.clearedContents = &batch[crashes.Fingerprint]{delay: clearNoticeDelay, flush: g.broadcastCleared}
--- a/gateway/gauges.go
+++ b/gateway/gauges.go
@@ -46,6 +46,7 @@
 		m.SetService(telemetry.RetriesLeft, id, float64(retries))
 		if svc.Engine != nil {
 			m.SetService(telemetry.RoomUsed, id, used)
+			gs.c.g.shares.setGauges(gs.c.now, id)
 			uncovered += layerCoverage(svc.Engine, v.servers[id]).Missing()
 		}
 	}
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -11,6 +11,7 @@
 	"github.com/hibiscuswick/hibiscuswick/coordination/membership"
 	"github.com/hibiscuswick/hibiscuswick/coordination/permits"
 	"github.com/hibiscuswick/hibiscuswick/coordination/reach"
+	"github.com/hibiscuswick/hibiscuswick/coordination/shares"
 	"github.com/hibiscuswick/hibiscuswick/coordination/suspect"
 	"github.com/hibiscuswick/hibiscuswick/protocol/peer"
 	"github.com/hibiscuswick/hibiscuswick/protocol/site"
@@ -54,6 +55,9 @@
 	kindReachNotice   peer.Kind = 1900
 	kindReachRequest  peer.Kind = 1901
 	kindReachResponse peer.Kind = 1902
+	kindShareReport   peer.Kind = 2000
+	kindShareTable    peer.Kind = 2001
+	kindContention    peer.Kind = 2002
 )
 
 // newRegistry registers every message between gateways.
@@ -79,6 +83,9 @@
 	peer.Register[reach.Notice](r, kindReachNotice)
 	peer.Register[reachRequest](r, kindReachRequest)
 	peer.Register[reachResponse](r, kindReachResponse)
+	peer.Register[shares.Report](r, kindShareReport)
+	peer.Register[shares.Table](r, kindShareTable)
+	peer.Register[shares.ContentionNotice](r, kindContention)
 	return r
 }
 
@@ -342,6 +349,8 @@
 		g.control.post(func() { g.control.permits.step(permits.MessageReceived{From: from.ID, Msg: m}) })
 	case following.Announcement:
 		g.control.post(func() { g.control.handleAnnouncement(m) })
+	case shares.Message:
+		g.control.post(func() { g.shares.step(g.control.now, shares.Received{From: from, Msg: m}) })
 	case crashes.TurnRelease:
 		g.endTurn(time.Now(), from.ID, m)
 	}
--- a/gateway/notice.go
+++ b/gateway/notice.go
@@ -11,6 +11,7 @@
 	"github.com/hibiscuswick/hibiscuswick/coordination/membership"
 	"github.com/hibiscuswick/hibiscuswick/coordination/permits"
 	"github.com/hibiscuswick/hibiscuswick/coordination/reach"
+	"github.com/hibiscuswick/hibiscuswick/coordination/shares"
 	"github.com/hibiscuswick/hibiscuswick/coordination/suspect"
 	"github.com/hibiscuswick/hibiscuswick/protocol/peer"
 	"github.com/hibiscuswick/hibiscuswick/telemetry"
@@ -18,7 +19,7 @@
 
 // Notices are findings of one daemon about a server or a request's content that all daemons
 // need: suspect.OutdatedNotice, suspect.RefusalNotice, suspect.LeavingNotice,
-// permits.LimitNotice, reach.Notice, crashes.EndNotice, crashes.PartsNotice and crashes.ClearNotice. They are spread as
+// permits.LimitNotice, reach.Notice, shares.ContentionNotice, crashes.EndNotice, crashes.PartsNotice and crashes.ClearNotice. They are spread as
 // facts of the membership: each daemon sends to a few neighbors, whatever the number of daemons,
 // and a daemon that misses a message gets it from another one.
 
@@ -88,6 +89,8 @@
 		g.control.permits.step(permits.LimitReceived{LimitNotice: m, At: at})
 	case reach.Notice:
 		g.reach.receive(at, f.Reporter, m)
+	case shares.ContentionNotice:
+		g.shares.step(now, shares.NoticeReceived{ContentionNotice: m, At: at})
 	case crashes.EndNotice:
 		g.shared.implicate(at.Add(-m.Age()), m.Server, m.Runs()...)
 	case crashes.ClearNotice:
--- a/gateway/status.go
+++ b/gateway/status.go
@@ -62,6 +62,7 @@
 	RetriesLeft     int                   `json:"retries_left"`     // of this gateway's share of the budget
 	Servers         []ServerStatus        `json:"servers"`
 	LayerCopies     map[string]int        `json:"copies,omitempty"` // number of copies of each range of layers, by "FROM-TO"
+	Shares          *ShareStatus          `json:"shares,omitempty"` // how customers stand while the service is contended
 }
 
 // ServerStatus is one backend server as seen by this gateway.
@@ -113,6 +114,9 @@
 		})
 	}
 	s.Services = g.shared.services(now, v)
+	for i := range s.Services {
+		s.Services[i].Shares = g.shares.status(now, s.Services[i].ID)
+	}
 	return s, nil
 }
 
--- a/telemetry/counter.go
+++ b/telemetry/counter.go
@@ -69,6 +69,7 @@
 	GatewayAnnouncementsTotal  Name = "gateway_announcements_total"
 	GatewayBrokenCallsTotal    Name = "gateway_broken_calls_total"
 	GatewayFeedSkippedTotal    Name = "gateway_feed_skipped_total"
+	GatewaySharesTotal         Name = "gateway_shares_total"
 )
 
 // Metrics of the HTTP front, which creates them in the scope returned by Metrics.Scope.
@@ -103,6 +104,9 @@
 	RetriesLeft     Name = "retries_left"
 	RoomUsed        Name = "room_used"
 	ProcessMemory   Name = "process_memory_bytes"
+	ShareInForce    Name = "share_in_force"
+	ShareUsed       Name = "share_used"
+	CustomersOver   Name = "customers_over_share"
 )
 
 // Histograms, in seconds.
@@ -126,6 +130,7 @@
 	LabelFault   Label = "fault"
 	LabelService Label = "service"
 	LabelClass   Label = "class"
+	LabelPlace   Label = "place"
 )
 
 // Metric describes a metric.
@@ -146,6 +151,7 @@
 	byFault   = []Label{LabelFault}
 	byService = []Label{LabelService}
 	byClass   = []Label{LabelService, LabelClass}
+	byPlace   = []Label{LabelService, LabelPlace}
 )
 
 var metrics = []Metric{
@@ -202,6 +208,7 @@
 	{GatewayAnnouncementsTotal, KindCounter, byReason, "Announcements received from the daemons that follow the store, by whether they were new or duplicates."},
 	{GatewayBrokenCallsTotal, KindCounter, byReason, "Calls to backend servers that broke off, by the part of the answer that had arrived (before_header, in_body, before_event, after_event) and by what a probe then showed of the server."},
 	{GatewayFeedSkippedTotal, KindCounter, byReason, "Rows (row) and answers of the table service (answer) that were not applied because their revision is not newer than what is known of the feed."},
+	{GatewaySharesTotal, KindCounter, byReason, "Customers that began to exceed their share of a contended service (over) or returned within it (within), and messages about the use of services that this gateway sent (sent)."},
 	{ControlMicrosecondsTotal, KindCounter, nil, "CPU time of the control goroutine, in microseconds."},
 
 	{ActiveRequests, KindGauge, nil, "Requests in flight at this daemon."},
@@ -223,6 +230,9 @@
 	{RetriesLeft, KindGauge, byService, "Retries that remain in this gateway's share of the budget."},
 	{RoomUsed, KindGauge, byService, "Share of the engines' KV-cache capacity that this gateway's requests occupy, times the number of live gateways."},
 	{ProcessMemory, KindGauge, nil, "Memory obtained from the operating system, in bytes."},
+	{ShareInForce, KindGauge, byService, "Tokens that a customer may have of a contended service, over all gateways, decayed over 4 s; 0 while it is not contended."},
+	{ShareUsed, KindGauge, byPlace, "Tokens that were admitted lately for the customer with the largest use of a contended service (place 1) to the tenth largest, over all gateways."},
+	{CustomersOver, KindGauge, byService, "Customers that exceed their share of a contended service, among those that the table lists."},
 	{Isolated, KindGauge, nil, "1 while the daemon can't verify that its documents are current."},
 
 	{FrontRefused, KindCounter, nil, "Requests that the HTTP front itself rejected as malformed or above one of its limits."},
--- a/telemetry/events.go
+++ b/telemetry/events.go
@@ -71,6 +71,9 @@
 	EventPartRefused        Event = 1331
 	EventRetryLate          Event = 1332
 	EventRetryRecords       Event = 1333
+	// 1350 to 1354: customers' shares.
+	EventCustomerOverShare   Event = 1350
+	EventCustomerWithinShare Event = 1351
 )
 
 // Events of the store.
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -223,6 +223,12 @@
 	m.serviceScope(service).Gauge(string(name)).Update(v)
 }
 
+// SetPlace sets a gauge that has the labels "service" and "place".
+func (m *Metrics) SetPlace(name Name, service state.ServiceID, place string, v float64) {
+	tags := map[string]string{string(LabelService): string(service), string(LabelPlace): place}
+	m.scope.Tagged(tags).Gauge(string(name)).Update(v)
+}
+
 // SetClass sets a gauge that has the labels "service" and "class".
 func (m *Metrics) SetClass(name Name, service state.ServiceID, class state.ClassID, v float64) {
 	m.classScope(service, class).Gauge(string(name)).Update(v)
