--- a/gateway/overload.go
+++ b/gateway/overload.go
@@ -19,8 +19,9 @@
 	class      urgency.Class
 	stream     overload.Stream
 	arrived    time.Time
-	counted    bool // the stream is part of the demand
-	enforced   bool // the stream may be turned away
+	counted    bool    // the stream is part of the demand
+	enforced   bool    // the stream may be turned away
+	tokens     float64 // expected size of the stream
 	prediction pathing.Prediction
 	outlook    overload.Outlook
 	reason     overload.Reason // why it was turned away; Admitted if it was not
@@ -39,10 +40,12 @@
 	if !r.view.scaleOf(r.service.ID).Contended() {
 		return nil
 	}
+	stream := overload.Stream{FirstTarget: r.route.Target, PauseTarget: r.route.Gap}
+	stream.Excess = r.g.shares.excess(time.Now(), r.service.ID, r.customer.ID)
 	return &streamAdmission{
 		service:  r.service.ID,
 		class:    r.class(),
-		stream:   overload.Stream{FirstTarget: r.route.Target, PauseTarget: r.route.Gap},
+		stream:   stream,
 		arrived:  r.req.Arrived,
 		enforced: r.retrier.NeverRan() && !r.headSent,
 	}
@@ -60,6 +63,7 @@
 		a.counted = true
 	}
 	a.stream.MoreUrgent = demand.MoreUrgent(now, a.class)
+	a.tokens = req.ExpectedTokens()
 	a.prediction = roster.Predict(req, states, path)
 	a.outlook = model.Outlook(now, a.prediction)
 	a.reason = overload.Admitted
@@ -121,9 +125,18 @@
 		a.outlook.Pause.Round(time.Millisecond), a.stream.PauseTarget, a.outlook.KVShare)
 }
 
+// chargeShare charges the request's customer for a stream that starts.
+func (r *requestHandler) chargeShare(tokens float64) {
+	if r.admission != nil && r.admission.enforced {
+		r.g.shares.charge(time.Now(), r.service.ID, r.customer.ID, tokens)
+	}
+}
+
 // overloadResult is the result of a stream that was turned away.
 func (r *requestHandler) overloadResult() Result {
-	a := r.search.admission
+	a, now := r.search.admission, time.Now()
+	r.g.shares.markContended(now, a.service)
+	r.g.shares.reject(now, a.service, r.customer.ID, a.tokens)
 	r.g.metrics.CountReason(telemetry.GatewayTurnedAwayTotal, string(a.reason))
 	r.g.log.Emit(telemetry.EventStreamTurnedAway, telemetry.Request(r.req.ID), telemetry.Service(a.service),
 		telemetry.Detail(a.explain()), telemetry.Duration(a.retryAfter))
--- a/gateway/path.go
+++ b/gateway/path.go
@@ -41,6 +41,7 @@
 		panic("gateway: path does not contain each layer exactly once")
 	}
 	r.admission = decision
+	r.chargeShare(pathReq.ExpectedTokens())
 	r.address, r.path = path[0].Address, path
 	r.logSent(path.String())
 	call := r.newCall(path[0].Server, path[0].Address)
