gateway: waiting requests try in the order of the queue of their service, with the setting contention.queue

Ruled out: a queue of its own for paths and one for plain servers (both go through waitFor; the try and the reasons not to wait on are shared with the poll). Change: a request that finds no server, or others before it, joins its service's queue; a released path or server, a published view, a permit, a server that answers again and the end of a refusal's check wake the first in the order; callers that are told to return keep their place. Events 1345 and 1346, counter, gauge by class, histogram. Off without the setting: the poll as before.

--- a/coordination/admission/wait.go
+++ b/coordination/admission/wait.go
@@ -56,6 +56,14 @@
 	return r.Count >= maxRejections && !r.BackoffElapsed(now)
 }
 
+// RetryAt returns when the servers that had no capacity may be tried again, or zero if there are none.
+func (r Rejections) RetryAt() time.Time {
+	if r.Count == 0 {
+		return time.Time{}
+	}
+	return r.Last.Add(retryPause)
+}
+
 // BackoffElapsed reports whether the servers that had no capacity may be tried again.
 func (r Rejections) BackoffElapsed(now time.Time) bool {
 	return r.Count > 0 && !now.Before(r.Last.Add(retryPause))
--- a/coordination/permits/permits.go
+++ b/coordination/permits/permits.go
@@ -28,6 +28,7 @@
 	servers     map[state.BackendIncarnation]*server
 	out         []Action
 	now         time.Time
+	changes     uint64
 }
 
 // server is the state of one server that has declared a limit.
@@ -49,6 +50,10 @@
 	return &Limiter{servers: make(map[state.BackendIncarnation]*server)}
 }
 
+// Changes counts the changes of limits and the answers of owners: after each of them a request may get
+// a permit that got none before.
+func (l *Limiter) Changes() uint64 { return l.changes }
+
 // Step processes an event and returns the resulting actions.
 func (l *Limiter) Step(now time.Time, ev Event) []Action {
 	l.now, l.out = now, nil
@@ -170,6 +175,7 @@
 	}
 	s.issuer.refill(l.now, l.rate(s))
 	s.limit = limit
+	l.changes++
 	if !limit.Named {
 		s.holder, s.issuer = holder{waiting: s.holder.waiting}, issuer{levelAt: l.now}
 	}
@@ -187,6 +193,7 @@
 		l.updateLimit(s, m.Known.Limit, l.now.Add(-m.Known.Age))
 		if s.limit.Named {
 			s.holder.applyGrant(l.now, m, l.ttl(s))
+			l.changes++
 		}
 	}
 }
--- a/coordination/urgency/urgency.go
+++ b/coordination/urgency/urgency.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 
 	"github.com/samber/lo"
@@ -33,6 +34,9 @@
 	return cmp.Or(cmp.Compare(c.Customer, other.Customer), cmp.Compare(c.Route, other.Route))
 }
 
+// String returns both ranks, the customer's first.
+func (c Class) String() string { return fmt.Sprintf("%d.%d", c.Customer, c.Route) }
+
 // serverRanks is the number of ranks that backend servers distinguish; 0 is the most urgent.
 const serverRanks = 10
 
--- a/coordination/waitqueue/wake.go
+++ b/coordination/waitqueue/wake.go
@@ -37,14 +37,7 @@
 // happened for long. It returns the waiter that is to try now, or nil.
 func (q *Queue) Poll(now time.Time, w *Waiter) *Waiter {
 	switch w.state {
-	case limited:
-		// A permit that becomes available goes to the first one in the order.
-		for _, other := range append([]*Waiter(nil), q.asides.items...) {
-			if other.state == limited {
-				q.setState(other, ready)
-			}
-		}
-	case parked:
+	case limited, parked:
 		q.setState(w, ready)
 	default:
 		if now.Sub(q.triedAt) < q.cfg.FallbackInterval {
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -139,7 +139,11 @@
 	}
 	c.changed = false
 	v := c.view
-	c.g.currentView.Store(&v)
+	former := c.g.currentView.Swap(&v)
+	if v.config != nil && v.config != former.config {
+		c.g.waits.reclassify(&v)
+	}
+	c.g.waits.changed()
 	if v.known() {
 		c.knownOnce.Do(func() { close(c.known) })
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -59,6 +59,7 @@
 	// loggedHeaders are the header fields of servers that were logged as unknown or unreadable.
 	loggedHeaders headerLog
 	running       runClock
+	waits         *waitQueues
 	control       *control
 	currentView   atomic.Pointer[view]
 	node          *peer.Node
@@ -90,6 +91,7 @@
 		metrics:   metrics,
 		messages:  newRegistry(),
 		shared:    newSharedState(set),
+		waits:     newWaitQueues(),
 		startedAt: time.Now(),
 		done:      make(chan struct{}),
 	}
--- a/gateway/gauges.go
+++ b/gateway/gauges.go
@@ -4,6 +4,8 @@
 	rtmetrics "runtime/metrics"
 	"time"
 
+	"github.com/hibiscuswick/hibiscuswick/coordination/urgency"
+	"github.com/hibiscuswick/hibiscuswick/state"
 	"github.com/hibiscuswick/hibiscuswick/state/fleet"
 	"github.com/hibiscuswick/hibiscuswick/telemetry"
 )
@@ -13,8 +15,9 @@
 
 // gauges periodically updates the gauges of the current state.
 type gauges struct {
-	c    *control
-	next time.Time
+	c       *control
+	next    time.Time
+	waiting map[state.ServiceID]map[urgency.Class]bool // classes whose gauges were set
 }
 
 func (gs *gauges) tick() {
@@ -31,6 +34,7 @@
 	m.Set(telemetry.ConfigAge, gs.c.configFeed.machine.Age(gs.c.now).Seconds())
 	m.Set(telemetry.ServersAge, gs.c.serverFeed.machine.Age(gs.c.now).Seconds())
 	m.Set(telemetry.WaitingRequests, float64(gs.c.g.waitingRequests.Load()))
+	gs.setWaiting()
 	m.Set(telemetry.ProcessMemory, processMemory())
 	if v.config != nil {
 		m.Set(telemetry.ConfigVersion, float64(v.config.Version))
@@ -52,6 +56,26 @@
 	m.Set(telemetry.UncoveredLayers, float64(uncovered))
 }
 
+// setWaiting sets the gauges of waiting requests, also of classes that have none any more.
+func (gs *gauges) setWaiting() {
+	counts := gs.c.g.waits.counts()
+	for service, classes := range gs.waiting {
+		for class := range classes {
+			if counts[service][class] == 0 {
+				gs.c.g.metrics.SetClass(telemetry.WaitingByClass, service, classLabel(class), 0)
+			}
+		}
+	}
+	gs.waiting = make(map[state.ServiceID]map[urgency.Class]bool, len(counts))
+	for service, classes := range counts {
+		gs.waiting[service] = make(map[urgency.Class]bool, len(classes))
+		for class, n := range classes {
+			gs.waiting[service][class] = true
+			gs.c.g.metrics.SetClass(telemetry.WaitingByClass, service, classLabel(class), float64(n))
+		}
+	}
+}
+
 // layerCoverage counts the usable servers that hold each layer.
 func layerCoverage(e *fleet.Engine, servers []fleet.Server) fleet.Cover {
 	c := fleet.NewCover(e.Layers)
--- a/gateway/path.go
+++ b/gateway/path.go
@@ -16,7 +16,7 @@
 
 // attemptPath sends the request along a path of engines.
 func (r *requestHandler) attemptPath(ctx context.Context) (relay.Outcome, Result) {
-	pathReq := pathing.Request{Domain: r.g.currentSettings().Domain, PromptTokens: r.req.PromptTokens, MaxTokens: r.req.MaxAnswerTokens}
+	pathReq := r.pathRequest()
 	if hops, exhausted := r.retrier.Exhausted(); exhausted {
 		pathReq.FirstHops = hops
 	}
@@ -28,12 +28,12 @@
 		return r.chooseWithTurns(ctx, func() bool {
 			path, ok = r.g.shared.choosePath(time.Now(), r.view, r.service, pathReq, r.excluded, &r.search)
 			return ok
-		}, func() { r.g.shared.releasePath(path, pathReq.ExpectedTokens()) })
+		}, func() { r.releasePath(path, pathReq.ExpectedTokens()) })
 	})
 	if !found {
 		return r.notChosenResult(admission.Uncovered)
 	}
-	defer r.g.shared.releasePath(path, pathReq.ExpectedTokens())
+	defer r.releasePath(path, pathReq.ExpectedTokens())
 	defer r.endAssignment(false)
 	if !path.Complete(r.service.Engine.Layers) {
 		panic("gateway: path does not contain each layer exactly once")
@@ -67,6 +67,17 @@
 	return r.handlePathAnswer(cancel, path, answer)
 }
 
+// pathRequest returns what the choice of a path needs to know of the request.
+func (r *requestHandler) pathRequest() pathing.Request {
+	return pathing.Request{Domain: r.g.currentSettings().Domain, PromptTokens: r.req.PromptTokens, MaxTokens: r.req.MaxAnswerTokens}
+}
+
+// releasePath ends the request's load on a path.
+func (r *requestHandler) releasePath(path fleet.Path, tokens float64) {
+	r.g.shared.releasePath(path, tokens)
+	r.g.waits.released(r.service.ID)
+}
+
 // handlePathAnswer delivers an engine's answer to the caller.
 func (r *requestHandler) handlePathAnswer(cancel context.CancelFunc, path fleet.Path, answer *backend.Answer) (relay.Outcome, Result) {
 	if answer.NotRun {
--- a/gateway/permits.go
+++ b/gateway/permits.go
@@ -72,7 +72,11 @@
 
 // step passes an event to the limiter and performs the resulting actions.
 func (s *permitsState) step(ev permits.Event) {
-	s.perform(s.c.g.shared.stepPermits(s.c.now, ev))
+	actions, changed := s.c.g.shared.stepPermits(s.c.now, ev)
+	if changed {
+		s.c.g.waits.changed()
+	}
+	s.perform(actions)
 }
 
 func (s *permitsState) perform(actions []permits.Action) {
@@ -109,8 +113,12 @@
 	if a.LimitUnreadable || !a.Limit.Named && (!a.Signed || a.NotRun) {
 		return
 	}
-	actions, limited := g.shared.observeLimit(permits.LimitObserved{Server: server, Limit: a.Limit, Sent: sent})
-	if limited {
+	event := permits.LimitObserved{Server: server, Limit: a.Limit, Sent: sent}
+	actions, changed := g.shared.stepPermits(time.Now(), event)
+	if changed {
+		g.waits.changed()
+	}
+	if g.shared.isLimited(server) {
 		g.metrics.CountReason(telemetry.GatewayLimitedTotal, limitedSent)
 	}
 	if len(actions) > 0 {
@@ -127,10 +135,14 @@
 	g.control.post(func() { g.control.permits.step(permits.Tick{}) })
 }
 
-func (s *sharedState) stepPermits(now time.Time, ev permits.Event) []permits.Action {
+// stepPermits passes an event to the limiter. changed reports whether requests may get a permit that
+// got none before.
+func (s *sharedState) stepPermits(now time.Time, ev permits.Event) (actions []permits.Action, changed bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.permits.Step(now, ev)
+	before := s.permits.Changes()
+	actions = s.permits.Step(now, ev)
+	return actions, s.permits.Changes() != before
 }
 
 func (s *sharedState) nextPermitsTick(now time.Time) time.Time {
@@ -139,11 +151,9 @@
 	return s.permits.NextTick(now)
 }
 
-// observeLimit passes the limit of an answer to the limiter. It also returns whether the
-// server is limited.
-func (s *sharedState) observeLimit(h permits.LimitObserved) ([]permits.Action, bool) {
+// isLimited reports whether a server names a limit.
+func (s *sharedState) isLimited(server state.BackendIncarnation) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	actions := s.permits.Step(time.Now(), h)
-	return actions, s.permits.Limited(h.Server)
+	return s.permits.Limited(server)
 }
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -10,6 +10,7 @@
 	"github.com/hibiscuswick/hibiscuswick/coordination/admission"
 	"github.com/hibiscuswick/hibiscuswick/coordination/relay"
 	"github.com/hibiscuswick/hibiscuswick/protocol/backend"
+	"github.com/hibiscuswick/hibiscuswick/state"
 	"github.com/hibiscuswick/hibiscuswick/state/fleet"
 )
 
@@ -24,12 +25,12 @@
 		return r.chooseWithTurns(ctx, func() bool {
 			server, ok = r.g.shared.pickServer(time.Now(), r.view, r.service.ID, r.g.currentSettings().Domain, r.excluded, &r.search)
 			return ok
-		}, func() { r.g.shared.releaseServer(server.Incarnation()) })
+		}, func() { r.releaseServer(server.Incarnation()) })
 	})
 	if !found {
 		return r.notChosenResult(admission.Busy)
 	}
-	defer r.g.shared.releaseServer(server.Incarnation())
+	defer r.releaseServer(server.Incarnation())
 	defer r.endAssignment(false)
 	r.address = server.Address
 	r.path = fleet.Path{{Server: server.Incarnation(), Address: server.Address}}
@@ -52,6 +53,12 @@
 	return r.handlePlainAnswer(server.Address, answer)
 }
 
+// releaseServer ends the request's load on a plain server.
+func (r *requestHandler) releaseServer(server state.BackendIncarnation) {
+	r.g.shared.releaseServer(server)
+	r.g.waits.released(r.service.ID)
+}
+
 // handlePlainAnswer delivers a plain server's answer to the caller.
 func (r *requestHandler) handlePlainAnswer(address string, answer *backend.Answer) (relay.Outcome, Result) {
 	if answer.NotRun {
--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -237,15 +237,21 @@
 			case <-time.After(reprobeInterval(p.g.currentView.Load().live)):
 			}
 			if p.probe(h.Server, h.Address).outcome == probeAlive {
-				p.g.shared.clearDead(h.Address)
+				p.g.clearDead(h.Address)
 				p.g.log.Emit(telemetry.EventBackendRecovered, telemetry.Backend(h.Server.ID), telemetry.Address(h.Address))
 				return
 			}
 		}
-		p.g.shared.clearDead(h.Address)
+		p.g.clearDead(h.Address)
 	}()
 }
 
+// clearDead reverts markDead: the server may be used again.
+func (g *Gateway) clearDead(address string) {
+	g.shared.clearDead(address)
+	g.waits.changed()
+}
+
 // reprobeInterval is how often each of some daemons probes a dead server again.
 //
 // Guard (probes-kept-alone): each daemon that had streams through a server probes it until
--- a/gateway/refusal.go
+++ b/gateway/refusal.go
@@ -37,10 +37,10 @@
 	}
 	time.AfterFunc(refusalCheckDelay, func() {
 		if r.g.checkRefusal(r, hop) {
-			r.g.shared.endRefusalCheck(address)
+			r.g.endRefusalCheck(address)
 			return
 		}
-		time.AfterFunc(refusalCheckInterval, func() { r.g.shared.endRefusalCheck(address) })
+		time.AfterFunc(refusalCheckInterval, func() { r.g.endRefusalCheck(address) })
 	})
 }
 
@@ -105,6 +105,12 @@
 	return true
 }
 
+// endRefusalCheck ends the check of a server, which may be free again.
+func (g *Gateway) endRefusalCheck(address string) {
+	g.shared.endRefusalCheck(address)
+	g.waits.changed()
+}
+
 // endRefusalCheck ends the check that startRefusalCheck began.
 func (s *sharedState) endRefusalCheck(address string) {
 	s.mu.Lock()
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -12,6 +12,7 @@
 	"github.com/hibiscuswick/hibiscuswick/coordination/crashes"
 	"github.com/hibiscuswick/hibiscuswick/coordination/relay"
 	"github.com/hibiscuswick/hibiscuswick/coordination/urgency"
+	"github.com/hibiscuswick/hibiscuswick/coordination/waitqueue"
 	"github.com/hibiscuswick/hibiscuswick/protocol/backend"
 	"github.com/hibiscuswick/hibiscuswick/state"
 	"github.com/hibiscuswick/hibiscuswick/state/fleet"
@@ -24,6 +25,9 @@
 // reasonCrashes is the reason for failing requests whose content has crashed servers.
 const reasonCrashes relay.Reason = "crashes_servers"
 
+// reasonDraining is the reason for refusing requests during a planned stop.
+const reasonDraining relay.Reason = "draining"
+
 // requestHandler is the state of one request in flight.
 type requestHandler struct {
 	g            *Gateway
@@ -58,6 +62,11 @@
 	triedParts    atomic.Bool    // a server has ended under the request as it held the turn of a suspected part
 	heldBack      bool           // the current attempt was not sent because of what its content has done
 	failure       *serverFailure // the last one, or nil
+	// place is when the request's caller first arrived, as far as it is known; zero before its first
+	// attempt. returnKey identifies the caller when it returns.
+	place     time.Time
+	returnKey uint64
+	rejection *waitqueue.Rejection // why the request may not wait for a server, or nil
 }
 
 // Serve writes the answer to a request to reply, or returns a result from which the caller
@@ -67,6 +76,7 @@
 	g.activeRequests.Add(1)
 	defer g.activeRequests.Add(-1)
 	result := r.serve(ctx)
+	r.rememberRefusal(result)
 	r.recordMetrics(result)
 	r.logEnd(result)
 	return result
@@ -84,7 +94,7 @@
 		return res
 	}
 	if accepted, why := r.g.acceptsStream(r.req.Arrived); r.route.Stream && !accepted {
-		return refusedResult("draining", why)
+		return refusedResult(reasonDraining, why)
 	}
 	r.setDeadline()
 	r.retrier = relay.Retrier{
@@ -286,13 +296,13 @@
 		return 0, r.forwardAnswer(r.failure.answer, r.failure.body)
 	}
 	if r.retrier.NeverRan() && !r.headSent {
-		if !r.search.availableAt.IsZero() {
+		if !r.search.availableAt.IsZero() && r.rejection == nil {
 			return 0, r.retryAfterResult()
 		}
-		if r.search.permit.lacking {
+		if r.search.permit.lacking && r.rejection == nil {
 			return 0, r.rateLimitedResult()
 		}
-		return 0, refusedResult(relay.ReasonNoServer, why)
+		return 0, r.unservedResult(why)
 	}
 	return 0, r.failedResult(relay.ReasonNoServer)
 }
--- a/gateway/serversearch.go
+++ b/gateway/serversearch.go
@@ -113,9 +113,14 @@
 	if r.search.assignment == (availability.Assignment{}) {
 		return
 	}
-	r.g.shared.mu.Lock()
-	defer r.g.shared.mu.Unlock()
-	r.g.shared.availability.End(time.Now(), &r.search.assignment, accepted)
+	r.g.shared.endAssignment(&r.search.assignment, accepted)
+	r.g.waits.released(r.service.ID)
+}
+
+func (s *sharedState) endAssignment(a *availability.Assignment, accepted bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.availability.End(time.Now(), a, accepted)
 }
 
 // retryAfterExceeds reports whether all servers that could take a request want none before
--- a/gateway/wait.go
+++ b/gateway/wait.go
@@ -16,14 +16,15 @@
 	permitPollInterval = 3 * time.Millisecond
 )
 
-// waitFor repeats try until it succeeds, for as long as the request may wait. It does not wait
-// for a permit that will not come in time, nor for servers that want no request until later.
+// waitFor repeats try until it succeeds, for as long as the request may wait: in the order of the
+// queue of its service, or at intervals without Contention.Queue. It does not wait for a permit that
+// will not come in time, nor for servers that want no request until later.
 func (r *requestHandler) waitFor(ctx context.Context, try func() bool) bool {
 	waiting := admission.WaitingRequest{Arrived: r.req.Arrived, Deadline: r.deadline}
 	if r.headSent {
 		waiting.LastEvent = r.gaps.lastEvent
 	}
-	r.search, r.verdict = serverSearch{}, requestVerdict{}
+	r.search, r.verdict, r.rejection = serverSearch{}, requestVerdict{}, nil
 	defer r.g.dequeueForPermit(&r.search.permit)
 	tryOnce := func() bool {
 		ok := try()
@@ -31,15 +32,15 @@
 		r.g.requestPermits(&r.search.permit)
 		return ok
 	}
+	if r.g.currentSettings().Contention.Queue {
+		return r.waitInOrder(ctx, waiting.RejectAt(), tryOnce)
+	}
 	if tryOnce() {
 		return true
 	}
 	r.g.waitingRequests.Add(1)
 	defer r.g.waitingRequests.Add(-1)
-	for until := waiting.RejectAt(); time.Now().Before(until) && ctx.Err() == nil; {
-		if r.verdict.blocked || r.permitWaitExceeds(until) || r.retryAfterExceeds(until) {
-			return false
-		}
+	for until := waiting.RejectAt(); r.mayWaitOn(ctx, until); {
 		sleep(ctx, r.search.permit.pollInterval())
 		if ctx.Err() != nil {
 			return false // a permit or a place taken now would be wasted
--- a/telemetry/catalogue.go
+++ b/telemetry/catalogue.go
@@ -61,6 +61,8 @@
 	{EventPartRefused, "part_refused", logrus.WarnLevel, "A request is refused because a part of its prompt ends the servers that begin to answer it; the content field identifies the part at its service."},
 	{EventRetryLate, "retry_late", logrus.InfoLevel, "A request is sent to another backend server much later than the retry was taken from the retry budget, by the given seconds: it waited for a server, a permit or a connection, or the daemon did not run."},
 	{EventRetryRecords, "retry_records", logrus.InfoLevel, "Whether the table keeps this gateway's records of retries in time has changed; the detail is away or back."},
+	{EventQueueWaited, "queue_waited", logrus.InfoLevel, "A request has waited long for a server at a gateway. The fields are its class (the ranks of its customer and route), the number of requests that were to be served before it when it began to wait, and how long it waited."},
+	{EventQueueRejected, "queue_rejected", logrus.InfoLevel, "A gateway rejected a request in place of letting it wait. The detail is the reason; the count is the number of requests that would have been served before it, the seconds are the wait that was expected from the rate at which requests got servers lately, or 0 if it was not known."},
 	{EventStoreUnavailable, "store_unavailable", logrus.WarnLevel, "The table service does not answer; repeatable requests and requests with a claim continue."},
 	{EventStoreRecovered, "store_recovered", logrus.InfoLevel, "The table service answers again."},
 	{EventStoreBudgetSpent, "store_budget_spent", logrus.WarnLevel, "This daemon's share of store writes is exhausted; claims have priority over other writes."},
--- a/telemetry/counter.go
+++ b/telemetry/counter.go
@@ -69,6 +69,7 @@
 	GatewayAnnouncementsTotal  Name = "gateway_announcements_total"
 	GatewayBrokenCallsTotal    Name = "gateway_broken_calls_total"
 	GatewayFeedSkippedTotal    Name = "gateway_feed_skipped_total"
+	GatewayQueueRejectedTotal  Name = "gateway_queue_rejected_total"
 )
 
 // Metrics of the HTTP front, which creates them in the scope returned by Metrics.Scope.
@@ -100,6 +101,7 @@
 	ConfigAge       Name = "config_age_seconds"
 	ServersAge      Name = "servers_age_seconds"
 	WaitingRequests Name = "waiting_requests"
+	WaitingByClass  Name = "waiting_by_class"
 	RetriesLeft     Name = "retries_left"
 	RoomUsed        Name = "room_used"
 	ProcessMemory   Name = "process_memory_bytes"
@@ -115,6 +117,8 @@
 	FirstEventSeconds Name = "first_event_seconds"
 	EventGapSeconds   Name = "event_gap_seconds"
 	AnswerSeconds     Name = "answer_seconds"
+	// GatewayWaitSeconds has no entry for requests that did not wait.
+	GatewayWaitSeconds Name = "gateway_wait_seconds"
 )
 
 // Label is the name of a label of a metric.
@@ -202,6 +206,7 @@
 	{GatewayAnnouncementsTotal, KindCounter, byReason, "Announcements received from the daemons that follow the store, by whether they were new or duplicates."},
 	{GatewayBrokenCallsTotal, KindCounter, byReason, "Calls to backend servers that broke off, by the part of the answer that had arrived (before_header, in_body, before_event, after_event) and by what a probe then showed of the server."},
 	{GatewayFeedSkippedTotal, KindCounter, byReason, "Rows (row) and answers of the table service (answer) that were not applied because their revision is not newer than what is known of the feed."},
+	{GatewayQueueRejectedTotal, KindCounter, byReason, "Requests that a gateway rejected in place of letting them wait for a server: too many waited (queue_full), they would not have been served in time (too_late), or their callers returned before they were told to, and before others (too_early)."},
 	{ControlMicrosecondsTotal, KindCounter, nil, "CPU time of the control goroutine, in microseconds."},
 
 	{ActiveRequests, KindGauge, nil, "Requests in flight at this daemon."},
@@ -220,6 +225,7 @@
 	{ConfigAge, KindGauge, nil, "Time since this gateway's configuration was last known to be current, in seconds."},
 	{ServersAge, KindGauge, nil, "Time since this gateway's list of backend servers was last known to be current, in seconds."},
 	{WaitingRequests, KindGauge, nil, "Requests that wait at this gateway for an available server or path."},
+	{WaitingByClass, KindGauge, byClass, "Requests that wait in the queue of a service at this gateway, by the ranks of their customer and route."},
 	{RetriesLeft, KindGauge, byService, "Retries that remain in this gateway's share of the budget."},
 	{RoomUsed, KindGauge, byService, "Share of the engines' KV-cache capacity that this gateway's requests occupy, times the number of live gateways."},
 	{ProcessMemory, KindGauge, nil, "Memory obtained from the operating system, in bytes."},
@@ -239,5 +245,6 @@
 	{FirstEventSeconds, KindHistogram, byService, "Time from a request's arrival at a gateway to its first event, in seconds."},
 	{EventGapSeconds, KindHistogram, byService, "Longest pause between two events of each stream at a gateway, in seconds."},
 	{AnswerSeconds, KindHistogram, byService, "Time from a request's arrival at a gateway to the end of its answer, in seconds."},
+	{GatewayWaitSeconds, KindHistogram, byService, "Time for which a request waited in the queue of a service at a gateway, whether it got a server or not, in seconds."},
 	{StepSeconds, KindHistogram, byService, "Duration of one pipeline step in one stage, in seconds."},
 }
--- a/telemetry/events.go
+++ b/telemetry/events.go
@@ -71,6 +71,8 @@
 	EventPartRefused        Event = 1331
 	EventRetryLate          Event = 1332
 	EventRetryRecords       Event = 1333
+	EventQueueWaited        Event = 1345
+	EventQueueRejected      Event = 1346
 )
 
 // Events of the store.
