--- a/coordination/waitqueue/queue.go
+++ b/coordination/waitqueue/queue.go
@@ -43,7 +43,7 @@
 	Customer state.CustomerID
 	Class    urgency.Class
 	Level    float64   // of the class among those of the service: 0 for the most urgent, 1 for the least
-	Begun    bool      // a part of its answer was delivered
+	Begun    bool      // it has run or a part of its answer was delivered, so that it can't be rejected as not run
 	Tokens   float64   // expected size
 	Key      uint64    // identifies the request's customer, route and content
 	Place    time.Time // by which it is ordered among those of its customer: its arrival, or see Queue.Place
--- a/gateway/waitorder.go
+++ b/gateway/waitorder.go
@@ -141,7 +141,7 @@
 		place = r.req.Arrived
 	}
 	return waitqueue.Request{
-		Customer: r.customer.ID, Class: class, Level: level, Begun: r.headSent, Tokens: r.expectedTokens(),
+		Customer: r.customer.ID, Class: class, Level: level, Begun: r.headSent || !r.retrier.NeverRan(), Tokens: r.expectedTokens(),
 		Key: r.returnKey, Place: place, RejectAt: until, RetryAfter: admission.Busy.RetryAfter(),
 	}
 }
@@ -229,6 +229,7 @@
 	switch relay.Reason(res.Reason) {
 	case relay.ReasonCutOff, reasonDraining, reasonTurn, reasonPart:
 		return // it is to go elsewhere, or it does not compete
+	default:
 	}
 	if r.place.IsZero() {
 		r.place, r.returnKey = r.req.Arrived, uint64(r.fingerprint())
