waitqueue: requests that wait for a permit are rejected by the permits; requests without a body are not remembered

Ruled out: changing what the spec expects. Change: a request that got no permit is not counted among those ahead; one behind others for a permit is placed by the queue's order; content is needed to know a caller again.

--- a/coordination/waitqueue/order.go
+++ b/coordination/waitqueue/order.go
@@ -186,43 +186,36 @@
 // victim returns the waiter that makes room for a more important request, or nil: the newest one of
 // the customer with the most requests in the least urgent class.
 func (q *Queue) victim(r *Request) *Waiter {
-	for _, c := range slices.Backward(q.classes) {
-		by := c.of.Compare(r.Class)
-		if by < 0 {
-			return nil
-		}
-		w := c.newest()
-		if w == nil {
-			continue
-		}
-		own := 0
-		if f, ok := c.all[r.Customer]; ok {
-			own = f.members
-		}
-		if by > 0 || r.Begun || w.flow.members > own+1 {
-			return w
+	var w *Waiter
+	for other := range q.waiters {
+		if !other.req.Begun && other.state != trying && (w == nil || other.yieldsBefore(w)) {
+			w = other
 		}
+	}
+	if w == nil {
 		return nil
 	}
+	own := 0
+	if f, ok := w.class.all[r.Customer]; ok {
+		own = f.members
+	}
+	by := w.req.Class.Compare(r.Class)
+	if by > 0 || by == 0 && (r.Begun || w.flow.members > own+1) {
+		return w
+	}
 	return nil
 }
 
-// newest returns the newest request of the customer with the most requests, or nil. Answers that have
-// begun are not considered.
-func (c *class) newest() *Waiter {
-	var most *flow
-	for _, f := range c.all {
-		if f.ready.Len() > 0 && (most == nil || f.members > most.members || f.members == most.members && f.customer < most.customer) {
-			most = f
-		}
+// yieldsBefore reports whether a waiter is displaced before another one.
+func (w *Waiter) yieldsBefore(other *Waiter) bool {
+	if by := w.req.Class.Compare(other.req.Class); by != 0 {
+		return by > 0
 	}
-	if most == nil {
-		return nil
-	}
-	return slices.MaxFunc(most.ready.items, func(a, b *Waiter) int {
-		if placeBefore(a, b) {
-			return -1
+	if w.flow != other.flow {
+		if w.flow.members != other.flow.members {
+			return w.flow.members > other.flow.members
 		}
-		return 1
-	})
+		return w.flow.customer < other.flow.customer
+	}
+	return placeBefore(other, w)
 }
--- a/coordination/waitqueue/queue.go
+++ b/coordination/waitqueue/queue.go
@@ -93,6 +93,8 @@
 	class  *class
 	flow   *flow
 	state  waiterState
+	permit bool   // its last try got no permit
+	counts bool   // it is among those that are expected to take the next servers
 	number uint64 // in the order of joins and parkings
 	agedAt time.Time
 
@@ -113,9 +115,6 @@
 	parked              // set aside for reasons of its own
 )
 
-// expects reports whether a waiter in this state will take a server as soon as there is one.
-func (s waiterState) expects() bool { return s == ready || s == trying || s == limited }
-
 // Queue holds the requests of one service that wait.
 type Queue struct {
 	cfg       Config
@@ -237,8 +236,10 @@
 		q.asides.remove(w)
 	default:
 	}
-	w.count(s.expects())
 	w.state = s
+	w.permit = s == limited || w.permit && s != parked
+	// How long a request waits for a permit is known to its caller.
+	w.count((s == ready || s == trying) && !w.permit)
 	switch s {
 	case ready:
 		q.numbers++
@@ -257,12 +258,13 @@
 
 // count adjusts the numbers of waiters that expect a server.
 func (w *Waiter) count(expects bool) {
-	by := 0
-	switch {
-	case expects && !w.state.expects():
+	if expects == w.counts {
+		return
+	}
+	w.counts = expects
+	by := -1
+	if expects {
 		by = 1
-	case !expects && w.state.expects():
-		by = -1
 	}
 	w.class.expects += by
 	if w.req.Begun {
@@ -299,6 +301,17 @@
 	}
 }
 
+// Before returns how many requests may be served before a waiter, at most, apart from aged ones.
+func (q *Queue) Before(w *Waiter) int {
+	n := -1 // itself
+	for _, c := range q.classes {
+		if c.of.Compare(w.req.Class) <= 0 {
+			n += c.members
+		}
+	}
+	return max(n, 0)
+}
+
 // Waiting returns how many requests of each class wait.
 func (q *Queue) Waiting() map[urgency.Class]int {
 	out := make(map[urgency.Class]int, len(q.classes))
--- a/coordination/waitqueue/wake.go
+++ b/coordination/waitqueue/wake.go
@@ -61,6 +61,7 @@
 		return q.served(now, w)
 	}
 	q.trying = nil
+	w.permit = w.permit && o != NoneAvailable
 	again := q.again
 	switch {
 	case again, o == NoneAvailable:
--- a/gateway/waitorder.go
+++ b/gateway/waitorder.go
@@ -89,6 +89,9 @@
 	if !asks {
 		r.g.waits.failed(time.Now(), t, r.tryOutcome())
 	}
+	if permit := &r.search.permit; permit.queued() {
+		permit.queuedAhead = min(permit.queuedAhead, r.g.waits.before(t))
+	}
 	return false
 }
 
@@ -175,7 +178,7 @@
 // returnsEarly reports whether the request is rejected since its caller was told to return later, and
 // others before it. It sets the place of the request at its first attempt.
 func (r *requestHandler) returnsEarly() bool {
-	if !r.place.IsZero() || r.attemptCount > 1 || r.g.waits.remembered.Load() == 0 {
+	if !r.place.IsZero() || r.attemptCount > 1 || r.g.waits.remembered.Load() == 0 || !r.identifiesCaller() {
 		return false
 	}
 	r.returnKey = uint64(r.fingerprint())
@@ -188,6 +191,10 @@
 	return true
 }
 
+// identifiesCaller reports whether the request's content tells its caller from others of the customer
+// when it returns: requests without a body are often equal.
+func (r *requestHandler) identifiesCaller() bool { return len(r.req.Body) > 0 }
+
 // rejectedByQueue records that the request may not wait.
 func (r *requestHandler) rejectedByQueue(rejection *waitqueue.Rejection) {
 	r.rejection = rejection
@@ -223,7 +230,7 @@
 
 // rememberRefusal keeps the place of a caller that was told to return to this daemon.
 func (r *requestHandler) rememberRefusal(res Result) {
-	if res.Outcome != Refused || r.service == nil || !r.g.currentSettings().Contention.Queue {
+	if res.Outcome != Refused || r.service == nil || !r.g.currentSettings().Contention.Queue || !r.identifiesCaller() {
 		return
 	}
 	switch relay.Reason(res.Reason) {
--- a/gateway/waitorder_internal_test.go
+++ b/gateway/waitorder_internal_test.go
@@ -80,7 +80,7 @@
 		service := v.config.Services["app"]
 		return &requestHandler{
 			g: g, view: v, route: route, service: &service, customer: v.config.Keys[customer], deadline: now.Add(time.Hour),
-			req: &Request{Host: "h", Path: path, Key: customer, Arrived: now}, attemptCount: 1, retrier: relay.Retrier{},
+			req: &Request{Host: "h", Path: path, Key: customer, Body: []byte("content"), Arrived: now}, attemptCount: 1, retrier: relay.Retrier{},
 		}
 	}
 	// wait makes a request wait, and returns once it does.
@@ -223,6 +223,15 @@
 		Expect(g.waits.remembered.Load()).To(BeZero())
 	})
 
+	// Guards against callers that are rejected in place of others of their customer: requests without a
+	// body are often equal.
+	It("are not taken for those of other callers if they have no content", func() {
+		other := handler("large", "/urgent")
+		other.req.Body = nil
+		other.rememberRefusal(Result{Outcome: Refused, Reason: string(relay.ReasonNoServer), RetryAfter: time.Minute})
+		Expect(g.waits.remembered.Load()).To(BeZero())
+	})
+
 	It("are told to return later if they return too early and others are expected before", Label("failure:repeating-callers-first"), func() {
 		other, early := handler("small", "/urgent"), handler("large", "/urgent")
 		other.rememberRefusal(Result{Outcome: Refused, Reason: string(relay.ReasonNoServer), RetryAfter: time.Minute})
--- a/gateway/waitqueues.go
+++ b/gateway/waitqueues.go
@@ -129,6 +129,13 @@
 	t.queue.notify(t.queue.Tried(now, t.waiter, outcome))
 }
 
+// before returns how many requests may be served before one that waits.
+func (w *waitQueues) before(t *ticket) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return t.queue.Before(t.waiter)
+}
+
 // poll lets a request try in its order without an event.
 func (w *waitQueues) poll(now time.Time, t *ticket) {
 	w.mu.Lock()
