--- a/telemetry/events.go
+++ b/telemetry/events.go
@@ -72,6 +72,8 @@
 	EventRetryLate           Event = 1332
 	EventRetryRecords        Event = 1333
 	EventStreamTurnedAway    Event = 1340
+	EventQueueWaited         Event = 1345
+	EventQueueRejected       Event = 1346
 	EventCustomerOverShare   Event = 1350
 	EventCustomerWithinShare Event = 1351
 )
