crashes, gateway: tell all daemons of the likely runs at an end only, the owner of the content of the others

Cause: when an engine ends, each daemon that had runs there told all others of all of them, with the parts of their prompts. The one run that had been starting, and had most likely ended the engine, waited behind the others: daemons that had not heard of a content 8 s after its first end sent it as the first of its kind.

Change: runs that were starting, runs on plain servers and runs with a turn are told at once. Others are told at once only within a bound that all daemons share (32 and 4 a second), else kept back for 0.5 s; then they are told to the owner of the content, which the owner tells all of once it refuses it, or to all if no run that was starting is known there. A content is not taken for the only one at a server where another run was starting. A run that was starting is no longer hidden by a copy of its content that waited at the same server.

Ruled out: cut-off daemons (the content's ends came after the cut), evicted contents, turns that expired, restarts.

--- a/coordination/crashes/crashes.go
+++ b/coordination/crashes/crashes.go
@@ -84,6 +84,18 @@
 // IsFresh reports whether the run had just begun, or had just been sent.
 func (p Phase) IsFresh() bool { return p == Fresh || p == Starting }
 
+// weight orders the phases by what they say of the content.
+func (p Phase) weight() int {
+	switch p {
+	case Starting:
+		return 2
+	case Fresh:
+		return 1
+	default:
+		return 0
+	}
+}
+
 // Run is one execution of a content on a server that ended.
 type Run struct {
 	Content Fingerprint
@@ -104,12 +116,16 @@
 	at        time.Time                          // time of the last implication
 	clearedAt time.Time                          // earlier implications don't count
 	kept      bool                               // part of this daemon's records
+	// toldBlocked is set if this daemon has told all others that the content is refused.
+	toldBlocked bool
 }
 
 // end is the end of one server.
 type end struct {
-	at       time.Time
-	contents map[Fingerprint]struct{} // contents that ran on it and are not cleared
+	at        time.Time
+	contents  map[Fingerprint]struct{} // contents that ran on it and are not cleared
+	starting  bool                     // a run was starting there,
+	startedBy Fingerprint              // of this content
 	// Of those, the contents under whose fresh, or starting, runs other servers have ended too.
 	repeated, repeatedStarting int
 }
@@ -144,7 +160,7 @@
 		t.contents[run.Content] = c
 	}
 	phase, known := c.ends[server]
-	if known && (phase.IsFresh() || !run.Phase.IsFresh()) || !at.After(c.clearedAt) {
+	if known && run.Phase.weight() <= phase.weight() || !at.After(c.clearedAt) {
 		return false
 	}
 	t.countRepeated(c, -1)
@@ -155,7 +171,11 @@
 	if at.After(c.at) {
 		c.at = at
 	}
-	t.endOf(at, server).contents[run.Content] = struct{}{}
+	e := t.endOf(at, server)
+	e.contents[run.Content] = struct{}{}
+	if run.Phase == Starting {
+		e.starting, e.startedBy = true, run.Content
+	}
 	t.countRepeated(c, 1)
 	return true
 }
@@ -248,6 +268,7 @@
 		return 0
 	}
 	n := len(c.ends)
+	c.toldBlocked = false
 	t.unrecorded = t.unrecorded || c.kept && n >= soleThreshold
 	t.countRepeated(c, -1)
 	t.unlink(fp, c)
@@ -291,7 +312,10 @@
 	if fresh < soleThreshold {
 		return Verdict{Exclusive: c.freshCount() > 0}
 	}
-	if settled := c.at.Add(settleTime); now.Before(settled) {
+	if t.likelyCount(c) < soleThreshold {
+		return Verdict{Exclusive: true}
+	}
+	if settled := c.at.Add(c.settleTime()); now.Before(settled) {
 		return Verdict{SettlesAt: settled}
 	}
 	if !t.isAccompanied(fp, c) {
@@ -300,6 +324,27 @@
 	return Verdict{Exclusive: true}
 }
 
+// likelyCount returns how many servers ended under a fresh run of a content for which no run of
+// another content is a better explanation.
+func (t *Tracker) likelyCount(c *content) int {
+	n := 0
+	for s, phase := range c.ends {
+		if phase.IsFresh() && !t.isExplained(s, phase) {
+			n++
+		}
+	}
+	return n
+}
+
+// settleTime is how long other daemons may report what ran on the content's servers: runs that were
+// not starting may be kept back.
+func (c *content) settleTime() time.Duration {
+	if c.startingCount() == c.freshCount() {
+		return settleTime
+	}
+	return settleTime + WithholdTime
+}
+
 // countFresh returns how many servers ended under a fresh run of a content, apart from bursts.
 func (t *Tracker) countFresh(c *content) int {
 	n := 0
@@ -330,8 +375,9 @@
 // content: it ran there, and was starting wherever that one was.
 func (t *Tracker) isAccompanied(fp Fingerprint, c *content) bool {
 	var candidates map[Fingerprint]struct{}
-	for s := range c.ends {
-		if e, ok := t.ends[s]; ok && (candidates == nil || len(e.contents) < len(candidates)) {
+	for s, phase := range c.ends {
+		e, ok := t.ends[s]
+		if ok && !t.isExplained(s, phase) && (candidates == nil || len(e.contents) < len(candidates)) {
 			candidates = e.contents
 		}
 	}
@@ -346,8 +392,8 @@
 func (t *Tracker) isAsLikely(other Fingerprint, c *content) bool {
 	o := t.contents[other]
 	for s, phase := range c.ends {
-		if _, ok := t.ends[s]; !ok {
-			continue
+		if _, ok := t.ends[s]; !ok || t.isExplained(s, phase) {
+			continue // what else ran there may not be known
 		}
 		its, ran := o.ends[s]
 		if !ran || phase == Starting && its != Starting {
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -83,18 +83,25 @@
 	} else if !r.olderRunEnded.CompareAndSwap(false, true) {
 		return
 	}
-	added, servers := r.g.shared.implicate(time.Now(), server, run)
+	now := time.Now()
+	added, servers := r.g.shared.implicate(now, server, run)
 	if len(added) == 0 {
 		return
 	}
 	r.g.log.Emit(telemetry.EventRequestImplicated, telemetry.Request(r.req.ID), telemetry.Backend(server.ID),
 		telemetry.Count(servers), telemetry.Content(uint64(run.Content)))
-	r.g.endedRuns.add(endedRun{server: server, run: run})
+	r.g.tellEnd(endedRun{server: server, run: run, at: now}, r.showsStart(run.Phase))
 	if r.g.shared.keepCrash(run.Content) {
 		r.g.requestRetryRecord()
 	}
 }
 
+// showsStart reports whether a run of the request was starting as its server ended, as far as the kind of
+// the server shows it: a plain one does not.
+func (r *requestHandler) showsStart(phase crashes.Phase) bool {
+	return phase == crashes.Starting || r.service.Engine == nil
+}
+
 // clearImplication records that a request was answered completely: its content crashes no
 // server.
 func (r *requestHandler) clearImplication() {
--- a/gateway/crashnotices.go
+++ b/gateway/crashnotices.go
@@ -6,6 +6,7 @@
 
 	"github.com/hibiscuswick/hibiscuswick/coordination/crashes"
 	"github.com/hibiscuswick/hibiscuswick/state"
+	"github.com/hibiscuswick/hibiscuswick/telemetry"
 )
 
 const (
@@ -21,12 +22,14 @@
 type endedRun struct {
 	server state.BackendIncarnation
 	run    crashes.Run
+	at     time.Time // when the server was seen to have ended
 }
 
 // endedPartRun is a fresh run with parts of a prompt on a server that ended.
 type endedPartRun struct {
 	server state.BackendIncarnation
 	run    crashes.PartRun
+	at     time.Time // when the server was seen to have ended
 }
 
 // batch collects items for some time before it passes them on together.
@@ -55,14 +58,71 @@
 	b.flush(items)
 }
 
+// tellEnd tells other daemons of a run on a server that ended. One that is unlikely to have ended it may
+// be kept back.
+func (g *Gateway) tellEnd(ended endedRun, likely bool) {
+	if g.shared.audience(ended.at, g.daemons(), likely) == crashes.All {
+		g.endedRuns.add(ended)
+		return
+	}
+	time.AfterFunc(crashes.WithholdTime, func() { g.tellWithheldEnd(ended) })
+}
+
+func (g *Gateway) tellWithheldEnd(ended endedRun) {
+	switch g.shared.withheldAudience(ended.server, ended.run.Content) {
+	case crashes.All:
+		g.endedRuns.add(ended)
+	case crashes.Owner:
+		g.metrics.CountReason(telemetry.GatewayEndsToldTotal, "owner")
+		g.tellOwner(ended.run.Content)
+	default:
+		g.metrics.CountReason(telemetry.GatewayEndsToldTotal, "nobody")
+	}
+}
+
+// tellOwner tells the daemon that owns a content of the ends that are known here. Number 0 ends no turn.
+func (g *Gateway) tellOwner(fp crashes.Fingerprint) {
+	now := time.Now()
+	owner := g.turnOwner(fp)
+	if owner == "" {
+		g.tellIfBlocked(now, fp)
+		return
+	}
+	release := crashes.TurnRelease{Content: fp, Ends: g.shared.ownerNotices(now, fp)}
+	_ = g.node.Send(owner, release) // the next end is told with those before
+}
+
+// tellIfBlocked tells all daemons of a content that this daemon owns, once the content is refused.
+func (g *Gateway) tellIfBlocked(now time.Time, fp crashes.Fingerprint) {
+	for _, notice := range g.shared.newlyBlocked(now, fp) {
+		g.broadcast(notice)
+	}
+}
+
+// tellParts is tellEnd for a run with parts of prompts.
+func (g *Gateway) tellParts(ended endedPartRun, likely bool) {
+	if g.shared.audience(ended.at, g.daemons(), likely) == crashes.All {
+		g.endedParts.add(ended)
+		return
+	}
+	time.AfterFunc(crashes.WithholdTime, func() {
+		if g.shared.partsAudience(ended.server) == crashes.All {
+			g.endedParts.add(ended)
+		}
+	})
+}
+
 // broadcastEnds tells all daemons of runs on servers that ended, a notice for each server.
 func (g *Gateway) broadcastEnds(ended []endedRun) {
 	runs := make(map[state.BackendIncarnation][]crashes.Run)
+	at := make(map[state.BackendIncarnation]time.Time)
 	for _, e := range ended {
-		runs[e.server] = append(runs[e.server], e.run)
+		runs[e.server], at[e.server] = append(runs[e.server], e.run), e.at
 	}
 	for server, of := range runs {
 		for _, notice := range crashes.EndNotices(server, of) {
+			notice.AgeMS = time.Since(at[server]).Milliseconds()
+			g.metrics.CountReason(telemetry.GatewayEndsToldTotal, "all")
 			g.broadcast(notice)
 		}
 	}
@@ -71,11 +131,13 @@
 // broadcastParts tells all daemons of fresh runs with parts of prompts on servers that ended.
 func (g *Gateway) broadcastParts(ended []endedPartRun) {
 	runs := make(map[state.BackendIncarnation][]crashes.PartRun)
+	at := make(map[state.BackendIncarnation]time.Time)
 	for _, e := range ended {
-		runs[e.server] = append(runs[e.server], e.run)
+		runs[e.server], at[e.server] = append(runs[e.server], e.run), e.at
 	}
 	for server, of := range runs {
 		for _, notice := range crashes.PartsNotices(server, of) {
+			notice.AgeMS = time.Since(at[server]).Milliseconds()
 			g.broadcast(notice)
 		}
 	}
@@ -103,3 +165,39 @@
 		m.broadcast(notice)
 	}
 }
+
+// daemons returns the number of daemons of the site, as far as it is known.
+func (g *Gateway) daemons() int {
+	v := g.currentView.Load()
+	return max(v.siteSize, v.live, 1)
+}
+
+func (s *sharedState) audience(now time.Time, daemons int, likely bool) crashes.Audience {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.teller.Audience(now, daemons, likely)
+}
+
+func (s *sharedState) withheldAudience(server state.BackendIncarnation, fp crashes.Fingerprint) crashes.Audience {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.crashes.Audience(server, fp)
+}
+
+func (s *sharedState) partsAudience(server state.BackendIncarnation) crashes.Audience {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.parts.Audience(server)
+}
+
+func (s *sharedState) ownerNotices(now time.Time, fp crashes.Fingerprint) []crashes.EndNotice {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.crashes.OwnerNotices(now, fp)
+}
+
+func (s *sharedState) newlyBlocked(now time.Time, fp crashes.Fingerprint) []crashes.EndNotice {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.crashes.NewlyBlocked(now, fp)
+}
--- a/gateway/crashparts.go
+++ b/gateway/crashparts.go
@@ -46,9 +46,10 @@
 	if len(run.Tried) > 0 {
 		r.triedParts.Store(true)
 	}
-	added, untold := r.g.shared.partsEnded(time.Now(), server, true, run)
+	now := time.Now()
+	added, untold := r.g.shared.partsEnded(now, server, true, run)
 	for _, run := range added {
-		r.g.endedParts.add(endedPartRun{server: server, run: run})
+		r.g.tellParts(endedPartRun{server: server, run: run, at: now}, len(run.Tried) > 0 || r.showsStart(of.Phase))
 	}
 	r.g.tellAnswered(untold)
 }
--- a/gateway/quiet_bench_internal_test.go
+++ b/gateway/quiet_bench_internal_test.go
@@ -57,6 +57,7 @@
 
 	viewChanged bool
 	count       quietCount
+	learned     func(membership.Fact) // nil if facts don't matter
 }
 
 type quietEvent struct {
@@ -194,6 +195,9 @@
 		if _, ok := a.(membership.ViewChanged); ok {
 			d.viewChanged = true
 		}
+		if fact, ok := a.(membership.FactLearned); ok && d.learned != nil {
+			d.learned(fact.Fact)
+		}
 		send, ok := a.(membership.Send)
 		if !ok {
 			continue
--- a/gateway/sharedstate.go
+++ b/gateway/sharedstate.go
@@ -31,6 +31,7 @@
 	linkBacklogs  linkBacklogs
 	latencies     map[state.ServiceID]*serviceLatency
 	crashes       *crashes.Tracker
+	teller        crashes.Teller
 	parts         *crashes.Parts
 	turns         *crashes.Turns // of the contents and parts that this daemon owns
 	permits       *permits.Limiter
--- a/gateway/turns.go
+++ b/gateway/turns.go
@@ -179,7 +179,7 @@
 // takeTurn asks for one turn. It returns the address of the daemon that granted it. If the owner
 // does not answer, this daemon grants it.
 func (r *requestHandler) takeTurn(ctx context.Context, fp crashes.Fingerprint) (owner string, granted bool) {
-	if owner = r.turnOwner(fp); owner != "" {
+	if owner = r.g.turnOwner(fp); owner != "" {
 		if granted, ok := r.askForTurn(ctx, owner, fp); ok {
 			return owner, granted
 		}
@@ -202,17 +202,17 @@
 }
 
 // turnOwner returns the peer address of the daemon that owns a content or part, or "" for this one.
-func (r *requestHandler) turnOwner(fp crashes.Fingerprint) string {
+func (g *Gateway) turnOwner(fp crashes.Fingerprint) string {
 	var owners []state.DaemonID
 	addresses := make(map[state.DaemonID]string)
-	for _, i := range r.g.currentView.Load().members.Members {
+	for _, i := range g.currentView.Load().members.Members {
 		if i.Live() && !i.Draining {
 			owners = append(owners, i.Member.ID)
 			addresses[i.Member.ID] = i.Meta.PeerAddress
 		}
 	}
 	owner, ok := rendezvous.Owner(strconv.FormatUint(uint64(fp), 16), owners)
-	if !ok || owner == r.g.self.ID {
+	if !ok || owner == g.self.ID {
 		return ""
 	}
 	return addresses[owner]
@@ -232,9 +232,10 @@
 	}
 }
 
-// endTurn ends a turn of a daemon's request.
+// endTurn ends a turn of a daemon's request, or applies the ends that it tells the owner of.
 func (g *Gateway) endTurn(now time.Time, from state.DaemonID, m crashes.TurnRelease) {
 	g.shared.applyEnds(now, m.Ends)
+	g.tellIfBlocked(now, m.Content)
 	for _, notice := range m.Parts {
 		g.applyParts(now, notice)
 	}
--- a/telemetry/counter.go
+++ b/telemetry/counter.go
@@ -68,6 +68,7 @@
 	GatewayLayoutsTotal        Name = "gateway_layouts_total"
 	GatewayAnnouncementsTotal  Name = "gateway_announcements_total"
 	GatewayBrokenCallsTotal    Name = "gateway_broken_calls_total"
+	GatewayEndsToldTotal       Name = "gateway_ends_told_total"
 	GatewayFeedSkippedTotal    Name = "gateway_feed_skipped_total"
 )
 
@@ -200,6 +201,7 @@
 	{GatewayHeadersTotal, KindCounter, byReason, "Header fields of backend servers and of the table service that can't be parsed (unreadable) or that the adapter does not know (unknown)."},
 	{GatewayLayoutsTotal, KindCounter, nil, "Computed layer assignments. A high rate on a daemon that sends no orders takes CPU time from its requests."},
 	{GatewayAnnouncementsTotal, KindCounter, byReason, "Announcements received from the daemons that follow the store, by whether they were new or duplicates."},
+	{GatewayEndsToldTotal, KindCounter, byReason, "Notices to all other daemons of runs on servers that ended (all), and runs that were kept back and then told to the owner of their content (owner) or not at all, since they had been cleared (nobody)."},
 	{GatewayBrokenCallsTotal, KindCounter, byReason, "Calls to backend servers that broke off, by the part of the answer that had arrived (before_header, in_body, before_event, after_event) and by what a probe then showed of the server."},
 	{GatewayFeedSkippedTotal, KindCounter, byReason, "Rows (row) and answers of the table service (answer) that were not applied because their revision is not newer than what is known of the feed."},
 	{ControlMicrosecondsTotal, KindCounter, nil, "CPU time of the control goroutine, in microseconds."},
