crashes, gateway: ends that few daemons know are cleared by the one that answered, and told to those that return

Cause: read in the code while the same cause was looked for. Ends that only the owner of a content counts are not known where another copy is answered, so that nobody cleared them: innocent contents would have added up. And notices are sent to live daemons only and kept for 15 s; a daemon that was cut off and is live again got what it missed from an exchange with a random daemon, every 15 s, while one that joins is told at once.

A daemon that was held for dead and returns is told the refused contents by the live one with the lowest id, by the message that ends a turn, whose turn is none.

--- a/coordination/crashes/crashes.go
+++ b/coordination/crashes/crashes.go
@@ -108,6 +108,10 @@
 	ends     map[state.BackendIncarnation]*end
 	// unrecorded is set if the contents to be kept have changed since the last record.
 	unrecorded bool
+	// answered is when contents were last answered here. stale are those of which other daemons have told
+	// older ends since.
+	answered recentTimes
+	stale    []Fingerprint
 }
 
 // content is the state of one content.
@@ -156,11 +160,15 @@
 	c, ok := t.contents[run.Content]
 	if !ok {
 		t.makeRoom(at)
-		c = &content{ends: make(map[state.BackendIncarnation]Phase)}
+		c = &content{ends: make(map[state.BackendIncarnation]Phase), clearedAt: t.answered.get(run.Content)}
 		t.contents[run.Content] = c
 	}
+	if !at.After(c.clearedAt) {
+		t.addStale(at, run.Content, c)
+		return false
+	}
 	phase, known := c.ends[server]
-	if known && run.Phase.weight() <= phase.weight() || !at.After(c.clearedAt) {
+	if known && run.Phase.weight() <= phase.weight() {
 		return false
 	}
 	t.countRepeated(c, -1)
@@ -260,11 +268,23 @@
 // Empty reports whether no content is implicated.
 func (t *Tracker) Empty() bool { return len(t.contents) == 0 }
 
-// Clear drops the implications of a content because a complete answer to it was received. It returns
-// the number of servers that they name.
+// Clear drops the implications of a content because a complete answer to it was received here. It
+// returns the number of servers that they name.
 func (t *Tracker) Clear(at time.Time, fp Fingerprint) int {
+	t.answered.set(fp, at)
+	return t.ClearedElsewhere(at, fp)
+}
+
+// ClearedElsewhere is Clear for an answer that another daemon received.
+func (t *Tracker) ClearedElsewhere(at time.Time, fp Fingerprint) int {
 	c, ok := t.contents[fp]
-	if !ok || len(c.ends) == 0 {
+	if !ok {
+		return 0
+	}
+	if at.After(c.clearedAt) {
+		c.clearedAt = at
+	}
+	if len(c.ends) == 0 {
 		return 0
 	}
 	n := len(c.ends)
@@ -273,7 +293,6 @@
 	t.countRepeated(c, -1)
 	t.unlink(fp, c)
 	c.ends = make(map[state.BackendIncarnation]Phase)
-	c.clearedAt = at
 	return n
 }
 
--- a/coordination/crashes/teller_test.go
+++ b/coordination/crashes/teller_test.go
@@ -94,6 +94,20 @@
 		Expect(t.Implicate(now, server("e1"), fresh(7))).To(BeEmpty())
 	})
 
+	// Guards against ends that only the owner of a content counts, while another daemon answers it.
+	It("are cleared by the daemon that has answered their content since, once it is told of them", Label("failure:innocent-content-refused"), func() {
+		t.Implicate(now.Add(-1), server("e0"), fresh(1))
+		t.Clear(now, 7)
+		Expect(t.Implicate(now.Add(-1), server("e1"), fresh(7))).To(BeEmpty())
+		t.Implicate(now, server("e1"), fresh(8))
+		t.ClearedElsewhere(now, 8)
+		Expect(t.Implicate(now, server("e2"), fresh(8))).To(BeEmpty())
+		Expect(t.TakeStale()).To(Equal([]crashes.Fingerprint{7}))
+		Expect(t.TakeStale()).To(BeEmpty())
+		Expect(t.Implicate(now.Add(1), server("e2"), fresh(7))).To(HaveLen(1))
+		Expect(t.TakeStale()).To(BeEmpty())
+	})
+
 	It("are decided on once those that were kept back are known", func() {
 		t.Implicate(now, server("e1"), fresh(7))
 		t.Implicate(now, server("e2"), fresh(7))
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -190,7 +190,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, fp := range contents {
-		s.crashes.Clear(at, fp)
+		s.crashes.ClearedElsewhere(at, fp)
 		s.parts.Cleared(at, fp)
 	}
 }
--- a/gateway/crashnotices.go
+++ b/gateway/crashnotices.go
@@ -149,14 +149,33 @@
 	}
 }
 
+// tellReturned tells a daemon that has come back what it may have missed while it was cut off: the ends of
+// the contents that are blocked. Of the daemons that see it come back, the one with the lowest id does so.
+func (m *membersState) tellReturned(returned state.DaemonID) {
+	info, ok := m.machine.View().Lookup(returned)
+	if !ok || !m.isLowest(returned) {
+		return
+	}
+	for _, notice := range m.c.g.shared.blockedContents(m.c.now) {
+		_ = m.c.g.node.Send(info.Meta.PeerAddress, crashes.TurnRelease{Ends: []crashes.EndNotice{notice}}) // exchanges repair a loss
+	}
+}
+
+// isLowest reports whether this daemon has the lowest id of the live ones, apart from one.
+func (m *membersState) isLowest(apart state.DaemonID) bool {
+	for _, i := range m.machine.View().Members {
+		if id := i.Member.ID; i.Live() && id != apart && id < m.c.g.self.ID {
+			return false
+		}
+	}
+	return true
+}
+
 // tellBlockedContents tells all daemons of the blocked contents and suspected parts if a new daemon has joined, which
 // does not know them. Of the others, the one with the lowest id does so.
 func (m *membersState) tellBlockedContents(joined state.DaemonID) {
-	self := m.c.g.self.ID
-	for _, i := range m.machine.View().Members {
-		if id := i.Member.ID; i.Live() && id != joined && id < self {
-			return
-		}
+	if !m.isLowest(joined) {
+		return
 	}
 	for _, notice := range m.c.g.shared.blockedContents(m.c.now) {
 		m.broadcast(notice)
@@ -166,6 +185,17 @@
 	}
 }
 
+// applyEnds applies ends of servers that another daemon has told of, and tells all daemons of contents that
+// were answered here since.
+func (g *Gateway) applyEnds(now time.Time, ends []crashes.EndNotice) {
+	for _, n := range ends {
+		g.shared.implicate(now.Add(-n.Age()), n.Server, n.Runs()...)
+	}
+	for _, fp := range g.shared.takeStale() {
+		g.clearedContents.add(fp)
+	}
+}
+
 // daemons returns the number of daemons of the site, as far as it is known.
 func (g *Gateway) daemons() int {
 	v := g.currentView.Load()
@@ -201,3 +231,9 @@
 	defer s.mu.Unlock()
 	return s.crashes.NewlyBlocked(now, fp)
 }
+
+func (s *sharedState) takeStale() []crashes.Fingerprint {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.crashes.TakeStale()
+}
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -250,8 +250,11 @@
 	case membership.MemberChanged:
 		g.log.Emit(memberEvent(a), telemetry.Peer(a.Member.ID), telemetry.Incarnation(a.Member.Incarnation))
 		m.updateReach(a)
-		if a.New && a.To == membership.Alive {
+		switch {
+		case a.New && a.To == membership.Alive:
 			m.tellBlockedContents(a.Member.ID)
+		case a.From == membership.Dead && a.To == membership.Alive:
+			m.tellReturned(a.Member.ID)
 		}
 	case membership.FactLearned:
 		g.handleFact(m.c.now, a.Fact)
--- a/gateway/notice.go
+++ b/gateway/notice.go
@@ -89,7 +89,7 @@
 	case reach.Notice:
 		g.reach.receive(at, f.Reporter, m)
 	case crashes.EndNotice:
-		g.shared.implicate(at.Add(-m.Age()), m.Server, m.Runs()...)
+		g.applyEnds(at, []crashes.EndNotice{m})
 	case crashes.ClearNotice:
 		g.shared.clearContents(at, m.Contents)
 	case crashes.PartsNotice:
--- a/gateway/turns.go
+++ b/gateway/turns.go
@@ -197,7 +197,7 @@
 		return false, false
 	}
 	resp, ok := answer.Msg.(crashes.TurnResponse)
-	r.g.shared.applyEnds(time.Now(), resp.Ends)
+	r.g.applyEnds(time.Now(), resp.Ends)
 	return resp.Granted, ok
 }
 
@@ -234,7 +234,7 @@
 
 // endTurn ends a turn of a daemon's request, or applies the ends that it tells the owner of.
 func (g *Gateway) endTurn(now time.Time, from state.DaemonID, m crashes.TurnRelease) {
-	g.shared.applyEnds(now, m.Ends)
+	g.applyEnds(now, m.Ends)
 	g.tellIfBlocked(now, m.Content)
 	for _, notice := range m.Parts {
 		g.applyParts(now, notice)
@@ -283,13 +283,6 @@
 	return resp
 }
 
-// applyEnds applies ends of servers that another daemon has told of.
-func (s *sharedState) applyEnds(now time.Time, ends []crashes.EndNotice) {
-	for _, n := range ends {
-		s.implicate(now.Add(-n.Age()), n.Server, n.Runs()...)
-	}
-}
-
 func (s *sharedState) endCount(fp crashes.Fingerprint) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
