--- a/coordination/crashes/doc.go
+++ b/coordination/crashes/doc.go
@@ -17,6 +17,10 @@
 // refused if a daemon joins, so that the count covers the whole site. Before the second server
 // decides, a daemon waits until the others have reported what else ran there.
 //
+// Hundreds of runs end with one engine, at most daemons of the site. Teller guards against more notices
+// than gossip carries: all daemons are told at once of the runs that have most likely ended a server,
+// the owner of a content of the others.
+//
 // Until a content that has ended a server is refused or cleared, one request of the site runs it at a
 // time: Turns holds the turns at the daemon that owns the content.
 //
--- a/coordination/crashes/teller.go
+++ b/coordination/crashes/teller.go
@@ -1,7 +1,6 @@
 package crashes
 
 import (
-	"slices"
 	"time"
 
 	"github.com/hibiscuswick/hibiscuswick/state"
@@ -109,21 +108,6 @@
 	return t.NoticesOf(now, fp)
 }
 
-// addStale adds a content to those that other daemons are to be told of as cleared if it was answered here
-// since the end that they count.
-func (t *Tracker) addStale(at time.Time, fp Fingerprint, c *content) {
-	if len(c.ends) == 0 && !at.After(t.answered.get(fp)) && len(t.stale) < maxNoticeContents && !slices.Contains(t.stale, fp) {
-		t.stale = append(t.stale, fp)
-	}
-}
-
-// TakeStale returns the contents that other daemons are to be told of as cleared.
-func (t *Tracker) TakeStale() []Fingerprint {
-	out := t.stale
-	t.stale = nil
-	return out
-}
-
 // Audience returns who is to be told of a run with parts that was kept back for WithholdTime. Where
 // another run was starting its parts are not to blame, and nobody is.
 func (t *Parts) Audience(server state.BackendIncarnation) Audience {
--- a/gateway/crashspread_internal_test.go
+++ b/gateway/crashspread_internal_test.go
@@ -10,6 +10,7 @@
 	"github.com/hibiscuswick/hibiscuswick/coordination/crashes"
 	"github.com/hibiscuswick/hibiscuswick/coordination/membership"
 	"github.com/hibiscuswick/hibiscuswick/state"
+	transport "github.com/hibiscuswick/hibiscuswick/transport/peer"
 )
 
 const (
@@ -115,3 +116,38 @@
 		Expect(s.knowing(content)).To(Equal(spreadDaemons))
 	})
 })
+
+var _ = Describe("A daemon that was cut off", func() {
+	// Guards against a daemon that has missed the notices of refused contents and is live again: notices
+	// are not sent to daemons that are held for dead.
+	It("is told what is refused when it returns", Label("failure:request-crashes-servers"), func() {
+		c, returned := newTestControl(GinkgoTB()), state.Member{ID: "e1", Incarnation: 1}
+		told := make(chan crashes.TurnRelease, 10)
+		node := transport.New(transport.Config{Self: returned, Registry: newRegistry(), Handler: transport.Handler{
+			HandleMessage: func(_ state.Member, msg any) {
+				if m, ok := msg.(crashes.TurnRelease); ok {
+					told <- m
+				}
+			},
+		}})
+		DeferCleanup(node.Close)
+		address, err := node.Listen("127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		update := membership.Update{ID: returned.ID, Incarnation: 1, Meta: &membership.Meta{PeerAddress: address.String(), Domain: "a"}}
+		c.members.step(membership.Received{From: returned, Msg: membership.ExchangeRequest{Self: update}})
+		for i := range 3 {
+			server := state.BackendIncarnation{ID: state.BackendID(fmt.Sprint("s", i))}
+			c.g.shared.implicate(c.now, server, crashes.Run{Content: 7, Phase: crashes.Starting})
+		}
+		c.members.perform(membership.MemberChanged{Member: returned, From: membership.Dead, To: membership.Alive})
+		other := crashes.NewTracker()
+		for range 3 {
+			var m crashes.TurnRelease
+			Eventually(told).WithTimeout(10 * time.Second).Should(Receive(&m))
+			for _, n := range m.Ends {
+				other.Implicate(c.now, n.Server, n.Runs()...)
+			}
+		}
+		Expect(other.Judge(c.now, 7).Blocked).To(BeTrue())
+	})
+})
