--- a/gateway/notice.go
+++ b/gateway/notice.go
@@ -94,7 +94,7 @@
 	case shares.ContentionNotice:
 		g.shares.step(now, shares.NoticeReceived{ContentionNotice: m, At: at})
 	case crashes.EndNotice:
-		g.shared.implicate(at.Add(-m.Age()), m.Server, m.Runs()...)
+		g.applyEnds(at, []crashes.EndNotice{m})
 	case crashes.ClearNotice:
 		g.shared.clearContents(at, m.Contents)
 	case crashes.PartsNotice:
