answersize: the expected length of answers, from callers' hints and earlier answers

Cause: each stream was taken for 0.4 of its longest answer; the hint that comes with half of the streams was not read, and a running stream held the same load however long it had become. Change: coordination/answersize estimates by route and band and follows running answers; the gateway learns from complete answers, holds and releases the same load, and counts what estimates are made from.

--- a/coordination/pathing/pathing.go
+++ b/coordination/pathing/pathing.go
@@ -34,6 +34,8 @@
 	Domain       state.FailureDomain // of the daemon that sends it
 	PromptTokens int                 // tokens of the prompt
 	MaxTokens    int                 // tokens of the longest answer
+	// ExpectedAnswer is the expected number of tokens of the answer; 0 for AnswerShare of MaxTokens.
+	ExpectedAnswer float64
 	// FirstHops holds the addresses with which a path may begin; nil for any.
 	FirstHops map[string]bool
 	// LinkBacklog returns the pending transfers on the link between two domains, in ms; nil for
@@ -41,14 +43,19 @@
 	LinkBacklog func(a, b state.FailureDomain) float64
 }
 
-// answerShare is the ratio of a typical answer's length to the longest one that a caller allows. If
+// AnswerShare is the ratio of a typical answer's length to the longest one that a caller allows. If
 // capacity were calculated with the longest answers, engines would count as full at two thirds and
 // streams would use the slowest ones: a simulated day with losses and 69 daemons scores 0.018 less
 // (mean of two runs).
-const answerShare = 0.4
+const AnswerShare = 0.4
 
 // ExpectedOutput returns the expected number of output tokens, at least 1.
-func (r *Request) ExpectedOutput() float64 { return max(answerShare*float64(r.MaxTokens), 1) }
+func (r *Request) ExpectedOutput() float64 {
+	if r.ExpectedAnswer > 0 {
+		return max(r.ExpectedAnswer, 1)
+	}
+	return max(AnswerShare*float64(r.MaxTokens), 1)
+}
 
 // ExpectedTokens returns the expected number of tokens that the request holds at its end.
 func (r *Request) ExpectedTokens() float64 { return float64(r.PromptTokens) + r.ExpectedOutput() }
--- /dev/null
+++ b/gateway/answersize.go
@@ -0,0 +1,158 @@
+package gateway
+
+import (
+	"bytes"
+	"fmt"
+	"strconv"
+
+	"github.com/hibiscuswick/hibiscuswick/coordination/answersize"
+	"github.com/hibiscuswick/hibiscuswick/coordination/pathing"
+	"github.com/hibiscuswick/hibiscuswick/state/fleet"
+	"github.com/hibiscuswick/hibiscuswick/telemetry"
+)
+
+// recheckTokens is the least number of tokens after which the expected length of a running answer
+// is calculated again.
+const recheckTokens = 32
+
+// answerLength is the expected length of a request's answer and what it has reached, in tokens over
+// all runs. The zero value expects nothing.
+type answerLength struct {
+	request  answersize.Request
+	estimate answersize.Estimate // before the request was sent
+	known    bool                // the number of events before this daemon's is known
+	events   int
+	next     float64 // number of tokens from which the expected length is calculated again
+}
+
+// heldLoad is the load that a request puts on the servers of its path.
+type heldLoad struct {
+	path   fleet.Path
+	tokens float64
+}
+
+// pathRequest returns what is known of the request for the choice of a path.
+func (r *requestHandler) pathRequest() pathing.Request {
+	out := pathing.Request{
+		Domain: r.g.currentSettings().Domain, PromptTokens: r.req.PromptTokens, MaxTokens: r.req.MaxAnswerTokens,
+		ExpectedAnswer: r.expectedAnswer(),
+	}
+	if hops, exhausted := r.retrier.Exhausted(); exhausted {
+		out.FirstHops = hops
+	}
+	return out
+}
+
+// expectedAnswer returns the expected number of tokens of the answer, with those that the caller
+// has received already; 0 if it is not estimated.
+func (r *requestHandler) expectedAnswer() float64 {
+	a := &r.answer
+	if a.estimate.Tokens > 0 {
+		return r.g.shared.expectedTotal(a, r.answerTokens())
+	}
+	if !r.g.currentSettings().Contention.AnswerSize {
+		return 0
+	}
+	a.request = answersize.Request{Route: r.route.Name, Hint: r.req.LengthHint, Longest: r.req.MaxAnswerTokens}
+	a.events, a.known = eventsBefore(r.req.LastEventID)
+	a.estimate = r.g.shared.expectAnswer(a.request)
+	if a.estimate.Tokens > 0 {
+		r.g.metrics.CountReason(telemetry.GatewayAnswerSizesTotal, string(a.estimate.Basis))
+	}
+	return r.g.shared.expectedTotal(a, r.answerTokens())
+}
+
+// eventsBefore returns the number of events up to the one with an id, and whether it is known. Ids
+// increase by one for each event.
+func eventsBefore(id string) (int, bool) {
+	if id == "" {
+		return 0, true
+	}
+	n, err := strconv.ParseUint(id, 10, 31)
+	return int(n), err == nil
+}
+
+// answerTokens returns the number of tokens that the answer has reached.
+func (r *requestHandler) answerTokens() float64 {
+	return float64(r.answer.events * max(r.service.Engine.Stride, 1))
+}
+
+// holdLoad records the load that the choice of a path has added to its servers.
+func (r *requestHandler) holdLoad(path fleet.Path, req *pathing.Request) {
+	r.held = heldLoad{path: path, tokens: req.ExpectedTokens()}
+	r.answer.next = r.answerTokens() + recheckTokens
+}
+
+// releaseLoad removes the load of the request from the servers of its path.
+func (r *requestHandler) releaseLoad() {
+	r.g.shared.releasePath(r.held.path, r.held.tokens)
+	r.held = heldLoad{}
+}
+
+// recordEvents counts complete events of the answer. Once it has come closer to its expected length,
+// the load of the request follows the mean of answers that are longer than it is now.
+func (r *requestHandler) recordEvents(events []byte) {
+	a := &r.answer
+	if a.estimate.Tokens <= 0 {
+		return
+	}
+	a.events += bytes.Count(events, eventEnd)
+	produced := r.answerTokens()
+	if produced < a.next {
+		return
+	}
+	answer := r.g.shared.adjustLoad(a, &r.held, r.req.PromptTokens, produced)
+	a.next = produced + max((answer-produced)/2, recheckTokens)
+}
+
+// recordAnswerSize learns from the length of a complete answer.
+func (r *requestHandler) recordAnswerSize() {
+	a := &r.answer
+	if a.estimate.Tokens <= 0 || !a.known || a.events == 0 {
+		return
+	}
+	tokens := int(r.answerTokens())
+	r.g.shared.observeAnswer(a, tokens)
+	r.g.log.Emit(telemetry.EventAnswerSize, telemetry.Request(r.req.ID), telemetry.Count(tokens),
+		telemetry.Detail(fmt.Sprintf("expected %.0f by %s, hint %d", a.estimate.Tokens, a.estimate.Basis, a.request.Hint)))
+}
+
+func (s *sharedState) expectAnswer(r answersize.Request) answersize.Estimate {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.answerSizes.Expected(r)
+}
+
+// expectedTotal returns the expected length of an answer that has reached a number of tokens.
+func (s *sharedState) expectedTotal(a *answerLength, produced float64) float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.answerSizes.Total(a.request, a.estimate.Tokens, produced)
+}
+
+// adjustLoad sets the load that a request holds to the expected length of its answer, which it
+// returns.
+func (s *sharedState) adjustLoad(a *answerLength, held *heldLoad, promptTokens int, produced float64) float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	answer := s.answerSizes.Total(a.request, a.estimate.Tokens, produced)
+	tokens := float64(promptTokens) + answer
+	for _, h := range held.path {
+		s.addLoad(h.Server, 0, 0, tokens-held.tokens)
+	}
+	held.tokens = tokens
+	return answer
+}
+
+func (s *sharedState) observeAnswer(a *answerLength, tokens int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.answerSizes.Observe(a.request, a.estimate.Tokens, tokens)
+}
+
+// answerSizeError returns the mean error of the expected lengths of answers.
+func (s *sharedState) answerSizeError() float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.answerSizes.Error()
+}
--- a/gateway/gauges.go
+++ b/gateway/gauges.go
@@ -32,6 +32,7 @@
 	m.Set(telemetry.ServersAge, gs.c.serverFeed.machine.Age(gs.c.now).Seconds())
 	m.Set(telemetry.WaitingRequests, float64(gs.c.g.waitingRequests.Load()))
 	m.Set(telemetry.ProcessMemory, processMemory())
+	m.Set(telemetry.AnswerSizeError, gs.c.g.shared.answerSizeError())
 	if v.config != nil {
 		m.Set(telemetry.ConfigVersion, float64(v.config.Version))
 		gs.setServices(v)
--- a/gateway/path.go
+++ b/gateway/path.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/hibiscuswick/hibiscuswick/coordination/admission"
-	"github.com/hibiscuswick/hibiscuswick/coordination/pathing"
 	"github.com/hibiscuswick/hibiscuswick/coordination/relay"
 	"github.com/hibiscuswick/hibiscuswick/protocol/backend"
 	"github.com/hibiscuswick/hibiscuswick/state"
@@ -16,10 +15,7 @@
 
 // attemptPath sends the request along a path of engines.
 func (r *requestHandler) attemptPath(ctx context.Context) (relay.Outcome, Result) {
-	pathReq := pathing.Request{Domain: r.g.currentSettings().Domain, PromptTokens: r.req.PromptTokens, MaxTokens: r.req.MaxAnswerTokens}
-	if hops, exhausted := r.retrier.Exhausted(); exhausted {
-		pathReq.FirstHops = hops
-	}
+	pathReq := r.pathRequest()
 	var path fleet.Path
 	found := r.waitFor(ctx, func() (ok bool) {
 		if r.view.populating && !r.headSent || !r.mayRetryRejected(time.Now()) {
@@ -33,7 +29,8 @@
 	if !found {
 		return r.notChosenResult(admission.Uncovered)
 	}
-	defer r.g.shared.releasePath(path, pathReq.ExpectedTokens())
+	r.holdLoad(path, &pathReq)
+	defer r.releaseLoad()
 	defer r.endAssignment(false)
 	if !path.Complete(r.service.Engine.Layers) {
 		panic("gateway: path does not contain each layer exactly once")
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -20,6 +20,7 @@
 	CallerTimeout   time.Duration // how long the caller waits, from Arrived on; 0 if not stated
 	PromptTokens    int
 	MaxAnswerTokens int
+	LengthHint      int // the caller's estimate of the answer's tokens; 0 if not stated
 	// PromptParts are the ids of the parts of the prompt that other requests may share, in order.
 	PromptParts []string
 	LastEventID string // id of the last event that the caller has received, or ""
--- a/gateway/sharedstate.go
+++ b/gateway/sharedstate.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/hibiscuswick/hibiscuswick/coordination/answersize"
 	"github.com/hibiscuswick/hibiscuswick/coordination/availability"
 	"github.com/hibiscuswick/hibiscuswick/coordination/crashes"
 	"github.com/hibiscuswick/hibiscuswick/coordination/pathing"
@@ -35,6 +36,7 @@
 	turns         *crashes.Turns // of the contents and parts that this daemon owns
 	permits       *permits.Limiter
 	availability  *availability.Tracker
+	answerSizes   *answersize.Estimator
 	serverStates  []pathing.ServerState // scratch space of choosePath, by index in the roster
 }
 
@@ -52,6 +54,7 @@
 		parts:         crashes.NewParts(time.Now()),
 		turns:         crashes.NewTurns(),
 		permits:       permits.New(),
+		answerSizes:   answersize.New(pathing.AnswerShare),
 		availability:  availability.NewTracker(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		budget:        retrybudget.New(budgetConfig(set), time.Now()),
 	}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -169,6 +169,7 @@
 		return err
 	}
 	s.events++
+	s.r.recordEvents(complete)
 	now := time.Now()
 	if s.events > 1 {
 		s.r.g.shared.recordEventGap(now, s.r.service.ID, s.sinceLastEvent(now))
@@ -199,6 +200,7 @@
 		return 0, s.r.forwardAnswer(s.answer, nil)
 	}
 	s.r.g.shared.recordAnswer(time.Now(), s.path[0].Address)
+	s.r.recordAnswerSize()
 	if server == probeAlive {
 		s.r.clearImplication()
 	}
--- a/state/fleet/config.go
+++ b/state/fleet/config.go
@@ -125,6 +125,7 @@
 	SeqMS      float64 // time that each running stream adds to a decode step
 	ContextMS  float64 // time that each 1,000 tokens of context add to a decode step
 	ReadPerS   float64 // prefill rate in prompt tokens per second through all layers at pace 1
+	Stride     int     // tokens that one event of an answer holds; at least 1
 	LoadTime   time.Duration
 	Kinds      map[string]AcceleratorKind
 }
--- a/telemetry/catalogue.go
+++ b/telemetry/catalogue.go
@@ -61,6 +61,7 @@
 	{EventPartRefused, "part_refused", logrus.WarnLevel, "A request is refused because a part of its prompt ends the servers that begin to answer it; the content field identifies the part at its service."},
 	{EventRetryLate, "retry_late", logrus.InfoLevel, "A request is sent to another backend server much later than the retry was taken from the retry budget, by the given seconds: it waited for a server, a permit or a connection, or the daemon did not run."},
 	{EventRetryRecords, "retry_records", logrus.InfoLevel, "Whether the table keeps this gateway's records of retries in time has changed; the detail is away or back."},
+	{EventAnswerSize, "answer_size", logrus.DebugLevel, "A stream was answered completely; the count is the length of its answer in tokens, the detail the length that was expected and the caller's hint."},
 	{EventStoreUnavailable, "store_unavailable", logrus.WarnLevel, "The table service does not answer; repeatable requests and requests with a claim continue."},
 	{EventStoreRecovered, "store_recovered", logrus.InfoLevel, "The table service answers again."},
 	{EventStoreBudgetSpent, "store_budget_spent", logrus.WarnLevel, "This daemon's share of store writes is exhausted; claims have priority over other writes."},
--- a/telemetry/counter.go
+++ b/telemetry/counter.go
@@ -69,6 +69,7 @@
 	GatewayAnnouncementsTotal  Name = "gateway_announcements_total"
 	GatewayBrokenCallsTotal    Name = "gateway_broken_calls_total"
 	GatewayFeedSkippedTotal    Name = "gateway_feed_skipped_total"
+	GatewayAnswerSizesTotal    Name = "gateway_answer_sizes_total"
 )
 
 // Metrics of the HTTP front, which creates them in the scope returned by Metrics.Scope.
@@ -103,6 +104,7 @@
 	RetriesLeft     Name = "retries_left"
 	RoomUsed        Name = "room_used"
 	ProcessMemory   Name = "process_memory_bytes"
+	AnswerSizeError Name = "answer_size_error"
 )
 
 // Histograms, in seconds.
@@ -202,6 +204,7 @@
 	{GatewayAnnouncementsTotal, KindCounter, byReason, "Announcements received from the daemons that follow the store, by whether they were new or duplicates."},
 	{GatewayBrokenCallsTotal, KindCounter, byReason, "Calls to backend servers that broke off, by the part of the answer that had arrived (before_header, in_body, before_event, after_event) and by what a probe then showed of the server."},
 	{GatewayFeedSkippedTotal, KindCounter, byReason, "Rows (row) and answers of the table service (answer) that were not applied because their revision is not newer than what is known of the feed."},
+	{GatewayAnswerSizesTotal, KindCounter, byReason, "Streams whose length was estimated, by what the estimate was made from: a hint of the caller, corrected by earlier answers (hint), earlier answers of the route (route), or a fixed share of the longest answer (default)."},
 	{ControlMicrosecondsTotal, KindCounter, nil, "CPU time of the control goroutine, in microseconds."},
 
 	{ActiveRequests, KindGauge, nil, "Requests in flight at this daemon."},
@@ -223,6 +226,7 @@
 	{RetriesLeft, KindGauge, byService, "Retries that remain in this gateway's share of the budget."},
 	{RoomUsed, KindGauge, byService, "Share of the engines' KV-cache capacity that this gateway's requests occupy, times the number of live gateways."},
 	{ProcessMemory, KindGauge, nil, "Memory obtained from the operating system, in bytes."},
+	{AnswerSizeError, KindGauge, nil, "Mean absolute error of the estimated lengths of recent answers, as a share of their mean length."},
 	{Isolated, KindGauge, nil, "1 while the daemon can't verify that its documents are current."},
 
 	{FrontRefused, KindCounter, nil, "Requests that the HTTP front itself rejected as malformed or above one of its limits."},
--- a/telemetry/events.go
+++ b/telemetry/events.go
@@ -71,6 +71,7 @@
 	EventPartRefused        Event = 1331
 	EventRetryLate          Event = 1332
 	EventRetryRecords       Event = 1333
+	EventAnswerSize         Event = 1355
 )
 
 // Events of the store.
