exchange: a head that never ends ends the call at 64 KB

Cause: net/http's reader of answers bounds neither lines nor fields, and informational answers were skipped without a bound: a server that sends such bytes until its connection is closed filled memory for as long as the request had time (seven specs red: no line, status line, field, fields, continued field, informational answers, early hints). Ruled out: chunk sizes, extensions and trailers are bounded by net/http; bytes after a complete answer cost their connection; a body ends with the call's time (specs green before). Change: a connection counts what is read before the head of a call's answer is complete.

--- a/transport/exchange/conn.go
+++ b/transport/exchange/conn.go
@@ -13,6 +13,13 @@
 // under 100 bytes.
 const bufferSize = 2048
 
+// maxHeadBytes bounds what is read of a connection until the head of a call's answer is complete,
+// without the bodies of skipped answers: usual heads have less than 1 KB.
+const maxHeadBytes = 64 << 10
+
+// errHeadTooLong means that a server has sent maxHeadBytes and no complete head.
+var errHeadTooLong = errors.New("head of the answer is too long")
+
 // conn is one pooled connection to a server.
 type conn struct {
 	net.Conn
@@ -21,14 +28,29 @@
 	expiresAt time.Time
 	reused    bool
 	wrote     atomic.Bool // the kernel accepted a byte of the current request
+	inHead    bool        // headLeft applies
+	headLeft  int         // bytes that may still be read before the head is complete
 }
 
 func newConn(raw net.Conn, address string) *conn {
 	c := &conn{Conn: raw, address: address}
-	c.reader = bufio.NewReaderSize(raw, bufferSize)
+	c.reader = bufio.NewReaderSize(c, bufferSize)
 	return c
 }
 
+// Read implements net.Conn and ends a head that is too long.
+func (c *conn) Read(b []byte) (int, error) {
+	if !c.inHead {
+		return c.Conn.Read(b)
+	}
+	if c.headLeft <= 0 {
+		return 0, errHeadTooLong
+	}
+	n, err := c.Conn.Read(b[:min(len(b), c.headLeft)])
+	c.headLeft -= n
+	return n, err
+}
+
 // Write implements net.Conn and records that bytes were sent.
 func (c *conn) Write(b []byte) (int, error) {
 	n, err := c.Conn.Write(b)
--- a/transport/exchange/exchange.go
+++ b/transport/exchange/exchange.go
@@ -144,6 +144,8 @@
 func readHead(c *conn, req *Request) (*http.Response, error) {
 	request := &http.Request{Method: req.Method}
 	mismatched := 0
+	c.inHead, c.headLeft = true, maxHeadBytes
+	defer func() { c.inHead = false }()
 	for {
 		resp, err := http.ReadResponse(c.reader, request)
 		if err != nil {
@@ -159,8 +161,10 @@
 		if mismatched > maxMismatched || resp.Close {
 			return nil, textproto.ProtocolError("too many answers to other requests")
 		}
+		c.inHead = false
 		if _, err := io.CopyN(io.Discard, resp.Body, maxMismatchedBody); !errors.Is(err, io.EOF) {
 			return nil, textproto.ProtocolError("answer to another request is too long to skip")
 		}
+		c.inHead = true
 	}
 }
