stream: an event that never ends breaks its answer at 64 KB

Ruled out: nothing else holds events back; complete events are forwarded as they come. Change: after 64 KB without an end the answer counts as broken: the engine is blamed, and the stream is resumed at another one.

--- a/gateway/eventbuffer.go
+++ b/gateway/eventbuffer.go
@@ -1,6 +1,15 @@
 package gateway
 
-import "bytes"
+import (
+	"bytes"
+	"errors"
+)
+
+// maxEventBytes bounds an incomplete event: usual ones have less than 100 bytes.
+const maxEventBytes = 64 << 10
+
+// errEventTooLong means that a server has sent maxEventBytes of an event and not its end.
+var errEventTooLong = errors.New("event is too long")
 
 // eventEnd separates events.
 var eventEnd = []byte("\n\n")
@@ -29,6 +38,9 @@
 // hasPartial reports whether an incomplete event is buffered.
 func (e *eventBuffer) hasPartial() bool { return len(e.buf) > e.returned }
 
+// tooLong reports whether the incomplete event is longer than any event may be.
+func (e *eventBuffer) tooLong() bool { return len(e.buf)-e.returned > maxEventBytes }
+
 // lastID returns the id of the last event that has one.
 func lastID(events []byte) (string, bool) {
 	at := bytes.LastIndex(events, eventID)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -82,6 +82,9 @@
 			if werr := s.forwardEvents(buf[:n]); werr != nil {
 				return 0, Result{Outcome: CallerLeft, Reason: "caller_left"}
 			}
+			if s.buffer.tooLong() {
+				return s.handleBreak(errEventTooLong)
+			}
 		}
 		if errors.Is(err, io.EOF) {
 			return s.handleEnd()
--- a/transport/exchange/endless_test.go
+++ b/transport/exchange/endless_test.go
@@ -69,7 +69,7 @@
 
 	// read sends a request and reads the answer without keeping it.
 	read := func(ctx context.Context, s *server) error {
-		resp, err := pool.Do(ctx, request(s)) //nolint:bodyclose // closed below
+		resp, err := pool.Do(ctx, request(s))
 		if err != nil {
 			return err
 		}
