httpcall: the head of an answer ends at 64 KB

Cause: the default of net/http, 10 MB, held for the store's answers: fields or informational answers without an end made a call allocate 190 MB, near the memory of a small daemon (two specs red). Ruled out: lines, chunk extensions and trailers ended sooner; bodies end at 16 MB, a page of a table. Change: a named bound.

--- a/transport/httpcall/caller.go
+++ b/transport/httpcall/caller.go
@@ -22,6 +22,10 @@
 	DefaultMaxConns        = 0
 )
 
+// maxHeadBytes bounds the head of an answer, with the informational answers before it. Usual heads
+// have less than 1 KB.
+const maxHeadBytes = 64 << 10
+
 // Options configure a Caller's connections. Zero fields take the defaults.
 type Options struct {
 	// DialTimeout bounds the establishment of one connection.
@@ -93,6 +97,8 @@
 		MaxConnsPerHost:     opts.MaxConns,
 		IdleConnTimeout:     90 * time.Second,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 	t.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
 		c, err := dialer.DialContext(ctx, network, address)
