answersize: running answers keep the load that they were taken for; event ids are bounded

A gateway takes its own streams for those of all others, so that one long answer of its own stood for many that were not there. Ruled out: the estimates themselves (their errors are in the spec of the package). An id beyond the longest answer is not believed, and no length exceeds the longest.

--- a/coordination/answersize/answersize.go
+++ b/coordination/answersize/answersize.go
@@ -102,7 +102,7 @@
 	if known, ok := e.routes.Get(r.Route); ok {
 		total = expected * known.tail.meanBeyond(produced/expected)
 	}
-	return max(min(total, float64(r.Longest)), produced)
+	return min(max(total, produced), float64(r.Longest))
 }
 
 // Observe records the length of a complete answer for which Expected has returned a number of
--- a/gateway/answersize.go
+++ b/gateway/answersize.go
@@ -7,14 +7,9 @@
 
 	"github.com/hibiscuswick/hibiscuswick/coordination/answersize"
 	"github.com/hibiscuswick/hibiscuswick/coordination/pathing"
-	"github.com/hibiscuswick/hibiscuswick/state/fleet"
 	"github.com/hibiscuswick/hibiscuswick/telemetry"
 )
 
-// recheckTokens is the least number of tokens after which the expected length of a running answer
-// is calculated again.
-const recheckTokens = 32
-
 // answerLength is the expected length of a request's answer and what it has reached, in tokens over
 // all runs. The zero value expects nothing.
 type answerLength struct {
@@ -22,13 +17,6 @@
 	estimate answersize.Estimate // before the request was sent
 	known    bool                // the number of events before this daemon's is known
 	events   int
-	next     float64 // number of tokens from which the expected length is calculated again
-}
-
-// heldLoad is the load that a request puts on the servers of its path.
-type heldLoad struct {
-	path   fleet.Path
-	tokens float64
 }
 
 // pathRequest returns what is known of the request for the choice of a path.
@@ -55,6 +43,7 @@
 	}
 	a.request = answersize.Request{Route: r.route.Name, Hint: r.req.LengthHint, Longest: r.req.MaxAnswerTokens}
 	a.events, a.known = eventsBefore(r.req.LastEventID)
+	a.known = a.known && r.answerTokens() <= float64(a.request.Longest)
 	a.estimate = r.g.shared.expectAnswer(a.request)
 	if a.estimate.Tokens > 0 {
 		r.g.metrics.CountReason(telemetry.GatewayAnswerSizesTotal, string(a.estimate.Basis))
@@ -77,32 +66,11 @@
 	return float64(r.answer.events * max(r.service.Engine.Stride, 1))
 }
 
-// holdLoad records the load that the choice of a path has added to its servers.
-func (r *requestHandler) holdLoad(path fleet.Path, req *pathing.Request) {
-	r.held = heldLoad{path: path, tokens: req.ExpectedTokens()}
-	r.answer.next = r.answerTokens() + recheckTokens
-}
-
-// releaseLoad removes the load of the request from the servers of its path.
-func (r *requestHandler) releaseLoad() {
-	r.g.shared.releasePath(r.held.path, r.held.tokens)
-	r.held = heldLoad{}
-}
-
-// recordEvents counts complete events of the answer. Once it has come closer to its expected length,
-// the load of the request follows the mean of answers that are longer than it is now.
+// recordEvents counts complete events of the answer.
 func (r *requestHandler) recordEvents(events []byte) {
-	a := &r.answer
-	if a.estimate.Tokens <= 0 {
-		return
-	}
-	a.events += bytes.Count(events, eventEnd)
-	produced := r.answerTokens()
-	if produced < a.next {
-		return
+	if r.answer.estimate.Tokens > 0 {
+		r.answer.events += bytes.Count(events, eventEnd)
 	}
-	answer := r.g.shared.adjustLoad(a, &r.held, r.req.PromptTokens, produced)
-	a.next = produced + max((answer-produced)/2, recheckTokens)
 }
 
 // recordAnswerSize learns from the length of a complete answer.
@@ -130,20 +98,6 @@
 	return s.answerSizes.Total(a.request, a.estimate.Tokens, produced)
 }
 
-// adjustLoad sets the load that a request holds to the expected length of its answer, which it
-// returns.
-func (s *sharedState) adjustLoad(a *answerLength, held *heldLoad, promptTokens int, produced float64) float64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	answer := s.answerSizes.Total(a.request, a.estimate.Tokens, produced)
-	tokens := float64(promptTokens) + answer
-	for _, h := range held.path {
-		s.addLoad(h.Server, 0, 0, tokens-held.tokens)
-	}
-	held.tokens = tokens
-	return answer
-}
-
 func (s *sharedState) observeAnswer(a *answerLength, tokens int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/gateway/path.go
+++ b/gateway/path.go
@@ -29,8 +29,7 @@
 	if !found {
 		return r.notChosenResult(admission.Uncovered)
 	}
-	r.holdLoad(path, &pathReq)
-	defer r.releaseLoad()
+	defer r.g.shared.releasePath(path, pathReq.ExpectedTokens())
 	defer r.endAssignment(false)
 	if !path.Complete(r.service.Engine.Layers) {
 		panic("gateway: path does not contain each layer exactly once")
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -47,7 +47,6 @@
 	attemptCount int
 	address      string     // address of the server of the current attempt
 	path         fleet.Path // servers of the current attempt; a plain server is its only hop
-	held         heldLoad   // on the servers of the current attempt's path
 	answer       answerLength
 	runStart     time.Time // when the current attempt was sent, or when its answer began as a stream
 	gaps         eventGaps
