--- a/coordination/overload/decide.go
+++ b/coordination/overload/decide.go
@@ -48,7 +48,7 @@
 	memoryLimit = 1.3
 	// excessWeight is the share of the demand by which a customer at twice its fair share is moved
 	// back.
-	excessWeight = 0.5
+	excessWeight = 0.25
 )
 
 // reserved returns the part of what could be used that the stream leaves to others, from 0 to 1.
--- a/gateway/gauges.go
+++ b/gateway/gauges.go
@@ -36,6 +36,7 @@
 	m.Set(telemetry.WaitingRequests, float64(gs.c.g.waitingRequests.Load()))
 	gs.setWaiting()
 	m.Set(telemetry.ProcessMemory, processMemory())
+	m.Set(telemetry.AnswerSizeError, gs.c.g.shared.answerSizeError())
 	if v.config != nil {
 		m.Set(telemetry.ConfigVersion, float64(v.config.Version))
 		gs.setServices(v)
--- a/gateway/path.go
+++ b/gateway/path.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/hibiscuswick/hibiscuswick/coordination/admission"
-	"github.com/hibiscuswick/hibiscuswick/coordination/pathing"
 	"github.com/hibiscuswick/hibiscuswick/coordination/relay"
 	"github.com/hibiscuswick/hibiscuswick/protocol/backend"
 	"github.com/hibiscuswick/hibiscuswick/state"
@@ -17,9 +16,6 @@
 // attemptPath sends the request along a path of engines.
 func (r *requestHandler) attemptPath(ctx context.Context) (relay.Outcome, Result) {
 	pathReq := r.pathRequest()
-	if hops, exhausted := r.retrier.Exhausted(); exhausted {
-		pathReq.FirstHops = hops
-	}
 	decision := r.newStreamAdmission()
 	var path fleet.Path
 	found := r.waitFor(ctx, func() (ok bool) {
@@ -71,11 +67,6 @@
 	return r.handlePathAnswer(cancel, path, answer)
 }
 
-// pathRequest returns what the choice of a path needs to know of the request.
-func (r *requestHandler) pathRequest() pathing.Request {
-	return pathing.Request{Domain: r.g.currentSettings().Domain, PromptTokens: r.req.PromptTokens, MaxTokens: r.req.MaxAnswerTokens}
-}
-
 // releasePath ends the request's load on a path.
 func (r *requestHandler) releasePath(path fleet.Path, tokens float64) {
 	r.g.shared.releasePath(path, tokens)
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -51,7 +51,8 @@
 	attemptCount int
 	address      string     // address of the server of the current attempt
 	path         fleet.Path // servers of the current attempt; a plain server is its only hop
-	runStart     time.Time  // when the current attempt was sent, or when its answer began as a stream
+	answer       answerLength
+	runStart     time.Time // when the current attempt was sent, or when its answer began as a stream
 	gaps         eventGaps
 	admission    *streamAdmission // of the current attempt, if one was made
 	connected    atomic.Bool      // the call of the current attempt has a connection
--- a/gateway/sharedstate.go
+++ b/gateway/sharedstate.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/hibiscuswick/hibiscuswick/coordination/answersize"
 	"github.com/hibiscuswick/hibiscuswick/coordination/availability"
 	"github.com/hibiscuswick/hibiscuswick/coordination/crashes"
 	"github.com/hibiscuswick/hibiscuswick/coordination/overload"
@@ -44,6 +45,7 @@
 	siteLoad      *siteload.View
 	ownTokens     []float64 // scratch space of choosePath, by index in the roster
 	rng           *rand.Rand
+	answerSizes   *answersize.Estimator
 	serverStates  []pathing.ServerState // scratch space of choosePath, by index in the roster
 }
 
@@ -68,6 +70,7 @@
 		loadSums:      siteload.NewAggregator(),
 		siteLoad:      siteload.NewView(),
 		rng:           rng,
+		answerSizes:   answersize.New(pathing.AnswerShare),
 		budget:        retrybudget.New(budgetConfig(set), time.Now()),
 	}
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -82,6 +82,9 @@
 			if werr := s.forwardEvents(buf[:n]); werr != nil {
 				return 0, Result{Outcome: CallerLeft, Reason: "caller_left"}
 			}
+			if s.buffer.tooLong() {
+				return s.handleBreak(errEventTooLong)
+			}
 		}
 		if errors.Is(err, io.EOF) {
 			return s.handleEnd()
@@ -169,6 +172,7 @@
 		return err
 	}
 	s.events++
+	s.r.recordEvents(complete)
 	now := time.Now()
 	if s.events > 1 {
 		s.r.g.shared.recordEventGap(now, s.r.service.ID, s.sinceLastEvent(now))
@@ -201,6 +205,7 @@
 	}
 	s.r.g.shared.recordAnswer(time.Now(), s.path[0].Address)
 	s.r.g.shared.observeStreamEnd(s.r.admission, time.Since(s.began))
+	s.r.recordAnswerSize()
 	if server == probeAlive {
 		s.r.clearImplication()
 	}
--- a/telemetry/catalogue.go
+++ b/telemetry/catalogue.go
@@ -66,6 +66,7 @@
 	{EventQueueRejected, "queue_rejected", logrus.InfoLevel, "A gateway rejected a request in place of letting it wait. The detail is the reason; the count is the number of requests that would have been served before it, the seconds are the wait that was expected from the rate at which requests got servers lately, or 0 if it was not known."},
 	{EventCustomerOverShare, "customer_over_share", logrus.InfoLevel, "A customer of this gateway exceeds its fair share of a service that is contended, over all gateways; the detail says by how much, 1.00 for twice the share or more."},
 	{EventCustomerWithinShare, "customer_within_share", logrus.InfoLevel, "A customer that exceeded its fair share of a service no longer does, or the service is no longer contended."},
+	{EventAnswerSize, "answer_size", logrus.DebugLevel, "A stream was answered completely; the count is the length of its answer in tokens, the detail the length that was expected and the caller's hint."},
 	{EventStoreUnavailable, "store_unavailable", logrus.WarnLevel, "The table service does not answer; repeatable requests and requests with a claim continue."},
 	{EventStoreRecovered, "store_recovered", logrus.InfoLevel, "The table service answers again."},
 	{EventStoreBudgetSpent, "store_budget_spent", logrus.WarnLevel, "This daemon's share of store writes is exhausted; claims have priority over other writes."},
--- a/telemetry/counter.go
+++ b/telemetry/counter.go
@@ -73,6 +73,7 @@
 	GatewayFeedSkippedTotal    Name = "gateway_feed_skipped_total"
 	GatewaySharesTotal         Name = "gateway_shares_total"
 	GatewayQueueRejectedTotal  Name = "gateway_queue_rejected_total"
+	GatewayAnswerSizesTotal    Name = "gateway_answer_sizes_total"
 )
 
 // Metrics of the HTTP front, which creates them in the scope returned by Metrics.Scope.
@@ -111,6 +112,7 @@
 	ShareInForce    Name = "share_in_force"
 	ShareUsed       Name = "share_used"
 	CustomersOver   Name = "customers_over_share"
+	AnswerSizeError Name = "answer_size_error"
 )
 
 // Histograms, in seconds.
@@ -218,6 +220,7 @@
 	{GatewayFeedSkippedTotal, KindCounter, byReason, "Rows (row) and answers of the table service (answer) that were not applied because their revision is not newer than what is known of the feed."},
 	{GatewaySharesTotal, KindCounter, byReason, "Customers that began to exceed their share of a contended service (over) or returned within it (within), and messages about the use of services that this gateway sent (sent)."},
 	{GatewayQueueRejectedTotal, KindCounter, byReason, "Requests that a gateway rejected in place of letting them wait for a server: too many waited (queue_full), they would not have been served in time (too_late), or their callers returned before they were told to, and before others (too_early)."},
+	{GatewayAnswerSizesTotal, KindCounter, byReason, "Streams whose length was estimated, by what the estimate was made from: a hint of the caller, corrected by earlier answers (hint), earlier answers of the route (route), or a fixed share of the longest answer (default)."},
 	{ControlMicrosecondsTotal, KindCounter, nil, "CPU time of the control goroutine, in microseconds."},
 
 	{ActiveRequests, KindGauge, nil, "Requests in flight at this daemon."},
@@ -243,6 +246,7 @@
 	{ShareInForce, KindGauge, byService, "Tokens that a customer may have of a contended service, over all gateways, decayed over 4 s; 0 while it is not contended."},
 	{ShareUsed, KindGauge, byPlace, "Tokens that were admitted lately for the customer with the largest use of a contended service (place 1) to the tenth largest, over all gateways."},
 	{CustomersOver, KindGauge, byService, "Customers that exceed their share of a contended service, among those that the table lists."},
+	{AnswerSizeError, KindGauge, nil, "Mean absolute error of the estimated lengths of recent answers, as a share of their mean length."},
 	{Isolated, KindGauge, nil, "1 while the daemon can't verify that its documents are current."},
 
 	{FrontRefused, KindCounter, nil, "Requests that the HTTP front itself rejected as malformed or above one of its limits."},
--- a/telemetry/events.go
+++ b/telemetry/events.go
@@ -76,6 +76,7 @@
 	EventQueueRejected       Event = 1346
 	EventCustomerOverShare   Event = 1350
 	EventCustomerWithinShare Event = 1351
+	EventAnswerSize          Event = 1355
 )
 
 // Events of the store.
