Health checks are counted by purpose

Cause: gateway_probes_total tells the results of the health checks and not why they were sent, so that their cost can't be attributed. Change: the reason is purpose:result (silence, end, recovery, refusal). The check of a refusal, which was not counted, is. Conclusion: counted before anything is changed.

--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -54,7 +54,7 @@
 		run.Phase = crashes.Fresh // a plain server does not show when a run begins
 	}
 	first := r.path[0]
-	result := r.g.prober.probeSince(now, first.Server, first.Address)
+	result := r.g.prober.probeSince(probeEnd, now, first.Server, first.Address)
 	r.logBrokenCall(stage, first.Address, result.outcome, run.Content)
 	switch {
 	case result.outcome == probeDead || result.provesEnd(first.Server):
--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -65,6 +65,22 @@
 	probeNotSent probeOutcome = "not_sent" // the rate limit was reached
 )
 
+// probePurpose is why a probe is sent, and its name in metrics.
+type probePurpose string
+
+// The values of probePurpose.
+const (
+	probeSilence  probePurpose = "silence"  // a stream through the server is silent
+	probeEnd      probePurpose = "end"      // a call broke off, or an answer ended with its connection
+	probeRecovery probePurpose = "recovery" // the server was found dead before
+	probeRefusal  probePurpose = "refusal"  // the server refused a request
+)
+
+// countProbe counts a probe by its purpose and outcome.
+func (g *Gateway) countProbe(purpose probePurpose, outcome probeOutcome) {
+	g.metrics.CountReason(telemetry.GatewayProbesTotal, string(purpose)+":"+string(outcome))
+}
+
 // probeResult is the result of one probe. took and err say why a server counts as dead.
 type probeResult struct {
 	at        time.Time
@@ -86,41 +102,41 @@
 }
 
 // probe requests a server's report, unless there is a recent result.
-func (p *prober) probe(server state.BackendIncarnation, address string) probeResult {
-	return p.probeSince(time.Time{}, server, address)
+func (p *prober) probe(purpose probePurpose, server state.BackendIncarnation, address string) probeResult {
+	return p.probeSince(purpose, time.Time{}, server, address)
 }
 
 // probeSince requests a server's report, unless there is a recent result which shows that the
 // server is dead, or that it was alive after a time. A probe that was under way at that time shows
 // nothing: the server may have answered it before.
-func (p *prober) probeSince(since time.Time, server state.BackendIncarnation, address string) probeResult {
+func (p *prober) probeSince(purpose probePurpose, since time.Time, server state.BackendIncarnation, address string) probeResult {
 	p.mu.Lock()
 	old, ok := p.results[address]
 	p.mu.Unlock()
 	if ok && old.isFresh() && (old.outcome == probeDead || !old.began().Before(since)) {
 		return old
 	}
-	result := p.sendShared(server, address)
+	result := p.sendShared(purpose, server, address)
 	if result.outcome == probeAlive && result.began().Before(since) {
-		result = p.sendShared(server, address)
+		result = p.sendShared(purpose, server, address)
 	}
 	return result
 }
 
 // sendShared sends one probe, or waits for the one that is under way.
-func (p *prober) sendShared(server state.BackendIncarnation, address string) probeResult {
+func (p *prober) sendShared(purpose probePurpose, server state.BackendIncarnation, address string) probeResult {
 	result, _, _ := p.group.Do(address, func() (any, error) {
 		if !p.limit.Allow() {
-			p.g.metrics.CountReason(telemetry.GatewayProbesTotal, string(probeNotSent))
+			p.g.countProbe(purpose, probeNotSent)
 			return probeResult{outcome: probeNotSent}, nil
 		}
-		return p.sendProbe(server, address), nil
+		return p.sendProbe(purpose, server, address), nil
 	})
 	return result.(probeResult)
 }
 
 // sendProbe sends one probe and stores its result.
-func (p *prober) sendProbe(server state.BackendIncarnation, address string) probeResult {
+func (p *prober) sendProbe(purpose probePurpose, server state.BackendIncarnation, address string) probeResult {
 	began := time.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), serverProbeTimeout)
 	defer cancel()
@@ -139,7 +155,7 @@
 	if errors.Is(err, backend.ErrRefused) {
 		p.g.shared.settleLateCalls(out.at, address, began)
 	}
-	p.g.metrics.CountReason(telemetry.GatewayProbesTotal, string(out.outcome))
+	p.g.countProbe(purpose, out.outcome)
 	p.mu.Lock()
 	maps.DeleteFunc(p.results, func(_ string, old probeResult) bool { return !old.isFresh() }) // addresses come and go
 	p.results[address] = out
@@ -156,7 +172,7 @@
 // checkHops probes hops of a service concurrently. Those that do not answer are avoided until
 // they do, and the streams through them are informed.
 func (p *prober) checkHops(svc state.ServiceID, hops []fleet.Hop) {
-	results := p.probeAll(hops)
+	results := p.probeAll(probeSilence, hops)
 	p.reportUnreached(svc, hops, results)
 	if len(hops) > 1 && !p.isConnected() {
 		return
@@ -186,7 +202,7 @@
 // are to be avoided is left to the streams that they stall.
 func (p *prober) endedHops(hops []fleet.Hop) []fleet.Hop {
 	var ended []fleet.Hop
-	for i, result := range p.probeAll(hops) {
+	for i, result := range p.probeAll(probeEnd, hops) {
 		if result.provesEnd(hops[i].Server) {
 			ended = append(ended, hops[i])
 		}
@@ -194,11 +210,11 @@
 	return ended
 }
 
-func (p *prober) probeAll(hops []fleet.Hop) []probeResult {
+func (p *prober) probeAll(purpose probePurpose, hops []fleet.Hop) []probeResult {
 	results := make([]probeResult, len(hops))
 	var all sync.WaitGroup
 	for i, h := range hops {
-		all.Go(func() { results[i] = p.probe(h.Server, h.Address) })
+		all.Go(func() { results[i] = p.probe(purpose, h.Server, h.Address) })
 	}
 	all.Wait()
 	return results
@@ -236,7 +252,7 @@
 				return
 			case <-time.After(reprobeInterval(p.g.currentView.Load().live)):
 			}
-			if p.probe(h.Server, h.Address).outcome == probeAlive {
+			if p.probe(probeRecovery, h.Server, h.Address).outcome == probeAlive {
 				p.g.shared.clearDead(h.Address)
 				p.g.log.Emit(telemetry.EventBackendRecovered, telemetry.Backend(h.Server.ID), telemetry.Address(h.Address))
 				return
--- a/gateway/probe_internal_test.go
+++ b/gateway/probe_internal_test.go
@@ -92,10 +92,10 @@
 		server := &endingServer{asked: make(chan struct{}), answer: make(chan struct{})}
 		g := newCutOffGateway(10)
 		g.backends = server
-		go g.prober.probeSince(time.Time{}, hop("e1").Server, "e1")
+		go g.prober.probeSince(probeEnd, time.Time{}, hop("e1").Server, "e1")
 		<-server.asked
 		after := make(chan probeResult)
-		go func() { after <- g.prober.probeSince(time.Now(), hop("e1").Server, "e1") }()
+		go func() { after <- g.prober.probeSince(probeEnd, time.Now(), hop("e1").Server, "e1") }()
 		time.Sleep(10 * time.Millisecond)
 		close(server.answer)
 		Expect((<-after).outcome).To(Equal(probeDead))
--- a/gateway/refusal.go
+++ b/gateway/refusal.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/samber/lo"
+
 	"github.com/hibiscuswick/hibiscuswick/coordination/suspect"
 	"github.com/hibiscuswick/hibiscuswick/state/fleet"
 	"github.com/hibiscuswick/hibiscuswick/telemetry"
@@ -54,6 +56,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), serverProbeTimeout)
 	defer cancel()
 	report, err := g.backends.Report(ctx, hop.Address)
+	g.countProbe(probeRefusal, lo.Ternary(err == nil, probeAlive, probeDead))
 	if err != nil {
 		return true // dead: that is detected by its lack of answers
 	}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -212,7 +212,7 @@
 		return probeAlive
 	}
 	first := s.path[0]
-	result := s.r.g.prober.probeSince(time.Now(), first.Server, first.Address)
+	result := s.r.g.prober.probeSince(probeEnd, time.Now(), first.Server, first.Address)
 	if result.provesEnd(first.Server) {
 		return probeDead
 	}
