Signs of life are shared between daemons before a server is probed

Change, with Contention.ProbeByTraffic: 8 ms before a probe of a later hop is due its owner, one of some daemons that all agree on, is asked for a sign of life; it probes if it has none. A stream with a hop that is known to be dead probes no other hops. A dead server is probed ever less often, and not once it is unlisted.

--- /dev/null
+++ b/coordination/probing/probing.go
@@ -0,0 +1,78 @@
+package probing
+
+import (
+	"math"
+	"time"
+
+	"github.com/hibiscuswick/hibiscuswick/coordination/rendezvous"
+	"github.com/hibiscuswick/hibiscuswick/state"
+)
+
+// Lead is how long before a probe is due the server's owner is asked: two round trips within a region
+// and the answer of a live server.
+const Lead = 8 * time.Millisecond
+
+// ResultTTL is how long a daemon uses the result of its own probe, which may be one that it sent for
+// others: with a longer time servers that die just after one would be found later.
+const ResultTTL = 200 * time.Millisecond
+
+// Query asks for a sign of life of a server that is not older than MaxAgeMS.
+type Query struct {
+	Server   state.BackendIncarnation `msgpack:"server"`
+	Address  string                   `msgpack:"address"`
+	MaxAgeMS int64                    `msgpack:"max_age"`
+}
+
+// Request asks an owner for signs of life of servers of a service.
+type Request struct {
+	Service state.ServiceID `msgpack:"service"`
+	Queries []Query         `msgpack:"queries"`
+}
+
+// Response answers a Request: one sign for each query.
+type Response struct {
+	Signs []Sign `msgpack:"signs"`
+}
+
+// Sign is a sign of life of a server. The zero value is none.
+type Sign struct {
+	Alive bool  `msgpack:"alive,omitempty"`
+	AgeMS int64 `msgpack:"age,omitempty"`
+}
+
+// SettlesUntil returns until when a sign makes a probe of a server needless that was asked for at a time
+// and may be silent for allowed: as long as if a stream had shown it.
+func (s Sign) SettlesUntil(askedAt time.Time, allowed time.Duration) time.Time {
+	if !s.Alive || s.AgeMS < 0 {
+		return time.Time{}
+	}
+	return askedAt.Add(allowed - time.Duration(s.AgeMS)*time.Millisecond)
+}
+
+// ownersKey is the key by which the owners are chosen among the daemons.
+const ownersKey = "probing"
+
+// Owners returns the daemons that own servers: as many as the square root of all, so that neither the
+// connections to them nor their load grow with the number of daemons.
+func Owners(daemons []state.DaemonID) []state.DaemonID {
+	n := int(math.Ceil(math.Sqrt(float64(len(daemons)))))
+	return rendezvous.Rank(ownersKey, daemons, n)
+}
+
+// Owner returns the owner of the server at an address, or false if there are no owners.
+func Owner(address string, owners []state.DaemonID) (state.DaemonID, bool) {
+	return rendezvous.Owner(address, owners)
+}
+
+// maxBackoff is how many times the shortest interval may grow between two probes of a dead server.
+const maxBackoff = 4
+
+// RecoveryInterval returns how long to wait before a dead server is probed again, after a number of
+// probes that it did not answer. A server whose process has ended returns as another one, which its
+// entry in the list shows, so that it is probed rarely from the start.
+func RecoveryInterval(shortest time.Duration, unanswered int, ended bool) time.Duration {
+	if ended || unanswered >= maxBackoff {
+		return maxBackoff * shortest
+	}
+	return min(shortest<<unanswered, maxBackoff*shortest)
+}
--- a/coordination/suspect/suspect.go
+++ b/coordination/suspect/suspect.go
@@ -135,14 +135,39 @@
 	r.lastUsed = now
 }
 
-// SilentHops returns the hops of a stream that nothing has shown to be alive for longer than usual:
+// Suspicion is a hop that has been silent for longer than allowed.
+type Suspicion struct {
+	Hop     fleet.Hop
+	Allowed time.Duration
+}
+
+// Suspicions returns the hops of a stream that nothing has shown to be alive for longer than usual:
 // twice their longest recent gap, but no less than least and no more than most.
-func (t *Tracker) SilentHops(now time.Time, s *Stream, least, most time.Duration) []fleet.Hop {
-	var out []fleet.Hop
+func (t *Tracker) Suspicions(now time.Time, s *Stream, least, most time.Duration) []Suspicion {
+	var out []Suspicion
 	for i, r := range s.records {
-		if now.Sub(r.lastAlive) >= min(max(2*r.gaps.Value(now), least), most) {
-			out = append(out, s.path[i])
+		allowed := min(max(2*r.gaps.Value(now), least), most)
+		if now.Sub(r.lastAlive) >= allowed {
+			out = append(out, Suspicion{Hop: s.path[i], Allowed: allowed})
 		}
 	}
 	return out
 }
+
+// SilentHops returns the hops that Suspicions returns.
+func (t *Tracker) SilentHops(now time.Time, s *Stream, least, most time.Duration) []fleet.Hop {
+	var out []fleet.Hop
+	for _, suspicion := range t.Suspicions(now, s, least, most) {
+		out = append(out, suspicion.Hop)
+	}
+	return out
+}
+
+// SinceAlive returns the time since a server was last shown to be alive, or false if it never was.
+func (t *Tracker) SinceAlive(now time.Time, address string) (time.Duration, bool) {
+	r, ok := t.servers[address]
+	if !ok || r.lastAlive.IsZero() {
+		return 0, false
+	}
+	return now.Sub(r.lastAlive), true
+}
--- a/gateway/fake_test.go
+++ b/gateway/fake_test.go
@@ -330,6 +330,7 @@
 	gateway    *gateway.Gateway
 	grace      time.Duration
 	log        *telemetry.Log
+	contention gateway.Contention // of the gateways that are started from now on
 }
 
 const eventuallyTimeout = 20 * time.Second
@@ -374,6 +375,7 @@
 		return gateway.New(gateway.Settings{
 			ID: id, Domain: "a", CallerAddress: "front-" + string(id), PeerAddress: freeAddress(), DrainTimeout: h.grace,
 			AddressTTL: 5 * time.Second, BudgetRatio: 0.2, BudgetWindow: 10 * time.Second, BudgetSlack: 100,
+			Contention: h.contention,
 		}, gateway.Site{Configs: configs, Servers: servers, Members: h.members, Leases: h.leases},
 			backends, h.log, telemetry.NewMetrics())
 	}
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -10,6 +10,7 @@
 	"github.com/hibiscuswick/hibiscuswick/coordination/following"
 	"github.com/hibiscuswick/hibiscuswick/coordination/membership"
 	"github.com/hibiscuswick/hibiscuswick/coordination/permits"
+	"github.com/hibiscuswick/hibiscuswick/coordination/probing"
 	"github.com/hibiscuswick/hibiscuswick/coordination/reach"
 	"github.com/hibiscuswick/hibiscuswick/coordination/suspect"
 	"github.com/hibiscuswick/hibiscuswick/protocol/peer"
@@ -54,6 +55,8 @@
 	kindReachNotice   peer.Kind = 1900
 	kindReachRequest  peer.Kind = 1901
 	kindReachResponse peer.Kind = 1902
+	kindLifeRequest   peer.Kind = 2000
+	kindLifeResponse  peer.Kind = 2001
 )
 
 // newRegistry registers every message between gateways.
@@ -79,6 +82,8 @@
 	peer.Register[reach.Notice](r, kindReachNotice)
 	peer.Register[reachRequest](r, kindReachRequest)
 	peer.Register[reachResponse](r, kindReachResponse)
+	peer.Register[probing.Request](r, kindLifeRequest)
+	peer.Register[probing.Response](r, kindLifeResponse)
 	return r
 }
 
--- a/gateway/peerrows.go
+++ b/gateway/peerrows.go
@@ -11,6 +11,7 @@
 	"github.com/hibiscuswick/hibiscuswick/coordination/crashes"
 	"github.com/hibiscuswick/hibiscuswick/coordination/following"
 	"github.com/hibiscuswick/hibiscuswick/coordination/membership"
+	"github.com/hibiscuswick/hibiscuswick/coordination/probing"
 	"github.com/hibiscuswick/hibiscuswick/protocol/site"
 	"github.com/hibiscuswick/hibiscuswick/state"
 	"github.com/hibiscuswick/hibiscuswick/telemetry"
@@ -70,6 +71,8 @@
 	switch req := msg.(type) {
 	case reachRequest:
 		return g.reach.answer(req), nil
+	case probing.Request:
+		return g.prober.answer(req), nil
 	case crashes.TurnRequest:
 		return g.shared.grantTurn(time.Now(), from.ID, req), nil
 	}
--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -5,8 +5,10 @@
 	"errors"
 	"maps"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/samber/lo"
 	"golang.org/x/sync/singleflight"
 	"golang.org/x/time/rate"
 
@@ -49,9 +51,13 @@
 	g     *Gateway
 	group singleflight.Group
 	limit *rate.Limiter
+	// asks limits the questions to owners of servers, and asked the probes sent as an owner.
+	asks, asked *rate.Limiter
+	owners      atomic.Pointer[probeOwners]
 
 	mu      sync.Mutex
 	results map[string]probeResult // by address
+	settled map[string]time.Time   // until when another daemon's sign of life makes a probe needless, by address
 }
 
 // probeOutcome is what a probe shows of a server, and its name in metrics.
@@ -74,6 +80,7 @@
 	probeEnd      probePurpose = "end"      // a call broke off, or an answer ended with its connection
 	probeRecovery probePurpose = "recovery" // the server was found dead before
 	probeRefusal  probePurpose = "refusal"  // the server refused a request
+	probeAsked    probePurpose = "asked"    // another daemon asked for a sign of life
 )
 
 // countProbe counts a probe by its purpose and outcome.
@@ -98,7 +105,10 @@
 }
 
 func newProber(g *Gateway) *prober {
-	return &prober{g: g, limit: rate.NewLimiter(probeRate, probeBurst), results: make(map[string]probeResult)}
+	return &prober{
+		g: g, limit: rate.NewLimiter(probeRate, probeBurst), asks: rate.NewLimiter(askRate, askBurst), asked: rate.NewLimiter(probeRate, probeBurst),
+		results: make(map[string]probeResult), settled: make(map[string]time.Time),
+	}
 }
 
 // probe requests a server's report, unless there is a recent result.
@@ -113,7 +123,7 @@
 	p.mu.Lock()
 	old, ok := p.results[address]
 	p.mu.Unlock()
-	if ok && old.isFresh() && (old.outcome == probeDead || !old.began().Before(since)) {
+	if ok && p.isFresh(old) && (old.outcome == probeDead || !old.began().Before(since)) {
 		return old
 	}
 	result := p.sendShared(purpose, server, address)
@@ -126,7 +136,7 @@
 // sendShared sends one probe, or waits for the one that is under way.
 func (p *prober) sendShared(purpose probePurpose, server state.BackendIncarnation, address string) probeResult {
 	result, _, _ := p.group.Do(address, func() (any, error) {
-		if !p.limit.Allow() {
+		if limit := lo.Ternary(purpose == probeAsked, p.asked, p.limit); !limit.Allow() {
 			p.g.countProbe(purpose, probeNotSent)
 			return probeResult{outcome: probeNotSent}, nil
 		}
@@ -157,7 +167,7 @@
 	}
 	p.g.countProbe(purpose, out.outcome)
 	p.mu.Lock()
-	maps.DeleteFunc(p.results, func(_ string, old probeResult) bool { return !old.isFresh() }) // addresses come and go
+	maps.DeleteFunc(p.results, func(_ string, old probeResult) bool { return !p.isFresh(old) }) // addresses come and go
 	p.results[address] = out
 	p.mu.Unlock()
 	return out
@@ -166,9 +176,6 @@
 // began is when the probe was sent.
 func (r probeResult) began() time.Time { return r.at.Add(-r.took) }
 
-// isFresh reports whether the result may still be reused.
-func (r probeResult) isFresh() bool { return time.Since(r.at) < probeResultTTL }
-
 // checkHops probes hops of a service concurrently. Those that do not answer are avoided until
 // they do, and the streams through them are informed.
 func (p *prober) checkHops(svc state.ServiceID, hops []fleet.Hop) {
@@ -229,7 +236,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, r := range p.results {
-		if r.outcome == probeAlive && r.isFresh() {
+		if r.outcome == probeAlive && p.isFresh(r) {
 			return true
 		}
 	}
@@ -239,18 +246,21 @@
 // handleDeath excludes a dead server, and probes it until it answers again or
 // reprobeDuration has passed.
 func (p *prober) handleDeath(h fleet.Hop, result probeResult) {
-	if !p.g.shared.markDead(h.Address) {
+	if !p.g.shared.markDead(h.Address, result.provesEnd(h.Server)) {
 		return
 	}
 	p.g.log.Emit(telemetry.EventBackendDead, telemetry.Backend(h.Server.ID), telemetry.Address(h.Address),
 		telemetry.Duration(result.took), telemetry.Cause(result.err))
 	go func() {
 		until := time.Now().Add(reprobeDuration)
-		for time.Now().Before(until) {
+		for probes := 0; time.Now().Before(until); probes++ {
 			select {
 			case <-p.g.done:
 				return
-			case <-time.After(reprobeInterval(p.g.currentView.Load().live)):
+			case <-time.After(p.recoveryInterval(probes, result.provesEnd(h.Server))):
+			}
+			if p.g.currentSettings().Contention.ProbeByTraffic && !p.g.currentView.Load().lists(h) {
+				break
 			}
 			if p.probe(probeRecovery, h.Server, h.Address).outcome == probeAlive {
 				p.g.shared.clearDead(h.Address)
--- /dev/null
+++ b/gateway/probeshare.go
@@ -0,0 +1,211 @@
+package gateway
+
+import (
+	"context"
+	"maps"
+	"sync"
+	"time"
+
+	"github.com/samber/lo"
+	"golang.org/x/time/rate"
+
+	"github.com/hibiscuswick/hibiscuswick/coordination/membership"
+	"github.com/hibiscuswick/hibiscuswick/coordination/probing"
+	"github.com/hibiscuswick/hibiscuswick/coordination/suspect"
+	"github.com/hibiscuswick/hibiscuswick/state"
+	"github.com/hibiscuswick/hibiscuswick/state/fleet"
+)
+
+const (
+	// askRate and askBurst limit the questions of one daemon to the owners of servers. What exceeds
+	// them is probed by the daemon itself.
+	askRate  = 40 // per second
+	askBurst = 80
+	// leadDivisor divides a route's longest allowed gap: the most that a check may start before a
+	// probe is due.
+	leadDivisor = 16
+)
+
+// probeOwners are the owners of servers among the members of a view.
+type probeOwners struct {
+	members   *membership.View
+	ids       []state.DaemonID
+	addresses map[state.DaemonID]string
+}
+
+// currentOwners returns the owners among the live daemons.
+func (p *prober) currentOwners() *probeOwners {
+	members := p.g.currentView.Load().members
+	if known := p.owners.Load(); known != nil && known.members == members {
+		return known
+	}
+	out := &probeOwners{members: members, addresses: make(map[state.DaemonID]string)}
+	if members != nil {
+		for _, i := range members.Members {
+			if i.State == membership.Alive {
+				out.addresses[i.Member.ID] = i.Meta.PeerAddress
+			}
+		}
+	}
+	out.ids = probing.Owners(lo.Keys(out.addresses))
+	p.owners.Store(out)
+	return out
+}
+
+// probeLead is how long before a probe is due a stalled stream is checked.
+func (s *stream) probeLead() time.Duration {
+	if !s.r.g.currentSettings().Contention.ProbeByTraffic {
+		return 0
+	}
+	return min(probing.Lead, s.r.route.Gap/leadDivisor)
+}
+
+// checkByTraffic checks the silent hops of a stream of which no daemon's traffic and no probe shows a
+// recent sign of life. It returns when the stream is to be checked again.
+func (s *stream) checkByTraffic(now time.Time) time.Duration {
+	g, gap, lead := s.r.g, s.r.route.Gap, s.probeLead()
+	if h, ended, ok := g.shared.deadHop(s.path); ok {
+		s.hopDied(h, ended && !s.endRecorded.Load())
+		return probeResultTTL
+	}
+	suspicions := func(now time.Time) []suspect.Suspicion {
+		return g.shared.suspicions(now, s.tracked, gap/minSilenceDivisor, gap/maxSilenceDivisor)
+	}
+	expected := suspicions(now.Add(lead))
+	if len(expected) == 0 {
+		return gap / recheckDivisor
+	}
+	g.prober.askOwners(s.r.service.ID, s.path[0], expected, lead)
+	time.Sleep(time.Until(now.Add(lead)))
+	if s.ending.Load() {
+		return 0
+	}
+	g.prober.checkHops(s.r.service.ID, g.prober.unsettled(time.Now(), suspicions(time.Now())))
+	return gap/recheckDivisor - lead
+}
+
+// unsettled returns the suspected hops of which no other daemon has a recent sign of life.
+func (p *prober) unsettled(now time.Time, suspicions []suspect.Suspicion) []fleet.Hop {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []fleet.Hop
+	for _, s := range suspicions {
+		if !now.Before(p.settled[s.Hop.Address]) {
+			out = append(out, s.Hop)
+		}
+	}
+	return out
+}
+
+// askOwners asks the owners of suspected hops for signs of life, for a time at most. The first hop of a
+// path is left to this daemon's own probe: its link to the server may be the cause.
+func (p *prober) askOwners(svc state.ServiceID, first fleet.Hop, suspicions []suspect.Suspicion, timeout time.Duration) {
+	owners := p.currentOwners()
+	byOwner := make(map[state.DaemonID][]suspect.Suspicion)
+	for _, s := range p.withoutResult(time.Now(), suspicions) {
+		owner, ok := probing.Owner(s.Hop.Address, owners.ids)
+		if ok && owner != p.g.self.ID && s.Hop.Address != first.Address {
+			byOwner[owner] = append(byOwner[owner], s)
+		}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	var all sync.WaitGroup
+	for owner, asked := range byOwner {
+		if p.asks.Allow() {
+			all.Go(func() { p.askOwner(ctx, owners.addresses[owner], svc, asked) })
+		}
+	}
+	all.Wait()
+}
+
+// withoutResult returns the suspicions that neither a recent probe nor a sign of life has settled.
+func (p *prober) withoutResult(now time.Time, suspicions []suspect.Suspicion) []suspect.Suspicion {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return lo.Reject(suspicions, func(s suspect.Suspicion, _ int) bool {
+		return p.isFresh(p.results[s.Hop.Address]) || now.Before(p.settled[s.Hop.Address])
+	})
+}
+
+// askOwner asks one owner for signs of life.
+func (p *prober) askOwner(ctx context.Context, address string, svc state.ServiceID, asked []suspect.Suspicion) {
+	req := probing.Request{Service: svc}
+	for _, s := range asked {
+		req.Queries = append(req.Queries, probing.Query{Server: s.Hop.Server, Address: s.Hop.Address, MaxAgeMS: s.Allowed.Milliseconds()})
+	}
+	askedAt := time.Now()
+	answer, err := p.g.node.Call(ctx, address, req)
+	resp, _ := answer.Msg.(probing.Response)
+	if err != nil || len(resp.Signs) != len(asked) {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	maps.DeleteFunc(p.settled, func(_ string, until time.Time) bool { return askedAt.After(until) }) // addresses come and go
+	for i, sign := range resp.Signs {
+		p.settled[asked[i].Hop.Address] = sign.SettlesUntil(askedAt, asked[i].Allowed)
+	}
+}
+
+// answer answers another daemon's question for signs of life of servers that this daemon owns.
+func (p *prober) answer(req probing.Request) probing.Response {
+	v, owners := p.g.currentView.Load(), p.currentOwners()
+	p.asked.SetLimit(probeRate * rate.Limit(len(owners.addresses)) / rate.Limit(max(1, len(owners.ids))))
+	out := probing.Response{Signs: make([]probing.Sign, len(req.Queries))}
+	var all sync.WaitGroup
+	for i, q := range req.Queries {
+		listed, ok := v.serverAt(req.Service, q.Address)
+		if ok && listed.Incarnation() == q.Server {
+			all.Go(func() { out.Signs[i] = p.signOf(q) })
+		}
+	}
+	all.Wait()
+	return out
+}
+
+// signOf returns a sign of life of a server, and probes it if there is no recent one.
+func (p *prober) signOf(q probing.Query) probing.Sign {
+	now := time.Now()
+	if age, ok := p.g.shared.sinceAlive(now, q.Address); ok && age.Milliseconds() < q.MaxAgeMS {
+		return probing.Sign{Alive: true, AgeMS: age.Milliseconds()}
+	}
+	p.mu.Lock()
+	known := p.results[q.Address]
+	p.mu.Unlock()
+	if age := now.Sub(known.began()); known.outcome == probeAlive && age.Milliseconds() < q.MaxAgeMS {
+		return probing.Sign{Alive: true, AgeMS: age.Milliseconds()}
+	}
+	result := p.sendShared(probeAsked, q.Server, q.Address)
+	replaced := result.startTime != 0 && q.Server.Born != 0 && result.startTime != q.Server.Born
+	return probing.Sign{Alive: result.outcome == probeAlive && !replaced}
+}
+
+// isFresh reports whether a result may still be reused.
+func (p *prober) isFresh(r probeResult) bool {
+	if p.g.currentSettings().Contention.ProbeByTraffic {
+		return time.Since(r.at) < probing.ResultTTL
+	}
+	return time.Since(r.at) < probeResultTTL
+}
+
+// recoveryInterval is how long to wait before a dead server is probed again.
+func (p *prober) recoveryInterval(unanswered int, ended bool) time.Duration {
+	shortest := reprobeInterval(p.g.currentView.Load().live)
+	if !p.g.currentSettings().Contention.ProbeByTraffic {
+		return shortest
+	}
+	return probing.RecoveryInterval(shortest, unanswered, ended)
+}
+
+// lists reports whether the incarnation of a server that a path names is still listed.
+func (v *view) lists(h fleet.Hop) bool {
+	for _, servers := range v.servers {
+		for i := range servers {
+			if servers[i].Address == h.Address && servers[i].Incarnation() == h.Server {
+				return true
+			}
+		}
+	}
+	return false
+}
--- a/gateway/sharedstate.go
+++ b/gateway/sharedstate.go
@@ -23,6 +23,7 @@
 	loads         map[state.BackendIncarnation]*pathing.Load // this daemon's own requests by server
 	suspects      *suspect.Tracker
 	dead          map[string]bool // addresses of servers that answer no probe
+	ended         map[string]bool // of those, the ones whose process has ended
 	refusalChecks map[string]bool // addresses of servers with a pending refusal check
 	budget        *retrybudget.Budget
 	recordsAway   bool                  // the table does not keep records of retries in time
@@ -43,6 +44,7 @@
 		loads:         make(map[state.BackendIncarnation]*pathing.Load),
 		suspects:      suspect.NewTracker(),
 		dead:          make(map[string]bool),
+		ended:         make(map[string]bool),
 		refusalChecks: make(map[string]bool),
 		streams:       make(map[*stream]struct{}),
 		linkBacklogs:  make(linkBacklogs),
@@ -257,10 +259,14 @@
 	return out
 }
 
-// markDead records that a server answers no probe. It returns false if that was known.
-func (s *sharedState) markDead(address string) bool {
+// markDead records that a server answers no probe, and whether its process has ended. It returns false
+// if it was known to be dead.
+func (s *sharedState) markDead(address string, ended bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if ended {
+		s.ended[address] = true
+	}
 	if s.dead[address] {
 		return false
 	}
@@ -273,6 +279,33 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.dead, address)
+	delete(s.ended, address)
+}
+
+// deadHop returns a hop of a path that is known to be dead, and whether its process has ended.
+func (s *sharedState) deadHop(path fleet.Path) (hop fleet.Hop, ended, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, h := range path {
+		if s.dead[h.Address] {
+			return h, s.ended[h.Address], true
+		}
+	}
+	return fleet.Hop{}, false, false
+}
+
+// suspicions returns the hops of a stream that have shown no recent sign of life.
+func (s *sharedState) suspicions(now time.Time, str *suspect.Stream, minSilence, maxSilence time.Duration) []suspect.Suspicion {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.suspects.Suspicions(now, str, minSilence, maxSilence)
+}
+
+// sinceAlive returns the time since a stream last showed a server to be alive.
+func (s *sharedState) sinceAlive(now time.Time, address string) (time.Duration, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.suspects.SinceAlive(now, address)
 }
 
 // counts returns the numbers of open streams and of dead servers.
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -48,6 +48,7 @@
 	lastEventAt atomic.Int64 // when the last event arrived, in ns since start
 	answerLost  atomic.Bool  // the answer was abandoned although all hops are alive
 	ending      atomic.Bool  // the answer was abandoned or has ended
+	endRecorded atomic.Bool  // a server of the path is known to have ended
 }
 
 func newStream(r *requestHandler, path fleet.Path, answer *backend.Answer, cancel context.CancelFunc) *stream {
@@ -110,7 +111,7 @@
 		// resets it and may run at once.
 		s.timer = time.AfterFunc(time.Hour, s.handleStall)
 	}
-	s.timer.Reset(gap)
+	s.timer.Reset(gap - s.probeLead())
 }
 
 // handleStall is called when no event has arrived for a while. A stream that is merely slow
@@ -129,10 +130,14 @@
 		s.cancel()
 		return
 	}
-	hops := g.shared.silentHops(now, s.tracked, gap/minSilenceDivisor, gap/maxSilenceDivisor)
-	g.prober.checkHops(s.r.service.ID, hops)
+	recheck := gap / recheckDivisor
+	if g.currentSettings().Contention.ProbeByTraffic {
+		recheck = s.checkByTraffic(now)
+	} else {
+		g.prober.checkHops(s.r.service.ID, g.shared.silentHops(now, s.tracked, gap/minSilenceDivisor, gap/maxSilenceDivisor))
+	}
 	if !s.ending.Load() {
-		s.timer.Reset(gap / recheckDivisor)
+		s.timer.Reset(recheck)
 	}
 }
 
@@ -144,6 +149,7 @@
 // ended.
 func (s *stream) hopDied(h fleet.Hop, ended bool) {
 	if ended {
+		s.endRecorded.Store(true)
 		age := time.Since(s.began) - s.sinceLastEvent(time.Now())
 		s.r.implicate(h.Server, crashes.Run{Content: s.r.fingerprint(), Phase: crashes.PhaseOf(crashes.Answering, age)})
 	}
--- a/telemetry/counter.go
+++ b/telemetry/counter.go
@@ -191,7 +191,7 @@
 	{GatewayFailedTotal, KindCounter, byReason, "Requests that failed, timed out or were truncated at a gateway, by reason."},
 	{GatewayRetriedTotal, KindCounter, byReason, "Requests sent to another backend server, by the result of the previous attempt."},
 	{GatewayRetryGrantsTotal, KindCounter, byReason, "Retries asked of the retry budget: granted, denied although the allowance has some left since no written record reserves them (unreserved), or denied since it has none (exhausted)."},
-	{GatewayProbesTotal, KindCounter, byReason, "Probes of backend servers, by purpose (silence: a stream through the server is silent; end: a call to it broke off; recovery: it was found dead before; refusal: it refused a request) and result."},
+	{GatewayProbesTotal, KindCounter, byReason, "Probes of backend servers, by purpose (silence: a stream through the server is silent; end: a call to it broke off; recovery: it was found dead before; refusal: it refused a request; asked: another gateway asked for a sign of life) and result."},
 	{GatewayReachChecksTotal, KindCounter, byReason, "Checks whether this gateway is cut off from the servers of a service that other gateways reach, by result."},
 	{GatewayCutOffTotal, KindCounter, byReason, "Requests that a gateway did not serve since it is cut off from the servers, by whether their callers may still have used an address answer from before (cached_address) or came although no gateway has named this one for longer than such answers are valid (not_named)."},
 	{GatewayLimitedTotal, KindCounter, byReason, "Requests for which a backend server with a rate limit was considered, by whether they were sent to it or the server was skipped for lack of a permit."},
