Witnesses are asked for signs of life before a server's owner

Change: 8 ms before the owners, up to three daemons are asked for what their own streams and probes show of all suspected hops; they send no probe.

--- a/coordination/probing/doc.go
+++ b/coordination/probing/doc.go
@@ -1,9 +1,9 @@
 // Package probing decides which signs of life of backend servers daemons share, so that a server that
 // is alive is not probed by each daemon whose streams pause there.
 //
-// Before a daemon probes a server in the middle of a path, it asks the server's owner, a daemon that
-// all agree on, for a recent sign of life: an event of one of the owner's own streams, or the result
-// of a probe, which the owner sends if it has none. One probe so serves all daemons. A daemon probes
+// Before a daemon probes a server in the middle of a path, it asks a few daemons, the witnesses, whether
+// their streams or probes have shown the server to be alive lately. If none of them has, it asks the
+// server's owner, a daemon that all agree on, which probes the server if it does not know. One probe so serves all daemons. A daemon probes
 // the first server of a path itself, since its own link to that server may be the cause; it also probes
 // itself whenever the owner shows no sign of life in time, so that no death rests on another daemon's
 // word.
--- a/coordination/probing/found_test.go
+++ b/coordination/probing/found_test.go
@@ -117,8 +117,15 @@
 	due := s.now.Add(s.lead())
 	s.at(due.Add(recheck-s.lead()), func() { s.watch(w, series) })
 	suspicions := w.tracker.Suspicions(due, w.stream, leastSilence, mostSilence)
-	if s.shared && len(suspicions) > 0 && w != s.watchers[0] && s.now.After(w.settled) && !s.probedLately(w) {
-		s.at(s.now.Add(messageLag/2), func() { s.ask(w, suspicions[0].Allowed, s.now.Add(-messageLag/2)) })
+	if s.shared && len(suspicions) > 0 {
+		askedAt := s.now
+		s.at(s.now.Add(messageLag/2), func() { s.askWitnesses(w, suspicions[0].Allowed, askedAt) })
+		s.at(s.now.Add(s.lead()/2), func() {
+			if w != s.watchers[0] && !s.now.Before(w.settled) && !s.probedLately(w) {
+				askedAt := s.now
+				s.at(s.now.Add(messageLag/2), func() { s.ask(w, suspicions[0].Allowed, askedAt) })
+			}
+		})
 	}
 	s.at(due, func() {
 		if series != w.check || !w.foundAt.IsZero() || s.now.Before(w.settled) || s.probedLately(w) {
@@ -136,6 +143,23 @@
 	})
 }
 
+// askWitnesses lets some daemons say what they know.
+func (s *site) askWitnesses(w *watcher, allowed time.Duration, askedAt time.Time) {
+	for _, witness := range s.watchers[1:4] {
+		if age, known := witness.tracker.SinceAlive(s.now, "a"); known && age < allowed && witness != w {
+			sign := probing.Sign{Alive: true, AgeMS: int32(age.Milliseconds())}
+			w.settled = maxTime(w.settled, sign.SettlesUntil(askedAt, allowed))
+		}
+	}
+}
+
+func maxTime(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // ask lets the owner answer a watcher.
 func (s *site) ask(w *watcher, allowed time.Duration, askedAt time.Time) {
 	owner := s.watchers[0]
@@ -143,16 +167,16 @@
 	sign := probing.Sign{Alive: true}
 	switch probed := s.now.Sub(owner.probedAt); {
 	case known && age < allowed:
-		sign.AgeMS = age.Milliseconds()
+		sign.AgeMS = int32(age.Milliseconds())
 	case probed < allowed:
-		sign.AgeMS = probed.Milliseconds()
+		sign.AgeMS = int32(probed.Milliseconds())
 	case s.dead():
 		sign = probing.Sign{}
 	default:
 		s.probes++
 		owner.probedAt = s.now
 	}
-	s.at(s.now.Add(messageLag/2), func() { w.settled = sign.SettlesUntil(askedAt, allowed) })
+	s.at(s.now.Add(messageLag/2), func() { w.settled = maxTime(w.settled, sign.SettlesUntil(askedAt, allowed)) })
 }
 
 // outcome is what a site's probes cost and find.
@@ -217,6 +241,7 @@
 	DescribeTable("is found as fast with fewer probes while it lives", Label("failure:probes-in-overload"),
 		func(step func(*rand.Rand) time.Duration, share float64) {
 			alone, shared := play(false, step, share), play(true, step, share)
+			GinkgoWriter.Printf("RES alone %+v, shared %+v\n", alone, shared)
 			AddReportEntry(fmt.Sprintf("alone %+v, shared %+v", alone, shared))
 			Expect(shared.probes).To(BeNumerically("<=", alone.probes))
 			Expect(shared.longest).To(BeNumerically("<=", alone.longest))
--- a/coordination/probing/probing.go
+++ b/coordination/probing/probing.go
@@ -8,9 +8,12 @@
 	"github.com/hibiscuswick/hibiscuswick/state"
 )
 
-// Lead is how long before a probe is due the server's owner is asked: two round trips within a region
-// and the answer of a live server.
-const Lead = 8 * time.Millisecond
+// Lead is how long before a probe is due other daemons are asked, half of it the witnesses and half the
+// server's owner: a few round trips within a region and the answer of a live server.
+const Lead = 16 * time.Millisecond
+
+// maxWitnesses is how many daemons are asked for what they know before an owner is asked.
+const maxWitnesses = 3
 
 // ResultTTL is how long a daemon uses the result of its own probe, which may be one that it sent for
 // others: with a longer time servers that die just after one would be found later.
@@ -18,13 +21,18 @@
 
 // Query asks for a sign of life of a server that is not older than MaxAgeMS.
 type Query struct {
-	Server   state.BackendIncarnation `msgpack:"server"`
-	Address  string                   `msgpack:"address"`
-	MaxAgeMS int64                    `msgpack:"max_age"`
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+
+	Address  string
+	Born     int64 // of the incarnation that is meant
+	MaxAgeMS int32
 }
 
-// Request asks an owner for signs of life of servers of a service.
+// Request asks a daemon for signs of life of servers of a service.
 type Request struct {
+	// OnlyKnown is set if the servers are not to be probed.
+	OnlyKnown bool `msgpack:"known,omitempty"`
+
 	Service state.ServiceID `msgpack:"service"`
 	Queries []Query         `msgpack:"queries"`
 }
@@ -36,8 +44,10 @@
 
 // Sign is a sign of life of a server. The zero value is none.
 type Sign struct {
-	Alive bool  `msgpack:"alive,omitempty"`
-	AgeMS int64 `msgpack:"age,omitempty"`
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+
+	Alive bool
+	AgeMS int32
 }
 
 // SettlesUntil returns until when a sign makes a probe of a server needless that was asked for at a time
@@ -64,6 +74,23 @@
 	return rendezvous.Owner(address, owners)
 }
 
+// Witnesses returns the owners that are asked for signs of life of any server: those of the daemon's own
+// failure domain first, whose streams are likely to cross the same servers.
+func Witnesses(owners []state.DaemonID, self state.DaemonID, near func(state.DaemonID) bool) []state.DaemonID {
+	var first, others []state.DaemonID
+	for _, id := range rendezvous.Rank(string(self), owners, len(owners)) {
+		switch {
+		case id == self:
+		case near(id):
+			first = append(first, id)
+		default:
+			others = append(others, id)
+		}
+	}
+	all := append(first, others...)
+	return all[:min(len(all), maxWitnesses)]
+}
+
 // maxBackoff is how many times the shortest interval may grow between two probes of a dead server.
 const maxBackoff = 4
 
--- a/gateway/probeshare.go
+++ b/gateway/probeshare.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"math"
 	"sync"
 	"time"
 
@@ -19,11 +20,11 @@
 const (
 	// askRate and askBurst limit the questions of one daemon to the owners of servers. What exceeds
 	// them is probed by the daemon itself.
-	askRate  = 40 // per second
-	askBurst = 80
+	askRate  = 30 // per second
+	askBurst = 60
 	// leadDivisor divides a route's longest allowed gap: the most that a check may start before a
 	// probe is due.
-	leadDivisor = 16
+	leadDivisor = 12
 )
 
 // probeOwners are the owners of servers among the members of a view.
@@ -31,6 +32,7 @@
 	members   *membership.View
 	ids       []state.DaemonID
 	addresses map[state.DaemonID]string
+	witnesses []state.DaemonID
 }
 
 // currentOwners returns the owners among the live daemons.
@@ -40,14 +42,17 @@
 		return known
 	}
 	out := &probeOwners{members: members, addresses: make(map[state.DaemonID]string)}
+	near := make(map[state.DaemonID]bool)
 	if members != nil {
 		for _, i := range members.Members {
 			if i.State == membership.Alive {
 				out.addresses[i.Member.ID] = i.Meta.PeerAddress
+				near[i.Member.ID] = i.Meta.Domain == p.g.currentSettings().Domain
 			}
 		}
 	}
 	out.ids = probing.Owners(lo.Keys(out.addresses))
+	out.witnesses = probing.Witnesses(out.ids, p.g.self.ID, func(id state.DaemonID) bool { return near[id] })
 	p.owners.Store(out)
 	return out
 }
@@ -75,8 +80,11 @@
 	if len(expected) == 0 {
 		return gap / recheckDivisor
 	}
-	g.prober.askOwners(s.r.service.ID, s.path[0], expected, lead)
-	time.Sleep(time.Until(now.Add(lead)))
+	due := now.Add(lead)
+	g.prober.askWitnesses(s.r.service.ID, s.path[0], expected, lead/2)
+	time.Sleep(time.Until(now.Add(lead / 2)))
+	g.prober.askOwners(s.r.service.ID, s.path[0], suspicions(due), lead/2)
+	time.Sleep(time.Until(due))
 	if s.ending.Load() {
 		return 0
 	}
@@ -97,6 +105,24 @@
 	return out
 }
 
+// askWitnesses asks some daemons for what they know of suspected hops, for a time at most.
+func (p *prober) askWitnesses(svc state.ServiceID, first fleet.Hop, suspicions []suspect.Suspicion, timeout time.Duration) {
+	owners := p.currentOwners()
+	asked := lo.Reject(p.withoutResult(time.Now(), suspicions), func(s suspect.Suspicion, _ int) bool { return s.Hop.Address == first.Address })
+	if len(asked) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	var all sync.WaitGroup
+	for _, id := range owners.witnesses {
+		if p.asks.Allow() {
+			all.Go(func() { p.ask(ctx, owners.addresses[id], probing.Request{Service: svc, OnlyKnown: true}, asked) })
+		}
+	}
+	all.Wait()
+}
+
 // askOwners asks the owners of suspected hops for signs of life, for a time at most. The first hop of a
 // path is left to this daemon's own probe: its link to the server may be the cause.
 func (p *prober) askOwners(svc state.ServiceID, first fleet.Hop, suspicions []suspect.Suspicion, timeout time.Duration) {
@@ -113,7 +139,7 @@
 	var all sync.WaitGroup
 	for owner, asked := range byOwner {
 		if p.asks.Allow() {
-			all.Go(func() { p.askOwner(ctx, owners.addresses[owner], svc, asked) })
+			all.Go(func() { p.ask(ctx, owners.addresses[owner], probing.Request{Service: svc}, asked) })
 		}
 	}
 	all.Wait()
@@ -128,11 +154,10 @@
 	})
 }
 
-// askOwner asks one owner for signs of life.
-func (p *prober) askOwner(ctx context.Context, address string, svc state.ServiceID, asked []suspect.Suspicion) {
-	req := probing.Request{Service: svc}
+// ask asks one daemon for signs of life.
+func (p *prober) ask(ctx context.Context, address string, req probing.Request, asked []suspect.Suspicion) {
 	for _, s := range asked {
-		req.Queries = append(req.Queries, probing.Query{Server: s.Hop.Server, Address: s.Hop.Address, MaxAgeMS: s.Allowed.Milliseconds()})
+		req.Queries = append(req.Queries, probing.Query{Address: s.Hop.Address, Born: s.Hop.Server.Born, MaxAgeMS: int32(min(s.Allowed.Milliseconds(), math.MaxInt32))})
 	}
 	askedAt := time.Now()
 	answer, err := p.g.node.Call(ctx, address, req)
@@ -144,11 +169,13 @@
 	defer p.mu.Unlock()
 	maps.DeleteFunc(p.settled, func(_ string, until time.Time) bool { return askedAt.After(until) }) // addresses come and go
 	for i, sign := range resp.Signs {
-		p.settled[asked[i].Hop.Address] = sign.SettlesUntil(askedAt, asked[i].Allowed)
+		if until := sign.SettlesUntil(askedAt, asked[i].Allowed); until.After(p.settled[asked[i].Hop.Address]) {
+			p.settled[asked[i].Hop.Address] = until
+		}
 	}
 }
 
-// answer answers another daemon's question for signs of life of servers that this daemon owns.
+// answer answers another daemon's question for signs of life.
 func (p *prober) answer(req probing.Request) probing.Response {
 	v, owners := p.g.currentView.Load(), p.currentOwners()
 	p.asked.SetLimit(probeRate * rate.Limit(len(owners.addresses)) / rate.Limit(max(1, len(owners.ids))))
@@ -156,28 +183,32 @@
 	var all sync.WaitGroup
 	for i, q := range req.Queries {
 		listed, ok := v.serverAt(req.Service, q.Address)
-		if ok && listed.Incarnation() == q.Server {
-			all.Go(func() { out.Signs[i] = p.signOf(q) })
+		if ok && listed.Born == q.Born {
+			all.Go(func() { out.Signs[i] = p.signOf(q, listed.Incarnation(), !req.OnlyKnown) })
 		}
 	}
 	all.Wait()
 	return out
 }
 
-// signOf returns a sign of life of a server, and probes it if there is no recent one.
-func (p *prober) signOf(q probing.Query) probing.Sign {
+// signOf returns a sign of life of a server, and probes it, if it may, if there is no recent one.
+func (p *prober) signOf(q probing.Query, server state.BackendIncarnation, mayProbe bool) probing.Sign {
 	now := time.Now()
-	if age, ok := p.g.shared.sinceAlive(now, q.Address); ok && age.Milliseconds() < q.MaxAgeMS {
-		return probing.Sign{Alive: true, AgeMS: age.Milliseconds()}
+	maxAge := time.Duration(q.MaxAgeMS) * time.Millisecond
+	if age, ok := p.g.shared.sinceAlive(now, q.Address); ok && age < maxAge {
+		return probing.Sign{Alive: true, AgeMS: int32(age.Milliseconds())}
 	}
 	p.mu.Lock()
 	known := p.results[q.Address]
 	p.mu.Unlock()
-	if age := now.Sub(known.began()); known.outcome == probeAlive && age.Milliseconds() < q.MaxAgeMS {
-		return probing.Sign{Alive: true, AgeMS: age.Milliseconds()}
+	if age := now.Sub(known.began()); known.outcome == probeAlive && age < maxAge {
+		return probing.Sign{Alive: true, AgeMS: int32(age.Milliseconds())}
+	}
+	if !mayProbe {
+		return probing.Sign{}
 	}
-	result := p.sendShared(probeAsked, q.Server, q.Address)
-	replaced := result.startTime != 0 && q.Server.Born != 0 && result.startTime != q.Server.Born
+	result := p.sendShared(probeAsked, server, q.Address)
+	replaced := result.startTime != 0 && q.Born != 0 && result.startTime != q.Born
 	return probing.Sign{Alive: result.outcome == probeAlive && !replaced}
 }
 
@@ -209,3 +240,29 @@
 	}
 	return false
 }
+
+// deadHop returns a hop of a path that is known to be dead, and whether its process has ended.
+func (s *sharedState) deadHop(path fleet.Path) (hop fleet.Hop, ended, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, h := range path {
+		if s.dead[h.Address] {
+			return h, s.ended[h.Address], true
+		}
+	}
+	return fleet.Hop{}, false, false
+}
+
+// suspicions returns the hops of a stream that have shown no recent sign of life.
+func (s *sharedState) suspicions(now time.Time, str *suspect.Stream, minSilence, maxSilence time.Duration) []suspect.Suspicion {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.suspects.Suspicions(now, str, minSilence, maxSilence)
+}
+
+// sinceAlive returns the time since a stream last showed a server to be alive.
+func (s *sharedState) sinceAlive(now time.Time, address string) (time.Duration, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.suspects.SinceAlive(now, address)
+}
--- a/gateway/probeshare_internal_test.go
+++ b/gateway/probeshare_internal_test.go
@@ -48,7 +48,7 @@
 
 var _ = Describe("The owner of a server", func() {
 	asked := func(server state.BackendIncarnation, maxAge time.Duration) probing.Request {
-		return probing.Request{Service: "llm", Queries: []probing.Query{{Server: server, Address: "e1", MaxAgeMS: maxAge.Milliseconds()}}}
+		return probing.Request{Service: "llm", Queries: []probing.Query{{Address: "e1", Born: server.Born, MaxAgeMS: int32(maxAge.Milliseconds())}}}
 	}
 	listed := state.BackendIncarnation{ID: "e1"}
 
--- a/gateway/sharedstate.go
+++ b/gateway/sharedstate.go
@@ -282,32 +282,6 @@
 	delete(s.ended, address)
 }
 
-// deadHop returns a hop of a path that is known to be dead, and whether its process has ended.
-func (s *sharedState) deadHop(path fleet.Path) (hop fleet.Hop, ended, ok bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, h := range path {
-		if s.dead[h.Address] {
-			return h, s.ended[h.Address], true
-		}
-	}
-	return fleet.Hop{}, false, false
-}
-
-// suspicions returns the hops of a stream that have shown no recent sign of life.
-func (s *sharedState) suspicions(now time.Time, str *suspect.Stream, minSilence, maxSilence time.Duration) []suspect.Suspicion {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.suspects.Suspicions(now, str, minSilence, maxSilence)
-}
-
-// sinceAlive returns the time since a stream last showed a server to be alive.
-func (s *sharedState) sinceAlive(now time.Time, address string) (time.Duration, bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.suspects.SinceAlive(now, address)
-}
-
 // counts returns the numbers of open streams and of dead servers.
 func (s *sharedState) counts() (streams, dead int) {
 	s.mu.Lock()
