Witnesses are asked one after the other, and owners within a limit of their own

Change: the next witness is asked for what the one before did not know; owners have a limit of their own.

--- a/coordination/probing/probing.go
+++ b/coordination/probing/probing.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/hibiscuswick/hibiscuswick/coordination/rendezvous"
@@ -87,7 +88,7 @@
 			others = append(others, id)
 		}
 	}
-	all := append(first, others...)
+	all := slices.Concat(first, others)
 	return all[:min(len(all), maxWitnesses)]
 }
 
--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -51,9 +51,10 @@
 	g     *Gateway
 	group singleflight.Group
 	limit *rate.Limiter
-	// asks limits the questions to owners of servers, and asked the probes sent as an owner.
-	asks, asked *rate.Limiter
-	owners      atomic.Pointer[probeOwners]
+	// asks limits the questions to witnesses, ownerAsks those to owners of servers, and asked the probes
+	// that are sent as an owner.
+	asks, ownerAsks, asked *rate.Limiter
+	owners                 atomic.Pointer[probeOwners]
 
 	mu      sync.Mutex
 	results map[string]probeResult // by address
@@ -106,7 +107,7 @@
 
 func newProber(g *Gateway) *prober {
 	return &prober{
-		g: g, limit: rate.NewLimiter(probeRate, probeBurst), asks: rate.NewLimiter(askRate, askBurst), asked: rate.NewLimiter(probeRate, probeBurst),
+		g: g, limit: rate.NewLimiter(probeRate, probeBurst), asks: rate.NewLimiter(askRate, askBurst), ownerAsks: rate.NewLimiter(askRate, askBurst), asked: rate.NewLimiter(probeRate, probeBurst),
 		results: make(map[string]probeResult), settled: make(map[string]time.Time),
 	}
 }
--- a/gateway/probeshare.go
+++ b/gateway/probeshare.go
@@ -18,8 +18,8 @@
 )
 
 const (
-	// askRate and askBurst limit the questions of one daemon to the owners of servers. What exceeds
-	// them is probed by the daemon itself.
+	// askRate and askBurst limit the questions of one daemon, those to witnesses and those to the owners
+	// of servers each. What exceeds them is probed by the daemon itself.
 	askRate  = 30 // per second
 	askBurst = 60
 	// leadDivisor divides a route's longest allowed gap: the most that a check may start before a
@@ -105,22 +105,19 @@
 	return out
 }
 
-// askWitnesses asks some daemons for what they know of suspected hops, for a time at most.
+// askWitnesses asks some daemons, one after the other, for what they know of suspected hops, for a time
+// at most.
 func (p *prober) askWitnesses(svc state.ServiceID, first fleet.Hop, suspicions []suspect.Suspicion, timeout time.Duration) {
 	owners := p.currentOwners()
 	asked := lo.Reject(p.withoutResult(time.Now(), suspicions), func(s suspect.Suspicion, _ int) bool { return s.Hop.Address == first.Address })
-	if len(asked) == 0 {
-		return
-	}
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	var all sync.WaitGroup
 	for _, id := range owners.witnesses {
-		if p.asks.Allow() {
-			all.Go(func() { p.ask(ctx, owners.addresses[id], probing.Request{Service: svc, OnlyKnown: true}, asked) })
+		if asked = p.withoutResult(time.Now(), asked); len(asked) == 0 || ctx.Err() != nil || !p.asks.Allow() {
+			return
 		}
+		p.ask(ctx, owners.addresses[id], probing.Request{Service: svc, OnlyKnown: true}, asked)
 	}
-	all.Wait()
 }
 
 // askOwners asks the owners of suspected hops for signs of life, for a time at most. The first hop of a
@@ -138,7 +135,7 @@
 	defer cancel()
 	var all sync.WaitGroup
 	for owner, asked := range byOwner {
-		if p.asks.Allow() {
+		if p.ownerAsks.Allow() {
 			all.Go(func() { p.ask(ctx, owners.addresses[owner], probing.Request{Service: svc}, asked) })
 		}
 	}
