--- a/gateway/members.go
+++ b/gateway/members.go
@@ -10,6 +10,7 @@
 	"github.com/hibiscuswick/hibiscuswick/coordination/following"
 	"github.com/hibiscuswick/hibiscuswick/coordination/membership"
 	"github.com/hibiscuswick/hibiscuswick/coordination/permits"
+	"github.com/hibiscuswick/hibiscuswick/coordination/probing"
 	"github.com/hibiscuswick/hibiscuswick/coordination/reach"
 	"github.com/hibiscuswick/hibiscuswick/coordination/shares"
 	"github.com/hibiscuswick/hibiscuswick/coordination/siteload"
@@ -62,6 +63,8 @@
 	kindShareReport   peer.Kind = 2000
 	kindShareTable    peer.Kind = 2001
 	kindContention    peer.Kind = 2002
+	kindLifeRequest   peer.Kind = 2200
+	kindLifeResponse  peer.Kind = 2201
 )
 
 // newRegistry registers every message between gateways.
@@ -93,6 +96,8 @@
 	peer.Register[shares.Report](r, kindShareReport)
 	peer.Register[shares.Table](r, kindShareTable)
 	peer.Register[shares.ContentionNotice](r, kindContention)
+	peer.Register[probing.Request](r, kindLifeRequest)
+	peer.Register[probing.Response](r, kindLifeResponse)
 	return r
 }
 
--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -5,8 +5,10 @@
 	"errors"
 	"maps"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/samber/lo"
 	"golang.org/x/sync/singleflight"
 	"golang.org/x/time/rate"
 
@@ -49,9 +51,14 @@
 	g     *Gateway
 	group singleflight.Group
 	limit *rate.Limiter
+	// asks limits the questions to witnesses, ownerAsks those to owners of servers, and asked the probes
+	// that are sent as an owner.
+	asks, ownerAsks, asked *rate.Limiter
+	owners                 atomic.Pointer[probeOwners]
 
 	mu      sync.Mutex
 	results map[string]probeResult // by address
+	settled map[string]time.Time   // until when another daemon's sign of life makes a probe needless, by address
 }
 
 // probeOutcome is what a probe shows of a server, and its name in metrics.
@@ -65,6 +72,23 @@
 	probeNotSent probeOutcome = "not_sent" // the rate limit was reached
 )
 
+// probePurpose is why a probe is sent, and its name in metrics.
+type probePurpose string
+
+// The values of probePurpose.
+const (
+	probeSilence  probePurpose = "silence"  // a stream through the server is silent
+	probeEnd      probePurpose = "end"      // a call broke off, or an answer ended with its connection
+	probeRecovery probePurpose = "recovery" // the server was found dead before
+	probeRefusal  probePurpose = "refusal"  // the server refused a request
+	probeAsked    probePurpose = "asked"    // another daemon asked for a sign of life
+)
+
+// countProbe counts a probe by its purpose and outcome.
+func (g *Gateway) countProbe(purpose probePurpose, outcome probeOutcome) {
+	g.metrics.CountReason(telemetry.GatewayProbesTotal, string(purpose)+":"+string(outcome))
+}
+
 // probeResult is the result of one probe. took and err say why a server counts as dead.
 type probeResult struct {
 	at        time.Time
@@ -82,45 +106,48 @@
 }
 
 func newProber(g *Gateway) *prober {
-	return &prober{g: g, limit: rate.NewLimiter(probeRate, probeBurst), results: make(map[string]probeResult)}
+	return &prober{
+		g: g, limit: rate.NewLimiter(probeRate, probeBurst), asks: rate.NewLimiter(askRate, askBurst), ownerAsks: rate.NewLimiter(askRate, askBurst), asked: rate.NewLimiter(probeRate, probeBurst),
+		results: make(map[string]probeResult), settled: make(map[string]time.Time),
+	}
 }
 
 // probe requests a server's report, unless there is a recent result.
-func (p *prober) probe(server state.BackendIncarnation, address string) probeResult {
-	return p.probeSince(time.Time{}, server, address)
+func (p *prober) probe(purpose probePurpose, server state.BackendIncarnation, address string) probeResult {
+	return p.probeSince(purpose, time.Time{}, server, address)
 }
 
 // probeSince requests a server's report, unless there is a recent result which shows that the
 // server is dead, or that it was alive after a time. A probe that was under way at that time shows
 // nothing: the server may have answered it before.
-func (p *prober) probeSince(since time.Time, server state.BackendIncarnation, address string) probeResult {
+func (p *prober) probeSince(purpose probePurpose, since time.Time, server state.BackendIncarnation, address string) probeResult {
 	p.mu.Lock()
 	old, ok := p.results[address]
 	p.mu.Unlock()
-	if ok && old.isFresh() && (old.outcome == probeDead || !old.began().Before(since)) {
+	if ok && p.isFresh(old) && (old.outcome == probeDead || !old.began().Before(since)) {
 		return old
 	}
-	result := p.sendShared(server, address)
+	result := p.sendShared(purpose, server, address)
 	if result.outcome == probeAlive && result.began().Before(since) {
-		result = p.sendShared(server, address)
+		result = p.sendShared(purpose, server, address)
 	}
 	return result
 }
 
 // sendShared sends one probe, or waits for the one that is under way.
-func (p *prober) sendShared(server state.BackendIncarnation, address string) probeResult {
+func (p *prober) sendShared(purpose probePurpose, server state.BackendIncarnation, address string) probeResult {
 	result, _, _ := p.group.Do(address, func() (any, error) {
-		if !p.limit.Allow() {
-			p.g.metrics.CountReason(telemetry.GatewayProbesTotal, string(probeNotSent))
+		if limit := lo.Ternary(purpose == probeAsked, p.asked, p.limit); !limit.Allow() {
+			p.g.countProbe(purpose, probeNotSent)
 			return probeResult{outcome: probeNotSent}, nil
 		}
-		return p.sendProbe(server, address), nil
+		return p.sendProbe(purpose, server, address), nil
 	})
 	return result.(probeResult)
 }
 
 // sendProbe sends one probe and stores its result.
-func (p *prober) sendProbe(server state.BackendIncarnation, address string) probeResult {
+func (p *prober) sendProbe(purpose probePurpose, server state.BackendIncarnation, address string) probeResult {
 	began := time.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), serverProbeTimeout)
 	defer cancel()
@@ -140,9 +167,9 @@
 	if errors.Is(err, backend.ErrRefused) {
 		p.g.shared.settleLateCalls(out.at, address, began)
 	}
-	p.g.metrics.CountReason(telemetry.GatewayProbesTotal, string(out.outcome))
+	p.g.countProbe(purpose, out.outcome)
 	p.mu.Lock()
-	maps.DeleteFunc(p.results, func(_ string, old probeResult) bool { return !old.isFresh() }) // addresses come and go
+	maps.DeleteFunc(p.results, func(_ string, old probeResult) bool { return !p.isFresh(old) }) // addresses come and go
 	p.results[address] = out
 	p.mu.Unlock()
 	return out
@@ -151,13 +178,10 @@
 // began is when the probe was sent.
 func (r probeResult) began() time.Time { return r.at.Add(-r.took) }
 
-// isFresh reports whether the result may still be reused.
-func (r probeResult) isFresh() bool { return time.Since(r.at) < probeResultTTL }
-
 // checkHops probes hops of a service concurrently. Those that do not answer are avoided until
 // they do, and the streams through them are informed.
 func (p *prober) checkHops(svc state.ServiceID, hops []fleet.Hop) {
-	results := p.probeAll(hops)
+	results := p.probeAll(probeSilence, hops)
 	p.reportUnreached(svc, hops, results)
 	if len(hops) > 1 && !p.isConnected() {
 		return
@@ -187,7 +211,7 @@
 // are to be avoided is left to the streams that they stall.
 func (p *prober) endedHops(hops []fleet.Hop) []fleet.Hop {
 	var ended []fleet.Hop
-	for i, result := range p.probeAll(hops) {
+	for i, result := range p.probeAll(probeEnd, hops) {
 		if result.provesEnd(hops[i].Server) {
 			ended = append(ended, hops[i])
 		}
@@ -195,11 +219,11 @@
 	return ended
 }
 
-func (p *prober) probeAll(hops []fleet.Hop) []probeResult {
+func (p *prober) probeAll(purpose probePurpose, hops []fleet.Hop) []probeResult {
 	results := make([]probeResult, len(hops))
 	var all sync.WaitGroup
 	for i, h := range hops {
-		all.Go(func() { results[i] = p.probe(h.Server, h.Address) })
+		all.Go(func() { results[i] = p.probe(purpose, h.Server, h.Address) })
 	}
 	all.Wait()
 	return results
@@ -214,7 +238,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, r := range p.results {
-		if r.outcome == probeAlive && r.isFresh() {
+		if r.outcome == probeAlive && p.isFresh(r) {
 			return true
 		}
 	}
@@ -224,20 +248,23 @@
 // handleDeath excludes a dead server, and probes it until it answers again or
 // reprobeDuration has passed.
 func (p *prober) handleDeath(h fleet.Hop, result probeResult) {
-	if !p.g.shared.markDead(h.Address) {
+	if !p.g.shared.markDead(h.Address, result.provesEnd(h.Server)) {
 		return
 	}
 	p.g.log.Emit(telemetry.EventBackendDead, telemetry.Backend(h.Server.ID), telemetry.Address(h.Address),
 		telemetry.Duration(result.took), telemetry.Cause(result.err))
 	go func() {
 		until := time.Now().Add(reprobeDuration)
-		for time.Now().Before(until) {
+		for probes := 0; time.Now().Before(until); probes++ {
 			select {
 			case <-p.g.done:
 				return
-			case <-time.After(reprobeInterval(p.g.currentView.Load().live)):
+			case <-time.After(p.recoveryInterval(probes, result.provesEnd(h.Server))):
+			}
+			if p.g.currentSettings().Contention.ProbeByTraffic && !p.g.currentView.Load().lists(h) {
+				break
 			}
-			if p.probe(h.Server, h.Address).outcome == probeAlive {
+			if p.probe(probeRecovery, h.Server, h.Address).outcome == probeAlive {
 				p.g.clearDead(h.Address)
 				p.g.log.Emit(telemetry.EventBackendRecovered, telemetry.Backend(h.Server.ID), telemetry.Address(h.Address))
 				return
--- a/gateway/sharedstate.go
+++ b/gateway/sharedstate.go
@@ -26,6 +26,7 @@
 	loads         map[state.BackendIncarnation]*pathing.Load // this daemon's own requests by server
 	suspects      *suspect.Tracker
 	dead          map[string]bool // addresses of servers that answer no probe
+	ended         map[string]bool // of those, the ones whose process has ended
 	refusalChecks map[string]bool // addresses of servers with a pending refusal check
 	budget        *retrybudget.Budget
 	recordsAway   bool                  // the table does not keep records of retries in time
@@ -55,6 +56,7 @@
 		loads:         make(map[state.BackendIncarnation]*pathing.Load),
 		suspects:      suspect.NewTracker(),
 		dead:          make(map[string]bool),
+		ended:         make(map[string]bool),
 		refusalChecks: make(map[string]bool),
 		streams:       make(map[*stream]struct{}),
 		linkBacklogs:  make(linkBacklogs),
@@ -275,10 +277,14 @@
 	return out
 }
 
-// markDead records that a server answers no probe. It returns false if that was known.
-func (s *sharedState) markDead(address string) bool {
+// markDead records that a server answers no probe, and whether its process has ended. It returns false
+// if it was known to be dead.
+func (s *sharedState) markDead(address string, ended bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if ended {
+		s.ended[address] = true
+	}
 	if s.dead[address] {
 		return false
 	}
@@ -291,6 +297,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.dead, address)
+	delete(s.ended, address)
 }
 
 // counts returns the numbers of open streams and of dead servers.
