waitqueue: callers that are denied a retry return spread; only callers of the queue count in its Retry-After

Ruled out: an estimate of the queue for them (they do not wait in it). Change: their times are spread; Rejected says whether a caller is expected to wait.

--- a/coordination/waitqueue/bounds_test.go
+++ b/coordination/waitqueue/bounds_test.go
@@ -80,7 +80,7 @@
 		for i := range 40 {
 			j := w.arrive(now, request(now, "new", background))
 			Expect(j.Rejection).NotTo(BeNil())
-			w.queue.Rejected(now, uint64(i+1), now, j.Rejection.RetryAfter)
+			w.queue.Rejected(now, uint64(i+1), now, j.Rejection.RetryAfter, true)
 			times = append(times, j.Rejection.RetryAfter)
 		}
 		slices.Sort(times)
@@ -91,10 +91,10 @@
 	It("remembers a bounded number of callers for a bounded time", func() {
 		cfg := waitqueue.DefaultConfig()
 		for i := range 2 * cfg.MaxRemembered {
-			w.queue.Rejected(at(0), uint64(i+1), at(0), time.Second)
+			w.queue.Rejected(at(0), uint64(i+1), at(0), time.Second, true)
 		}
 		Expect(w.queue.Remembered()).To(Equal(cfg.MaxRemembered))
-		w.queue.Rejected(at(cfg.ReturnWindow+2*time.Second), 1, at(0), time.Second)
+		w.queue.Rejected(at(cfg.ReturnWindow+2*time.Second), 1, at(0), time.Second, true)
 		Expect(w.queue.Remembered()).To(Equal(1))
 	})
 })
@@ -108,7 +108,7 @@
 
 	It("has the place of its first arrival, once", func() {
 		q := newQueue(waitqueue.DefaultConfig())
-		q.Rejected(at(time.Second), 7, at(0), time.Second)
+		q.Rejected(at(time.Second), 7, at(0), time.Second, true)
 		Expect(place(q, 2*time.Second, 7)).To(Equal(at(0)))
 		Expect(place(q, 2*time.Second, 7)).To(Equal(at(2 * time.Second)))
 		Expect(place(q, 2*time.Second, 8)).To(Equal(at(2 * time.Second)))
@@ -116,10 +116,10 @@
 
 	It("gains nothing by returning early, and loses nothing once it returns in time", func() {
 		q := newQueue(waitqueue.DefaultConfig())
-		q.Rejected(at(0), 7, at(0), time.Second)
+		q.Rejected(at(0), 7, at(0), time.Second, true)
 		Expect(place(q, 500*time.Millisecond, 7)).To(Equal(at(time.Second)), "nobody else is expected")
-		q.Rejected(at(500*time.Millisecond), 7, at(time.Second), 2*time.Second)
-		q.Rejected(at(500*time.Millisecond), 8, at(0), 200*time.Millisecond)
+		q.Rejected(at(500*time.Millisecond), 7, at(time.Second), 2*time.Second, true)
+		q.Rejected(at(500*time.Millisecond), 8, at(0), 200*time.Millisecond, true)
 		_, early := q.Place(at(600*time.Millisecond), 7, at(600*time.Millisecond))
 		Expect(early).To(Equal(400*time.Millisecond), "another one is expected before")
 		Expect(place(q, time.Second, 7)).To(Equal(at(0)))
@@ -138,7 +138,7 @@
 			next[i] = at(time.Duration(rng.IntN(1000)) * time.Millisecond)
 		}
 		tell := func(now time.Time, i int, place time.Time, after time.Duration) {
-			w.queue.Rejected(now, uint64(i+1), place, after)
+			w.queue.Rejected(now, uint64(i+1), place, after, true)
 			next[i] = now.Add(after)
 			if i%2 == 0 {
 				next[i] = now.Add(interval)
--- a/coordination/waitqueue/events_test.go
+++ b/coordination/waitqueue/events_test.go
@@ -94,7 +94,7 @@
 		if r.Begun {
 			e.t.Fatalf("an answer that has begun is rejected")
 		}
-		e.queue.Rejected(e.now, r.Key, r.Place, j.Rejection.RetryAfter)
+		e.queue.Rejected(e.now, r.Key, r.Place, j.Rejection.RetryAfter, true)
 		return
 	}
 	if j.Displaced != nil {
--- a/coordination/waitqueue/returns.go
+++ b/coordination/waitqueue/returns.go
@@ -60,6 +60,7 @@
 	key             uint64
 	first           time.Time // its first arrival
 	due             time.Time // when it may return
+	queued          bool      // it is expected to wait in the queue
 	dueIndex, index int
 }
 
@@ -68,6 +69,7 @@
 	byKey  map[uint64]*turnedAway
 	oldest *indexed[*turnedAway] // all, by due
 	due    *indexed[*turnedAway] // those that may not return yet, by due
+	queued int                   // of those, the ones that are expected to wait in the queue
 }
 
 func newReturns() returns {
@@ -83,10 +85,18 @@
 	if t, ok := r.byKey[key]; ok {
 		delete(r.byKey, key)
 		r.oldest.remove(t)
-		r.due.remove(t)
+		r.removeDue(t)
 	}
 }
 
+// removeDue records that a caller may return now.
+func (r *returns) removeDue(t *turnedAway) {
+	if t.dueIndex != absent && t.queued {
+		r.queued--
+	}
+	r.due.remove(t)
+}
+
 // expire drops callers that have not returned in time.
 func (r *returns) expire(now time.Time, window time.Duration) {
 	for {
@@ -101,13 +111,14 @@
 		if !ok || now.Before(t.due) {
 			break
 		}
-		r.due.remove(t)
+		r.removeDue(t)
 	}
 }
 
-// Rejected records that a caller was told to return. place is the place that its request had. A
-// caller that had returned too early keeps the time that it was told before.
-func (q *Queue) Rejected(now time.Time, key uint64, place time.Time, retryAfter time.Duration) {
+// Rejected records that a caller was told to return. place is the place that its request had, and
+// queued whether it was rejected because others wait. A caller that had returned too early keeps the
+// time that it was told before.
+func (q *Queue) Rejected(now time.Time, key uint64, place time.Time, retryAfter time.Duration, queued bool) {
 	q.returns.expire(now, q.cfg.ReturnWindow)
 	if t, ok := q.returns.byKey[key]; ok {
 		if now.Before(t.due) {
@@ -120,10 +131,13 @@
 		first, _ := q.returns.oldest.first()
 		q.returns.forget(first.key)
 	}
-	t := &turnedAway{key: key, first: place, due: now.Add(retryAfter), index: absent, dueIndex: absent}
+	t := &turnedAway{key: key, first: place, due: now.Add(retryAfter), queued: queued, index: absent, dueIndex: absent}
 	q.returns.byKey[key] = t
 	q.returns.oldest.add(t)
 	q.returns.due.add(t)
+	if queued {
+		q.returns.queued++
+	}
 }
 
 // Place returns the place of a request that arrives: the first arrival of its caller if it was turned
@@ -172,11 +186,16 @@
 
 func (q *Queue) retryAfter(now time.Time, ahead int, unknown time.Duration) time.Duration {
 	q.returns.expire(now, q.cfg.ReturnWindow)
-	after, known := q.drain.wait(now, ahead+q.returns.due.Len())
+	after, known := q.drain.wait(now, ahead+q.returns.queued)
 	if !known {
 		after = unknown
 	}
-	after = max(min(after, q.cfg.MaxRetryAfter), minRetryAfter)
+	return q.Spread(max(min(after, q.cfg.MaxRetryAfter), minRetryAfter))
+}
+
+// Spread adds a random part to the time after which a caller may return, so that callers that are
+// turned away at once do not return at once.
+func (q *Queue) Spread(after time.Duration) time.Duration {
 	spread := max(time.Duration(spreadShare*float64(after)), minSpread)
 	return after + time.Duration(q.rng.Float64()*float64(spread))
 }
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -199,7 +199,7 @@
 		case d.PassFailure && r.failure != nil:
 			return r.forwardAnswer(r.failure.answer, r.failure.body)
 		case d.Refuse:
-			return refusedResult(d.Reason, admission.Busy)
+			return r.deniedResult(d.Reason)
 		default:
 			return r.failedResult(d.Reason)
 		}
--- a/gateway/waitorder.go
+++ b/gateway/waitorder.go
@@ -228,6 +228,15 @@
 	return result
 }
 
+// deniedResult is the result of a request that has not run, and may not be tried again.
+func (r *requestHandler) deniedResult(reason relay.Reason) Result {
+	result := refusedResult(reason, admission.Busy)
+	if r.g.currentSettings().Contention.Queue {
+		result.RetryAfter = r.g.waits.spread(r.service.ID, result.RetryAfter)
+	}
+	return result
+}
+
 // rememberRefusal keeps the place of a caller that was told to return to this daemon.
 func (r *requestHandler) rememberRefusal(res Result) {
 	if res.Outcome != Refused || r.service == nil || !r.g.currentSettings().Contention.Queue || !r.identifiesCaller() {
@@ -241,7 +250,8 @@
 	if r.place.IsZero() {
 		r.place, r.returnKey = r.req.Arrived, uint64(r.fingerprint())
 	}
-	r.g.waits.rejected(time.Now(), r.service.ID, r.returnKey, r.place, res.RetryAfter)
+	queued := r.rejection != nil || res.Reason == string(relay.ReasonNoServer)
+	r.g.waits.rejected(time.Now(), r.service.ID, r.returnKey, r.place, res.RetryAfter, queued)
 }
 
 // classLabel names a class in logs and metrics: the customer's rank and the route's.
--- a/gateway/waitorder_internal_test.go
+++ b/gateway/waitorder_internal_test.go
@@ -223,6 +223,12 @@
 		Expect(g.waits.remembered.Load()).To(BeZero())
 	})
 
+	It("are told different times to return if they are denied a retry", func() {
+		first, second := handler("large", "/urgent").deniedResult(relay.ReasonBudget), handler("large", "/urgent").deniedResult(relay.ReasonBudget)
+		Expect(first.RetryAfter).To(And(BeNumerically(">=", admission.Busy.RetryAfter()), BeNumerically("<=", admission.Busy.RetryAfter()+100*time.Millisecond)))
+		Expect(first.RetryAfter).NotTo(Equal(second.RetryAfter))
+	})
+
 	// Guards against callers that are rejected in place of others of their customer: requests without a
 	// body are often equal.
 	It("are not taken for those of other callers if they have no content", func() {
@@ -257,6 +263,7 @@
 		Expect(time.Since(now)).To(BeNumerically(">=", 3*waitPollInterval))
 		_, result := r.noServerResult(admission.Busy)
 		Expect(result.RetryAfter).To(Equal(admission.Busy.RetryAfter()))
+		Expect(r.deniedResult(relay.ReasonBudget).RetryAfter).To(Equal(admission.Busy.RetryAfter()))
 		r.rememberRefusal(result)
 		Expect(g.waits.queues).To(BeEmpty())
 		Expect(g.waits.remembered.Load()).To(BeZero())
--- a/gateway/waitqueues.go
+++ b/gateway/waitqueues.go
@@ -187,12 +187,12 @@
 }
 
 // rejected remembers a caller that is told when to return.
-func (w *waitQueues) rejected(now time.Time, service state.ServiceID, key uint64, place time.Time, retryAfter time.Duration) {
+func (w *waitQueues) rejected(now time.Time, service state.ServiceID, key uint64, place time.Time, retryAfter time.Duration, queued bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	q := w.of(service)
 	before := q.Remembered()
-	q.Rejected(now, key, place, retryAfter)
+	q.Rejected(now, key, place, retryAfter, queued)
 	w.remembered.Add(int64(q.Remembered() - before))
 }
 
@@ -215,6 +215,13 @@
 	return w.of(service).RetryAfter(now, req, req.RetryAfter)
 }
 
+// spread adds a random part to the time after which a caller may return.
+func (w *waitQueues) spread(service state.ServiceID, after time.Duration) time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.of(service).Spread(after)
+}
+
 // counts returns how many requests of each service and class wait.
 func (w *waitQueues) counts() map[state.ServiceID]map[urgency.Class]int {
 	w.mu.Lock()
