--- a/coordination/overload/decide.go
+++ b/coordination/overload/decide.go
@@ -32,6 +32,13 @@
 
 // Outlook is the corrected prediction for a stream.
 type Outlook struct {
+	Times
+	// Idle is the prediction for engines without any load: no waiting makes it better.
+	Idle Times
+}
+
+// Times are what a stream may expect of its engines.
+type Times struct {
 	First   time.Duration // to the first event
 	Pause   time.Duration // the longest between two events
 	KVShare float64       // used share of the fullest engine's KV-cache capacity
@@ -56,20 +63,31 @@
 
 // Decide reports whether the stream may start, or why not.
 func (s Stream) Decide(o Outlook) Reason {
-	share := 1 - timeReserve*s.reserved()
-	switch {
-	case o.KVShare > s.memoryLimit():
+	switch limit := s.limits(o.Idle); {
+	case o.KVShare > limit.KVShare:
 		return NoMemory
-	case s.PauseTarget > 0 && float64(o.Pause) > share*float64(s.PauseTarget):
+	case s.PauseTarget > 0 && o.Pause > limit.Pause:
 		return LongPauses
-	case s.FirstTarget > 0 && float64(o.First+s.Waited) > share*float64(s.FirstTarget):
+	case s.FirstTarget > 0 && o.First+s.Waited > limit.First:
 		return LateEvent
 	}
 	return Admitted
 }
 
-// memoryLimit is the used share of KV-cache capacity up to which the stream may start.
-func (s Stream) memoryLimit() float64 { return memoryLimit - memoryReserve*s.reserved() }
+// idleSlack is by how much a stream may exceed what it would take on engines without load, where that
+// is above its limits: a long prompt is late whenever it starts.
+const idleSlack = 1.25
+
+// limits returns up to which times and used share of KV-cache capacity the stream may start.
+func (s Stream) limits(idle Times) Times {
+	share := 1 - timeReserve*s.reserved()
+	scale := func(factor float64, d time.Duration) time.Duration { return time.Duration(factor * float64(d)) }
+	return Times{
+		First:   max(scale(share, s.FirstTarget), scale(idleSlack, idle.First)),
+		Pause:   max(scale(share, s.PauseTarget), scale(idleSlack, idle.Pause)),
+		KVShare: max(memoryLimit-memoryReserve*s.reserved(), idleSlack*idle.KVShare),
+	}
+}
 
 const (
 	// minRetry and maxRetry bound the time after which a caller may return.
@@ -83,9 +101,13 @@
 // random. life is the usual duration of a stream: streams end at a rate of one in that time, and
 // while no others start the load falls exponentially.
 func (s Stream) RetryAfter(o Outlook, life time.Duration, rng *rand.Rand) time.Duration {
-	over := max(o.KVShare/s.memoryLimit(), 1)
+	limit := s.limits(o.Idle)
+	over := max(o.KVShare/limit.KVShare, 1)
 	if s.PauseTarget > 0 {
-		over = max(over, float64(o.Pause)/((1-timeReserve*s.reserved())*float64(s.PauseTarget)))
+		over = max(over, float64(o.Pause)/float64(limit.Pause))
+	}
+	if s.FirstTarget > 0 {
+		over = max(over, float64(o.First)/float64(limit.First))
 	}
 	wait := time.Duration(math.Log(over) * float64(life))
 	wait = min(max(wait, minRetry), maxRetry)
--- a/coordination/overload/model.go
+++ b/coordination/overload/model.go
@@ -51,10 +51,17 @@
 		have := c.current(now)
 		// A kind with a large part of the path says more about it.
 		weight := h.PauseMS / predicted * (1 - math.Exp(-float64(sampleTime)/float64(correctionMemory)))
-		m.kinds[h.Kind] = correction{factor: have + weight*(ratio-have), at: now}
+		m.kinds[h.Kind] = correction{factor: have + weight*(ratio-have), at: later(now, c.at)}
 	}
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // sampleTime is the time that one measurement stands for.
 const sampleTime = 20 * time.Millisecond
 
@@ -76,7 +83,10 @@
 	if usual := p.PauseMS(); usual > 0 {
 		first *= pause / usual
 	}
-	return Outlook{First: milliseconds(first), Pause: milliseconds(longestPause * pause), KVShare: p.KVShare}
+	return Outlook{
+		Times: Times{First: milliseconds(first), Pause: milliseconds(longestPause * pause), KVShare: p.KVShare},
+		Idle:  Times{First: milliseconds(p.IdleFirstMS), Pause: milliseconds(longestPause * p.IdlePauseMS), KVShare: p.IdleKVShare},
+	}
 }
 
 // StreamEnded learns the duration of a complete stream.
--- a/coordination/overload/overload_test.go
+++ b/coordination/overload/overload_test.go
@@ -23,35 +23,51 @@
 
 var _ = Describe("A stream that may start", func() {
 	It("starts on engines that are not loaded, whatever its urgency", func() {
-		calm := overload.Outlook{First: 80 * time.Millisecond, Pause: 100 * time.Millisecond, KVShare: 0.4}
+		calm := overload.Outlook{Times: overload.Times{First: 80 * time.Millisecond, Pause: 100 * time.Millisecond, KVShare: 0.4}}
 		for _, moreUrgent := range []float64{0, 0.5, 1} {
 			Expect(streamOf(moreUrgent).Decide(calm)).To(Equal(overload.Admitted))
 		}
 	})
 
 	It("is turned away if it would be late itself", func() {
-		Expect(streamOf(0).Decide(overload.Outlook{Pause: 260 * time.Millisecond})).To(Equal(overload.LongPauses))
+		Expect(streamOf(0).Decide(overload.Outlook{Times: overload.Times{Pause: 260 * time.Millisecond}})).To(Equal(overload.LongPauses))
 		late := streamOf(0)
 		late.Waited = 450 * time.Millisecond
-		Expect(late.Decide(overload.Outlook{First: 80 * time.Millisecond})).To(Equal(overload.LateEvent))
+		Expect(late.Decide(overload.Outlook{Times: overload.Times{First: 80 * time.Millisecond}})).To(Equal(overload.LateEvent))
+	})
+
+	// Guards against long prompts that are refused for ever: they miss the target on engines without
+	// any load, and no waiting helps.
+	It("starts on engines without load, however late it will be", Label("failure:long-prompt-never-starts"), func() {
+		alone := overload.Times{First: 900 * time.Millisecond, Pause: 400 * time.Millisecond, KVShare: 1.4}
+		Expect(streamOf(0.9).Decide(overload.Outlook{Times: alone, Idle: alone})).To(Equal(overload.Admitted))
+		busy := alone
+		busy.Pause *= 2
+		Expect(streamOf(0).Decide(overload.Outlook{Times: busy, Idle: alone})).To(Equal(overload.LongPauses))
+	})
+
+	It("is told to return later the later its first event would be", func() {
+		rng := rand.New(rand.NewPCG(1, 2))
+		late := overload.Outlook{Times: overload.Times{First: 3 * time.Second}}
+		Expect(streamOf(0).RetryAfter(late, 3*time.Second, rng)).To(BeNumerically(">", 3*time.Second))
 	})
 
 	It("has no target to miss if its route sets none", func() {
-		Expect(overload.Stream{}.Decide(overload.Outlook{First: time.Hour, Pause: time.Hour})).To(Equal(overload.Admitted))
+		Expect(overload.Stream{}.Decide(overload.Outlook{Times: overload.Times{First: time.Hour, Pause: time.Hour}})).To(Equal(overload.Admitted))
 	})
 
 	// Guards against urgent streams that are late behind background work which was admitted first.
 	It("leaves room for more urgent ones", Label("failure:background-before-urgent"), func() {
-		busy := overload.Outlook{Pause: 200 * time.Millisecond, KVShare: 0.6}
+		busy := overload.Outlook{Times: overload.Times{Pause: 200 * time.Millisecond, KVShare: 0.6}}
 		Expect(streamOf(0).Decide(busy)).To(Equal(overload.Admitted))
 		Expect(streamOf(1).Decide(busy)).To(Equal(overload.LongPauses))
-		full := overload.Outlook{Pause: 100 * time.Millisecond, KVShare: 1.15}
+		full := overload.Outlook{Times: overload.Times{Pause: 100 * time.Millisecond, KVShare: 1.15}}
 		Expect(streamOf(0).Decide(full)).To(Equal(overload.Admitted))
 		Expect(streamOf(1).Decide(full)).To(Equal(overload.NoMemory))
 	})
 
 	It("is taken for less urgent if its customer exceeds its share", func() {
-		busy := overload.Outlook{Pause: 230 * time.Millisecond, KVShare: 0.6}
+		busy := overload.Outlook{Times: overload.Times{Pause: 230 * time.Millisecond, KVShare: 0.6}}
 		greedy := streamOf(0)
 		greedy.Excess = 1
 		Expect(greedy.Decide(busy)).To(Equal(overload.LongPauses))
@@ -60,7 +76,7 @@
 	It("is told to return when streams will have ended, not at the same time as others", func() {
 		rng := rand.New(rand.NewPCG(1, 2))
 		const life = 3 * time.Second
-		slight, heavy := overload.Outlook{Pause: 260 * time.Millisecond}, overload.Outlook{Pause: time.Second}
+		slight, heavy := overload.Outlook{Times: overload.Times{Pause: 260 * time.Millisecond}}, overload.Outlook{Times: overload.Times{Pause: time.Second}}
 		var shortest, longest time.Duration
 		for range 100 {
 			d := streamOf(0).RetryAfter(heavy, life, rng)
@@ -98,12 +114,13 @@
 		Expect(streamOf(0).Decide(m.Outlook(now.Add(3*time.Second), path))).To(Equal(overload.Admitted), "nothing is measured while nothing starts")
 	})
 
-	It("bounds what one measurement shows", func() {
+	It("bounds what one measurement shows, and keeps what it knows if an earlier one comes later", func() {
 		m := overload.NewModel()
 		m.Observe(start, path, time.Hour)
-		Expect(streamOf(0).Decide(m.Outlook(start, path))).To(Equal(overload.Admitted))
+		once := m.Outlook(start, path)
+		Expect(streamOf(0).Decide(once)).To(Equal(overload.Admitted))
 		m.Observe(start.Add(-time.Minute), path, 60*time.Millisecond)
-		Expect(m.Outlook(start, path).Pause).To(BeNumerically("<", pauseTarget))
+		Expect(m.Outlook(start, path).Pause).To(BeNumerically("~", once.Pause, once.Pause/20))
 	})
 
 	It("learns how long streams take", func() {
--- a/coordination/overload/replay_test.go
+++ b/coordination/overload/replay_test.go
@@ -24,14 +24,15 @@
 
 // running is a stream in flight.
 type running struct {
-	result *result
-	began  time.Time
-	events float64 // left
-	late   bool
+	result    *result
+	began     time.Time
+	predicted pathing.Prediction // when it was admitted
+	events    float64            // left
+	late      bool
 }
 
 // result counts the streams of a class.
-type result struct{ asked, onTime int }
+type result struct{ asked, admitted, onTime int }
 
 const (
 	step         = 20 * time.Millisecond
@@ -83,15 +84,18 @@
 	if c.admit && s.Decide(c.model.Outlook(c.now, c.predict())) != overload.Admitted {
 		return
 	}
-	c.running = append(c.running, &running{result: r, began: c.now, events: streamEvents})
+	r.admitted++
+	c.running = append(c.running, &running{result: r, began: c.now, predicted: c.predict(), events: streamEvents})
 }
 
 // advance runs the chain for a step.
 func (c *chain) advance() {
 	pause := c.pause()
-	c.model.Observe(c.now, c.predict(), pause)
 	left := c.running[:0]
 	for _, s := range c.running {
+		if c.now.Sub(s.began) < time.Second {
+			c.model.Observe(c.now, s.predicted, pause)
+		}
 		s.late = s.late || 2*pause > pauseTarget // the longest pause of a stream is about twice its usual one
 		if s.events -= float64(step) / float64(pause); s.events > 0 {
 			left = append(left, s)
@@ -170,15 +174,19 @@
 	// Guards against streams that go on starting on engines that have turned slow.
 	It("take fewer streams once they are slow, and as many as before when they are fast again", Label("failure:slow-engines-overfilled"), func() {
 		c := newChain(true)
+		admitted := func(d time.Duration) int {
+			clear(c.results)
+			c.run(d, usualLoad)
+			return c.results[urgent].admitted + c.results[background].admitted
+		}
 		c.run(5*time.Second, usualLoad)
-		c.slow = 3
-		c.run(2*time.Second, usualLoad)
-		asked := c.results[background].asked
+		usual := admitted(5 * time.Second)
+		c.slow = 4
 		c.run(2*time.Second, usualLoad)
-		Expect(c.predict().PauseMS()).To(BeNumerically("<", usualPauseMS+40*loadPauseMS))
+		Expect(admitted(5 * time.Second)).To(BeNumerically("<", 0.7*float64(usual)))
 		c.slow = 1
 		c.run(3*time.Second, usualLoad)
+		Expect(admitted(5 * time.Second)).To(BeNumerically(">=", 0.9*float64(usual)))
 		Expect(2 * c.pause()).To(BeNumerically("<=", pauseTarget))
-		Expect(c.results[background].asked).To(BeNumerically(">", asked))
 	})
 })
--- a/coordination/pathing/predict.go
+++ b/coordination/pathing/predict.go
@@ -10,6 +10,9 @@
 	Hops []HopPrediction
 	// FirstMS is the time to the first event, in ms, without the time on the way to the first hop.
 	FirstMS float64
+	// IdleFirstMS and IdlePauseMS are the same times on engines without any load, and IdleKVShare the
+	// share that this stream alone uses.
+	IdleFirstMS, IdlePauseMS, IdleKVShare float64
 	// KVShare is the largest used share of the KV-cache capacity of one hop, with this stream.
 	KVShare float64
 }
@@ -44,9 +47,13 @@
 			prefill = pace * share * c.Kind.ReadPace * float64(req.PromptTokens) / r.engine.ReadPerS * 1000
 		}
 		step := pace * share * c.Kind.Pace * (r.engine.StepMS + r.engine.SeqMS*(load.Tokens/streamTokens+1) + r.engine.ContextMS*load.Tokens/1000)
+		idle := pace * share * c.Kind.Pace * (r.engine.StepMS + r.engine.SeqMS)
+		out.IdlePauseMS += float64(r.engine.TokensPerEvent())*idle + hopMS
+		out.IdleFirstMS += prefill + idle + hopMS
 		out.Hops = append(out.Hops, HopPrediction{Kind: c.Server.Kind, PauseMS: float64(r.engine.TokensPerEvent())*step + hopMS})
 		out.FirstMS += prefill + step + hopMS
 		if c.KVCapacity > 0 {
+			out.IdleKVShare = max(out.IdleKVShare, req.ExpectedTokens()/float64(c.KVCapacity))
 			out.KVShare = max(out.KVShare, (load.Tokens+req.ExpectedTokens())/float64(c.KVCapacity))
 		}
 	}
--- a/coordination/siteload/view.go
+++ b/coordination/siteload/view.go
@@ -5,7 +5,8 @@
 const (
 	// totalsLife is how long totals are used.
 	totalsLife = 4 * Interval
-	// minIncluded is the share of the live daemons whose reports totals must include to be used.
+	// minIncluded is the share of the live daemons of the engines' failure domain of which totals must
+	// include as many reports to be used. Daemons of other domains report only while they use it.
 	minIncluded = 0.7
 )
 
@@ -35,8 +36,17 @@
 	v.parts[t.Part] = Known{Totals: t, Own: own, At: sent}
 }
 
-// Of returns the totals of a part for a site with a number of live daemons; false if there are none
-// that may be used.
+// Prune drops totals that have expired.
+func (v *View) Prune(now time.Time) {
+	for p, k := range v.parts {
+		if now.Sub(k.At) > totalsLife {
+			delete(v.parts, p)
+		}
+	}
+}
+
+// Of returns the totals of a part with a number of live daemons in its failure domain; false if there
+// are none that may be used.
 func (v *View) Of(now time.Time, p Part, live int) (Known, bool) {
 	k, ok := v.parts[p]
 	if !ok {
--- a/coordination/suspect/pace.go
+++ b/coordination/suspect/pace.go
@@ -24,24 +24,28 @@
 	Pace float64 `msgpack:"pace"`
 }
 
-// reportedPace is a pace with its expiry.
+// reportedPace is a pace with the time of its report. That of a server that is not slow any more is kept as
+// well, so that an older notice does not make it slow again.
 type reportedPace struct {
-	pace  float64
-	until time.Time
+	pace float64
+	at   time.Time
 }
 
-// RecordPace records the pace of a server. It reports whether other daemons need to know it: the server
+func (p reportedPace) slow(now time.Time) bool {
+	return p.pace >= slowPace && now.Before(p.at.Add(paceTTL))
+}
+
+// RecordPace records the pace that a server reported at a time. It reports whether other daemons need to know it: the server
 // has become slow, is slow still when that was about to be forgotten, or is no longer slow.
 func (t *Tracker) RecordPace(now time.Time, n PaceNotice) (changed bool) {
-	old, known := t.paces[n.Server]
-	known = known && now.Before(old.until)
-	if n.Pace < slowPace {
-		delete(t.paces, n.Server)
-		return known
+	old := t.paces[n.Server]
+	wasSlow := old.slow(now)
+	if now.Before(old.at) || n.Pace < slowPace && !wasSlow {
+		return false
 	}
-	changed = !known || n.Pace > paceChange*old.pace || old.pace > paceChange*n.Pace || old.until.Sub(now) < paceTTL/2
+	changed = !wasSlow || n.Pace > paceChange*old.pace || old.pace > paceChange*n.Pace || now.Sub(old.at) > paceTTL/2
 	if changed {
-		t.paces[n.Server] = reportedPace{pace: n.Pace, until: now.Add(paceTTL)}
+		t.paces[n.Server] = reportedPace{pace: n.Pace, at: now}
 	}
 	return changed
 }
@@ -49,10 +53,12 @@
 // EachSlow calls f for each server that has reported to be slow.
 func (t *Tracker) EachSlow(now time.Time, f func(server state.BackendIncarnation, pace float64)) {
 	for server, p := range t.paces {
-		if !now.Before(p.until) {
+		if now.Sub(p.at) >= paceTTL {
 			delete(t.paces, server)
 			continue
 		}
-		f(server, p.pace)
+		if p.slow(now) {
+			f(server, p.pace)
+		}
 	}
 }
--- a/coordination/suspect/pace_test.go
+++ b/coordination/suspect/pace_test.go
@@ -38,5 +38,7 @@
 		Expect(t.RecordPace(start.Add(time.Second), suspect.PaceNotice{Server: server, Pace: 1})).To(BeTrue())
 		Expect(paceAt(t, start.Add(time.Second))).To(Equal(1.0))
 		Expect(t.RecordPace(start.Add(time.Second), suspect.PaceNotice{Server: server, Pace: 1})).To(BeFalse())
+		Expect(t.RecordPace(start.Add(500*time.Millisecond), slow)).To(BeFalse(), "a notice that comes late")
+		Expect(paceAt(t, start.Add(time.Second))).To(Equal(1.0))
 	})
 })
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -313,17 +313,16 @@
 	m.viewChanged, m.viewAppliedAt = false, m.c.now
 	domain := m.c.g.currentSettings().Domain
 	v := &m.c.view
-	v.members, v.live, v.liveInDomain = m.machine.View(), 0, 0
+	v.members, v.live, v.liveInDomain, v.liveByDomain = m.machine.View(), 0, 0, make(map[state.FailureDomain]int)
 	m.known = m.knownDaemons(v.members)
 	for _, i := range v.members.Members {
 		if !i.Live() {
 			continue
 		}
 		v.live++
-		if i.Meta.Domain == domain {
-			v.liveInDomain++
-		}
+		v.liveByDomain[i.Meta.Domain]++
 	}
+	v.liveInDomain = v.liveByDomain[domain]
 	m.c.changed = true
 	m.c.updateMembers()
 }
--- a/gateway/notice.go
+++ b/gateway/notice.go
@@ -86,7 +86,9 @@
 	case suspect.LeavingNotice:
 		g.shared.markLeaving(at, m)
 	case suspect.PaceNotice:
-		g.shared.recordPace(at, m)
+		if g.currentSettings().Contention.ReportedPace {
+			g.shared.recordPace(at, m)
+		}
 	case permits.LimitNotice:
 		g.control.permits.step(permits.LimitReceived{LimitNotice: m, At: at})
 	case reach.Notice:
--- a/gateway/overload.go
+++ b/gateway/overload.go
@@ -24,6 +24,7 @@
 	tokens     float64 // expected size of the stream
 	prediction pathing.Prediction
 	outlook    overload.Outlook
+	decidedAt  time.Time
 	reason     overload.Reason // why it was turned away; Admitted if it was not
 	retryAfter time.Duration
 }
@@ -47,7 +48,8 @@
 		class:    r.class(),
 		stream:   stream,
 		arrived:  r.req.Arrived,
-		enforced: r.retrier.NeverRan() && !r.headSent,
+		enforced: r.retrier.NeverRan() && !r.begun(),
+		counted:  r.demandCounted,
 	}
 }
 
@@ -66,7 +68,7 @@
 	a.tokens = req.ExpectedTokens()
 	a.prediction = roster.Predict(req, states, path)
 	a.outlook = model.Outlook(now, a.prediction)
-	a.reason = overload.Admitted
+	a.decidedAt, a.reason = now, overload.Admitted
 	if !a.enforced {
 		return true
 	}
@@ -98,9 +100,13 @@
 	return d
 }
 
+// predictionLife is how long pauses are held against the prediction that was made when the stream
+// started: the load changes.
+const predictionLife = time.Second
+
 // observePause learns from the time between two events of a stream.
 func (s *sharedState) observePause(now time.Time, a *streamAdmission, pause time.Duration) {
-	if a == nil {
+	if a == nil || now.Sub(a.decidedAt) > predictionLife {
 		return
 	}
 	s.mu.Lock()
@@ -110,7 +116,7 @@
 
 // observeStreamEnd learns from a stream that is complete.
 func (s *sharedState) observeStreamEnd(a *streamAdmission, duration time.Duration) {
-	if a == nil {
+	if a == nil || !a.enforced { // the rest of a stream that began elsewhere says nothing
 		return
 	}
 	s.mu.Lock()
@@ -127,7 +133,8 @@
 
 // chargeShare charges the request's customer for a stream that starts.
 func (r *requestHandler) chargeShare(tokens float64) {
-	if r.admission != nil && r.admission.enforced {
+	if r.admission != nil && r.admission.enforced && !r.demandCounted {
+		r.demandCounted = true
 		r.g.shares.charge(time.Now(), r.service.ID, r.customer.ID, tokens)
 	}
 }
--- a/gateway/overload_test.go
+++ b/gateway/overload_test.go
@@ -90,6 +90,14 @@
 		}).WithTimeout(eventuallyTimeout).Should(Equal("overload"))
 	})
 
+	// Guards against answers that are refused as not run although a part of them has run.
+	It("take the rest of a background one that has begun", Label("failure:rest-refused-as-not-run"), func() {
+		fill("ranked", 1)
+		req := request("/background/x")
+		req.PromptTokens, req.LastEventID = 400_000, "2"
+		Expect(gw.Serve(context.Background(), req, &fakeReply{}).Outcome).To(Equal(gateway.Answered))
+	})
+
 	It("take any if all routes have the same rank", func() {
 		fill("equal", 0)
 		Expect(serveSized("/background/x", 400_000).Outcome).To(Equal(gateway.Answered))
--- a/gateway/pathchoice.go
+++ b/gateway/pathchoice.go
@@ -45,7 +45,7 @@
 		permit.blocked = !ok
 	}
 	if ok && search.admission != nil {
-		s.applySiteLoad(now, svc.ID, roster, states, counts)
+		s.applySiteLoad(now, v, svc.ID, roster, states, counts)
 		ok = s.admitStream(now, search.admission, roster, r, states, path)
 	}
 	if ok {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -55,7 +55,9 @@
 	runStart     time.Time // when the current attempt was sent, or when its answer began as a stream
 	gaps         eventGaps
 	admission    *streamAdmission // of the current attempt, if one was made
-	connected    atomic.Bool      // the call of the current attempt has a connection
+	// demandCounted is set once the request is part of the demand, and charged to its customer.
+	demandCounted bool
+	connected     atomic.Bool // the call of the current attempt has a connection
 	// olderRunEnded is set once a server has ended under a run of the request that had not just begun.
 	olderRunEnded atomic.Bool
 	parts         []crashes.Fingerprint // of the prompt, those that other requests may share
@@ -399,7 +401,10 @@
 }
 
 // rank returns the rank of the request for backend servers.
-func (r *requestHandler) rank() int { return r.scale().ServerRank(r.class(), r.headSent) }
+func (r *requestHandler) rank() int { return r.scale().ServerRank(r.class(), r.begun()) }
+
+// begun reports whether the caller has received a part of the answer, here or from another run.
+func (r *requestHandler) begun() bool { return r.headSent || r.req.LastEventID != "" }
 
 // handleSendError returns the outcome of an attempt whose call to a server failed. A call
 // that was canceled by this daemon or by its caller does not count against the server.
--- a/gateway/siteload.go
+++ b/gateway/siteload.go
@@ -2,14 +2,18 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/samber/lo"
 
+	"github.com/hibiscuswick/hibiscuswick/coordination/overload"
 	"github.com/hibiscuswick/hibiscuswick/coordination/pathing"
 	"github.com/hibiscuswick/hibiscuswick/coordination/rendezvous"
 	"github.com/hibiscuswick/hibiscuswick/coordination/siteload"
 	"github.com/hibiscuswick/hibiscuswick/state"
+	"github.com/hibiscuswick/hibiscuswick/state/fleet"
 )
 
 // loadCallTimeout is how long the aggregator of a part may take to answer.
@@ -28,7 +32,7 @@
 
 // run reports until the gateway is closed.
 func (x *loadExchange) run() {
-	interval := idleLoadInterval
+	interval := siteload.Interval
 	for {
 		select {
 		case <-x.g.done:
@@ -45,7 +49,14 @@
 // tick sends the reports that are due. It returns false if no service calls for any.
 func (x *loadExchange) tick(now time.Time) (reported bool) {
 	v := x.g.currentView.Load()
-	if !v.known() || !x.g.currentSettings().Contention.Admission {
+	if !v.known() {
+		return false
+	}
+	if now.After(x.pruneAt) {
+		x.pruneAt = now.Add(time.Minute)
+		x.g.shared.pruneSiteLoad(now, v.config.Services)
+	}
+	if !x.g.currentSettings().Contention.Admission {
 		return false
 	}
 	for id := range v.config.Services {
@@ -56,10 +67,6 @@
 		x.report(now, v, id, newRoster())
 		reported = true
 	}
-	if now.After(x.pruneAt) {
-		x.pruneAt = now.Add(time.Minute)
-		x.g.shared.pruneSiteLoad(now)
-	}
 	return reported
 }
 
@@ -145,10 +152,15 @@
 	s.siteLoad.Apply(sent, own, t)
 }
 
-func (s *sharedState) pruneSiteLoad(now time.Time) {
+// pruneSiteLoad drops what is known of services that the configuration no longer contains, and of parts
+// without recent reports.
+func (s *sharedState) pruneSiteLoad(now time.Time, services map[state.ServiceID]fleet.Service) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.loadSums.Prune(now)
+	s.siteLoad.Prune(now)
+	maps.DeleteFunc(s.overload, func(id state.ServiceID, _ *overload.Model) bool { return !lo.HasKey(services, id) })
+	maps.DeleteFunc(s.demand, func(id state.ServiceID, _ *overload.Demand) bool { return !lo.HasKey(services, id) })
 }
 
 // keepOwnTokens keeps the tokens of this daemon's streams for applySiteLoad.
@@ -165,10 +177,10 @@
 // applySiteLoad replaces the estimated loads of engines by those of all daemons, where they are known.
 // Paths are chosen before it is called, by the estimates: they differ between daemons, while all
 // daemons would choose the same path for the same totals.
-func (s *sharedState) applySiteLoad(now time.Time, svc state.ServiceID, roster *pathing.Roster, states []pathing.ServerState, d pathing.DaemonCounts) {
+func (s *sharedState) applySiteLoad(now time.Time, v *view, svc state.ServiceID, roster *pathing.Roster, states []pathing.ServerState, d pathing.DaemonCounts) {
 	known := make(map[state.FailureDomain]siteload.Known)
 	for _, domain := range roster.Domains() {
-		if k, ok := s.siteLoad.Of(now, siteload.Part{Service: svc, Domain: domain}, d.Total); ok {
+		if k, ok := s.siteLoad.Of(now, siteload.Part{Service: svc, Domain: domain}, v.liveDaemonsIn(domain)); ok {
 			known[domain] = k
 		}
 	}
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -28,6 +28,8 @@
 	members      *membership.View
 	live         int // live daemons, including this one
 	liveInDomain int // of those, in this daemon's failure domain
+	// liveByDomain counts them in each failure domain.
+	liveByDomain map[state.FailureDomain]int
 	memberRows   int // daemons in the table of members when it was read; 0 for never
 	siteSize     int // daemons of the site, also those that were seen last a short time ago; 0 if unknown
 	slackShare   retrybudget.SlackShare
@@ -40,6 +42,9 @@
 // ready reports whether requests can be served.
 func (v *view) ready() bool { return v.known() && !v.draining }
 
+// liveDaemonsIn returns the number of live daemons in a failure domain, at least 1.
+func (v *view) liveDaemonsIn(domain state.FailureDomain) int { return max(v.liveByDomain[domain], 1) }
+
 // scaleOf returns the order of a service's requests by urgency.
 func (v *view) scaleOf(service state.ServiceID) urgency.Scale {
 	scale := v.scales[service]
