--- a/coordination/crashes/clear.go
+++ b/coordination/crashes/clear.go
@@ -52,9 +52,13 @@
 	}
 }
 
-// TakeStale returns the contents that other daemons are to be told of as cleared.
+// TakeStale returns the contents that other daemons are to be told of as cleared. A content of which an
+// end since its answer is known by now is left out: the notice would clear that end as well.
 func (t *Tracker) TakeStale() []Fingerprint {
-	out := t.stale
+	out := slices.DeleteFunc(t.stale, func(fp Fingerprint) bool {
+		c, ok := t.contents[fp]
+		return ok && len(c.ends) > 0
+	})
 	t.stale = nil
 	return out
 }
--- a/coordination/crashes/teller_test.go
+++ b/coordination/crashes/teller_test.go
@@ -108,6 +108,15 @@
 		Expect(t.TakeStale()).To(BeEmpty())
 	})
 
+	// Guards against ends that are forgotten everywhere: the notice that clears older ones is sent later.
+	It("are not cleared if another one has come since the answer", Label("failure:newer-end-cleared"), func() {
+		t.Implicate(now.Add(-1), server("e0"), fresh(1))
+		t.Clear(now, 7)
+		t.Implicate(now.Add(-1), server("e1"), fresh(7))
+		t.Implicate(now.Add(1), server("e2"), fresh(7))
+		Expect(t.TakeStale()).To(BeEmpty())
+	})
+
 	It("are decided on once those that were kept back are known", func() {
 		t.Implicate(now, server("e1"), fresh(7))
 		t.Implicate(now, server("e2"), fresh(7))
