probing: a sign of life of the very moment is as recent as asked for

Ruled out: load (red at once, alone as well). Change: only an older sign is none. The spec is unchanged.

--- a/gateway/probeshare.go
+++ b/gateway/probeshare.go
@@ -222,7 +222,7 @@
 	replaced := result.startTime != 0 && q.Born != 0 && result.startTime != q.Born
 	// A probe that another question had started may have been answered before this question.
 	age := max(now.Sub(result.began()), 0)
-	if result.outcome != probeAlive || replaced || age >= maxAge {
+	if result.outcome != probeAlive || replaced || age > maxAge {
 		return probing.Sign{}
 	}
 	return probing.Sign{Alive: true, AgeMS: int32(age.Milliseconds())}
