--- a/review/rig/replica.go
+++ b/review/rig/replica.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -25,6 +26,7 @@
 type Replica struct {
 	ID, Service, Zone, Address string
 	Slots                      int
+	Queue                      int // requests that wait for a slot; 0 for any number
 	// Work is how long a plain request runs. Events and Pace are those of a stream; no events make it
 	// a plain server.
 	Work   func(id string) time.Duration
@@ -35,8 +37,10 @@
 
 	server *http.Server
 	slots  chan struct{}
-	mu     sync.Mutex
-	runs   map[string][]*Run
+	// waiting counts the requests that run or wait for a slot.
+	waiting atomic.Int64
+	mu      sync.Mutex
+	runs    map[string][]*Run
 }
 
 // Start listens on a loopback address, a free one if the replica has none.
@@ -107,6 +111,12 @@
 		defer cancel()
 	}
 	run := &Run{Arrived: time.Now()}
+	if waiting := p.waiting.Add(1); p.Queue > 0 && waiting > int64(p.Slots+p.Queue) {
+		p.waiting.Add(-1)
+		p.refuse(w, http.StatusServiceUnavailable)
+		return
+	}
+	defer p.waiting.Add(-1)
 	select {
 	case p.slots <- struct{}{}:
 		defer func() { <-p.slots }()
