--- a/review/cmd/bodies/main.go
+++ b/review/cmd/bodies/main.go
@@ -14,10 +14,10 @@
 
 const (
 	daemons   = 2
-	usual     = 44 // clients of a daemon in a pulse
+	usual     = 48 // clients of a daemon in a pulse
 	bodyBytes = rig.MaxBodyBytes
-	pulses    = 4
-	pulseGap  = 6 * time.Second
+	pulses    = 10
+	pulseGap  = 5 * time.Second
 	pulseTime = 200 * time.Millisecond // over which a pulse's clients send
 )
 
