Review: a late second 503 makes a daemon deny a run

Cause: answers are told apart by the id of the caller's request, and a request that was turned away is sent again with the same id on the connection that carried it. A second copy of the 503 that arrives there late is taken for the answer to the second send.

Change: case 3, a script with one replica that turns requests away and gives 3 in 100 of its answers twice.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -3,5 +3,5 @@
 # TROUBLE=0 leaves the disruption out.
 set -uo pipefail
 cd "$(dirname "$0")/../.."
-[ -x target/hibiscusd ] && [ -x review/bin/unframed ] || { echo "build target/ and review/build.sh first"; exit 2; }
-exec review/bin/unframed review/3/record.txt
+[ -x target/hibiscusd ] && [ -x review/bin/twice ] || { echo "build target/ and review/build.sh first"; exit 2; }
+exec review/bin/twice review/3/record.txt
