Review: case 3 shows requests that run twice

Cause: with a deadline of 1 s a daemon has 75 ms to wait for a server, in which the script showed denied runs only.

Change: the requests have the deadline of the whole fleet's sheet, 3 s.

--- a/review/cmd/twice/main.go
+++ b/review/cmd/twice/main.go
@@ -27,7 +27,7 @@
 func run(site *rig.Site, trouble bool) (int, error) {
 	rec := site.Rec
 	site.Store.Put("op", "config", rig.Config(7, []rig.Route{
-		{Host: "site.example", Prefix: "/doorstep/", Kind: "non_idempotent", Service: "counter-app", TimeoutMs: 1000, TargetMs: 100, Attempts: 1},
+		{Host: "site.example", Prefix: "/doorstep/", Kind: "non_idempotent", Service: "counter-app", TimeoutMs: 3000, TargetMs: 300, Attempts: 1},
 	}, []string{"counter-app"}, nil))
 	p := &rig.Repeater{ID: "i-app-0", Service: "counter-app", Zone: "ernakulam", Slots: slots, Queue: queue, RetryAfter: retryAfter, Shed: shedShare, Extra: extraShare,
 		Work: func(id string) time.Duration {
@@ -65,7 +65,7 @@
 		time.Sleep(time.Until(next))
 		calls.Go(func() {
 			id := fmt.Sprintf("d%06d", n)
-			r := clients[n%len(clients)].Do(rig.Request{ID: id, Host: "site.example", Path: "/doorstep/x", Method: "POST", Body: []byte("check of " + id), DeadlineMs: 1000})
+			r := clients[n%len(clients)].Do(rig.Request{ID: id, Host: "site.example", Path: "/doorstep/x", Method: "POST", Body: []byte("check of " + id), DeadlineMs: 3000})
 			mu.Lock()
 			all = append(all, sent{id, r})
 			mu.Unlock()
