--- a/review/cmd/leak/main.go
+++ b/review/cmd/leak/main.go
@@ -18,7 +18,7 @@
 	events      = 20
 	pace        = 50 * time.Millisecond
 	releaseGap  = 900 * time.Millisecond // gap_s of the site's releases
-	releaseTime = 66 * time.Second
+	releaseTime = 78 * time.Second
 	watchTime   = 12 * time.Second
 	tryGap      = 300 * time.Millisecond
 	tries       = 7 // clients that try, of RECOVER
