Review: case 4 kills one of six servers

Cause: the script killed one of two servers of a service, more than the share of 0.17 of the site's crashes.

Change: six servers of a service, and twelve requests of each kind in a round.

--- a/review/cmd/unframed/main.go
+++ b/review/cmd/unframed/main.go
@@ -16,6 +16,8 @@
 
 const (
 	rounds      = 5
+	perService  = 6  // servers, of which one crashes: a share of 0.167
+	requests    = 12 // of each kind in a round
 	plainPieces = 8
 	events      = 80
 	pace        = 25 * time.Millisecond
@@ -86,7 +88,7 @@
 	for round := range rounds {
 		var fresh []*server
 		for _, kind := range []string{"app", "draft"} {
-			for i := range 2 {
+			for i := range perService {
 				service, n := "counter-app", 0
 				if kind == "draft" {
 					service, n = "draft-model", events
@@ -110,16 +112,16 @@
 				mu.Unlock()
 			})
 		}
-		for i := range 4 {
+		for i := range requests {
 			send(rig.Request{ID: fmt.Sprintf("pod-%d-%d", round, i), Host: "site.example", Path: "/pod/x", Method: "POST", Body: []byte(fmt.Sprint("prompt ", round, i)), DeadlineMs: 20000, Stream: true})
 		}
 		time.Sleep(time.Second)
-		for i := range 4 {
+		for i := range requests {
 			send(rig.Request{ID: fmt.Sprintf("door-%d-%d", round, i), Host: "site.example", Path: "/doorstep/x", Method: "POST", Body: []byte(fmt.Sprint("check ", round, i)), DeadlineMs: 1000})
 		}
 		time.Sleep(plainPieces * pace / 2)
 		if trouble { // the first server of each service crashes
-			for _, s := range []*server{fresh[0], fresh[2]} {
+			for _, s := range []*server{fresh[0], fresh[perService]} {
 				s.kill()
 				rec.Add("%s is killed", s.id)
 				site.Store.Remove("servers", s.id)
