gateway: count calls to servers beside granted retries, and what may still arrive

Added: gateway_sends_total (first, repeat), the gauges retries_open, retry_requests and late_calls, and event 1334 with the retries that a record reserves. No decision changes.

--- a/coordination/retrybudget/budget.go
+++ b/coordination/retrybudget/budget.go
@@ -129,6 +129,12 @@
 	return max(0, left)
 }
 
+// Use returns the requests of the last window and the retries that are open.
+func (b *Budget) Use(now time.Time, svc state.ServiceID) (requests, open int) {
+	a := b.account(now, svc)
+	return a.requestsBetween(0, sliceCount-1), a.open
+}
+
 // creditedSince returns how many requests count for the retries of an interval of one window that
 // begins in the slice of an age and may end now: those of the interval, of the one before it, or
 // of the one that begins half a window earlier, whichever has most. Slices that the interval may
--- a/coordination/retrybudget/record.go
+++ b/coordination/retrybudget/record.go
@@ -29,6 +29,15 @@
 	Services  map[state.ServiceID]ServiceRecord `json:"services"`
 }
 
+// Reserved returns how many retries the record reserves, over all services.
+func (r Record) Reserved() int {
+	n := 0
+	for _, s := range r.Services {
+		n += s.Reserved
+	}
+	return n
+}
+
 // ServiceRecord is the part of a Record for one service. The counts are per slice, the
 // newest one first.
 type ServiceRecord struct {
--- a/gateway/gauges.go
+++ b/gateway/gauges.go
@@ -29,6 +29,7 @@
 	streams, dead := gs.c.g.shared.counts()
 	m.Set(telemetry.OpenStreams, float64(streams))
 	m.Set(telemetry.DeadServers, float64(dead))
+	m.Set(telemetry.LateCalls, float64(gs.c.g.shared.lateCallCount()))
 	m.Set(telemetry.LiveMembers, float64(v.live))
 	m.SetFlag(telemetry.Draining, v.draining)
 	m.Set(telemetry.ConfigAge, gs.c.configFeed.machine.Age(gs.c.now).Seconds())
@@ -49,6 +50,9 @@
 	for id, svc := range v.config.Services {
 		retries, used := gs.c.g.shared.usage(gs.c.now, v, &svc)
 		m.SetService(telemetry.RetriesLeft, id, float64(retries))
+		requests, open := gs.c.g.shared.retryUse(gs.c.now, id)
+		m.SetService(telemetry.RetryRequests, id, float64(requests))
+		m.SetService(telemetry.RetriesOpen, id, float64(open))
 		if svc.Engine != nil {
 			m.SetService(telemetry.RoomUsed, id, used)
 			gs.c.g.shares.setGauges(gs.c.now, id)
@@ -107,6 +111,14 @@
 	return retries, tokens * float64(max(v.live, 1)) / float64(max(capacity, 1))
 }
 
+// retryUse returns the requests of the last window that earn retries, and the retries that may
+// still arrive.
+func (s *sharedState) retryUse(now time.Time, svc state.ServiceID) (requests, open int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.budget.Use(now, svc)
+}
+
 // processMemory is the memory that the process holds from the operating system.
 func processMemory() float64 {
 	samples := []rtmetrics.Sample{{Name: "/memory/classes/total:bytes"}, {Name: "/memory/classes/heap/released:bytes"}}
--- a/gateway/latecalls.go
+++ b/gateway/latecalls.go
@@ -129,6 +129,13 @@
 	s.settleLateCallsIf(now, address, func(call lateCall) bool { return call.endedAt.Before(sentAt) })
 }
 
+// lateCallCount returns how many calls were given up and may still arrive.
+func (s *sharedState) lateCallCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return lo.SumBy(lo.Values(s.lateCalls), func(calls []lateCall) int { return len(calls) })
+}
+
 // expireLateCalls settles calls that were given up long ago.
 func (s *sharedState) expireLateCalls(now time.Time) {
 	s.mu.Lock()
--- a/gateway/retryrecord.go
+++ b/gateway/retryrecord.go
@@ -95,6 +95,7 @@
 	case row != nil && row.Epoch == read.rows.Epoch:
 		r.firstRow = row.FirstRow
 		r.c.g.shared.inheritRetries(r.c.now, read.rows.Now+r.c.now.Sub(read.got), row.Use)
+		r.c.g.log.Emit(telemetry.EventRetriesInherited, telemetry.Count(row.Use.Reserved()))
 	case read.own != (memberRow{}) || r.siteIsOlder(read.rows):
 		r.withheldUntil = r.c.g.startedAt.Add(r.window())
 	}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -49,6 +49,7 @@
 	rejections   admission.Rejections
 	search       serverSearch
 	attemptCount int
+	sendCount    int        // calls that were sent to a server
 	address      string     // address of the server of the current attempt
 	path         fleet.Path // servers of the current attempt; a plain server is its only hop
 	answer       answerLength
@@ -127,8 +128,20 @@
 		r.g.log.Emit(telemetry.EventRetryLate, telemetry.Request(r.req.ID), telemetry.Service(r.service.ID), telemetry.Duration(time.Since(paidAt)))
 	}
 	r.retrier.MarkSent()
+	reason := sentFirst
+	if r.sendCount > 0 {
+		reason = sentRepeat
+	}
+	r.sendCount++
+	r.g.metrics.CountReason(telemetry.GatewaySendsTotal, reason)
 }
 
+// Calls to servers in metrics.
+const (
+	sentFirst  = "first"
+	sentRepeat = "repeat"
+)
+
 func (r *requestHandler) findRoute() (Result, bool) {
 	route, ok := r.view.config.Lookup(r.req.Host, r.req.Path)
 	if !ok {
--- a/telemetry/counter.go
+++ b/telemetry/counter.go
@@ -58,6 +58,7 @@
 	GatewayFailedTotal         Name = "gateway_failed_total"
 	GatewayRetriedTotal        Name = "gateway_retried_total"
 	GatewayRetryGrantsTotal    Name = "gateway_retry_grants_total"
+	GatewaySendsTotal          Name = "gateway_sends_total"
 	GatewayProbesTotal         Name = "gateway_probes_total"
 	GatewayReachChecksTotal    Name = "gateway_reach_checks_total"
 	GatewayCutOffTotal         Name = "gateway_cut_off_total"
@@ -107,6 +108,9 @@
 	WaitingRequests Name = "waiting_requests"
 	WaitingByClass  Name = "waiting_by_class"
 	RetriesLeft     Name = "retries_left"
+	RetriesOpen     Name = "retries_open"
+	RetryRequests   Name = "retry_requests"
+	LateCalls       Name = "late_calls"
 	RoomUsed        Name = "room_used"
 	ProcessMemory   Name = "process_memory_bytes"
 	ShareInForce    Name = "share_in_force"
@@ -205,6 +209,7 @@
 	{GatewayFailedTotal, KindCounter, byReason, "Requests that failed, timed out or were truncated at a gateway, by reason."},
 	{GatewayRetriedTotal, KindCounter, byReason, "Requests sent to another backend server, by the result of the previous attempt."},
 	{GatewayRetryGrantsTotal, KindCounter, byReason, "Retries asked of the retry budget: granted, denied although the allowance has some left since no written record reserves them (unreserved), or denied since it has none (exhausted)."},
+	{GatewaySendsTotal, KindCounter, byReason, "Calls to backend servers with requests of callers: the first one of a request (first) and further ones (repeat). There are no more repeats than granted retries, but for calls of which no byte was sent."},
 	{GatewayProbesTotal, KindCounter, byReason, "Probes of backend servers, by purpose (silence: a stream through the server is silent; end: a call to it broke off; recovery: it was found dead before; refusal: it refused a request; asked: another gateway asked for a sign of life) and result."},
 	{GatewayReachChecksTotal, KindCounter, byReason, "Checks whether this gateway is cut off from the servers of a service that other gateways reach, by result."},
 	{GatewayCutOffTotal, KindCounter, byReason, "Requests that a gateway did not serve since it is cut off from the servers, by whether their callers may still have used an address answer from before (cached_address) or came although no gateway has named this one for longer than such answers are valid (not_named)."},
@@ -241,6 +246,9 @@
 	{WaitingRequests, KindGauge, nil, "Requests that wait at this gateway for an available server or path."},
 	{WaitingByClass, KindGauge, byClass, "Requests that wait in the queue of a service at this gateway, by the ranks of their customer and route."},
 	{RetriesLeft, KindGauge, byService, "Retries that remain in this gateway's share of the budget."},
+	{RetriesOpen, KindGauge, byService, "Retries that this gateway has taken from the budget and that may still arrive at a backend server."},
+	{RetryRequests, KindGauge, byService, "Requests of the last window that earn retries, as this gateway counts them."},
+	{LateCalls, KindGauge, nil, "Calls that this gateway gave up and that a backend server may still read."},
 	{RoomUsed, KindGauge, byService, "Share of the engines' KV-cache capacity that this gateway's requests occupy, times the number of live gateways."},
 	{ProcessMemory, KindGauge, nil, "Memory obtained from the operating system, in bytes."},
 	{ShareInForce, KindGauge, byService, "Tokens that a customer may have of a contended service, over all gateways, decayed over 4 s; 0 while it is not contended."},
--- a/telemetry/events.go
+++ b/telemetry/events.go
@@ -71,6 +71,7 @@
 	EventPartRefused         Event = 1331
 	EventRetryLate           Event = 1332
 	EventRetryRecords        Event = 1333
+	EventRetriesInherited    Event = 1334
 	EventStreamTurnedAway    Event = 1340
 	EventQueueWaited         Event = 1345
 	EventQueueRejected       Event = 1346
