--- a/coordination/retrybudget/site_test.go
+++ b/coordination/retrybudget/site_test.go
@@ -209,3 +209,30 @@
 		}
 	})
 }
+
+// TestBudgetHoldsWhenCallersMove guards against daemons that each weigh their retries against
+// another interval: callers move from daemon to daemon, and the rule adds the daemons up.
+func TestBudgetHoldsWhenCallersMove(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSite(3)
+		const tick = 200 * time.Millisecond
+		perTick := rapid.IntRange(0, 200).Draw(t, "requests")
+		stay := rapid.IntRange(1, 80).Draw(t, "ticks at a daemon")
+		failing := rapid.IntRange(0, 100).Draw(t, "failing")
+		for k := range 180 {
+			s.now = s.now.Add(tick)
+			for range perTick {
+				s.request(k / stay % len(s.daemons))
+			}
+			if k < failing {
+				continue
+			}
+			for i := range s.daemons {
+				s.spendAll(i)
+			}
+		}
+		if use := s.ruleUse(); use > 1 {
+			t.Fatalf("%.3f of the allowance", use)
+		}
+	})
+}
