retrybudget: all daemons weigh their retries against the same mean of three intervals

Cause: the allowance is judged over all daemons, by the requests of an interval, of the one before it or of the one half a window earlier, whichever has most. Each daemon took the one with most of its own requests. Where callers move between daemons one daemon drew on the window before, the next on this one: a sum of maxima exceeds the maximum of the sums. Class: a choice that is free once for the whole was made by each part. Change: each daemon takes the mean of the three; equal weights add up.

--- a/coordination/retrybudget/budget.go
+++ b/coordination/retrybudget/budget.go
@@ -12,8 +12,8 @@
 // interval of one window.
 const sliceCount = 10
 
-// requestSlices is how many slices requests are kept for: an interval may be judged by the
-// requests of the one before it.
+// requestSlices is how many slices requests are kept for: the retries of an interval are also weighed
+// against the requests of the one before it.
 const requestSlices = 2*sliceCount + 1
 
 // SlackShare tells which part of the slack a daemon may spend.
@@ -123,7 +123,7 @@
 	left, spent := math.MaxInt, a.open
 	for age := range sliceCount + 1 {
 		spent += a.own.retries[a.own.index(age)] + a.inherited.retries[a.inherited.index(age)]
-		allowed := slack + b.cfg.Ratio*float64(a.creditedSince(age))
+		allowed := slack + b.cfg.Ratio*a.creditedSince(age)
 		left = min(left, int(math.Floor(allowed))-spent)
 	}
 	return max(0, left)
@@ -136,18 +136,18 @@
 }
 
 // creditedSince returns how many requests count for the retries of an interval of one window that
-// begins in the slice of an age and may end now: those of the interval, of the one before it, or
-// of the one that begins half a window earlier, whichever has most. Slices that the interval may
-// cut are left out. An interval that ends later may hold the same retries and fewer requests than
-// the last window.
-func (a *account) creditedSince(age int) int {
+// begins in the slice of an age and may end now: the mean of those of the interval, of the one
+// before it and of the one that begins half a window earlier. Slices that these may cut are left
+// out. Requests that are yet to come may add to it, so that the retries may also stand if none come.
+//
+// Guard (repeats-of-moving-callers): the allowance is that of the sum of all daemons, by one of the
+// three intervals. If each daemon took the one with most of its own requests, those of callers that
+// move from daemon to daemon would count twice. The means of all daemons add up to that of the sum.
+func (a *account) creditedSince(age int) float64 {
 	within := a.requestsBetween(0, age-1)
-	if age == sliceCount {
-		return within
-	}
 	halfBefore := a.requestsBetween(max(0, age-sliceCount/2+1), age+sliceCount/2-1)
 	before := a.requestsBetween(age+1, age+sliceCount-1)
-	return max(within, halfBefore, before)
+	return float64(within+halfBefore+before) / 3
 }
 
 // requestsBetween returns the requests in the slices of some ages.
--- a/coordination/retrybudget/doc.go
+++ b/coordination/retrybudget/doc.go
@@ -3,10 +3,11 @@
 // requests plus an equal part of the slack configured for the site.
 //
 // Retries count from when they are granted until one Window after the last moment at which
-// they may arrive at a server, requests from when callers may have sent them. An interval of
-// one Window holds no more arrivals of retries than the slack and the ratio allow of the
+// they may arrive at a server, requests from when callers may have sent them. The site may have as
+// many arrivals of retries in an interval of one Window as the slack and the ratio allow of the
 // requests of that interval, of the one before it or of the one that begins half a Window
-// earlier, whichever has most. Retries that arrive much later than they were granted may
+// earlier, whichever has most over all daemons. No daemon knows which that is; each one keeps to
+// the mean of the three. Retries that arrive much later than they were granted may
 // arrive in an interval with fewer requests than that: they count there, but are not undone.
 //
 // # Restarts
@@ -31,6 +32,7 @@
 //   - all-lose-power: all daemons lose their counts at once, and spend the allowance of the
 //     window a second time.
 //   - retries-after-restarts: daemons restart several times within one window.
+//   - repeats-of-moving-callers: callers move between daemons, each of which weighs its own requests.
 //   - requests-read-late: a daemon that stood still reads the requests of a longer time at once.
 //   - retries-unrecorded: daemons restart after the table did not answer.
 //   - repeats-arrive-late: retries that were granted over two windows arrive in one.
