retrybudget, gateway: hold what an ended daemon has left at silent servers

Cause: the kernel of a server that stands still, or a link, keeps what a daemon has sent that ends. Its successor took the reserved retries as spent for one window; a server that goes on later reads them beside the successor's own. Class: what is known of a process's calls ends with the process. A spec in virtual time fails if what was left counts for one window only (200 retries where none may be made). Change: a record names the servers that have left a call without an answer and have answered nothing since; the next process holds the reserved retries as open until each has answered a call of its own, refuses connections or a minute has passed, and names them on. Without silent servers nothing changes.

--- a/coordination/retrybudget/budget.go
+++ b/coordination/retrybudget/budget.go
@@ -47,8 +47,9 @@
 type account struct {
 	own       window
 	inherited window // of the processes before this one
-	// open is how many retries were spent and may still arrive at a server.
-	open int
+	// open is how many retries were spent and may still arrive at a server. Of these, leftBehind
+	// are those that the processes before this one may have sent.
+	open, leftBehind int
 	reservations
 }
 
--- a/coordination/retrybudget/budget_test.go
+++ b/coordination/retrybudget/budget_test.go
@@ -271,6 +271,31 @@
 		Expect(s.worstUse()).To(BeNumerically("<=", 1))
 	})
 
+	// Guards against calls that an ended process has left at servers which read them after its
+	// successor has spent the retries again.
+	It("counts what an ended process has left until it can arrive no more", Label("failure:repeats-of-ended-daemons"), func() {
+		s := newSite(1)
+		for s.daemons[0].Left(s.now, "s", s.share) > 0 {
+			if !s.spend(0) {
+				s.record(0)
+			}
+		}
+		s.record(0)
+		for range 2 {
+			s.leave(0)
+			s.now = s.now.Add(2 * cfg.Window)
+			Expect(s.spendAll(0)).To(BeZero())
+		}
+		for len(s.open) > 0 {
+			s.arrive(0)
+		}
+		s.now = s.now.Add(cfg.Window - time.Second)
+		Expect(s.spendAll(0)).To(BeZero())
+		s.now = s.now.Add(2 * time.Second)
+		Expect(s.spendAll(0)).To(BeNumerically(">", 0.95*cfg.Slack))
+		Expect(s.worstUse()).To(BeNumerically("<=", 1))
+	})
+
 	It("has no slack while it is withheld", func() {
 		s := newSite(1)
 		s.share.Withheld = true
--- a/coordination/retrybudget/record.go
+++ b/coordination/retrybudget/record.go
@@ -101,7 +101,7 @@
 func (a *account) reserve(left int) int {
 	spent := 0
 	if a.written != nil {
-		spent = a.open + a.written.settled.retriesInWindow()
+		spent = a.open - a.leftBehind + a.written.settled.retriesInWindow()
 	}
 	return min(left, max(int(math.Ceil(reserveShare*float64(left))), minReserve, reserveOfSpent*spent))
 }
@@ -156,12 +156,14 @@
 }
 
 // Inherit continues from the record of the process before this one, at the time tableNow of
-// the table's clock or earlier. A later call replaces what an earlier one has set.
+// the table's clock or earlier. What the record reserves may have been sent and is open until
+// SettleInherited. A later call replaces what an earlier one has set.
 func (b *Budget) Inherit(now time.Time, tableNow time.Duration, r Record) {
 	for svc, s := range r.Services {
 		a := b.account(now, svc)
 		a.inherited = window{slice: a.own.slice}
-		a.inherited.retries[a.inherited.index(0)] = s.Reserved
+		a.open += s.Reserved - a.leftBehind
+		a.leftBehind = s.Reserved
 		for k, n := range s.Retries {
 			a.inherited.addRetries(b.retryAge(tableNow, r, k), n)
 		}
@@ -171,6 +173,22 @@
 	}
 }
 
+// SettleInherited ends the open retries of the processes before this one, which can arrive at a
+// server no more: they count for one window from now on.
+func (b *Budget) SettleInherited(now time.Time) {
+	for _, a := range b.services {
+		b.advance(now, a)
+		a.open -= a.leftBehind
+		a.inherited.retries[a.inherited.index(0)] += a.leftBehind
+		// A process that reads one of these records takes them as open still.
+		a.each(func(r *reservation) {
+			r.reserved -= a.leftBehind
+			r.least -= a.leftBehind
+		})
+		a.leftBehind = 0
+	}
+}
+
 // retryAge returns how many slices old the retries of a record's k-th slice are at least.
 func (b *Budget) retryAge(tableNow time.Duration, r Record, k int) int {
 	age := tableNow - (r.NewestEnd - time.Duration(k)*r.Slice)
--- a/coordination/retrybudget/site_test.go
+++ b/coordination/retrybudget/site_test.go
@@ -22,6 +22,7 @@
 	table    []retrybudget.Record
 	requests []time.Time
 	retries  []time.Time // when retries arrived at servers
+	left     []int       // retries by ended processes of each daemon that have not arrived
 	// maxDelay is the longest time from the grant of a retry to its arrival.
 	maxDelay time.Duration
 	open     []openRetry
@@ -32,6 +33,7 @@
 	daemon    int
 	grant     retrybudget.Grant
 	grantedAt time.Time
+	left      bool // its process has ended
 }
 
 func newSite(daemons int) *budgetSite {
@@ -39,6 +41,7 @@
 	for range daemons {
 		s.daemons = append(s.daemons, retrybudget.New(cfg, s.now))
 		s.table = append(s.table, retrybudget.Record{})
+		s.left = append(s.left, 0)
 	}
 	for i := range s.daemons {
 		s.record(i)
@@ -58,7 +61,7 @@
 func (s *budgetSite) spend(i int) bool {
 	grant, ok := s.daemons[i].Spend(s.now, "s", s.share)
 	if ok {
-		s.open = append(s.open, openRetry{i, grant, s.now})
+		s.open = append(s.open, openRetry{daemon: i, grant: grant, grantedAt: s.now})
 	}
 	return ok
 }
@@ -69,7 +72,13 @@
 	s.open = slices.Delete(s.open, k, k+1)
 	s.maxDelay = max(s.maxDelay, s.now.Sub(r.grantedAt))
 	s.retries = append(s.retries, s.now)
-	s.daemons[r.daemon].Settle(s.now, r.grant)
+	if !r.left {
+		s.daemons[r.daemon].Settle(s.now, r.grant)
+		return
+	}
+	if s.left[r.daemon]--; s.left[r.daemon] == 0 {
+		s.daemons[r.daemon].SettleInherited(s.now)
+	}
 }
 
 // restart ends a daemon and starts it again. What it has sent arrives now.
@@ -79,8 +88,23 @@
 			s.arrive(k)
 		}
 	}
+	s.leave(i)
+}
+
+// leave ends a daemon and starts it again. What it has sent may arrive later.
+func (s *budgetSite) leave(i int) {
+	s.left[i] = 0
+	for k := range s.open {
+		if s.open[k].daemon == i {
+			s.open[k].left = true
+			s.left[i]++
+		}
+	}
 	s.daemons[i] = retrybudget.New(cfg, s.now)
 	s.daemons[i].Inherit(s.now, s.tableNow(), s.table[i])
+	if s.left[i] == 0 {
+		s.daemons[i].SettleInherited(s.now)
+	}
 	s.record(i)
 }
 
@@ -134,9 +158,11 @@
 		for range rapid.IntRange(1, 300).Draw(t, "steps") {
 			s.now = s.now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond)
 			i := rapid.IntRange(0, len(s.daemons)-1).Draw(t, "daemon")
-			switch rapid.IntRange(0, 7).Draw(t, "what") {
+			switch rapid.IntRange(0, 8).Draw(t, "what") {
 			case 0:
 				s.restart(i)
+			case 8:
+				s.leave(i)
 			case 1:
 				s.spendAll(i)
 			case 2:
--- a/gateway/latecalls.go
+++ b/gateway/latecalls.go
@@ -60,6 +60,7 @@
 
 // recordUnanswered records that the current attempt ended and may still arrive.
 func (r *requestHandler) recordUnanswered(address string) {
+	r.g.shared.recordSilent(time.Now(), address)
 	r.retrierMu.Lock()
 	defer r.retrierMu.Unlock()
 	r.retries.unanswered = append(r.retries.unanswered, lateCall{address: address, endedAt: time.Now()})
@@ -127,6 +128,7 @@
 // never will.
 func (s *sharedState) settleLateCalls(now time.Time, address string, sentAt time.Time) {
 	s.settleLateCallsIf(now, address, func(call lateCall) bool { return call.endedAt.Before(sentAt) })
+	s.settleInheritedIf(now, func() bool { return s.silent.heard(address, sentAt) })
 }
 
 // lateCallCount returns how many calls were given up and may still arrive.
@@ -144,6 +146,7 @@
 	for _, address := range addresses {
 		s.settleLateCallsIf(now, address, func(call lateCall) bool { return now.Sub(call.endedAt) > lateCallTTL })
 	}
+	s.settleInheritedIf(now, func() bool { return s.silent.expire(now) })
 }
 
 func (s *sharedState) settleLateCallsIf(now time.Time, address string, settled func(lateCall) bool) {
--- a/gateway/retryrecord.go
+++ b/gateway/retryrecord.go
@@ -7,6 +7,7 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/hibiscuswick/hibiscuswick/coordination/relay"
@@ -59,6 +60,8 @@
 	Epoch       uint64             `json:"epoch"`       // of the table
 	FirstRow    time.Duration      `json:"first"`       // when the daemon's first row was written, by the table's clock
 	Use         retrybudget.Record `json:"use"`
+	// Silent are the addresses of servers that may still read calls which this daemon has given up.
+	Silent []string `json:"silent,omitempty"`
 }
 
 // parseMemberRow decodes a row of the table of members; a row that can't be decoded is empty.
@@ -94,8 +97,8 @@
 	switch {
 	case row != nil && row.Epoch == read.rows.Epoch:
 		r.firstRow = row.FirstRow
-		r.c.g.shared.inheritRetries(r.c.now, read.rows.Now+r.c.now.Sub(read.got), row.Use)
-		r.c.g.log.Emit(telemetry.EventRetriesInherited, telemetry.Count(row.Use.Reserved()))
+		r.c.g.shared.inheritRetries(r.c.now, read.rows.Now+r.c.now.Sub(read.got), row.Use, row.Silent)
+		r.c.g.log.Emit(telemetry.EventRetriesInherited, telemetry.Count(row.Use.Reserved()), telemetry.Detail(strings.Join(row.Silent, " ")))
 	case read.own != (memberRow{}) || r.siteIsOlder(read.rows):
 		r.withheldUntil = r.c.g.startedAt.Add(r.window())
 	}
@@ -147,6 +150,7 @@
 	}
 	r.writing, r.writtenAt = true, r.c.now
 	row := &retryRow{Incarnation: r.c.g.self.Incarnation, Epoch: r.epoch, FirstRow: r.firstRow}
+	row.Silent = r.c.g.shared.recordSilentServers()
 	row.Use = r.c.g.shared.newRetryRecord(r.c.now, r.tableNow(), r.services(), r.c.view.slackShare)
 	go r.write(memberRow{
 		Peers:   r.c.g.currentSettings().PeerAddress,
@@ -181,7 +185,7 @@
 	if !r.known || r.writing || r.c.view.config == nil || r.c.now.Before(r.writableAt()) {
 		return false
 	}
-	return r.c.g.shared.needsCrashRecord() || r.c.g.shared.needsRetryRecord(r.c.now, r.services(), r.c.view.slackShare)
+	return r.c.g.shared.needsCrashRecord() || r.c.g.shared.needsSilentRecord(r.c.now) || r.c.g.shared.needsRetryRecord(r.c.now, r.services(), r.c.view.slackShare)
 }
 
 // writableAt returns when the next record may be written.
@@ -251,6 +255,7 @@
 	r.writing = false
 	if err != nil || read != nil {
 		r.c.g.shared.setCrashesUnrecorded()
+		r.c.g.shared.setSilentUnrecorded()
 	}
 	switch {
 	case read != nil:
@@ -267,13 +272,6 @@
 	}
 }
 
-// inheritRetries continues from what the process before this one has spent.
-func (s *sharedState) inheritRetries(now time.Time, tableNow time.Duration, use retrybudget.Record) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.budget.Inherit(now, tableNow, use)
-}
-
 // setRecordsAway sets whether the table does not keep records of retries in time.
 func (s *sharedState) setRecordsAway(away bool) {
 	s.mu.Lock()
--- a/gateway/sharedstate.go
+++ b/gateway/sharedstate.go
@@ -32,6 +32,7 @@
 	budget        *retrybudget.Budget
 	recordsAway   bool                  // the table does not keep records of retries in time
 	lateCalls     map[string][]lateCall // by address of the server
+	silent        silentServers
 	streams       map[*stream]struct{}
 	linkBacklogs  linkBacklogs
 	latencies     map[state.ServiceID]*serviceLatency
@@ -64,6 +65,7 @@
 		linkBacklogs:  make(linkBacklogs),
 		latencies:     make(map[state.ServiceID]*serviceLatency),
 		lateCalls:     make(map[string][]lateCall),
+		silent:        newSilentServers(),
 		crashes:       crashes.NewTracker(),
 		parts:         crashes.NewParts(time.Now()),
 		turns:         crashes.NewTurns(),
