retrybudget: requests that are delivered together earn retries as one slice of them usually does

Cause: requests earn retries when they are read. A link to the daemons, or a queue of connections, that delivers the requests of many seconds at once lets them earn all of these in one window, while the rule counts them when callers sent them. Class: what callers did is dated by when it is noticed. Change: of the requests of a slice no more than twice as many count as came in the busiest slice of the last two windows, 15 at least. The slice before counts as it was credited, since a delivery may cover two. A threefold burst loses a third of its first slice. Requests that a standstill dates back are not limited.

--- a/coordination/retrybudget/budget.go
+++ b/coordination/retrybudget/budget.go
@@ -16,6 +16,14 @@
 // against the requests of the one before it.
 const requestSlices = 2*sliceCount + 1
 
+const (
+	// maxSliceGrowth is how many times as many requests count in one slice as came in the busiest
+	// one of the last two windows.
+	maxSliceGrowth = 2
+	// minSliceLimit is how many count in a slice after two windows without requests.
+	minSliceLimit = 15
+)
+
 // SlackShare tells which part of the slack a daemon may spend.
 type SlackShare struct {
 	Daemons int // 0 if unknown
@@ -63,6 +71,7 @@
 	slice    int64 // number of the newest slice
 	requests [requestSlices]int
 	retries  [requestSlices]int
+	arrived  [requestSlices]int // requests that came, counted or not
 }
 
 // New returns an empty budget. Times before start count as start.
@@ -79,10 +88,30 @@
 }
 
 // Request counts a request of a caller, which may have been sent as early as sentSince. It earns
-// retries for one window from then on.
+// retries for one window from then on. Requests that come at once in much larger numbers than
+// usual are not counted.
+//
+// Guard (requests-delivered-late): a link, or a queue of connections, that delivers the requests of
+// many seconds together would earn the retries for all of them in one window.
 func (b *Budget) Request(now, sentSince time.Time, svc state.ServiceID) {
-	w := &b.account(now, svc).own
-	w.addRequests(int(max(0, w.slice-b.sliceAt(sentSince))), 1)
+	a := b.account(now, svc)
+	age := int(max(0, a.own.slice-b.sliceAt(sentSince)))
+	a.own.arrived[a.own.index(0)]++
+	if age == 0 && a.own.requests[a.own.index(0)] >= a.sliceLimit() {
+		return
+	}
+	a.own.addRequests(age, 1)
+}
+
+// sliceLimit returns how many requests of the newest slice count. What came in the slice before it,
+// and was not counted, may belong to the same delivery.
+func (a *account) sliceLimit() int {
+	busiest := a.requestsBetween(1, 1)
+	for age := 2; age < requestSlices; age++ {
+		i := a.own.index(age)
+		busiest = max(busiest, a.own.arrived[i]+a.inherited.requests[i])
+	}
+	return max(minSliceLimit, maxSliceGrowth*busiest)
 }
 
 // Spend takes one retry from the budget of a service and reports whether there was one left that
@@ -179,7 +208,8 @@
 func (w *window) advance(slice int64) {
 	for n := 0; w.slice < slice && n < len(w.requests); n++ {
 		w.slice++
-		w.requests[w.index(0)], w.retries[w.index(0)] = 0, 0
+		i := w.index(0)
+		w.requests[i], w.retries[i], w.arrived[i] = 0, 0, 0
 	}
 	w.slice = max(w.slice, slice)
 }
--- a/coordination/retrybudget/budget_test.go
+++ b/coordination/retrybudget/budget_test.go
@@ -124,6 +124,40 @@
 		Entry("as the servers begin to fail", 12*time.Second, 12*time.Second),
 	)
 
+	// Guards against requests of many seconds that a link delivers together, and that earn retries
+	// for all of them in one window.
+	DescribeTable("holds as requests are delivered late", Label("failure:requests-delivered-late"),
+		func(perTick int, held, failing time.Duration) {
+			const tick, begin = 200 * time.Millisecond, 10 * time.Second
+			s := newSite(3)
+			for at := time.Duration(0); at < 40*time.Second; at += tick {
+				s.now = s.now.Add(tick)
+				for i := range s.daemons {
+					for range perTick {
+						if at < begin || at >= begin+held {
+							s.request(i)
+						} else {
+							s.requests = append(s.requests, s.now)
+						}
+					}
+					if at == begin+held {
+						for range perTick * int(held/tick) {
+							s.daemons[i].Request(s.now, s.now, "s")
+						}
+					}
+					if at >= failing {
+						s.spendAll(i)
+					}
+				}
+			}
+			Expect(s.ruleUse()).To(And(BeNumerically("<=", 1), BeNumerically(">", 0.8)))
+		},
+		Entry("by half a window", 50, cfg.Window/2, 12*time.Second),
+		Entry("by seven seconds", 20, 7*time.Second, 15*time.Second),
+		Entry("by more than a window", 10, 15*time.Second, 5*time.Second),
+		Entry("by more than a window, few of them", 2, 15*time.Second, 15*time.Second),
+	)
+
 	It("spends again what a restarted daemon had left", func() {
 		s := newSite(4)
 		s.restart(0)
--- a/coordination/retrybudget/doc.go
+++ b/coordination/retrybudget/doc.go
@@ -33,6 +33,7 @@
 //     window a second time.
 //   - retries-after-restarts: daemons restart several times within one window.
 //   - repeats-of-moving-callers: callers move between daemons, each of which weighs its own requests.
+//   - requests-delivered-late: links deliver the requests of a longer time at once.
 //   - requests-read-late: a daemon that stood still reads the requests of a longer time at once.
 //   - retries-unrecorded: daemons restart after the table did not answer.
 //   - repeats-arrive-late: retries that were granted over two windows arrive in one.
