gateway: a call whose connection broke may still be read by its server

Cause: a call counted as one that can arrive no more as soon as its connection broke, whoever had broken it. The kernel of a server that stands still keeps what it has received, and the server reads it when it goes on, a window or more after the retry has left the count. Class: as for ended daemons, what is counted where it ends is judged where it arrives. Change: every call that was sent and ended without an answer stays open until its server answers something sent later, refuses a connection (a probe, now also a call), or a minute has passed. What a request's earlier calls have shown meanwhile counts when it ends: before, a probe that followed the broken call at once came too early to settle it, and calls to servers that have crashed would have been held for a minute.

--- a/gateway/export_test.go
+++ b/gateway/export_test.go
@@ -30,3 +30,6 @@
 	defer g.shares.mu.Unlock()
 	return g.shares.running || !g.shares.machine.NextTick().IsZero()
 }
+
+// LateCalls exports sharedState.lateCallCount.
+func (g *Gateway) LateCalls() int { return g.shared.lateCallCount() }
--- a/gateway/fake_test.go
+++ b/gateway/fake_test.go
@@ -277,6 +277,13 @@
 	s.dead[address] = true
 }
 
+// revive undoes markDead.
+func (s *fakeServers) revive(address string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.dead[address] = false
+}
+
 // markEnded makes a server's process end: its port refuses connections.
 func (s *fakeServers) markEnded(address string) {
 	s.mu.Lock()
--- a/gateway/latecalls.go
+++ b/gateway/latecalls.go
@@ -1,9 +1,6 @@
 package gateway
 
 import (
-	"context"
-	"errors"
-	"net"
 	"slices"
 	"time"
 
@@ -12,8 +9,8 @@
 	"github.com/hibiscuswick/hibiscuswick/coordination/retrybudget"
 )
 
-// lateCallTTL is how long a call that was given up may still arrive, if its server shows no sign
-// of life.
+// lateCallTTL is how long a call without an answer may still arrive, if its server shows no sign of
+// life.
 const lateCallTTL = time.Minute
 
 // openRetries are the retries of a request that may still arrive at a server.
@@ -24,10 +21,11 @@
 // may arrive after the one that replaced it, and is the repeat then.
 type openRetries struct {
 	grants     []retrybudget.Grant
-	unanswered []lateCall // attempts that were given up and may still arrive
+	unanswered []lateCall // attempts that ended without an answer and may still arrive
 }
 
-// lateCall is a call that was given up after it was sent, without an answer.
+// lateCall is a call that was given up, or whose connection broke, after it was sent and without
+// an answer.
 type lateCall struct {
 	address string
 	endedAt time.Time
@@ -51,34 +49,23 @@
 	return ok
 }
 
-// mayArriveLater reports whether a call that failed after it was sent may still arrive: this
-// daemon gave it up, or its connection timed out.
-func mayArriveLater(ctx context.Context, err error) bool {
-	var timeout net.Error
-	return ctx.Err() != nil || errors.As(err, &timeout) && timeout.Timeout()
-}
-
-// recordUnanswered records that the current attempt ended and may still arrive.
+// recordUnanswered records that the current attempt ended without an answer and may still arrive,
+// also if its connection broke: the kernel of a server that stands still keeps what it has received.
 func (r *requestHandler) recordUnanswered(address string) {
-	r.g.shared.recordSilent(time.Now(), address)
+	now := time.Now()
+	r.g.shared.recordSilent(now, address)
 	r.retrierMu.Lock()
 	defer r.retrierMu.Unlock()
-	r.retries.unanswered = append(r.retries.unanswered, lateCall{address: address, endedAt: time.Now()})
+	r.retries.unanswered = append(r.retries.unanswered, lateCall{address: address, endedAt: now})
 }
 
 // recordArrival records that an attempt sent at a time has been answered.
 func (r *requestHandler) recordArrival(address string, sentAt time.Time) {
-	r.g.shared.settleLateCalls(time.Now(), address, sentAt)
+	now := time.Now()
+	r.g.shared.settleLateCalls(now, address, sentAt)
 	r.retrierMu.Lock()
 	defer r.retrierMu.Unlock()
-	r.settleRetries()
-}
-
-// settleRetries ends the retries that can arrive no more, while no attempt is under way.
-func (r *requestHandler) settleRetries() {
-	n := max(0, len(r.retries.grants)-len(r.retries.unanswered))
-	r.g.shared.settleRetries(time.Now(), r.retries.grants[:n])
-	r.retries.grants = r.retries.grants[n:]
+	r.g.shared.settleRetries(now, &r.retries)
 }
 
 // endRetries is called when the request ends. It gives back a retry that was paid for and not
@@ -92,18 +79,24 @@
 		r.g.shared.refundRetry(open.grants[last])
 		open.grants = open.grants[:last]
 	}
-	r.settleRetries()
-	if len(open.grants) > 0 {
-		r.g.shared.holdLateCalls(&lateRequest{grants: open.grants, calls: len(open.unanswered)}, open.unanswered)
-	}
+	r.g.shared.holdLateCalls(time.Now(), open)
 }
 
-func (s *sharedState) settleRetries(now time.Time, grants []retrybudget.Grant) {
+// settleRetries ends the retries of a request that can arrive no more, while no attempt is under
+// way.
+func (s *sharedState) settleRetries(now time.Time, open *openRetries) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, grant := range grants {
+	s.settleOpen(now, open)
+}
+
+func (s *sharedState) settleOpen(now time.Time, open *openRetries) {
+	open.unanswered = slices.DeleteFunc(open.unanswered, func(call lateCall) bool { return !s.silent.mayRead(call) })
+	n := max(0, len(open.grants)-len(open.unanswered))
+	for _, grant := range open.grants[:n] {
 		s.budget.Settle(now, grant)
 	}
+	open.grants = open.grants[n:]
 }
 
 // refundRetry gives back a retry that was not made.
@@ -113,32 +106,36 @@
 	s.budget.Refund(grant)
 }
 
-// holdLateCalls keeps the retries of calls open that may still arrive.
-func (s *sharedState) holdLateCalls(request *lateRequest, calls []lateCall) {
+// holdLateCalls keeps the retries of a request that has ended open that may still arrive.
+func (s *sharedState) holdLateCalls(now time.Time, open *openRetries) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, call := range calls {
+	s.settleOpen(now, open)
+	if len(open.grants) == 0 {
+		return
+	}
+	request := &lateRequest{grants: open.grants, calls: len(open.unanswered)}
+	for _, call := range open.unanswered {
 		call.request = request
 		s.lateCalls[call.address] = append(s.lateCalls[call.address], call)
 	}
 }
 
 // settleLateCalls is called when the server at an address has answered something that was sent at
-// a time, or no process listens there any more: calls that were given up before have arrived, or
-// never will.
+// a time, or no process listens there any more: calls that ended before have arrived, or never will.
 func (s *sharedState) settleLateCalls(now time.Time, address string, sentAt time.Time) {
 	s.settleLateCallsIf(now, address, func(call lateCall) bool { return call.endedAt.Before(sentAt) })
 	s.settleInheritedIf(now, func() bool { return s.silent.heard(address, sentAt) })
 }
 
-// lateCallCount returns how many calls were given up and may still arrive.
+// lateCallCount returns how many calls ended without an answer and may still arrive.
 func (s *sharedState) lateCallCount() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return lo.SumBy(lo.Values(s.lateCalls), func(calls []lateCall) int { return len(calls) })
 }
 
-// expireLateCalls settles calls that were given up long ago.
+// expireLateCalls settles calls that ended long ago.
 func (s *sharedState) expireLateCalls(now time.Time) {
 	s.mu.Lock()
 	addresses := lo.Keys(s.lateCalls)
--- a/gateway/retrybudget_test.go
+++ b/gateway/retrybudget_test.go
@@ -205,4 +205,44 @@
 		Expect(h.servers.sent()).To(HaveLen(sound + 2))
 		Expect(retriesLeft(h.gateway, "app")).To(Equal(before - 1))
 	})
+
+	// breakFirst makes the first call to a plain server break off before an answer, as something
+	// happens to that server, and returns its address.
+	breakFirst := func(h *harness, happens func(address string)) (address string) {
+		first := make(chan struct{}, 1)
+		first <- struct{}{}
+		h.servers.plain = func(c backend.Call) (*backend.Answer, error) {
+			select {
+			case <-first:
+				happens(c.Address)
+				return nil, backend.ErrIncomplete
+			default:
+				return signedAnswer(http.StatusOK, "ok"), nil
+			}
+		}
+		Expect(h.serveAt("/again/", 0).Outcome).To(Equal(gateway.Answered))
+		return h.servers.sent()[0].Address
+	}
+
+	// Guards against a call that a server reads after its connection was reset, when its retry no
+	// longer counts.
+	It("holds a retry whose first call broke off until its server answers another", Label("failure:repeats-arrive-late"), func() {
+		h := newHarness()
+		h.populate()
+		address := breakFirst(h, h.servers.markDead)
+		Consistently(h.gateway.LateCalls).WithTimeout(300 * time.Millisecond).Should(Equal(1))
+		h.servers.revive(address)
+		Eventually(func() int {
+			h.serveAt("/again/", 0)
+			return h.gateway.LateCalls()
+		}).WithTimeout(eventuallyTimeout).Should(BeZero())
+	})
+
+	// Guards against retries that are denied after servers have ended, which read nothing more.
+	It("holds no retry for a server that ended with the call", Label("failure:repeats-arrive-late"), func() {
+		h := newHarness()
+		h.populate()
+		breakFirst(h, h.servers.markEnded)
+		Expect(h.gateway.LateCalls()).To(BeZero())
+	})
 })
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -427,8 +427,11 @@
 	if errors.Is(err, backend.ErrNotSent) {
 		outcome = relay.NotSent
 	}
-	if outcome == relay.Broken && mayArriveLater(ctx, err) {
+	switch {
+	case outcome == relay.Broken:
 		r.recordUnanswered(address)
+	case errors.Is(err, backend.ErrRefused):
+		r.g.shared.settleLateCalls(time.Now(), address, r.runStart)
 	}
 	if ctx.Err() != nil {
 		r.exclude(address)
--- a/gateway/silentservers.go
+++ b/gateway/silentservers.go
@@ -33,7 +33,7 @@
 	recorded map[string]bool
 }
 
-// silence is when the first and the last of a server's calls without an answer were given up.
+// silence is when the first and the last of a server's calls without an answer ended.
 type silence struct {
 	first, last time.Time
 }
@@ -42,7 +42,7 @@
 	return silentServers{silences: make(map[string]silence)}
 }
 
-// add records that a call to a server was given up without an answer.
+// add records that a call to a server ended without an answer.
 func (l *silentServers) add(now time.Time, address string) {
 	first := now
 	if before, ok := l.silences[address]; ok {
@@ -73,6 +73,12 @@
 	return len(l.before) == 0
 }
 
+// mayRead reports whether a server may still read a call that ended without an answer.
+func (l *silentServers) mayRead(call lateCall) bool {
+	s, ok := l.silences[call.address]
+	return ok && !s.first.After(call.endedAt)
+}
+
 // expire forgets calls that were given up long ago. It reports whether that ended before.
 func (l *silentServers) expire(now time.Time) bool {
 	maps.DeleteFunc(l.silences, func(_ string, s silence) bool { return now.Sub(s.last) > lateCallTTL })
@@ -105,7 +111,7 @@
 	return false
 }
 
-// recordSilent records that a call to a server was given up without an answer.
+// recordSilent records that a call to a server ended without an answer.
 func (s *sharedState) recordSilent(now time.Time, address string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
