admission, inbound: a planned stop refuses what it could not finish

Cause: only streams were refused towards the end of a stop; plain requests were accepted until the listener closed, and those in flight got 50 ms then. Change: late in a stop (from 0.36 of the grace on, as for streams) a request is accepted only if its deadline comes 0.1 s or more before the stop's end. The others are refused unrun and told when to come back: at once where another daemon accepts them. Ports that close let requests in flight finish until that end, also if the stop ended early since none was left. Ruled out: refusing all plain requests late in a stop; callers whose deadline is a second away are served as before until then.

--- a/coordination/admission/admission_test.go
+++ b/coordination/admission/admission_test.go
@@ -5,6 +5,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/samber/lo"
 
 	"github.com/hibiscuswick/hibiscuswick/coordination/admission"
 )
@@ -137,6 +138,26 @@
 		Expect(ok).To(BeFalse())
 		Expect(why).To(Equal(admission.AllStopping))
 	})
+
+	// Guards against requests that reach a stopping daemon late, and are cut off at its end while
+	// their servers are at work on them.
+	DescribeTable("is accepted for a whole answer if it is due before the stop ends", Label("failure:lost-in-stops"),
+		func(since, timeLeft time.Duration, elsewhere, want bool) {
+			stop := admission.Shutdown{Grace: 8 * time.Second, End: 7440 * time.Millisecond, Elapsed: since, OthersAccept: elsewhere}
+			ok, why := stop.AcceptsCall(timeLeft)
+			Expect(ok).To(Equal(want))
+			if !want {
+				Expect(why).To(Equal(lo.Ternary(elsewhere, admission.Stopping, admission.AllStopping)))
+			}
+		},
+		Entry("early in the stop, also if it has long", time.Second, time.Minute, true, true),
+		Entry("early in the stop, if no other daemon accepts it", 2800*time.Millisecond, time.Minute, false, true),
+		Entry("late in the stop, if it has long", 3*time.Second, time.Minute, true, false),
+		Entry("late in the stop, if it has long and no other daemon accepts it", 3*time.Second, time.Minute, false, false),
+		Entry("late in the stop, if it ends before", 6*time.Second, time.Second, true, true),
+		Entry("late in the stop, if its answer might be written too late", 6400*time.Millisecond, time.Second, false, false),
+		Entry("at the end", 7300*time.Millisecond, 200*time.Millisecond, false, false),
+	)
 })
 
 var _ = Describe("A request that only servers could take which want none for a while", func() {
--- a/coordination/admission/stop.go
+++ b/coordination/admission/stop.go
@@ -10,12 +10,16 @@
 	// acceptShareLast is the same if no other daemon accepts streams: a stream that comes later
 	// would be truncated at the end of the stop.
 	acceptShareLast = 0.36
+	// answerTime is how much earlier than the end of a stop the deadline of a request has to be, so
+	// that its last answer is written by then.
+	answerTime = 100 * time.Millisecond
 )
 
 // Shutdown is a planned stop of this daemon.
 type Shutdown struct {
 	Elapsed time.Duration // since the stop began
 	Grace   time.Duration // within which the stop has to end
+	End     time.Duration // when requests that are left are cut off, since the stop began
 	// OthersAccept reports that another daemon accepts new streams.
 	OthersAccept bool
 }
@@ -34,3 +38,20 @@
 		return share < acceptShareLast, AllStopping
 	}
 }
+
+// AcceptsCall reports whether a request is accepted that is answered as a whole within timeLeft,
+// and if not, why its caller is rejected. Late in a stop only requests are accepted that end before
+// it does.
+//
+// Guard (lost-in-stops): where all daemons are stopping, requests reach them to the end. One that is
+// passed on then would be cut off while its server is at work on it.
+func (s Shutdown) AcceptsCall(timeLeft time.Duration) (bool, Refusal) {
+	switch {
+	case float64(s.Elapsed) < acceptShareLast*float64(s.Grace), s.Elapsed+timeLeft+answerTime <= s.End:
+		return true, 0
+	case s.OthersAccept:
+		return false, Stopping
+	default:
+		return false, AllStopping
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -254,15 +254,32 @@
 
 // acceptsStream reports whether a new stream is accepted, and if not, why it is refused.
 func (g *Gateway) acceptsStream(now time.Time) (bool, admission.Refusal) {
-	drainStarted := g.drainStarted.Load()
-	if drainStarted == 0 {
+	if !g.Draining() {
 		return true, 0
 	}
-	othersAccept := slices.ContainsFunc(g.currentView.Load().members.Members, func(i membership.Info) bool {
-		return i.Member.ID != g.self.ID && i.State == membership.Alive && !i.Draining
-	})
-	shutdown := admission.Shutdown{Elapsed: g.sinceStart(now) - time.Duration(drainStarted), Grace: g.currentSettings().DrainTimeout, OthersAccept: othersAccept}
-	return shutdown.AcceptsStream()
+	return g.shutdown(now).AcceptsStream()
+}
+
+// acceptsCall reports whether a new request is accepted that gets its whole answer at once, by a
+// deadline, and if not, why it is refused.
+func (g *Gateway) acceptsCall(now, deadline time.Time) (bool, admission.Refusal) {
+	if !g.Draining() {
+		return true, 0
+	}
+	return g.shutdown(now).AcceptsCall(deadline.Sub(now))
+}
+
+// shutdown returns the planned stop that has begun.
+func (g *Gateway) shutdown(now time.Time) admission.Shutdown {
+	grace := g.currentSettings().DrainTimeout
+	return admission.Shutdown{
+		Elapsed: g.sinceStart(now) - time.Duration(g.drainStarted.Load()),
+		Grace:   grace,
+		End:     time.Duration(maxDrainShare * float64(grace)),
+		OthersAccept: slices.ContainsFunc(g.currentView.Load().members.Members, func(i membership.Info) bool {
+			return i.Member.ID != g.self.ID && i.State == membership.Alive && !i.Draining
+		}),
+	}
 }
 
 // Draining reports whether a planned stop has begun, so that callers should use another
@@ -284,5 +301,12 @@
 	}
 }
 
+// DrainEnd returns when a planned stop that has begun ends at the latest.
+func (g *Gateway) DrainEnd() time.Time {
+	now := time.Now()
+	stop := g.shutdown(now)
+	return now.Add(stop.End - stop.Elapsed)
+}
+
 // drainPollInterval is how often a planned stop checks whether requests are left.
 const drainPollInterval = 20 * time.Millisecond
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -405,6 +405,18 @@
 		Expect(res.RetryAfter).To(BeNumerically(">=", time.Second))
 	})
 
+	// Guards against requests that are cut off at the end of a stop while their servers are at work.
+	It("refuses a request unrun that may last longer than the stop", Label("failure:lost-in-stops"), func() {
+		h := newHarness()
+		h.populate()
+		h.gateway.Drain()
+		Expect(h.serveAt("/once/x", 5*time.Second).Outcome).To(Equal(gateway.Answered))
+		res := h.serveAt("/once/x", 17*time.Second)
+		Expect(res.Outcome).To(Equal(gateway.Refused))
+		Expect(res.RetryAfter).To(BeNumerically(">=", time.Second), "no other daemon accepts it")
+		Expect(h.servers.sent()).To(HaveLen(1))
+	})
+
 	It("stops once no request is left", Label("failure:planned-stop"), func() {
 		const grace = 5 * time.Second
 		h := newHarnessWithGrace(grace)
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -98,10 +98,10 @@
 	if res, ok := r.findCustomer(); !ok {
 		return res
 	}
-	if accepted, why := r.g.acceptsStream(r.req.Arrived); r.route.Stream && !accepted {
+	r.setDeadline()
+	if accepted, why := r.accepted(); !accepted {
 		return refusedResult(reasonDraining, why)
 	}
-	r.setDeadline()
 	r.retrier = relay.Retrier{
 		Repeat:      r.route.Repeat,
 		MaxAttempts: r.route.MaxAttempts,
@@ -117,6 +117,15 @@
 	return r.runAttempts(ctx)
 }
 
+// accepted reports whether the request may begin now, and if not, why: a planned stop refuses what it
+// could not finish.
+func (r *requestHandler) accepted() (bool, admission.Refusal) {
+	if r.route.Stream {
+		return r.g.acceptsStream(r.req.Arrived)
+	}
+	return r.g.acceptsCall(r.req.Arrived, r.deadline)
+}
+
 // lateRetry is after which time a retry that was paid for counts as sent late in logs.
 const lateRetry = 500 * time.Millisecond
 
--- a/transport/inbound/inbound_test.go
+++ b/transport/inbound/inbound_test.go
@@ -43,7 +43,7 @@
 		ended := make(chan error, 1)
 		go func() { ended <- ports.Serve() }()
 		DeferCleanup(func() {
-			ports.Close()
+			ports.Close(time.Now())
 			Eventually(ended).Should(Receive(BeNil()))
 		})
 	})
@@ -131,7 +131,7 @@
 			left <- inbound.CallerLeft(r.Context())
 		}))).To(Succeed())
 		go func() { _ = ports.Serve() }()
-		DeferCleanup(ports.Close)
+		DeferCleanup(func() { ports.Close(time.Now()) })
 		c, err := net.Dial("tcp", served)
 		Expect(err).NotTo(HaveOccurred())
 		_, err = io.WriteString(c, request+request)
@@ -209,3 +209,31 @@
 		Expect(perConn).To(BeNumerically("<", 64<<10), "4,100 of them fit into 284 MB")
 	})
 })
+
+var _ = Describe("Ports that are closed", func() {
+	// Guards against a request that is read just before the ports close, and cut off with them.
+	It("let requests in flight finish until the deadline", Label("failure:lost-in-stops"), func() {
+		address, err := freeport.Address()
+		Expect(err).NotTo(HaveOccurred())
+		begun := make(chan struct{})
+		ports := inbound.New(func() inbound.Limits { return inbound.DefaultLimits }, 0)
+		Expect(ports.Open(address, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			close(begun)
+			time.Sleep(300 * time.Millisecond)
+			_, _ = io.WriteString(w, "ok")
+		}))).To(Succeed())
+		ended, answer := make(chan error, 1), make(chan error, 1)
+		go func() { ended <- ports.Serve() }()
+		go func() {
+			resp, err := http.Post("http://"+address+"/", "text/plain", nil)
+			if err == nil {
+				err = resp.Body.Close()
+			}
+			answer <- err
+		}()
+		Eventually(begun).Should(BeClosed())
+		ports.Close(time.Now().Add(10 * time.Second))
+		Expect(answer).To(Receive(BeNil()), "the ports are closed once none is left")
+		Eventually(ended).Should(Receive(BeNil()))
+	})
+})
--- a/transport/inbound/ports.go
+++ b/transport/inbound/ports.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -14,9 +15,9 @@
 	// MaxHeaderBytes bounds a request header. A configuration may set a lower limit,
 	// which the handler enforces. 4,100 connections that each fill it hold 262 MB.
 	MaxHeaderBytes = 64 << 10
-	// shutdownTimeout is how long in-flight requests may take to finish when the ports
+	// minShutdownTimeout is how long in-flight requests may take at least to finish when the ports
 	// are closed.
-	shutdownTimeout = 50 * time.Millisecond
+	minShutdownTimeout = 50 * time.Millisecond
 	// callerDescriptorShare is the fraction of the process's file descriptors that
 	// callers' connections may use. The rest is for backend servers (998 of them took
 	// 995 connections), other daemons and the store: without that reserve a flood of
@@ -79,13 +80,18 @@
 	return group.Wait()
 }
 
-// Close closes the ports. In-flight requests get shutdownTimeout to finish.
-func (p *Ports) Close() {
+// Close closes the ports. In-flight requests get until deadline to finish, or minShutdownTimeout if
+// that is later.
+func (p *Ports) Close(deadline time.Time) {
+	ctx, cancel := context.WithTimeout(context.Background(), max(minShutdownTimeout, time.Until(deadline)))
+	defer cancel()
+	var closing sync.WaitGroup
 	for _, s := range p.servers {
-		ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
-		if s.Shutdown(ctx) != nil {
-			_ = s.Close() // closes the remaining connections, answered or not
-		}
-		cancel()
+		closing.Go(func() {
+			if s.Shutdown(ctx) != nil {
+				_ = s.Close() // closes the remaining connections, answered or not
+			}
+		})
 	}
+	closing.Wait()
 }
