exchange: close idle connections that no request takes any more

Cause: an idle connection was closed only when a later request took it from the pool of its address. The pool of an address that is no longer listed was never looked at again; CloseIdle, which was meant for it, had no caller. CloseIdle goes. Ruled out: closing by the list of servers, since the pool does not know it and servers that crash stay listed for a while.

--- a/transport/exchange/exchange_test.go
+++ b/transport/exchange/exchange_test.go
@@ -271,3 +271,36 @@
 		Expect(accepted.Load()).To(Equal(int32(2)))
 	})
 })
+
+var _ = Describe("Idle connections that no request takes", func() {
+	const answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+	use := func(s *server) {
+		resp, err := exchange.NewPool().Do(context.Background(), exchange.Request{Address: s.Addr().String(), Method: "GET", Target: "/"})
+		Expect(err).NotTo(HaveOccurred())
+		_, err = io.ReadAll(resp.Body)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(resp.Body.Close()).To(Succeed())
+	}
+
+	// Guards against connections to servers that have been replaced, which use up the descriptors.
+	It("are closed once the server has closed them", Label("failure:connections-of-ended-servers"), func() {
+		s := serve(func(c net.Conn) bool {
+			_, _ = io.WriteString(c, answer)
+			return c.(*net.TCPConn).CloseWrite() == nil
+		})
+		use(s)
+		Eventually(s.closed.Load).WithTimeout(10 * time.Second).Should(BeEquivalentTo(1))
+	})
+
+	It("are closed when the server would close them soon", Label("failure:connections-of-ended-servers"), func() {
+		s := serve(respond(strings.Replace(answer, "\r\n\r\n", "\r\nKeep-Alive: timeout=1\r\n\r\n", 1)))
+		use(s)
+		Eventually(s.closed.Load).WithTimeout(10 * time.Second).Should(BeEquivalentTo(1))
+	})
+
+	It("are kept otherwise", func() {
+		s := serve(respond(answer))
+		use(s)
+		Consistently(s.closed.Load).WithTimeout(3 * time.Second).Should(BeZero())
+	})
+})
--- a/transport/exchange/pool.go
+++ b/transport/exchange/pool.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -27,6 +28,8 @@
 	// idleTimeoutMargin is how much sooner than the server an idle connection is
 	// closed, so that no request is sent while the server closes it.
 	idleTimeoutMargin = 500 * time.Millisecond
+	// sweepInterval is how often idle connections are checked that no request takes.
+	sweepInterval = 2 * time.Second
 )
 
 // tcpUserTimeout is TCP_USER_TIMEOUT, which package syscall does not define.
@@ -38,6 +41,8 @@
 
 	mu   sync.Mutex
 	idle map[string][]*conn // by address; most recently used last
+	// sweeping is set while a sweep is due: as long as there are idle connections.
+	sweeping bool
 }
 
 // NewPool returns an empty pool.
@@ -134,6 +139,10 @@
 	if !full {
 		p.idle[c.address] = append(p.idle[c.address], c)
 	}
+	if !full && !p.sweeping {
+		p.sweeping = true
+		time.AfterFunc(sweepInterval, p.sweep)
+	}
 	p.mu.Unlock()
 	if full {
 		_ = c.Close()
@@ -154,18 +163,41 @@
 	return defaultIdleTimeout
 }
 
-// CloseIdle closes the idle connections to a server, for example when it has
-// stopped.
-func (p *Pool) CloseIdle(address string) {
+// sweep closes the idle connections that have expired, and those to servers that have closed theirs.
+//
+// Guard (connections-of-ended-servers): connections to a server that no request is sent to any more
+// would be kept for ever, and their descriptors with them.
+func (p *Pool) sweep() {
+	now := time.Now()
 	p.mu.Lock()
-	list := p.idle[address]
-	delete(p.idle, address)
-	p.mu.Unlock()
-	for _, c := range list {
-		_ = c.Close()
+	defer p.mu.Unlock()
+	for address, list := range p.idle {
+		open := closeIf(list, func(c *conn) bool { return !now.Before(c.expiresAt) })
+		if len(open) > 0 && !open[0].healthy() { // the server has ended, or closes those used longest ago
+			open = closeIf(open, func(c *conn) bool { return !c.healthy() })
+		}
+		p.idle[address] = open
+		if len(open) == 0 {
+			delete(p.idle, address)
+		}
+	}
+	p.sweeping = len(p.idle) > 0
+	if p.sweeping {
+		time.AfterFunc(sweepInterval, p.sweep)
 	}
 }
 
+// closeIf closes the connections of a list for which done is true, and returns the others.
+func closeIf(list []*conn, done func(*conn) bool) []*conn {
+	return slices.DeleteFunc(list, func(c *conn) bool {
+		if !done(c) {
+			return false
+		}
+		_ = c.Close()
+		return true
+	})
+}
+
 // Close closes all idle connections.
 func (p *Pool) Close() {
 	p.mu.Lock()
