gateway: ask the server whether it lives where an answer without an end mark ends

Cause: the kernel closes the connections of a killed server without a reset. A stream's server was asked whether it lives only if the answer ended within 0.5 s of its begin; plain answers were taken as they came. Change: every answer that has neither a length nor chunks is followed by one probe that is sent after its end. If its server has ended, the answer counts as broken: a stream goes on elsewhere, an idempotent request runs again, any other fails. These probes have a limit of their own, 100 a second a daemon, so that they don't take those of streams that are silent; beyond it an answer counts as whole, as before. Ruled out: closing the caller's connection without an end mark, which looks as complete as the server's; the state of idle connections, whose ends come in any order. What it costs: an answer without an end mark waits for one round trip more, and a server that ends right after such an answer makes it a failure.

--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -93,7 +93,7 @@
 func (r *requestHandler) readSigned(address string, answer *backend.Answer) ([]byte, bool) {
 	if !isUnsigned(answer) {
 		body, err := io.ReadAll(io.LimitReader(answer.Body, maxHeldBody))
-		if err == nil {
+		if err == nil && (len(body) == maxHeldBody || r.probeUnframed(answer) != probeDead) {
 			return body, true
 		}
 		r.handleBrokenCall(brokenInBody)
@@ -133,7 +133,7 @@
 				return Result{Outcome: CallerLeft, Reason: "caller_left"}
 			}
 		}
-		if errors.Is(err, io.EOF) {
+		if errors.Is(err, io.EOF) && r.probeUnframed(answer) != probeDead {
 			return Result{Outcome: Answered}
 		}
 		if err != nil {
--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -31,6 +31,10 @@
 	// pays for: a death has about ten suspects, and a site that is slow as a whole has none.
 	probeRate  = 20 // per second
 	probeBurst = 40
+	// unframedProbeRate and unframedProbeBurst limit the probes of one daemon for answers without an
+	// end mark: each of its answers may be one.
+	unframedProbeRate  = 100 // per second
+	unframedProbeBurst = 200
 	// minReprobeInterval is how often a dead server is probed again, or less often if many
 	// daemons probe it.
 	minReprobeInterval = 500 * time.Millisecond
@@ -52,10 +56,10 @@
 	g     *Gateway
 	group singleflight.Group
 	limit *rate.Limiter
-	// asks limits the questions to witnesses, ownerAsks those to owners of servers, and asked the probes
-	// that are sent as an owner.
-	asks, ownerAsks, asked *rate.Limiter
-	owners                 atomic.Pointer[probeOwners]
+	// asks limits the questions to witnesses, ownerAsks those to owners of servers, asked the probes
+	// that are sent as an owner, and unframed those for answers without an end mark.
+	asks, ownerAsks, asked, unframed *rate.Limiter
+	owners                           atomic.Pointer[probeOwners]
 
 	mu      sync.Mutex
 	results map[string]probeResult // by address
@@ -80,7 +84,8 @@
 // The values of probePurpose.
 const (
 	probeSilence  probePurpose = "silence"  // a stream through the server is silent
-	probeEnd      probePurpose = "end"      // a call broke off, or an answer ended with its connection
+	probeEnd      probePurpose = "end"      // a call broke off
+	probeUnframed probePurpose = "unframed" // an answer without an end mark ended with its connection
 	probeRecovery probePurpose = "recovery" // the server was found dead before
 	probeRefusal  probePurpose = "refusal"  // the server refused a request
 	probeAsked    probePurpose = "asked"    // another daemon asked for a sign of life
@@ -110,7 +115,8 @@
 func newProber(g *Gateway) *prober {
 	return &prober{
 		g: g, limit: rate.NewLimiter(probeRate, probeBurst), asks: rate.NewLimiter(askRate, askBurst), ownerAsks: rate.NewLimiter(askRate, askBurst), asked: rate.NewLimiter(probeRate, probeBurst),
-		results: make(map[string]probeResult), signs: make(map[state.BackendIncarnation]time.Time),
+		unframed: rate.NewLimiter(unframedProbeRate, unframedProbeBurst),
+		results:  make(map[string]probeResult), signs: make(map[state.BackendIncarnation]time.Time),
 	}
 }
 
@@ -139,7 +145,7 @@
 // sendShared sends one probe, or waits for the one that is under way.
 func (p *prober) sendShared(purpose probePurpose, server state.BackendIncarnation, address string) probeResult {
 	result, _, _ := p.group.Do(address, func() (any, error) {
-		if limit := lo.Ternary(purpose == probeAsked, p.asked, p.limit); !limit.Allow() {
+		if !p.limitOf(purpose).Allow() {
 			p.g.countProbe(purpose, probeNotSent)
 			return probeResult{outcome: probeNotSent}, nil
 		}
@@ -148,6 +154,18 @@
 	return result.(probeResult)
 }
 
+// limitOf returns the limit of the probes for a purpose.
+func (p *prober) limitOf(purpose probePurpose) *rate.Limiter {
+	switch purpose {
+	case probeAsked:
+		return p.asked
+	case probeUnframed:
+		return p.unframed
+	default:
+		return p.limit
+	}
+}
+
 // sendProbe sends one probe and stores its result.
 func (p *prober) sendProbe(purpose probePurpose, server state.BackendIncarnation, address string) probeResult {
 	began := time.Now()
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -203,7 +203,7 @@
 // handleEnd handles the end of an answer. An answer that ends within an event is not
 // complete.
 func (s *stream) handleEnd() (relay.Outcome, Result) {
-	server := s.checkUnframed()
+	server := s.r.probeUnframed(s.answer)
 	if s.buffer.hasPartial() || server == probeDead {
 		return s.handleBreak(io.ErrUnexpectedEOF)
 	}
@@ -219,20 +219,6 @@
 	return 0, Result{Outcome: Answered}
 }
 
-// checkUnframed finds out whether an answer that ends with its connection, soon after it began, does
-// so because its server has ended. It returns probeAlive for any other answer.
-func (s *stream) checkUnframed() probeOutcome {
-	if !s.answer.Unframed || time.Since(s.began) > crashes.FreshRun {
-		return probeAlive
-	}
-	first := s.path[0]
-	result := s.r.g.prober.probeSince(probeEnd, time.Now(), first.Server, first.Address)
-	if result.provesEnd(first.Server) {
-		return probeDead
-	}
-	return result.outcome
-}
-
 // handleBreak handles an answer that broke off.
 func (s *stream) handleBreak(err error) (relay.Outcome, Result) {
 	s.r.g.log.Emit(telemetry.EventStreamBroken, telemetry.Request(s.r.req.ID), telemetry.Address(s.path[0].Address),
