gateway, exchange: a request that is sent to a server again goes on a new connection

Cause: answers on a connection are told apart by the id of the caller's request. A server turned a request away, with a time to come back; the daemon sent it again, with its id, on the connection that it had kept. A second copy of the 503 that came late was taken for the answer to the second send, while the server ran it. Change: a request remembers the servers that it was sent to, and goes to one of these again on a new connection only, on which no copy can come. Ruled out: remembering the ids that a connection has carried; a connection carries thousands in the time of one request. Elsewhere: reports and orders bear no id and take any answer on a kept connection; a late copy of another request's answer there is not told apart.

--- a/gateway/availability_test.go
+++ b/gateway/availability_test.go
@@ -205,6 +205,19 @@
 		}
 	})
 
+	// Guards against a late copy of the first answer that is taken for the answer to the second send.
+	It("is sent a request that it has turned away on another connection", Label("failure:late-second-answer"), func() {
+		h.servers.startShedding("p0", 100*time.Millisecond)
+		h.servers.startShedding("p1", time.Hour)
+		Expect(h.serveAt("/once/x", 0).Outcome).To(Equal(gateway.Answered))
+		seen := make(map[string]bool)
+		for _, call := range h.servers.sent() {
+			Expect(call.Resent).To(Equal(seen[call.Address]))
+			seen[call.Address] = true
+		}
+		Expect(len(h.servers.sent())).To(BeNumerically(">", len(seen)))
+	})
+
 	// Another process starts at the address of a server that has asked for no requests. It has
 	// asked for nothing.
 	It("reaches another incarnation at its address at once", func() {
--- a/gateway/connect.go
+++ b/gateway/connect.go
@@ -41,7 +41,7 @@
 
 // admit is called when the connection for the current attempt is ready. It reports whether the
 // request may be sent to the server.
-func (r *requestHandler) admit(server state.BackendIncarnation, reused bool) bool {
+func (r *requestHandler) admit(server state.BackendIncarnation, address string, reused bool) bool {
 	r.connected.Store(true)
 	r.heldBack = false
 	if !reused {
@@ -52,6 +52,7 @@
 		return false
 	}
 	r.markSent()
+	r.markSentTo(address)
 	return true
 }
 
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -64,9 +64,10 @@
 	parts         []crashes.Fingerprint // of the prompt, those that other requests may share
 	verdict       requestVerdict        // the last one while the current attempt waits for a server
 	turn          turnState
-	triedParts    atomic.Bool    // a server has ended under the request as it held the turn of a suspected part
-	heldBack      bool           // the current attempt was not sent because of what its content has done
-	failure       *serverFailure // the last one, or nil
+	triedParts    atomic.Bool     // a server has ended under the request as it held the turn of a suspected part
+	heldBack      bool            // the current attempt was not sent because of what its content has done
+	failure       *serverFailure  // the last one, or nil
+	sentTo        map[string]bool // addresses that were sent the request
 	// place is when the request's caller first arrived, as far as it is known; zero before its first
 	// attempt. returnKey identifies the caller when it returns.
 	place     time.Time
@@ -358,10 +359,22 @@
 		LastEventID:  r.lastEventID,
 		Rank:         r.rank(),
 		MaxIdleConns: r.maxIdleConns(),
-		Admit:        func(reused bool) bool { return r.admit(s, reused) },
+		Resent:       r.sentTo[address],
+		Admit:        func(reused bool) bool { return r.admit(s, address, reused) },
 	}
 }
 
+// markSentTo records that a server is sent the request.
+//
+// Guard (late-second-answer): answers are told apart by the id of the request. A second copy of a
+// server's answer would be taken for its answer to the next send on the same connection.
+func (r *requestHandler) markSentTo(address string) {
+	if r.sentTo == nil {
+		r.sentTo = make(map[string]bool)
+	}
+	r.sentTo[address] = true
+}
+
 // callerLeft reports whether the caller has disconnected, and ends the request if so.
 //
 // Guard (caller-left-unread): a daemon that is short of processor time reads requests together
--- a/protocol/backend/backend.go
+++ b/protocol/backend/backend.go
@@ -46,6 +46,9 @@
 	LastEventID  string           // id of the last event that the caller received, or ""
 	Rank         int              // 0 is the most urgent, 9 the least
 	MaxIdleConns int              // maximum number of pooled idle connections to the server; 0 for the default
+	// Resent is set if the server has been sent this request before. A late copy of its answer to that
+	// may still arrive on the connection that carried it.
+	Resent bool
 	// Admit is called when a connection is ready, immediately before the call is sent; reused is
 	// set if the connection has carried a call before. If Admit returns false, nothing is sent and
 	// Send returns ErrWithdrawn. nil admits each call.
--- a/transport/exchange/exchange.go
+++ b/transport/exchange/exchange.go
@@ -32,6 +32,8 @@
 	// MaxIdle bounds the idle connections kept to the server, including this request's
 	// own; 0 means the default.
 	MaxIdle int
+	// NewConn sends the request on a new connection.
+	NewConn bool
 	// Admit is called when a connection is ready, immediately before the request is
 	// written; reused is set if the connection has carried a request before. If it returns false, nothing is written. nil admits each request.
 	Admit func(reused bool) bool
@@ -52,7 +54,7 @@
 // also if Admit ends it. Canceling ctx closes the connection until Body is closed.
 func (p *Pool) Do(ctx context.Context, req Request) (*Response, error) {
 	for {
-		c, err := p.getConn(ctx, req.Address)
+		c, err := p.connFor(ctx, &req)
 		if err != nil {
 			return nil, err
 		}
--- a/transport/exchange/exchange_test.go
+++ b/transport/exchange/exchange_test.go
@@ -304,3 +304,36 @@
 		Consistently(s.closed.Load).WithTimeout(3 * time.Second).Should(BeZero())
 	})
 })
+
+var _ = Describe("A request that is sent to a server again", func() {
+	// Guards against a second copy of the answer to the first send, which bears the same id.
+	It("does not take a late answer to the first send for its own", Label("failure:late-second-answer"), func() {
+		answer := func(status string) string {
+			return "HTTP/1.1 " + status + "\r\nX-Request-Id: r1\r\nContent-Length: 0\r\n\r\n"
+		}
+		turnedAway := answer("503 Service Unavailable")
+		var first atomic.Pointer[net.Conn]
+		s := serve(func(c net.Conn) bool {
+			first.Store(&c)
+			return respond(turnedAway)(c)
+		}, func(c net.Conn) bool {
+			if c == *first.Load() {
+				return respond(turnedAway + answer("200 OK"))(c)
+			}
+			return respond(answer("200 OK"))(c)
+		})
+		pool := exchange.NewPool()
+		DeferCleanup(pool.Close)
+		send := func(again bool) int {
+			resp, err := pool.Do(context.Background(), exchange.Request{Address: s.Addr().String(), Method: "GET", Target: "/", NewConn: again,
+				MatchResponse: func(h http.Header) bool { return h.Get("X-Request-Id") == "r1" }})
+			Expect(err).NotTo(HaveOccurred())
+			_, err = io.ReadAll(resp.Body)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(resp.Body.Close()).To(Succeed())
+			return resp.Status
+		}
+		Expect(send(false)).To(Equal(http.StatusServiceUnavailable))
+		Expect(send(true)).To(Equal(http.StatusOK))
+	})
+})
--- a/transport/exchange/pool.go
+++ b/transport/exchange/pool.go
@@ -60,6 +60,14 @@
 	return p
 }
 
+// connFor returns the connection for a request. Its error wraps backend.ErrNotSent.
+func (p *Pool) connFor(ctx context.Context, req *Request) (*conn, error) {
+	if req.NewConn {
+		return p.dial(ctx, req.Address)
+	}
+	return p.getConn(ctx, req.Address)
+}
+
 // getConn returns a healthy idle connection or dials a new one. Its error wraps
 // backend.ErrNotSent.
 func (p *Pool) getConn(ctx context.Context, address string) (*conn, error) {
