inbound: the bodies of all requests take their memory from one bound

Cause: each body was read whole into memory that grows by copies, before any admission, and nothing bounded their sum. A stated length is taken and allocated once. A request for whose body there is no memory is refused unread with 503 and a time to come back, after its route and key were found; its body is read on and dropped for 2 s at most, so that the caller receives the answer. A stated length over the limit is refused at once with 413. Ruled out: letting bodies wait in the kernel, whose buffers count for the daemon too and grow to several MB each.

--- a/coordination/admission/refusal.go
+++ b/coordination/admission/refusal.go
@@ -19,6 +19,8 @@
 	NotReady
 	// CutOff means that this daemon reaches none of the servers, and another daemon does.
 	CutOff
+	// NoMemory means that this daemon has no memory for the request's body.
+	NoMemory
 )
 
 const (
@@ -40,7 +42,7 @@
 // RetryAfter returns when the caller may retry.
 func (r Refusal) RetryAfter() time.Duration {
 	switch r {
-	case Busy:
+	case Busy, NoMemory:
 		return retryBusy
 	case Uncovered:
 		return retryUncovered
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -449,3 +449,22 @@
 		}).WithTimeout(eventuallyTimeout).Should(Equal(gateway.Answered))
 	})
 })
+
+var _ = Describe("A request whose body could not be read for want of memory", func() {
+	// Guards against a daemon that is ended for its memory with all requests that it holds.
+	It("is refused unrun, or for another reason that holds anywhere", Label("failure:bodies-exceed-memory"), func() {
+		h := newHarness()
+		h.populate()
+		h.serve("/once/")
+		unread := func(path string) gateway.Result {
+			req := request(path)
+			req.Unread = true
+			return h.gateway.Serve(context.Background(), req, &fakeReply{})
+		}
+		result := unread("/once/")
+		Expect(result.Outcome).To(Equal(gateway.Refused))
+		Expect(result.RetryAfter).To(BeNumerically(">", 0))
+		Expect(unread("/elsewhere/").Outcome).To(Equal(gateway.NoRoute))
+		Expect(h.servers.sent()).To(HaveLen(1))
+	})
+})
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -16,6 +16,7 @@
 	Target          string // path and query as sent
 	Header          http.Header
 	Body            []byte
+	Unread          bool          // there was no memory for the body: the request can't run
 	Key             string        // the caller's API key, or ""
 	CallerTimeout   time.Duration // how long the caller waits, from Arrived on; 0 if not stated
 	PromptTokens    int
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -28,6 +28,9 @@
 // reasonDraining is the reason for refusing requests during a planned stop.
 const reasonDraining relay.Reason = "draining"
 
+// reasonMemory is the reason for refusing requests whose body there is no memory for.
+const reasonMemory relay.Reason = "body_memory"
+
 // requestHandler is the state of one request in flight.
 type requestHandler struct {
 	g            *Gateway
@@ -99,6 +102,9 @@
 	if res, ok := r.findCustomer(); !ok {
 		return res
 	}
+	if r.req.Unread {
+		return refusedResult(reasonMemory, admission.NoMemory)
+	}
 	r.setDeadline()
 	if accepted, why := r.accepted(); !accepted {
 		return refusedResult(reasonDraining, why)
--- a/transport/inbound/inbound_test.go
+++ b/transport/inbound/inbound_test.go
@@ -151,7 +151,7 @@
 		func(b inbound.Bounds, want int) {
 			r := httptest.NewRequest(http.MethodPost, "/", strings.NewReader("12345"))
 			r.Header.Set("X-A", strings.Repeat("a", 100))
-			body, status := inbound.ReadBody(httptest.NewRecorder(), r, b)
+			body, _, status := inbound.ReadBody(httptest.NewRecorder(), r, b, inbound.NewBodyMemory(0))
 			Expect(status).To(Equal(want))
 			if want == 0 {
 				Expect(string(body)).To(Equal("12345"))
@@ -165,7 +165,7 @@
 
 	It("reject a truncated body", func() {
 		r := httptest.NewRequest(http.MethodPost, "/", iotest.ErrReader(io.ErrUnexpectedEOF))
-		_, status := inbound.ReadBody(httptest.NewRecorder(), r, inbound.Bounds{})
+		_, _, status := inbound.ReadBody(httptest.NewRecorder(), r, inbound.Bounds{}, inbound.NewBodyMemory(0))
 		Expect(status).To(Equal(http.StatusBadRequest))
 	})
 
--- a/transport/inbound/request.go
+++ b/transport/inbound/request.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"time"
 )
 
 // Bounds limit the size of a request. A zero field sets no limit.
@@ -12,29 +13,51 @@
 	BodyBytes   int64
 }
 
-// ReadBody reads a request's complete body. status is 0 or the error status for the
-// caller: 431 or 413 for a header or body over its limit, 400 for a truncated body.
-// The connection can't be reused after such an error.
-func ReadBody(w http.ResponseWriter, r *http.Request, b Bounds) (body []byte, status int) {
-	if b.HeaderBytes > 0 && headerBytes(r) > b.HeaderBytes {
-		return nil, http.StatusRequestHeaderFieldsTooLarge
-	}
-	if r.Body == nil || r.ContentLength == 0 {
-		return nil, 0
+// ReadBody reads a request's complete body into memory that is taken from m until release is called.
+// status is 0 or the error status for the caller: 431 or 413 for a header or body over its limit, 400
+// for a truncated body, 503 if there is no memory for it. The connection can't be reused after such
+// an error.
+func ReadBody(w http.ResponseWriter, r *http.Request, b Bounds, m *BodyMemory) (body []byte, release func(), status int) {
+	held := &bodyBuffer{memory: m}
+	switch {
+	case b.HeaderBytes > 0 && headerBytes(r) > b.HeaderBytes:
+		return nil, held.release, http.StatusRequestHeaderFieldsTooLarge
+	case r.Body == nil || r.ContentLength == 0:
+		return nil, held.release, 0
+	case b.BodyBytes > 0 && r.ContentLength > b.BodyBytes:
+		return nil, held.release, http.StatusRequestEntityTooLarge
 	}
 	reader := io.Reader(r.Body)
 	if b.BodyBytes > 0 {
 		reader = http.MaxBytesReader(w, r.Body, b.BodyBytes)
 	}
-	body, err := io.ReadAll(reader)
+	err := held.readFrom(reader, r.ContentLength)
+	if err != nil {
+		held.release()
+	}
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.Is(err, errNoMemory):
+		return nil, held.release, http.StatusServiceUnavailable
 	case errors.As(err, &tooLarge):
-		return nil, http.StatusRequestEntityTooLarge
+		return nil, held.release, http.StatusRequestEntityTooLarge
 	case err != nil:
-		return nil, http.StatusBadRequest
+		return nil, held.release, http.StatusBadRequest
+	}
+	return held.data, held.release, 0
+}
+
+// discardTimeout is how long the rest of a refused request's body is read.
+const discardTimeout = 2 * time.Second
+
+// DiscardBody reads the rest of the body of a request that has been answered with an error, so that
+// the caller, which may still be sending it, receives the answer before the connection is closed.
+func DiscardBody(w http.ResponseWriter, r *http.Request) {
+	rc := http.NewResponseController(w)
+	if rc.Flush() != nil || rc.SetReadDeadline(time.Now().Add(discardTimeout)) != nil {
+		return // the connection has ended
 	}
-	return body, 0
+	_, _ = io.Copy(io.Discard, r.Body) // the connection is closed in any case
 }
 
 // headerBytes returns the size of a request's header on the wire, or a few bytes less.
