gateway: a planned stop keeps the grace period that was in force at its begin

The settings file is read every 5 s, and at SIGHUP, also during a stop. Callers could see two things. A grace period that was raised meanwhile: requests are accepted, and in flight, beyond the moment at which the process is killed, which counts from its SIGTERM. One that was lowered: requests are refused, and cut off, sooner than needed; WaitDrained kept the old period, DrainEnd and the admission of requests took the new one. Change: a stop is a value of its own, with its begin and its grace period (gateway/stop.go, which takes the code of stops from gateway.go). Ruled out: to ignore changed settings during a stop; limits and the retry budget may still change.

--- a/gateway/export_test.go
+++ b/gateway/export_test.go
@@ -33,3 +33,6 @@
 
 // LateCalls exports sharedState.lateCallCount.
 func (g *Gateway) LateCalls() int { return g.shared.lateCallCount() }
+
+// CurrentSettings exports Gateway.currentSettings.
+func (g *Gateway) CurrentSettings() Settings { return *g.currentSettings() }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -5,14 +5,12 @@
 	"errors"
 	"fmt"
 	"net"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/samber/lo"
 
-	"github.com/hibiscuswick/hibiscuswick/coordination/admission"
 	"github.com/hibiscuswick/hibiscuswick/coordination/crashes"
 	"github.com/hibiscuswick/hibiscuswick/coordination/membership"
 	"github.com/hibiscuswick/hibiscuswick/protocol/backend"
@@ -70,12 +68,12 @@
 	// known yet.
 	storeUnanswered atomic.Bool
 
-	activeRequests  atomic.Int64  // requests in flight
-	lastTurn        atomic.Uint64 // number of the last request that asked for a turn
-	recordRequested atomic.Bool   // the control goroutine has been asked for a record of retries
-	waitingRequests atomic.Int64  // requests in flight that wait for a server or a path
-	startedAt       time.Time     // reference point of sinceStart
-	drainStarted    atomic.Int64  // when a planned stop began, in ns since start; 0 for none
+	activeRequests  atomic.Int64                // requests in flight
+	lastTurn        atomic.Uint64               // number of the last request that asked for a turn
+	recordRequested atomic.Bool                 // the control goroutine has been asked for a record of retries
+	waitingRequests atomic.Int64                // requests in flight that wait for a server or a path
+	startedAt       time.Time                   // reference point of sinceStart
+	stop            atomic.Pointer[plannedStop] // nil if none has begun
 	stopFeeds       context.CancelFunc
 	closeOnce       sync.Once
 	done            chan struct{}
@@ -175,20 +173,6 @@
 // instance's wall clock may jump by seconds.
 func (g *Gateway) sinceStart(now time.Time) time.Duration { return now.Sub(g.startedAt) }
 
-// Drain begins a planned stop: the gateway is removed at once from the addresses that
-// callers are given, but keeps serving. Close ends it.
-func (g *Gateway) Drain() {
-	if !g.drainStarted.CompareAndSwap(0, int64(max(g.sinceStart(time.Now()), 1))) {
-		return
-	}
-	g.log.Emit(telemetry.EventDrainStarted)
-	g.control.post(func() {
-		g.control.view.draining = true
-		g.control.changed = true
-		g.control.members.step(membership.Drain{})
-	})
-}
-
 // Close announces to the other gateways that this one leaves, and stops it.
 func (g *Gateway) Close() {
 	left := make(chan struct{})
@@ -241,72 +225,3 @@
 		}
 	})
 }
-
-// Fractions of Settings.DrainTimeout.
-const (
-	// minDrainShare is the earliest end of a planned stop: if no request is left by then,
-	// callers have moved to other daemons and a successor can start.
-	minDrainShare = 0.4
-	// maxDrainShare is the latest end of a planned stop; the remainder is for the shutdown
-	// of the process itself.
-	maxDrainShare = 0.93
-)
-
-// acceptsStream reports whether a new stream is accepted, and if not, why it is refused.
-func (g *Gateway) acceptsStream(now time.Time) (bool, admission.Refusal) {
-	if !g.Draining() {
-		return true, 0
-	}
-	return g.shutdown(now).AcceptsStream()
-}
-
-// acceptsCall reports whether a new request is accepted that gets its whole answer at once, by a
-// deadline, and if not, why it is refused.
-func (g *Gateway) acceptsCall(now, deadline time.Time) (bool, admission.Refusal) {
-	if !g.Draining() {
-		return true, 0
-	}
-	return g.shutdown(now).AcceptsCall(deadline.Sub(now))
-}
-
-// shutdown returns the planned stop that has begun.
-func (g *Gateway) shutdown(now time.Time) admission.Shutdown {
-	grace := g.currentSettings().DrainTimeout
-	return admission.Shutdown{
-		Elapsed: g.sinceStart(now) - time.Duration(g.drainStarted.Load()),
-		Grace:   grace,
-		End:     time.Duration(maxDrainShare * float64(grace)),
-		OthersAccept: slices.ContainsFunc(g.currentView.Load().members.Members, func(i membership.Info) bool {
-			return i.Member.ID != g.self.ID && i.State == membership.Alive && !i.Draining
-		}),
-	}
-}
-
-// Draining reports whether a planned stop has begun, so that callers should use another
-// connection for their next request.
-func (g *Gateway) Draining() bool { return g.drainStarted.Load() != 0 }
-
-// WaitDrained blocks until a planned stop is complete.
-func (g *Gateway) WaitDrained() {
-	drainStarted, grace := time.Duration(g.drainStarted.Load()), float64(g.currentSettings().DrainTimeout)
-	for {
-		drainTime := g.sinceStart(time.Now()) - drainStarted
-		elapsed := float64(drainTime)
-		idle := g.activeRequests.Load() == 0
-		if elapsed >= maxDrainShare*grace || idle && elapsed >= minDrainShare*grace {
-			g.log.Emit(telemetry.EventDrainCompleted, telemetry.Count(int(g.activeRequests.Load())), telemetry.Duration(drainTime))
-			return
-		}
-		time.Sleep(drainPollInterval)
-	}
-}
-
-// DrainEnd returns when a planned stop that has begun ends at the latest.
-func (g *Gateway) DrainEnd() time.Time {
-	now := time.Now()
-	stop := g.shutdown(now)
-	return now.Add(stop.End - stop.Elapsed)
-}
-
-// drainPollInterval is how often a planned stop checks whether requests are left.
-const drainPollInterval = 20 * time.Millisecond
