gateway: a stop judges a request by when its body has been read

A request's arrival is when its header came; its body is read after that, for as long as the caller takes. Whether a planned stop may still finish the request was judged by the arrival, so that one whose header came early in the stop and whose body came late was passed on, or began as a stream, and was cut off at the end: its caller's connection closed without an answer while a server was at work. Change: the stop is judged by the later one of arrival and now. Elsewhere: deadlines count from the arrival on purpose, as callers count them.

--- a/gateway/export_test.go
+++ b/gateway/export_test.go
@@ -34,5 +34,12 @@
 // LateCalls exports sharedState.lateCallCount.
 func (g *Gateway) LateCalls() int { return g.shared.lateCallCount() }
 
+// AdvanceStop makes a planned stop that has begun as old as if it had begun sooner.
+func (g *Gateway) AdvanceStop(by time.Duration) {
+	stop := *g.stop.Load()
+	stop.began = stop.began.Add(-by)
+	g.stop.Store(&stop)
+}
+
 // CurrentSettings exports Gateway.currentSettings.
 func (g *Gateway) CurrentSettings() Settings { return *g.currentSettings() }
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -127,10 +127,11 @@
 // accepted reports whether the request may begin now, and if not, why: a planned stop refuses what it
 // could not finish.
 func (r *requestHandler) accepted() (bool, admission.Refusal) {
+	now := later(r.req.Arrived, time.Now()) // its body may have been read for long
 	if r.route.Stream {
-		return r.g.acceptsStream(r.req.Arrived)
+		return r.g.acceptsStream(now)
 	}
-	return r.g.acceptsCall(r.req.Arrived, r.deadline)
+	return r.g.acceptsCall(now, r.deadline)
 }
 
 // lateRetry is after which time a retry that was paid for counts as sent late in logs.
@@ -205,6 +206,13 @@
 	return b
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // runAttempts repeats attempts until the request has a result.
 func (r *requestHandler) runAttempts(ctx context.Context) Result {
 	defer r.releaseTurns(false)
