admission, gateway: a planned stop goes by the recent times of answers

Callers whose requests reached a daemon late in its planned stop were refused although their servers would have answered in time: since such a request was accepted only if its deadline came before the stop's end, so that with a deadline of 3 s the last 3.1 s of a stop of 7.4 s refused everything.

Cause: the deadline says how long a caller waits, not how long a server takes. Change: each daemon keeps the times of a route's answers of the last minute (admission.AnswerTimes). A request is accepted late in a stop if twice the longest of them, or twice the time of the oldest call that is under way, ends before the stop; by its deadline where fewer than 20 are known, and at the latest. Since an estimate no longer holds by itself until the end, the verdict is asked again while a request waits for a server, for each attempt, and when its connection is ready; a connection that is still being made then is given up. What has not run is refused as that (503, "draining"); what may have run fails at once (502), so that its caller can turn to another daemon before the cut. Ruled out: the mean or a quantile of the times, since one request in thousands must not be lost; the times of the service without those of the route, since a route of slow work beside a fast one would be lost; no check at the send, since a request that waited for its server was then cut (specs).

--- a/coordination/admission/doc.go
+++ b/coordination/admission/doc.go
@@ -19,7 +19,8 @@
 //     wait, all others are rejected at once with the time that is left, and those that find the
 //     servers still taking few requests return when suspects would be tried again.
 //   - Daemons are stopped one after the other, or all of them: callers are sent to a daemon that
-//     accepts them, or wait until one has restarted.
+//     accepts them, or wait until one has restarted. Requests are served for as long as servers
+//     answer them before the stop ends, as far as recent answers tell (AnswerTimes).
 //   - All daemons restart after list entries of servers have expired: requests wait while the list
 //     is populated, instead of all going to the servers that are listed first.
 //   - Daemons have just started, one or all at once: requests wait for the short time until the
--- a/coordination/admission/stop.go
+++ b/coordination/admission/stop.go
@@ -10,9 +10,9 @@
 	// acceptShareLast is the same if no other daemon accepts streams: a stream that comes later
 	// would be truncated at the end of the stop.
 	acceptShareLast = 0.36
-	// answerTime is how much earlier than the end of a stop the deadline of a request has to be, so
-	// that its last answer is written by then.
-	answerTime = 100 * time.Millisecond
+	// answerMargin is how much earlier than the end of a stop a request has to be answered by its
+	// server, so that the answer is written by then.
+	answerMargin = 100 * time.Millisecond
 )
 
 // Shutdown is a planned stop of this daemon.
@@ -39,15 +39,15 @@
 	}
 }
 
-// AcceptsCall reports whether a request is accepted that is answered as a whole within timeLeft,
-// and if not, why its caller is rejected. Late in a stop only requests are accepted that end before
-// it does.
+// AcceptsCall reports whether a request that gets its whole answer at once, within expected at the
+// latest, may be sent to a server now, and if not, why its caller is rejected. Late in a stop only
+// requests are accepted that are answered before it ends.
 //
 // Guard (lost-in-stops): where all daemons are stopping, requests reach them to the end. One that is
 // passed on then would be cut off while its server is at work on it.
-func (s Shutdown) AcceptsCall(timeLeft time.Duration) (bool, Refusal) {
+func (s Shutdown) AcceptsCall(expected time.Duration) (bool, Refusal) {
 	switch {
-	case float64(s.Elapsed) < acceptShareLast*float64(s.Grace), s.Elapsed+timeLeft+answerTime <= s.End:
+	case s.CallsAcceptedFor(expected) >= 0:
 		return true, 0
 	case s.OthersAccept:
 		return false, Stopping
@@ -55,3 +55,10 @@
 		return false, AllStopping
 	}
 }
+
+// CallsAcceptedFor returns how much longer AcceptsCall accepts such requests; negative if it does not
+// do so now.
+func (s Shutdown) CallsAcceptedFor(expected time.Duration) time.Duration {
+	early := time.Duration(acceptShareLast * float64(s.Grace))
+	return max(early, s.End-expected-answerMargin) - s.Elapsed
+}
--- a/gateway/connect.go
+++ b/gateway/connect.go
@@ -51,8 +51,12 @@
 	if r.callerLeft() || !r.g.shared.isWanted(now, server) || !r.mayRunNow(now) {
 		return false
 	}
+	if allowed, _ := r.stopAllows(now); !allowed {
+		return false
+	}
 	r.markSent()
 	r.markSentTo(address)
+	r.timeAnswer(now)
 	return true
 }
 
--- a/gateway/fake_test.go
+++ b/gateway/fake_test.go
@@ -469,3 +469,10 @@
 	req.Arrived = req.Arrived.Add(in)
 	return h.gateway.Serve(context.Background(), req, &fakeReply{})
 }
+
+// serveFor sends a request whose caller waits for a given time.
+func (h *harness) serveFor(path string, timeout time.Duration) gateway.Result {
+	req := request(path)
+	req.CallerTimeout = timeout
+	return h.gateway.Serve(context.Background(), req, &fakeReply{})
+}
--- a/gateway/path.go
+++ b/gateway/path.go
@@ -48,7 +48,9 @@
 	sent := time.Now()
 	r.runStart = sent
 	connectTimer := r.watchConnect(ctx, cancel)
+	stopWatch := r.watchStop(cancel)
 	answer, err := r.g.backends.Send(ctx, call)
+	stopTimer(stopWatch)
 	stopTimer(connectTimer)
 	stopTimer(timer)
 	if err != nil {
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -39,6 +39,7 @@
 	defer cancel()
 	defer stopTimer(r.watchFirstEvent(cancel))
 	defer stopTimer(r.watchConnect(ctx, cancel))
+	defer stopTimer(r.watchStop(cancel))
 	sent := time.Now()
 	r.runStart = sent
 	answer, err := r.g.backends.Send(ctx, r.newCall(server.Incarnation(), server.Address))
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -67,9 +67,10 @@
 	parts         []crashes.Fingerprint // of the prompt, those that other requests may share
 	verdict       requestVerdict        // the last one while the current attempt waits for a server
 	turn          turnState
-	triedParts    atomic.Bool     // a server has ended under the request as it held the turn of a suspected part
-	heldBack      bool            // the current attempt was not sent because of what its content has done
-	failure       *serverFailure  // the last one, or nil
+	triedParts    atomic.Bool    // a server has ended under the request as it held the turn of a suspected part
+	heldBack      bool           // the current attempt was not sent because of what its content has done
+	failure       *serverFailure // the last one, or nil
+	answerTimer   *admission.AnswerTimer
 	sentTo        map[string]bool // addresses that were sent the request
 	// place is when the request's caller first arrived, as far as it is known; zero before its first
 	// attempt. returnKey identifies the caller when it returns.
@@ -106,7 +107,7 @@
 		return refusedResult(reasonMemory, admission.NoMemory)
 	}
 	r.setDeadline()
-	if accepted, why := r.accepted(); !accepted {
+	if allowed, why := r.stopAllows(later(r.req.Arrived, time.Now())); !allowed {
 		return refusedResult(reasonDraining, why)
 	}
 	r.retrier = relay.Retrier{
@@ -124,16 +125,6 @@
 	return r.runAttempts(ctx)
 }
 
-// accepted reports whether the request may begin now, and if not, why: a planned stop refuses what it
-// could not finish.
-func (r *requestHandler) accepted() (bool, admission.Refusal) {
-	now := later(r.req.Arrived, time.Now()) // its body may have been read for long
-	if r.route.Stream {
-		return r.g.acceptsStream(now)
-	}
-	return r.g.acceptsCall(now, r.deadline)
-}
-
 // lateRetry is after which time a retry that was paid for counts as sent late in logs.
 const lateRetry = 500 * time.Millisecond
 
@@ -223,6 +214,9 @@
 		if r.g.reach.cutOffFrom(r.service.ID) && r.mayGoElsewhere() {
 			return r.cutOffResult()
 		}
+		if allowed, why := r.stopAllows(time.Now()); !allowed {
+			return r.stoppingResult(why)
+		}
 		outcome, result := r.attempt(ctx)
 		r.releaseTurns(false)
 		if outcome == 0 {
@@ -352,10 +346,13 @@
 // request.
 func (r *requestHandler) attempt(ctx context.Context) (relay.Outcome, Result) {
 	r.attemptCount++
+	send := r.attemptPlain
 	if r.service.Engine != nil {
-		return r.attemptPath(ctx)
+		send = r.attemptPath
 	}
-	return r.attemptPlain(ctx)
+	outcome, result := send(ctx)
+	r.endAnswerTime(outcome)
+	return outcome, result
 }
 
 // newCall builds the call to a server.
--- a/gateway/sharedstate.go
+++ b/gateway/sharedstate.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/hibiscuswick/hibiscuswick/coordination/admission"
 	"github.com/hibiscuswick/hibiscuswick/coordination/answersize"
 	"github.com/hibiscuswick/hibiscuswick/coordination/availability"
 	"github.com/hibiscuswick/hibiscuswick/coordination/crashes"
@@ -49,6 +50,7 @@
 	ownTokens     []float64 // scratch space of choosePath, by index in the roster
 	rng           *rand.Rand
 	answerSizes   *answersize.Estimator
+	answerTimes   map[answerKey]*admission.AnswerTimes
 	serverStates  []pathing.ServerState // scratch space of choosePath, by index in the roster
 }
 
@@ -77,6 +79,7 @@
 		siteLoad:      siteload.NewView(),
 		rng:           rng,
 		answerSizes:   answersize.New(pathing.AnswerShare),
+		answerTimes:   make(map[answerKey]*admission.AnswerTimes),
 		budget:        retrybudget.New(budgetConfig(set), time.Now()),
 	}
 }
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"slices"
 	"time"
 
@@ -83,19 +84,46 @@
 	}
 }
 
-// acceptsStream reports whether a new stream is accepted, and if not, why it is refused.
-func (g *Gateway) acceptsStream(now time.Time) (bool, admission.Refusal) {
-	if !g.Draining() {
+// stopAllows reports whether the request may be sent to a server now, and if not, why: a planned
+// stop refuses what it could not finish. A stream that has been accepted goes on.
+func (r *requestHandler) stopAllows(now time.Time) (bool, admission.Refusal) {
+	switch {
+	case !r.g.Draining():
+		return true, 0
+	case !r.route.Stream:
+		return r.g.shutdown(now).AcceptsCall(r.expectedAnswerTime(now))
+	case r.attemptCount == 0:
+		return r.g.shutdown(now).AcceptsStream()
+	default:
 		return true, 0
 	}
-	return g.shutdown(now).AcceptsStream()
 }
 
-// acceptsCall reports whether a new request is accepted that gets its whole answer at once, by a
-// deadline, and if not, why it is refused.
-func (g *Gateway) acceptsCall(now, deadline time.Time) (bool, admission.Refusal) {
-	if !g.Draining() {
-		return true, 0
+// stoppingResult is the result of a request that a planned stop does not allow to be sent.
+func (r *requestHandler) stoppingResult(why admission.Refusal) Result {
+	switch {
+	case r.headSent:
+		return r.failedResult(reasonDraining)
+	case r.failure != nil:
+		return r.forwardAnswer(r.failure.answer, r.failure.body)
+	case r.retrier.NeverRan():
+		return refusedResult(reasonDraining, why)
+	default:
+		return r.failedResult(reasonDraining)
 	}
-	return g.shutdown(now).AcceptsCall(deadline.Sub(now))
+}
+
+// watchStop cancels the call of the current attempt if it has no connection when a planned stop does
+// not allow the request to be sent any more. The caller stops the timer once the call has ended.
+func (r *requestHandler) watchStop(cancel context.CancelFunc) *time.Timer {
+	if !r.g.Draining() || r.route.Stream {
+		return nil
+	}
+	now := time.Now()
+	left := r.g.shutdown(now).CallsAcceptedFor(r.expectedAnswerTime(now))
+	return time.AfterFunc(left, func() {
+		if !r.connected.Load() {
+			cancel()
+		}
+	})
 }
--- a/gateway/turns.go
+++ b/gateway/turns.go
@@ -121,6 +121,9 @@
 // notChosenResult is the result of a request that has not got a server in the time that it may wait,
 // or a server but not its turn.
 func (r *requestHandler) notChosenResult(why admission.Refusal) (relay.Outcome, Result) {
+	if allowed, stopping := r.stopAllows(time.Now()); !allowed {
+		return 0, r.stoppingResult(stopping)
+	}
 	switch {
 	case r.verdict.blocked:
 		return 0, r.blockedResult(r.verdict)
--- a/gateway/waitorder.go
+++ b/gateway/waitorder.go
@@ -97,7 +97,11 @@
 
 // mayWaitOn reports whether the request may wait for a server after a try that has failed.
 func (r *requestHandler) mayWaitOn(ctx context.Context, until time.Time) bool {
-	return time.Now().Before(until) && ctx.Err() == nil &&
+	now := time.Now()
+	if allowed, _ := r.stopAllows(now); !allowed {
+		return false
+	}
+	return now.Before(until) && ctx.Err() == nil &&
 		!r.verdict.blocked && !r.search.admission.turnedAway() && !r.permitWaitExceeds(until) && !r.retryAfterExceeds(until)
 }
 
