gateway: an answer is not given up late in a stop for a repeat that the stop forbids

Change: it is given up only if the stop allows another attempt at that moment. Streams are as before: a stop lets them go on. Red before: [FAIL] A gateway late in a planned stop [It] waits for a late answer if no other attempt could follow: Outcome 3 (failed) to equal 1 (answered).

--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -99,6 +99,16 @@
 	}
 }
 
+// stopAllowsRepeat reports whether a planned stop lets the request, which has been sent, be sent to
+// another server now.
+func (r *requestHandler) stopAllowsRepeat(now time.Time) bool {
+	if !r.g.Draining() || r.route.Stream {
+		return true
+	}
+	allowed, _ := r.g.shutdown(now).AcceptsCall(r.expectedAnswerTime(now))
+	return allowed
+}
+
 // stoppingResult is the result of a request that a planned stop does not allow to be sent.
 func (r *requestHandler) stoppingResult(why admission.Refusal) Result {
 	switch {
--- a/gateway/stop_test.go
+++ b/gateway/stop_test.go
@@ -84,21 +84,23 @@
 
 	// Guards against requests whose connections are still being made when the stop ends.
 	It("does not wait for a connection to the end of the stop", Label("failure:lost-in-stops"), func() {
-		hanging := &hangingServers{Client: h.servers}
-		second := h.startWith("g2", hanging)
-		Eventually(second.Ready).WithTimeout(eventuallyTimeout).Should(BeTrue())
-		for range 30 {
-			Expect(second.Serve(context.Background(), request("/once/x"), &fakeReply{}).Outcome).To(Equal(gateway.Answered))
-		}
-		hanging.hang.Store(true)
-		second.Drain()
-		second.AdvanceStop(time.Until(second.DrainEnd()) - time.Second)
+		servers := h.startWithLateServers("/once/x")
+		servers.connectNever.Store(true)
+		stopEndsIn(time.Second)
 		end := time.Now().Add(time.Second)
-		Expect(second.Serve(context.Background(), request("/once/x"), &fakeReply{})).
-			To(And(HaveField("Outcome", gateway.Refused), HaveField("Reason", "draining")))
+		Expect(h.serveAt("/once/x", 0)).To(And(HaveField("Outcome", gateway.Refused), HaveField("Reason", "draining")))
 		Expect(time.Now()).To(BeTemporally("<", end))
 	})
 
+	// Guards against an answer that is given up as lost for another attempt, which the stop then does
+	// not allow.
+	It("waits for a late answer if no other attempt could follow", Label("failure:refused-in-stops"), func() {
+		servers := h.startWithLateServers("/again/x")
+		servers.answerAfter.Store(int64(800 * time.Millisecond))
+		stopEndsIn(1200 * time.Millisecond)
+		Expect(h.serveAt("/again/x", 0).Outcome).To(Equal(gateway.Answered))
+	})
+
 	// Guards against requests that are sent to a second server so late in a stop that they are cut off.
 	It("does not repeat a request that could not be answered in time", Label("failure:lost-in-stops"), func() {
 		h.servers.plain = func(backend.Call) (*backend.Answer, error) {
@@ -141,17 +143,33 @@
 	})
 })
 
-// hangingServers are servers to which no connection can be made while hang is set.
-type hangingServers struct {
+// lateServers are servers to which connections are never made, or that answer late.
+type lateServers struct {
 	backend.Client
-	hang atomic.Bool
+	connectNever atomic.Bool
+	answerAfter  atomic.Int64 // ns
+}
+
+// startWithLateServers replaces the gateway by one that has served requests of lateServers.
+func (h *harness) startWithLateServers(path string) *lateServers {
+	servers := &lateServers{Client: h.servers}
+	h.gateway = h.startWith("g2", servers)
+	Eventually(h.gateway.Ready).WithTimeout(eventuallyTimeout).Should(BeTrue())
+	h.answerSome(path)
+	return servers
 }
 
 // Send implements backend.Client.
-func (s *hangingServers) Send(ctx context.Context, c backend.Call) (*backend.Answer, error) {
-	if s.hang.Load() {
+func (s *lateServers) Send(ctx context.Context, c backend.Call) (*backend.Answer, error) {
+	if s.connectNever.Load() {
 		<-ctx.Done()
 		return nil, errors.Join(backend.ErrNotSent, ctx.Err())
 	}
-	return s.Client.Send(ctx, c)
+	answer, err := s.Client.Send(ctx, c)
+	select {
+	case <-time.After(time.Duration(s.answerAfter.Load())):
+		return answer, err
+	case <-ctx.Done():
+		return nil, errors.Join(backend.ErrIncomplete, ctx.Err())
+	}
 }
--- a/gateway/wait.go
+++ b/gateway/wait.go
@@ -98,7 +98,7 @@
 		return nil
 	}
 	return time.AfterFunc(first, func() {
-		if r.g.shared.mayAbandon(r.service.ID) {
+		if r.stopAllowsRepeat(time.Now()) && r.g.shared.mayAbandon(r.service.ID) {
 			cancel()
 		}
 	})
