peer: a call gives its place back before its answer is sent

A peer that may have one call at a time at another, and makes the next one as soon as it has the answer to the one before, could be refused ("too many calls in work"). Cause: handleCall gave the call's place back after it had sent the answer, so that the next call could be read before that. Change: the place is given back when the call has been handled. Answers that wait to be written are bounded by the queue of the connection, as before. Ruled out: more places than MaxCalls; it says how many are worked on.

--- a/transport/peer/inbound.go
+++ b/transport/peer/inbound.go
@@ -218,13 +218,13 @@
 		return
 	}
 	go func() {
-		defer func() { <-in.callSlots }()
 		ctx, cancel := in.ctx, context.CancelFunc(func() {})
 		if timeout > 0 {
 			ctx, cancel = context.WithTimeout(in.ctx, time.Duration(timeout)*time.Millisecond)
 		}
 		defer cancel()
 		answer, err := handle(ctx, from, msg)
+		<-in.callSlots // before the answer, after which the caller may make its next call
 		if err != nil {
 			in.sendRefusal(peer.RoleFailure, number, err.Error())
 			return
--- a/transport/peer/node_test.go
+++ b/transport/peer/node_test.go
@@ -12,6 +12,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"github.com/uber-go/tally/v4"
+	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/hibiscuswick/hibiscuswick/internal/standin"
 	protocol "github.com/hibiscuswick/hibiscuswick/protocol/peer"
@@ -32,6 +33,17 @@
 	N int `msgpack:"n"`
 }
 
+// slowAnswer calls a function before it is encoded, which is just before it is sent.
+type slowAnswer struct {
+	beforeEncoding func()
+}
+
+// EncodeMsgpack implements msgpack.CustomEncoder.
+func (a slowAnswer) EncodeMsgpack(enc *msgpack.Encoder) error {
+	a.beforeEncoding()
+	return enc.EncodeMapLen(0)
+}
+
 func registry() *protocol.Registry {
 	r := protocol.NewRegistry()
 	protocol.Register[testMessage](r, 1)
@@ -215,6 +227,37 @@
 		Expect(peer.NotSent(err)).To(BeFalse())
 	})
 
+	// Guards against calls that are refused although their caller has the answer to the one before.
+	It("accept the next call as soon as an answer is sent", Label("failure:next-call-refused"), func() {
+		withSlowAnswers := func(c *peer.Config) {
+			c.Registry = registry()
+			protocol.Register[slowAnswer](c.Registry, 4)
+		}
+		a := start("a", withSlowAnswers)
+		var b *daemon
+		var second <-chan outcome
+		refused := func() bool { return b.count("refused_calls") > 0 }
+		answer := slowAnswer{beforeEncoding: func() {
+			second = startCall(a, b.address, 2)
+			Eventually(func() bool { return len(b.receivedCalls()) > 0 || refused() }, testTimeout).Should(BeTrue())
+		}}
+		b = start("b", func(c *peer.Config) {
+			withSlowAnswers(c)
+			c.MaxCalls = 1
+			c.Handler.HandleCall = func(ctx context.Context, from state.Member, msg any) (any, error) {
+				if msg.(testCall).N == 1 {
+					return answer, nil
+				}
+				return b.handleCall(ctx, from, msg)
+			}
+		})
+		_, err := a.Call(context.Background(), b.address, testCall{N: 1})
+		Expect(err).NotTo(HaveOccurred())
+		var got outcome
+		Eventually(second, testTimeout).Should(Receive(&got))
+		Expect(got.err).NotTo(HaveOccurred())
+	})
+
 	It("report messages to an unreachable address as not sent", func() {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
