--- a/transport/inbound/inbound_test.go
+++ b/transport/inbound/inbound_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"runtime"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing/iotest"
@@ -236,4 +237,33 @@
 		Expect(answer).To(Receive(BeNil()), "the ports are closed once none is left")
 		Eventually(ended).Should(Receive(BeNil()))
 	})
+
+	// Guards against answers that are complete when the ports close, and that their callers have not read
+	// yet.
+	It("let callers read answers that were written before", Label("failure:lost-in-stops"), func() {
+		const size = 64 << 10
+		address, err := freeport.Address()
+		Expect(err).NotTo(HaveOccurred())
+		written := make(chan struct{})
+		ports := inbound.New(func() inbound.Limits { return inbound.DefaultLimits }, 0)
+		Expect(ports.Open(address, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Connection", "close")
+			w.Header().Set("Content-Length", strconv.Itoa(size))
+			_, _ = w.Write(make([]byte, size))
+			close(written)
+		}))).To(Succeed())
+		go func() { _ = ports.Serve() }()
+		c, err := net.Dial("tcp", address)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(c.Close)
+		_, err = io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(written).WithTimeout(10 * time.Second).Should(BeClosed())
+		ports.Close(time.Now())
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		Expect(err).NotTo(HaveOccurred())
+		body, err := io.ReadAll(resp.Body)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(body).To(HaveLen(size))
+	})
 })
