membership: unreachable addresses are tried in turn

A daemon that starts with an outdated list of daemons, most of which have gone, could take longer than 15 s to find the live one among them. Cause: each round, every 1 to 3 s, drew its addresses at random from all, so that half of the rounds of the spec (3 of 6 addresses, one live) miss the live one and one start in some hundred misses it for 15 s. With more addresses, or beside members that are considered dead, of which one is tried at a time, it is worse. Change: what was tried longest ago is tried next, ties at random, for listed addresses and dead members alike; the rate of tries stays. Ruled out: more tries at once; after a partition hundreds of members are dead. The package green.

--- a/coordination/membership/exchange.go
+++ b/coordination/membership/exchange.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -164,36 +165,47 @@
 // Guard (regions-parted, lagging-instance-list): after a network partition no daemon probes
 // across it any more, and an outdated instance list names neither all daemons nor only live
 // ones. Dead members within Config.DeadRetention and listed addresses that belong to no live
-// member are therefore tried one at a time, indefinitely. A daemon that answers is notified
-// that it was considered dead, and refutes.
+// member are therefore tried one at a time, indefinitely: each of them before any of them
+// again, so that a single live one among many is reached after one round. A daemon that answers is
+// notified that it was considered dead, and refutes.
 func (m *Membership) runReconnect() {
 	if m.now.Before(m.nextReconnect) {
 		return
 	}
 	m.nextReconnect = m.jittered(m.cfg.ReconnectInterval)
-	var dead []*entry
+	dead := make(map[string]*entry) // by name
 	for _, e := range m.table.sorted {
 		if e.state == Dead {
-			dead = append(dead, e)
+			dead[string(e.id)] = e
 		}
 	}
-	seeds := m.unknownSeeds()
 	tries := 1
 	if len(dead) == 0 && m.table.live() == 1 {
 		tries = initialSeeds
 	}
-	for range min(tries, len(dead)+len(seeds)) {
-		i := m.rng.IntN(len(dead) + len(seeds))
-		if i < len(dead) {
-			m.ping(dead[i], m.probes.nextSeq())
+	candidates := append(slices.Sorted(maps.Keys(dead)), m.unknownSeeds()...)
+	for _, c := range m.leastTried(candidates, tries) {
+		if e, ok := dead[c]; ok {
+			m.ping(e, m.probes.nextSeq())
 			continue
 		}
-		i -= len(dead)
-		m.emit(Send{Address: seeds[i], Msg: m.exchangeRequest()})
-		seeds = slices.Delete(seeds, i, i+1)
+		m.emit(Send{Address: c, Msg: m.exchangeRequest()})
 	}
 }
 
+// leastTried returns up to n names of dead members or listed addresses that were tried longest ago, in
+// random order where that is equal, and records that they are tried.
+func (m *Membership) leastTried(candidates []string, n int) []string {
+	maps.DeleteFunc(m.triedAt, func(c string, _ time.Time) bool { return !slices.Contains(candidates, c) })
+	m.rng.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
+	slices.SortStableFunc(candidates, func(a, b string) int { return m.triedAt[a].Compare(m.triedAt[b]) })
+	out := candidates[:min(n, len(candidates))]
+	for _, c := range out {
+		m.triedAt[c] = m.now
+	}
+	return out
+}
+
 // unknownSeeds returns the listed addresses at which no member is known.
 func (m *Membership) unknownSeeds() []string {
 	known := make(map[string]bool)
--- a/coordination/membership/membership.go
+++ b/coordination/membership/membership.go
@@ -28,6 +28,7 @@
 	facts      facts
 	health     health
 	seeds      []string
+	triedAt    map[string]time.Time // when dead members and listed addresses were last tried
 
 	joining bool // applying the first records received from another daemon
 
@@ -55,6 +56,7 @@
 		table:           table{byID: make(map[state.DaemonID]*entry)},
 		neighboursStale: true,
 		facts:           newFacts(),
+		triedAt:         make(map[string]time.Time),
 	}
 	m.broadcasts = newBroadcastQueue(m.cfg.GossipBurst)
 	m.self = &entry{
