membership: a spec waits until each neighbour has been probed

Traced by prints in a copy (a trial): all 8 go from entry-25 to entry-73. The two probed each other at 2.07 and 1.87 s, before the members agreed at 3.00 s, and next at 13.37 s; the records were sent from 13.02 s on and stopped with that probe. So neither knew yet that the other has the same members: what the guard promises, nothing is sent to one that is known to have it, held. The spec waited 10 s "until each neighbour has been probed". A round has up to 14 neighbours (7 rings of 100 daemons), one every 500 ms, in a new random order each time: 14 s may lie between two probes of one neighbour. Change: 15 s. The check is the same: not one record in the next 5 s.

--- a/coordination/membership/failure_test.go
+++ b/coordination/membership/failure_test.go
@@ -106,7 +106,8 @@
 		}
 		c.start(100, 0)
 		within(20*time.Second, c.converged)
-		c.run(10 * time.Second) // each neighbour has been probed
+		// Each neighbour has been probed after two rounds of at most 14 probes, one every 500 ms.
+		c.run(15 * time.Second)
 		before := updates
 		c.run(5 * time.Second)
 		Expect(updates - before).To(BeZero())
