ctltest: a stopped daemon's port is taken by nobody else

Cause: the fakes listened on ports that the system assigns also to others' servers and to outgoing connections, and the spec asks the port after the fake has closed it. Evidence: a trial in which a server starts on the port in between is red at the same check. Which process took it then is not known. Change: the fakes listen on ports below those, like the daemons of other specs (internal/freeport). The spec is unchanged.

--- a/ctl/ctltest/cluster.go
+++ b/ctl/ctltest/cluster.go
@@ -4,11 +4,15 @@
 
 import (
 	"cmp"
+	"fmt"
+	"net"
+	"net/http"
 	"net/http/httptest"
 	"slices"
 	"sync"
 	"sync/atomic"
 
+	"github.com/hibiscuswick/hibiscuswick/internal/freeport"
 	"github.com/hibiscuswick/hibiscuswick/protocol/caller"
 	"github.com/hibiscuswick/hibiscuswick/state"
 	"github.com/hibiscuswick/hibiscuswick/state/service"
@@ -50,13 +54,35 @@
 	}
 	for _, id := range ids {
 		d := &Daemon{ID: id, cluster: c, activeDocuments: map[state.ServiceID]service.Versioned{}}
-		d.server = httptest.NewServer(d.handler())
+		d.server = startServer(d.handler())
 		d.URL = d.server.URL
 		c.daemons[id] = d
 	}
 	return c
 }
 
+// maxListenAttempts is how many addresses a server tries that other processes take first.
+const maxListenAttempts = 10
+
+// startServer starts a server on a port that is assigned to no outgoing connection and to no other
+// server, so that it refuses connections once it has stopped.
+func startServer(h http.Handler) *httptest.Server {
+	s := httptest.NewUnstartedServer(h)
+	_ = s.Listener.Close()
+	var err error
+	for range maxListenAttempts {
+		var address string
+		if address, err = freeport.Address(); err != nil {
+			continue
+		}
+		if s.Listener, err = net.Listen("tcp", address); err == nil {
+			s.Start()
+			return s
+		}
+	}
+	panic(fmt.Sprintf("ctltest: no server started: %v", err))
+}
+
 // Close stops every daemon.
 func (c *Cluster) Close() {
 	for _, d := range c.daemons {
