exchange: calls without an id are kept apart from copies of other answers

Specs show it: a server that gives an answer twice, the second time where the answer to the next call is due, had its copy read as the answer to an order or a report, and the copy of an order's or a report's answer, which bears no id, as the answer to a request. What callers felt: 409 or 503 for a request that ran, also one that must not be repeated (a refusal that was not true); layers that were not loaded though their order counted as accepted; live servers counted as dead. Cause: one pool carries all calls; only requests told answers apart, and took an answer without an id for theirs. Change: a connection remembers its last call. A call without an id takes no answer with one and goes only on a connection whose last call had an id, or asked for the same; a request that follows a call without an id takes only an answer with its id. exchange.Request names the id and its header field in place of MatchResponse; the specs that set that were adapted, none eased (the fuzz test's answer without an id may still be taken, as on a connection that carried requests only). Also a spec, green at once: a stream that is resumed at a server that it has run on goes on a new connection, like a request that was turned away.

--- a/gateway/availability_test.go
+++ b/gateway/availability_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -205,6 +206,26 @@
 		}
 	})
 
+	// A stream that has run on each engine that may run it is resumed on one of these, and a request
+	// whose answer was lost returns to its server. A late copy of what the server sent before may come
+	// on the connection that carried it.
+	It("is sent a stream that returns to it on another connection", Label("failure:late-second-answer"), func() {
+		h.servers.stream = func(c backend.Call, out *io.PipeWriter) {
+			from, _ := strconv.Atoi(c.LastEventID)
+			_, _ = fmt.Fprintf(out, "id: %d\ndata: x\n\n", from+1)
+			_ = out.CloseWithError(backend.ErrIncomplete)
+		}
+		h.serve("/stream/x")
+		calls := h.servers.sent()
+		Expect(len(calls)).To(BeNumerically(">", 2))
+		seen := make(map[string]bool)
+		for _, c := range calls {
+			Expect(c.Resent).To(Equal(seen[c.Address]), c.Address)
+			seen[c.Address] = true
+		}
+		Expect(len(seen)).To(BeNumerically("<", len(calls)), "it has returned")
+	})
+
 	// Guards against a late copy of the first answer that is taken for the answer to the second send.
 	It("is sent a request that it has turned away on another connection", Label("failure:late-second-answer"), func() {
 		h.servers.startShedding("p0", 100*time.Millisecond)
--- a/transport/exchange/conn.go
+++ b/transport/exchange/conn.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"errors"
 	"net"
+	"net/http"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -23,13 +24,15 @@
 // conn is one pooled connection to a server.
 type conn struct {
 	net.Conn
-	address   string
-	reader    *bufio.Reader
-	expiresAt time.Time
-	reused    bool
-	wrote     atomic.Bool // the kernel accepted a byte of the current request
-	inHead    bool        // headLeft applies
-	headLeft  int         // bytes that may still be read before the head is complete
+	address     string
+	reader      *bufio.Reader
+	expiresAt   time.Time
+	reused      bool
+	wrote       atomic.Bool // the kernel accepted a byte of the current request
+	last        sentRequest // the last request on the connection
+	copyHasNoID bool        // a late copy of the response to the request before that bears no ID
+	inHead      bool        // headLeft applies
+	headLeft    int         // bytes that may still be read before the head is complete
 }
 
 func newConn(raw net.Conn, address string) *conn {
@@ -38,6 +41,37 @@
 	return c
 }
 
+// sentRequest is what is remembered of a request, to tell a late copy of its response from the
+// response to the next one.
+type sentRequest struct {
+	hasID bool
+	read  string // the target of a GET
+}
+
+func sentRequestOf(req *Request) sentRequest {
+	out := sentRequest{hasID: req.ID != ""}
+	if req.Method == http.MethodGet {
+		out.read = req.Target
+	}
+	return out
+}
+
+// begin prepares the connection for its next request.
+func (c *conn) begin(req *Request) {
+	c.copyHasNoID = c.reused && !c.last.hasID
+	c.last = sentRequestOf(req)
+}
+
+// mayCarry reports whether a request may go on the connection.
+//
+// Guard (late-copy-without-id): a request without an ID goes only on a connection whose last request
+// had one, so that a late copy of the response to that can be told apart; or where it asks for the
+// same as the last one did, so that the copy is an older answer to the same question.
+func (c *conn) mayCarry(req *Request) bool {
+	next := sentRequestOf(req)
+	return next.hasID || c.last.hasID || next.read != "" && next.read == c.last.read
+}
+
 // Read implements net.Conn and ends a head that is too long.
 func (c *conn) Read(b []byte) (int, error) {
 	if !c.inHead {
--- a/transport/exchange/endless_test.go
+++ b/transport/exchange/endless_test.go
@@ -63,7 +63,7 @@
 	request := func(s *server) exchange.Request {
 		return exchange.Request{
 			Address: s.Addr().String(), Method: http.MethodPost, Target: "/a", Header: http.Header{}, Body: []byte("x"),
-			MatchResponse: func(h http.Header) bool { return h.Get("X-Request-Id") == "r1" },
+			ID: "r1", IDHeader: "X-Request-Id",
 		}
 	}
 
--- a/transport/exchange/exchange.go
+++ b/transport/exchange/exchange.go
@@ -26,9 +26,9 @@
 	Target  string // path and query
 	Header  http.Header
 	Body    []byte
-	// MatchResponse reports whether a response header belongs to this request; nil
-	// accepts any.
-	MatchResponse func(http.Header) bool
+	// ID identifies the request: a server returns it in the header field IDHeader of its response. It
+	// is "" for a call that has none.
+	ID, IDHeader string
 	// MaxIdle bounds the idle connections kept to the server, including this request's
 	// own; 0 means the default.
 	MaxIdle int
@@ -85,6 +85,7 @@
 func (p *Pool) roundTrip(ctx context.Context, c *conn, req *Request) (*Response, error) {
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	c.wrote.Store(false)
+	c.begin(req)
 	writeErr := make(chan error, 1)
 	if len(req.Body) > bufferSize {
 		// A server may answer before it has read a long body.
@@ -116,6 +117,15 @@
 	return errors.Join(backend.ErrIncomplete, err)
 }
 
+// matches reports whether a response belongs to the request. A server may leave out the ID, unless the
+// response may as well be a late copy of the one to the call before, which had none.
+//
+// Guard (late-copy-without-id): such a copy would be taken for the response to a request.
+func (r *Request) matches(h http.Header, c *conn) bool {
+	id := h.Get(r.IDHeader)
+	return id == r.ID || id == "" && !c.copyHasNoID
+}
+
 // writeRequest writes the head and body in as few system calls as possible.
 func writeRequest(c *conn, req *Request) error {
 	w := bufio.NewWriterSize(c, bufferSize)
@@ -156,7 +166,7 @@
 		if resp.StatusCode >= 100 && resp.StatusCode < 200 {
 			continue
 		}
-		if req.MatchResponse == nil || req.MatchResponse(resp.Header) {
+		if req.matches(resp.Header, c) {
 			return resp, nil
 		}
 		mismatched++
--- a/transport/exchange/exchange_test.go
+++ b/transport/exchange/exchange_test.go
@@ -91,7 +91,7 @@
 	request := func(s *server) exchange.Request {
 		return exchange.Request{
 			Address: s.Addr().String(), Method: http.MethodPost, Target: "/a/b?c", Header: http.Header{}, Body: []byte("x"),
-			MatchResponse: func(h http.Header) bool { return h.Get("X-Request-Id") == "r1" },
+			ID: "r1", IDHeader: "X-Request-Id",
 		}
 	}
 
@@ -326,7 +326,7 @@
 		DeferCleanup(pool.Close)
 		send := func(again bool) int {
 			resp, err := pool.Do(context.Background(), exchange.Request{Address: s.Addr().String(), Method: "GET", Target: "/", NewConn: again,
-				MatchResponse: func(h http.Header) bool { return h.Get("X-Request-Id") == "r1" }})
+				ID: "r1", IDHeader: "X-Request-Id"})
 			Expect(err).NotTo(HaveOccurred())
 			_, err = io.ReadAll(resp.Body)
 			Expect(err).NotTo(HaveOccurred())
--- a/transport/exchange/fuzz_test.go
+++ b/transport/exchange/fuzz_test.go
@@ -46,7 +46,7 @@
 		answers <- b
 		resp, err := pool.Do(ctx, exchange.Request{
 			Address: l.Addr().String(), Method: http.MethodGet, Target: "/", Header: http.Header{"Host": {"h"}},
-			MatchResponse: func(h http.Header) bool { return h.Get("X-Id") == "" || h.Get("X-Id") == "r" },
+			ID: "r", IDHeader: "X-Id",
 		})
 		if err != nil {
 			return
--- a/transport/exchange/pool.go
+++ b/transport/exchange/pool.go
@@ -65,15 +65,15 @@
 	if req.NewConn {
 		return p.dial(ctx, req.Address)
 	}
-	return p.getConn(ctx, req.Address)
+	return p.getConn(ctx, req)
 }
 
-// getConn returns a healthy idle connection or dials a new one. Its error wraps
+// getConn returns a healthy idle connection for a request, or dials a new one. Its error wraps
 // backend.ErrNotSent.
-func (p *Pool) getConn(ctx context.Context, address string) (*conn, error) {
+func (p *Pool) getConn(ctx context.Context, req *Request) (*conn, error) {
 	now := time.Now()
 	for {
-		c := p.popIdle(address)
+		c := p.popIdle(req)
 		if c == nil {
 			break
 		}
@@ -83,7 +83,7 @@
 		}
 		_ = c.Close()
 	}
-	return p.dial(ctx, address)
+	return p.dial(ctx, req.Address)
 }
 
 // dial establishes a new connection. Its error wraps backend.ErrNotSent.
@@ -107,17 +107,19 @@
 	return c.Close()
 }
 
-// popIdle removes and returns the most recently used idle connection, or nil.
-func (p *Pool) popIdle(address string) *conn {
+// popIdle removes and returns the most recently used idle connection that may carry the request, or
+// nil.
+func (p *Pool) popIdle(req *Request) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	list := p.idle[address]
-	if len(list) == 0 {
-		return nil
+	list := p.idle[req.Address]
+	for i := len(list) - 1; i >= 0; i-- {
+		if c := list[i]; c.mayCarry(req) {
+			p.idle[req.Address] = slices.Delete(list, i, i+1)
+			return c
+		}
 	}
-	c := list[len(list)-1]
-	p.idle[address] = list[:len(list)-1]
-	return c
+	return nil
 }
 
 // putIdle returns a connection to the pool, which keeps at most limit of them to
