gateway: a lost answer is given up on a daemon that serves few streams

Traced: how long an answer may be silent is learned from the events of the last 2 s (suspect.RecentMax). Where there are none, since the daemon serves no other stream, nothing was taken for lost, and a stream whose engine had lost its answer waited until its caller left. Beside load the spec's first 30 streams lie more than 2 s back when its stream falls silent. Change: without recent events an answer counts as lost after four of the longest gaps that its route allows; callers leave after eight. That holds only if the stream was checked on time for as long: after a pause of the daemon nothing is known of any stream, and all would be given up at once. The bounds on answers that are given up stay (one in 20 requests, six in a row, the retry budget). Ruled out: to remember events for longer; a site that has become slow as a whole would be judged by how it was. The same for the first event of plain answers; what a route without recent answers usually takes is not known.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -198,6 +198,27 @@
 		Expect(sent[2].Address).To(Equal(sent[1].Address))
 	})
 
+	// Guards against an answer that is waited for until its caller leaves: no stream has shown recently
+	// how long events take.
+	It("gives up a lost answer although no other stream is served", Label("failure:quiet-daemon-answer-lost"), func() {
+		h.populate()
+		for range 30 { // until one answer may be abandoned
+			h.serve("/stream/x")
+		}
+		time.Sleep(2500 * time.Millisecond) // until their latencies are forgotten
+		var run atomic.Int32
+		h.servers.stream = func(c backend.Call, out *io.PipeWriter) {
+			if run.Add(1) == 1 {
+				_, _ = io.WriteString(out, eventText(2)) // and nothing more
+				return
+			}
+			writeEvents(out, c.LastEventID, 5)
+		}
+		got, res := h.serve("/stream/x")
+		Expect(res.Outcome).To(Equal(gateway.Answered))
+		Expect(got.body.String()).To(Equal(eventText(5)))
+	})
+
 	// A server runs a request that may run only once, and its answer is lost. The caller
 	// must be told that the request failed, not that it did not run, and no other server
 	// may get it.
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -29,6 +29,9 @@
 	recheckDivisor = 8
 	// firstEventDivisor divides the latency target in the same way, for the first event.
 	firstEventDivisor = 2
+	// lostAnswerGaps is after how many of the longest allowed gaps an answer counts as lost if
+	// nothing else tells. Callers leave after eight.
+	lostAnswerGaps = 4
 )
 
 // stream forwards the events of one answer, complete ones only, so that another engine can
@@ -46,15 +49,17 @@
 	events      int
 	answeredAt  time.Time    // when the answer was last taken as evidence for the request's parts
 	lastEventAt atomic.Int64 // when the last event arrived, in ns since start
-	answerLost  atomic.Bool  // the answer was abandoned although all hops are alive
-	ending      atomic.Bool  // the answer was abandoned or has ended
-	endRecorded atomic.Bool  // a server of the path is known to have ended
+	watch       stallWatch
+	answerLost  atomic.Bool // the answer was abandoned although all hops are alive
+	ending      atomic.Bool // the answer was abandoned or has ended
+	endRecorded atomic.Bool // a server of the path is known to have ended
 }
 
 func newStream(r *requestHandler, path fleet.Path, answer *backend.Answer, cancel context.CancelFunc) *stream {
 	s := &stream{r: r, path: path, began: time.Now(), answer: answer, cancel: cancel}
 	r.runStart = s.began
 	s.lastEventAt.Store(int64(r.g.sinceStart(time.Now())))
+	s.watch.begin(r.g.sinceStart(time.Now()))
 	s.tracked = r.g.shared.trackStream(time.Now(), path)
 	r.g.shared.addStream(s)
 	return s
@@ -114,7 +119,30 @@
 		// resets it and may run at once.
 		s.timer = time.AfterFunc(time.Hour, s.handleStall)
 	}
-	s.timer.Reset(gap - s.probeLead())
+	s.checkIn(gap - s.probeLead())
+}
+
+// checkIn sets the stall timer.
+func (s *stream) checkIn(d time.Duration) {
+	s.watch.schedule(s.r.g.sinceStart(time.Now()) + d)
+	s.timer.Reset(d)
+}
+
+// answerTimeout returns after how long a silence the answer counts as lost. If no stream has shown
+// recently how long events take, it is a multiple of the longest allowed gap, as long as this daemon
+// has been running meanwhile.
+//
+// Guard (quiet-daemon-answer-lost): on a daemon with few streams, a lost answer would be waited for
+// until its caller leaves.
+func (s *stream) answerTimeout(now time.Time) time.Duration {
+	_, timeout := s.r.g.shared.answerTimeouts(now, s.r.service.ID, s.r.route)
+	if timeout > 0 {
+		return timeout
+	}
+	if timeout = lostAnswerGaps * s.r.route.Gap; s.watch.watchedFor(s.r.g.sinceStart(now)) > timeout {
+		return timeout
+	}
+	return 0
 }
 
 // handleStall is called when no event has arrived for a while. A stream that is merely slow
@@ -125,7 +153,8 @@
 		return // the timer was reset while the stream ended
 	}
 	g, gap, now := s.r.g, s.r.route.Gap, time.Now()
-	_, timeout := g.shared.answerTimeouts(now, s.r.service.ID, s.r.route)
+	s.watch.checked(g.sinceStart(now), gap)
+	timeout := s.answerTimeout(now)
 	if silence := s.sinceLastEvent(now); timeout > 0 && silence > timeout && g.shared.mayAbandon(s.r.service.ID) && s.reserveRetry() {
 		s.answerLost.Store(true)
 		s.ending.Store(true)
@@ -141,7 +170,7 @@
 		g.prober.checkHops(s.r.service.ID, hops, hops)
 	}
 	if !s.ending.Load() {
-		s.timer.Reset(recheck)
+		s.checkIn(recheck)
 	}
 }
 
