--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -12,6 +12,7 @@
 	"github.com/hibiscuswick/hibiscuswick/protocol/backend"
 	"github.com/hibiscuswick/hibiscuswick/state"
 	"github.com/hibiscuswick/hibiscuswick/state/fleet"
+	"github.com/hibiscuswick/hibiscuswick/telemetry"
 )
 
 // maxHeldBody is how many bytes of an answer are held back until it is complete, so that an
@@ -69,6 +70,7 @@
 		if answer.Stale {
 			r.reportOutdated(address)
 		}
+		r.logServerFailed(answer.Status, relay.NotRun)
 		drainBody(answer.Body)
 		return relay.NotRun, Result{}
 	}
@@ -78,6 +80,7 @@
 	}
 	if answer.Status >= http.StatusInternalServerError {
 		r.exclude(address)
+		r.logServerFailed(answer.Status, relay.Errored)
 		r.failure = &serverFailure{answer: answer, body: body}
 		return relay.Errored, Result{}
 	}
@@ -89,6 +92,12 @@
 	return 0, result
 }
 
+// logServerFailed records that the server of the current attempt has refused or failed the request.
+func (r *requestHandler) logServerFailed(status int, outcome relay.Outcome) {
+	r.g.log.Emit(telemetry.EventBackendFailed, telemetry.Request(r.req.ID), telemetry.Service(r.service.ID), telemetry.Backend(r.path[0].Server.ID),
+		telemetry.Address(r.address), telemetry.Detail(attemptOutcomeNames[outcome]), telemetry.Count(status))
+}
+
 // readSigned reads an answer's body, up to maxHeldBody. If the body breaks off or the
 // answer is unsigned, it records a failure of the server and returns false.
 func (r *requestHandler) readSigned(address string, answer *backend.Answer) ([]byte, bool) {
--- a/telemetry/events.go
+++ b/telemetry/events.go
@@ -128,6 +128,7 @@
 	EventHeaderUnreadable  Event = 1623
 	EventHeaderUnknown     Event = 1624
 	EventBackendPace       Event = 1625
+	EventBackendFailed     Event = 1626
 	EventReplicaUp         Event = 1606
 	EventReplicaDown       Event = 1607
 	EventCacheEventsMissed Event = 1608
