gateway: of equally loaded plain servers a random one is used

What callers saw: a daemon that gets few requests at a time sent all of them to one server for its whole life, the first one of its list; other servers stood idle, and when that one began to fail, all callers of the daemon met it.

Cause: leastLoaded compares requests in flight, and the first of equal ones won. A server that answers, or fails, at once has none in flight. Class: a choice without a rule for ties.

Ruled out: that load spreads it by itself.

Change: the server with the lowest random number of the attempt. The order holds for one attempt, so that one that waits for a permit asks for few.

--- /dev/null
+++ b/gateway/outliers_test.go
@@ -0,0 +1,91 @@
+package gateway_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hibiscuswick/hibiscuswick/gateway"
+	"github.com/hibiscuswick/hibiscuswick/protocol/backend"
+	"github.com/hibiscuswick/hibiscuswick/state"
+	"github.com/hibiscuswick/hibiscuswick/state/fleet"
+)
+
+// unsoundSite is a gateway before four plain servers, some of which do not serve.
+type unsoundSite struct {
+	*harness
+	mu      sync.Mutex
+	unsound map[string]func() *backend.Answer // by address
+	n       int
+}
+
+const plainServers = 4
+
+func newUnsoundSite() *unsoundSite {
+	s := &unsoundSite{harness: newHarness(), unsound: make(map[string]func() *backend.Answer)}
+	s.servers.plain = func(c backend.Call) (*backend.Answer, error) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if answer := s.unsound[c.Address]; answer != nil {
+			return answer(), nil
+		}
+		return signedAnswer(http.StatusOK, "ok"), nil
+	}
+	for i := range plainServers {
+		id := fmt.Sprintf("p%d", i)
+		s.serverFeed.set(id, fleet.Server{ID: state.BackendID(id), Service: "app", Address: id, Domain: "a"})
+	}
+	s.configs.set("config", config(1))
+	Eventually(s.gateway.Ready).WithTimeout(eventuallyTimeout).Should(BeTrue())
+	return s
+}
+
+// make gives servers another way to answer; nil makes them serve.
+func (s *unsoundSite) make(answer func() *backend.Answer, addresses ...string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, a := range addresses {
+		s.unsound[a] = answer
+	}
+}
+
+// serve sends requests one after the other, and returns how many were answered with success.
+func (s *unsoundSite) serve(path string, count int) (answered int) {
+	for range count {
+		s.n++
+		req, reply := request(path), &fakeReply{}
+		req.ID = state.RequestID(fmt.Sprintf("r%d", s.n))
+		if s.gateway.Serve(context.Background(), req, reply).Outcome == gateway.Answered && reply.status == http.StatusOK {
+			answered++
+		}
+	}
+	return answered
+}
+
+// arrivals returns how many calls each plain server got since the last call of it.
+func (s *unsoundSite) arrivals() map[string]int {
+	out := make(map[string]int)
+	for _, c := range s.servers.sent() {
+		out[c.Address]++
+	}
+	s.servers.mu.Lock()
+	defer s.servers.mu.Unlock()
+	s.servers.calls = nil
+	return out
+}
+
+var _ = Describe("A gateway before plain servers", func() {
+	// Guards against servers that get no requests beside others, and against daemons that depend on one.
+	It("spreads requests over equally loaded servers", Label("failure:idle-servers"), func() {
+		s := newUnsoundSite()
+		Expect(s.serve("/again/", 200)).To(Equal(200))
+		arrivals := s.arrivals()
+		for i := range plainServers {
+			Expect(arrivals[fmt.Sprintf("p%d", i)]).To(BeNumerically(">", 20))
+		}
+	})
+})
--- a/gateway/serversearch.go
+++ b/gateway/serversearch.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"github.com/hibiscuswick/hibiscuswick/coordination/admission"
@@ -20,11 +21,32 @@
 	admission *streamAdmission
 	// assignment is the request's part in the slow start of the server that was found.
 	assignment availability.Assignment
+	// tieSeed orders equally loaded plain servers.
+	tieSeed uint64
 	// availableAt is when a server can take the request, if all that could do so want no
 	// requests until then; zero otherwise.
 	availableAt time.Time
 }
 
+// preferable reports whether a plain server of the list is to be used before another one: the one of
+// lower cost, or a random one of equal ones.
+func (q *serverSearch) preferable(i int, cost float64, best int, bestCost float64) bool {
+	switch {
+	case best < 0 || cost < bestCost:
+		return true
+	case cost > bestCost:
+		return false
+	default:
+		return q.tieBreak(i) < q.tieBreak(best)
+	}
+}
+
+// tieBreak returns the place of a server of the list among equally loaded ones. It is the same in all
+// searches of one attempt, so that one that waits for a permit does not ask for those of all servers.
+func (q *serverSearch) tieBreak(i int) uint64 {
+	return rand.NewPCG(q.tieSeed, uint64(i)).Uint64()
+}
+
 // serverAvailableAt returns when the first of the plain servers that may be used accepts
 // requests again, or zero if none of them has asked for a time without requests.
 func (s *sharedState) serverAvailableAt(now time.Time, servers []fleet.Server, avoid map[string]bool) time.Time {
--- a/gateway/sharedstate.go
+++ b/gateway/sharedstate.go
@@ -143,8 +143,11 @@
 	defer s.mu.Unlock()
 	permit := &search.permit
 	permit.lacking = false
+	if search.tieSeed == 0 {
+		search.tieSeed = s.rng.Uint64()
+	}
 	var limited []state.BackendIncarnation // servers passed over for lack of a permit
-	best, ok := s.leastLoaded(now, v.servers[svc], domain, avoid, limited)
+	best, ok := s.leastLoaded(now, v.servers[svc], domain, avoid, limited, search)
 	search.availableAt = time.Time{}
 	if !ok {
 		search.availableAt = s.serverAvailableAt(now, v.servers[svc], avoid)
@@ -157,7 +160,7 @@
 		if permit.full() {
 			s.permits.EachUnavailable(now, func(server state.BackendIncarnation) { limited = append(limited, server) })
 		}
-		best, ok = s.leastLoaded(now, v.servers[svc], domain, avoid, limited)
+		best, ok = s.leastLoaded(now, v.servers[svc], domain, avoid, limited, search)
 		permit.blocked = !ok
 	}
 	if ok {
@@ -169,8 +172,8 @@
 }
 
 // leastLoaded returns the server with the fewest of this daemon's requests among the usable
-// ones, except some.
-func (s *sharedState) leastLoaded(now time.Time, servers []fleet.Server, domain state.FailureDomain, avoid map[string]bool, except []state.BackendIncarnation) (fleet.Server, bool) {
+// ones, except some. Of equal ones it is a random one.
+func (s *sharedState) leastLoaded(now time.Time, servers []fleet.Server, domain state.FailureDomain, avoid map[string]bool, except []state.BackendIncarnation, search *serverSearch) (fleet.Server, bool) {
 	suspects := s.suspects.Avoided(now)
 	best, bestCost := -1, 0.0
 	for i := range servers {
@@ -188,7 +191,7 @@
 		if suspects[candidate.Address] || s.suspects.IsLeaving(now, candidate.Incarnation()) {
 			cost += suspectCost
 		}
-		if best < 0 || cost < bestCost {
+		if search.preferable(i, cost, best, bestCost) {
 			best, bestCost = i, cost
 		}
 	}
