outlier, gateway: plain servers that refuse or fail while others answer are ejected

What callers saw: half of a service's servers fail (500) or reject (503, not run), the others are idle, and up to half of all requests fail for as long as it lasts; the site's retry allowance is spent at its brim meanwhile, so that anything else that costs retries comes on top.

Cause: a refusal or a failure excluded its server for the rest of that request, and left no mark on it for the next one. Only broken calls did (suspect). A server that fails at once has nothing in flight, and stays the best choice by load. Class: what was paid for is not remembered.

Change: coordination/outlier, outlier detection in virtual time. Ejected servers are ordered last, not excluded: with none left they are used. An ejection does not hold while the better half fails nearly as often. Events 1627 and 1628, state "ejected" in inspect.

--- a/cmd/hibiscusctl/inspect.go
+++ b/cmd/hibiscusctl/inspect.go
@@ -135,6 +135,8 @@
 		return "outdated"
 	case s.Avoided:
 		return "avoided"
+	case s.Ejected:
+		return "ejected"
 	default:
 		return "used"
 	}
--- /dev/null
+++ b/coordination/outlier/doc.go
@@ -0,0 +1,28 @@
+// Package outlier finds backend servers that refuse or fail requests which other servers of their
+// service answer, and ejects them for a while (outlier detection).
+//
+// A server is ejected after so many failures in a row as its service would hardly show by chance: one
+// if the other servers answer all requests, more if they fail some as well. Only failures of requests
+// that were sent after the previous one was known count, since those under way at the same moment tell
+// the same thing. The first ejection is short; each further one lasts twice as long, up to
+// maxEjection. After it the server gets one request at a time until it answers one.
+//
+// # Contract for the caller
+//
+// The package must be used by one goroutine at a time; now is a monotonic clock. The caller prefers
+// servers that are not Ejected, and uses ejected ones if there are no others. It calls Begin when it
+// assigns a request to a server, and Failed or Answered with the time at which the request was sent.
+// It calls Prune when the list of servers has changed.
+//
+// # Failures guarded against
+//
+//   - A server that refuses or fails each request at once has none in flight, and looks like the best
+//     one. Each request would pay for a retry, until the retry budget is empty and all of them fail.
+//   - Contents fail at every server, or all servers are full: no one is ejected, however many fail.
+//   - A server that fails a part of its requests answers others: its ejections go on growing unless it
+//     has answered for a while.
+//   - The servers that are left fail as well, once they get the requests of the ejected ones: these are
+//     used again if they are not much worse.
+//   - A request that must not be repeated would be lost at a server that has not recovered: requests
+//     that may be repeated go there first.
+package outlier
--- /dev/null
+++ b/coordination/outlier/outlier_test.go
@@ -0,0 +1,189 @@
+package outlier_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hibiscuswick/hibiscuswick/coordination/outlier"
+	"github.com/hibiscuswick/hibiscuswick/state"
+)
+
+const svc state.ServiceID = "app"
+
+func server(i int) state.BackendIncarnation {
+	return state.BackendIncarnation{ID: state.BackendID(fmt.Sprintf("s%d", i)), Born: 1}
+}
+
+// site is the servers of a service and one daemon before them, which sends requests one after the other
+// in virtual time, each to a random one of the servers that are not ejected.
+type site struct {
+	tracker *outlier.Tracker
+	rng     *rand.Rand
+	now     time.Time
+	fails   []float64 // share of its requests that each server fails
+	tried   []int     // requests that each server got
+}
+
+func newSite(servers int) *site {
+	return &site{
+		tracker: outlier.New(), rng: rand.New(rand.NewPCG(1, 73)), now: time.Unix(1000, 0),
+		fails: make([]float64, servers), tried: make([]int, servers),
+	}
+}
+
+func (s *site) ejected(i int) bool { return s.tracker.Ejected(s.now, svc, server(i), true) }
+
+// pick returns a random server that is not ejected, or of all if all are.
+func (s *site) pick() int {
+	var usable, all []int
+	for i := range s.fails {
+		all = append(all, i)
+		if !s.ejected(i) {
+			usable = append(usable, i)
+		}
+	}
+	if len(usable) == 0 {
+		usable = all
+	}
+	return usable[s.rng.IntN(len(usable))]
+}
+
+// send sends a request to a server, which answers at once.
+func (s *site) send(i int) {
+	s.tried[i]++
+	s.tracker.Begin(s.now, svc, server(i))
+	if s.rng.Float64() < s.fails[i] {
+		s.tracker.Failed(s.now, s.now, svc, server(i))
+		return
+	}
+	s.tracker.Answered(s.now, s.now, svc, server(i))
+}
+
+// run sends requests at a rate for a while, and returns how many each server got.
+func (s *site) run(perSecond float64, d time.Duration) []int {
+	s.tried = make([]int, len(s.fails))
+	gap := time.Duration(float64(time.Second) / perSecond)
+	for end := s.now.Add(d); s.now.Before(end); s.now = s.now.Add(gap) {
+		s.send(s.pick())
+	}
+	return s.tried
+}
+
+var _ = Describe("Outlier detection", func() {
+	const steady, failTime = 10 * time.Second, 20 * time.Second
+
+	DescribeTable("leaves the servers that fail all requests to single trials", Label("failure:unsound-servers"),
+		func(servers, unsound int, perSecond float64) {
+			s := newSite(servers)
+			s.run(perSecond, steady)
+			for i := range unsound {
+				s.fails[i] = 1
+			}
+			tried := s.run(perSecond, failTime)
+			for i := range unsound {
+				Expect(tried[i]).To(BeNumerically("<=", 10), "requests to server %d", i)
+			}
+		},
+		Entry("one of two", 2, 1, 50.0),
+		Entry("one of three", 3, 1, 50.0),
+		Entry("half", 4, 2, 50.0),
+		Entry("half, seldom asked", 4, 2, 2.0),
+		Entry("most", 4, 3, 50.0),
+		Entry("half of many", 40, 20, 50.0),
+	)
+
+	It("uses a server again soon after it has recovered", func() {
+		s := newSite(3)
+		s.run(20, steady)
+		s.fails[0] = 1
+		s.run(20, time.Minute)
+		s.fails[0] = 0
+		s.run(20, 10*time.Second)
+		Expect(s.ejected(0)).To(BeFalse())
+		Expect(s.run(20, steady)[0]).To(BeNumerically(">", 40))
+	})
+
+	// Guards against sound servers that are avoided because of the requests that they get.
+	DescribeTable("ejects nobody who fails as often as the others", Label("failure:all-servers-fail-alike"),
+		func(fails float64) {
+			s := newSite(4)
+			s.run(20, steady)
+			for i := range s.fails {
+				s.fails[i] = fails
+			}
+			ejected, checks := 0, 0
+			for range 600 {
+				s.run(20, 100*time.Millisecond)
+				for i := range s.fails {
+					checks++
+					if s.ejected(i) {
+						ejected++
+					}
+				}
+			}
+			Expect(float64(ejected) / float64(checks)).To(BeNumerically("<", 0.15))
+		},
+		Entry("always", 1.0), Entry("mostly", 0.9), Entry("half of the time", 0.5), Entry("seldom", 0.1), Entry("never", 0.0),
+	)
+
+	It("gives a server that fails a part of its requests little more than trials", func() {
+		s := newSite(4)
+		s.run(50, steady)
+		s.fails[0] = 0.5
+		s.run(50, failTime)
+		Expect(s.run(50, failTime)[0]).To(BeNumerically("<", 50), "of 250 without an ejection")
+	})
+
+	It("counts failures of requests that were under way together once", func() {
+		t := outlier.New()
+		now := time.Unix(1000, 0)
+		for i := range 3 {
+			for range 20 {
+				t.Answered(now, now, svc, server(i))
+			}
+		}
+		Expect(t.Failed(now, now, svc, server(0))).To(BeNumerically(">", 0))
+		first := t.Failed(now.Add(time.Millisecond), now.Add(-time.Millisecond), svc, server(0))
+		Expect(first).To(BeZero())
+	})
+
+	It("lets an answer to an older request end no ejection", func() {
+		t := outlier.New()
+		now := time.Unix(1000, 0)
+		for range 2 {
+			t.Failed(now, now, svc, server(0))
+		}
+		Expect(t.Ejected(now, svc, server(0), true)).To(BeTrue())
+		Expect(t.Answered(now, now.Add(-time.Millisecond), svc, server(0))).To(BeFalse())
+		Expect(t.Ejected(now, svc, server(0), true)).To(BeTrue())
+	})
+
+	It("tries an ejected server with one request at a time, and first with one that may be repeated", func() {
+		t := outlier.New()
+		now := time.Unix(1000, 0)
+		t.Failed(now, now, svc, server(0))
+		ejection := t.Failed(now, now, svc, server(0))
+		now = now.Add(ejection)
+		Expect(t.Ejected(now, svc, server(0), false)).To(BeTrue())
+		Expect(t.Ejected(now, svc, server(0), true)).To(BeFalse())
+		t.Begin(now, svc, server(0))
+		Expect(t.Ejected(now, svc, server(0), true)).To(BeTrue())
+		Expect(t.Ejected(now.Add(time.Second), svc, server(0), true)).To(BeFalse(), "no answer came")
+		Expect(t.Ejected(now.Add(time.Second+ejection), svc, server(0), false)).To(BeFalse())
+	})
+
+	It("knows nothing of another incarnation, nor of a server that was not listed meanwhile", func() {
+		t := outlier.New()
+		now := time.Unix(1000, 0)
+		for range 2 {
+			t.Failed(now, now, svc, server(0))
+		}
+		Expect(t.Ejected(now, svc, state.BackendIncarnation{ID: "s0", Born: 2}, true)).To(BeFalse())
+		t.Prune(func(state.BackendIncarnation) bool { return false })
+		Expect(t.Ejected(now, svc, server(0), true)).To(BeFalse())
+	})
+})
--- a/gateway/outliers_test.go
+++ b/gateway/outliers_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -53,6 +54,14 @@
 	}
 }
 
+func failing() *backend.Answer { return signedAnswer(http.StatusInternalServerError, "failed") }
+
+func rejecting() *backend.Answer {
+	a := signedAnswer(http.StatusServiceUnavailable, "")
+	a.NotRun = true
+	return a
+}
+
 // serve sends requests one after the other, and returns how many were answered with success.
 func (s *unsoundSite) serve(path string, count int) (answered int) {
 	for range count {
@@ -88,4 +97,46 @@
 			Expect(arrivals[fmt.Sprintf("p%d", i)]).To(BeNumerically(">", 20))
 		}
 	})
+
+	for name, answer := range map[string]func() *backend.Answer{"that fail": failing, "that reject requests": rejecting} {
+		Context("half of them "+name, func() {
+			// Guards against requests that fail at servers known to be unsound while sound ones are idle.
+			It("leaves these out while the others answer, and no longer", Label("failure:unsound-servers"), func() {
+				s := newUnsoundSite()
+				s.serve("/again/", 100)
+				s.make(answer, "p0", "p1")
+				s.arrivals()
+				Expect(s.serve("/again/", 300)).To(Equal(300))
+				Expect(s.serve("/once/", 200)).To(BeNumerically(">=", 198))
+				arrivals := s.arrivals()
+				Expect(arrivals["p0"] + arrivals["p1"]).To(BeNumerically("<", 20))
+				s.make(nil, "p0", "p1")
+				Eventually(func() bool {
+					s.serve("/again/", 50)
+					arrivals := s.arrivals()
+					return arrivals["p0"] > 5 && arrivals["p1"] > 5
+				}).WithTimeout(eventuallyTimeout).Should(BeTrue())
+			})
+		})
+	}
+
+	// Guards against sound servers that are left out because of the requests that they get.
+	It("leaves out none if all fail alike", Label("failure:all-servers-fail-alike"), func() {
+		s := newUnsoundSite()
+		s.serve("/once/", 100)
+		s.make(failing, "p0", "p1", "p2", "p3")
+		s.serve("/once/", 50)
+		s.arrivals()
+		s.serve("/once/", 200)
+		counts := s.arrivals()
+		Expect(counts).To(HaveLen(plainServers))
+		for _, n := range counts {
+			Expect(n).To(BeNumerically(">", 20))
+		}
+		status, err := s.gateway.Status(context.Background())
+		Expect(err).NotTo(HaveOccurred())
+		for _, svc := range status.Services {
+			Expect(slices.ContainsFunc(svc.Servers, func(srv gateway.ServerStatus) bool { return srv.Ejected })).To(BeFalse())
+		}
+	})
 })
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -12,7 +12,6 @@
 	"github.com/hibiscuswick/hibiscuswick/protocol/backend"
 	"github.com/hibiscuswick/hibiscuswick/state"
 	"github.com/hibiscuswick/hibiscuswick/state/fleet"
-	"github.com/hibiscuswick/hibiscuswick/telemetry"
 )
 
 // maxHeldBody is how many bytes of an answer are held back until it is complete, so that an
@@ -24,7 +23,7 @@
 	var server fleet.Server
 	found := r.waitFor(ctx, func() (ok bool) {
 		return r.chooseWithTurns(ctx, func() bool {
-			server, ok = r.g.shared.pickServer(time.Now(), r.view, r.service.ID, r.g.currentSettings().Domain, r.excluded, &r.search)
+			server, ok = r.g.shared.pickServer(time.Now(), r.view, r.service.ID, r.g.currentSettings().Domain, r.excluded, r.plainSearch())
 			return ok
 		}, func() { r.releaseServer(server.Incarnation()) })
 	})
@@ -70,7 +69,9 @@
 		if answer.Stale {
 			r.reportOutdated(address)
 		}
-		r.logServerFailed(answer.Status, relay.NotRun)
+		if !answer.StatesRetryAfter() && !answer.Stale {
+			r.serverFailed(answer.Status, relay.NotRun)
+		}
 		drainBody(answer.Body)
 		return relay.NotRun, Result{}
 	}
@@ -80,11 +81,11 @@
 	}
 	if answer.Status >= http.StatusInternalServerError {
 		r.exclude(address)
-		r.logServerFailed(answer.Status, relay.Errored)
+		r.serverFailed(answer.Status, relay.Errored)
 		r.failure = &serverFailure{answer: answer, body: body}
 		return relay.Errored, Result{}
 	}
-	r.g.shared.recordAnswer(time.Now(), address)
+	r.serverAnswered()
 	result := r.forwardAnswer(answer, body)
 	if result.Outcome == Answered {
 		r.clearImplication()
@@ -92,12 +93,6 @@
 	return 0, result
 }
 
-// logServerFailed records that the server of the current attempt has refused or failed the request.
-func (r *requestHandler) logServerFailed(status int, outcome relay.Outcome) {
-	r.g.log.Emit(telemetry.EventBackendFailed, telemetry.Request(r.req.ID), telemetry.Service(r.service.ID), telemetry.Backend(r.path[0].Server.ID),
-		telemetry.Address(r.address), telemetry.Detail(attemptOutcomeNames[outcome]), telemetry.Count(status))
-}
-
 // readSigned reads an answer's body, up to maxHeldBody. If the body breaks off or the
 // answer is unsigned, it records a failure of the server and returns false.
 func (r *requestHandler) readSigned(address string, answer *backend.Answer) ([]byte, bool) {
--- a/gateway/serversearch.go
+++ b/gateway/serversearch.go
@@ -23,6 +23,8 @@
 	assignment availability.Assignment
 	// tieSeed orders equally loaded plain servers.
 	tieSeed uint64
+	// repeatable is set if the request may run again at another plain server.
+	repeatable bool
 	// availableAt is when a server can take the request, if all that could do so want no
 	// requests until then; zero otherwise.
 	availableAt time.Time
@@ -125,11 +127,13 @@
 	return s.availability.Wanted(now, server)
 }
 
-// pruneAvailability drops what servers have stated that have not been listed for long.
+// pruneAvailability drops what servers have stated that have not been listed for long, and how they
+// have answered once they are not listed.
 func (s *sharedState) pruneAvailability(now time.Time, listed func(state.BackendIncarnation) bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.availability.Prune(now, listed)
+	s.outliers.Prune(listed)
 }
 
 // endAssignment ends the request's part in the slow start of a server. Only the first call of an
--- a/gateway/sharedstate.go
+++ b/gateway/sharedstate.go
@@ -10,6 +10,7 @@
 	"github.com/hibiscuswick/hibiscuswick/coordination/answersize"
 	"github.com/hibiscuswick/hibiscuswick/coordination/availability"
 	"github.com/hibiscuswick/hibiscuswick/coordination/crashes"
+	"github.com/hibiscuswick/hibiscuswick/coordination/outlier"
 	"github.com/hibiscuswick/hibiscuswick/coordination/overload"
 	"github.com/hibiscuswick/hibiscuswick/coordination/pathing"
 	"github.com/hibiscuswick/hibiscuswick/coordination/permits"
@@ -26,7 +27,8 @@
 	mu            sync.Mutex
 	loads         map[state.BackendIncarnation]*pathing.Load // this daemon's own requests by server
 	suspects      *suspect.Tracker
-	dead          map[string]bool // addresses of servers that answer no probe
+	outliers      *outlier.Tracker // of plain servers
+	dead          map[string]bool  // addresses of servers that answer no probe
 	deadSince     map[string]time.Time
 	ended         map[string]bool // of those, the ones whose process has ended
 	refusalChecks map[string]bool // addresses of servers with a pending refusal check
@@ -59,6 +61,7 @@
 	return &sharedState{
 		loads:         make(map[state.BackendIncarnation]*pathing.Load),
 		suspects:      suspect.NewTracker(),
+		outliers:      outlier.New(),
 		dead:          make(map[string]bool),
 		deadSince:     make(map[string]time.Time),
 		ended:         make(map[string]bool),
@@ -147,7 +150,7 @@
 		search.tieSeed = s.rng.Uint64()
 	}
 	var limited []state.BackendIncarnation // servers passed over for lack of a permit
-	best, ok := s.leastLoaded(now, v.servers[svc], domain, avoid, limited, search)
+	best, ok := s.leastLoaded(now, v, svc, domain, avoid, limited, search)
 	search.availableAt = time.Time{}
 	if !ok {
 		search.availableAt = s.serverAvailableAt(now, v.servers[svc], avoid)
@@ -160,12 +163,13 @@
 		if permit.full() {
 			s.permits.EachUnavailable(now, func(server state.BackendIncarnation) { limited = append(limited, server) })
 		}
-		best, ok = s.leastLoaded(now, v.servers[svc], domain, avoid, limited, search)
+		best, ok = s.leastLoaded(now, v, svc, domain, avoid, limited, search)
 		permit.blocked = !ok
 	}
 	if ok {
 		s.spendPermit(now, best.Incarnation(), permit)
 		search.assignment = s.availability.Begin(now, best.Incarnation())
+		s.outliers.Begin(now, svc, best.Incarnation())
 		s.addLoad(best.Incarnation(), 1, 0, 0)
 	}
 	return best, ok
@@ -173,8 +177,10 @@
 
 // leastLoaded returns the server with the fewest of this daemon's requests among the usable
 // ones, except some. Of equal ones it is a random one.
-func (s *sharedState) leastLoaded(now time.Time, servers []fleet.Server, domain state.FailureDomain, avoid map[string]bool, except []state.BackendIncarnation, search *serverSearch) (fleet.Server, bool) {
+func (s *sharedState) leastLoaded(now time.Time, v *view, svc state.ServiceID, domain state.FailureDomain, avoid map[string]bool, except []state.BackendIncarnation, search *serverSearch) (fleet.Server, bool) {
+	servers := v.servers[svc]
 	suspects := s.suspects.Avoided(now)
+	mayTry := s.mayTryEjected(now, v, svc, search)
 	best, bestCost := -1, 0.0
 	for i := range servers {
 		candidate := &servers[i]
@@ -191,6 +197,9 @@
 		if suspects[candidate.Address] || s.suspects.IsLeaving(now, candidate.Incarnation()) {
 			cost += suspectCost
 		}
+		if s.outliers.Ejected(now, svc, candidate.Incarnation(), mayTry) {
+			cost += suspectCost
+		}
 		if search.preferable(i, cost, best, bestCost) {
 			best, bestCost = i, cost
 		}
@@ -211,7 +220,7 @@
 	// crossDomainCost prefers a server of the same failure domain among equally loaded
 	// ones.
 	crossDomainCost = 0.5
-	// suspectCost orders suspected servers last.
+	// suspectCost orders suspected and ejected servers last.
 	suspectCost = 1000
 )
 
--- a/gateway/status.go
+++ b/gateway/status.go
@@ -75,6 +75,7 @@
 	Draining       bool                `json:"draining"`
 	Dead           bool                `json:"dead"`                  // it answers no probe
 	Avoided        bool                `json:"avoided"`               // it failed recently
+	Ejected        bool                `json:"ejected"`               // a plain server that fails while others answer
 	Outdated       bool                `json:"outdated"`              // it has contradicted its list entry
 	Refusing       bool                `json:"refusing"`              // it is leaving, and not listed as such
 	Departing      bool                `json:"departing"`             // it states that it is leaving
@@ -177,16 +178,18 @@
 	avoided := s.suspects.Avoided(now)
 	status := ServiceStatus{ID: svc.ID, RetriesLeft: s.budget.Left(now, svc.ID, v.slackShare)}
 	for i := range v.servers[svc.ID] {
-		status.Servers = append(status.Servers, s.server(now, &v.servers[svc.ID][i], svc.Engine, avoided))
+		status.Servers = append(status.Servers, s.server(now, &v.servers[svc.ID][i], svc, avoided))
 	}
 	return status
 }
 
-func (s *sharedState) server(now time.Time, srv *fleet.Server, e *fleet.Engine, avoided map[string]bool) ServerStatus {
+func (s *sharedState) server(now time.Time, srv *fleet.Server, svc *fleet.Service, avoided map[string]bool) ServerStatus {
+	e := svc.Engine
 	load := s.loadOn(srv.Incarnation())
 	out := ServerStatus{
 		ID: srv.ID, Address: srv.Address, Domain: srv.Domain, Kind: srv.Kind, Draining: srv.Draining,
 		Dead: s.dead[srv.Address], Avoided: avoided[srv.Address], Outdated: s.suspects.IsOutdated(now, srv),
+		Ejected:   s.outliers.Ejected(now, svc.ID, srv.Incarnation(), true),
 		Refusing:  s.suspects.IsLeaving(now, srv.Incarnation()),
 		Departing: s.availability.Leaving(srv.Incarnation()),
 		Requests:  load.Requests, ReservedTokens: load.Tokens,
--- a/telemetry/catalogue.go
+++ b/telemetry/catalogue.go
@@ -110,6 +110,8 @@
 	{EventHeaderUnknown, "header_unknown", logrus.WarnLevel, "A backend server, or the table service (store), sent a header field, named in the detail, that the adapter does not know. It is logged once per name; check whether the sender's protocol has changed."},
 	{EventBackendPace, "backend_pace", logrus.InfoLevel, "A backend server reports to be slow, or not to be slow any more; the detail is the duration of its work relative to the usual one of its kind. Paths avoid it accordingly, and all gateways are told."},
 	{EventBackendFailed, "backend_failed", logrus.InfoLevel, "A plain backend server has refused a request unrun (not_run) or answered it with a failure of its own (errored), as the detail says; the count is the HTTP status."},
+	{EventBackendEjected, "backend_ejected", logrus.InfoLevel, "A plain backend server has refused or failed requests while others of its service answer; this gateway prefers the others for the given seconds, and then sends it one request at a time until it answers one."},
+	{EventBackendReturned, "backend_returned", logrus.InfoLevel, "A plain backend server that was ejected has answered a request; this gateway uses it again."},
 	{EventConnectionSilent, "connection_silent", logrus.WarnLevel, "An open connection became unresponsive; it is replaced, and the state of the requests that were in flight on it is queried."},
 	{EventFrameRefused, "frame_refused", logrus.WarnLevel, "An invalid, oversized or unknown frame was received; the connection is closed."},
 }
--- a/telemetry/events.go
+++ b/telemetry/events.go
@@ -129,6 +129,8 @@
 	EventHeaderUnknown     Event = 1624
 	EventBackendPace       Event = 1625
 	EventBackendFailed     Event = 1626
+	EventBackendEjected    Event = 1627
+	EventBackendReturned   Event = 1628
 	EventReplicaUp         Event = 1606
 	EventReplicaDown       Event = 1607
 	EventCacheEventsMissed Event = 1608
