pathing: where suspects can't be left out, a path uses as few of them as possible

Cause, the first of two: a path is first chosen without suspects, and if there is none with all of them, as if none were suspected. Once all engines of one part are suspects, those of the other parts are as good as sound ones. Class: a preference that is dropped as a whole where it can be met in part.

Change: in the second choice a suspect costs more than any wait.

Evidence: the spec is red without it (near=0-6 in place of far=0-6).

--- a/coordination/pathing/cost.go
+++ b/coordination/pathing/cost.go
@@ -35,6 +35,9 @@
 	// fullMS is the cost of a server whose KV-cache capacity would be exhausted. It is paid only if
 	// there is no other path.
 	fullMS = 200.0
+	// suspectMS is the cost of a suspected server where a part of the layers is held by suspects alone:
+	// a path then uses as few of them as possible, whatever the others cost.
+	suspectMS = 1000.0
 	// scarceShare is the share of a server's KV-cache capacity above which its cost rises. An
 	// engine that runs out of capacity preempts its newest stream, which repeats its prefill.
 	scarceShare = 0.7
@@ -75,6 +78,9 @@
 // fixedCost returns the cost of one use of an engine that does not depend on its layers.
 func fixedCost(c *Candidate, st *ServerState, r *Request) float64 {
 	ms := hopMS + delayWeight*st.DelayMS
+	if st.Suspect {
+		ms += suspectMS
+	}
 	if c.KVCapacity <= 0 {
 		return ms
 	}
--- a/coordination/pathing/pathing_test.go
+++ b/coordination/pathing/pathing_test.go
@@ -34,6 +34,11 @@
 
 // choose chooses a path over engines, without suspects.
 func choose(candidates []testServer, r pathing.Request) (fleet.Path, bool) {
+	return chooseWith(candidates, r, false)
+}
+
+// chooseWith chooses a path over engines, also over suspects if suspects is set.
+func chooseWith(candidates []testServer, r pathing.Request, suspects bool) (fleet.Path, bool) {
 	servers := make([]fleet.Server, len(candidates))
 	for i := range candidates {
 		servers[i] = candidates[i].Server
@@ -45,7 +50,7 @@
 			states[at] = candidates[i].ServerState
 		}
 	}
-	return roster.Choose(r, states, false)
+	return roster.Choose(r, states, suspects)
 }
 
 func addresses(p fleet.Path) []string {
@@ -101,6 +106,19 @@
 		Expect(addresses(path)).To(Equal([]string{"free=0-12"}))
 	})
 
+	// Guards against paths over all suspects because a part of the layers is held by suspects alone.
+	It("uses as few suspects as possible where it can't do without", Label("failure:suspects-ignored"), func() {
+		near, far := serverWith("near", "a", 0, 6), serverWith("far", "b", 0, 6)
+		last := serverWith("last", "a", 6, 12)
+		near.Suspect, last.Suspect = true, true
+		candidates := []testServer{near, far, last}
+		_, ok := choose(candidates, request)
+		Expect(ok).To(BeFalse())
+		path, ok := chooseWith(candidates, request, true)
+		Expect(ok).To(BeTrue())
+		Expect(addresses(path)).To(Equal([]string{"far=0-6", "last=6-12"}))
+	})
+
 	It("does not use a server that is draining", func() {
 		leaving := serverWith("x", "a", 0, 12)
 		leaving.Draining = true
