gateway: an engine that refuses a stream and blames another one is avoided as well

The second cause: a refusal was held against the engine that it blames alone. An engine that has lost its links to the others, or blames them for no reason, kept looking like the best first hop, and all sound engines behind it became suspects, after the second refusal as leaving ones, at all daemons. Class: evidence of two parties booked on one.

Ruled out: excluding the refusing engine for the rest of the request (it may be the only one of its layers).

Change: both are avoided for a while. Sound engines that refuse for one that is full answer other streams, and the next complete answer clears them.

--- a/gateway/fake_test.go
+++ b/gateway/fake_test.go
@@ -33,6 +33,7 @@
 	ended       map[string]bool            // by address: servers whose port refuses connections
 	used        int64                      // of a capacity of 100, in the reports of all servers
 	refusing    map[string]bool            // by address: engines that refuse all requests along a path
+	blaming     map[string]bool            // by address: engines that refuse those sent to them, and blame the last hop
 	startTimes  map[string]int64           // of servers that are another incarnation than listed, by address
 	reportErr   map[string]error           // errors of report requests, by address
 	reportCalls map[string]int             // number of report requests, by address
@@ -240,6 +241,9 @@
 func (s *fakeServers) refusingHop(path fleet.Path) (string, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.blaming[path[0].Address] {
+		return path[len(path)-1].Address, true
+	}
 	for _, h := range path {
 		if s.refusing[h.Address] {
 			return h.Address, true
@@ -361,7 +365,7 @@
 // newHarnessWithLog returns a harness whose gateways write to a log.
 func newHarnessWithLog(grace time.Duration, log *telemetry.Log) *harness {
 	h := &harness{log: log, grace: grace, configs: newFakeFeed[*fleet.Config](), serverFeed: newFakeFeed[fleet.Server](), members: newMemTable(), leases: newMemTable()}
-	h.servers = &fakeServers{dead: make(map[string]bool), ended: make(map[string]bool), refusing: make(map[string]bool), startTimes: make(map[string]int64), reportCalls: make(map[string]int), reportErr: make(map[string]error), serverFeed: h.serverFeed,
+	h.servers = &fakeServers{dead: make(map[string]bool), ended: make(map[string]bool), refusing: make(map[string]bool), blaming: make(map[string]bool), startTimes: make(map[string]int64), reportCalls: make(map[string]int), reportErr: make(map[string]error), serverFeed: h.serverFeed,
 		paces: make(map[string]float64), limits: make(map[string]fleet.RateLimit), requestsAt: make(map[string][]time.Time),
 		shedding: make(map[string]shedding), turnedAway: make(map[string][]time.Time), leaving: make(map[string]bool)}
 	h.servers.stream = func(c backend.Call, out *io.PipeWriter) { writeEvents(out, c.LastEventID, 5) }
--- a/gateway/refusal.go
+++ b/gateway/refusal.go
@@ -33,6 +33,10 @@
 // 0.8% with the notice (one run each of one seed).
 func (r *requestHandler) handleRefusal(path fleet.Path, address string) {
 	r.recordFailure(address)
+	// The server that refused may have lost its links to sound ones: both are avoided, unless they answer.
+	if first := path[0].Address; first != address {
+		r.g.shared.recordFailure(time.Now(), first)
+	}
 	hop, ok := hopAt(path, address)
 	if !ok || !r.g.shared.startRefusalCheck(time.Now(), address) {
 		return
--- a/gateway/refusal_test.go
+++ b/gateway/refusal_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"github.com/hibiscuswick/hibiscuswick/gateway"
+	"github.com/hibiscuswick/hibiscuswick/state"
 )
 
 // isRefusing reports whether a gateway considers a server to be leaving.
@@ -61,3 +63,30 @@
 		}).WithTimeout(2 * time.Second).Should(Succeed())
 	})
 })
+
+var _ = Describe("A gateway whose first engine refuses requests and blames others", func() {
+	// Guards against sound engines that are avoided in place of the one that blames them.
+	It("serves its callers along the other engines", Label("failure:blamed-for-another"), func() {
+		h := newHarness()
+		h.populate()
+		h.servers.mu.Lock()
+		h.servers.blaming["e0"] = true
+		h.servers.mu.Unlock()
+		answered := 0
+		for i := range 100 {
+			req := request("/stream/")
+			req.ID = state.RequestID(fmt.Sprintf("s%d", i))
+			if h.gateway.Serve(context.Background(), req, &fakeReply{}).Outcome == gateway.Answered {
+				answered++
+			}
+		}
+		Expect(answered).To(Equal(100))
+		first := 0
+		for _, c := range h.servers.sent() {
+			if c.Address == "e0" {
+				first++
+			}
+		}
+		Expect(first).To(BeNumerically("<", 10))
+	})
+})
