hibiscusd: SIGHUP is handled before the settings are read, SIGTERM before the ports open

Cause: the signals were asked for after the settings had been read, the log and the gateway made and the ports opened. Until then SIGHUP ends a Go process, and so does SIGTERM, with connections in the queues of ports that are open already. Class: a default that holds until the code that replaces it has run.

Ruled out: that this was all of it.

--- a/cmd/hibiscusd/gateway.go
+++ b/cmd/hibiscusd/gateway.go
@@ -54,6 +54,8 @@
 	// An instance has a fraction of one core, so that more threads would only compete
 	// for it.
 	runtime.GOMAXPROCS(1)
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
 	set, err := loadGateway(cmd)
 	if err != nil {
 		return cli.Exit(err.Error(), exitBadInput)
@@ -67,15 +69,13 @@
 	log := telemetry.NewLog(telemetry.LogConfig{Level: "info", Format: "json", Output: os.Stdout, Bounded: true})
 	metrics := telemetry.NewMetrics()
 	defer func() { _ = metrics.Close() }()
+	term := make(chan os.Signal, 1)
+	signal.Notify(term, syscall.SIGTERM, os.Interrupt)
 	d, err := platform.NewDaemon(set, log, metrics)
 	if err != nil {
 		return err
 	}
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
 	go d.Gateway().WatchSettings(func() (gateway.Settings, error) { return loadGateway(cmd) }, hup)
-	term := make(chan os.Signal, 1)
-	signal.Notify(term, syscall.SIGTERM, os.Interrupt)
 	stop := make(chan struct{})
 	go func() {
 		<-term
