gateway, outlier: plain servers that answer nothing get no requests; failures are told

What callers saw, and servers: beside servers that stand still, requests went on to them, one for each that was given up.

Cause: silence was taken for lack of load. A server whose requests have been given up has none in flight, and is the best choice again. Engines are probed when they are silent; plain servers were not. Class: no evidence taken for good evidence.

Change: a plain server that is late, and has answered nothing since, is probed, and so is another one of its service. If only that one answers, the server gets no requests until it answers a probe; idempotent requests that wait there go on elsewhere, each for a retry. Late answers count as failures for the ejection. Daemons tell each other of servers that fail requests or are silent (a notice of the membership, by one daemon for each trial), since one with few requests learns little from its own; a silent server is probed by each daemon, as the link of the one that tells it may be the fault. Refusals are not told.

--- a/coordination/outlier/doc.go
+++ b/coordination/outlier/doc.go
@@ -7,12 +7,20 @@
 // the same thing. The first ejection is short; each further one lasts twice as long, up to
 // maxEjection. After it the server gets one request at a time until it answers one.
 //
+// A daemon that gets few requests learns little from them. So daemons tell each other of servers that
+// answer requests with failures of their own, or answer nothing (Notice): the one that has found it out tries the server again, and the
+// others wait for its news a little longer than that takes. A server that is said to be silent is probed by
+// each daemon, since the one that tells it may have lost its own link. Refusals are not told: servers that are full
+// refuse, and if all daemons left one of them together they would fill the others.
+//
 // # Contract for the caller
 //
 // The package must be used by one goroutine at a time; now is a monotonic clock. The caller prefers
 // servers that are not Ejected, and uses ejected ones if there are no others. It calls Begin when it
 // assigns a request to a server, and Failed or Answered with the time at which the request was sent.
-// It calls Prune when the list of servers has changed.
+// If an answer is late and CheckDue, it probes the server, and calls Eject if that is in vain while another
+// server of the service answers, and Return once it answers. A server that is Held gets no requests. It
+// sends a Notice for each Ejection with Tell, and calls Prune when the list of servers has changed.
 //
 // # Failures guarded against
 //
@@ -23,6 +31,8 @@
 //     has answered for a while.
 //   - The servers that are left fail as well, once they get the requests of the ejected ones: these are
 //     used again if they are not much worse.
+//   - A server that stands still reads later what it has been sent, when its callers have long been
+//     answered by others. It is tried by probes, not by requests.
 //   - A request that must not be repeated would be lost at a server that has not recovered: requests
 //     that may be repeated go there first.
 package outlier
--- a/coordination/outlier/outlier.go
+++ b/coordination/outlier/outlier.go
@@ -24,6 +24,20 @@
 	memory = 5 * time.Second
 	// maxChance is the probability up to which a row of failures is not put down to chance.
 	maxChance = 0.01
+	// toldSlack is how much longer than its next trial a server stays ejected at daemons that were told of
+	// it: the news of the trial takes a few rounds of gossip.
+	toldSlack = 500 * time.Millisecond
+	// checkInterval is how often a server whose answers are late may be checked.
+	checkInterval = time.Second
+	// checkTime is how long a check takes at most, two probes one after the other. The server gets no
+	// request meanwhile.
+	checkTime = 100 * time.Millisecond
+	// contradicted is how long notices that a server is silent are ignored after one of them has led to a
+	// probe: the daemon that sends them may have lost its link to the server.
+	contradicted = 10 * time.Second
+	// maxToldFailures is how often the better servers may fail for a server to stay ejected that is
+	// ejected without a failure here.
+	maxToldFailures = 0.5
 	// unknownFailures is the share of requests that servers are assumed to fail of which nothing is
 	// known, with the weight of one request.
 	unknownFailures = 0.05
@@ -32,6 +46,27 @@
 	maxAlike = 0.8
 )
 
+// Notice tells the other daemons that a server is ejected because it fails requests or does not answer,
+// or that it is not any more.
+type Notice struct {
+	Service state.ServiceID          `msgpack:"service"`
+	Server  state.BackendIncarnation `msgpack:"server"`
+	// MS is how long the server is ejected, in ms, until the daemon that sends the notice tries it; 0 if it
+	// has answered.
+	MS int64 `msgpack:"ms"`
+	// Silent means that the server answers no probe.
+	Silent bool `msgpack:"silent,omitempty"`
+}
+
+// Ejection is the beginning or the end of a server's ejection; the zero value is neither.
+type Ejection struct {
+	For      time.Duration // 0 for the end
+	Returned bool
+	Silent   bool // the server answers no probe
+	// Tell is set if other daemons should know it.
+	Tell bool
+}
+
 // Tracker holds the outcomes of one daemon's requests. It is not safe for concurrent use.
 type Tracker struct {
 	services map[state.ServiceID]*service
@@ -55,60 +90,123 @@
 	ejection          time.Duration // length of the last ejection; 0 for none lately
 	returnedAt        time.Time     // when the last ejection and its trial ended
 	trialAt           time.Time     // when a request was last assigned on trial; zero for none under way
+	answeredAt        time.Time     // last answer
+	checkedAt         time.Time     // last check of late answers
+	held              bool          // ejected until Return
+	told              bool          // ejected because another daemon has found it out
+	announced         bool          // other daemons were told of the ejection
+	toldAt            time.Time     // when the last notice of another daemon was sent
+	ignoreUntil       time.Time     // end of the time in which notices of its silence are ignored
 }
 
 // New returns an empty tracker.
 func New() *Tracker { return &Tracker{services: make(map[state.ServiceID]*service)} }
 
-// Failed records that a server refused or failed a request. It returns for how long the server is
-// ejected for it, or 0 if it is not.
-func (t *Tracker) Failed(now, sentAt time.Time, svc state.ServiceID, server state.BackendIncarnation) time.Duration {
+// Failed records that a server refused or failed a request, or is late with its answer. tell is set if other
+// daemons should know of an ejection.
+func (t *Tracker) Failed(now, sentAt time.Time, svc state.ServiceID, server state.BackendIncarnation, tell bool) Ejection {
 	s := t.service(svc)
 	r := s.record(server)
 	r.decay(now)
 	r.failures++
 	s.rate(now)
 	if sentAt.Before(r.failedAt) {
-		return 0
+		return Ejection{}
 	}
 	r.row++
 	r.failedAt, r.trialAt = now, time.Time{}
 	if !r.ejected && !s.unlikely(r.row) {
-		return 0
+		return Ejection{}
 	}
-	r.eject(now)
-	return r.ejection
+	return r.eject(now, tell)
 }
 
-// Answered records that a server answered a request. It reports whether that ends its ejection.
-func (t *Tracker) Answered(now, sentAt time.Time, svc state.ServiceID, server state.BackendIncarnation) bool {
+// Answered records that a server answered a request.
+func (t *Tracker) Answered(now, sentAt time.Time, svc state.ServiceID, server state.BackendIncarnation) Ejection {
 	s := t.service(svc)
 	r := s.record(server)
 	r.decay(now)
 	r.answers++
+	r.answeredAt = now
 	s.rate(now)
 	if sentAt.Before(r.failedAt) {
-		return false
+		return Ejection{}
 	}
 	r.row, r.trialAt = 0, time.Time{}
-	if !r.ejected {
+	return r.restore(now)
+}
+
+// Eject records that a server answers no probe. It is Held until Return; the caller probes it again after
+// the given time, and calls Eject once more if that is in vain.
+func (t *Tracker) Eject(now time.Time, svc state.ServiceID, server state.BackendIncarnation, d time.Duration) Ejection {
+	r := t.service(svc).record(server)
+	out := Ejection{For: d, Silent: true, Tell: r.newsDue(now, d)}
+	r.held, r.ejected, r.told = true, true, false
+	r.ejection, r.until = d, now.Add(d)
+	r.announced = true
+	return out
+}
+
+// Return records that a server answers again, or need not be checked any more.
+func (t *Tracker) Return(now time.Time, svc state.ServiceID, server state.BackendIncarnation) Ejection {
+	return t.service(svc).record(server).restore(now)
+}
+
+// Held reports whether a server is ejected until Return. It must get no requests.
+func (t *Tracker) Held(svc state.ServiceID, server state.BackendIncarnation) bool {
+	r, ok := t.find(svc, server)
+	return ok && r.held
+}
+
+// Receive records another daemon's notice, which was sent at a time. An answer that came here meanwhile
+// goes before it. It reports whether the caller should probe the server: whether it is silent is for each
+// daemon to find out, since its links may differ.
+func (t *Tracker) Receive(at time.Time, n Notice) (probe bool) {
+	r := t.service(n.Service).record(n.Server)
+	if at.Before(r.toldAt) {
+		return false // a later one has come before
+	}
+	r.toldAt = at
+	switch {
+	case n.MS == 0 && r.told:
+		r.restore(at)
+	case n.MS == 0, r.ejected && !r.told, r.answeredAt.After(at):
+	case n.Silent:
+		probe = !at.Before(r.ignoreUntil)
+		if probe {
+			r.ignoreUntil = at.Add(contradicted)
+		}
+	default:
+		r.ejection = time.Duration(n.MS) * time.Millisecond
+		r.ejected, r.told, r.until = true, true, at.Add(2*r.ejection+toldSlack)
+	}
+	return probe
+}
+
+// CheckDue reports whether a server should be checked because an answer to a request that was sent at a
+// time is late. It counts as checked then.
+func (t *Tracker) CheckDue(now, sentAt time.Time, svc state.ServiceID, server state.BackendIncarnation) bool {
+	r := t.service(svc).record(server)
+	if r.held || r.answeredAt.After(sentAt) || now.Sub(r.checkedAt) < checkInterval && !r.checkedAt.IsZero() {
 		return false
 	}
-	r.ejected, r.returnedAt = false, now
+	r.checkedAt = now
 	return true
 }
 
 // Ejected reports whether other servers should be preferred to a server. A request that may be repeated
 // can be the one that finds out whether an ejected server has recovered; others wait longer for that.
 func (t *Tracker) Ejected(now time.Time, svc state.ServiceID, server state.BackendIncarnation, repeatable bool) bool {
-	s, ok := t.services[svc]
-	if !ok {
-		return false
+	r, ok := t.find(svc, server)
+	if ok && r.checking(now) {
+		return true
 	}
-	r, ok := s.servers[server]
-	if !ok || !r.ejected || s.better > maxAlike*r.share() {
+	if !ok || !r.ejected || r.isLike(t.services[svc].better) {
 		return false
 	}
+	if r.held {
+		return true
+	}
 	until := r.until
 	if !repeatable {
 		until = until.Add(r.ejection)
@@ -119,25 +217,11 @@
 
 // Begin records that a request was assigned to a server.
 func (t *Tracker) Begin(now time.Time, svc state.ServiceID, server state.BackendIncarnation) {
-	s, ok := t.services[svc]
-	if !ok {
-		return
-	}
-	if r, ok := s.servers[server]; ok && r.ejected {
+	if r, ok := t.find(svc, server); ok && r.ejected {
 		r.trialAt = now
 	}
 }
 
-// FailureShare returns which share of a server's recent requests it has refused or failed.
-func (t *Tracker) FailureShare(svc state.ServiceID, server state.BackendIncarnation) float64 {
-	if s, ok := t.services[svc]; ok {
-		if r, ok := s.servers[server]; ok {
-			return r.share()
-		}
-	}
-	return 0
-}
-
 // Prune drops the records of servers that are not listed.
 func (t *Tracker) Prune(listed func(state.BackendIncarnation) bool) {
 	for svc, s := range t.services {
@@ -161,6 +245,15 @@
 	return s
 }
 
+func (t *Tracker) find(svc state.ServiceID, server state.BackendIncarnation) (*record, bool) {
+	s, ok := t.services[svc]
+	if !ok {
+		return nil, false
+	}
+	r, ok := s.servers[server]
+	return r, ok
+}
+
 func (s *service) record(server state.BackendIncarnation) *record {
 	r, ok := s.servers[server]
 	if !ok {
@@ -199,14 +292,48 @@
 }
 
 // eject begins or prolongs the ejection of a server.
-func (r *record) eject(now time.Time) {
+func (r *record) eject(now time.Time, tell bool) Ejection {
 	switch {
 	case r.ejection == 0, !r.ejected && now.Sub(r.returnedAt) > forgetEjections:
 		r.ejection = minEjection
 	case !r.ejected || !now.Before(r.until):
 		r.ejection = min(2*r.ejection, maxEjection)
 	}
-	r.ejected, r.until = true, now.Add(r.ejection)
+	tell = tell && r.newsDue(now, r.ejection)
+	r.ejected, r.told, r.until = true, false, now.Add(r.ejection)
+	r.announced = r.announced || tell
+	return Ejection{For: r.ejection, Tell: tell}
+}
+
+// newsDue reports whether an ejection is news to other daemons: none of them has told of it within its
+// time.
+func (r *record) newsDue(now time.Time, d time.Duration) bool {
+	return r.toldAt.IsZero() || now.Sub(r.toldAt) > d
+}
+
+// restore ends the ejection of a server, if it is ejected.
+func (r *record) restore(now time.Time) Ejection {
+	if !r.ejected {
+		return Ejection{}
+	}
+	out := Ejection{Returned: true, Tell: r.announced}
+	r.ejected, r.held, r.told, r.announced = false, false, false, false
+	r.returnedAt = now
+	return out
+}
+
+// isLike reports whether an ejected server is not much worse than the better ones, which fail a share of
+// their requests.
+func (r *record) isLike(better float64) bool {
+	if r.held || r.told {
+		return better > maxToldFailures
+	}
+	return better > maxAlike*r.share()
+}
+
+// checking reports whether the server is being checked.
+func (r *record) checking(now time.Time) bool {
+	return !r.checkedAt.IsZero() && now.Sub(r.checkedAt) < checkTime && !r.answeredAt.After(r.checkedAt)
 }
 
 func (r *record) weight() float64 { return r.answers + r.failures }
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -9,6 +9,7 @@
 	"github.com/hibiscuswick/hibiscuswick/coordination/crashes"
 	"github.com/hibiscuswick/hibiscuswick/coordination/following"
 	"github.com/hibiscuswick/hibiscuswick/coordination/membership"
+	"github.com/hibiscuswick/hibiscuswick/coordination/outlier"
 	"github.com/hibiscuswick/hibiscuswick/coordination/permits"
 	"github.com/hibiscuswick/hibiscuswick/coordination/probing"
 	"github.com/hibiscuswick/hibiscuswick/coordination/reach"
@@ -58,6 +59,7 @@
 	kindReachRequest  peer.Kind = 1901
 	kindReachResponse peer.Kind = 1902
 	kindPace          peer.Kind = 1601
+	kindEjection      peer.Kind = 1602
 	kindLoadReport    peer.Kind = 2100
 	kindLoadTotals    peer.Kind = 2101
 	kindShareReport   peer.Kind = 2000
@@ -83,6 +85,7 @@
 	peer.Register[suspect.RefusalNotice](r, kindRefusal)
 	peer.Register[suspect.LeavingNotice](r, kindLeaving)
 	peer.Register[suspect.PaceNotice](r, kindPace)
+	peer.Register[outlier.Notice](r, kindEjection)
 	peer.Register[rowsRequest](r, kindRowsRequest)
 	peer.Register[rowsResponse](r, kindRowsResponse)
 	peer.Register[permits.PermitRequest](r, kindPermitRequest)
--- a/gateway/notice.go
+++ b/gateway/notice.go
@@ -9,6 +9,7 @@
 
 	"github.com/hibiscuswick/hibiscuswick/coordination/crashes"
 	"github.com/hibiscuswick/hibiscuswick/coordination/membership"
+	"github.com/hibiscuswick/hibiscuswick/coordination/outlier"
 	"github.com/hibiscuswick/hibiscuswick/coordination/permits"
 	"github.com/hibiscuswick/hibiscuswick/coordination/reach"
 	"github.com/hibiscuswick/hibiscuswick/coordination/shares"
@@ -19,7 +20,7 @@
 
 // Notices are findings of one daemon about a server or a request's content that all daemons
 // need: suspect.OutdatedNotice, suspect.RefusalNotice, suspect.LeavingNotice, suspect.PaceNotice,
-// permits.LimitNotice, reach.Notice, shares.ContentionNotice, crashes.EndNotice, crashes.PartsNotice and crashes.ClearNotice. They are spread as
+// outlier.Notice, permits.LimitNotice, reach.Notice, shares.ContentionNotice, crashes.EndNotice, crashes.PartsNotice and crashes.ClearNotice. They are spread as
 // facts of the membership: each daemon sends to a few neighbors, whatever the number of daemons,
 // and a daemon that misses a message gets it from another one.
 
@@ -89,6 +90,8 @@
 		if g.currentSettings().Contention.ReportedPace {
 			g.shared.recordPace(at, m)
 		}
+	case outlier.Notice:
+		g.receiveEjection(at, m)
 	case permits.LimitNotice:
 		g.control.permits.step(permits.LimitReceived{LimitNotice: m, At: at})
 	case reach.Notice:
--- a/gateway/outliers.go
+++ b/gateway/outliers.go
@@ -1,49 +1,215 @@
 package gateway
 
 import (
+	"context"
+	"math/rand/v2"
+	"slices"
 	"time"
 
+	"github.com/hibiscuswick/hibiscuswick/coordination/outlier"
 	"github.com/hibiscuswick/hibiscuswick/coordination/relay"
 	"github.com/hibiscuswick/hibiscuswick/state"
 	"github.com/hibiscuswick/hibiscuswick/state/fleet"
 	"github.com/hibiscuswick/hibiscuswick/telemetry"
 )
 
+// defaultLateAnswer is after which time a plain server is checked that has not answered, if no answers
+// of its service are known and its route names no target.
+const defaultLateAnswer = 500 * time.Millisecond
+
+// answerLate is the detail of a server's failure to answer in time, in logs.
+const answerLate = "late"
+
 // serverFailed records that the plain server of the current attempt has refused or failed the request.
-// The status is 0 if it has not answered.
 func (r *requestHandler) serverFailed(status int, outcome relay.Outcome) {
-	server := r.path[0].Server
-	r.g.log.Emit(telemetry.EventBackendFailed, telemetry.Request(r.req.ID), telemetry.Service(r.service.ID), telemetry.Backend(server.ID),
-		telemetry.Address(r.address), telemetry.Detail(attemptOutcomeNames[outcome]), telemetry.Count(status))
-	ejection := r.g.shared.serverFailed(time.Now(), r.runStart, r.service.ID, server)
-	if ejection > 0 {
-		r.g.log.Emit(telemetry.EventBackendEjected, telemetry.Service(r.service.ID), telemetry.Backend(server.ID),
-			telemetry.Address(r.address), telemetry.Duration(ejection))
-	}
+	r.recordServerFailure(r.path[0], r.runStart, status, attemptOutcomeNames[outcome], outcome == relay.Errored)
+}
+
+// recordServerFailure records that a plain server has failed a request that was sent at a time. answered is
+// set if it has said so itself after running the request.
+func (r *requestHandler) recordServerFailure(hop fleet.Hop, sent time.Time, status int, detail string, answered bool) {
+	r.g.log.Emit(telemetry.EventBackendFailed, telemetry.Request(r.req.ID), telemetry.Service(r.service.ID), telemetry.Backend(hop.Server.ID),
+		telemetry.Address(hop.Address), telemetry.Detail(detail), telemetry.Count(status))
+	r.g.handleEjection(r.service.ID, hop, r.g.shared.serverFailed(time.Now(), sent, r.service.ID, hop.Server, answered))
 }
 
 // serverAnswered records that the plain server of the current attempt has answered the request.
 func (r *requestHandler) serverAnswered() {
-	server := r.path[0].Server
-	if r.g.shared.serverAnswered(time.Now(), r.runStart, r.service.ID, server, r.address) {
-		r.g.log.Emit(telemetry.EventBackendReturned, telemetry.Service(r.service.ID), telemetry.Backend(server.ID), telemetry.Address(r.address))
-		r.g.waits.changed()
+	r.g.handleEjection(r.service.ID, r.path[0], r.g.shared.serverAnswered(time.Now(), r.runStart, r.service.ID, r.path[0]))
+}
+
+// handleEjection logs the beginning or the end of a plain server's ejection, and tells the other daemons
+// as far as they should know.
+func (g *Gateway) handleEjection(svc state.ServiceID, hop fleet.Hop, e outlier.Ejection) {
+	switch {
+	case e.Returned:
+		g.log.Emit(telemetry.EventBackendReturned, telemetry.Service(svc), telemetry.Backend(hop.Server.ID), telemetry.Address(hop.Address))
+		g.waits.changed()
+	case e.For > 0:
+		g.log.Emit(telemetry.EventBackendEjected, telemetry.Service(svc), telemetry.Backend(hop.Server.ID),
+			telemetry.Address(hop.Address), telemetry.Duration(e.For))
+	}
+	g.tellEjection(svc, hop, e)
+}
+
+func (g *Gateway) tellEjection(svc state.ServiceID, hop fleet.Hop, e outlier.Ejection) {
+	if e.Tell {
+		g.broadcast(outlier.Notice{Service: svc, Server: hop.Server, MS: e.For.Milliseconds(), Silent: e.Silent})
+	}
+}
+
+// watchLateAnswer acts on an answer of a plain server that is late: it gives up the attempt as lost, as
+// far as watchFirstEvent would, and finds out whether the server answers anything. ctx is that of the
+// call. The caller stops the timer once the answer has begun.
+func (r *requestHandler) watchLateAnswer(ctx context.Context, cancel context.CancelFunc) *time.Timer {
+	hop, sent := r.path[0], r.runStart
+	abandon, first := r.abandonsLate()
+	if !abandon {
+		first = r.lateAnswer()
+	}
+	return time.AfterFunc(first, func() {
+		due, held := r.g.shared.lateCheckDue(time.Now(), sent, r.service.ID, hop.Server)
+		r.recordServerFailure(hop, sent, 0, answerLate, false)
+		if due || held {
+			go r.checkLateServer(ctx, cancel, hop, held)
+		}
+		if abandon {
+			r.abandonLate(cancel)
+		}
+	})
+}
+
+// checkLateServer finds out whether a plain server that is late with an answer answers anything, unless
+// that is known. If not, and another one does, it is ejected, and the request goes on elsewhere as far as
+// it may.
+func (r *requestHandler) checkLateServer(ctx context.Context, cancel context.CancelFunc, hop fleet.Hop, known bool) {
+	if !known && !r.g.prober.isSilent(r.service.ID, hop) {
+		return
+	}
+	r.leaveSilent(ctx, cancel, hop)
+	if !known {
+		r.g.holdSilent(r.service.ID, hop)
+	}
+}
+
+// lateAnswer is after which time the answer of the current attempt is late.
+func (r *requestHandler) lateAnswer() time.Duration {
+	if first, _ := r.g.shared.answerTimeouts(time.Now(), r.service.ID, r.route); first > 0 {
+		return first
+	}
+	if r.route.Target > 0 {
+		return r.route.Target
+	}
+	return defaultLateAnswer
+}
+
+// leaveSilent gives up an attempt at a server that does not answer, if another one follows. ctx is that of
+// the call.
+func (r *requestHandler) leaveSilent(ctx context.Context, cancel context.CancelFunc, hop fleet.Hop) {
+	if ctx.Err() == nil && r.route.Repeat != fleet.AtMostOnce && r.stopAllowsRepeat(time.Now()) && r.reserveRetry(hop.Address) {
+		cancel()
+	}
+}
+
+// isSilent probes a plain server, and another one of its service: only if that one answers, the silence
+// is the server's.
+func (p *prober) isSilent(svc state.ServiceID, hop fleet.Hop) bool {
+	result := p.probe(probeSilence, hop.Server, hop.Address)
+	if result.outcome != probeDead || result.provesEnd(hop.Server) {
+		return false
+	}
+	for _, other := range p.g.currentView.Load().servers[svc] {
+		if other.Address != hop.Address && p.probe(probeSilence, other.Incarnation(), other.Address).outcome == probeAlive {
+			return true
+		}
 	}
+	return false
+}
+
+// holdSilent keeps requests from a plain server that does not answer, and probes it until it does or is not
+// listed any more.
+func (g *Gateway) holdSilent(svc state.ServiceID, hop fleet.Hop) {
+	wait := g.prober.recoveryInterval(0, false)
+	ejection, known := g.shared.holdServer(time.Now(), svc, hop.Server, wait)
+	if known {
+		return
+	}
+	g.handleEjection(svc, hop, ejection)
+	for probes := 1; ; probes++ {
+		select {
+		case <-g.done:
+			return
+		case <-time.After(wait):
+		}
+		if !g.currentView.Load().lists(hop) || g.prober.probe(probeRecovery, hop.Server, hop.Address).outcome == probeAlive {
+			g.handleEjection(svc, hop, g.shared.returnServer(time.Now(), svc, hop.Server))
+			return
+		}
+		wait = g.prober.recoveryInterval(probes, false)
+		ejection, _ = g.shared.holdServer(time.Now(), svc, hop.Server, wait)
+		g.tellEjection(svc, hop, ejection)
+	}
+}
+
+// receiveEjection records another daemon's notice of a plain server. A server that is said to be silent is
+// probed from here as well, at a random moment, so that not all daemons do so at once.
+func (g *Gateway) receiveEjection(at time.Time, n outlier.Notice) {
+	if !g.shared.receiveEjection(at, n) {
+		return
+	}
+	servers := g.currentView.Load().servers[n.Service]
+	i := slices.IndexFunc(servers, func(s fleet.Server) bool { return s.Incarnation() == n.Server })
+	if i < 0 {
+		return
+	}
+	hop := fleet.Hop{Server: n.Server, Address: servers[i].Address}
+	time.AfterFunc(rand.N(toldCheckSpread), func() {
+		if g.prober.isSilent(n.Service, hop) {
+			g.holdSilent(n.Service, hop)
+		}
+	})
+}
+
+func (s *sharedState) serverFailed(now, sentAt time.Time, svc state.ServiceID, server state.BackendIncarnation, tell bool) outlier.Ejection {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.outliers.Failed(now, sentAt, svc, server, tell)
+}
+
+func (s *sharedState) serverAnswered(now, sentAt time.Time, svc state.ServiceID, hop fleet.Hop) outlier.Ejection {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.suspects.RecordAnswer(now, hop.Address)
+	return s.outliers.Answered(now, sentAt, svc, hop.Server)
+}
+
+// lateCheckDue reports whether a plain server is to be checked because of a late answer, or whether it is
+// known to answer nothing.
+func (s *sharedState) lateCheckDue(now, sentAt time.Time, svc state.ServiceID, server state.BackendIncarnation) (due, held bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.outliers.CheckDue(now, sentAt, svc, server), s.outliers.Held(svc, server)
+}
+
+// holdServer ejects a server that answers no probe, and reports whether it was known.
+func (s *sharedState) holdServer(now time.Time, svc state.ServiceID, server state.BackendIncarnation, d time.Duration) (e outlier.Ejection, known bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	known = s.outliers.Held(svc, server)
+	return s.outliers.Eject(now, svc, server, d), known
 }
 
-// serverFailed returns for how long the server is ejected, or 0 if it is not.
-func (s *sharedState) serverFailed(now, sentAt time.Time, svc state.ServiceID, server state.BackendIncarnation) time.Duration {
+func (s *sharedState) returnServer(now time.Time, svc state.ServiceID, server state.BackendIncarnation) outlier.Ejection {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.outliers.Failed(now, sentAt, svc, server)
+	return s.outliers.Return(now, svc, server)
 }
 
-// serverAnswered reports whether that ends the ejection of the server.
-func (s *sharedState) serverAnswered(now, sentAt time.Time, svc state.ServiceID, server state.BackendIncarnation, address string) bool {
+// receiveEjection records another daemon's notice, and reports whether the server is to be probed.
+func (s *sharedState) receiveEjection(at time.Time, n outlier.Notice) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.suspects.RecordAnswer(now, address)
-	return s.outliers.Answered(now, sentAt, svc, server)
+	return s.outliers.Receive(at, n)
 }
 
 // mayTryEjected reports whether a request may find out whether an ejected server has recovered: it could
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -37,11 +37,11 @@
 	r.logSent(string(server.ID))
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	defer stopTimer(r.watchFirstEvent(cancel))
 	defer stopTimer(r.watchConnect(ctx, cancel))
 	defer stopTimer(r.watchStop(cancel))
 	sent := time.Now()
 	r.runStart = sent
+	defer stopTimer(r.watchLateAnswer(ctx, cancel))
 	answer, err := r.g.backends.Send(ctx, r.newCall(server.Incarnation(), server.Address))
 	if err != nil {
 		return r.handleSendError(ctx, err), Result{}
--- a/gateway/sharedstate.go
+++ b/gateway/sharedstate.go
@@ -213,7 +213,8 @@
 // isListedUsable reports whether a plain server may be used, apart from what it has stated
 // itself.
 func (s *sharedState) isListedUsable(now time.Time, candidate *fleet.Server, avoid map[string]bool) bool {
-	return !candidate.Draining && !avoid[candidate.Address] && !s.dead[candidate.Address] && !s.suspects.IsOutdated(now, candidate)
+	return !candidate.Draining && !avoid[candidate.Address] && !s.dead[candidate.Address] && !s.suspects.IsOutdated(now, candidate) &&
+		!s.outliers.Held(candidate.Service, candidate.Incarnation())
 }
 
 const (
--- a/gateway/wait.go
+++ b/gateway/wait.go
@@ -90,18 +90,27 @@
 // request may run again: the answer was lost, or the connection is unresponsive. The caller
 // stops the timer once the answer has begun.
 func (r *requestHandler) watchFirstEvent(cancel context.CancelFunc) *time.Timer {
-	if r.route.Repeat == fleet.AtMostOnce || r.isLastAttempt(r.address) {
+	abandons, first := r.abandonsLate()
+	if !abandons {
 		return nil
 	}
+	return time.AfterFunc(first, func() { r.abandonLate(cancel) })
+}
+
+// abandonsLate reports whether the current attempt may be given up as lost, and after which time.
+func (r *requestHandler) abandonsLate() (bool, time.Duration) {
+	if r.route.Repeat == fleet.AtMostOnce || r.isLastAttempt(r.address) {
+		return false, 0
+	}
 	first, _ := r.g.shared.answerTimeouts(time.Now(), r.service.ID, r.route)
-	if first == 0 {
-		return nil
+	return first > 0, first
+}
+
+// abandonLate gives up an attempt as lost, if one more may be.
+func (r *requestHandler) abandonLate(cancel context.CancelFunc) {
+	if r.stopAllowsRepeat(time.Now()) && r.g.shared.mayAbandon(r.service.ID) {
+		cancel()
 	}
-	return time.AfterFunc(first, func() {
-		if r.stopAllowsRepeat(time.Now()) && r.g.shared.mayAbandon(r.service.ID) {
-			cancel()
-		}
-	})
 }
 
 // stopTimer stops a timer that may be nil.
