gateway, outlier: a timer that fires late is no evidence; few controls; quiet returns

Read in the code of the commit before: a late answer counted as a failure of the server also if this process had stood still, so that its timer fired late; a silent server was compared with all others of its service until one answered; a daemon that was told of an ejection logged its end without its beginning.

--- a/coordination/outlier/outlier.go
+++ b/coordination/outlier/outlier.go
@@ -58,7 +58,8 @@
 	Silent bool `msgpack:"silent,omitempty"`
 }
 
-// Ejection is the beginning or the end of a server's ejection; the zero value is neither.
+// Ejection is the beginning or the end of a server's ejection that this daemon has found out; the zero value
+// is neither.
 type Ejection struct {
 	For      time.Duration // 0 for the end
 	Returned bool
@@ -316,7 +317,7 @@
 	if !r.ejected {
 		return Ejection{}
 	}
-	out := Ejection{Returned: true, Tell: r.announced}
+	out := Ejection{Returned: !r.told, Tell: r.announced}
 	r.ejected, r.held, r.told, r.announced = false, false, false, false
 	r.returnedAt = now
 	return out
--- a/gateway/outliers.go
+++ b/gateway/outliers.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"github.com/samber/lo"
+
 	"github.com/hibiscuswick/hibiscuswick/coordination/outlier"
 	"github.com/hibiscuswick/hibiscuswick/coordination/relay"
 	"github.com/hibiscuswick/hibiscuswick/state"
@@ -17,6 +19,9 @@
 // of its service are known and its route names no target.
 const defaultLateAnswer = 500 * time.Millisecond
 
+// maxControls is how many other servers are probed at most to find out that the silence of one is its own.
+const maxControls = 3
+
 // answerLate is the detail of a server's failure to answer in time, in logs.
 const answerLate = "late"
 
@@ -67,11 +72,11 @@
 	if !abandon {
 		first = r.lateAnswer()
 	}
+	due := time.Now().Add(first)
 	return time.AfterFunc(first, func() {
-		due, held := r.g.shared.lateCheckDue(time.Now(), sent, r.service.ID, hop.Server)
-		r.recordServerFailure(hop, sent, 0, answerLate, false)
-		if due || held {
-			go r.checkLateServer(ctx, cancel, hop, held)
+		// A timer that fires late shows that this process did not run, and nothing of the server.
+		if time.Since(due) < probeOverrun {
+			r.handleLateAnswer(ctx, cancel, hop, sent)
 		}
 		if abandon {
 			r.abandonLate(cancel)
@@ -79,6 +84,16 @@
 	})
 }
 
+// handleLateAnswer counts a late answer as a failure of the server, and begins to check the server if that
+// is due.
+func (r *requestHandler) handleLateAnswer(ctx context.Context, cancel context.CancelFunc, hop fleet.Hop, sent time.Time) {
+	due, held := r.g.shared.lateCheckDue(time.Now(), sent, r.service.ID, hop.Server)
+	r.recordServerFailure(hop, sent, 0, answerLate, false)
+	if due || held {
+		go r.checkLateServer(ctx, cancel, hop, held)
+	}
+}
+
 // checkLateServer finds out whether a plain server that is late with an answer answers anything, unless
 // that is known. If not, and another one does, it is ejected, and the request goes on elsewhere as far as
 // it may.
@@ -111,19 +126,17 @@
 	}
 }
 
-// isSilent probes a plain server, and another one of its service: only if that one answers, the silence
-// is the server's.
+// isSilent probes a plain server, and others of its service: only if one of them answers, the silence is
+// the server's.
 func (p *prober) isSilent(svc state.ServiceID, hop fleet.Hop) bool {
 	result := p.probe(probeSilence, hop.Server, hop.Address)
 	if result.outcome != probeDead || result.provesEnd(hop.Server) {
 		return false
 	}
-	for _, other := range p.g.currentView.Load().servers[svc] {
-		if other.Address != hop.Address && p.probe(probeSilence, other.Incarnation(), other.Address).outcome == probeAlive {
-			return true
-		}
-	}
-	return false
+	others := lo.Filter(p.g.currentView.Load().servers[svc], func(s fleet.Server, _ int) bool { return s.Address != hop.Address })
+	return slices.ContainsFunc(lo.Samples(others, maxControls), func(other fleet.Server) bool {
+		return p.probe(probeSilence, other.Incarnation(), other.Address).outcome == probeAlive
+	})
 }
 
 // holdSilent keeps requests from a plain server that does not answer, and probes it until it does or is not
--- a/gateway/outliers_test.go
+++ b/gateway/outliers_test.go
@@ -46,8 +46,8 @@
 	return s
 }
 
-// make gives servers another way to answer; nil makes them serve.
-func (s *unsoundSite) make(answer func() *backend.Answer, addresses ...string) {
+// setAnswer gives servers another way to answer; nil makes them serve.
+func (s *unsoundSite) setAnswer(answer func() *backend.Answer, addresses ...string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, a := range addresses {
@@ -122,13 +122,13 @@
 			It("leaves these out while the others answer, and no longer", Label("failure:unsound-servers"), func() {
 				s := newUnsoundSite()
 				s.serve("/again/", 100)
-				s.make(answer, "p0", "p1")
+				s.setAnswer(answer, "p0", "p1")
 				s.arrivals()
 				Expect(s.serve("/again/", 300)).To(BeNumerically(">=", 291), "97 in 100")
 				Expect(s.serve("/once/", 200)).To(BeNumerically(">=", 198))
 				arrivals := s.arrivals()
 				Expect(arrivals["p0"] + arrivals["p1"]).To(BeNumerically("<", 20))
-				s.make(nil, "p0", "p1")
+				s.setAnswer(nil, "p0", "p1")
 				Eventually(func() bool {
 					s.serve("/again/", 50)
 					arrivals := s.arrivals()
@@ -180,7 +180,7 @@
 	It("leaves out none if all fail alike", Label("failure:all-servers-fail-alike"), func() {
 		s := newUnsoundSite()
 		s.serve("/once/", 100)
-		s.make(failing, "p0", "p1", "p2", "p3")
+		s.setAnswer(failing, "p0", "p1", "p2", "p3")
 		s.serve("/once/", 50)
 		s.arrivals()
 		s.serve("/once/", 200)
