gateway, pathing: blame and suspicion cost less where a site is overloaded

Cause: in overload many engines are suspects. And a sound first engine was avoided for each full one behind it.

Change: a suspect costs as much as 40 ms a token, less than a full engine, so that it decides among engines that are not much worse. An engine that refuses and blames another one is avoided by the same request only, and by others once the blamed one has reported room for it.

--- a/coordination/pathing/choose.go
+++ b/coordination/pathing/choose.go
@@ -9,7 +9,7 @@
 
 // Choose returns the cheapest path, or false if some layer is held by no usable server. states has
 // one entry per candidate of the roster. Suspect candidates are used only if suspects is set,
-// and then as few of them as possible.
+// at an additional cost.
 func (r *Roster) Choose(req Request, states []ServerState, suspects bool) (fleet.Path, bool) {
 	sr := r.newSearch(&req)
 	last, lastCost := -1, math.Inf(1)
--- a/coordination/pathing/cost.go
+++ b/coordination/pathing/cost.go
@@ -35,9 +35,10 @@
 	// fullMS is the cost of a server whose KV-cache capacity would be exhausted. It is paid only if
 	// there is no other path.
 	fullMS = 200.0
-	// suspectMS is the cost of a suspected server where a part of the layers is held by suspects alone:
-	// a path then uses as few of them as possible, whatever the others cost.
-	suspectMS = 1000.0
+	// suspectMS is the cost of a suspected server where a part of the layers is held by suspects alone. It
+	// decides among servers that are about as good otherwise: many are suspects while a site is overloaded,
+	// and paths that shun them whatever the wait would fill the others.
+	suspectMS = 40.0
 	// scarceShare is the share of a server's KV-cache capacity above which its cost rises. An
 	// engine that runs out of capacity preempts its newest stream, which repeats its prefill.
 	scarceShare = 0.7
--- a/coordination/pathing/pathing.go
+++ b/coordination/pathing/pathing.go
@@ -18,7 +18,7 @@
 	Pace     float64 // duration of its work relative to the usual one of its kind, as it reported; 0 for 1
 	DelayMS  float64 // its share of the recent times to the first event of answers, in ms
 	Excluded bool    // may not be used
-	Suspect  bool    // used only if there is no other path, and then as few as possible
+	Suspect  bool    // used only if there is no other path, and then others first that cost about the same
 	// NotFirstHop means that no request may be sent to it directly, though it may be a later hop.
 	NotFirstHop bool
 }
--- a/gateway/path.go
+++ b/gateway/path.go
@@ -22,7 +22,7 @@
 		if r.view.populating && !r.headSent || !r.mayRetryRejected(time.Now()) {
 			return false
 		}
-		r.search.admission = decision
+		r.search.admission, r.search.blamers = decision, r.blamers
 		return r.chooseWithTurns(ctx, func() bool {
 			path, ok = r.g.shared.choosePath(time.Now(), r.view, r.service, pathReq, r.excluded, &r.search)
 			return ok
--- a/gateway/pathchoice.go
+++ b/gateway/pathchoice.go
@@ -31,6 +31,7 @@
 	excludeAddresses(roster, states, s.dead)
 	excludeAddresses(roster, states, avoid)
 	suspects := s.markSuspects(now, roster, states)
+	suspects = markSuspectAddresses(roster, states, search.blamers) || suspects
 	waiting := s.excludeUnavailable(now, roster, states)
 	path, ok := cheapestPath(roster, r, states, suspects)
 	if !ok {
@@ -108,6 +109,17 @@
 	}
 }
 
+// markSuspectAddresses marks the engines at some addresses as suspects, and reports whether there are any.
+func markSuspectAddresses(roster *pathing.Roster, states []pathing.ServerState, addresses map[string]bool) bool {
+	found := false
+	for address := range addresses {
+		if i, ok := roster.IndexAt(address); ok {
+			states[i].Suspect, found = true, true
+		}
+	}
+	return found
+}
+
 // markSuspects sets the estimated delays and the suspicions of the engines. It reports
 // whether any engine is suspected.
 func (s *sharedState) markSuspects(now time.Time, roster *pathing.Roster, states []pathing.ServerState) bool {
--- a/gateway/refusal.go
+++ b/gateway/refusal.go
@@ -33,16 +33,15 @@
 // 0.8% with the notice (one run each of one seed).
 func (r *requestHandler) handleRefusal(path fleet.Path, address string) {
 	r.recordFailure(address)
-	// The server that refused may have lost its links to sound ones: both are avoided, unless they answer.
 	if first := path[0].Address; first != address {
-		r.g.shared.recordFailure(time.Now(), first)
+		r.suspectBlamer(first)
 	}
 	hop, ok := hopAt(path, address)
 	if !ok || !r.g.shared.startRefusalCheck(time.Now(), address) {
 		return
 	}
 	time.AfterFunc(refusalCheckDelay, func() {
-		if r.g.checkRefusal(r, hop) {
+		if r.g.checkRefusal(r, path[0], hop) {
 			r.g.endRefusalCheck(address)
 			return
 		}
@@ -50,9 +49,19 @@
 	})
 }
 
-// checkRefusal reads the report of a server that refused a request, and notifies the other
-// daemons if the server had capacity. It returns false if it had none.
-func (g *Gateway) checkRefusal(r *requestHandler, hop fleet.Hop) bool {
+// suspectBlamer makes the request begin at another engine than one that has refused it and blames another
+// one, if there is one: it may have lost its links to sound engines.
+func (r *requestHandler) suspectBlamer(address string) {
+	if r.blamers == nil {
+		r.blamers = make(map[string]bool)
+	}
+	r.blamers[address] = true
+}
+
+// checkRefusal reads the report of a server that refused a request, or was blamed for that by the first
+// one of the path. If the server had capacity, it notifies the other daemons, and a first one that blames
+// it is avoided as well. It returns false if the server had none.
+func (g *Gateway) checkRefusal(r *requestHandler, first, hop fleet.Hop) bool {
 	s, ok := g.currentView.Load().serverAt(r.service.ID, hop.Address)
 	if !ok || s.Incarnation() != hop.Server || s.Draining {
 		return true // the list has changed since
@@ -68,6 +77,9 @@
 	if used > spareCapacityShare {
 		return false
 	}
+	if first.Address != hop.Address {
+		g.shared.recordFailure(time.Now(), first.Address)
+	}
 	if !g.shared.refusesRepeatedly(s.Address) {
 		g.broadcast(suspect.RefusalNotice{Address: s.Address})
 		return true
--- a/gateway/serversearch.go
+++ b/gateway/serversearch.go
@@ -21,6 +21,8 @@
 	admission *streamAdmission
 	// assignment is the request's part in the slow start of the server that was found.
 	assignment availability.Assignment
+	// blamers are the addresses of engines that refused the request and blamed others.
+	blamers map[string]bool
 	// tieSeed orders equally loaded plain servers.
 	tieSeed uint64
 	// repeatable is set if the request may run again at another plain server.
