telemetry, gateway: a log line for notices of silent servers; how long a server was unheard

The logs did not tell whether a daemon that is told that a server is silent probes it or ignores the notice, nor how old its own evidence of a server was when it sent a request there that was not answered. Event 1629 says the first, the duration of 1626 (late) the second. No change in behaviour.

--- a/coordination/outlier/outlier.go
+++ b/coordination/outlier/outlier.go
@@ -92,6 +92,7 @@
 	returnedAt        time.Time     // when the last ejection and its trial ended
 	trialAt           time.Time     // when a request was last assigned on trial; zero for none under way
 	answeredAt        time.Time     // last answer
+	heardAt           time.Time     // last sign of life: an answer of any kind
 	checkedAt         time.Time     // last check of late answers
 	held              bool          // ejected until Return
 	told              bool          // ejected because another daemon has found it out
@@ -103,6 +104,20 @@
 // New returns an empty tracker.
 func New() *Tracker { return &Tracker{services: make(map[state.ServiceID]*service)} }
 
+// Heard records a sign of life of a server.
+func (t *Tracker) Heard(now time.Time, svc state.ServiceID, server state.BackendIncarnation) {
+	t.service(svc).record(server).heardAt = now
+}
+
+// Unheard returns how long a server has shown no sign of life, or 0 if it has shown none yet.
+func (t *Tracker) Unheard(now time.Time, svc state.ServiceID, server state.BackendIncarnation) time.Duration {
+	r, ok := t.find(svc, server)
+	if !ok || r.heardAt.IsZero() {
+		return 0
+	}
+	return now.Sub(r.heardAt)
+}
+
 // Failed records that a server refused or failed a request, or is late with its answer. tell is set if other
 // daemons should know of an ejection.
 func (t *Tracker) Failed(now, sentAt time.Time, svc state.ServiceID, server state.BackendIncarnation, tell bool) Ejection {
--- a/gateway/outliers.go
+++ b/gateway/outliers.go
@@ -22,6 +22,12 @@
 // maxControls is how many other servers are probed at most to find out that the silence of one is its own.
 const maxControls = 3
 
+// What is done about another daemon's notice that a server is silent, in logs.
+const (
+	toldChecked = "checked"
+	toldIgnored = "ignored"
+)
+
 // answerLate is the detail of a server's failure to answer in time, in logs.
 const answerLate = "late"
 
@@ -33,9 +39,11 @@
 // recordServerFailure records that a plain server has failed a request that was sent at a time. answered is
 // set if it has said so itself after running the request.
 func (r *requestHandler) recordServerFailure(hop fleet.Hop, sent time.Time, status int, detail string, answered bool) {
+	now := time.Now()
+	unheard := r.g.shared.unheardAt(now, sent, r.service.ID, hop.Server, detail != answerLate)
 	r.g.log.Emit(telemetry.EventBackendFailed, telemetry.Request(r.req.ID), telemetry.Service(r.service.ID), telemetry.Backend(hop.Server.ID),
-		telemetry.Address(hop.Address), telemetry.Detail(detail), telemetry.Count(status))
-	r.g.handleEjection(r.service.ID, hop, r.g.shared.serverFailed(time.Now(), sent, r.service.ID, hop.Server, answered))
+		telemetry.Address(hop.Address), telemetry.Detail(detail), telemetry.Count(status), telemetry.Duration(unheard))
+	r.g.handleEjection(r.service.ID, hop, r.g.shared.serverFailed(now, sent, r.service.ID, hop.Server, answered))
 }
 
 // serverAnswered records that the plain server of the current attempt has answered the request.
@@ -167,7 +175,15 @@
 // receiveEjection records another daemon's notice of a plain server. A server that is said to be silent is
 // probed from here as well, at a random moment, so that not all daemons do so at once.
 func (g *Gateway) receiveEjection(at time.Time, n outlier.Notice) {
-	if !g.shared.receiveEjection(at, n) {
+	probe, ignored := g.shared.receiveEjection(at, n)
+	if probe || ignored {
+		detail := toldChecked
+		if ignored {
+			detail = toldIgnored
+		}
+		g.log.Emit(telemetry.EventBackendToldSilent, telemetry.Service(n.Service), telemetry.Backend(n.Server.ID), telemetry.Detail(detail))
+	}
+	if !probe {
 		return
 	}
 	servers := g.currentView.Load().servers[n.Service]
@@ -193,6 +209,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.suspects.RecordAnswer(now, hop.Address)
+	s.outliers.Heard(now, svc, hop.Server)
 	return s.outliers.Answered(now, sentAt, svc, hop.Server)
 }
 
@@ -218,11 +235,24 @@
 	return s.outliers.Return(now, svc, server)
 }
 
-// receiveEjection records another daemon's notice, and reports whether the server is to be probed.
-func (s *sharedState) receiveEjection(at time.Time, n outlier.Notice) bool {
+// receiveEjection records another daemon's notice, and reports whether the server is to be probed because
+// it is said to be silent, or whether that is ignored.
+func (s *sharedState) receiveEjection(at time.Time, n outlier.Notice) (probe, ignored bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.outliers.Receive(at, n)
+	probe = s.outliers.Receive(at, n)
+	return probe, n.Silent && n.MS > 0 && !probe && !s.outliers.Held(n.Service, n.Server)
+}
+
+// unheardAt returns how long a plain server had shown no sign of life when a request was sent to it, or 0
+// if it has answered since or never before. heard is set if its failure is such a sign.
+func (s *sharedState) unheardAt(now, sentAt time.Time, svc state.ServiceID, server state.BackendIncarnation, heard bool) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if heard {
+		s.outliers.Heard(now, svc, server)
+	}
+	return max(0, s.outliers.Unheard(sentAt, svc, server))
 }
 
 // mayTryEjected reports whether a request may find out whether an ejected server has recovered: it could
--- a/telemetry/events.go
+++ b/telemetry/events.go
@@ -131,6 +131,7 @@
 	EventBackendFailed     Event = 1626
 	EventBackendEjected    Event = 1627
 	EventBackendReturned   Event = 1628
+	EventBackendToldSilent Event = 1629
 	EventReplicaUp         Event = 1606
 	EventReplicaDown       Event = 1607
 	EventCacheEventsMissed Event = 1608
