outlier, gateway: notices of a silent server are ignored only if it has answered a probe

What callers saw: a server that stands still again within ten seconds is found by each daemon at the price of a request, although all daemons were told of it.

Cause: Tracker.Receive ignored further notices for ten seconds after each one that leads to a probe, also if the probe bore it out. The time is meant for daemons that tell of a server which others reach.

Change: a notice leads to a probe at most every two seconds; further ones are ignored for ten seconds only if the probe has been answered. A silence that a probe bears out ends that at once. A probe without a result leaves it at two seconds. Specs, red before: believes notices of a server again once a probe has borne one out; probes again soon if a probe has shown nothing.

--- a/coordination/outlier/outlier.go
+++ b/coordination/outlier/outlier.go
@@ -32,9 +32,11 @@
 	// checkTime is how long a check takes at most, two probes one after the other. The server gets no
 	// request meanwhile.
 	checkTime = 100 * time.Millisecond
-	// contradicted is how long notices that a server is silent are ignored after one of them has led to a
-	// probe: the daemon that sends them may have lost its link to the server.
+	// contradicted is how long notices that a server is silent are ignored after the server has answered the
+	// probe that one of them has led to: the daemon that sends them may have lost its link to the server.
 	contradicted = 10 * time.Second
+	// toldProbeInterval is how often notices of a server lead to a probe at most.
+	toldProbeInterval = 2 * time.Second
 	// maxToldFailures is how often the better servers may fail for a server to stay ejected that is
 	// ejected without a failure here.
 	maxToldFailures = 0.5
@@ -158,6 +160,7 @@
 	r := t.service(svc).record(server)
 	out := Ejection{For: d, Silent: true, Tell: r.newsDue(now, d)}
 	r.held, r.ejected, r.told = true, true, false
+	r.ignoreUntil = time.Time{}
 	r.ejection, r.until = d, now.Add(d)
 	r.announced = true
 	return out
@@ -190,7 +193,7 @@
 	case n.Silent:
 		probe = !at.Before(r.ignoreUntil)
 		if probe {
-			r.ignoreUntil = at.Add(contradicted)
+			r.ignoreUntil = at.Add(toldProbeInterval)
 		}
 	default:
 		r.ejection = time.Duration(n.MS) * time.Millisecond
@@ -199,6 +202,11 @@
 	return probe
 }
 
+// Contradict records that a server has answered the probe that a notice of its silence has led to.
+func (t *Tracker) Contradict(now time.Time, svc state.ServiceID, server state.BackendIncarnation) {
+	t.service(svc).record(server).ignoreUntil = now.Add(contradicted)
+}
+
 // CheckDue reports whether a server should be checked because an answer to a request that was sent at a
 // time is late. It counts as checked then.
 func (t *Tracker) CheckDue(now, sentAt time.Time, svc state.ServiceID, server state.BackendIncarnation) bool {
--- a/coordination/outlier/outlier_test.go
+++ b/coordination/outlier/outlier_test.go
@@ -247,6 +247,33 @@
 			Expect(t.Eject(start.Add(23*time.Second), svc, server(0), time.Second).Tell).To(BeTrue(), "nobody tells it any more")
 		})
 
+		// Guards against a server that each daemon finds silent by requests of its own, although all were told.
+		It("believes notices of a server again once a probe has borne one out", Label("failure:copies-at-silent-servers-add-up"), func() {
+			silent := notice(time.Second)
+			silent.Silent = true
+			Expect(t.Receive(start, silent)).To(BeTrue())
+			t.Eject(start, svc, server(0), time.Second)
+			t.Return(start.Add(time.Second), svc, server(0))
+			Expect(t.Receive(start.Add(1100*time.Millisecond), silent)).To(BeTrue())
+		})
+
+		It("ignores notices of a server that has answered the probe for a while", func() {
+			silent := notice(time.Second)
+			silent.Silent = true
+			Expect(t.Receive(start, silent)).To(BeTrue())
+			t.Contradict(start, svc, server(0))
+			Expect(t.Receive(start.Add(9*time.Second), silent)).To(BeFalse())
+			Expect(t.Receive(start.Add(11*time.Second), silent)).To(BeTrue())
+		})
+
+		// Guards against a probe without a result that counts as an answer.
+		It("probes again soon if a probe has shown nothing", Label("failure:probe-not-sent"), func() {
+			silent := notice(time.Second)
+			silent.Silent = true
+			Expect(t.Receive(start, silent)).To(BeTrue())
+			Expect(t.Receive(start.Add(3*time.Second), silent)).To(BeTrue())
+		})
+
 		It("checks no server that has answered since the late request was sent", func() {
 			t.Answered(start, start, svc, server(0))
 			Expect(t.CheckDue(start, start.Add(-time.Second), svc, server(0))).To(BeFalse())
--- a/gateway/outliers.go
+++ b/gateway/outliers.go
@@ -193,12 +193,20 @@
 	}
 	hop := fleet.Hop{Server: n.Server, Address: servers[i].Address}
 	time.AfterFunc(rand.N(toldCheckSpread), func() {
-		if g.prober.isSilent(n.Service, hop) {
-			g.holdSilent(n.Service, hop)
-		}
+		g.checkToldSilent(n.Service, hop)
 	})
 }
 
+// checkToldSilent probes a plain server of which another daemon has told that it is silent.
+func (g *Gateway) checkToldSilent(svc state.ServiceID, hop fleet.Hop) {
+	switch {
+	case g.prober.isSilent(svc, hop):
+		g.holdSilent(svc, hop)
+	case g.prober.probe(probeSilence, hop.Server, hop.Address).outcome == probeAlive:
+		g.shared.contradictSilence(time.Now(), svc, hop.Server)
+	}
+}
+
 func (s *sharedState) serverFailed(now, sentAt time.Time, svc state.ServiceID, server state.BackendIncarnation, tell bool) outlier.Ejection {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -244,6 +252,12 @@
 	return probe, n.Silent && n.MS > 0 && !probe && !s.outliers.Held(n.Service, n.Server)
 }
 
+func (s *sharedState) contradictSilence(now time.Time, svc state.ServiceID, server state.BackendIncarnation) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.outliers.Contradict(now, svc, server)
+}
+
 // unheardAt returns how long a plain server had shown no sign of life when a request was sent to it, or 0
 // if it has answered since or never before. heard is set if its failure is such a sign.
 func (s *sharedState) unheardAt(now, sentAt time.Time, svc state.ServiceID, server state.BackendIncarnation, heard bool) time.Duration {
