gateway, outlier: servers are verified before use after one of their service was silent

What callers saw: a server stands still for two seconds, and again, as do others of its service. Each time each daemon finds out by a request of its own. Requests that must not be repeated are lost.

Cause: silence is found by requests alone. What other daemons have found out reaches it after 0.2 to 0.4 s, when it has sent its request. Class: evidence of the past is taken for evidence of now.

Change: for ten minutes after a server of a service was silent, or was said to be, a server that has shown no sign of life for 50 ms (10 ms a daemon if longer) is probed before a request is sent to it. One that leaves the probe unanswered gets no request; a second probe and one of another server decide whether it is held. After two servers without an answer the request is sent as before. At most one probe a request and server, 50 a second and daemon, 100 a second and server over all daemons; none while no server of the service has been silent. Event 1630, purpose verify of the probes.

Why it works: a request waits at a silent server only if the server stopped within 50 ms of its last sign of life to that daemon, or in the first standstill.

--- a/coordination/outlier/outlier.go
+++ b/coordination/outlier/outlier.go
@@ -37,6 +37,8 @@
 	contradicted = 10 * time.Second
 	// toldProbeInterval is how often notices of a server lead to a probe at most.
 	toldProbeInterval = 2 * time.Second
+	// verifyTime is how long the servers of a service are verified after one of them has been silent.
+	verifyTime = 10 * time.Minute
 	// maxToldFailures is how often the better servers may fail for a server to stay ejected that is
 	// ejected without a failure here.
 	maxToldFailures = 0.5
@@ -80,6 +82,7 @@
 	// better is the share of failures of the better half of the servers, and betterWeight the number
 	// of their requests.
 	better, betterWeight float64
+	verifyUntil          time.Time // end of the time in which servers are probed before they are used
 }
 
 // record holds the outcomes of one incarnation of a server.
@@ -120,6 +123,17 @@
 	return now.Sub(r.heardAt)
 }
 
+// VerifyDue reports whether a server should be probed before a request is sent to it: servers of its
+// service have been silent lately, and it has shown no sign of life for an interval.
+func (t *Tracker) VerifyDue(now time.Time, svc state.ServiceID, server state.BackendIncarnation, interval time.Duration) bool {
+	s, ok := t.services[svc]
+	if !ok || !now.Before(s.verifyUntil) {
+		return false
+	}
+	r, ok := s.servers[server]
+	return !ok || now.Sub(r.heardAt) >= interval
+}
+
 // Failed records that a server refused or failed a request, or is late with its answer. tell is set if other
 // daemons should know of an ejection.
 func (t *Tracker) Failed(now, sentAt time.Time, svc state.ServiceID, server state.BackendIncarnation, tell bool) Ejection {
@@ -157,7 +171,9 @@
 // Eject records that a server answers no probe. It is Held until Return; the caller probes it again after
 // the given time, and calls Eject once more if that is in vain.
 func (t *Tracker) Eject(now time.Time, svc state.ServiceID, server state.BackendIncarnation, d time.Duration) Ejection {
-	r := t.service(svc).record(server)
+	s := t.service(svc)
+	s.verifyUntil = now.Add(verifyTime)
+	r := s.record(server)
 	out := Ejection{For: d, Silent: true, Tell: r.newsDue(now, d)}
 	r.held, r.ejected, r.told = true, true, false
 	r.ignoreUntil = time.Time{}
@@ -168,7 +184,9 @@
 
 // Return records that a server answers again, or need not be checked any more.
 func (t *Tracker) Return(now time.Time, svc state.ServiceID, server state.BackendIncarnation) Ejection {
-	return t.service(svc).record(server).restore(now)
+	r := t.service(svc).record(server)
+	r.heardAt = now
+	return r.restore(now)
 }
 
 // Held reports whether a server is ejected until Return. It must get no requests.
@@ -181,10 +199,14 @@
 // goes before it. It reports whether the caller should probe the server: whether it is silent is for each
 // daemon to find out, since its links may differ.
 func (t *Tracker) Receive(at time.Time, n Notice) (probe bool) {
-	r := t.service(n.Service).record(n.Server)
+	s := t.service(n.Service)
+	r := s.record(n.Server)
 	if at.Before(r.toldAt) {
 		return false // a later one has come before
 	}
+	if n.Silent && n.MS > 0 {
+		s.verifyUntil = at.Add(verifyTime)
+	}
 	r.toldAt = at
 	switch {
 	case n.MS == 0 && r.told:
--- a/coordination/outlier/outlier_test.go
+++ b/coordination/outlier/outlier_test.go
@@ -274,6 +274,29 @@
 			Expect(t.Receive(start.Add(3*time.Second), silent)).To(BeTrue())
 		})
 
+		// Guards against requests as the only way to find out that a server stands still once more.
+		It("verifies servers that were not heard of lately if one of their service has been silent", Label("failure:copies-at-silent-servers-add-up"), func() {
+			const interval = 50 * time.Millisecond
+			due := func(at time.Time, i int) bool { return t.VerifyDue(at, svc, server(i), interval) }
+			t.Heard(start, svc, server(0))
+			Expect(due(start.Add(time.Minute), 0)).To(BeFalse(), "none has been silent")
+			t.Eject(start, svc, server(1), time.Second)
+			t.Return(start.Add(time.Second), svc, server(1))
+			Expect(due(start.Add(time.Second), 1)).To(BeFalse(), "just heard of")
+			Expect(due(start.Add(2*time.Second), 1)).To(BeTrue())
+			Expect(due(start.Add(2*time.Second), 0)).To(BeTrue())
+			Expect(due(start.Add(2*time.Second), 2)).To(BeTrue(), "never heard of")
+			Expect(t.VerifyDue(start.Add(2*time.Second), "other", server(0), interval)).To(BeFalse())
+			Expect(due(start.Add(20*time.Minute), 0)).To(BeFalse(), "long ago")
+		})
+
+		It("verifies servers if it was told that one of their service is silent", func() {
+			silent := notice(time.Second)
+			silent.Silent = true
+			t.Receive(start, silent)
+			Expect(t.VerifyDue(start, svc, server(1), time.Millisecond)).To(BeTrue())
+		})
+
 		It("checks no server that has answered since the late request was sent", func() {
 			t.Answered(start, start, svc, server(0))
 			Expect(t.CheckDue(start, start.Add(-time.Second), svc, server(0))).To(BeFalse())
--- a/gateway/outliers.go
+++ b/gateway/outliers.go
@@ -278,5 +278,6 @@
 // plainSearch returns the search for a plain server for an attempt of the request.
 func (r *requestHandler) plainSearch() *serverSearch {
 	r.search.repeatable = r.route.Repeat != fleet.AtMostOnce
+	r.search.unverified = r.unverified
 	return &r.search
 }
--- a/gateway/outliers_test.go
+++ b/gateway/outliers_test.go
@@ -10,6 +10,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/samber/lo"
 
 	"github.com/hibiscuswick/hibiscuswick/gateway"
 	"github.com/hibiscuswick/hibiscuswick/protocol/backend"
@@ -93,6 +94,26 @@
 	return false
 }
 
+// standStill makes a server silent until a gateway has ejected it, and waits until all use it again.
+func (s *unsoundSite) standStill(g *gateway.Gateway, address string) {
+	GinkgoHelper()
+	s.serve("/again/", 100)
+	s.serveAt(g, "/again/", 100)
+	s.servers.setSilent(address, true)
+	s.serve("/again/", 50)
+	Eventually(func() bool { return s.isEjected(g, address) }).WithTimeout(eventuallyTimeout).Should(BeTrue())
+	s.servers.setSilent(address, false)
+	s.awaitReturn(g, address)
+}
+
+// awaitReturn waits until the site's gateway and another one use a server again, and lets each hear of all.
+func (s *unsoundSite) awaitReturn(other *gateway.Gateway, address string) {
+	GinkgoHelper()
+	Eventually(func() bool { return s.isEjected(other, address) || s.isEjected(s.gateway, address) }).WithTimeout(eventuallyTimeout).Should(BeFalse())
+	s.serve("/again/", 50)
+	s.serveAt(other, "/again/", 50)
+}
+
 // arrivals returns how many calls each plain server got since the last call of it.
 func (s *unsoundSite) arrivals() map[string]int {
 	out := make(map[string]int)
@@ -161,6 +182,43 @@
 		Expect(s.arrivals()["p0"]).To(BeNumerically(">", 10))
 	})
 
+	// Guards against late copies of requests that add up over several standstills, and against requests
+	// that must not be repeated and are lost in them.
+	It("sends no request to one that stands still again", Label("failure:copies-at-silent-servers-add-up"), func() {
+		s := newUnsoundSite()
+		other := s.start("g2")
+		Eventually(other.Ready).WithTimeout(eventuallyTimeout).Should(BeTrue())
+		s.standStill(other, "p0")
+		for _, g := range []*gateway.Gateway{s.gateway, other} {
+			time.Sleep(100 * time.Millisecond) // the server's last signs of life are old then
+			s.servers.setSilent("p0", true)
+			s.arrivals()
+			Expect(s.serveAt(g, "/once/", 50)).To(Equal(50))
+			Expect(s.serveAt(g, "/again/", 50)).To(Equal(50))
+			Expect(s.arrivals()["p0"]).To(BeZero())
+			s.servers.setSilent("p0", false)
+			s.awaitReturn(other, "p0")
+		}
+	})
+
+	// Guards against requests that are kept from all servers because probes fail.
+	It("sends a request without a probe's answer if no server gives one", Label("failure:copies-at-silent-servers-add-up"), func() {
+		s := newUnsoundSite()
+		s.standStill(s.gateway, "p0")
+		time.Sleep(100 * time.Millisecond)
+		for i := range plainServers {
+			s.servers.setSilent(fmt.Sprintf("p%d", i), true)
+		}
+		s.arrivals()
+		req := request("/once/")
+		req.CallerTimeout = time.Second
+		s.gateway.Serve(context.Background(), req, &fakeReply{})
+		Expect(lo.Sum(lo.Values(s.arrivals()))).To(Equal(1))
+		for i := range plainServers {
+			Expect(s.isEjected(s.gateway, fmt.Sprintf("p%d", i))).To(BeFalse())
+		}
+	})
+
 	// Guards against a gateway that leaves out servers because its own links or its process stand still.
 	It("leaves out none if all are silent", Label("failure:all-servers-fail-alike"), func() {
 		s := newUnsoundSite()
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -34,6 +34,9 @@
 	defer r.endAssignment(false)
 	r.address = server.Address
 	r.path = fleet.Path{{Server: server.Incarnation(), Address: server.Address}}
+	if !r.verifyServer() {
+		return relay.NotSent, Result{}
+	}
 	r.logSent(string(server.ID))
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -35,6 +35,10 @@
 	// end mark: each of its answers may be one.
 	unframedProbeRate  = 100 // per second
 	unframedProbeBurst = 200
+	// verifyProbeRate and verifyProbeBurst limit the probes of one daemon before requests: each of its
+	// requests may need one.
+	verifyProbeRate  = 50 // per second
+	verifyProbeBurst = 100
 	// minReprobeInterval is how often a dead server is probed again, or less often if many
 	// daemons probe it.
 	minReprobeInterval = 500 * time.Millisecond
@@ -57,9 +61,10 @@
 	group singleflight.Group
 	limit *rate.Limiter
 	// asks limits the questions to witnesses, ownerAsks those to owners of servers, asked the probes
-	// that are sent as an owner, and unframed those for answers without an end mark.
-	asks, ownerAsks, asked, unframed *rate.Limiter
-	owners                           atomic.Pointer[probeOwners]
+	// that are sent as an owner, unframed those for answers without an end mark, and verify those before
+	// requests.
+	asks, ownerAsks, asked, unframed, verify *rate.Limiter
+	owners                                   atomic.Pointer[probeOwners]
 
 	mu      sync.Mutex
 	results map[string]probeResult // by address
@@ -89,6 +94,7 @@
 	probeRecovery probePurpose = "recovery" // the server was found dead before
 	probeRefusal  probePurpose = "refusal"  // the server refused a request
 	probeAsked    probePurpose = "asked"    // another daemon asked for a sign of life
+	probeVerify   probePurpose = "verify"   // a request is to be sent to a server that has not been heard of lately
 )
 
 // countProbe counts a probe by its purpose and outcome.
@@ -115,8 +121,8 @@
 func newProber(g *Gateway) *prober {
 	return &prober{
 		g: g, limit: rate.NewLimiter(probeRate, probeBurst), asks: rate.NewLimiter(askRate, askBurst), ownerAsks: rate.NewLimiter(askRate, askBurst), asked: rate.NewLimiter(probeRate, probeBurst),
-		unframed: rate.NewLimiter(unframedProbeRate, unframedProbeBurst),
-		results:  make(map[string]probeResult), signs: make(map[state.BackendIncarnation]time.Time),
+		unframed: rate.NewLimiter(unframedProbeRate, unframedProbeBurst), verify: rate.NewLimiter(verifyProbeRate, verifyProbeBurst),
+		results: make(map[string]probeResult), signs: make(map[state.BackendIncarnation]time.Time),
 	}
 }
 
@@ -161,6 +167,8 @@
 		return p.asked
 	case probeUnframed:
 		return p.unframed
+	case probeVerify:
+		return p.verify
 	default:
 		return p.limit
 	}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -47,6 +47,7 @@
 	cancel       context.CancelFunc // ends the request as if its caller had disconnected
 	leftUnsent   bool               // the caller's leaving showed when an attempt was to be sent
 	excluded     map[string]bool
+	unverified   map[string]bool // addresses of plain servers that have left a probe for the request unanswered
 	blamers      map[string]bool // addresses of engines that refused the request and blamed others
 	lastEventID  string          // id of the last event that the caller has received
 	headSent     bool            // the header of an answer was written to the caller
--- a/gateway/serversearch.go
+++ b/gateway/serversearch.go
@@ -25,6 +25,8 @@
 	blamers map[string]bool
 	// tieSeed orders equally loaded plain servers.
 	tieSeed uint64
+	// unverified are the addresses of plain servers that have left a probe for the request unanswered.
+	unverified map[string]bool
 	// repeatable is set if the request may run again at another plain server.
 	repeatable bool
 	// availableAt is when a server can take the request, if all that could do so want no
--- a/gateway/sharedstate.go
+++ b/gateway/sharedstate.go
@@ -197,7 +197,7 @@
 		if suspects[candidate.Address] || s.suspects.IsLeaving(now, candidate.Incarnation()) {
 			cost += suspectCost
 		}
-		if s.outliers.Ejected(now, svc, candidate.Incarnation(), mayTry) {
+		if search.unverified[candidate.Address] || s.outliers.Ejected(now, svc, candidate.Incarnation(), mayTry) {
 			cost += suspectCost
 		}
 		if search.preferable(i, cost, best, bestCost) {
@@ -221,7 +221,7 @@
 	// crossDomainCost prefers a server of the same failure domain among equally loaded
 	// ones.
 	crossDomainCost = 0.5
-	// suspectCost orders suspected and ejected servers last.
+	// suspectCost orders suspected, ejected and unverified servers last.
 	suspectCost = 1000
 )
 
--- a/telemetry/events.go
+++ b/telemetry/events.go
@@ -132,6 +132,7 @@
 	EventBackendEjected    Event = 1627
 	EventBackendReturned   Event = 1628
 	EventBackendToldSilent Event = 1629
+	EventBackendUnverified Event = 1630
 	EventReplicaUp         Event = 1606
 	EventReplicaDown       Event = 1607
 	EventCacheEventsMissed Event = 1608
