gateway: the silence of a server is compared with what others answer meanwhile

Cause: the probe of another server, which shows that a silence is not this daemon's own, could be a result of up to 250 ms before, when that server still answered. A daemon that loses its links would leave out a server, and tell the others.

Change: that probe begins after the check has.

--- a/gateway/outliers.go
+++ b/gateway/outliers.go
@@ -134,16 +134,17 @@
 	}
 }
 
-// isSilent probes a plain server, and others of its service: only if one of them answers, the silence is
-// the server's.
+// isSilent probes a plain server, and others of its service: only if one of them answers meanwhile, the
+// silence is the server's.
 func (p *prober) isSilent(svc state.ServiceID, hop fleet.Hop) bool {
+	began := time.Now()
 	result := p.probe(probeSilence, hop.Server, hop.Address)
 	if result.outcome != probeDead || result.provesEnd(hop.Server) {
 		return false
 	}
 	others := lo.Filter(p.g.currentView.Load().servers[svc], func(s fleet.Server, _ int) bool { return s.Address != hop.Address })
 	return slices.ContainsFunc(lo.Samples(others, maxControls), func(other fleet.Server) bool {
-		return p.probe(probeSilence, other.Incarnation(), other.Address).outcome == probeAlive
+		return p.probeSince(probeSilence, began, other.Incarnation(), other.Address).outcome == probeAlive
 	})
 }
 
