outlier: an answer does not rate the servers of its service

Cause: what the better half of the servers fails was computed with each outcome. It is needed only when a server fails, and while one is ejected.

Change: it is computed then; of more than 64 servers, 64 arbitrary ones are rated. What is decided stays the same up to 64 servers.

The spec of servers that fail all requests plays half of 300 as well.

--- a/coordination/outlier/outlier.go
+++ b/coordination/outlier/outlier.go
@@ -45,6 +45,9 @@
 	// unknownFailures is the share of requests that servers are assumed to fail of which nothing is
 	// known, with the weight of one request.
 	unknownFailures = 0.05
+	// maxRated is how many servers of a service are rated at most, arbitrary ones, so that the work of a
+	// failure does not grow with the service.
+	maxRated = 64
 	// maxAlike is how often the better servers may fail, as a fraction of how often an ejected one
 	// does, for it to stay ejected.
 	maxAlike = 0.8
@@ -82,6 +85,7 @@
 	// better is the share of failures of the better half of the servers, and betterWeight the number
 	// of their requests.
 	better, betterWeight float64
+	ejected              int       // number of servers that are ejected
 	verifyUntil          time.Time // end of the time in which servers are probed before they are used
 }
 
@@ -150,7 +154,7 @@
 	if !r.ejected && !s.unlikely(r.row) {
 		return Ejection{}
 	}
-	return r.eject(now, tell)
+	return s.eject(now, r, tell)
 }
 
 // Answered records that a server answered a request.
@@ -160,12 +164,12 @@
 	r.decay(now)
 	r.answers++
 	r.answeredAt = now
-	s.rate(now)
+	s.rateEjected(now)
 	if sentAt.Before(r.failedAt) {
 		return Ejection{}
 	}
 	r.row, r.trialAt = 0, time.Time{}
-	return r.restore(now)
+	return s.restore(now, r)
 }
 
 // Eject records that a server answers no probe. It is Held until Return; the caller probes it again after
@@ -175,7 +179,8 @@
 	s.verifyUntil = now.Add(verifyTime)
 	r := s.record(server)
 	out := Ejection{For: d, Silent: true, Tell: r.newsDue(now, d)}
-	r.held, r.ejected, r.told = true, true, false
+	s.markEjected(now, r)
+	r.held, r.told = true, false
 	r.ignoreUntil = time.Time{}
 	r.ejection, r.until = d, now.Add(d)
 	r.announced = true
@@ -184,9 +189,10 @@
 
 // Return records that a server answers again, or need not be checked any more.
 func (t *Tracker) Return(now time.Time, svc state.ServiceID, server state.BackendIncarnation) Ejection {
-	r := t.service(svc).record(server)
+	s := t.service(svc)
+	r := s.record(server)
 	r.heardAt = now
-	return r.restore(now)
+	return s.restore(now, r)
 }
 
 // Held reports whether a server is ejected until Return. It must get no requests.
@@ -210,7 +216,7 @@
 	r.toldAt = at
 	switch {
 	case n.MS == 0 && r.told:
-		r.restore(at)
+		s.restore(at, r)
 	case n.MS == 0, r.ejected && !r.told, r.answeredAt.After(at):
 	case n.Silent:
 		probe = !at.Before(r.ignoreUntil)
@@ -219,7 +225,8 @@
 		}
 	default:
 		r.ejection = time.Duration(n.MS) * time.Millisecond
-		r.ejected, r.told, r.until = true, true, at.Add(2*r.ejection+toldSlack)
+		s.markEjected(at, r)
+		r.told, r.until = true, at.Add(2*r.ejection+toldSlack)
 	}
 	return probe
 }
@@ -271,10 +278,14 @@
 // Prune drops the records of servers that are not listed.
 func (t *Tracker) Prune(listed func(state.BackendIncarnation) bool) {
 	for svc, s := range t.services {
-		for server := range s.servers {
-			if !listed(server) {
-				delete(s.servers, server)
+		for server, r := range s.servers {
+			if listed(server) {
+				continue
 			}
+			if r.ejected {
+				s.ejected--
+			}
+			delete(s.servers, server)
 		}
 		if len(s.servers) == 0 {
 			delete(t.services, svc)
@@ -309,10 +320,30 @@
 	return r
 }
 
-// rate computes which share of requests the better half of the servers fails.
+// markEjected records that a server is ejected.
+func (s *service) markEjected(now time.Time, r *record) {
+	if r.ejected {
+		return
+	}
+	r.ejected = true
+	s.ejected++
+	s.rate(now)
+}
+
+// rateEjected computes what the ejected servers are compared with, if there are any.
+func (s *service) rateEjected(now time.Time) {
+	if s.ejected > 0 {
+		s.rate(now)
+	}
+}
+
+// rate computes which share of requests the better half of the servers fails, or of maxRated of them.
 func (s *service) rate(now time.Time) {
-	records := make([]*record, 0, len(s.servers))
+	records := make([]*record, 0, min(len(s.servers), maxRated))
 	for _, r := range s.servers {
+		if len(records) == maxRated {
+			break
+		}
 		r.decay(now)
 		records = append(records, r)
 	}
@@ -338,7 +369,7 @@
 }
 
 // eject begins or prolongs the ejection of a server.
-func (r *record) eject(now time.Time, tell bool) Ejection {
+func (s *service) eject(now time.Time, r *record, tell bool) Ejection {
 	switch {
 	case r.ejection == 0, !r.ejected && now.Sub(r.returnedAt) > forgetEjections:
 		r.ejection = minEjection
@@ -346,7 +377,8 @@
 		r.ejection = min(2*r.ejection, maxEjection)
 	}
 	tell = tell && r.newsDue(now, r.ejection)
-	r.ejected, r.told, r.until = true, false, now.Add(r.ejection)
+	s.markEjected(now, r)
+	r.told, r.until = false, now.Add(r.ejection)
 	r.announced = r.announced || tell
 	return Ejection{For: r.ejection, Tell: tell}
 }
@@ -358,11 +390,12 @@
 }
 
 // restore ends the ejection of a server, if it is ejected.
-func (r *record) restore(now time.Time) Ejection {
+func (s *service) restore(now time.Time, r *record) Ejection {
 	if !r.ejected {
 		return Ejection{}
 	}
 	out := Ejection{Returned: !r.told, Tell: r.announced}
+	s.ejected--
 	r.ejected, r.held, r.told, r.announced = false, false, false, false
 	r.returnedAt = now
 	return out
--- a/coordination/outlier/outlier_test.go
+++ b/coordination/outlier/outlier_test.go
@@ -94,6 +94,7 @@
 		Entry("half, seldom asked", 4, 2, 2.0),
 		Entry("most", 4, 3, 50.0),
 		Entry("half of many", 40, 20, 50.0),
+		Entry("half of hundreds", 300, 150, 300.0),
 	)
 
 	It("uses a server again soon after it has recovered", func() {
