--- a/coordination/outlier/doc.go
+++ b/coordination/outlier/doc.go
@@ -20,6 +20,8 @@
 // assigns a request to a server, and Failed or Answered with the time at which the request was sent.
 // If an answer is late and CheckDue, it probes the server, and calls Eject if that is in vain while another
 // server of the service answers, and Return once it answers. A server that is Held gets no requests. It
+// calls Heard for each sign of life of a server, and probes one before it sends a request there if VerifyDue.
+// If Receive asks for a probe of a server that answers it, it calls Contradict. It
 // sends a Notice for each Ejection with Tell, and calls Prune when the list of servers has changed.
 //
 // # Failures guarded against
@@ -33,6 +35,10 @@
 //     used again if they are not much worse.
 //   - A server that stands still reads later what it has been sent, when its callers have long been
 //     answered by others. It is tried by probes, not by requests.
+//   - Servers stand still again and again, and each time each daemon finds out by a request: for a while
+//     after a silence, servers of the service are probed before they are used.
+//   - Servers stand still again and again, and each time each daemon finds out by a request: for a while
+//     after a silence, servers of the service are probed before they are used.
 //   - A request that must not be repeated would be lost at a server that has not recovered: requests
 //     that may be repeated go there first.
 package outlier
--- a/gateway/outliers.go
+++ b/gateway/outliers.go
@@ -40,7 +40,10 @@
 // set if it has said so itself after running the request.
 func (r *requestHandler) recordServerFailure(hop fleet.Hop, sent time.Time, status int, detail string, answered bool) {
 	now := time.Now()
-	unheard := r.g.shared.unheardAt(now, sent, r.service.ID, hop.Server, detail != answerLate)
+	unheard := r.g.shared.unheard(sent, r.service.ID, hop.Server)
+	if detail != answerLate {
+		r.g.shared.heard(now, r.service.ID, hop.Server)
+	}
 	r.g.log.Emit(telemetry.EventBackendFailed, telemetry.Request(r.req.ID), telemetry.Service(r.service.ID), telemetry.Backend(hop.Server.ID),
 		telemetry.Address(hop.Address), telemetry.Detail(detail), telemetry.Count(status), telemetry.Duration(unheard))
 	r.g.handleEjection(r.service.ID, hop, r.g.shared.serverFailed(now, sent, r.service.ID, hop.Server, answered))
@@ -259,17 +262,6 @@
 	s.outliers.Contradict(now, svc, server)
 }
 
-// unheardAt returns how long a plain server had shown no sign of life when a request was sent to it, or 0
-// if it has answered since or never before. heard is set if its failure is such a sign.
-func (s *sharedState) unheardAt(now, sentAt time.Time, svc state.ServiceID, server state.BackendIncarnation, heard bool) time.Duration {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if heard {
-		s.outliers.Heard(now, svc, server)
-	}
-	return max(0, s.outliers.Unheard(sentAt, svc, server))
-}
-
 // mayTryEjected reports whether a request may find out whether an ejected server has recovered: it could
 // go on elsewhere.
 func (s *sharedState) mayTryEjected(now time.Time, v *view, svc state.ServiceID, search *serverSearch) bool {
--- a/gateway/verify.go
+++ b/gateway/verify.go
@@ -69,3 +69,11 @@
 	defer s.mu.Unlock()
 	s.outliers.Heard(now, svc, server)
 }
+
+// unheard returns how long a plain server had shown no sign of life at a time, or 0 if it has shown one
+// since or never before.
+func (s *sharedState) unheard(at time.Time, svc state.ServiceID, server state.BackendIncarnation) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return max(0, s.outliers.Unheard(at, svc, server))
+}
