gateway: the content of a request to an engine is its body, whatever its path

With three deadly contents at a time callers get 502 for what would have been served, and engines end for nothing.

Cause: evidence against a content was kept by method, path, customer and body. The same body of the same customer came by three routes (a trial that printed what is hashed: /tile690/33/7225 and /kaba32/17/7225 have one body, /zifi21/1e/7225 another one), and each of them ended two engines before it was refused.

Change: for engines the key is service, customer and body, as far as there is a body. Plain servers act on the path: unchanged. What identifies a caller that returns is a key of its own, unchanged.

Spec: is refused by all paths to its engines; red before, 8 servers ended where two may.

--- a/gateway/crashcontent_test.go
+++ b/gateway/crashcontent_test.go
@@ -122,6 +122,19 @@
 	)
 
 	// Guards against a crash loop over several daemons, of which each counts its own crashes only.
+	// Guards against a content that ends two servers for each path by which its callers send it.
+	It("is refused by all paths to its engines", Label("failure:request-crashes-servers"), func() {
+		h, c := newHarness(), &crashes{ended: make(map[string]bool)}
+		streamBeforeHeader(h, c)
+		h.populateForCrashes()
+		for i := range 2 * crashingServers {
+			req := request(fmt.Sprintf("/stream/%d", i))
+			req.ID, req.CallerTimeout, req.Body = state.RequestID(fmt.Sprintf("r%d", i)), 2*time.Second, []byte("the same prompt")
+			h.gateway.Serve(context.Background(), req, &fakeReply{})
+		}
+		Expect(c.count()).To(BeNumerically("<=", 2))
+	})
+
 	It("is refused by every daemon, and by one that joins later", Label("failure:request-crashes-servers"), func() {
 		h, c := newHarness(), &crashes{ended: make(map[string]bool)}
 		streamAfter(eventText(1))(h, c)
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -10,16 +10,28 @@
 	"github.com/hibiscuswick/hibiscuswick/telemetry"
 )
 
-// fingerprint identifies the content of a request.
+// fingerprint identifies the content of a request: what its server runs. Of an engine that is the body,
+// whatever the path by which it came.
 func (r *requestHandler) fingerprint() crashes.Fingerprint {
+	if r.service.Engine != nil && len(r.req.Body) > 0 {
+		return crashes.Fingerprint(r.hashWith("", string(r.service.ID)))
+	}
+	return crashes.Fingerprint(r.callerKey())
+}
+
+// callerKey identifies the caller of a request when it returns.
+func (r *requestHandler) callerKey() uint64 { return r.hashWith(r.req.Method, r.req.Target) }
+
+// hashWith hashes what a request is sent to, its customer and its body.
+func (r *requestHandler) hashWith(method, target string) uint64 {
 	var h xxhash.Digest
 	h.Reset()
-	for _, part := range [...]string{r.req.Method, r.req.Target, string(r.customer.ID)} {
+	for _, part := range [...]string{method, target, string(r.customer.ID)} {
 		_, _ = h.WriteString(part) // writing to a hash never fails
 		_, _ = h.Write([]byte{0})
 	}
 	_, _ = h.Write(r.req.Body)
-	return crashes.Fingerprint(h.Sum64())
+	return h.Sum64()
 }
 
 // brokenStage says which part of an answer had arrived when a call broke off.
--- a/gateway/waitorder.go
+++ b/gateway/waitorder.go
@@ -185,7 +185,7 @@
 	if !r.place.IsZero() || r.attemptCount > 1 || r.g.waits.remembered.Load() == 0 || !r.identifiesCaller() {
 		return false
 	}
-	r.returnKey = uint64(r.fingerprint())
+	r.returnKey = r.callerKey()
 	place, early := r.g.waits.place(time.Now(), r.service.ID, r.returnKey, r.req.Arrived)
 	r.place = place
 	if early <= 0 {
@@ -252,7 +252,7 @@
 	default:
 	}
 	if r.place.IsZero() {
-		r.place, r.returnKey = r.req.Arrived, uint64(r.fingerprint())
+		r.place, r.returnKey = r.req.Arrived, r.callerKey()
 	}
 	queued := r.rejection != nil || res.Reason == string(relay.ReasonNoServer)
 	r.g.waits.rejected(time.Now(), r.service.ID, r.returnKey, r.place, res.RetryAfter, queued)
