gateway tests: a spec waits until the ejection for a late answer has ended

Traced: its request is late after 0.5 s, and a late answer ejects its server for 0.4 s, whatever probes show; the spec looked after 1.0 s, so that a timer 0.1 s late was enough. With 0.7 s in place of 1 s it is red in 4 of 4 plays (a trial).

Change: its caller waits for 2 s, as in the spec beside it. What it checks is the same: one request is sent, and no server is left out because probes fail. 24 of 24 green since under the race detector, 12 at a time.

--- a/gateway/outliers_test.go
+++ b/gateway/outliers_test.go
@@ -211,7 +211,7 @@
 		}
 		s.arrivals()
 		req := request("/once/")
-		req.CallerTimeout = time.Second
+		req.CallerTimeout = 2 * time.Second // the ejection for its late answer has ended by then
 		s.gateway.Serve(context.Background(), req, &fakeReply{})
 		Expect(lo.Sum(lo.Values(s.arrivals()))).To(Equal(1))
 		for i := range plainServers {
