--- /dev/null
+++ b/gateway/verifypath_test.go
@@ -0,0 +1,78 @@
+package gateway_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hibiscuswick/hibiscuswick/gateway"
+	"github.com/hibiscuswick/hibiscuswick/protocol/backend"
+	"github.com/hibiscuswick/hibiscuswick/state"
+	"github.com/hibiscuswick/hibiscuswick/state/fleet"
+)
+
+// listEngines lists engines e0, e2 and so on with the lower half of the layers, and e1, e3 and so on with the
+// upper half, one of each in each of some domains.
+func (h *harness) listEngines(domains ...state.FailureDomain) {
+	for i, domain := range domains {
+		for half := range 2 {
+			id := fmt.Sprintf("e%d", 2*i+half)
+			h.serverFeed.set(id, fleet.Server{
+				ID: state.BackendID(id), Service: "llm", Address: id, Kind: "card", Domain: domain, Layers: fleet.Range{From: 4 * half, To: 4*half + 4},
+			})
+		}
+	}
+	h.configs.set("config", config(1))
+	Eventually(h.gateway.Ready).WithTimeout(eventuallyTimeout).Should(BeTrue())
+}
+
+var _ = Describe("A stream whose engine stands still", func() {
+	var h *harness
+	// stopWith makes some engines stand still once a stream has two events.
+	stopWith := func(addresses ...string) {
+		h.servers.stream = func(c backend.Call, out *io.PipeWriter) {
+			if c.LastEventID != "" {
+				writeEvents(out, c.LastEventID, 5)
+				return
+			}
+			_, _ = io.WriteString(out, eventText(2))
+			for _, a := range addresses {
+				h.servers.setSilent(a, true)
+			}
+		}
+	}
+	serve := func() (*fakeReply, gateway.Result) {
+		req, reply := request("/stream/x"), &fakeReply{}
+		req.CallerTimeout = 3 * time.Second
+		return reply, h.gateway.Serve(context.Background(), req, reply)
+	}
+	BeforeEach(func() { h = newHarness() })
+
+	// Guards against streams that wait at a second engine that stands still, which reads them late.
+	It("goes on at none of those that stand still as well", Label("failure:resumed-at-silent-engines"), func() {
+		h.listEngines("a", "a", "b")
+		stopWith("e0", "e2")
+		reply, result := serve()
+		Expect(result.Outcome).To(Equal(gateway.Answered), result.Reason)
+		Expect(reply.body.String()).To(Equal(eventText(5)))
+		sent := h.servers.sent()
+		Expect(sent).To(HaveLen(2))
+		Expect(sent[1].Address).To(Equal("e4"))
+	})
+
+	// Guards against the same where an engine after the first one of the path stands still.
+	It("goes on along no path through those that stand still as well", Label("failure:resumed-at-silent-engines"), func() {
+		h.listEngines("a", "a", "b")
+		stopWith("e1", "e3")
+		reply, result := serve()
+		Expect(result.Outcome).To(Equal(gateway.Answered), result.Reason)
+		Expect(reply.body.String()).To(Equal(eventText(5)))
+		sent := h.servers.sent()
+		Expect(sent[len(sent)-1].Path[1].Address).To(Equal("e5"))
+		Expect(sent).To(HaveLen(2))
+	})
+})
