gateway: servers of a path are verified before a stream that broke off goes on there

What callers saw: engines stop together, and a stream whose engine is found silent goes on at one that has stopped as well.

Cause: an engine counts as one that answers by its last sign of life, however old.

Change: a request of which a run has broken off probes those servers of its path that were not heard of for as long as streams take to notice a silence (a fifth of the longest gap). If one does not answer, it is found silent for all streams, and the request takes another path; after two such paths it is sent as before, since it may be this daemon that reaches none. Probes share the limit and the results of those before plain requests.

What is left are first sends to engines that have just stopped.

--- a/gateway/path.go
+++ b/gateway/path.go
@@ -22,7 +22,7 @@
 		if r.view.populating && !r.headSent || !r.mayRetryRejected(time.Now()) {
 			return false
 		}
-		r.search.admission, r.search.blamers = decision, r.blamers
+		r.search.admission, r.search.avoided = decision, r.avoided
 		return r.chooseWithTurns(ctx, func() bool {
 			path, ok = r.g.shared.choosePath(time.Now(), r.view, r.service, pathReq, r.excluded, &r.search)
 			return ok
@@ -39,6 +39,9 @@
 	r.admission = decision
 	r.chargeShare(pathReq.ExpectedTokens())
 	r.address, r.path = path[0].Address, path
+	if !r.verifyPath() {
+		return relay.NotSent, Result{}
+	}
 	r.logSent(path.String())
 	call := r.newCall(path[0].Server, path[0].Address)
 	call.Path = path
--- a/gateway/pathchoice.go
+++ b/gateway/pathchoice.go
@@ -31,7 +31,7 @@
 	excludeAddresses(roster, states, s.dead)
 	excludeAddresses(roster, states, avoid)
 	suspects := s.markSuspects(now, roster, states)
-	suspects = markSuspectAddresses(roster, states, search.blamers) || suspects
+	suspects = markSuspectAddresses(roster, states, search.avoided) || suspects
 	waiting := s.excludeUnavailable(now, roster, states)
 	path, ok := cheapestPath(roster, r, states, suspects)
 	if !ok {
--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -259,10 +259,15 @@
 }
 
 func (p *prober) probeAll(purpose probePurpose, hops []fleet.Hop) []probeResult {
+	return p.probeAllSince(purpose, time.Time{}, hops)
+}
+
+// probeAllSince probes hops concurrently, as probeSince does each.
+func (p *prober) probeAllSince(purpose probePurpose, since time.Time, hops []fleet.Hop) []probeResult {
 	results := make([]probeResult, len(hops))
 	var all sync.WaitGroup
 	for i, h := range hops {
-		all.Go(func() { results[i] = p.probe(purpose, h.Server, h.Address) })
+		all.Go(func() { results[i] = p.probeSince(purpose, since, h.Server, h.Address) })
 	}
 	all.Wait()
 	return results
--- a/gateway/refusal.go
+++ b/gateway/refusal.go
@@ -34,7 +34,8 @@
 func (r *requestHandler) handleRefusal(path fleet.Path, address string) {
 	r.recordFailure(address)
 	if first := path[0].Address; first != address {
-		r.suspectBlamer(first)
+		// It may have lost its links to sound engines.
+		r.avoid(first)
 	}
 	hop, ok := hopAt(path, address)
 	if !ok || !r.g.shared.startRefusalCheck(time.Now(), address) {
@@ -49,13 +50,12 @@
 	})
 }
 
-// suspectBlamer makes the request begin at another engine than one that has refused it and blames another
-// one, if there is one: it may have lost its links to sound engines.
-func (r *requestHandler) suspectBlamer(address string) {
-	if r.blamers == nil {
-		r.blamers = make(map[string]bool)
+// avoid keeps the request from an engine, if there are others.
+func (r *requestHandler) avoid(address string) {
+	if r.avoided == nil {
+		r.avoided = make(map[string]bool)
 	}
-	r.blamers[address] = true
+	r.avoided[address] = true
 }
 
 // checkRefusal reads the report of a server that refused a request, or was blamed for that by the first
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -48,7 +48,8 @@
 	leftUnsent   bool               // the caller's leaving showed when an attempt was to be sent
 	excluded     map[string]bool
 	unverified   map[string]bool // addresses of plain servers that have left a probe for the request unanswered
-	blamers      map[string]bool // addresses of engines that refused the request and blamed others
+	avoided      map[string]bool // addresses of engines that refused the request and blamed others, or left a probe for it unanswered
+	verified     int             // paths of which a server has left a probe for the request unanswered
 	lastEventID  string          // id of the last event that the caller has received
 	headSent     bool            // the header of an answer was written to the caller
 	rejections   admission.Rejections
--- a/gateway/serversearch.go
+++ b/gateway/serversearch.go
@@ -21,8 +21,8 @@
 	admission *streamAdmission
 	// assignment is the request's part in the slow start of the server that was found.
 	assignment availability.Assignment
-	// blamers are the addresses of engines that refused the request and blamed others.
-	blamers map[string]bool
+	// avoided are the addresses of engines that the request uses only if there are no others.
+	avoided map[string]bool
 	// tieSeed orders equally loaded plain servers.
 	tieSeed uint64
 	// unverified are the addresses of plain servers that have left a probe for the request unanswered.
--- a/telemetry/catalogue.go
+++ b/telemetry/catalogue.go
@@ -113,7 +113,7 @@
 	{EventBackendEjected, "backend_ejected", logrus.InfoLevel, "A plain backend server refuses or fails requests, or answers nothing, while others of its service answer; this gateway prefers the others for the given seconds. Then it sends the server one request at a time, or a probe if it has answered nothing, until it answers. Other gateways are told unless it only refuses."},
 	{EventBackendReturned, "backend_returned", logrus.InfoLevel, "A plain backend server that was ejected has answered a request or a probe; this gateway uses it again."},
 	{EventBackendToldSilent, "backend_told_silent", logrus.InfoLevel, "Another gateway has told that a plain backend server answers nothing, which was not known here. The detail says whether this gateway probes the server (checked) or does not, since the server has answered after an earlier notice (ignored)."},
-	{EventBackendUnverified, "backend_unverified", logrus.InfoLevel, "A plain backend server that had not been heard of lately has left the probe before a request unanswered; the request goes to another one."},
+	{EventBackendUnverified, "backend_unverified", logrus.InfoLevel, "A backend server that had not been heard of lately has left the probe before a request unanswered; the request goes to another one, or along a path without it."},
 	{EventConnectionSilent, "connection_silent", logrus.WarnLevel, "An open connection became unresponsive; it is replaced, and the state of the requests that were in flight on it is queried."},
 	{EventFrameRefused, "frame_refused", logrus.WarnLevel, "An invalid, oversized or unknown frame was received; the connection is closed."},
 }
