gateway: an engine that does not begin an answer in time is probed

What callers saw: an engine stands still through which no stream of a daemon runs. The engine has no load and looks like the best one, so that the next stream is sent there as well.

Cause: the hops of a stream are probed only once its answer has begun. An attempt that was given up before left no mark on any server.

Change: the timer for the first event also fires for last attempts, and where no answer shows how long one takes, and probes the servers of the path that have shown no sign of life since the request was sent. Those that do not answer are left out as those of silent streams are, and the request goes on elsewhere if it may. A timer that fires late shows nothing of the servers.

--- a/gateway/outliers.go
+++ b/gateway/outliers.go
@@ -75,7 +75,7 @@
 }
 
 // watchLateAnswer acts on an answer of a plain server that is late: it gives up the attempt as lost, as
-// far as watchFirstEvent would, and finds out whether the server answers anything. ctx is that of the
+// far as abandonLate does, and finds out whether the server answers anything. ctx is that of the
 // call. The caller stops the timer once the answer has begun.
 func (r *requestHandler) watchLateAnswer(ctx context.Context, cancel context.CancelFunc) *time.Timer {
 	hop, sent := r.path[0], r.runStart
--- a/gateway/path.go
+++ b/gateway/path.go
@@ -47,7 +47,7 @@
 	call.Path = path
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	timer := r.watchFirstEvent(cancel)
+	watch := r.watchFirstEvent(ctx, cancel)
 	sent := time.Now()
 	r.runStart = sent
 	connectTimer := r.watchConnect(ctx, cancel)
@@ -55,7 +55,7 @@
 	answer, err := r.g.backends.Send(ctx, call)
 	stopTimer(stopWatch)
 	stopTimer(connectTimer)
-	stopTimer(timer)
+	watch.stop()
 	if err != nil {
 		return r.handleSendError(ctx, err), Result{}
 	}
--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -208,22 +208,25 @@
 
 // checkHops probes hops of a service concurrently. Those that do not answer are avoided until
 // they do, and the streams through them are informed. suspected are the hops of the path that have shown
-// no recent sign of life to this daemon, hops and those of which another daemon has one.
-func (p *prober) checkHops(svc state.ServiceID, hops, suspected []fleet.Hop) {
+// no recent sign of life to this daemon, hops and those of which another daemon has one. It reports whether
+// any hop is to be avoided.
+func (p *prober) checkHops(svc state.ServiceID, hops, suspected []fleet.Hop) (dead bool) {
 	results := p.probeAll(probeSilence, hops)
 	p.reportUnreached(svc, hops, results)
 	if len(suspected) > 1 && !p.isConnected() && !p.reachesAny(hops, suspected) {
-		return
+		return false
 	}
 	for i, h := range hops {
 		if results[i].outcome != probeDead {
 			continue
 		}
+		dead = true
 		p.handleDeath(h, results[i])
 		for _, s := range p.g.shared.streamsThrough(h.Address) {
 			s.hopDied(h, results[i].provesEnd(h.Server))
 		}
 	}
+	return dead
 }
 
 // reachesAny probes one of the suspected hops that were not probed, as far as there is one, and reports
--- a/gateway/verifypath_test.go
+++ b/gateway/verifypath_test.go
@@ -76,3 +76,51 @@
 		Expect(sent).To(HaveLen(2))
 	})
 })
+
+var _ = Describe("An engine that stands still while no stream runs there", func() {
+	// Guards against streams that are sent there one after the other, each until its answer counts as lost.
+	It("gets one stream", Label("failure:idle-silent-engine"), func() {
+		h := newHarness()
+		h.listEngines("a", "b")
+		for range 5 {
+			_, result := h.serve("/stream/x")
+			Expect(result.Outcome).To(Equal(gateway.Answered))
+		}
+		h.servers.setSilent("e0", true)
+		before := len(h.servers.sent())
+		for range 4 {
+			_, result := h.serve("/stream/x")
+			Expect(result.Outcome).To(Equal(gateway.Answered), result.Reason)
+		}
+		first := 0
+		for _, c := range h.servers.sent()[before:] {
+			if c.Address == "e0" {
+				first++
+			}
+		}
+		Expect(first).To(Equal(1))
+	})
+
+	// Guards against streams that wait there until their callers leave, where no answer shows how long one takes.
+	It("is left by a stream that has never had another one to compare with", Label("failure:idle-silent-engine"), func() {
+		h := newHarness()
+		h.listEngines("a", "b")
+		h.servers.setSilent("e0", true)
+		req, reply := request("/stream/x"), &fakeReply{}
+		req.CallerTimeout = 3 * time.Second
+		result := h.gateway.Serve(context.Background(), req, reply)
+		Expect(result.Outcome).To(Equal(gateway.Answered), result.Reason)
+		Expect(reply.body.String()).To(Equal(eventText(5)))
+	})
+
+	// Guards against streams that leave an engine which is slow to begin, but answers probes.
+	It("is told from one that takes long to begin an answer", Label("failure:idle-silent-engine"), func() {
+		h := newHarness()
+		h.listEngines("a", "b")
+		h.servers.connect = func(backend.Call) { time.Sleep(1500 * time.Millisecond) }
+		_, result := h.serve("/stream/x")
+		Expect(result.Outcome).To(Equal(gateway.Answered), result.Reason)
+		Expect(h.servers.sent()).To(HaveLen(1))
+		Expect(h.servers.reportCount("e0")).To(BeNumerically(">", 0))
+	})
+})
--- a/gateway/wait.go
+++ b/gateway/wait.go
@@ -86,17 +86,6 @@
 	}
 }
 
-// watchFirstEvent cancels an attempt whose answer does not begin in the usual time, if the
-// request may run again: the answer was lost, or the connection is unresponsive. The caller
-// stops the timer once the answer has begun.
-func (r *requestHandler) watchFirstEvent(cancel context.CancelFunc) *time.Timer {
-	abandons, first := r.abandonsLate()
-	if !abandons {
-		return nil
-	}
-	return time.AfterFunc(first, func() { r.abandonLate(cancel) })
-}
-
 // abandonsLate reports whether the current attempt may be given up as lost, and after which time.
 func (r *requestHandler) abandonsLate() (bool, time.Duration) {
 	if r.route.Repeat == fleet.AtMostOnce || r.isLastAttempt(r.address) {
