gateway: what a server showed before a request hides neither its end nor its silence

Cause: once a call has broken off, the later servers of its path are probed, and a result of the last 250 ms serves as well. With these servers are often probed just before the request is sent, so that a server which the request ends counts as alive by the answer that it gave before.

Change: the probes for ended servers begin after the call has broken off; that a server was alive before a request is no answer to any other question than that of the next request.

--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -72,7 +72,7 @@
 	case result.outcome == probeDead || result.provesEnd(first.Server):
 		r.implicate(first.Server, run)
 	case result.outcome == probeAlive:
-		for _, h := range r.g.prober.endedHops(r.path[1:]) {
+		for _, h := range r.g.prober.endedHops(now, r.path[1:]) {
 			r.implicate(h.Server, run)
 		}
 	}
--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -104,6 +104,7 @@
 
 // probeResult is the result of one probe. took and err say why a server counts as dead.
 type probeResult struct {
+	purpose   probePurpose
 	at        time.Time
 	outcome   probeOutcome
 	took      time.Duration
@@ -133,12 +134,13 @@
 
 // probeSince requests a server's report, unless there is a recent result which shows that the
 // server is dead, or that it was alive after a time. A probe that was under way at that time shows
-// nothing: the server may have answered it before.
+// nothing: the server may have answered it before. That a server was alive before a request was sent to it
+// shows nothing of a silence since.
 func (p *prober) probeSince(purpose probePurpose, since time.Time, server state.BackendIncarnation, address string) probeResult {
 	p.mu.Lock()
 	old, ok := p.results[address]
 	p.mu.Unlock()
-	if ok && p.isFresh(old) && (old.outcome == probeDead || !old.began().Before(since)) {
+	if ok && p.isFresh(old) && (old.outcome == probeDead || !old.began().Before(since) && (old.purpose != probeVerify || purpose == probeVerify)) {
 		return old
 	}
 	result := p.sendShared(purpose, server, address)
@@ -184,7 +186,7 @@
 		p.g.checkIncarnation(server, address, report.StartTime)
 		p.g.observePace(server, report)
 	}
-	out := probeResult{at: time.Now(), outcome: probeDead, took: time.Since(began), err: err, startTime: report.StartTime}
+	out := probeResult{purpose: purpose, at: time.Now(), outcome: probeDead, took: time.Since(began), err: err, startTime: report.StartTime}
 	switch {
 	case err == nil, errors.Is(err, backend.ErrNoReport):
 		out.outcome = probeAlive
@@ -249,11 +251,11 @@
 	}
 }
 
-// endedHops probes all hops concurrently, and returns those whose process has ended. Whether they
-// are to be avoided is left to the streams that they stall.
-func (p *prober) endedHops(hops []fleet.Hop) []fleet.Hop {
+// endedHops probes all hops concurrently, and returns those whose process has ended, also if they were alive
+// before a time. Whether they are to be avoided is left to the streams that they stall.
+func (p *prober) endedHops(since time.Time, hops []fleet.Hop) []fleet.Hop {
 	var ended []fleet.Hop
-	for i, result := range p.probeAll(probeEnd, hops) {
+	for i, result := range p.probeAllSince(probeEnd, since, hops) {
 		if result.provesEnd(hops[i].Server) {
 			ended = append(ended, hops[i])
 		}
