gateway, suspect: daemons tell each other of silent engines, and verify those told of

What callers saw: an engine stands still, and each daemon finds out by a stream of its own, which waits a quarter of a second or more before it goes on elsewhere, and which the engine reads late.

With many daemons each has few streams, so that no other stream notices first.

Change: the daemon that finds a server of a path silent tells the others, after up to 0.1 s and unless one of them has told so, and again with each probe of its own that is not answered. Who is told probes the server before it sends a request along a path through it, as far as no stream has shown it to be alive since: the teller may have lost its own link. An answer ends the doubt until the server is told of again.

A spec with three gateways was red before (a stream of each at the engine); one of a false notice guards the other side.

--- a/coordination/suspect/suspect.go
+++ b/coordination/suspect/suspect.go
@@ -27,6 +27,8 @@
 	leaving map[state.BackendIncarnation]time.Time
 	// paces holds servers that have reported to be slow.
 	paces map[state.BackendIncarnation]reportedPace
+	// silent holds servers that answer no probes, as notices say.
+	silent map[state.BackendIncarnation]silence
 }
 
 // record holds the observations of one server.
@@ -48,7 +50,7 @@
 
 // NewTracker returns an empty tracker.
 func NewTracker() *Tracker {
-	return &Tracker{servers: make(map[string]*record), outdated: make(map[OutdatedNotice]time.Time), leaving: make(map[state.BackendIncarnation]time.Time), paces: make(map[state.BackendIncarnation]reportedPace)}
+	return &Tracker{servers: make(map[string]*record), outdated: make(map[OutdatedNotice]time.Time), leaving: make(map[state.BackendIncarnation]time.Time), paces: make(map[state.BackendIncarnation]reportedPace), silent: make(map[state.BackendIncarnation]silence)}
 }
 
 func (t *Tracker) record(now time.Time, address string) *record {
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -60,6 +60,7 @@
 	kindReachResponse peer.Kind = 1902
 	kindPace          peer.Kind = 1601
 	kindEjection      peer.Kind = 1602
+	kindSilent        peer.Kind = 1603
 	kindLoadReport    peer.Kind = 2100
 	kindLoadTotals    peer.Kind = 2101
 	kindShareReport   peer.Kind = 2000
@@ -86,6 +87,7 @@
 	peer.Register[suspect.LeavingNotice](r, kindLeaving)
 	peer.Register[suspect.PaceNotice](r, kindPace)
 	peer.Register[outlier.Notice](r, kindEjection)
+	peer.Register[suspect.SilentNotice](r, kindSilent)
 	peer.Register[rowsRequest](r, kindRowsRequest)
 	peer.Register[rowsResponse](r, kindRowsResponse)
 	peer.Register[permits.PermitRequest](r, kindPermitRequest)
--- a/gateway/notice.go
+++ b/gateway/notice.go
@@ -20,7 +20,7 @@
 
 // Notices are findings of one daemon about a server or a request's content that all daemons
 // need: suspect.OutdatedNotice, suspect.RefusalNotice, suspect.LeavingNotice, suspect.PaceNotice,
-// outlier.Notice, permits.LimitNotice, reach.Notice, shares.ContentionNotice, crashes.EndNotice, crashes.PartsNotice and crashes.ClearNotice. They are spread as
+// suspect.SilentNotice, outlier.Notice, permits.LimitNotice, reach.Notice, shares.ContentionNotice, crashes.EndNotice, crashes.PartsNotice and crashes.ClearNotice. They are spread as
 // facts of the membership: each daemon sends to a few neighbors, whatever the number of daemons,
 // and a daemon that misses a message gets it from another one.
 
@@ -90,6 +90,8 @@
 		if g.currentSettings().Contention.ReportedPace {
 			g.shared.recordPace(at, m)
 		}
+	case suspect.SilentNotice:
+		g.shared.markSilent(at, m)
 	case outlier.Notice:
 		g.receiveEjection(at, m)
 	case permits.LimitNotice:
--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -305,10 +305,12 @@
 	go func() {
 		until := time.Now().Add(reprobeDuration)
 		for probes := 0; time.Now().Before(until); probes++ {
+			wait := min(p.recoveryInterval(probes, result.provesEnd(h.Server)), time.Until(until))
+			p.g.tellSilent(h, wait)
 			select {
 			case <-p.g.done:
 				return
-			case <-time.After(min(p.recoveryInterval(probes, result.provesEnd(h.Server)), time.Until(until))):
+			case <-time.After(wait):
 			}
 			if p.g.currentSettings().Contention.ProbeByTraffic && !p.g.currentView.Load().lists(h) {
 				break
--- a/gateway/verifypath.go
+++ b/gateway/verifypath.go
@@ -1,10 +1,13 @@
 package gateway
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"github.com/samber/lo"
 
+	"github.com/hibiscuswick/hibiscuswick/coordination/suspect"
+	"github.com/hibiscuswick/hibiscuswick/state"
 	"github.com/hibiscuswick/hibiscuswick/state/fleet"
 	"github.com/hibiscuswick/hibiscuswick/telemetry"
 )
@@ -13,19 +16,34 @@
 // After that it is sent without probes: it may be this daemon that reaches none.
 const maxUnverifiedPaths = 2
 
-// verifyPath reports whether the request may be sent along the path of the current attempt. If an earlier run
-// of it has broken off, the servers of the path that have not been heard of lately are probed first.
+// verifyPath reports whether the request may be sent along the path of the current attempt. The servers of the
+// path that other daemons tell to be silent are probed first and, if an earlier run of the request has broken
+// off, those that have not been heard of lately.
 //
 // Guard (resumed-at-silent-engines): servers often stop together, and the first streams that notice would go
 // on at those that are noticed next. These read them late, and no further server may run the streams.
+//
+// Guard (silent-engines-found-by-each): a server that stands still would get a stream of each daemon.
 func (r *requestHandler) verifyPath() bool {
-	if r.retrier.NeverRan() || r.verified >= maxUnverifiedPaths {
+	if r.verified >= maxUnverifiedPaths {
 		return true
 	}
 	interval, now := r.pathVerifyInterval(), time.Now()
-	unheard := r.g.shared.unheardHops(now, r.path, interval)
-	results := r.g.prober.probeAllSince(probeVerify, now.Add(-interval), unheard)
-	silent := lo.Filter(unheard, func(_ fleet.Hop, i int) bool { return results[i].outcome == probeDead })
+	doubted := r.g.shared.toldSilent(now, r.path)
+	if !r.retrier.NeverRan() {
+		doubted = lo.Union(doubted, r.g.shared.unheardHops(now, r.path, interval))
+	}
+	results := r.g.prober.probeAllSince(probeVerify, now.Add(-interval), doubted)
+	var silent []fleet.Hop
+	for i, h := range doubted {
+		switch results[i].outcome {
+		case probeDead:
+			silent = append(silent, h)
+		case probeAlive:
+			r.g.shared.contradictSilentNotice(results[i].began(), h.Server)
+		case probeUnknown, probeNotSent:
+		}
+	}
 	if len(silent) == 0 {
 		return true
 	}
@@ -47,6 +65,49 @@
 	return minVerifyInterval
 }
 
+// tellSpread is the range of the delay after which a daemon tells others of a silent server, so that one tells
+// them of a server that many find silent.
+const tellSpread = 100 * time.Millisecond
+
+// tellSilent tells the other daemons of a server that answers nothing and is probed again after a time, unless
+// one of them has told so.
+func (g *Gateway) tellSilent(h fleet.Hop, until time.Duration) {
+	notice := suspect.SilentNotice{Server: h.Server, Address: h.Address, MS: until.Milliseconds()}
+	time.AfterFunc(rand.N(tellSpread), func() {
+		if g.shared.markSilentNews(time.Now(), notice) {
+			g.broadcast(notice)
+		}
+	})
+}
+
+// markSilent records another daemon's notice of a silent server.
+func (s *sharedState) markSilent(at time.Time, n suspect.SilentNotice) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.suspects.MarkSilent(at, n)
+}
+
+// markSilentNews records that a server answers nothing, and reports whether others are to be told: it still
+// answers nothing, and no notice says so.
+func (s *sharedState) markSilentNews(now time.Time, n suspect.SilentNotice) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.dead[n.Address] && s.suspects.MarkSilent(now, n)
+}
+
+// toldSilent returns the hops of a path of which a notice says that they are silent.
+func (s *sharedState) toldSilent(now time.Time, path fleet.Path) []fleet.Hop {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return lo.Filter(path, func(h fleet.Hop, _ int) bool { return s.suspects.ToldSilent(now, h.Server) })
+}
+
+func (s *sharedState) contradictSilentNotice(sentAt time.Time, server state.BackendIncarnation) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.suspects.ContradictSilence(sentAt, server)
+}
+
 // unheardHops returns the hops of a path that no stream has shown to be alive within an interval.
 func (s *sharedState) unheardHops(now time.Time, path fleet.Path, interval time.Duration) []fleet.Hop {
 	s.mu.Lock()
--- a/gateway/verifypath_test.go
+++ b/gateway/verifypath_test.go
@@ -124,3 +124,42 @@
 		Expect(h.servers.reportCount("e0")).To(BeNumerically(">", 0))
 	})
 })
+
+var _ = Describe("Several gateways before an engine that stands still", func() {
+	// Guards against a stream of each gateway that such an engine reads late.
+	It("send it one stream", Label("failure:silent-engines-found-by-each"), func() {
+		h := newHarness()
+		others := []*gateway.Gateway{h.start("g2"), h.start("g3")}
+		h.listEngines("a", "b")
+		for _, g := range others {
+			Eventually(g.Ready).WithTimeout(eventuallyTimeout).Should(BeTrue())
+		}
+		h.servers.setSilent("e0", true)
+		_, result := h.serve("/stream/x")
+		Expect(result.Outcome).To(Equal(gateway.Answered), result.Reason)
+		time.Sleep(time.Second) // it is told again and again meanwhile
+		before := len(h.servers.sent())
+		for _, g := range others {
+			Expect(g.Serve(context.Background(), request("/stream/x"), &fakeReply{}).Outcome).To(Equal(gateway.Answered))
+		}
+		for _, c := range h.servers.sent()[before:] {
+			Expect(c.Address).NotTo(Equal("e0"))
+		}
+	})
+
+	// Guards against engines that are left out because one gateway has lost its link to them.
+	It("use it if it answers their probes", Label("failure:silent-engines-found-by-each"), func() {
+		h := newHarness()
+		other := h.start("g2")
+		h.listEngines("a", "b")
+		Eventually(other.Ready).WithTimeout(eventuallyTimeout).Should(BeTrue())
+		h.servers.setSilent("e0", true)
+		_, result := h.serve("/stream/x")
+		Expect(result.Outcome).To(Equal(gateway.Answered), result.Reason)
+		time.Sleep(300 * time.Millisecond) // told by then
+		h.servers.setSilent("e0", false)
+		before := len(h.servers.sent())
+		Expect(other.Serve(context.Background(), request("/stream/x"), &fakeReply{}).Outcome).To(Equal(gateway.Answered))
+		Expect(h.servers.sent()[before].Address).To(Equal("e0"))
+	})
+})
