gateway: a stream that goes on uses the probes that others have sent

Cause: engines that stop together stall nearly all streams, and so all engines are unheard when these go on: each stream probed each server of its path again, which had just been probed to find out which ones are silent, here or at the daemon that owns the question.

--- a/gateway/verifypath.go
+++ b/gateway/verifypath.go
@@ -12,6 +12,10 @@
 	"github.com/hibiscuswick/hibiscuswick/telemetry"
 )
 
+// verifiedTime is for how long a probe's answer, here or at another daemon, lasts for a stream that goes on.
+// Engines that stop together are probed together, as streams notice them.
+const verifiedTime = probeResultTTL
+
 // maxUnverifiedPaths is how many paths of one request may have servers that leave its probes unanswered.
 // After that it is sent without probes: it may be this daemon that reaches none.
 const maxUnverifiedPaths = 2
@@ -31,7 +35,8 @@
 	interval, now := r.pathVerifyInterval(), time.Now()
 	doubted := r.g.shared.toldSilent(now, r.path)
 	if !r.retrier.NeverRan() {
-		doubted = lo.Union(doubted, r.g.shared.unheardHops(now, r.path, interval))
+		unheard := r.g.shared.unheardHops(now, r.path, interval)
+		doubted = lo.Union(doubted, r.g.prober.withoutSign(now.Add(-verifiedTime), unheard))
 	}
 	results := r.g.prober.probeAllSince(probeVerify, now.Add(-interval), doubted)
 	var silent []fleet.Hop
@@ -108,6 +113,16 @@
 	s.suspects.ContradictSilence(sentAt, server)
 }
 
+// withoutSign returns the hops of which no probe's answer is known since a time, here or by another daemon.
+func (p *prober) withoutSign(since time.Time, hops []fleet.Hop) []fleet.Hop {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return lo.Reject(hops, func(h fleet.Hop, _ int) bool {
+		r := p.results[h.Address]
+		return r.outcome == probeAlive && r.began().After(since) || p.signs[h.Server].After(since)
+	})
+}
+
 // unheardHops returns the hops of a path that no stream has shown to be alive within an interval.
 func (s *sharedState) unheardHops(now time.Time, path fleet.Path, interval time.Duration) []fleet.Hop {
 	s.mu.Lock()
