gateway: a stream leaves a silent server once another path answers

What callers saw: all engines, or most, fall silent for a second. Their streams are given up at once, as silent hops or lost answers, for engines that answer nothing either; after two paths whose probes stay unanswered they are sent without one. The engines read these copies when they go on, beyond the time of the requests, and would have gone on with each of the streams at that moment. Requests that run out of servers or retries meanwhile are cut or fail.

Cause: evidence against one server is acted on without evidence that any other is better (class: a decision by one half of a comparison). An answer counted as lost without a look at whether its servers are alive; and a bounded check (two unverified paths) ended by sending.

Change: a stream whose hop is silent keeps its run until the servers of another path that it may take have shown a sign of life since its last event; if not, it looks again every quarter of a second. An answer counts as lost only once all servers of its path have answered since. The same for answers that have not begun. After two unverified paths a request waits up to a second for an answer of the third one's servers, instead of being sent without.

What a lost answer costs where no retry is left is next.

--- a/gateway/latency.go
+++ b/gateway/latency.go
@@ -89,3 +89,10 @@
 	l.abandonBudget--
 	return true
 }
+
+// abandonsLeft reports whether mayAbandon would allow one more answer to be abandoned.
+func (s *sharedState) abandonsLeft(svc state.ServiceID) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.latencyOf(svc).abandonBudget >= 1
+}
--- a/gateway/latestream.go
+++ b/gateway/latestream.go
@@ -21,8 +21,8 @@
 }
 
 // watchFirstEvent acts on an answer that does not begin in the usual time: the answer was lost, the
-// connection is unresponsive, or a server of the path does not answer. It gives up the attempt as lost if the
-// request may run again, and finds out which servers answer nothing. ctx is that of the call.
+// connection is unresponsive, or a server of the path does not answer. It finds out which servers answer nothing,
+// and gives up the attempt if the request may run again and another path answers. ctx is that of the call.
 //
 // Guard (idle-silent-engine): nothing but such a request shows that an engine stands still through which no
 // stream runs. It has no load, so that the next stream would be sent there as well.
@@ -31,26 +31,52 @@
 	if !abandon {
 		first = r.lateAnswer()
 	}
-	path, sent := r.path, time.Now()
+	l := &lateStream{r: r, path: r.path, alternatives: r.alternatives, sent: time.Now(), abandon: abandon}
 	w := &firstEventWatch{}
 	w.timer = time.AfterFunc(first, func() {
 		// A timer that fires late shows that this process did not run, and nothing of the servers.
-		if time.Since(sent) < first+probeOverrun {
-			go r.checkLatePath(ctx, cancel, w, path, sent)
-		}
-		if abandon {
-			r.abandonLate(cancel)
-		}
+		l.unpaused = time.Since(l.sent) < first+probeOverrun
+		go l.check(ctx, cancel, w)
 	})
 	return w
 }
 
-// checkLatePath probes the servers of a path that have shown no sign of life since a request was sent along it,
-// and lets the request go on elsewhere if one of them does not answer.
-func (r *requestHandler) checkLatePath(ctx context.Context, cancel context.CancelFunc, w *firstEventWatch, path fleet.Path, sent time.Time) {
-	now := time.Now()
-	unheard := r.g.shared.unheardHops(now, path, now.Sub(sent))
-	if r.g.prober.checkHops(r.service.ID, unheard, unheard) && !w.begun.Load() {
-		r.leaveSilent(ctx, cancel, path[0])
+// lateStream is an attempt along a path whose answer has not begun in time.
+type lateStream struct {
+	r            *requestHandler
+	path         fleet.Path
+	alternatives *alternatives
+	sent         time.Time
+	abandon      bool // the answer may be given up as lost
+	unpaused     bool // the time since it was sent is no pause of this process
+}
+
+// check gives up the attempt once another path answers, if a server of its own does not answer, or if all do and
+// the answer may be given up as lost.
+func (l *lateStream) check(ctx context.Context, cancel context.CancelFunc, w *firstEventWatch) {
+	r, p := l.r, l.r.g.prober
+	for {
+		now := time.Now()
+		unheard := r.g.shared.unheardHops(now, l.path, now.Sub(l.sent))
+		switch {
+		case l.hasDeadHop(now) || l.unpaused && p.checkHops(r.service.ID, unheard, unheard):
+			if l.alternatives.answering(l.sent) && !w.begun.Load() {
+				r.leaveSilent(ctx, cancel, l.path[0])
+			}
+		case !l.abandon:
+			return
+		case allAlive(p.probeAllSince(probeSilence, l.sent, unheard)) && l.alternatives.answering(l.sent, l.path[0].Address) && !w.begun.Load():
+			r.abandonLate(cancel)
+			return
+		}
+		sleep(ctx, alternativeInterval)
+		if ctx.Err() != nil || w.begun.Load() {
+			return
+		}
 	}
 }
+
+func (l *lateStream) hasDeadHop(now time.Time) bool {
+	_, _, dead := l.r.g.shared.deadHop(now, l.path)
+	return dead
+}
--- a/gateway/path.go
+++ b/gateway/path.go
@@ -39,12 +39,13 @@
 	r.admission = decision
 	r.chargeShare(pathReq.ExpectedTokens())
 	r.address, r.path = path[0].Address, path
-	if !r.verifyPath() {
+	if !r.verifyPath(ctx) {
 		return relay.NotSent, Result{}
 	}
 	r.logSent(path.String())
 	call := r.newCall(path[0].Server, path[0].Address)
 	call.Path = path
+	r.alternatives = r.newAlternatives()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	watch := r.watchFirstEvent(ctx, cancel)
--- a/gateway/pathchoice.go
+++ b/gateway/pathchoice.go
@@ -24,15 +24,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r.LinkBacklog = func(x, y state.FailureDomain) float64 { return s.linkBacklogs.backlog(now, x, y) }
-	states := s.resetServerStates(roster)
-	counts := pathing.DaemonCounts{Domain: r.Domain, InDomain: max(v.liveInDomain, 1), Total: max(v.live, 1)}
-	s.keepOwnTokens(search.admission, states)
-	roster.Estimate(states, counts)
-	excludeAddresses(roster, states, s.dead)
-	excludeAddresses(roster, states, avoid)
-	suspects := s.markSuspects(now, roster, states)
-	suspects = markSuspectAddresses(roster, states, search.avoided) || suspects
-	waiting := s.excludeUnavailable(now, roster, states)
+	counts := v.daemonCounts(r.Domain)
+	states, suspects, waiting := s.assessEngines(now, roster, counts, avoid, search)
 	path, ok := cheapestPath(roster, r, states, suspects)
 	if !ok {
 		search.availableAt = s.pathAvailableAt(now, roster, r, states, waiting)
@@ -60,6 +53,38 @@
 	return path, ok
 }
 
+// assessEngines returns the states of a roster's engines, whether any of them is suspected, and those that want no
+// requests for a while. The states are valid until the next call.
+func (s *sharedState) assessEngines(now time.Time, roster *pathing.Roster, counts pathing.DaemonCounts, avoid map[string]bool, search *serverSearch) (states []pathing.ServerState, suspects bool, waiting []waitingEngine) {
+	states = s.resetServerStates(roster)
+	s.keepOwnTokens(search.admission, states)
+	roster.Estimate(states, counts)
+	excludeAddresses(roster, states, s.dead)
+	excludeAddresses(roster, states, avoid)
+	suspects = s.markSuspects(now, roster, states)
+	suspects = markSuspectAddresses(roster, states, search.avoided) || suspects
+	return states, suspects, s.excludeUnavailable(now, roster, states)
+}
+
+// daemonCounts returns the numbers of daemons by which a daemon of a domain extrapolates its own load.
+func (v *view) daemonCounts(domain state.FailureDomain) pathing.DaemonCounts {
+	return pathing.DaemonCounts{Domain: domain, InDomain: max(v.liveInDomain, 1), Total: max(v.live, 1)}
+}
+
+// findPath returns the path that a request would take now if no server limited its rate, without taking it.
+func (s *sharedState) findPath(now time.Time, v *view, svc *fleet.Service, r pathing.Request, avoid map[string]bool, search *serverSearch) (fleet.Path, bool) {
+	newRoster := v.rosters[svc.ID]
+	if newRoster == nil {
+		return nil, false
+	}
+	roster := newRoster()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r.LinkBacklog = func(x, y state.FailureDomain) float64 { return s.linkBacklogs.backlog(now, x, y) }
+	states, suspects, _ := s.assessEngines(now, roster, v.daemonCounts(r.Domain), avoid, search)
+	return cheapestPath(roster, r, states, suspects)
+}
+
 // excludeFirstHops excludes a server for which a request has no permit as first hop, and
 // every other such server once the request has asked for as many permits as it may.
 func (s *sharedState) excludeFirstHops(now time.Time, roster *pathing.Roster, states []pathing.ServerState, server state.BackendIncarnation, permit *permitRequest) {
--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -59,7 +59,9 @@
 type prober struct {
 	g     *Gateway
 	group singleflight.Group
-	limit *rate.Limiter
+	// awaited shares probes that have more time than usual to be answered.
+	awaited singleflight.Group
+	limit   *rate.Limiter
 	// asks limits the questions to witnesses, ownerAsks those to owners of servers, asked the probes
 	// that are sent as an owner, unframed those for answers without an end mark, and verify those before
 	// requests.
@@ -95,6 +97,7 @@
 	probeRefusal  probePurpose = "refusal"  // the server refused a request
 	probeAsked    probePurpose = "asked"    // another daemon asked for a sign of life
 	probeVerify   probePurpose = "verify"   // a request is to be sent to a server that has not been heard of lately
+	probeAwaited  probePurpose = "awaited"  // the same, and servers of other paths are silent
 )
 
 // countProbe counts a probe by its purpose and outcome.
@@ -278,6 +281,11 @@
 	return results
 }
 
+// allAlive reports whether all probes were answered. One that was not sent shows nothing.
+func allAlive(results []probeResult) bool {
+	return lo.EveryBy(results, func(r probeResult) bool { return r.outcome == probeAlive })
+}
+
 // isConnected reports whether any server has answered a recent probe, which proves that
 // this daemon itself is not cut off.
 //
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -55,9 +55,10 @@
 	rejections   admission.Rejections
 	search       serverSearch
 	attemptCount int
-	sendCount    int        // calls that were sent to a server
-	address      string     // address of the server of the current attempt
-	path         fleet.Path // servers of the current attempt; a plain server is its only hop
+	sendCount    int           // calls that were sent to a server
+	address      string        // address of the server of the current attempt
+	path         fleet.Path    // servers of the current attempt; a plain server is its only hop
+	alternatives *alternatives // to the path of the current attempt
 	answer       answerLength
 	runStart     time.Time // when the current attempt was sent, or when its answer began as a stream
 	gaps         eventGaps
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -37,11 +37,13 @@
 // stream forwards the events of one answer, complete ones only, so that another engine can
 // continue after the last one.
 type stream struct {
-	r      *requestHandler
-	path   fleet.Path
-	began  time.Time // when the header of the answer arrived
-	answer *backend.Answer
-	cancel context.CancelFunc
+	r    *requestHandler
+	path fleet.Path
+	// alternatives to the path
+	alternatives *alternatives
+	began        time.Time // when the header of the answer arrived
+	answer       *backend.Answer
+	cancel       context.CancelFunc
 
 	tracked     *suspect.Stream
 	timer       *time.Timer
@@ -52,11 +54,12 @@
 	watch       stallWatch
 	answerLost  atomic.Bool // the answer was abandoned although all hops are alive
 	ending      atomic.Bool // the answer was abandoned or has ended
+	searching   atomic.Bool // whether it is being found out if the stream should leave its path
 	endRecorded atomic.Bool // a server of the path is known to have ended
 }
 
 func newStream(r *requestHandler, path fleet.Path, answer *backend.Answer, cancel context.CancelFunc) *stream {
-	s := &stream{r: r, path: path, began: time.Now(), answer: answer, cancel: cancel}
+	s := &stream{r: r, path: path, alternatives: r.alternatives, began: time.Now(), answer: answer, cancel: cancel}
 	r.runStart = s.began
 	s.lastEventAt.Store(int64(r.g.sinceStart(time.Now())))
 	s.watch.begin(r.g.sinceStart(time.Now()))
@@ -154,13 +157,10 @@
 	}
 	g, gap, now := s.r.g, s.r.route.Gap, time.Now()
 	s.watch.checked(g.sinceStart(now), gap)
-	timeout := s.answerTimeout(now)
-	if silence := s.sinceLastEvent(now); timeout > 0 && silence > timeout && g.shared.mayAbandon(s.r.service.ID) && s.reserveRetry() {
-		s.answerLost.Store(true)
-		s.ending.Store(true)
-		g.log.Emit(telemetry.EventStreamSilent, telemetry.Request(s.r.req.ID), telemetry.Address(s.path[0].Address), telemetry.Duration(silence))
-		s.cancel()
-		return
+	if timeout := s.answerTimeout(now); timeout > 0 && s.sinceLastEvent(now) > timeout && g.shared.abandonsLeft(s.r.service.ID) {
+		if _, _, dead := g.shared.deadHop(now, s.path); !dead {
+			s.search(s.leaveLostAnswer)
+		}
 	}
 	recheck := gap / recheckDivisor
 	if g.currentSettings().Contention.ProbeByTraffic {
@@ -178,15 +178,69 @@
 // If none may, the current engine can still continue it or end it.
 func (s *stream) reserveRetry() bool { return s.r.reserveRetry(s.path[0].Address) }
 
-// hopDied is called when a server of the path was found dead, or when its process is known to have
-// ended.
+// search finds out whether the stream should leave its path, unless that is being done.
+func (s *stream) search(leave func()) {
+	if !s.searching.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer s.searching.Store(false)
+		leave()
+	}()
+}
+
+// leaveLostAnswer gives up an answer whose events do not come although all hops are alive, if another path answers.
+func (s *stream) leaveLostAnswer() {
+	g, now := s.r.g, time.Now()
+	silence := s.sinceLastEvent(now)
+	lastEvent := now.Add(-silence)
+	unheard := g.shared.unheardHops(now, s.path, silence)
+	if !allAlive(g.prober.probeAllSince(probeSilence, lastEvent, unheard)) {
+		return
+	}
+	var leave []string
+	if first := s.path[0].Address; !s.r.isLastAttempt(first) {
+		leave = append(leave, first)
+	}
+	if !s.alternatives.answering(lastEvent, leave...) || s.sinceLastEvent(time.Now()) < silence || !g.shared.mayAbandon(s.r.service.ID) || !s.reserveRetry() {
+		return
+	}
+	if !s.ending.CompareAndSwap(false, true) {
+		return
+	}
+	s.answerLost.Store(true)
+	g.log.Emit(telemetry.EventStreamSilent, telemetry.Request(s.r.req.ID), telemetry.Address(s.path[0].Address), telemetry.Duration(silence))
+	s.cancel()
+}
+
+// hopDied is called when a server of the path was found dead, or when its process is known to have ended.
 func (s *stream) hopDied(h fleet.Hop, ended bool) {
 	if ended {
 		s.endRecorded.Store(true)
 		age := time.Since(s.began) - s.sinceLastEvent(time.Now())
 		s.r.implicate(h.Server, crashes.Run{Content: s.r.fingerprint(), Phase: crashes.PhaseOf(crashes.Answering, age)})
 	}
-	if s.r.route.Repeat != fleet.Resumable || !s.reserveRetry() || !s.ending.CompareAndSwap(false, true) {
+	switch {
+	case s.r.route.Repeat != fleet.Resumable:
+	case ended:
+		s.leaveHop(h)
+	default:
+		s.search(func() { s.leaveSilentHop(h) })
+	}
+}
+
+// leaveSilentHop leaves a server that answers nothing and may still go on, if another path answers.
+func (s *stream) leaveSilentHop(h fleet.Hop) {
+	now := time.Now()
+	silence := s.sinceLastEvent(now)
+	if s.alternatives.answering(now.Add(-silence), h.Address) && s.sinceLastEvent(time.Now()) >= silence {
+		s.leaveHop(h)
+	}
+}
+
+// leaveHop gives up the answer because of a hop, if a retry is left.
+func (s *stream) leaveHop(h fleet.Hop) {
+	if !s.reserveRetry() || !s.ending.CompareAndSwap(false, true) {
 		return
 	}
 	s.r.g.log.Emit(telemetry.EventHopSilent, telemetry.Request(s.r.req.ID), telemetry.Backend(h.Server.ID), telemetry.Address(h.Address))
