gateway: an answer is given up as lost only if a retry follows

What callers saw: servers are silent for a second, and a request whose answer has not begun fails after a fraction of it (502), although the server would have answered it.

Cause: an attempt is given up as lost before it is known that a retry is left. Streams that have begun reserve it first (failure silent-without-budget); answers that have not begun, of engines and plain servers, did not.

Ruled out: requests that wait for the budget, which begun streams alone do.

Change: the retry is reserved first. Without one the answer is waited for.

--- a/gateway/fake_test.go
+++ b/gateway/fake_test.go
@@ -46,6 +46,8 @@
 	requestsAt  map[string][]time.Time     // when servers received requests, by address
 	// connect is called before a call is admitted, if it is set.
 	connect func(c backend.Call)
+	// delay returns how long a call waits for its answer, if it is set.
+	delay func(c backend.Call) time.Duration
 	// plain and stream answer calls; a stream writes events with increasing ids.
 	plain  func(c backend.Call) (*backend.Answer, error)
 	stream func(c backend.Call, out *io.PipeWriter)
@@ -74,6 +76,13 @@
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
+	if s.delay != nil {
+		select {
+		case <-time.After(s.delay(c)):
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
 	if a, ok := s.shed(c.Address); ok {
 		return a, nil
 	}
@@ -366,8 +375,10 @@
 	leases     *memTable
 	gateway    *gateway.Gateway
 	grace      time.Duration
-	contention gateway.Contention // settings of the gateways that are started from now on
 	log        *telemetry.Log
+	// Settings of the gateways that are started from now on.
+	contention               gateway.Contention
+	budgetRatio, budgetSlack float64
 }
 
 const eventuallyTimeout = 20 * time.Second
@@ -382,7 +393,7 @@
 
 // newHarnessWithLog returns a harness whose gateways write to a log.
 func newHarnessWithLog(grace time.Duration, log *telemetry.Log) *harness {
-	h := &harness{log: log, grace: grace, configs: newFakeFeed[*fleet.Config](), serverFeed: newFakeFeed[fleet.Server](), members: newMemTable(), leases: newMemTable()}
+	h := &harness{log: log, grace: grace, budgetRatio: 0.2, budgetSlack: 100, configs: newFakeFeed[*fleet.Config](), serverFeed: newFakeFeed[fleet.Server](), members: newMemTable(), leases: newMemTable()}
 	h.servers = &fakeServers{dead: make(map[string]bool), ended: make(map[string]bool), refusing: make(map[string]bool), blaming: make(map[string]bool), silent: make(map[string]bool), startTimes: make(map[string]int64), reportCalls: make(map[string]int), reportErr: make(map[string]error), serverFeed: h.serverFeed,
 		paces: make(map[string]float64), limits: make(map[string]fleet.RateLimit), requestsAt: make(map[string][]time.Time),
 		shedding: make(map[string]shedding), turnedAway: make(map[string][]time.Time), leaving: make(map[string]bool)}
@@ -411,7 +422,7 @@
 	create := func() (*gateway.Gateway, error) {
 		return gateway.New(gateway.Settings{
 			ID: id, Domain: "a", CallerAddress: "front-" + string(id), PeerAddress: freeAddress(), DrainTimeout: h.grace,
-			AddressTTL: 5 * time.Second, BudgetRatio: 0.2, BudgetWindow: 10 * time.Second, BudgetSlack: 100, Contention: h.contention,
+			AddressTTL: 5 * time.Second, BudgetRatio: h.budgetRatio, BudgetWindow: 10 * time.Second, BudgetSlack: h.budgetSlack, Contention: h.contention,
 		}, gateway.Site{Configs: configs, Servers: servers, Members: h.members, Leases: h.leases},
 			backends, h.log, telemetry.NewMetrics())
 	}
--- a/gateway/latestream.go
+++ b/gateway/latestream.go
@@ -66,7 +66,7 @@
 		case !l.abandon:
 			return
 		case allAlive(p.probeAllSince(probeSilence, l.sent, unheard)) && l.alternatives.answering(l.sent, l.path[0].Address) && !w.begun.Load():
-			r.abandonLate(cancel)
+			r.abandonLate(cancel, l.path[0].Address)
 			return
 		}
 		sleep(ctx, alternativeInterval)
--- a/gateway/outliers.go
+++ b/gateway/outliers.go
@@ -90,7 +90,7 @@
 			r.handleLateAnswer(ctx, cancel, hop, sent)
 		}
 		if abandon {
-			r.abandonLate(cancel)
+			r.abandonLate(cancel, hop.Address)
 		}
 	})
 }
--- a/gateway/wait.go
+++ b/gateway/wait.go
@@ -95,9 +95,11 @@
 	return first > 0, first
 }
 
-// abandonLate gives up an attempt as lost, if one more may be.
-func (r *requestHandler) abandonLate(cancel context.CancelFunc) {
-	if r.stopAllowsRepeat(time.Now()) && r.g.shared.mayAbandon(r.service.ID) {
+// abandonLate gives up an attempt at a server as lost, if one more may be and another attempt follows.
+//
+// Guard (late-without-retry): an answer that is given up without a retry can't be given any more.
+func (r *requestHandler) abandonLate(cancel context.CancelFunc, server string) {
+	if r.stopAllowsRepeat(time.Now()) && r.g.shared.abandonsLeft(r.service.ID) && r.reserveRetry(server) && r.g.shared.mayAbandon(r.service.ID) {
 		cancel()
 	}
 }
