inbound: callers that are behind give way where memory or connections run out

What callers saw: a crowd sends bodies of legal size that stop just short of their end, and stays. Ordinary callers get no answer for as long as it does: the crowd holds the memory for bodies (here 900 bodies of 64 KB, 57 MB), or all connections of the port.

Cause: what is kept for a caller has no end of its own. Headers and idle connections have a time limit, bodies and the reading of answers had none, and each limit (memory, connections) was kept by turning newcomers away.

Change: each connection records since when the daemon waits for its caller, for a header, a body, the reading of an answer or the next request. Where a port is full, or there is no memory for a body, the connection that has waited longest is closed, if that is longer than a header may take (HeaderTimeoutMs, 3 s). Without such pressure a body may take 30 s and a write 30 s, longer than any caller of the platform's pages waits (20 s); a late body gets 408, which promises that it has not run. A request whose body has arrived is never closed for another.

--- /dev/null
+++ b/transport/inbound/behind.go
@@ -0,0 +1,101 @@
+package inbound
+
+import (
+	"net/http"
+	"sync"
+	"time"
+)
+
+// awaitHeader is called when the next header may come.
+func (c *conn) awaitHeader() {
+	c.behindSince.Store(time.Now().UnixNano())
+}
+
+// serve serves a request. Its caller is behind unless the handler works on it.
+func (c *conn) serve(h http.Handler, w http.ResponseWriter, r *http.Request) {
+	c.behindSince.Store(0)
+	defer func() {
+		c.behindSince.Store(time.Now().UnixNano())
+		// The server reads the rest of a body that the handler has left.
+		_ = c.Conn.SetReadDeadline(time.Now().Add(bodyTimeout))
+	}()
+	h.ServeHTTP(w, r)
+}
+
+// await marks that the daemon waits for the caller until the returned function is called.
+func (c *conn) await() (end func()) {
+	if !c.behindSince.CompareAndSwap(0, time.Now().UnixNano()) {
+		return func() {}
+	}
+	return func() { c.behindSince.Store(0) }
+}
+
+// holds records how much memory the body of the current request holds. c may be nil.
+func (c *conn) holds(bytes int64) {
+	if c != nil {
+		c.bodyBytes.Store(bytes)
+	}
+}
+
+// held returns how much of the memory for all the connection holds.
+func (c *conn) held() int64 { return c.bodyBytes.Load() }
+
+// connections are the open connections of all ports. It is safe for concurrent use.
+type connections struct {
+	mu   sync.Mutex
+	open map[*conn]struct{}
+}
+
+func (l *connections) add(c *conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.open[c] = struct{}{}
+}
+
+func (l *connections) remove(c *conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.open, c)
+}
+
+// closeBehind closes that one of some connections whose caller has been behind for longest, if that is longer than
+// the time for a header, and returns it, or nil.
+func (l *connections) closeBehind(among func(*conn) bool) *conn {
+	c := l.longestBehind(time.Now(), among)
+	if c != nil {
+		_ = c.Close()
+	}
+	return c
+}
+
+func (l *connections) longestBehind(now time.Time, among func(*conn) bool) *conn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var longest *conn
+	var since int64
+	for c := range l.open {
+		at := c.behindSince.Load()
+		if at == 0 || longest != nil && at >= since || !among(c) {
+			continue
+		}
+		longest, since = c, at
+	}
+	if longest == nil || now.UnixNano()-since < int64(longest.limits().withDefaults(DefaultLimits).HeaderTimeout) {
+		return nil
+	}
+	return longest
+}
+
+// reclaim closes connections whose callers are behind until these have held a number of bytes, and reports whether
+// there were enough.
+func (l *connections) reclaim(bytes int64) bool {
+	for bytes > 0 {
+		c := l.longestBehind(time.Now(), func(c *conn) bool { return c.held() > 0 })
+		if c == nil {
+			return false
+		}
+		bytes -= c.held()
+		_ = c.Close()
+	}
+	return true
+}
--- a/transport/inbound/conn.go
+++ b/transport/inbound/conn.go
@@ -38,15 +38,15 @@
 // more than a maximum are open.
 type listener struct {
 	net.Listener
-	limits func() Limits
+	ports  *Ports
 	open   *semaphore.Weighted // of open connections; nil for no maximum
 	ctx    context.Context     // ends when the listener is closed
 	cancel context.CancelFunc
 }
 
 // newListener returns a listener on l. maxConns is 0 for no maximum.
-func newListener(l net.Listener, limits func() Limits, maxConns int) *listener {
-	out := &listener{Listener: l, limits: limits}
+func newListener(l net.Listener, p *Ports, maxConns int) *listener {
+	out := &listener{Listener: l, ports: p}
 	if maxConns > 0 {
 		out.open = semaphore.NewWeighted(int64(maxConns))
 	}
@@ -56,15 +56,45 @@
 
 // Accept implements net.Listener.
 func (l *listener) Accept() (net.Conn, error) {
-	if l.open != nil && l.open.Acquire(l.ctx, 1) != nil {
+	raw, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	if !l.awaitRoom() {
+		_ = raw.Close()
 		return nil, net.ErrClosed
 	}
-	c, err := l.Listener.Accept()
-	if err != nil {
+	c := &conn{Conn: raw, port: l, limits: l.ports.limits}
+	c.release = sync.OnceFunc(func() {
+		l.ports.conns.remove(c)
 		l.release()
-		return nil, err
+	})
+	c.awaitHeader()
+	l.ports.conns.add(c)
+	return c, nil
+}
+
+// roomPoll is how often a port that is full looks for a connection that may be closed.
+const roomPoll = 50 * time.Millisecond
+
+// awaitRoom waits until one more connection may be open, and closes those whose callers are behind for it. It
+// returns false if the listener is closed meanwhile.
+//
+// Guard (crowd-exhausts-process): callers that stop short would keep all others out for as long as they like.
+func (l *listener) awaitRoom() bool {
+	if l.open == nil || l.open.TryAcquire(1) {
+		return true
+	}
+	for l.ctx.Err() == nil {
+		l.ports.conns.closeBehind(func(c *conn) bool { return c.port == l })
+		ctx, cancel := context.WithTimeout(l.ctx, roomPoll)
+		err := l.open.Acquire(ctx, 1)
+		cancel()
+		if err == nil {
+			return true
+		}
 	}
-	return &conn{Conn: c, limits: l.limits, release: sync.OnceFunc(l.release)}, nil
+	return false
 }
 
 func (l *listener) release() {
@@ -84,9 +114,15 @@
 // header.
 type conn struct {
 	net.Conn
+	port       *listener
 	limits     func() Limits
 	release    func()      // ends the connection's share of the maximum
 	becameIdle atomic.Bool // the next deadline set is that of an idle connection
+
+	// bodyBytes is how much memory the body of the current request holds.
+	bodyBytes atomic.Int64
+	// behindSince is since when the daemon waits for the caller, in ns since 1970; 0 while it does not.
+	behindSince atomic.Int64
 }
 
 // Close implements net.Conn.
@@ -95,6 +131,18 @@
 	return c.Conn.Close()
 }
 
+// writeTimeout is how long a caller may take to read what fits into one write.
+const writeTimeout = 30 * time.Second
+
+// Write implements net.Conn.
+func (c *conn) Write(b []byte) (int, error) {
+	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return 0, err
+	}
+	defer c.await()()
+	return c.Conn.Write(b)
+}
+
 // SetReadDeadline implements net.Conn. A zero deadline, or one in the past, which
 // aborts a read, is set as given.
 func (c *conn) SetReadDeadline(t time.Time) error {
@@ -109,6 +157,12 @@
 	return c.Conn.SetReadDeadline(now.Add(limits.HeaderTimeout))
 }
 
+// connOf returns the connection of a request, or nil.
+func connOf(ctx context.Context) *conn {
+	c, _ := ctx.Value(connKey{}).(*conn)
+	return c
+}
+
 // connKey is the key of a request's connection in its context.
 type connKey struct{}
 
@@ -119,8 +173,8 @@
 	if ctx.Err() != nil {
 		return true
 	}
-	c, ok := ctx.Value(connKey{}).(*conn)
-	return ok && c.closedByCaller()
+	c := connOf(ctx)
+	return c != nil && c.closedByCaller()
 }
 
 // closedByCaller reports whether the next read would return an error or the end of the
--- a/transport/inbound/inbound_test.go
+++ b/transport/inbound/inbound_test.go
@@ -37,7 +37,7 @@
 		var err error
 		address, err = freeport.Address()
 		Expect(err).NotTo(HaveOccurred())
-		ports := inbound.New(func() inbound.Limits { return *limits.Load() }, descriptors)
+		ports := inbound.New(func() inbound.Limits { return *limits.Load() }, descriptors, inbound.NewBodyMemory(0))
 		Expect(ports.Open(address, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 			_, _ = io.WriteString(w, "ok")
 		}))).To(Succeed())
@@ -124,7 +124,7 @@
 		ask, left := make(chan struct{}), make(chan bool)
 		served, err := freeport.Address()
 		Expect(err).NotTo(HaveOccurred())
-		ports := inbound.New(func() inbound.Limits { return inbound.Limits{} }, descriptors)
+		ports := inbound.New(func() inbound.Limits { return inbound.Limits{} }, descriptors, inbound.NewBodyMemory(0))
 		Expect(ports.Open(served, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 			<-ask
 			left <- inbound.CallerLeft(r.Context())
@@ -230,7 +230,7 @@
 		address, err := freeport.Address()
 		Expect(err).NotTo(HaveOccurred())
 		begun := make(chan struct{})
-		ports := inbound.New(func() inbound.Limits { return inbound.DefaultLimits }, 0)
+		ports := inbound.New(func() inbound.Limits { return inbound.DefaultLimits }, 0, inbound.NewBodyMemory(0))
 		Expect(ports.Open(address, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 			close(begun)
 			time.Sleep(300 * time.Millisecond)
@@ -258,7 +258,7 @@
 		address, err := freeport.Address()
 		Expect(err).NotTo(HaveOccurred())
 		written := make(chan struct{})
-		ports := inbound.New(func() inbound.Limits { return inbound.DefaultLimits }, 0)
+		ports := inbound.New(func() inbound.Limits { return inbound.DefaultLimits }, 0, inbound.NewBodyMemory(0))
 		Expect(ports.Open(address, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 			w.Header().Set("Connection", "close")
 			w.Header().Set("Content-Length", strconv.Itoa(size))
--- a/transport/inbound/bodymemory.go
+++ b/transport/inbound/memory.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"sync"
+	"time"
 )
 
 const (
@@ -18,22 +19,47 @@
 
 var errNoMemory = errors.New("no memory for the body")
 
-// BodyMemory bounds the bytes that the bodies of all requests hold together. It is safe for
-// concurrent use.
+// BodyMemory bounds the bytes that the bodies of all requests hold together. It is
+// safe for concurrent use.
 //
-// Guard (bodies-exceed-memory): bodies that are each within their limit would together exceed the
+// Guard (bodies-exceed-memory): requests that are each within their limits would together exceed the
 // memory of the process, which is then ended with all requests that it holds.
 type BodyMemory struct {
 	limit int64 // bytes; 0 for no limit
 	mu    sync.Mutex
 	used  int64
+	// reclaim makes room for a number of bytes at the cost of callers that are behind, as far as there
+	// are any, and reports whether it did; nil if it can't.
+	reclaim func(bytes int64) bool
 }
 
 // NewBodyMemory returns a BodyMemory of a number of bytes, 0 for no limit.
 func NewBodyMemory(limit int64) *BodyMemory { return &BodyMemory{limit: limit} }
 
-// take takes more bytes for a body that has total bytes then, and reports whether there were so many.
+const (
+	// reclaimTimeout is how long the memory of callers that gave way may take to be free.
+	reclaimTimeout = 100 * time.Millisecond
+	reclaimPoll    = 2 * time.Millisecond
+)
+
+// take takes more bytes for a body that has total bytes then, and reports whether there were so
+// many. It makes room if there are not.
 func (m *BodyMemory) take(more, total int64) bool {
+	if m.tryTake(more, total) {
+		return true
+	}
+	if m.reclaim == nil || !m.reclaim(more) {
+		return false
+	}
+	for until := time.Now().Add(reclaimTimeout); time.Now().Before(until); time.Sleep(reclaimPoll) {
+		if m.tryTake(more, total) {
+			return true
+		}
+	}
+	return false
+}
+
+func (m *BodyMemory) tryTake(more, total int64) bool {
 	limit := m.limit
 	if total > usualBodyBytes {
 		limit = int64(largeBodyShare * float64(limit))
@@ -56,6 +82,7 @@
 // bodyBuffer is the body of one request.
 type bodyBuffer struct {
 	memory *BodyMemory
+	conn   *conn // on which it arrives, or nil
 	taken  int64
 	data   []byte
 }
@@ -63,6 +90,7 @@
 // release gives the memory back. Further calls have no effect.
 func (b *bodyBuffer) release() {
 	b.memory.giveBack(b.taken)
+	b.conn.holds(0)
 	b.taken, b.data = 0, nil
 }
 
@@ -97,6 +125,7 @@
 		return false
 	}
 	b.taken = size
+	b.conn.holds(size)
 	b.data = append(make([]byte, 0, size), b.data...)
 	return true
 }
--- a/transport/inbound/ports.go
+++ b/transport/inbound/ports.go
@@ -28,7 +28,8 @@
 // Ports are a daemon's HTTP ports.
 type Ports struct {
 	limits    func() Limits
-	maxConns  int // connections at one port; 0 for no bound
+	conns     connections
+	files     int // descriptors of the process; 0 for no bound
 	servers   []*http.Server
 	listeners []net.Listener
 }
@@ -36,21 +37,26 @@
 // New returns Ports without any open port. limits is called whenever a connection
 // starts to wait for a header or becomes idle. descriptors is the process's file
 // descriptor limit, 0 for none: connections beyond a port's share of it wait until
-// another one of that port closes.
-func New(limits func() Limits, descriptors int) *Ports {
-	return &Ports{limits: limits, maxConns: int(callerDescriptorShare * float64(descriptors))}
+// another one of that port closes. Callers that are behind with a request or in reading
+// its answer lose their connections where memory has none left.
+func New(limits func() Limits, descriptors int, memory *BodyMemory) *Ports {
+	p := &Ports{limits: limits, files: descriptors, conns: connections{open: make(map[*conn]struct{})}}
+	memory.reclaim = p.conns.reclaim
+	return p
 }
 
-// Open listens on address, given as host:port. Requests are served once Serve is
-// called.
+// Open listens on address, given as host:port, for callers' requests. Requests are served
+// once Serve is called.
 func (p *Ports) Open(address string, h http.Handler) error {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return err
 	}
-	p.listeners = append(p.listeners, newListener(l, p.limits, p.maxConns))
+	p.listeners = append(p.listeners, newListener(l, p, int(callerDescriptorShare*float64(p.files))))
 	p.servers = append(p.servers, &http.Server{
-		Handler:           h,
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			connOf(r.Context()).serve(h, w, r)
+		}),
 		ReadHeaderTimeout: DefaultLimits.HeaderTimeout, // replaced by conn.SetReadDeadline
 		IdleTimeout:       DefaultLimits.IdleTimeout,   // replaced by conn.SetReadDeadline
 		MaxHeaderBytes:    MaxHeaderBytes,
@@ -60,6 +66,7 @@
 		ConnState: func(c net.Conn, s http.ConnState) {
 			if c, ok := c.(*conn); ok && s == http.StateIdle {
 				c.becameIdle.Store(true)
+				c.awaitHeader()
 			}
 		},
 	})
--- a/transport/inbound/request.go
+++ b/transport/inbound/request.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"time"
 )
 
@@ -13,12 +14,15 @@
 	BodyBytes   int64
 }
 
+// bodyTimeout is how long a body may take to arrive.
+const bodyTimeout = 30 * time.Second
+
 // ReadBody reads a request's complete body into memory that is taken from m until release is called.
 // status is 0 or the error status for the caller: 431 or 413 for a header or body over its limit, 400
-// for a truncated body, 503 if there is no memory for it. The connection can't be reused after such
-// an error.
+// for a truncated body, 408 for one that does not arrive in time, 503 if there is no memory for it. The
+// connection can't be reused after such an error.
 func ReadBody(w http.ResponseWriter, r *http.Request, b Bounds, m *BodyMemory) (body []byte, release func(), status int) {
-	held := &bodyBuffer{memory: m}
+	held := &bodyBuffer{memory: m, conn: connOf(r.Context())}
 	switch {
 	case b.HeaderBytes > 0 && headerBytes(r) > b.HeaderBytes:
 		return nil, held.release, http.StatusRequestHeaderFieldsTooLarge
@@ -31,7 +35,7 @@
 	if b.BodyBytes > 0 {
 		reader = http.MaxBytesReader(w, r.Body, b.BodyBytes)
 	}
-	err := held.readFrom(reader, r.ContentLength)
+	err := held.readInTime(reader, r.ContentLength)
 	if err != nil {
 		held.release()
 	}
@@ -41,12 +45,29 @@
 		return nil, held.release, http.StatusServiceUnavailable
 	case errors.As(err, &tooLarge):
 		return nil, held.release, http.StatusRequestEntityTooLarge
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, held.release, http.StatusRequestTimeout
 	case err != nil:
 		return nil, held.release, http.StatusBadRequest
 	}
 	return held.data, held.release, 0
 }
 
+// readInTime is readFrom for a body that may take bodyTimeout to arrive.
+func (b *bodyBuffer) readInTime(r io.Reader, length int64) error {
+	if b.conn == nil {
+		return b.readFrom(r, length)
+	}
+	defer b.conn.await()()
+	if err := b.conn.Conn.SetReadDeadline(time.Now().Add(bodyTimeout)); err != nil {
+		return err
+	}
+	if err := b.readFrom(r, length); err != nil {
+		return err
+	}
+	return b.conn.Conn.SetReadDeadline(time.Time{})
+}
+
 // discardTimeout is how long the rest of a refused request's body is read.
 const discardTimeout = 2 * time.Second
 
