inbound: large headers take their memory from the bound of the bodies

What callers saw: requests that are legal in size but made of very many short fields, most of them stopping short of their end, let a daemon hold a multiple of what they sent: 245 MB of 128 for 900 connections of 16 KB each. Many sent ahead keep ordinary callers out for over 60 s, as the process only collects garbage.

Cause: the bytes of a header are bounded, not what they become. Each field is an entry of a map with strings and a slice, copied once for the backend server, also while the header's end does not come and while its body is waited for.

Change: while a connection reads a header, its bytes and fields are counted at what they take once parsed (3 bytes a byte, 256 a field). What goes beyond 32 KB comes from the memory of the bodies, and is given back when the next header may come or the connection ends. Where there is none, callers that are behind give way; if none is, the connection is closed before its request has been read.

--- a/transport/inbound/behind.go
+++ b/transport/inbound/behind.go
@@ -1,18 +1,72 @@
 package inbound
 
 import (
+	"bytes"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
+const (
+	// headerByteCost and headerFieldCost are how many bytes of memory a byte and a field of a header take, with
+	// the copies that are made for the server and while the request is served.
+	headerByteCost  = 3
+	headerFieldCost = 256
+	// usualHeaderCost is what a header may take without a share of the memory for all.
+	usualHeaderCost = 32 << 10
+	// headerCostStep is the least that a header takes of it at once.
+	headerCostStep = 16 << 10
+)
+
+// headerMemory is what the header of a connection's current request holds.
+type headerMemory struct {
+	reading atomic.Bool // what is read belongs to a header
+	cost    int64       // of what was read; used by the reading goroutine alone
+	taken   atomic.Int64
+}
+
+// chargeHeader takes the memory that a part of a header holds once it is parsed, and reports whether there was so
+// much.
+//
+// Guard (crowd-exhausts-process): a header of very many short fields holds a multiple of its size, also while its
+// end does not come.
+func (c *conn) chargeHeader(part []byte) bool {
+	h := &c.header
+	if !h.reading.Load() {
+		return true
+	}
+	h.cost += int64(len(part)*headerByteCost + bytes.Count(part, []byte("\n"))*headerFieldCost)
+	more := h.cost - usualHeaderCost - h.taken.Load()
+	if more <= 0 {
+		return true
+	}
+	more = max(more, headerCostStep)
+	if !c.memory.take(more, h.taken.Load()+more) {
+		return false
+	}
+	h.taken.Add(more)
+	if c.closed.Load() {
+		c.releaseHeader() // it may have been released before
+		return false
+	}
+	return true
+}
+
+// releaseHeader gives back what the header of the last request held.
+func (c *conn) releaseHeader() { c.memory.giveBack(c.header.taken.Swap(0)) }
+
 // awaitHeader is called when the next header may come.
 func (c *conn) awaitHeader() {
+	c.releaseHeader()
+	c.header.cost = 0
+	c.header.reading.Store(true)
 	c.behindSince.Store(time.Now().UnixNano())
 }
 
 // serve serves a request. Its caller is behind unless the handler works on it.
 func (c *conn) serve(h http.Handler, w http.ResponseWriter, r *http.Request) {
+	c.header.reading.Store(false)
 	c.behindSince.Store(0)
 	defer func() {
 		c.behindSince.Store(time.Now().UnixNano())
@@ -38,7 +92,7 @@
 }
 
 // held returns how much of the memory for all the connection holds.
-func (c *conn) held() int64 { return c.bodyBytes.Load() }
+func (c *conn) held() int64 { return c.header.taken.Load() + c.bodyBytes.Load() }
 
 // connections are the open connections of all ports. It is safe for concurrent use.
 type connections struct {
--- a/transport/inbound/conn.go
+++ b/transport/inbound/conn.go
@@ -64,9 +64,11 @@
 		_ = raw.Close()
 		return nil, net.ErrClosed
 	}
-	c := &conn{Conn: raw, port: l, limits: l.ports.limits}
+	c := &conn{Conn: raw, port: l, limits: l.ports.limits, memory: l.ports.memory}
 	c.release = sync.OnceFunc(func() {
 		l.ports.conns.remove(c)
+		c.closed.Store(true)
+		c.releaseHeader()
 		l.release()
 	})
 	c.awaitHeader()
@@ -116,9 +118,12 @@
 	net.Conn
 	port       *listener
 	limits     func() Limits
-	release    func()      // ends the connection's share of the maximum
+	release    func()      // ends the connection's share of the maximum and of the memory
 	becameIdle atomic.Bool // the next deadline set is that of an idle connection
 
+	closed atomic.Bool
+	memory *BodyMemory
+	header headerMemory
 	// bodyBytes is how much memory the body of the current request holds.
 	bodyBytes atomic.Int64
 	// behindSince is since when the daemon waits for the caller, in ns since 1970; 0 while it does not.
@@ -131,6 +136,16 @@
 	return c.Conn.Close()
 }
 
+// Read implements net.Conn.
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 && !c.chargeHeader(b[:n]) {
+		_ = c.Close()
+		return 0, errNoMemory
+	}
+	return n, err
+}
+
 // writeTimeout is how long a caller may take to read what fits into one write.
 const writeTimeout = 30 * time.Second
 
--- a/transport/inbound/memory.go
+++ b/transport/inbound/memory.go
@@ -19,7 +19,7 @@
 
 var errNoMemory = errors.New("no memory for the body")
 
-// BodyMemory bounds the bytes that the bodies of all requests hold together. It is
+// BodyMemory bounds the bytes that the bodies and the large headers of all requests hold together. It is
 // safe for concurrent use.
 //
 // Guard (bodies-exceed-memory): requests that are each within their limits would together exceed the
@@ -42,7 +42,7 @@
 	reclaimPoll    = 2 * time.Millisecond
 )
 
-// take takes more bytes for a body that has total bytes then, and reports whether there were so
+// take takes more bytes for a body or header that has total bytes then, and reports whether there were so
 // many. It makes room if there are not.
 func (m *BodyMemory) take(more, total int64) bool {
 	if m.tryTake(more, total) {
--- a/transport/inbound/ports.go
+++ b/transport/inbound/ports.go
@@ -28,6 +28,7 @@
 // Ports are a daemon's HTTP ports.
 type Ports struct {
 	limits    func() Limits
+	memory    *BodyMemory
 	conns     connections
 	files     int // descriptors of the process; 0 for no bound
 	servers   []*http.Server
@@ -37,10 +38,11 @@
 // New returns Ports without any open port. limits is called whenever a connection
 // starts to wait for a header or becomes idle. descriptors is the process's file
 // descriptor limit, 0 for none: connections beyond a port's share of it wait until
-// another one of that port closes. Callers that are behind with a request or in reading
-// its answer lose their connections where memory has none left.
+// another one of that port closes. Large headers take their memory from memory, and
+// callers that are behind with a request or in reading its answer lose their
+// connections where there is none left.
 func New(limits func() Limits, descriptors int, memory *BodyMemory) *Ports {
-	p := &Ports{limits: limits, files: descriptors, conns: connections{open: make(map[*conn]struct{})}}
+	p := &Ports{limits: limits, memory: memory, files: descriptors, conns: connections{open: make(map[*conn]struct{})}}
 	memory.reclaim = p.conns.reclaim
 	return p
 }
