inbound, exchange, platform: descriptors are divided; callers that wait get a connection

What callers saw: a crowd sends many requests ahead on each of its connections and reads nothing. A daemon with 1,000 descriptors has 1,274 open before 900 connections, so that on a machine with that limit neither callers nor servers could connect; ordinary callers are served after 14 to 28 s, as all connections of the port are in use for as long as the crowd has requests.

Cause: each port takes 0.6 of the descriptors for itself, connections to servers have no bound, and an active connection is never closed for a caller that waits.

Idle connections to servers are closed for new ones beyond the limit. Where a port is full and no caller is behind, its oldest connections end with their next answer (Connection: close), which callers of the platform's pages respect.

--- a/gateway/request.go
+++ b/gateway/request.go
@@ -17,6 +17,7 @@
 	Header          http.Header
 	Body            []byte
 	Unread          bool          // there was no memory for the body: the request can't run
+	Excess          bool          // the daemon serves as many requests as it has descriptors for: the request can't run
 	Key             string        // the caller's API key, or ""
 	CallerTimeout   time.Duration // how long the caller waits, from Arrived on; 0 if not stated
 	PromptTokens    int
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -31,6 +31,9 @@
 // reasonMemory is the reason for refusing requests whose body there is no memory for.
 const reasonMemory relay.Reason = "body_memory"
 
+// reasonDescriptors is the reason for refusing requests for which there are no descriptors.
+const reasonDescriptors relay.Reason = "descriptors"
+
 // requestHandler is the state of one request in flight.
 type requestHandler struct {
 	g            *Gateway
@@ -110,6 +113,9 @@
 	if r.req.Unread {
 		return refusedResult(reasonMemory, admission.NoMemory)
 	}
+	if r.req.Excess {
+		return refusedResult(reasonDescriptors, admission.Busy)
+	}
 	r.setDeadline()
 	if allowed, why := r.stopAllows(later(r.req.Arrived, time.Now())); !allowed {
 		return refusedResult(reasonDraining, why)
--- a/transport/exchange/conn.go
+++ b/transport/exchange/conn.go
@@ -24,6 +24,8 @@
 // conn is one pooled connection to a server.
 type conn struct {
 	net.Conn
+	pool        *Pool
+	closed      atomic.Bool
 	address     string
 	reader      *bufio.Reader
 	expiresAt   time.Time
@@ -35,12 +37,21 @@
 	headLeft    int         // bytes that may still be read before the head is complete
 }
 
-func newConn(raw net.Conn, address string) *conn {
-	c := &conn{Conn: raw, address: address}
+func newConn(p *Pool, raw net.Conn, address string) *conn {
+	p.open.Add(1)
+	c := &conn{Conn: raw, pool: p, address: address}
 	c.reader = bufio.NewReaderSize(c, bufferSize)
 	return c
 }
 
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	if !c.closed.Swap(true) {
+		c.pool.open.Add(-1)
+	}
+	return c.Conn.Close()
+}
+
 // sentRequest is what is remembered of a request, to tell a late copy of its response from the
 // response to the next one.
 type sentRequest struct {
--- a/transport/exchange/exchange_test.go
+++ b/transport/exchange/exchange_test.go
@@ -106,6 +106,18 @@
 		return string(b), err
 	}
 
+	// Guards against idle connections to many servers that leave no descriptors for callers.
+	It("gives up an idle connection for a new one beyond its limit", Label("failure:crowd-exhausts-process"), func() {
+		pool.LimitOpen(1)
+		s, other := serve(respond(matchingResponse)), serve(respond(matchingResponse))
+		for range 2 {
+			for _, to := range []*server{s, other} {
+				Expect(do(to)).To(Equal("ok"))
+			}
+		}
+		Expect(s.accepted.Load()).To(BeEquivalentTo(2))
+	})
+
 	It("keeps a connection for the next request", func() {
 		s := serve(respond(matchingResponse))
 		for range 3 {
--- a/transport/exchange/pool.go
+++ b/transport/exchange/pool.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -37,7 +38,9 @@
 
 // Pool keeps idle connections to servers. It is safe for concurrent use.
 type Pool struct {
-	dialer net.Dialer
+	dialer  net.Dialer
+	open    atomic.Int64 // connections, idle or not
+	maxOpen int64        // 0 for no limit
 
 	mu   sync.Mutex
 	idle map[string][]*conn // by address; most recently used last
@@ -60,6 +63,10 @@
 	return p
 }
 
+// LimitOpen makes the pool close idle connections, to any server, where it would have more than a number of
+// connections open with a new one. It is called before the pool is used.
+func (p *Pool) LimitOpen(limit int) { p.maxOpen = int64(limit) }
+
 // connFor returns the connection for a request. Its error wraps backend.ErrNotSent.
 func (p *Pool) connFor(ctx context.Context, req *Request) (*conn, error) {
 	if req.NewConn {
@@ -88,6 +95,9 @@
 
 // dial establishes a new connection. Its error wraps backend.ErrNotSent.
 func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
+	if p.maxOpen > 0 && p.open.Load() >= p.maxOpen {
+		p.closeIdle()
+	}
 	raw, err := p.dialer.DialContext(ctx, "tcp", address)
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		return nil, errors.Join(backend.ErrNotSent, backend.ErrRefused, err)
@@ -95,7 +105,20 @@
 	if err != nil {
 		return nil, errors.Join(backend.ErrNotSent, err)
 	}
-	return newConn(raw, address), nil
+	return newConn(p, raw, address), nil
+}
+
+// closeIdle closes one idle connection, if there is one.
+func (p *Pool) closeIdle() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, list := range p.idle {
+		if len(list) > 0 {
+			_ = list[0].Close() // the one that was used longest ago
+			p.idle[address] = slices.Delete(list, 0, 1)
+			return
+		}
+	}
 }
 
 // Connect establishes a new connection to a server and closes it.
--- a/transport/inbound/behind.go
+++ b/transport/inbound/behind.go
@@ -68,6 +68,9 @@
 func (c *conn) serve(h http.Handler, w http.ResponseWriter, r *http.Request) {
 	c.header.reading.Store(false)
 	c.behindSince.Store(0)
+	if c.ending.Load() {
+		w.Header().Set("Connection", "close")
+	}
 	defer func() {
 		c.behindSince.Store(time.Now().UnixNano())
 		// The server reads the rest of a body that the handler has left.
@@ -140,6 +143,21 @@
 	return longest
 }
 
+// endOldest makes the oldest one of some connections end with the answer to its current request, or to its next one.
+func (l *connections) endOldest(among func(*conn) bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var oldest *conn
+	for c := range l.open {
+		if !c.ending.Load() && among(c) && (oldest == nil || c.opened.Before(oldest.opened)) {
+			oldest = c
+		}
+	}
+	if oldest != nil {
+		oldest.ending.Store(true)
+	}
+}
+
 // reclaim closes connections whose callers are behind until these have held a number of bytes, and reports whether
 // there were enough.
 func (l *connections) reclaim(bytes int64) bool {
--- a/transport/inbound/conn.go
+++ b/transport/inbound/conn.go
@@ -64,7 +64,7 @@
 		_ = raw.Close()
 		return nil, net.ErrClosed
 	}
-	c := &conn{Conn: raw, port: l, limits: l.ports.limits, memory: l.ports.memory}
+	c := &conn{Conn: raw, port: l, opened: time.Now(), limits: l.ports.limits, memory: l.ports.memory}
 	c.release = sync.OnceFunc(func() {
 		l.ports.conns.remove(c)
 		c.closed.Store(true)
@@ -79,16 +79,19 @@
 // roomPoll is how often a port that is full looks for a connection that may be closed.
 const roomPoll = 50 * time.Millisecond
 
-// awaitRoom waits until one more connection may be open, and closes those whose callers are behind for it. It
-// returns false if the listener is closed meanwhile.
+// awaitRoom waits until one more connection may be open, and closes those whose callers are behind for it, else the
+// oldest ones once they have an answer. It returns false if the listener is closed meanwhile.
 //
-// Guard (crowd-exhausts-process): callers that stop short would keep all others out for as long as they like.
+// Guard (crowd-exhausts-process): callers that stop short, or send one request after the other, would keep all others
+// out for as long as they like.
 func (l *listener) awaitRoom() bool {
 	if l.open == nil || l.open.TryAcquire(1) {
 		return true
 	}
 	for l.ctx.Err() == nil {
-		l.ports.conns.closeBehind(func(c *conn) bool { return c.port == l })
+		if onPort := func(c *conn) bool { return c.port == l }; l.ports.conns.closeBehind(onPort) == nil {
+			l.ports.conns.endOldest(onPort)
+		}
 		ctx, cancel := context.WithTimeout(l.ctx, roomPoll)
 		err := l.open.Acquire(ctx, 1)
 		cancel()
@@ -121,6 +124,9 @@
 	release    func()      // ends the connection's share of the maximum and of the memory
 	becameIdle atomic.Bool // the next deadline set is that of an idle connection
 
+	opened time.Time
+	// ending is set if the connection is to be closed once the current request, or the next one, is answered.
+	ending atomic.Bool
 	closed atomic.Bool
 	memory *BodyMemory
 	header headerMemory
--- a/transport/inbound/ports.go
+++ b/transport/inbound/ports.go
@@ -23,6 +23,8 @@
 	// 995 connections), other daemons and the store: without that reserve a flood of
 	// callers leaves no descriptors for the connections that serve their requests.
 	callerDescriptorShare = 0.6
+	// otherDescriptorShare is the same for each port that few connect to, such as that of the readiness check.
+	otherDescriptorShare = 0.05
 )
 
 // Ports are a daemon's HTTP ports.
@@ -50,11 +52,21 @@
 // Open listens on address, given as host:port, for callers' requests. Requests are served
 // once Serve is called.
 func (p *Ports) Open(address string, h http.Handler) error {
+	return p.open(address, h, callerDescriptorShare)
+}
+
+// OpenOther is Open for a port that few connect to.
+func (p *Ports) OpenOther(address string, h http.Handler) error {
+	return p.open(address, h, otherDescriptorShare)
+}
+
+// open opens a port whose connections may use a share of the descriptors.
+func (p *Ports) open(address string, h http.Handler, share float64) error {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return err
 	}
-	p.listeners = append(p.listeners, newListener(l, p, int(callerDescriptorShare*float64(p.files))))
+	p.listeners = append(p.listeners, newListener(l, p, int(share*float64(p.files))))
 	p.servers = append(p.servers, &http.Server{
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			connOf(r.Context()).serve(h, w, r)
