gateway, relay: reading as a newcomer

No change in behaviour but one: an attempt that may run once at most is probed once and not searched an alternative for. The path request of the attempt serves its alternatives, too, and whether an attempt is the last one allocates nothing again.

--- a/coordination/relay/relay.go
+++ b/coordination/relay/relay.go
@@ -106,17 +106,24 @@
 	return r.ranOn, len(r.ranOn) >= r.MaxAttempts
 }
 
-// ExhaustedAfter returns what Exhausted would once the current attempt at a server has run.
+// ExhaustedAfter returns what Exhausted will once the current attempt at a server has run.
 func (r *Retrier) ExhaustedAfter(server string) (map[string]bool, bool) {
-	after := Retrier{MaxAttempts: r.MaxAttempts, ranOn: maps.Clone(r.ranOn)}
-	after.recordRun(server)
-	return after.Exhausted()
+	if !r.IsLastAttempt(server) {
+		return nil, false
+	}
+	ranOn := make(map[string]bool, len(r.ranOn)+1)
+	maps.Copy(ranOn, r.ranOn)
+	ranOn[server] = true
+	return ranOn, true
 }
 
 // IsLastAttempt reports whether the current attempt at a server is the last one that may run.
 func (r *Retrier) IsLastAttempt(server string) bool {
-	_, exhausted := r.ExhaustedAfter(server)
-	return exhausted
+	more := 1
+	if r.ranOn[server] {
+		more = 0
+	}
+	return len(r.ranOn)+more >= r.MaxAttempts
 }
 
 // NeverRan reports whether no server can have run the request.
--- a/gateway/alternative.go
+++ b/gateway/alternative.go
@@ -27,15 +27,14 @@
 	service *fleet.Service
 	route   *fleet.Route
 	req     pathing.Request
-	path    fleet.Path      // of the current attempt
 	avoid   map[string]bool // addresses that the next attempt may not use
 	avoided map[string]bool // addresses that it uses only if there are no others
 }
 
-// newAlternatives returns those of the current attempt.
-func (r *requestHandler) newAlternatives() *alternatives {
+// newAlternatives returns those of the current attempt, whose path was chosen for req.
+func (r *requestHandler) newAlternatives(req pathing.Request) *alternatives {
 	a := &alternatives{
-		g: r.g, service: r.service, route: r.route, req: r.pathRequest(), path: r.path,
+		g: r.g, service: r.service, route: r.route, req: req,
 		avoid: maps.Clone(r.excluded), avoided: maps.Clone(r.avoided),
 	}
 	r.retrierMu.Lock()
--- a/gateway/latestream.go
+++ b/gateway/latestream.go
@@ -60,6 +60,9 @@
 		unheard := r.g.shared.unheardHops(now, l.path, now.Sub(l.sent))
 		switch {
 		case l.hasDeadHop(now) || l.unpaused && p.checkHops(r.service.ID, unheard, unheard):
+			if r.route.Repeat == fleet.AtMostOnce {
+				return
+			}
 			if l.alternatives.answering(l.sent) && !w.begun.Load() {
 				r.leaveSilent(ctx, cancel, l.path[0])
 			}
--- a/gateway/path.go
+++ b/gateway/path.go
@@ -45,7 +45,7 @@
 	r.logSent(path.String())
 	call := r.newCall(path[0].Server, path[0].Address)
 	call.Path = path
-	r.alternatives = r.newAlternatives()
+	r.alternatives = r.newAlternatives(pathReq)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	watch := r.watchFirstEvent(ctx, cancel)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -37,11 +37,10 @@
 // stream forwards the events of one answer, complete ones only, so that another engine can
 // continue after the last one.
 type stream struct {
-	r    *requestHandler
-	path fleet.Path
-	// alternatives to the path
-	alternatives *alternatives
-	began        time.Time // when the header of the answer arrived
+	r            *requestHandler
+	path         fleet.Path
+	alternatives *alternatives // to the path
+	began        time.Time     // when the header of the answer arrived
 	answer       *backend.Answer
 	cancel       context.CancelFunc
 
