gateway: a stream keeps the last engine that may run it

What callers saw: engines of long paths fall silent for a second, 24 daemons.

Cause: an attempt that is given up before its answer begins excludes the first engine of its path for the rest of the request, also if a later engine was silent, and also if no other engine may run the request. Both engines that may run a stream are excluded then, and nothing ends that.

Change: the last server that may run a request is not excluded when an attempt is given up there.

Figures: the spec was red before (no answer in 8 s), green now.

It is the only way found in which a request ends without its answer on processes.

--- a/gateway/senderror.go
+++ b/gateway/senderror.go
@@ -24,7 +24,11 @@
 		r.g.shared.settleLateCalls(time.Now(), address, r.runStart)
 	}
 	if ctx.Err() != nil {
-		r.exclude(address)
+		// The last server that may run the request can still answer it: a later one of its path may have been
+		// silent, or it answers again.
+		if !r.isLastAttempt(address) {
+			r.exclude(address)
+		}
 		return outcome
 	}
 	if errors.Is(err, backend.ErrWithdrawn) {
