--- a/review/second/rig/rig.go
+++ b/review/second/rig/rig.go
@@ -32,15 +32,13 @@
 
 // Site is a site of processes on loopback addresses.
 type Site struct {
-	Dir   string
-	Store *Store
-	Net   string // first three parts of its addresses
-	// StoreAddress, if set, returns at which address a daemon finds the store.
-	StoreAddress func(daemon string) string
-	record       *os.File
-	mu           sync.Mutex
-	procs        []*Daemon
-	began        time.Time
+	Dir    string
+	Store  *Store
+	Net    string // first three parts of its addresses
+	record *os.File
+	mu     sync.Mutex
+	procs  []*Daemon
+	began  time.Time
 }
 
 // NewSite makes a site with a record file.
@@ -87,10 +85,6 @@
 		return l.Addr().(*net.TCPAddr).Port
 	}
 	p := port()
-	store := s.Store.Address
-	if s.StoreAddress != nil {
-		store = s.StoreAddress(name)
-	}
 	d := &Daemon{site: s, Name: name, Ip: ip, Front: fmt.Sprintf("%s:%d", ip, port()), Ready: fmt.Sprintf("%s:%d", ip, port())}
 	set := map[string]any{
 		"Node": d.Name, "Role": "gateway", "MachineClass": "edge", "Serves": []string{"edge", "directory"}, "Ip": ip,
@@ -101,7 +95,7 @@
 		"Bounds": map[string]any{"SeedLagS": 3, "AddrReuseS": 2, "StableMs": 3000, "AckMs": 4000, "CatchUpS": 4, "DrainMs": 2000, "GraceS": 8,
 			"LossSlackMs": 200, "ConfigApplyMs": 2000, "RollbackSlackMs": 250, "MaxStretchMs": 5000, "RetryBudgetRatio": 0.2, "BudgetWindowS": 10,
 			"RetrySlack": 198, "RecoveryS": 12, "PassMs": 120, "stall_ms": 2500, "RequireFence": true, "ttl_max_s": 5},
-		"Platform": map[string]any{"Address": store, "form": "table", "WritesPerS": 400, "ReadsPerS": 2000, "HistoryS": 20},
+		"Platform": map[string]any{"Address": s.Store.Address, "form": "table", "WritesPerS": 400, "ReadsPerS": 2000, "HistoryS": 20},
 	}
 	site, err := json.Marshal(set)
 	if err != nil {
