review: the scripts record what was sent, run and answered, and case 7 needs no lost daemon

Cause: the records held less than was asked for; a crashed server's entry was removed at once, not after three heartbeats; case 7 lost more daemons than the entries of the site file. Change: two daemons from the start, one disruption; shorter plays; a health check and 400 without an id.

--- a/review/second/cmd/cut/main.go
+++ b/review/second/cmd/cut/main.go
@@ -10,7 +10,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/hibiscuswick/hibiscuswick/review/second/rig"
@@ -19,12 +18,11 @@
 const (
 	rate       = 237.6 // requests per second of the sheet, all kinds together
 	plainShare = (18.3 + 7.29) / rate
-	calm       = 6 * time.Second // before daemons are lost
-	daemonLeft = 2
-	crashesAt  = 18 * time.Second
+	crashesAt  = 14 * time.Second
 	crashEvery = 6 * time.Second
 	downFor    = 4500 * time.Millisecond // for_s of the site file
-	playTime   = 95 * time.Second
+	lapse      = 3600 * time.Millisecond // three heartbeats, after which the entry of a silent server is removed
+	playTime   = 64 * time.Second
 	engines    = 8 // one of eight is within the share of 0.14 of the site file
 	plains     = 3
 	events     = 71
@@ -32,12 +30,10 @@
 	plainBytes = 800
 )
 
-// zones are those of the daemons.
-var zones = []string{"b", "b", "b", "a", "a", "c", "c"}
-
 // serve answers a request without stating a length: the answer ends with its connection.
 func serve(r *rig.Request) bool {
 	head := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\n", rig.HeaderID, r.ID, rig.HeaderStamp, r.Server.ID)
+	fmt.Println("server", r.Server.ID, "runs", r.ID)
 	if r.Method == "GET" {
 		time.Sleep(15 * time.Millisecond)
 		_, _ = io.WriteString(r.Conn, head+"\r\n"+strings.Repeat("x", plainBytes))
@@ -86,7 +82,7 @@
 		}
 	}()
 	start := func(i, life int) (*rig.ServerProcess, error) {
-		p, err := rig.StartServerProcess(fmt.Sprintf("i-%d-%d", i, life), fmt.Sprintf("%s%d:0", s.Net, 100+i))
+		p, err := rig.StartServerProcess(fmt.Sprintf("i-%d-%d", i, life), fmt.Sprintf("%s%d:0", s.Net, 100+i), func(line string) { s.Log("%s", line) })
 		if err != nil {
 			return nil, err
 		}
@@ -104,7 +100,7 @@
 		}
 		servers = append(servers, p)
 	}
-	fronts, err := s.StartDaemons(zones...)
+	fronts, err := s.StartDaemons("a", "b")
 	if err != nil {
 		return rig.CannotRun(err)
 	}
@@ -112,24 +108,15 @@
 	over := func() bool { return time.Since(began) > playTime }
 	res := &result{other: map[int]int{}}
 	var all sync.WaitGroup
-	left := fronts
-	var mu sync.Mutex
 	if trouble {
 		all.Go(func() {
-			time.Sleep(calm)
-			mu.Lock()
-			left = fronts[:daemonLeft]
-			mu.Unlock()
-			for _, d := range fronts[daemonLeft:] {
-				d.Signal(syscall.SIGKILL)
-			}
-			s.Log("%d of %d daemons are lost; the callers use the others", len(fronts)-daemonLeft, len(fronts))
-			time.Sleep(crashesAt - calm)
+			time.Sleep(crashesAt)
 			for life := 1; !over(); life++ {
 				i := rand.IntN(engines)
+				ended := servers[i].ID
 				servers[i].Kill()
-				s.Log("server %s has crashed", servers[i].ID)
-				s.Store.Drop("servers", servers[i].ID)
+				s.Log("server %s has crashed", ended)
+				time.AfterFunc(lapse, func() { s.Store.Drop("servers", ended) })
 				time.Sleep(downFor)
 				if servers[i], err = start(i, life); err != nil {
 					return
@@ -142,9 +129,7 @@
 	for n := 0; !over(); n++ {
 		time.Sleep(time.Until(next))
 		next = next.Add(time.Second * 10 / (rate * 10))
-		mu.Lock()
-		d := left[rand.IntN(len(left))]
-		mu.Unlock()
+		d := fronts[rand.IntN(len(fronts))]
 		id := fmt.Sprintf("%08x%08x", rand.Uint32(), n)
 		all.Go(func() { ask(s, d, id, res) })
 	}
@@ -164,6 +149,7 @@
 func ask(s *rig.Site, d *rig.Daemon, id string, res *result) {
 	var a rig.Answer
 	var whole bool
+	s.Log("request %s is sent to %s", id, d.Name)
 	if rand.Float64() < plainShare {
 		a = rig.Do(d.Front, "GET", "/check/x", "h.example", id, nil, time.Second)
 		whole = len(a.Body) == plainBytes
@@ -171,6 +157,7 @@
 		a = rig.Do(d.Front, "POST", "/chat/x", "h.example", id, []byte(id), 20*time.Second, rig.HeaderTokens+": 760,154", fmt.Sprintf("%s: %x:760", rig.HeaderPrefix, rand.Uint32()))
 		whole = strings.HasSuffix(string(a.Body), fmt.Sprintf("data: %s %d\n\n", id, events))
 	}
+	s.Log("request %s is answered %d, %d bytes, whole %v, error %v", id, a.Status, len(a.Body), whole, a.Err)
 	res.mu.Lock()
 	defer res.mu.Unlock()
 	switch {
--- a/review/second/cmd/drained/main.go
+++ b/review/second/cmd/drained/main.go
@@ -21,7 +21,7 @@
 	workTime   = 15 * time.Millisecond
 	drainTime  = 2 * time.Second // DrainMs
 	servesMore = 300 * time.Millisecond
-	playTime   = 96 * time.Second
+	playTime   = 72 * time.Second
 	freezeTime = 4 * time.Second // for_s of the site file
 	wakeTime   = 1200 * time.Millisecond
 	leaveAfter = 200 * time.Millisecond // after the begin of a freeze
@@ -68,8 +68,9 @@
 			mu.Lock()
 			arrived++
 			mu.Unlock()
+			daemon, _ := sentTo.Load(r.ID)
+			s.Log("server %s runs %s of %v", id, r.ID, daemon)
 			if at, left := gone.of(id); left {
-				daemon, _ := sentTo.Load(r.ID)
 				after := now.Sub(at)
 				s.Log("request %s of %v reaches %s %d ms after its entry was removed", r.ID, daemon, id, after.Milliseconds())
 				if after > drainTime && daemon != frozen {
@@ -142,7 +143,9 @@
 		id := fmt.Sprintf("%08x%08x", rand.Uint32(), n)
 		sentTo.Store(id, d.Name)
 		all.Go(func() {
+			s.Log("request %s is sent to %s", id, d.Name)
 			a := rig.Do(d.Front, "GET", "/check/x", "h.example", id, nil, deadline)
+			s.Log("request %s is answered %d, error %v", id, a.Status, a.Err)
 			mu.Lock()
 			statuses[a.Status]++
 			mu.Unlock()
--- a/review/second/cmd/refused/main.go
+++ b/review/second/cmd/refused/main.go
@@ -83,6 +83,7 @@
 				order := fmt.Sprintf("order-%d-%d", c, n)
 				for attempt := range 2 { // the sheet gives callers one retry
 					id := fmt.Sprintf("%08x%04x%04x", rand.Uint32(), c, n*2+attempt)
+					s.Log("caller of %s sends attempt %s", order, id)
 					a := rig.Do(fronts[rand.IntN(len(fronts))].Front, "POST", "/sign/x", "h.example", id, []byte(order), deadline)
 					s.Log("caller of %s, attempt %s: status %d, error %v", order, id, a.Status, a.Err)
 					mu.Lock()
--- a/review/second/rig/process.go
+++ b/review/second/rig/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -17,10 +18,10 @@
 	stdin       io.Closer
 }
 
-// StartServerProcess runs this program again with the word "server", the server's id, an address and further words.
-// The process calls RunServer.
-func StartServerProcess(id, address string, words ...string) (*ServerProcess, error) {
-	p := &ServerProcess{ID: id, cmd: exec.Command(os.Args[0], append([]string{"server", id, address}, words...)...)}
+// StartServerProcess runs this program again with the word "server", the server's id and an address.
+// The process calls RunServer. What it prints later is passed to line.
+func StartServerProcess(id, address string, line func(string)) (*ServerProcess, error) {
+	p := &ServerProcess{ID: id, cmd: exec.Command(os.Args[0], "server", id, address)}
 	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	var err error
 	if p.stdin, err = p.cmd.StdinPipe(); err != nil {
@@ -33,8 +34,19 @@
 	if err := p.cmd.Start(); err != nil {
 		return nil, err
 	}
-	_, err = fmt.Fscan(bufio.NewReader(out), &p.Address, &p.Born)
-	return p, err
+	lines := bufio.NewScanner(out)
+	if !lines.Scan() {
+		return nil, errors.New("server " + id + " has not started")
+	}
+	if _, err := fmt.Sscan(lines.Text(), &p.Address, &p.Born); err != nil {
+		return nil, err
+	}
+	go func() {
+		for lines.Scan() {
+			line(lines.Text())
+		}
+	}()
+	return p, nil
 }
 
 // Kill ends the process, as a crash does.
--- a/review/second/rig/rig.go
+++ b/review/second/rig/rig.go
@@ -248,6 +248,14 @@
 			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\nKeep-Alive: timeout=15\r\n\r\n%s", len(body), body)
 			continue
 		}
+		if r.URL.Path == "/healthz" {
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Instance: %s\r\nContent-Length: 0\r\n\r\n", s.ID)
+			continue
+		}
+		if req.ID == "" {
+			fmt.Fprintf(c, "HTTP/1.1 400 No id\r\n%s: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", HeaderNotRun)
+			return
+		}
 		if x := r.Header.Get(HeaderExpect); x != "" && x != s.ID {
 			io.Copy(io.Discard, r.Body)
 			fmt.Fprintf(c, "HTTP/1.1 421 Misdirected\r\n%s: %s\r\n%s: 1\r\nContent-Length: 0\r\n\r\n", HeaderID, req.ID, HeaderNotRun)
