transport: a reset that the writer of a request was told of reaches the reader of its answer

Cause: the kernel reports a reset once. The goroutine that writes the request received ECONNRESET, the one that reads the answer then read an ordinary end, which ends an answer without a length. The question whether the server has ended (gateway/unframed.go) can't show it, since the server lives.

Change: transport/httpanswer.Conn keeps the failure that a Write was told of, and its Read returns it in place of the end. transport/exchange and transport/httpcall make their connections with it, so that plain servers, engines of both interfaces, probes, orders and the stores are read through it. At the end a Write that still waits is ended, so that a sound answer is not delayed by a server that reads the upload slowly or no more.

Why it works: a Read finds an end either because the other side has ended its direction, or because a Write was told of the failure; in the second case that Write has made its system call, so its error is there once it has returned. EPIPE is no such failure: the kernel gives it for a reset after the end of the other direction, or after another call was told.

--- /dev/null
+++ b/client/brokenanswer_test.go
@@ -0,0 +1,79 @@
+package client_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hibiscuswick/hibiscuswick/client"
+	"github.com/hibiscuswick/hibiscuswick/protocol/caller"
+)
+
+// serveBroken starts a daemon that names itself as the only address, and answers each request with a text before
+// it has read the request's body. It returns the daemon's base URL.
+func serveBroken(text string, end func(c *net.TCPConn)) string {
+	GinkgoHelper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(func() { _ = ln.Close() })
+	addresses := fmt.Sprintf(`{"addresses":["http://%s"],"valid_for":"1m"}`, ln.Addr())
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				req, err := http.ReadRequest(bufio.NewReaderSize(c, 256))
+				switch {
+				case err != nil:
+				case req.URL.Path == caller.PathAddresses:
+					_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s", len(addresses), addresses)
+				default:
+					_, _ = io.WriteString(c, text)
+					end(c.(*net.TCPConn))
+				}
+			}()
+		}
+	}()
+	return "http://" + ln.Addr().String()
+}
+
+// doLong sends a request with a long prompt to a daemon.
+func doLong(url string) (client.Result, error) {
+	cfg := config(url)
+	cfg.MaxAttempts = 5
+	return client.New(cfg).Do(context.Background(), client.Request{Class: "check", Prompt: strings.Repeat("x", 8<<20)}, nil)
+}
+
+var _ = Describe("a broken answer to a request of the client", func() {
+	reset := func(c *net.TCPConn) {
+		time.Sleep(time.Millisecond)
+		_ = c.SetLinger(0)
+	}
+
+	// Guards against a part of an answer that looks complete, since its connection was reset while the request was
+	// being written.
+	DescribeTable("is not taken for the end of the request if it was reset", Label("failure:reset-during-upload"),
+		func(head, part string) {
+			url := serveBroken(head+"\r\n\r\n"+part, reset)
+			for range 5 {
+				r, err := doLong(url)
+				Expect(err).To(MatchError(client.ErrGaveUp))
+				Expect(r.End.Outcome).To(Equal(caller.EndUnknown))
+			}
+		},
+		Entry("within a stream", "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream", "event: token\ndata: {\"index\":0,\"value\":1}\n\n"),
+		Entry("within the end event", "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream", "event: end\ndata: {\"outcome\":\"completed\",\"tokens\":0}\n"),
+		Entry("within a problem document", "HTTP/1.1 409 Conflict", `{"status":409,"reason":"bad_request","execution":"not_run"`),
+	)
+})
--- a/transport/exchange/pool.go
+++ b/transport/exchange/pool.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/hibiscuswick/hibiscuswick/protocol/backend"
+	"github.com/hibiscuswick/hibiscuswick/transport/httpanswer"
 )
 
 const (
@@ -105,7 +106,7 @@
 	if err != nil {
 		return nil, errors.Join(backend.ErrNotSent, err)
 	}
-	return newConn(p, raw, address), nil
+	return newConn(p, httpanswer.NewConn(raw), address), nil
 }
 
 // closeIdle closes one idle connection, if there is one.
--- a/transport/httpcall/caller.go
+++ b/transport/httpcall/caller.go
@@ -11,6 +11,8 @@
 	"net/http/httptrace"
 	"sync"
 	"time"
+
+	"github.com/hibiscuswick/hibiscuswick/transport/httpanswer"
 )
 
 // Defaults of Options.
@@ -90,7 +92,7 @@
 // New returns a Caller with its own connection pool.
 func New(opts Options) *Caller {
 	opts = opts.withDefaults()
-	dialer := &net.Dialer{Timeout: opts.DialTimeout}
+	dial := httpanswer.Dialer(&net.Dialer{Timeout: opts.DialTimeout})
 	t := &http.Transport{
 		MaxIdleConns:        opts.MaxIdle,
 		MaxIdleConnsPerHost: opts.MaxIdle,
@@ -101,7 +103,7 @@
 		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 	t.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
-		c, err := dialer.DialContext(ctx, network, address)
+		c, err := dial(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
