ctl: a conflict that was cut by a reset while an edit was being sent leaves the result unknown

What callers saw: none did; found while looking through the other readers of answers. An operator's edit whose answer was a 409 without a length, reset after a part while the edit was being sent, counted as a conflict.

Change: connections of transport/httpanswer.

Why it works: the read of the body now fails, and a failed call leaves the result unknown, so that the edit is sent again under its id. Readers that need no change: transport/peer (frames have lengths), the client library (events and documents that end by themselves), inspect (one JSON document, nothing sent).

--- /dev/null
+++ b/ctl/brokenanswer_test.go
@@ -0,0 +1,63 @@
+package ctl_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hibiscuswick/hibiscuswick/ctl"
+	"github.com/hibiscuswick/hibiscuswick/protocol/caller"
+)
+
+// answerUnread starts a daemon that answers each request with a text before it has read the request's body. It
+// returns the daemon's base URL.
+func answerUnread(text string, end func(c *net.TCPConn)) string {
+	GinkgoHelper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(func() { _ = ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				if _, err := http.ReadRequest(bufio.NewReaderSize(c, 256)); err == nil {
+					_, _ = io.WriteString(c, text)
+					end(c.(*net.TCPConn))
+				}
+			}()
+		}
+	}()
+	return "http://" + ln.Addr().String()
+}
+
+// applyText applies a text to a daemon until the outcome is known, for a short while.
+func applyText(url string, text []byte) ctl.ApplyResult {
+	c, err := ctl.NewClient([]string{url}, time.Second)
+	Expect(err).NotTo(HaveOccurred())
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	return c.Apply(ctx, "alerts", caller.Edit{EditID: "e", Text: text})
+}
+
+var _ = Describe("A broken answer to an edit", func() {
+	// Guards against a part of an answer that tells an operator the result of an edit.
+	It("leaves its result unknown if the answer was reset while the edit was being sent", Label("failure:reset-during-upload"), func() {
+		for range 10 {
+			r := applyText(answerUnread("HTTP/1.1 409 Conflict\r\n\r\n{\"current\":", func(c *net.TCPConn) {
+				time.Sleep(time.Millisecond)
+				_ = c.SetLinger(0)
+			}), make([]byte, 8<<20))
+			Expect(r.Status).To(Equal(caller.EditUnknown))
+		}
+	})
+})
--- a/ctl/client.go
+++ b/ctl/client.go
@@ -18,6 +18,7 @@
 	"github.com/hibiscuswick/hibiscuswick/state"
 	"github.com/hibiscuswick/hibiscuswick/state/service"
 	"github.com/hibiscuswick/hibiscuswick/transport/front"
+	"github.com/hibiscuswick/hibiscuswick/transport/httpanswer"
 )
 
 // maxResponseBytes limits the body of one response. The largest holds all documents
@@ -39,7 +40,11 @@
 	if len(servers) == 0 {
 		return nil, eris.New("no server URL given")
 	}
-	c := &Client{http: &http.Client{Timeout: callTimeout}}
+	c := &Client{http: &http.Client{Timeout: callTimeout, Transport: &http.Transport{
+		Proxy:             http.ProxyFromEnvironment,
+		DialContext:       httpanswer.Dialer(&net.Dialer{}),
+		ForceAttemptHTTP2: true,
+	}}}
 	for _, s := range servers {
 		u, err := url.Parse(s)
 		if err != nil || u.Host == "" || u.Scheme != "http" && u.Scheme != "https" {
