transport: an answer whose status is none is broken

What callers saw: a server in trouble sent an answer with status 000, and its head was believed. On a real daemon a signed one ended the caller's connection without an answer (the serving goroutine panicked: net/http refuses to write such a status), an unsigned one gave 502, one with the mark that it has not run gave 503 with Retry-After, though the request may have run; 600 and 999 were passed on.

Cause: net/http reads three characters that are a number as a status, so also 000, 099 and +20; no reader of ours checked the range.

Change: httpanswer.CheckHead, asked by transport/exchange for each head that it reads, those of answers that it skips too, and by httpanswer.Transport for clients that use net/http's Transport: httpcall and the client library.

Why it works: the error is the one of any other bytes that are no answer, before a field of the head is looked at. The call is incomplete, so that a request that may run once fails with 502 and others go to another server; the connection is closed. Reports with such a head are no report now, as those of other broken bytes, where they counted as a sign of life before. 100 to 599 stay what they were.

--- a/client/brokenanswer_test.go
+++ b/client/brokenanswer_test.go
@@ -76,4 +76,15 @@
 		Entry("within the end event", "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream", "event: end\ndata: {\"outcome\":\"completed\",\"tokens\":0}\n"),
 		Entry("within a problem document", "HTTP/1.1 409 Conflict", `{"status":409,"reason":"bad_request","execution":"not_run"`),
 	)
+
+	// Guards against bytes that are no answer, which would say how the request ended.
+	DescribeTable("is not taken for the end of the request if its head is broken", Label("failure:broken-head"),
+		func(head, body string) {
+			r, err := doLong(serveBroken(head+"\r\n\r\n"+body, func(c *net.TCPConn) { _, _ = io.Copy(io.Discard, c) }))
+			Expect(err).To(MatchError(client.ErrGaveUp))
+			Expect(r.End.Outcome).To(Equal(caller.EndUnknown))
+		},
+		Entry("with status 000", "HTTP/1.1 000 Broken\r\nContent-Length: 61", `{"status":0,"reason":"bad_request","execution":"not_run"}    `),
+		Entry("with status 999", "HTTP/1.1 999 Broken\r\nContent-Length: 61", `{"status":999,"reason":"bad_request","execution":"not_run"}  `),
+	)
 })
--- a/client/client.go
+++ b/client/client.go
@@ -14,6 +14,7 @@
 
 	"github.com/hibiscuswick/hibiscuswick/protocol/caller"
 	"github.com/hibiscuswick/hibiscuswick/state"
+	"github.com/hibiscuswick/hibiscuswick/transport/httpanswer"
 )
 
 // Defaults of Config.
@@ -82,6 +83,9 @@
 			DisableCompression:  true,
 		}}
 	}
+	checked := *cfg.HTTP
+	checked.Transport = &httpanswer.Transport{Base: checked.Transport}
+	cfg.HTTP = &checked
 	return &Client{cfg: cfg}
 }
 
--- a/ctl/brokenanswer_test.go
+++ b/ctl/brokenanswer_test.go
@@ -60,4 +60,13 @@
 			Expect(r.Status).To(Equal(caller.EditUnknown))
 		}
 	})
+
+	// Guards against bytes that are no answer, which would tell an operator the result of an edit.
+	DescribeTable("leaves its result unknown if the head is broken", Label("failure:broken-head"),
+		func(head, body string) {
+			r := applyText(answerUnread(head+"\r\n\r\n"+body, func(c *net.TCPConn) { _, _ = io.Copy(io.Discard, c) }), nil)
+			Expect(r.Status).To(Equal(caller.EditUnknown))
+		},
+		Entry("with status 000", "HTTP/1.1 000 Broken\r\nContent-Length: 13", `{"version":3}`),
+	)
 })
--- a/transport/exchange/doc.go
+++ b/transport/exchange/doc.go
@@ -18,6 +18,8 @@
 //   - A server resets the connection while a long body is being written. The
 //     connections are of transport/httpanswer, so that a part of an answer without a
 //     length is not taken for all of it.
+//   - A server sends a head that is none of an answer. The call is incomplete, whatever
+//     else the head says, and the connection is closed.
 //   - A server sends bytes that are no answer and never ends: the bytes before the end of a head are
 //     bounded, those of a chunk's extensions and of trailers by net/http, and those of a body by the
 //     reader of the Response.
--- a/transport/exchange/exchange.go
+++ b/transport/exchange/exchange.go
@@ -10,6 +10,7 @@
 	"strconv"
 
 	"github.com/hibiscuswick/hibiscuswick/protocol/backend"
+	"github.com/hibiscuswick/hibiscuswick/transport/httpanswer"
 )
 
 // maxMismatched bounds how many answers to other requests are skipped before the
@@ -163,7 +164,10 @@
 		if err != nil {
 			return nil, err
 		}
-		if resp.StatusCode >= 100 && resp.StatusCode < 200 {
+		if err := httpanswer.CheckHead(resp.StatusCode); err != nil {
+			return nil, err
+		}
+		if resp.StatusCode < http.StatusOK {
 			continue
 		}
 		if req.matches(resp.Header, c) {
--- a/transport/httpanswer/doc.go
+++ b/transport/httpanswer/doc.go
@@ -1,3 +1,6 @@
-// Package httpanswer holds what each reader of HTTP/1.1 answers needs to tell a complete answer from
-// a broken one: a reset that the writer of the request was told of reaches the reader of the answer.
+// Package httpanswer tells sound HTTP/1.1 answers from broken ones, for all clients of this module. net/http
+// reads the answers; this package rejects those that it accepts although they are broken.
+//
+//   - Conn: an answer without a length whose connection was reset while its request was being written.
+//   - CheckHead, and Transport for clients that use net/http's Transport: a status that no answer has.
 package httpanswer
--- /dev/null
+++ b/transport/httpcall/brokenhead_test.go
@@ -0,0 +1,90 @@
+package httpcall_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hibiscuswick/hibiscuswick/transport/httpanswer"
+	"github.com/hibiscuswick/hibiscuswick/transport/httpcall"
+)
+
+// textServer answers the first call with a text and all others with "{}", and keeps its connections open.
+type textServer struct {
+	net.Listener
+	connections, calls atomic.Int32
+}
+
+func serveText(first string) *textServer {
+	GinkgoHelper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	s := &textServer{Listener: ln}
+	DeferCleanup(func() { _ = ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			s.connections.Add(1)
+			go s.serve(c, first)
+		}
+	}()
+	return s
+}
+
+func (s *textServer) serve(c net.Conn, first string) {
+	defer func() { _ = c.Close() }()
+	in := bufio.NewReader(c)
+	for {
+		req, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		text := "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
+		if s.calls.Add(1) == 1 {
+			text = first
+		}
+		_, _ = io.WriteString(c, text)
+	}
+}
+
+var _ = Describe("A broken head", func() {
+	// The call fails and is sent once, and the next one goes on another connection.
+	expectBroken := func(ctx SpecContext, method, text string) {
+		s := serveText(text)
+		caller := httpcall.New(httpcall.Options{})
+		DeferCleanup(caller.Close)
+		url := "http://" + s.Addr().String() + "/"
+		_, err := caller.Do(ctx, method, url, nil)
+		Expect(err).To(MatchError(httpanswer.ErrMalformed))
+		Expect(err).NotTo(MatchError(httpcall.ErrNotSent))
+		Expect(s.calls.Load()).To(Equal(int32(1)))
+		answer, err := caller.Do(ctx, method, url, nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer.Body).To(BeEquivalentTo("{}"))
+		Expect(s.connections.Load()).To(Equal(int32(2)))
+	}
+
+	// Guards against statuses that no answer has, which would be taken for the server's.
+	DescribeTable("has a status outside of 100 to 599", Label("failure:broken-head"),
+		func(ctx SpecContext, status string) {
+			for _, method := range []string{http.MethodGet, http.MethodPost, http.MethodPut} {
+				expectBroken(ctx, method, "HTTP/1.1 "+status+"\r\nContent-Length: 2\r\n\r\n{}")
+				expectBroken(ctx, method, "HTTP/1.1 "+status+"\r\nContent-Length: 0\r\n\r\n")
+			}
+		},
+		Entry(nil, "000 "),
+		Entry(nil, "099 OK"),
+		Entry(nil, "+20 OK"),
+		Entry(nil, "600 OK"),
+		Entry(nil, "999 OK"),
+	)
+})
--- a/transport/httpcall/caller.go
+++ b/transport/httpcall/caller.go
@@ -86,7 +86,7 @@
 // Caller makes calls to servers. It is safe for concurrent use.
 type Caller struct {
 	opts      Options
-	transport *http.Transport
+	transport *httpanswer.Transport
 }
 
 // New returns a Caller with its own connection pool.
@@ -109,7 +109,7 @@
 		}
 		return &conn{Conn: c}, nil
 	}
-	return &Caller{opts: opts, transport: t}
+	return &Caller{opts: opts, transport: &httpanswer.Transport{Base: t}}
 }
 
 // Close closes idle connections.
