transport: an answer with a field whose name is no token is broken

What callers saw: a server in trouble sent an answer in whose head the name of a field held a blank. The line was dropped on the way and the answer delivered; with "Transfer-Encoding : chunked" the caller got the frames of the chunks as its body, with "Content-Length : 2" all bytes up to the end of the connection; a 503 with the mark that it has not run counted as a refusal.

Cause: net/http's reader of fields accepts blanks in names, unlike each other byte that is not of a token (a control byte, a slash, DEL, bytes above 127, no byte at all: broken before, the specs stay). It keeps such a field under its name with the blank, where no reader of ours looks.

The specs of streams have whole events as their body now, which a broken head must not deliver.

Change: httpanswer.CheckHead looks at the names too, for informational answers and those that are skipped as well, and CheckFields at those of trailers. ctl and inspect are read through httpanswer.Transport now, which keeps the error of an informational answer itself: httptrace drops it if the caller's context has such a function, as the client's has.

Why it works: the head is refused as a whole before a field of it is used, so that neither its framing nor its marks count; the call is incomplete and the connection is closed. Names of any token and sound trailers stay accepted.

--- a/client/brokenanswer_test.go
+++ b/client/brokenanswer_test.go
@@ -85,6 +85,9 @@
 			Expect(r.End.Outcome).To(Equal(caller.EndUnknown))
 		},
 		Entry("with status 000", "HTTP/1.1 000 Broken\r\nContent-Length: 61", `{"status":0,"reason":"bad_request","execution":"not_run"}    `),
+		Entry("with a blank in a name", "HTTP/1.1 409 Conflict\r\nA B: 1\r\nContent-Length: 61", `{"status":409,"reason":"bad_request","execution":"not_run"}  `),
+		Entry("with a blank in a name, as a stream", "HTTP/1.1 200 OK\r\nContent-Length : 4\r\nConnection: close", "event: end\ndata: {\"outcome\":\"completed\",\"tokens\":0}\n\n"),
+		Entry("with a blank in a name, before a stream", "HTTP/1.1 102 Processing\r\nA B: 1\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 55", "event: end\ndata: {\"outcome\":\"completed\",\"tokens\":0}\n\n"),
 		Entry("with status 999", "HTTP/1.1 999 Broken\r\nContent-Length: 61", `{"status":999,"reason":"bad_request","execution":"not_run"}  `),
 	)
 })
--- a/cmd/hibiscusctl/inspect.go
+++ b/cmd/hibiscusctl/inspect.go
@@ -15,6 +15,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/hibiscuswick/hibiscuswick/gateway"
+	"github.com/hibiscuswick/hibiscuswick/transport/httpanswer"
 )
 
 const (
@@ -63,7 +64,7 @@
 	if err != nil {
 		return nil, err
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := (&http.Client{Transport: &httpanswer.Transport{}}).Do(req)
 	if err != nil {
 		return nil, err
 	}
--- a/ctl/brokenanswer_test.go
+++ b/ctl/brokenanswer_test.go
@@ -68,5 +68,6 @@
 			Expect(r.Status).To(Equal(caller.EditUnknown))
 		},
 		Entry("with status 000", "HTTP/1.1 000 Broken\r\nContent-Length: 13", `{"version":3}`),
+		Entry("with a blank in a name", "HTTP/1.1 200 OK\r\nA B: 1\r\nContent-Length: 13", `{"version":3}`),
 	)
 })
--- a/ctl/client.go
+++ b/ctl/client.go
@@ -40,11 +40,11 @@
 	if len(servers) == 0 {
 		return nil, eris.New("no server URL given")
 	}
-	c := &Client{http: &http.Client{Timeout: callTimeout, Transport: &http.Transport{
+	c := &Client{http: &http.Client{Timeout: callTimeout, Transport: &httpanswer.Transport{Base: &http.Transport{
 		Proxy:             http.ProxyFromEnvironment,
 		DialContext:       httpanswer.Dialer(&net.Dialer{}),
 		ForceAttemptHTTP2: true,
-	}}}
+	}}}}
 	for _, s := range servers {
 		u, err := url.Parse(s)
 		if err != nil || u.Host == "" || u.Scheme != "http" && u.Scheme != "https" {
--- a/transport/exchange/body.go
+++ b/transport/exchange/body.go
@@ -8,6 +8,7 @@
 	"sync"
 
 	"github.com/hibiscuswick/hibiscuswick/protocol/backend"
+	"github.com/hibiscuswick/hibiscuswick/transport/httpanswer"
 )
 
 // body is an answer's body. If it ends with io.EOF the answer is complete, and its
@@ -28,6 +29,9 @@
 // Read implements io.Reader.
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.resp.Body.Read(p)
+	if errors.Is(err, io.EOF) {
+		err = b.endError()
+	}
 	switch {
 	case err == nil:
 		return n, nil
@@ -39,6 +43,14 @@
 	}
 }
 
+// endError returns io.EOF, or the error of a body that has ended with a broken trailer.
+func (b *body) endError() error {
+	if err := httpanswer.CheckFields(b.resp.Trailer); err != nil {
+		return err
+	}
+	return io.EOF
+}
+
 // Close returns the connection to the pool. If the answer was not read completely it
 // closes the connection instead, so that the server stops working on the request.
 func (b *body) Close() error {
--- a/transport/exchange/exchange.go
+++ b/transport/exchange/exchange.go
@@ -164,7 +164,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if err := httpanswer.CheckHead(resp.StatusCode); err != nil {
+		if err := httpanswer.CheckHead(resp.StatusCode, resp.Header); err != nil {
 			return nil, err
 		}
 		if resp.StatusCode < http.StatusOK {
--- a/transport/httpanswer/doc.go
+++ b/transport/httpanswer/doc.go
@@ -2,5 +2,6 @@
 // reads the answers; this package rejects those that it accepts although they are broken.
 //
 //   - Conn: an answer without a length whose connection was reset while its request was being written.
-//   - CheckHead, and Transport for clients that use net/http's Transport: a status that no answer has.
+//   - CheckHead and CheckFields, and Transport for clients that use net/http's Transport: a status that no answer
+//     has, and a field whose name is no token.
 package httpanswer
--- a/transport/httpcall/brokenhead_test.go
+++ b/transport/httpcall/brokenhead_test.go
@@ -9,6 +9,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/onsi/gomega/types"
 
 	"github.com/hibiscuswick/hibiscuswick/transport/httpanswer"
 	"github.com/hibiscuswick/hibiscuswick/transport/httpcall"
@@ -58,13 +59,13 @@
 
 var _ = Describe("A broken head", func() {
 	// The call fails and is sent once, and the next one goes on another connection.
-	expectBroken := func(ctx SpecContext, method, text string) {
+	expectBroken := func(ctx SpecContext, method, text string, want types.GomegaMatcher) {
 		s := serveText(text)
 		caller := httpcall.New(httpcall.Options{})
 		DeferCleanup(caller.Close)
 		url := "http://" + s.Addr().String() + "/"
 		_, err := caller.Do(ctx, method, url, nil)
-		Expect(err).To(MatchError(httpanswer.ErrMalformed))
+		Expect(err).To(want)
 		Expect(err).NotTo(MatchError(httpcall.ErrNotSent))
 		Expect(s.calls.Load()).To(Equal(int32(1)))
 		answer, err := caller.Do(ctx, method, url, nil)
@@ -73,12 +74,14 @@
 		Expect(s.connections.Load()).To(Equal(int32(2)))
 	}
 
+	malformed := MatchError(httpanswer.ErrMalformed)
+
 	// Guards against statuses that no answer has, which would be taken for the server's.
 	DescribeTable("has a status outside of 100 to 599", Label("failure:broken-head"),
 		func(ctx SpecContext, status string) {
 			for _, method := range []string{http.MethodGet, http.MethodPost, http.MethodPut} {
-				expectBroken(ctx, method, "HTTP/1.1 "+status+"\r\nContent-Length: 2\r\n\r\n{}")
-				expectBroken(ctx, method, "HTTP/1.1 "+status+"\r\nContent-Length: 0\r\n\r\n")
+				expectBroken(ctx, method, "HTTP/1.1 "+status+"\r\nContent-Length: 2\r\n\r\n{}", malformed)
+				expectBroken(ctx, method, "HTTP/1.1 "+status+"\r\nContent-Length: 0\r\n\r\n", malformed)
 			}
 		},
 		Entry(nil, "000 "),
@@ -87,4 +90,21 @@
 		Entry(nil, "600 OK"),
 		Entry(nil, "999 OK"),
 	)
+
+	// Guards against fields that no answer has, and against a body that is not the server's since its framing is
+	// named by them.
+	DescribeTable("has a field whose name is no token", Label("failure:broken-head"),
+		func(ctx SpecContext, field string, want types.GomegaMatcher) {
+			for _, method := range []string{http.MethodGet, http.MethodPost, http.MethodPut} {
+				expectBroken(ctx, method, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"+field+"\r\n\r\n{}", want)
+				expectBroken(ctx, method, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n"+field+"\r\n\r\n", want)
+				expectBroken(ctx, method, "HTTP/1.1 103 Early Hints\r\n"+field+"\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}", want)
+				expectBroken(ctx, method, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n"+field+"\r\n\r\n", want)
+			}
+		},
+		Entry("with a blank", "A B: 1", malformed),
+		Entry("with a blank at its end", "A : 1", malformed),
+		Entry("of a length, with a blank", "Content-Length : 1", malformed),
+		Entry("with a control byte", "A\x01B: 1", HaveOccurred()),
+	)
 })
