tests: one stand-in for servers that answer with raw bytes

Cause: the specs of broken answers had five listeners of the same shape. Change: internal/standin.RawServer; what the servers send, and what is checked, is as before.

--- a/client/brokenanswer_test.go
+++ b/client/brokenanswer_test.go
@@ -14,6 +14,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/hibiscuswick/hibiscuswick/client"
+	"github.com/hibiscuswick/hibiscuswick/internal/standin"
 	"github.com/hibiscuswick/hibiscuswick/protocol/caller"
 )
 
@@ -21,31 +22,22 @@
 // it has read the request's body. It returns the daemon's base URL.
 func serveBroken(text string, end func(c *net.TCPConn)) string {
 	GinkgoHelper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	Expect(err).NotTo(HaveOccurred())
-	DeferCleanup(func() { _ = ln.Close() })
-	addresses := fmt.Sprintf(`{"addresses":["http://%s"],"valid_for":"1m"}`, ln.Addr())
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = c.Close() }()
-				req, err := http.ReadRequest(bufio.NewReaderSize(c, 256))
-				switch {
-				case err != nil:
-				case req.URL.Path == caller.PathAddresses:
-					_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s", len(addresses), addresses)
-				default:
-					_, _ = io.WriteString(c, text)
-					end(c.(*net.TCPConn))
-				}
-			}()
+	var addresses string
+	s, err := standin.StartRawServer(func(c *net.TCPConn) {
+		req, err := http.ReadRequest(bufio.NewReaderSize(c, 256))
+		switch {
+		case err != nil:
+		case req.URL.Path == caller.PathAddresses:
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s", len(addresses), addresses)
+		default:
+			_, _ = io.WriteString(c, text)
+			end(c)
 		}
-	}()
-	return "http://" + ln.Addr().String()
+	})
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(s.Close)
+	addresses = fmt.Sprintf(`{"addresses":["http://%s"],"valid_for":"1m"}`, s.Address())
+	return "http://" + s.Address()
 }
 
 // doLong sends a request with a long prompt to a daemon.
--- a/ctl/brokenanswer_test.go
+++ b/ctl/brokenanswer_test.go
@@ -12,6 +12,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/hibiscuswick/hibiscuswick/ctl"
+	"github.com/hibiscuswick/hibiscuswick/internal/standin"
 	"github.com/hibiscuswick/hibiscuswick/protocol/caller"
 )
 
@@ -19,25 +20,15 @@
 // returns the daemon's base URL.
 func answerUnread(text string, end func(c *net.TCPConn)) string {
 	GinkgoHelper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	Expect(err).NotTo(HaveOccurred())
-	DeferCleanup(func() { _ = ln.Close() })
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = c.Close() }()
-				if _, err := http.ReadRequest(bufio.NewReaderSize(c, 256)); err == nil {
-					_, _ = io.WriteString(c, text)
-					end(c.(*net.TCPConn))
-				}
-			}()
+	s, err := standin.StartRawServer(func(c *net.TCPConn) {
+		if _, err := http.ReadRequest(bufio.NewReaderSize(c, 256)); err == nil {
+			_, _ = io.WriteString(c, text)
+			end(c)
 		}
-	}()
-	return "http://" + ln.Addr().String()
+	})
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(s.Close)
+	return "http://" + s.Address()
 }
 
 // applyText applies a text to a daemon until the outcome is known, for a short while.
--- a/transport/exchange/reset_test.go
+++ b/transport/exchange/reset_test.go
@@ -13,6 +13,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/hibiscuswick/hibiscuswick/internal/standin"
 	"github.com/hibiscuswick/hibiscuswick/protocol/backend"
 	"github.com/hibiscuswick/hibiscuswick/transport/exchange"
 )
@@ -21,27 +22,16 @@
 // buffers of the operating system take on both sides.
 var longUpload = make([]byte, 8<<20)
 
-// serveUnread runs a script on each connection once the head of its request has been read.
-func serveUnread(run func(c *net.TCPConn)) *server {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	Expect(err).NotTo(HaveOccurred())
-	s := &server{Listener: l}
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			s.accepted.Add(1)
-			go func() {
-				defer func() { _ = c.Close() }()
-				if _, err := http.ReadRequest(bufio.NewReaderSize(c, 256)); err == nil {
-					run(c.(*net.TCPConn))
-				}
-			}()
+// serveUnread starts a server that runs a script on each connection once the head of its request has been read.
+func serveUnread(run func(c *net.TCPConn)) *standin.RawServer {
+	GinkgoHelper()
+	s, err := standin.StartRawServer(func(c *net.TCPConn) {
+		if _, err := http.ReadRequest(bufio.NewReaderSize(c, 256)); err == nil {
+			run(c)
 		}
-	}()
-	DeferCleanup(func() { _ = l.Close() })
+	})
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(s.Close)
 	return s
 }
 
@@ -60,11 +50,11 @@
 	})
 
 	// upload sends a request with a body and reads its complete answer.
-	upload := func(s *server, method string, body []byte) (string, error) {
+	upload := func(s *standin.RawServer, method string, body []byte) (string, error) {
 		ctx, cancel := context.WithTimeout(context.Background(), callTime)
 		defer cancel()
 		resp, err := pool.Do(ctx, exchange.Request{
-			Address: s.Addr().String(), Method: method, Target: "/", Header: http.Header{}, Body: body,
+			Address: s.Address(), Method: method, Target: "/", Header: http.Header{}, Body: body,
 			ID: "r1", IDHeader: "X-Request-Id",
 		})
 		if err != nil {
@@ -100,7 +90,7 @@
 						Expect(errors.Is(err, backend.ErrIncomplete)).To(BeTrue(), "%v", err)
 					}
 					Expect(complete).To(BeZero(), "of %d", plays)
-					Expect(s.accepted.Load()).To(BeEquivalentTo(plays), "no connection is used again")
+					Expect(s.Accepted()).To(BeEquivalentTo(plays), "no connection is used again")
 				})
 			})
 		}
@@ -116,7 +106,7 @@
 			for range 10 {
 				Expect(upload(s, method, longUpload)).To(Equal(want))
 			}
-			Expect(s.accepted.Load()).To(BeEquivalentTo(10))
+			Expect(s.Accepted()).To(BeEquivalentTo(10))
 		},
 		Entry("and reads no more", http.MethodPost, unframed+"all", endThenWait, "all"),
 		Entry("and reads the request to its end", http.MethodPost, unframed+"all", endThenRead, "all"),
--- a/transport/httpcall/brokenhead_test.go
+++ b/transport/httpcall/brokenhead_test.go
@@ -11,37 +11,29 @@
 	. "github.com/onsi/gomega"
 	"github.com/onsi/gomega/types"
 
+	"github.com/hibiscuswick/hibiscuswick/internal/standin"
 	"github.com/hibiscuswick/hibiscuswick/transport/httpanswer"
 	"github.com/hibiscuswick/hibiscuswick/transport/httpcall"
 )
 
 // textServer answers the first call with a text and all others with "{}", and keeps its connections open.
 type textServer struct {
-	net.Listener
-	connections, calls atomic.Int32
+	*standin.RawServer
+	first string
+	calls atomic.Int32
 }
 
 func serveText(first string) *textServer {
 	GinkgoHelper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	s := &textServer{first: first}
+	raw, err := standin.StartRawServer(s.serve)
 	Expect(err).NotTo(HaveOccurred())
-	s := &textServer{Listener: ln}
-	DeferCleanup(func() { _ = ln.Close() })
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			s.connections.Add(1)
-			go s.serve(c, first)
-		}
-	}()
+	DeferCleanup(raw.Close)
+	s.RawServer = raw
 	return s
 }
 
-func (s *textServer) serve(c net.Conn, first string) {
-	defer func() { _ = c.Close() }()
+func (s *textServer) serve(c *net.TCPConn) {
 	in := bufio.NewReader(c)
 	for {
 		req, err := http.ReadRequest(in)
@@ -51,7 +43,7 @@
 		_, _ = io.Copy(io.Discard, req.Body)
 		text := "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
 		if s.calls.Add(1) == 1 {
-			text = first
+			text = s.first
 		}
 		_, _ = io.WriteString(c, text)
 	}
@@ -63,7 +55,7 @@
 		s := serveText(text)
 		caller := httpcall.New(httpcall.Options{})
 		DeferCleanup(caller.Close)
-		url := "http://" + s.Addr().String() + "/"
+		url := "http://" + s.Address() + "/"
 		_, err := caller.Do(ctx, method, url, nil)
 		Expect(err).To(want)
 		Expect(err).NotTo(MatchError(httpcall.ErrNotSent))
@@ -71,7 +63,7 @@
 		answer, err := caller.Do(ctx, method, url, nil)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(answer.Body).To(BeEquivalentTo("{}"))
-		Expect(s.connections.Load()).To(Equal(int32(2)))
+		Expect(s.Accepted()).To(Equal(2))
 	}
 
 	malformed := MatchError(httpanswer.ErrMalformed)
--- a/transport/httpcall/reset_test.go
+++ b/transport/httpcall/reset_test.go
@@ -11,31 +11,22 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/hibiscuswick/hibiscuswick/internal/standin"
 	"github.com/hibiscuswick/hibiscuswick/transport/httpcall"
 )
 
 // serveUnread answers each call once its head has been read, ends the connection and returns the URL.
 func serveUnread(text string, end func(c *net.TCPConn)) string {
 	GinkgoHelper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	Expect(err).NotTo(HaveOccurred())
-	DeferCleanup(func() { _ = ln.Close() })
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = c.Close() }()
-				if _, err := http.ReadRequest(bufio.NewReaderSize(c, 256)); err == nil {
-					_, _ = io.WriteString(c, text)
-					end(c.(*net.TCPConn))
-				}
-			}()
+	s, err := standin.StartRawServer(func(c *net.TCPConn) {
+		if _, err := http.ReadRequest(bufio.NewReaderSize(c, 256)); err == nil {
+			_, _ = io.WriteString(c, text)
+			end(c)
 		}
-	}()
-	return "http://" + ln.Addr().String() + "/"
+	})
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(s.Close)
+	return "http://" + s.Address() + "/"
 }
 
 var _ = Describe("An answer that ends while its call is being written", func() {
