transport/httpanswer: informational answers without end end the call

Cause: net/http bounds informational answers by the size of a head only as long as no function is told of them, and Transport sets one. A call read them until its time was over (1.15 GB allocated, 8 MB allowed).

Change: Transport bounds them itself, by 64 KB as transport/exchange and httpcall do, unless the caller of the call is told of them too, as the client library is by daemons that keep it waiting; there nothing changes.

Why it works: the function's error ends the call in net/http, before the next head is read.

--- a/transport/httpanswer/transport.go
+++ b/transport/httpanswer/transport.go
@@ -2,7 +2,9 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -10,6 +12,13 @@
 	"sync"
 )
 
+// maxInformationalBytes bounds the heads of the informational answers before an answer. Usual ones have less than 100
+// bytes.
+const maxInformationalBytes = 64 << 10
+
+// errTooManyInformational means that a server has sent maxInformationalBytes and no answer.
+var errTooManyInformational = fmt.Errorf("%w: too many informational answers", ErrMalformed)
+
 // Transport is an http.RoundTripper that returns an error for a malformed answer and closes its connection. The
 // error wraps ErrMalformed.
 type Transport struct {
@@ -32,7 +41,10 @@
 
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
-	c := &call{}
+	c := &call{informationalLeft: maxInformationalBytes}
+	if trace := httptrace.ContextClientTrace(req.Context()); trace != nil && trace.Got1xxResponse != nil {
+		c.informationalLeft = math.MaxInt // the caller sees them and bounds them
+	}
 	ctx := httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{GotConn: c.gotConn, Got1xxResponse: c.got1xxResponse})
 	resp, err := t.base().RoundTrip(req.WithContext(ctx))
 	if err != nil {
@@ -72,6 +84,8 @@
 	mu        sync.Mutex
 	conn      net.Conn // that the request was sent on last; nil where the transport does not report it
 	malformed error    // of an informational answer
+	// informationalLeft is how many bytes of informational answers may still be read.
+	informationalLeft int
 }
 
 func (c *call) gotConn(info httptrace.GotConnInfo) {
@@ -80,15 +94,33 @@
 	c.conn = info.Conn
 }
 
-// got1xxResponse keeps its error, since httptrace drops it where the caller's context has such a function too.
+// got1xxResponse checks an informational answer. It keeps its error, since httptrace drops it where the caller's
+// context has such a function too.
+//
+// Guard (endless-answer): net/http bounds informational answers only as long as there is no such function.
 func (c *call) got1xxResponse(_ int, fields textproto.MIMEHeader) error {
-	err := CheckFields(http.Header(fields))
-	if err != nil {
-		c.mu.Lock()
-		defer c.mu.Unlock()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.informationalLeft -= headSize(fields)
+	switch err := CheckFields(http.Header(fields)); {
+	case err != nil:
 		c.malformed = err
+	case c.informationalLeft < 0:
+		c.malformed = errTooManyInformational
+	}
+	return c.malformed
+}
+
+// headSize returns about how many bytes a head has.
+func headSize(fields textproto.MIMEHeader) int {
+	const statusLine, separators = 16, 4
+	size := statusLine
+	for name, values := range fields {
+		for _, value := range values {
+			size += len(name) + len(value) + separators
+		}
 	}
-	return err
+	return size
 }
 
 func (c *call) informationalError() error {
