gateway: a refusal that a server has not proved is not passed on for a request that may run once

What callers saw: a server ran a request of a route that may run once and failed it with 503, without stating that it had not run it.

Cause: 408, 421, 429 and 503 promise callers that a request has not run and never will. Of a server only X-Not-Run, or 421, proves it. The daemon asked for the proof when it decided whether to try another server, and not when it passed the answer on: 503 went the way of a server's own failure, 429 and 408 that of an ordinary answer.

Change: for a request that may run once, such an answer is a failure of its server (Errored) and is not kept for the caller, who gets 502 of the daemon's own, without the server's signature. Requests that may run again get the server's answer as before, with its Retry-After: a 502 would bring them back at once. Event 1335 refusal_unproven logs each.

Why it works: both places that pass a server's answer on (plain servers, engines) ask isFailure and keepFailure, so that no status with that promise reaches a caller for whom it matters unless the server has proved it. 502 promises nothing, and carries no signature, so that it is no answer of the server with another status.

--- a/gateway/path.go
+++ b/gateway/path.go
@@ -121,11 +121,11 @@
 	if !ok {
 		return relay.Broken, Result{}
 	}
-	if answer.Status >= http.StatusInternalServerError {
+	if r.isFailure(answer) {
 		r.recordFailure(path[0].Address)
 	} else if !r.headSent {
 		return 0, r.forwardAnswer(answer, body)
 	}
-	r.failure = &serverFailure{answer: answer, body: body}
+	r.keepFailure(answer, body)
 	return relay.Errored, Result{}
 }
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -82,10 +82,10 @@
 	if !ok {
 		return relay.Broken, Result{}
 	}
-	if answer.Status >= http.StatusInternalServerError {
+	if r.isFailure(answer) {
 		r.exclude(address)
 		r.serverFailed(answer.Status, relay.Errored)
-		r.failure = &serverFailure{answer: answer, body: body}
+		r.keepFailure(answer, body)
 		return relay.Errored, Result{}
 	}
 	r.serverAnswered()
@@ -116,12 +116,6 @@
 	return a.Status < http.StatusMultipleChoices && !a.Signed
 }
 
-// serverFailure is an error answer of a server, kept in case no other server does better.
-type serverFailure struct {
-	answer *backend.Answer
-	body   []byte
-}
-
 // forwardAnswer delivers an answer to the caller: the part that was held back, then the
 // rest.
 func (r *requestHandler) forwardAnswer(answer *backend.Answer, held []byte) Result {
--- a/protocol/backend/backend.go
+++ b/protocol/backend/backend.go
@@ -95,6 +95,16 @@
 	return a.Status == http.StatusServiceUnavailable || a.Status == http.StatusTooManyRequests
 }
 
+// ClaimsNotRun reports whether the answer's status alone tells a caller that its request has not run and will not
+// run. A server may use such a status for its own failure; only NotRun proves the claim.
+func (a *Answer) ClaimsNotRun() bool {
+	switch a.Status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // StatesRetryAfter reports whether the server turned the request away and wants no further
 // one for RetryAfter.
 func (a *Answer) StatesRetryAfter() bool { return a.TurnedAway() && a.RetryAfter > 0 }
--- a/telemetry/events.go
+++ b/telemetry/events.go
@@ -72,6 +72,7 @@
 	EventRetryLate           Event = 1332
 	EventRetryRecords        Event = 1333
 	EventRetriesInherited    Event = 1334
+	EventRefusalUnproven     Event = 1335
 	EventStreamTurnedAway    Event = 1340
 	EventQueueWaited         Event = 1345
 	EventQueueRejected       Event = 1346
