following, gateway: one daemon's failed calls are no outage of the store

Cause: the frozen daemon is one of the two that follow the store for all. Its call times out while it stands still, so that it announces on waking that the store has recovered. Each daemon took that as an outage of the store, in which entries of live servers expire, and used servers whose entries were removed in the next 3 s for 1.8 s more, from when it learned of the removal. The store had answered the other follower, and through it every daemon, all the while. A follower that alone is cut off from the store has the same effect.

Evidence: "use no server that has left because the store has answered one of them again" (gateway/follow_test.go): the store refuses one follower for 3 s; red before (after 1 s a removed server is still used), green now, for either follower.

Change: each daemon keeps since when the store is known to have answered some daemon again and again, with less than 2 s in between: its own calls, from when they were sent, and those of the followers, by their announcements. A report of a recovery counts from the beginning of that time (AvailableSince); a follower reports its own recovery so as well, by what it knows of the other one. The messages between daemons stay as they are.

"use servers whose entries have expired while the store answered none of them" is green before and after: a true outage is still learned of through followers.

Why it works: an entry expires after three heartbeat intervals, so that an outage in which one expires leaves 2 s and more without an answer to anybody, and no daemon can know of an answer in it. What is known of other daemons' answers can't be made older by one daemon's pause or cut link.

Ruled out: not to believe announced recoveries at all. Daemons that did not call the store in an outage would drop live servers after it.

--- a/coordination/following/following.go
+++ b/coordination/following/following.go
@@ -58,8 +58,8 @@
 	LastChange   uint64        `msgpack:"changed"`  // no row changed after it, up to Revision
 	StoreAge     time.Duration `msgpack:"age"`      // since the store last answered
 	StoreFailing bool          `msgpack:"failing"`  // the store does not answer the follower
-	// RecoveredFor is how long the store has been answering again after a failure; 0 if it never
-	// failed.
+	// RecoveredFor is how long the store has been answering again after calls of the follower failed; 0
+	// if none has. Whether that was an outage is judged by Machine.AvailableSince.
 	RecoveredFor time.Duration `msgpack:"recovered"`
 	// Rows are the encoded rows that changed after RowsAfter; empty for none.
 	RowsAfter uint64 `msgpack:"after"`
@@ -108,6 +108,8 @@
 	answeredOtherAt time.Time // when the store is last known to have answered another daemon
 	substitute      bool      // substitutes for the chosen followers
 	recoveredAt     time.Time
+	answers         answerRun // of the store to any daemon
+	peerAnswers     answerRun // of the store to other daemons
 	nextAnnounce    time.Time
 }
 
@@ -261,8 +263,9 @@
 // StoreAnswered records an answer of the store, with all changes up to a revision.
 func (m *Machine) StoreAnswered(now time.Time, revision uint64, changes bool) {
 	if m.storeFailing {
-		m.recoveredAt = now
+		m.recoveredAt = m.peerAnswers.sinceBefore(now)
 	}
+	m.answers.add(now)
 	if changes || m.storeFailing {
 		m.nextAnnounce = now
 	}
@@ -277,7 +280,7 @@
 func (m *Machine) LoadedFromPeer(now time.Time, revision uint64, age time.Duration) {
 	m.lastPeerAnswer = peerState{receivedAt: now, storeAge: age}
 	m.storeAnsweredAt = now.Add(-age)
-	m.answeredOtherAt = later(m.answeredOtherAt, m.storeAnsweredAt)
+	m.answeredPeer(m.storeAnsweredAt)
 	m.AdvanceTo(revision, true)
 }
 
@@ -298,7 +301,7 @@
 func (m *Machine) ConfirmedByPeer(now time.Time, revision uint64, age time.Duration) {
 	m.lastPeerAnswer = peerState{receivedAt: now, storeAge: age}
 	m.storeAnsweredAt = later(m.storeAnsweredAt, now.Add(-age))
-	m.answeredOtherAt = later(m.answeredOtherAt, now.Add(-age))
+	m.answeredPeer(now.Add(-age))
 	if m.known {
 		m.AdvanceTo(revision, false)
 	}
@@ -381,7 +384,7 @@
 	}
 	p.minOffset = min(p.minOffset, offset)
 	p.sentAt, p.receivedAt, p.storeAge, p.storeFailing = a.Sent, now, a.StoreAge+offset-p.minOffset, a.StoreFailing
-	m.answeredOtherAt = later(m.answeredOtherAt, now.Add(-p.storeAge))
+	m.answeredPeer(now.Add(-p.storeAge))
 }
 
 // forgetUnresponsive drops the followers without a new announcement for a long time. A follower
--- a/gateway/feedtracker.go
+++ b/gateway/feedtracker.go
@@ -51,9 +51,11 @@
 
 // batchInfo describes how a batch was obtained.
 type batchInfo struct {
-	complete  bool // the batch contains all rows
-	recovered bool // the store did not answer before
-	restored  bool // the store has been restored from a backup since the rows that are known
+	complete    bool      // the batch contains all rows
+	calledAt    time.Time // when the store was called
+	recovered   bool      // the store did not answer this daemon before
+	recoveredAt time.Time // when the store's last outage ended, if recovered is set
+	restored    bool      // the store has been restored from a backup since the rows that are known
 }
 
 // feedTracker keeps one feed up to date, from the store or from other daemons. Everything
@@ -64,7 +66,8 @@
 	feed    site.Feed[T]
 	machine *following.Machine
 	apply   func(b site.Batch[T], info batchInfo)
-	// onRecovery is called with the time at which the store answered a follower again.
+	// onRecovery is called with the time since which the store has been available, whenever a follower
+	// reports that it is answered again.
 	onRecovery  func(at time.Time)
 	pendingRows encodedRows // for the next announcement
 	cache       rowCache[T] // rows for other daemons
@@ -117,6 +120,7 @@
 			p.known = true
 			continue
 		}
+		calledAt := time.Now()
 		batch, complete, err := readFeed(ctx, f.feed, p.revision, p.known, p.failures)
 		if errors.Is(err, site.ErrHistoryGone) {
 			p.known, p.restored = false, restoredRevision(err)
@@ -133,7 +137,7 @@
 			f.handleFailure(ctx, &p, err)
 			continue
 		}
-		info := batchInfo{complete: complete, recovered: p.failures > 0}
+		info := batchInfo{complete: complete, calledAt: calledAt, recovered: p.failures > 0}
 		if p.failures > 0 {
 			p.failures = 0
 			f.c.g.log.Emit(telemetry.EventStoreRecovered, telemetry.Detail(f.name))
@@ -300,6 +304,7 @@
 // applyStoreAnswer applies an answer of the store. Other daemons may have announced a part
 // of it meanwhile.
 func (f *feedTracker[T]) applyStoreAnswer(b site.Batch[T], info batchInfo) {
+	f.machine.StoreReached(info.calledAt)
 	before, known := f.machine.Revision()
 	if known && b.Revision < before {
 		f.machine.StoreAnswered(f.c.now, before, false)
@@ -316,6 +321,7 @@
 		f.cache.update(b, info.complete)
 	}
 	f.machine.StoreAnswered(f.c.now, b.Revision, changed)
+	info.recoveredAt = f.machine.RecoveredAt()
 	f.revision.Store(b.Revision)
 	if changed || info.recovered {
 		info.restored = known && f.isRestored(before, b.Revision)
@@ -359,10 +365,11 @@
 		f.forward(ann)
 	}
 	f.c.g.metrics.CountReason(telemetry.GatewayAnnouncementsTotal, reason)
+	result := f.machine.Receive(f.c.now, ann)
 	if ann.RecoveredFor > 0 && !ann.StoreFailing {
-		f.onRecovery(f.c.now.Add(-ann.RecoveredFor))
+		f.onRecovery(f.machine.AvailableSince(f.c.now.Add(-ann.RecoveredFor)))
 	}
-	switch f.machine.Receive(f.c.now, ann) {
+	switch result {
 	case following.ResultApply:
 		items, err := decode[T](ann.Rows)
 		if err != nil {
--- a/gateway/follow_test.go
+++ b/gateway/follow_test.go
@@ -111,6 +111,9 @@
 	return c
 }
 
+// expiringOutage is how long the store answers nobody in an outage in which entries expire.
+const expiringOutage = 3 * time.Second
+
 var _ = Describe("Gateways of one site", func() {
 	// bound is how late a change may become active.
 	const bound = 2 * time.Second
@@ -173,6 +176,57 @@
 			WithTimeout(bound).Should(Equal(gateway.Answered))
 	})
 
+	// refuse makes the store refuse followers, and the other gateways too if all is set, for a while, and waits until
+	// it has answered the followers again.
+	refuse := func(cl *cluster, followers []int, all bool, d time.Duration) {
+		GinkgoHelper()
+		awaitCalls := func() {
+			GinkgoHelper()
+			for _, i := range followers {
+				before := cl.servers[i].calls.Load()
+				Eventually(cl.servers[i].calls.Load).WithTimeout(eventuallyTimeout).Should(BeNumerically(">", before))
+			}
+		}
+		set := func(refusing bool) {
+			for i := range cl.servers {
+				if all || lo.Contains(followers, i) {
+					cl.servers[i].refusing.Store(refusing)
+				}
+			}
+		}
+		set(true)
+		time.Sleep(d)
+		awaitCalls()
+		set(false)
+		awaitCalls()
+		time.Sleep(settleTime) // they announce that the store answers them again
+	}
+
+	// Guards against requests to servers that have left: one follower is cut off from the store, or stands still, and
+	// all daemons take its failure for an outage in which entries of live servers expire.
+	It("use no server that has left because the store has answered one of them again", Label("failure:one-followers-outage"), func() {
+		for _, follower := range []int{1, 2} {
+			cl := newCluster("g1", "g2", "g3")
+			refuse(cl, []int{follower}, false, expiringOutage)
+			cl.serverFeed.remove("p0")
+			cl.serverFeed.remove("p1")
+			for i := range cl.gateways {
+				Eventually(func() gateway.Outcome { return cl.outcomeAt(i, "/again/x") }).WithTimeout(time.Second).Should(Equal(gateway.Refused), "g%d", i+1)
+			}
+		}
+	})
+
+	// Guards against callers that are refused after an outage of the store, in which the entries of all servers have
+	// expired: daemons that did not call the store must learn of it.
+	It("use servers whose entries have expired while the store answered none of them", Label("failure:entries-lapse"), func() {
+		cl := newCluster("g1", "g2", "g3")
+		refuse(cl, []int{1, 2}, true, expiringOutage)
+		cl.serverFeed.remove("p0")
+		cl.serverFeed.remove("p1")
+		Consistently(func() gateway.Outcome { return cl.outcomeAt(0, "/again/x") }).WithTimeout(time.Second).Should(Equal(gateway.Answered))
+		Eventually(func() gateway.Outcome { return cl.outcomeAt(0, "/again/x") }).WithTimeout(eventuallyTimeout).Should(Equal(gateway.Refused))
+	})
+
 	// The connections of both followers to the store become unresponsive, and the followers
 	// announce what they knew. The others must still see new routes in time.
 	It("poll the store themselves once the announcements are stale", Label("failure:follower-stale"), func() {
--- a/gateway/listing.go
+++ b/gateway/listing.go
@@ -22,7 +22,7 @@
 	// since. Such a change is published at once if publishNow is set, and soon if urgent is.
 	publishedAt               time.Time
 	dirty, urgent, publishNow bool
-	// storeRecoveredAt is when the store last answered again after a failure.
+	// storeRecoveredAt is when the store's last outage ended.
 	storeRecoveredAt time.Time
 	// missing are servers that are no longer listed but whose entries may only have
 	// expired, with the time at which they are removed.
@@ -108,7 +108,7 @@
 // applyServers applies a change of the server list.
 func (l *listingState) applyServers(b site.Batch[fleet.Server], info batchInfo) {
 	if info.recovered {
-		l.recordRecovery(l.c.now)
+		l.recordRecovery(info.recoveredAt)
 	}
 	present := make(map[state.BackendID]bool, len(b.Items))
 	for _, it := range b.Items {
@@ -161,7 +161,7 @@
 	l.departed[incarnation] = l.c.now
 }
 
-// recordRecovery records when the store answered again after a failure.
+// recordRecovery records since when the store has been available.
 func (l *listingState) recordRecovery(at time.Time) {
 	if at.After(l.storeRecoveredAt) {
 		l.storeRecoveredAt = at
