gateway: a removal that becomes known late extends no server's use

Cause: two times with different origins were added up. That an entry may only have expired is bounded by the store's return; the use of its server was not.

Change: such a server is used for 1.8 s, and not beyond expiryWindow, 3 s after the store's return.

Why it works: entries of live servers are back within about two seconds of the store's return. Removals that the store acknowledges while it is stable come 3 s after its return or later, and none of them is held beyond that.

--- a/gateway/listing.go
+++ b/gateway/listing.go
@@ -64,10 +64,11 @@
 	// server is not alive, the store removes its entry sooner.
 	heldFor = 5 * time.Second
 	// expiryWindow is how long after the store's recovery a removed entry may have expired
-	// only because its server could not renew it.
+	// only because its server could not renew it. Those of servers that are alive are back by then.
 	expiryWindow = 3 * time.Second
-	// expiryGrace is how long such a server is still used. A server that is alive is listed
-	// again within about two seconds, and a leaving one may get no request later than that.
+	// expiryGrace is how long such a server is still used, but not beyond expiryWindow, since its
+	// removal may become known late. A server that is alive is listed again within about two seconds,
+	// and a leaving one may get no request later than that.
 	expiryGrace = 1800 * time.Millisecond
 )
 
@@ -176,7 +177,7 @@
 		return
 	}
 	if _, ok := l.missing[id]; !ok {
-		l.missing[id] = l.c.now.Add(expiryGrace)
+		l.missing[id] = earlier(l.c.now.Add(expiryGrace), l.storeRecoveredAt.Add(expiryWindow))
 	}
 }
 
