following, gateway: an outage of the store is judged by all answers that are known of its time

Cause: kept only the beginning of the current time with answers, and judged a report when it came. Prints of a copy show the sequence at the daemon whose only neighbour in its failure domain freezes: the other follower's last known answer at 493.334, its own long poll sent at 495.084 and answered at 496.085, and in between an announcement of an answer at 495.336: 2.002 s without an answer, as far as it was known then. The poll came too late to fill the gap.

The reports are kept by the machine that knows the answers; the callback is gone.

--- a/coordination/following/following.go
+++ b/coordination/following/following.go
@@ -59,7 +59,7 @@
 	StoreAge     time.Duration `msgpack:"age"`      // since the store last answered
 	StoreFailing bool          `msgpack:"failing"`  // the store does not answer the follower
 	// RecoveredFor is how long the store has been answering again after calls of the follower failed; 0
-	// if none has. Whether that was an outage is judged by Machine.AvailableSince.
+	// if none has. Machine.RecoveredAt judges whether that was an outage.
 	RecoveredFor time.Duration `msgpack:"recovered"`
 	// Rows are the encoded rows that changed after RowsAfter; empty for none.
 	RowsAfter uint64 `msgpack:"after"`
@@ -107,10 +107,12 @@
 	storeFailedAt   time.Time // when the store last did not answer this daemon
 	answeredOtherAt time.Time // when the store is last known to have answered another daemon
 	substitute      bool      // substitutes for the chosen followers
-	recoveredAt     time.Time
-	answers         answerRun // of the store to any daemon
-	peerAnswers     answerRun // of the store to other daemons
-	nextAnnounce    time.Time
+	recoveredAt     time.Time // when the store last answered this daemon again; zero if it never failed to
+	// reportedRecovery is the latest end of an outage that a follower has reported.
+	reportedRecovery time.Time
+	answers          answerTimes // of the store to any daemon
+	peerAnswers      answerTimes // of the store to other daemons
+	nextAnnounce     time.Time
 }
 
 // peerState is the last announcement of one follower.
@@ -263,7 +265,7 @@
 // StoreAnswered records an answer of the store, with all changes up to a revision.
 func (m *Machine) StoreAnswered(now time.Time, revision uint64, changes bool) {
 	if m.storeFailing {
-		m.recoveredAt = m.peerAnswers.sinceBefore(now)
+		m.recoveredAt = now
 	}
 	m.answers.add(now)
 	if changes || m.storeFailing {
@@ -349,6 +351,7 @@
 	if m.IsNew(a) {
 		m.recordPeer(now, a)
 	}
+	m.recordRecovery(now, a)
 	if a.LastChange > m.revision {
 		m.recordMissing(now, a.LastChange)
 	}
@@ -421,7 +424,7 @@
 		StoreAge: now.Sub(m.storeAnsweredAt), StoreFailing: m.storeFailing,
 	}
 	if !m.recoveredAt.IsZero() {
-		a.RecoveredFor = now.Sub(m.recoveredAt)
+		a.RecoveredFor = now.Sub(m.ownRecovery())
 	}
 	return a, true
 }
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -47,8 +47,8 @@
 	c := &control{g: g, inbox: make(chan func(), 256), now: time.Now(), known: make(chan struct{})}
 	c.members = newMembersState(c)
 	c.listing = newListingState(c)
-	c.configFeed = newFeedTracker(c, "configuration", g.site.Configs, c.listing.applyConfig, c.listing.recordRecovery)
-	c.serverFeed = newFeedTracker(c, "servers", g.site.Servers, c.listing.applyServers, c.listing.recordRecovery)
+	c.configFeed = newFeedTracker(c, "configuration", g.site.Configs, c.listing.applyConfig)
+	c.serverFeed = newFeedTracker(c, "servers", g.site.Servers, c.listing.applyServers)
 	c.assignment = newAssignmentState(c)
 	c.permits = &permitsState{c: c}
 	c.retries = &retryRecords{c: c}
@@ -171,7 +171,7 @@
 	}
 	c.epoch = epoch
 	c.g.log.Emit(telemetry.EventStoreRestored, telemetry.Count(int(epoch)))
-	c.listing.recordRecovery(c.now)
+	c.listing.restoredAt = c.now
 	c.members.rewriteRow()
 }
 
--- a/gateway/feedtracker.go
+++ b/gateway/feedtracker.go
@@ -51,24 +51,20 @@
 
 // batchInfo describes how a batch was obtained.
 type batchInfo struct {
-	complete    bool      // the batch contains all rows
-	calledAt    time.Time // when the store was called
-	recovered   bool      // the store did not answer this daemon before
-	recoveredAt time.Time // when the store's last outage ended, if recovered is set
-	restored    bool      // the store has been restored from a backup since the rows that are known
+	complete  bool      // the batch contains all rows
+	calledAt  time.Time // when the store was called
+	recovered bool      // the store did not answer this daemon before
+	restored  bool      // the store has been restored from a backup since the rows that are known
 }
 
 // feedTracker keeps one feed up to date, from the store or from other daemons. Everything
 // but its run method belongs to the control goroutine.
 type feedTracker[T any] struct {
-	c       *control
-	name    string
-	feed    site.Feed[T]
-	machine *following.Machine
-	apply   func(b site.Batch[T], info batchInfo)
-	// onRecovery is called with the time since which the store has been available, whenever a follower
-	// reports that it is answered again.
-	onRecovery  func(at time.Time)
+	c           *control
+	name        string
+	feed        site.Feed[T]
+	machine     *following.Machine
+	apply       func(b site.Batch[T], info batchInfo)
 	pendingRows encodedRows // for the next announcement
 	cache       rowCache[T] // rows for other daemons
 	allRows     encodedRows // all rows as last encoded
@@ -84,9 +80,9 @@
 	wake            chan struct{}
 }
 
-func newFeedTracker[T any](c *control, name string, feed site.Feed[T], apply func(site.Batch[T], batchInfo), onRecovery func(time.Time)) *feedTracker[T] {
+func newFeedTracker[T any](c *control, name string, feed site.Feed[T], apply func(site.Batch[T], batchInfo)) *feedTracker[T] {
 	return &feedTracker[T]{
-		c: c, name: name, feed: feed, apply: apply, onRecovery: onRecovery,
+		c: c, name: name, feed: feed, apply: apply,
 		machine: following.New(c.g.self, name, maxStoreAge, c.now),
 		cache:   newRowCache[T](),
 		wake:    make(chan struct{}, 1),
@@ -321,7 +317,6 @@
 		f.cache.update(b, info.complete)
 	}
 	f.machine.StoreAnswered(f.c.now, b.Revision, changed)
-	info.recoveredAt = f.machine.RecoveredAt()
 	f.revision.Store(b.Revision)
 	if changed || info.recovered {
 		info.restored = known && f.isRestored(before, b.Revision)
@@ -365,11 +360,7 @@
 		f.forward(ann)
 	}
 	f.c.g.metrics.CountReason(telemetry.GatewayAnnouncementsTotal, reason)
-	result := f.machine.Receive(f.c.now, ann)
-	if ann.RecoveredFor > 0 && !ann.StoreFailing {
-		f.onRecovery(f.machine.AvailableSince(f.c.now.Add(-ann.RecoveredFor)))
-	}
-	switch result {
+	switch f.machine.Receive(f.c.now, ann) {
 	case following.ResultApply:
 		items, err := decode[T](ann.Rows)
 		if err != nil {
--- a/gateway/listing.go
+++ b/gateway/listing.go
@@ -22,10 +22,10 @@
 	// since. Such a change is published at once if publishNow is set, and soon if urgent is.
 	publishedAt               time.Time
 	dirty, urgent, publishNow bool
-	// storeRecoveredAt is when the store's last outage ended.
-	storeRecoveredAt time.Time
+	// restoredAt is when the store was last found to be restored from a backup.
+	restoredAt time.Time
 	// missing are servers that are no longer listed but whose entries may only have
-	// expired, with the time at which they are removed.
+	// expired, with the time at which that became known.
 	missing map[state.BackendID]time.Time
 	// formerIncarnations are incarnations that another one of the same name has followed.
 	// Their entries may still arrive, since a delayed write can take effect after the new
@@ -108,9 +108,6 @@
 
 // applyServers applies a change of the server list.
 func (l *listingState) applyServers(b site.Batch[fleet.Server], info batchInfo) {
-	if info.recovered {
-		l.recordRecovery(info.recoveredAt)
-	}
 	present := make(map[state.BackendID]bool, len(b.Items))
 	for _, it := range b.Items {
 		id := state.BackendID(it.Key)
@@ -162,32 +159,39 @@
 	l.departed[incarnation] = l.c.now
 }
 
-// recordRecovery records since when the store has been available.
-func (l *listingState) recordRecovery(at time.Time) {
-	if at.After(l.storeRecoveredAt) {
-		l.storeRecoveredAt = at
-	}
+// storeRecoveredAt returns when the store's last outage ended.
+func (l *listingState) storeRecoveredAt() time.Time {
+	return later(l.restoredAt, later(l.c.configFeed.machine.RecoveredAt(), l.c.serverFeed.machine.RecoveredAt()))
+}
+
+// keptUntil returns until when a missing server is used whose removal became known at a time, given when the store's
+// last outage ended.
+func keptUntil(known, recovered time.Time) time.Time {
+	return earlier(known.Add(expiryGrace), recovered.Add(expiryWindow))
 }
 
 // handleMissing removes a server from the list, at once unless its entry may only have
 // expired.
 func (l *listingState) handleMissing(id state.BackendID) {
-	if l.c.now.Sub(l.storeRecoveredAt) > expiryWindow {
+	if !l.c.now.Before(keptUntil(l.c.now, l.storeRecoveredAt())) {
 		l.removeServer(id)
 		return
 	}
 	if _, ok := l.missing[id]; !ok {
-		l.missing[id] = earlier(l.c.now.Add(expiryGrace), l.storeRecoveredAt.Add(expiryWindow))
+		l.missing[id] = l.c.now
 	}
 }
 
 // tick removes servers that have been missing for too long, and publishes a changed list,
 // once for all changes that arrived together.
 func (l *listingState) tick() {
-	for id, until := range l.missing {
-		if !l.c.now.Before(until) {
-			l.removeServer(id)
-			l.dirty = true
+	if len(l.missing) > 0 {
+		recovered := l.storeRecoveredAt()
+		for id, known := range l.missing {
+			if !l.c.now.Before(keptUntil(known, recovered)) {
+				l.removeServer(id)
+				l.dirty = true
+			}
 		}
 	}
 	for id, entry := range l.held {
@@ -243,8 +247,11 @@
 			next = t
 		}
 	}
-	for _, t := range l.missing {
-		sooner(t)
+	if len(l.missing) > 0 {
+		recovered := l.storeRecoveredAt()
+		for _, known := range l.missing {
+			sooner(keptUntil(known, recovered))
+		}
 	}
 	for _, entry := range l.held {
 		sooner(entry.until)
